--- /dev/null
+++ b/pewterring/__init__.py
@@ -0,0 +1,1 @@
+"""pewterring: a gateway that keeps each customer of a shared back end to its plan."""
--- /dev/null
+++ b/pewterring/choice.py
@@ -0,0 +1,574 @@
+"""Every decision of a gatekeeper. The types, events and actions are in pewterring/interface.py.
+
+The ordinary path is docs/design.md's: a request passes its customer's quota (Quota), then a slot below
+min(share, local limit) of the inferred ceiling (Ceiling, Shares), then goes to the server with the least
+expected wait (Fleet). What cannot pass is refused at once; nothing queues here.
+"""
+
+import math
+import random
+import struct
+from collections import deque
+
+from pewterring.interface import (
+    NEVER_RAN, Action, Cancel, Code, Effect, Event, Expired, Fail, Group, ListForm, Mode, Outcome, PeerMail,
+    Plan, Probe, ProbeResult, Refuse, Request, RequestClass, Send, Server, ServerList, SetTimer, Settings,
+    StreamStarted, Subscribe, Tell, TimerDue,
+)  # fmt: skip
+
+BEAT, LOOK, ASK = 1, 2, 3  # labels of the timers
+BEAT_S = 0.5  # heartbeat period (ours, DESIGN)
+LEASE_S = 4 * BEAT_S  # a peer silent for this long is evicted: at 8% loss one in 24,000 beats misleads
+LOOKS = 12  # looks for silent servers within the shortest aim
+BEAT_FORM = struct.Struct(">cIIfIff")  # tag, incarnation, sequence, limit, out, share, demand
+TOLD_HEAD, TOLD_ITEM = struct.Struct(">cII"), struct.Struct(">QH")  # tag, incarnation, sequence; customer, demand
+MAIL_BYTES, TOLD_SCALE = 256, 1000  # demand travels in thousandths of the plan's quota
+
+
+class Ceiling:
+    """Gradient2: how many attempts the whole back end bears, inferred from latency."""
+
+    TOLERANCE = 2.5  # queueing allowed over the unloaded latency; a few waits per service fit any sane aim
+    AIM_SHARE = 0.5  # the tolerated latency never passes this part of the aim: bounds the baseline's upward
+    # drift when all servers slow together, whatever the rolling minimum says
+    BATCH, KEPT, MEMORY = 16, 64, 1 / 32  # samples per update, updates in the rolling minimum, weight of one sample
+    SMOOTH, START, FLOOR, BUSY = 0.2, 4.0, 2.0, 0.5  # EMA of the estimate; slots per rating; growth needs out/limit
+
+    def __init__(self, classes: dict[str, RequestClass]) -> None:
+        self.classes = classes
+        self.mean: dict[str, float] = {}
+        self.count: dict[str, int] = {}
+        self.lows: dict[str, deque[float]] = {}
+        self.rating = 0.0
+        self.limit = 0.0
+
+    def rescale(self, rating: float) -> None:
+        """Slots belong to servers: the limit follows the serving rating on the list at once."""
+        if rating > 0:
+            self.limit = self.limit * rating / self.rating if self.rating else self.START * rating
+            self.rating = rating
+
+    def observe(self, name: str, latency: float, fleet_out: float) -> None:
+        """One latency. Single ones vary too much for a minimum, so each class's running mean is the sample."""
+        n = self.count[name] = self.count.get(name, 0) + 1
+        mean = self.mean.get(name, latency)
+        self.mean[name] = mean = mean + (latency - mean) * max(self.MEMORY, 1 / n)
+        if n % self.BATCH:
+            return
+        lows = self.lows.setdefault(name, deque(maxlen=self.KEPT))
+        lows.append(mean)
+        tolerated = min(self.TOLERANCE * min(lows), self.AIM_SHARE * self.classes[name].aim)
+        gradient = min(1.0, max(0.5, tolerated / max(mean, 1e-9)))
+        new = self.limit * gradient + math.sqrt(self.limit)
+        if new > self.limit and fleet_out < self.BUSY * self.limit:
+            return  # an idle fleet says nothing of room above
+        self.limit = max(self.FLOOR * self.rating, self.limit + (new - self.limit) * self.SMOOTH)
+
+
+class Peer:
+    """What one peer's heartbeats said last."""
+
+    def __init__(self, incarnation: int) -> None:
+        self.incarnation, self.before = incarnation, -1
+        self.sequence = self.told_sequence = -1
+        self.heard = -math.inf
+        self.limit = self.out = self.share = self.demand = 0.0
+
+
+class Shares:
+    """The ceiling's split: lower median of live limits, occupancy reserved, target split by demand."""
+
+    def __init__(self, me: int, incarnation: int) -> None:
+        self.me, self.incarnation, self.sequence = me, incarnation, 0
+        self.peers: dict[int, Peer] = {}
+        self.wanted = self.demand = 0.0
+        self.share = math.inf
+
+    def live(self, now: float) -> list[Peer]:
+        return [p for p in self.peers.values() if now - p.heard < LEASE_S]
+
+    def fleet_out(self, now: float, out: int) -> float:
+        return out + sum(p.out for p in self.live(now))
+
+    def divide(self, now: float, limit: float) -> None:
+        others = self.live(now)
+        limits = sorted([limit, *(p.limit for p in others)])
+        whole = limits[(len(limits) - 1) // 2]
+        demands = self.demand + sum(p.demand for p in others)
+        target = whole * (self.demand / demands if demands > 0 else 1 / (1 + len(others)))
+        self.share = max(1.0, min(target, whole - sum(max(p.share, p.out) for p in others)))
+
+    def beat(self, now: float, limit: float, out: int) -> bytes:
+        """One atomic snapshot of what this gatekeeper holds and wants."""
+        self.demand += (self.wanted / BEAT_S - self.demand) * 0.25  # four beats: outlasts one lost or late
+        self.wanted = 0.0
+        self.divide(now, limit)
+        self.sequence += 1
+        return BEAT_FORM.pack(b"B", self.incarnation, self.sequence, limit, out, self.share, self.demand)
+
+    def sender(self, peer: int, incarnation: int) -> Peer | None:
+        """The peer's record; a restarted peer begins anew, late mail of its former life is dropped."""
+        known = self.peers.get(peer)
+        if known and known.before == incarnation:
+            return None
+        if known is None or known.incarnation != incarnation:
+            fresh = self.peers[peer] = Peer(incarnation)
+            fresh.before = known.incarnation if known else -1
+        return self.peers[peer]
+
+    def hear(self, now: float, peer: int, data: bytes, limit: float) -> None:
+        if len(data) != BEAT_FORM.size or peer == self.me:
+            return
+        _, incarnation, sequence, theirs, out, share, demand = BEAT_FORM.unpack(data)
+        sane = all(math.isfinite(x) and x >= 0 for x in (theirs, share, demand))
+        p = self.sender(peer, incarnation) if sane else None
+        if p is None or sequence <= p.sequence:
+            return
+        p.sequence, p.heard, p.limit, p.out, p.share, p.demand = sequence, now, theirs, out, share, demand
+        self.divide(now, limit)
+
+
+class Customer:
+    """One customer's recent demand, here and as peers told it, and the local share of its burst."""
+
+    def __init__(self, now: float, plan: Plan, size: int, first: int, fresh: float) -> None:
+        self.plan, self.size, self.first = plan, size, first
+        self.window = max(1.0, plan.depth / plan.refill) if plan.refill else 1.0  # the store's own memory
+        self.demand, self.at, self.new = 0.0, now, False
+        self.told: dict[int, tuple[float, float]] = {}  # peer: (demand, when)
+        self.sent: dict[int, tuple[float, float]] = {}
+        self.store = plan.depth / size * fresh
+        self.cap, self.open = 0.0, 0
+
+    def aged(self, value: tuple[float, float], now: float) -> float:
+        return value[0] * math.exp((value[1] - now) / self.window)
+
+    def summed(self, now: float) -> float:
+        return self.demand + sum(self.aged(t, now) for t in self.told.values())
+
+    def pass_time(self, now: float) -> None:
+        plan, past = self.plan, now - self.at
+        if past <= 0:
+            return
+        self.demand *= math.exp(-past / self.window)
+        calm = 0.1 * plan.refill  # where nobody asks, the refill is split evenly
+        part = (self.demand + calm) / (self.summed(now) + calm * self.size) if plan.refill else 0.0
+        self.store = min(plan.depth / self.size, self.store + past * plan.refill * part)
+        self.cap = min(plan.cap_depth / self.size, self.cap + past * plan.cap_rate / self.size)
+        self.at = now
+
+
+class Quota:
+    """Summed-demand refusal beyond a local share of the burst, and the hard limits of a plan."""
+
+    def __init__(self, settings: Settings, rng: random.Random, now: float) -> None:
+        self.s, self.rng, self.began = settings, rng, now
+        self.customers: dict[int, Customer] = {}
+        self.restarted = False
+
+    def customer(self, now: float, r: Request, plan: Plan) -> Customer:
+        c = self.customers.get(r.customer)
+        if c is None:
+            c = self.customers[r.customer] = Customer(
+                now, plan, max(1, r.set_size), r.set_from, 0.0 if self.restarted else 1.0
+            )
+            # The ceiling's share grows from this gatekeeper's own start, so that a restart grants nothing anew.
+            c.cap = min(plan.cap_depth, (now - self.began) * plan.cap_rate) / c.size
+        c.pass_time(now)
+        return c
+
+    def admits(self, now: float, r: Request, plan: Plan) -> bool:
+        c = self.customer(now, r, plan)
+        c.demand += r.units / c.window
+        c.new = True
+        if plan.cap_rate and c.cap < r.units:
+            return False  # the hard ceiling: this gatekeeper's part of it, whatever peers say
+        if plan.parallel and c.open >= max(1, plan.parallel // c.size):
+            return False
+        if not plan.refill or c.store >= r.units:
+            return True
+        demand = c.summed(now)
+        return demand <= plan.refill or self.rng.random() < plan.refill / demand
+
+    def draw(self, r: Request) -> None:
+        c = self.customers[r.customer]
+        c.cap -= r.units
+        c.store = max(c.store - r.units, -c.plan.depth / c.size)
+
+    def tell(self, now: float, shares: Shares) -> list[Action]:
+        """Demand that a peer of the set would misjudge, largest error first, within the peers' intake."""
+        out: list[Action] = []
+        fleet = self.s.fleet_size
+        budget = max(1, int(self.s.mail_per_s * BEAT_S / 2 / max(1, fleet - 1)))  # half is left to heartbeats
+        room = (MAIL_BYTES - TOLD_HEAD.size) // TOLD_ITEM.size
+        for peer in range(fleet):
+            if peer == self.s.me:
+                continue
+            due = []
+            for id, c in self.customers.items():
+                if c.new and c.plan.refill and (peer - c.first) % fleet < c.size:
+                    c.pass_time(now)
+                    error = abs(c.demand - c.aged(c.sent.get(peer, (0.0, now)), now)) / c.plan.refill * c.size
+                    if error > 0.2:  # a fifth of an even part of the quota: smaller errors move no decision
+                        due.append((error, id))
+            due.sort(reverse=True)
+            for start in range(0, min(len(due), budget * room), room):
+                shares.sequence += 1
+                data = TOLD_HEAD.pack(b"D", shares.incarnation, shares.sequence)
+                for _, id in due[start : start + room]:
+                    c = self.customers[id]
+                    c.sent[peer] = (c.demand, now)
+                    data += TOLD_ITEM.pack(id, min(65535, round(c.demand / c.plan.refill * TOLD_SCALE)))
+                out.append(Tell(peer, data))
+        for id in [id for id, c in self.customers.items() if now - c.at > 4 * c.window + 60]:
+            del self.customers[id]  # long idle: its share of the burst is full again
+        for c in self.customers.values():
+            c.new = False
+        return out
+
+    def hear(self, now: float, peer: int, data: bytes, shares: Shares) -> None:
+        if len(data) < TOLD_HEAD.size or (len(data) - TOLD_HEAD.size) % TOLD_ITEM.size:
+            return
+        _, incarnation, sequence = TOLD_HEAD.unpack_from(data)
+        p = shares.sender(peer, incarnation)
+        if p is None or sequence <= p.told_sequence:
+            return
+        p.told_sequence = sequence
+        for id, demand in TOLD_ITEM.iter_unpack(data[TOLD_HEAD.size :]):
+            c = self.customers.get(id)
+            if c is not None:
+                c.pass_time(now)
+                c.told[peer] = (demand / TOLD_SCALE * c.plan.refill, now)
+
+
+class Node:
+    """One server as this gatekeeper knows it."""
+
+    def __init__(self, entry: Server) -> None:
+        self.entry = entry
+        self.listed = True
+        self.pending: dict[tuple[int, int], float] = {}  # attempts out: when sent
+        self.answered = -math.inf
+        self.slow, self.errors, self.judged = 1.0, 0.0, 0.0
+        self.silent_since = 0.0  # 0: it answers
+        self.probed = 0.0
+        self.came_up = entry.came_up
+        self.tokens, self.token_at = 1.0, 0.0
+
+
+class Fleet:
+    """The servers: list, symptoms, cold budget and the least expected wait."""
+
+    SILENCE = 8.0  # odds e^-8 that a healthy server says nothing for so long, its attempts' waits being exponential
+    FORGET_S = 5.0  # symptoms fade by 1/e in this time, so that real traffic tests the server again
+    SAMPLE = 0.1  # weight of one outcome
+
+    def __init__(self, settings: Settings, rng: random.Random) -> None:
+        self.s, self.rng = settings, rng
+        self.nodes: dict[int, Node] = {}
+        self.pace, self.sends = 0.0, 0.0  # own sends a second and rating to warm servers
+
+    def update(self, event: ServerList) -> None:
+        if event.form == ListForm.FAILED:
+            return
+        if event.form != ListForm.CHANGES:
+            for node in self.nodes.values():
+                node.listed = False
+        for entry in event.servers:
+            node = self.nodes.get(entry.id)
+            if node is None:
+                node = self.nodes[entry.id] = Node(entry)
+            elif entry.came_up > node.entry.came_up:
+                node.came_up, node.slow, node.errors, node.tokens = entry.came_up, 1.0, 0.0, 1.0
+            node.entry, node.listed = entry, entry.mode != Mode.DELETED
+        for id in [id for id, n in self.nodes.items() if not n.listed and not n.pending]:
+            del self.nodes[id]
+
+    def serving(self) -> list[Node]:
+        return [n for n in self.nodes.values() if n.listed and n.entry.mode == Mode.SERVING]
+
+    def rating(self) -> float:
+        nodes = self.serving()
+        return float(len(nodes)) if self.s.live_ratings else sum(n.entry.rating for n in nodes)
+
+    def warmth(self, node: Node, now: float) -> float:
+        rules = self.s.rules
+        if not node.came_up or now - node.came_up >= rules.cold:
+            return 1.0
+        return rules.cold_share + (1 - rules.cold_share) * max(0.0, now - node.came_up) / rules.cold
+
+    def may_take(self, node: Node, now: float) -> bool:
+        """A cold server gets no more than its part of what a warm one gets: far below what tips it over."""
+        warmth = self.warmth(node, now)
+        if warmth >= 1.0:
+            return True
+        rate = warmth * node.entry.rating * self.pace * min(1.25, self.s.rules.fall_multiple / 2)
+        node.tokens = min(1.0 + rate * self.s.rules.tip_after / 2, node.tokens + rate * (now - node.token_at))
+        node.token_at = now
+        return node.tokens >= 1.0
+
+    def wait(self, node: Node, now: float, trial: bool) -> float:
+        """Expected wait: attempts out over present rating, stretched by what the server's symptoms say."""
+        fade = math.exp((node.judged - now) / self.FORGET_S)
+        slow, errors = 1.0 + (node.slow - 1.0) * fade, node.errors * fade
+        wait = (len(node.pending) + 1) / max(node.entry.rating * self.warmth(node, now), 1e-9)
+        wait *= max(1.0, slow) / max(0.05, 1.0 - errors) ** 4
+        if node.silent_since:
+            wait *= 1000.0
+        if node.entry.zone != self.s.zone:
+            wait *= 1.0 + self.s.price_cross_zone * 10
+        return wait
+
+    def choose(self, now: float, avoid: set[int], within: list[Node] | None = None) -> Node | None:
+        nodes = [n for n in (self.serving() if within is None else within) if self.may_take(n, now)]
+        fresh = [n for n in nodes if n.entry.id not in avoid] or nodes
+        return min(fresh, key=lambda n: (self.wait(n, now, False), self.rng.random()), default=None)
+
+    def sent(self, node: Node, key: tuple[int, int], now: float) -> None:
+        node.pending[key] = now
+        if self.warmth(node, now) < 1.0:
+            node.tokens -= 1.0
+        else:
+            self.sends += 1.0
+
+    def judge(self, node: Node, now: float, expected: float, o: Outcome) -> None:
+        node.pending.pop((o.id, o.attempt), None)
+        fade = math.exp((node.judged - now) / self.FORGET_S)
+        node.slow, node.errors, node.judged = 1.0 + (node.slow - 1.0) * fade, node.errors * fade, now
+        if o.code in (Code.OK, Code.INTERNAL, Code.RESOURCE_EXHAUSTED):
+            self.answers(node, now)
+        if o.code == Code.OK:
+            node.slow += (min(10.0, o.took / max(expected, 1e-9)) - node.slow) * self.SAMPLE
+            node.errors -= node.errors * self.SAMPLE
+        elif o.code in (Code.INTERNAL, Code.ABORTED, Code.UNAVAILABLE, Code.RESOURCE_EXHAUSTED):
+            node.errors += (1.0 - node.errors) * self.SAMPLE
+
+    def answers(self, node: Node, now: float) -> None:
+        """Back from silence: it may have restarted, so until a list says otherwise it counts as cold."""
+        node.answered = now
+        if node.silent_since:
+            if now - node.silent_since > self.s.rules.tip_after:
+                node.came_up, node.tokens, node.token_at = now, 1.0, now
+            node.silent_since = 0.0
+
+    def look(self, now: float, expected: float) -> list[Node]:
+        """Servers that have just fallen silent; `expected` is the usual latency."""
+        found = []
+        for node in self.nodes.values():
+            evidence = sum(now - max(t, node.answered) for t in node.pending.values()) / max(expected, 1e-3)
+            if not node.silent_since and evidence > self.SILENCE * max(1.0, node.slow):
+                node.silent_since = now
+                found.append(node)
+        return found
+
+
+class Held:
+    """A request this gatekeeper owes an answer for."""
+
+    def __init__(self, request: Request, cls: RequestClass) -> None:
+        self.r, self.cls = request, cls
+        self.attempts: list[tuple[Node, float]] = []  # where each was sent, when
+        self.out: set[int] = set()
+        self.ran: list[int] = []  # attempts that ended and may have run
+        self.streaming = False
+
+
+class Gatekeeper:
+    """One gatekeeper: events in, actions out."""
+
+    EXTRA = 0.2  # further attempts per first attempt
+
+    def __init__(self, settings: Settings, seed: int) -> None:
+        self.s = settings
+        self.rng = random.Random(seed)
+        self.ceiling = Ceiling(settings.classes)
+        self.shares = Shares(settings.me, self.rng.getrandbits(32))
+        self.fleet = Fleet(settings, self.rng)
+        self.quota: Quota | None = None
+        self.held: dict[int, Held] = {}
+        self.loose: dict[tuple[int, int], str] = {}  # attempts out after their request's end
+        self.out = 0
+        self.spare = 1.0
+        self.actions: list[Action] = []
+        self.look_s = min((c.aim for c in settings.classes.values()), default=1.0) / LOOKS
+
+    def handle(self, now: float, event: Event) -> list[Action]:
+        self.actions = []
+        if self.quota is None:
+            self.quota = Quota(self.s, self.rng, now)
+            self.actions += [SetTimer(self.rng.random() * BEAT_S, BEAT), SetTimer(self.look_s, LOOK)]
+            if self.s.ask_discovery:
+                self.actions.append(Subscribe())
+        match event:
+            case Request():
+                self.arrive(now, event, self.quota)
+            case Outcome():
+                self.ended(now, event, self.quota)
+            case ServerList():
+                self.fleet.update(event)
+                self.ceiling.rescale(self.fleet.rating())
+                if event.form == ListForm.FAILED and self.s.ask_discovery:
+                    self.actions.append(SetTimer(self.s.rules.ask_within * self.rng.uniform(0.1, 0.4), ASK))
+            case TimerDue():
+                self.timer(now, event.label, self.quota)
+            case PeerMail():
+                if event.data[:1] == b"B":
+                    self.shares.hear(now, event.peer, event.data, self.ceiling.limit)
+                elif event.data[:1] == b"D":
+                    self.quota.hear(now, event.peer, event.data, self.shares)
+            case ProbeResult():
+                node = self.fleet.nodes.get(event.server)
+                if node and event.code == Code.OK:
+                    self.fleet.answers(node, now)
+            case StreamStarted():
+                if event.id in self.held:
+                    self.held[event.id].streaming = True
+            case Expired():
+                if event.id in self.held:
+                    self.end(self.held[event.id])
+        return self.actions
+
+    def timer(self, now: float, label: int, quota: Quota) -> None:
+        if label == BEAT:
+            beat = self.shares.beat(now, self.ceiling.limit, self.out)
+            if self.s.limits.peers and self.s.fleet_size > 1:
+                self.actions.append(Tell(None, beat))
+                self.actions += quota.tell(now, self.shares)
+            warm = sum(n.entry.rating for n in self.fleet.serving() if self.fleet.warmth(n, now) >= 1.0)
+            if warm > 0:
+                self.fleet.pace += (self.fleet.sends / BEAT_S / warm - self.fleet.pace) * 0.2
+            self.fleet.sends = 0.0
+            self.actions.append(SetTimer(BEAT_S, BEAT))
+        elif label == LOOK:
+            expected = max(self.ceiling.mean.values(), default=self.look_s * LOOKS)
+            for node in self.fleet.look(now, expected):
+                self.rescue(now, node)
+            for node in self.fleet.nodes.values():
+                if node.silent_since and node.listed and self.s.limits.probing and now - node.probed > 1.0:
+                    node.probed = now
+                    self.actions.append(Probe(node.entry.id))
+            self.actions.append(SetTimer(self.look_s, LOOK))
+        elif label == ASK:
+            self.actions.append(Subscribe())
+
+    def arrive(self, now: float, r: Request, quota: Quota) -> None:
+        held = Held(r, self.s.classes[r.cls])
+        self.held[r.id] = held
+        self.shares.wanted += 1
+        plan = self.s.plans.get(r.plan, Plan(r.plan))
+        if not quota.admits(now, r, plan):
+            self.shares.wanted -= 1
+            return self.refuse(held, r.units / plan.refill if plan.refill else BEAT_S)
+        if self.out >= min(self.shares.share, self.ceiling.limit):
+            return self.refuse(held, BEAT_S)
+        node = self.fleet.choose(now, set())
+        if node is None:
+            return self.refuse(held, BEAT_S)
+        quota.draw(r)
+        self.spare = min(10.0 + self.out / 2, self.spare + self.EXTRA)
+        self.send(now, held, node)
+
+    def send(self, now: float, held: Held, node: Node) -> None:
+        key = (held.r.id, len(held.attempts))
+        held.out.add(key[1])
+        held.attempts.append((node, now))
+        self.out += 1
+        assert self.quota is not None
+        self.quota.customers[held.r.customer].open += 1
+        self.fleet.sent(node, key, now)
+        self.actions.append(Send(held.r.id, node.entry.id))
+
+    def ended(self, now: float, o: Outcome, quota: Quota) -> None:
+        held = self.held.get(o.id)
+        key = (o.id, o.attempt)
+        name = held.cls.name if held else self.loose.pop(key, None)
+        if name is None or (held and o.attempt not in held.out):
+            return
+        self.out -= 1
+        node = self.fleet.nodes.get(o.server)
+        expected = self.ceiling.mean.get(name, o.took)
+        if node:
+            self.fleet.judge(node, now, expected, o)
+        if o.code == Code.OK and not (held and held.streaming):
+            self.ceiling.observe(name, o.took, self.shares.fleet_out(now, self.out + 1))
+        if held is None:
+            return
+        held.out.discard(o.attempt)
+        customer = quota.customers.get(held.r.customer)
+        if customer:
+            customer.open -= 1
+        if customer and o.actual > 0:
+            customer.store -= o.actual - held.r.units
+            customer.demand += (o.actual - held.r.units) / customer.window
+        if o.no_more:
+            return self.end(held)
+        if o.code not in NEVER_RAN:
+            held.ran.append(o.attempt)
+        if held.out:
+            return  # another attempt of it is still out
+        if not self.again(now, held):
+            self.give_up(now, held)
+
+    def allowed(self, now: float, held: Held) -> list[Node] | None:
+        """Where a further attempt may go without a second effect; None where nowhere."""
+        nodes = self.fleet.serving()
+        may_have_run = sorted(set(held.ran) | held.out)
+        if not may_have_run or held.cls.effect == Effect.PURE:
+            return nodes
+        if held.cls.effect == Effect.SIDE_EFFECT:
+            return None
+        if now >= held.attempts[may_have_run[0]][1] + held.cls.repeat_window:
+            return None
+        if held.cls.group == Group.ALL:
+            return nodes
+        for n in may_have_run:
+            first = held.attempts[n][0].entry
+            if held.cls.group == Group.ZONE:
+                nodes = [x for x in nodes if x.entry.zone == first.zone]
+            else:
+                nodes = [x for x in nodes if x.entry.cell == first.cell and x.entry.zone == first.zone]
+        return nodes
+
+    def again(self, now: float, held: Held) -> bool:
+        """One more attempt, if rules, deadline and budget let it and it holds a slot of its own."""
+        if len(held.attempts) >= self.s.limits.max_attempts or held.streaming or self.spare < 1.0:
+            return False
+        if now >= held.r.not_after or self.out >= min(self.shares.share, self.ceiling.limit):
+            return False
+        node = self.fleet.choose(now, {n.entry.id for n, _ in held.attempts}, self.allowed(now, held) or [])
+        if node is None:
+            return False
+        self.spare -= 1.0
+        self.send(now, held, node)
+        return True
+
+    def rescue(self, now: float, silent: Node) -> None:
+        """Second copies of what waits at a server fallen silent, where a repeat is harmless."""
+        for id, _ in list(silent.pending):
+            held = self.held.get(id)
+            if held and self.s.limits.may_duplicate and len(held.out) == 1 and held.cls.effect != Effect.SIDE_EFFECT:
+                self.again(now, held)
+
+    def give_up(self, now: float, held: Held) -> None:
+        harmless = held.cls.effect == Effect.PURE or not held.ran
+        if harmless or (held.cls.effect == Effect.TOKEN and held.cls.group == Group.ALL):
+            if now < held.r.not_after:
+                return self.refuse(held, BEAT_S)
+        self.actions.append(Fail(held.r.id))
+        self.end(held)
+
+    def refuse(self, held: Held, after: float) -> None:
+        limits = self.s.limits
+        self.actions.append(Refuse(held.r.id, min(after, limits.max_retry_after) if limits.retry_after else 0.0))
+        self.end(held)
+
+    def end(self, held: Held) -> None:
+        """The request has its final answer; what is still out of it is cancelled where that is allowed."""
+        del self.held[held.r.id]
+        customer = self.quota.customers.get(held.r.customer) if self.quota else None
+        for n in sorted(held.out):
+            self.loose[held.r.id, n] = held.cls.name
+            if customer:
+                customer.open -= 1
+            if self.s.limits.cancel:
+                self.actions.append(Cancel(held.r.id, n))
--- /dev/null
+++ b/pewterring/drill/__init__.py
@@ -0,0 +1,1 @@
+"""The adapter that puts gatekeepers on the simulator's wire."""
