--- a/pewterring/choice.py
+++ b/pewterring/choice.py
@@ -187,13 +187,16 @@
             return False
         if not plan.refill or c.store >= r.units:
             return True
+        # What was sent on past the local share is paid back within the window: keeps late news of demand,
+        # lost mail and chance itself from adding up. It refuses more where a peer's told demand is too high.
+        quota = plan.refill + min(0.0, c.store) * c.size / c.window
         demand = c.summed(now)
-        return demand <= plan.refill or self.rng.random() < plan.refill / demand
+        return demand <= quota or self.rng.random() < quota / demand
 
     def draw(self, r: Request) -> None:
         c = self.customers[r.customer]
         c.cap -= r.units
-        c.store = max(c.store - r.units, -c.plan.depth / c.size)
+        c.store -= r.units
 
     def tell(self, now: float, shares: Shares) -> list[Action]:
         """Demand that a peer of the set would misjudge, largest error first, within the peers' intake."""
