--- a/pewterring/choice.py
+++ b/pewterring/choice.py
@@ -212,7 +212,7 @@
                 if c.new and c.plan.refill and (peer - c.first) % fleet < c.size:
                     c.pass_time(now)
                     error = abs(c.demand - c.aged(c.sent.get(peer, (0.0, now)), now)) / c.plan.refill * c.size
-                    if error > 0.2:  # a fifth of an even part of the quota: smaller errors move no decision
+                    if error > 0.05:  # a part of an even share of the quota: smaller errors move no decision
                         due.append((error, id))
             due.sort(reverse=True)
             for start in range(0, min(len(due), budget * room), room):
