--- a/pewterring/choice.py
+++ b/pewterring/choice.py
@@ -29,7 +29,7 @@
     """Gradient2: how many attempts the whole back end bears, inferred from latency."""
 
     TOLERANCE = 2.5  # queueing allowed over the unloaded latency; a few waits per service fit any sane aim
-    AIM_SHARE = 0.5  # the tolerated latency never passes this part of the aim: bounds the baseline's upward
+    AIM_SHARE = 0.33  # the tolerated latency never passes this part of the aim: bounds the baseline's upward
     # drift when all servers slow together, whatever the rolling minimum says
     BATCH, KEPT, MEMORY = 16, 64, 1 / 32  # samples per update, updates in the rolling minimum, weight of one sample
     SMOOTH, START, FLOOR, BUSY = 0.2, 4.0, 2.0, 0.5  # EMA of the estimate; slots per rating; growth needs out/limit
