--- a/pewterring/choice.py
+++ b/pewterring/choice.py
@@ -32,21 +32,21 @@
     AIM_SHARE = 0.33  # the tolerated latency never passes this part of the aim: bounds the baseline's upward
     # drift when all servers slow together, whatever the rolling minimum says
     BATCH, KEPT, MEMORY = 16, 64, 1 / 32  # samples per update, updates in the rolling minimum, weight of one sample
-    SMOOTH, START, FLOOR, BUSY = 0.2, 4.0, 2.0, 0.5  # EMA of the estimate; slots per rating; growth needs out/limit
+    SMOOTH, START, FLOOR, BUSY = 0.2, 4.0, 1.0, 0.5  # EMA of the estimate; slots a server; growth needs out/limit
 
     def __init__(self, classes: dict[str, RequestClass]) -> None:
         self.classes = classes
         self.mean: dict[str, float] = {}
         self.count: dict[str, int] = {}
         self.lows: dict[str, deque[float]] = {}
-        self.rating = 0.0
-        self.limit = 0.0
+        self.rating = self.limit = 0.0
+        self.servers = 0
 
-    def rescale(self, rating: float) -> None:
+    def rescale(self, rating: float, servers: int) -> None:
         """Slots belong to servers: the limit follows the serving rating on the list at once."""
         if rating > 0:
-            self.limit = self.limit * rating / self.rating if self.rating else self.START * rating
-            self.rating = rating
+            self.limit = self.limit * rating / self.rating if self.rating else self.START * servers
+            self.rating, self.servers = rating, servers
 
     def observe(self, name: str, latency: float, fleet_out: float) -> None:
         """One latency. Single ones vary too much for a minimum, so each class's running mean is the sample."""
@@ -62,7 +62,7 @@
         new = self.limit * gradient + math.sqrt(self.limit)
         if new > self.limit and fleet_out < self.BUSY * self.limit:
             return  # an idle fleet says nothing of room above
-        self.limit = max(self.FLOOR * self.rating, self.limit + (new - self.limit) * self.SMOOTH)
+        self.limit = max(self.FLOOR * self.servers, self.limit + (new - self.limit) * self.SMOOTH)
 
 
 class Peer:
@@ -409,7 +409,7 @@
                 self.ended(now, event, self.quota)
             case ServerList():
                 self.fleet.update(event)
-                self.ceiling.rescale(self.fleet.rating())
+                self.ceiling.rescale(self.fleet.rating(), len(self.fleet.serving()))
                 if event.form == ListForm.FAILED and self.s.ask_discovery:
                     self.actions.append(SetTimer(self.s.rules.ask_within * self.rng.uniform(0.1, 0.4), ASK))
             case TimerDue():
