--- a/pewterring/choice.py
+++ b/pewterring/choice.py
@@ -32,7 +32,7 @@
     AIM_SHARE = 0.33  # the tolerated latency never passes this part of the aim: bounds the baseline's upward
     # drift when all servers slow together, whatever the rolling minimum says
     BATCH, KEPT, MEMORY = 16, 64, 1 / 32  # samples per update, updates in the rolling minimum, weight of one sample
-    SMOOTH, START, FLOOR, BUSY = 0.2, 4.0, 1.0, 0.5  # EMA of the estimate; slots a server; growth needs out/limit
+    SMOOTH, START, FLOOR, BUSY = 0.2, 4.0, 1.0, 0.75  # EMA of the estimate; slots a server; growth needs out/limit
 
     def __init__(self, classes: dict[str, RequestClass]) -> None:
         self.classes = classes
