Quota: the refusal chance dealt evenly over a customer's tries, not by independent draws

Should also help any plan with small stores; could hurt where a customer's tries alternate in size in step with the deal, which the random start makes unlikely.

--- a/pewterring/choice.py
+++ b/pewterring/choice.py
@@ -138,7 +138,8 @@
         self.told: dict[int, tuple[float, float]] = {}  # peer: (demand, when)
         self.sent: dict[int, tuple[float, float]] = {}
         self.store = plan.depth / size * fresh
-        self.cap, self.open = 0.0, 0
+        self.credit = self.cap = 0.0
+        self.open = 0
 
     def aged(self, value: tuple[float, float], now: float) -> float:
         return value[0] * math.exp((value[1] - now) / self.window)
@@ -173,6 +174,7 @@
                 now, plan, max(1, r.set_size), r.set_from, 0.0 if self.restarted else 1.0
             )
             # The ceiling's share grows from this gatekeeper's own start, so that a restart grants nothing anew.
+            c.credit = self.rng.random() * r.units
             c.cap = min(plan.cap_depth, (now - self.began) * plan.cap_rate) / c.size
         c.pass_time(now)
         return c
@@ -191,7 +193,15 @@
         # lost mail and chance itself from adding up. It refuses more where a peer's told demand is too high.
         quota = plan.refill + min(0.0, c.store) * c.size / c.window
         demand = c.summed(now)
-        return demand <= quota or self.rng.random() < quota / demand
+        if demand <= quota:
+            return True
+        # The chance is dealt evenly over the tries from a random start: independent draws would empty and
+        # waste the small store of a plan in turn.
+        c.credit += r.units * max(0.0, quota) / demand
+        if c.credit < r.units:
+            return False
+        c.credit -= r.units
+        return True
 
     def draw(self, r: Request) -> None:
         c = self.customers[r.customer]
