--- a/pewterring/choice.py
+++ b/pewterring/choice.py
@@ -191,7 +191,7 @@
             return True
         # What was sent on past the local share is paid back within the window: keeps late news of demand,
         # lost mail and chance itself from adding up. It refuses more where a peer's told demand is too high.
-        quota = plan.refill + min(0.0, c.store) * c.size / c.window
+        quota = plan.refill + 3 * min(0.0, c.store) * c.size / c.window
         demand = c.summed(now)
         if demand <= quota:
             return True
