--- a/pewterring/choice.py
+++ b/pewterring/choice.py
@@ -21,8 +21,8 @@
 LEASE_S = 4 * BEAT_S  # a peer silent for this long is evicted: at 8% loss one in 24,000 beats misleads
 LOOKS = 12  # looks for silent servers within the shortest aim
 BEAT_FORM = struct.Struct(">cIIfIff")  # tag, incarnation, sequence, limit, out, share, demand
-TOLD_HEAD, TOLD_ITEM = struct.Struct(">cII"), struct.Struct(">QH")  # tag, incarnation, sequence; customer, demand
-MAIL_BYTES, TOLD_SCALE = 256, 1000  # demand travels in thousandths of the plan's quota
+TOLD_HEAD, TOLD_ITEM = struct.Struct(">cII"), struct.Struct(">QHh")  # tag, incarnation, sequence; customer, demand, left
+MAIL_BYTES, TOLD_SCALE = 256, 1000  # demand and what is left travel in thousandths of the plan's quota and burst
 
 
 class Ceiling:
@@ -135,26 +135,36 @@
         self.plan, self.size, self.first = plan, size, first
         self.window = max(1.0, plan.depth / plan.refill) if plan.refill else 1.0  # the store's own memory
         self.demand, self.at, self.new = 0.0, now, False
-        self.told: dict[int, tuple[float, float]] = {}  # peer: (demand, when)
-        self.sent: dict[int, tuple[float, float]] = {}
+        self.told: dict[int, tuple[float, float, float]] = {}  # peer: (demand, when, left of its burst share)
+        self.sent: dict[int, tuple[float, float, float]] = {}
         self.store = plan.depth / size * fresh
         self.credit = self.cap = 0.0
         self.open = 0
 
-    def aged(self, value: tuple[float, float], now: float) -> float:
+    def aged(self, value: tuple[float, float, float], now: float) -> float:
         return value[0] * math.exp((value[1] - now) / self.window)
 
     def summed(self, now: float) -> float:
         return self.demand + sum(self.aged(t, now) for t in self.told.values())
 
+    def part(self, demand: float, now: float) -> float:
+        """The part of the quota that falls to a gatekeeper with this demand; even where nobody asks."""
+        calm = 0.1 * self.plan.refill
+        return (demand + calm) / (self.summed(now) + calm * self.size) if self.plan.refill else 1 / self.size
+
+    def left(self, now: float) -> float:
+        """What is left of the whole burst: the own share, and the peers' as told, refilled since."""
+        even, total = self.plan.depth / self.size, self.store
+        for demand, at, left in self.told.values():
+            total += min(even, left + (now - at) * self.plan.refill * self.part(self.aged((demand, at, 0), now), now))
+        return total + even * (self.size - 1 - len(self.told))
+
     def pass_time(self, now: float) -> None:
         plan, past = self.plan, now - self.at
         if past <= 0:
             return
         self.demand *= math.exp(-past / self.window)
-        calm = 0.1 * plan.refill  # where nobody asks, the refill is split evenly
-        part = (self.demand + calm) / (self.summed(now) + calm * self.size) if plan.refill else 0.0
-        self.store = min(plan.depth / self.size, self.store + past * plan.refill * part)
+        self.store = min(plan.depth / self.size, self.store + past * plan.refill * self.part(self.demand, now))
         self.cap = min(plan.cap_depth / self.size, self.cap + past * plan.cap_rate / self.size)
         self.at = now
 
@@ -187,11 +197,12 @@
             return False  # the hard ceiling: this gatekeeper's part of it, whatever peers say
         if plan.parallel and c.open >= max(1, plan.parallel // c.size):
             return False
-        if not plan.refill or c.store >= r.units:
+        left = c.left(now)
+        if not plan.refill or left * c.part(c.demand, now) >= r.units:
             return True
         # What was sent on past the local share is paid back within the window: keeps late news of demand,
         # lost mail and chance itself from adding up. It refuses more where a peer's told demand is too high.
-        quota = plan.refill + 3 * min(0.0, c.store) * c.size / c.window
+        quota = plan.refill + 10 * min(0.0, left - r.units) / c.window
         demand = c.summed(now)
         if demand <= quota:
             return True
@@ -203,10 +214,10 @@
         c.credit -= r.units
         return True
 
-    def draw(self, r: Request) -> None:
+    def draw(self, now: float, r: Request) -> None:
         c = self.customers[r.customer]
         c.cap -= r.units
-        c.store -= r.units
+        c.store -= min(r.units, max(0.0, c.left(now)))  # beyond the quota a try takes nothing
 
     def tell(self, now: float, shares: Shares) -> list[Action]:
         """Demand that a peer of the set would misjudge, largest error first, within the peers' intake."""
@@ -221,8 +232,10 @@
             for id, c in self.customers.items():
                 if c.new and c.plan.refill and (peer - c.first) % fleet < c.size:
                     c.pass_time(now)
-                    error = abs(c.demand - c.aged(c.sent.get(peer, (0.0, now)), now)) / c.plan.refill * c.size
-                    if error > 0.05:  # a part of an even share of the quota: smaller errors move no decision
+                    known = c.sent.get(peer, (0.0, now, c.plan.depth / c.size))
+                    error = abs(c.demand - c.aged(known, now)) / c.plan.refill * c.size
+                    error += abs(c.store - known[2]) / c.plan.depth * c.size
+                    if error > 0.1:  # a part of an even share of the quota: smaller errors move no decision
                         due.append((error, id))
             due.sort(reverse=True)
             for start in range(0, min(len(due), budget * room), room):
@@ -230,8 +243,9 @@
                 data = TOLD_HEAD.pack(b"D", shares.incarnation, shares.sequence)
                 for _, id in due[start : start + room]:
                     c = self.customers[id]
-                    c.sent[peer] = (c.demand, now)
-                    data += TOLD_ITEM.pack(id, min(65535, round(c.demand / c.plan.refill * TOLD_SCALE)))
+                    c.sent[peer] = (c.demand, now, c.store)
+                    left = min(32767, max(-32768, round(c.store / c.plan.depth * TOLD_SCALE)))
+                    data += TOLD_ITEM.pack(id, min(65535, round(c.demand / c.plan.refill * TOLD_SCALE)), left)
                 out.append(Tell(peer, data))
         for id in [id for id, c in self.customers.items() if now - c.at > 4 * c.window + 60]:
             del self.customers[id]  # long idle: its share of the burst is full again
@@ -247,11 +261,11 @@
         if p is None or sequence <= p.told_sequence:
             return
         p.told_sequence = sequence
-        for id, demand in TOLD_ITEM.iter_unpack(data[TOLD_HEAD.size :]):
+        for id, demand, left in TOLD_ITEM.iter_unpack(data[TOLD_HEAD.size :]):
             c = self.customers.get(id)
             if c is not None:
                 c.pass_time(now)
-                c.told[peer] = (demand / TOLD_SCALE * c.plan.refill, now)
+                c.told[peer] = (demand / TOLD_SCALE * c.plan.refill, now, left / TOLD_SCALE * c.plan.depth)
 
 
 class Node:
@@ -477,7 +491,7 @@
         node = self.fleet.choose(now, set())
         if node is None:
             return self.refuse(held, BEAT_S)
-        quota.draw(r)
+        quota.draw(now, r)
         self.spare = min(10.0 + self.out / 2, self.spare + self.EXTRA)
         self.send(now, held, node)
 
