--- a/pewterring/choice.py
+++ b/pewterring/choice.py
@@ -156,7 +156,8 @@
         """What is left of the whole burst: the own share, and the peers' as told, refilled since."""
         even, total = self.plan.depth / self.size, self.store
         for demand, at, left in self.told.values():
-            total += min(even, left + (now - at) * self.plan.refill * self.part(self.aged((demand, at, 0), now), now))
+            unused = self.plan.refill * self.part(self.aged((demand, at, 0), now), now) - demand
+            total += min(even, left + (now - at) * max(0.0, unused))
         return total + even * (self.size - 1 - len(self.told))
 
     def pass_time(self, now: float) -> None:
@@ -202,7 +203,7 @@
             return True
         # What was sent on past the local share is paid back within the window: keeps late news of demand,
         # lost mail and chance itself from adding up. It refuses more where a peer's told demand is too high.
-        quota = plan.refill + 10 * min(0.0, left - r.units) / c.window
+        quota = plan.refill + 10 * (left - r.units) / c.window
         demand = c.summed(now)
         if demand <= quota:
             return True
