--- a/pewterring/choice.py
+++ b/pewterring/choice.py
@@ -21,8 +21,8 @@
 LEASE_S = 4 * BEAT_S  # a peer silent for this long is evicted: at 8% loss one in 24,000 beats misleads
 LOOKS = 12  # looks for silent servers within the shortest aim
 BEAT_FORM = struct.Struct(">cIIfIff")  # tag, incarnation, sequence, limit, out, share, demand
-TOLD_HEAD, TOLD_ITEM = struct.Struct(">cII"), struct.Struct(">QHh")  # tag, incarnation, sequence; customer, demand, left
-MAIL_BYTES, TOLD_SCALE = 256, 1000  # demand and what is left travel in thousandths of the plan's quota and burst
+TOLD_HEAD, TOLD_ITEM = struct.Struct(">cII"), struct.Struct(">QHH")  # tag, incarnation, sequence; customer, demand, spent
+MAIL_BYTES, TOLD_SCALE = 256, 1000  # demand and spending travel in thousandths of the plan's quota and burst
 
 
 class Ceiling:
@@ -128,44 +128,42 @@
         self.divide(now, limit)
 
 
+class Use:
+    """A gatekeeper's use of one customer's quota: recent demand, and what of the burst it has spent."""
+
+    def __init__(self, demand: float = 0.0, spent: float = 0.0) -> None:
+        self.demand, self.spent = demand, spent
+
+
 class Customer:
-    """One customer's recent demand, here and as peers told it, and the local share of its burst."""
+    """One customer's use, here and as peers told it."""
 
-    def __init__(self, now: float, plan: Plan, size: int, first: int, fresh: float) -> None:
+    def __init__(self, now: float, plan: Plan, size: int, first: int) -> None:
         self.plan, self.size, self.first = plan, size, first
         self.window = max(1.0, plan.depth / plan.refill) if plan.refill else 1.0  # the store's own memory
-        self.demand, self.at, self.new = 0.0, now, False
-        self.told: dict[int, tuple[float, float, float]] = {}  # peer: (demand, when, left of its burst share)
-        self.sent: dict[int, tuple[float, float, float]] = {}
-        self.store = plan.depth / size * fresh
-        self.credit = self.cap = 0.0
+        self.at, self.new = now, False
+        self.own = Use()
+        self.told: dict[int, Use] = {}  # by incarnation, so that a restart leaves its former use counted
+        self.sent: dict[int, Use] = {}  # what each peer knows of the own use
+        self.dealt = self.cap = 0.0
         self.open = 0
 
-    def aged(self, value: tuple[float, float, float], now: float) -> float:
-        return value[0] * math.exp((value[1] - now) / self.window)
-
-    def summed(self, now: float) -> float:
-        return self.demand + sum(self.aged(t, now) for t in self.told.values())
+    def demand(self) -> float:
+        return self.own.demand + sum(u.demand for u in self.told.values())
 
-    def part(self, demand: float, now: float) -> float:
-        """The part of the quota that falls to a gatekeeper with this demand; even where nobody asks."""
-        calm = 0.1 * self.plan.refill
-        return (demand + calm) / (self.summed(now) + calm * self.size) if self.plan.refill else 1 / self.size
-
-    def left(self, now: float) -> float:
-        """What is left of the whole burst: the own share, and the peers' as told, refilled since."""
-        even, total = self.plan.depth / self.size, self.store
-        for demand, at, left in self.told.values():
-            unused = self.plan.refill * self.part(self.aged((demand, at, 0), now), now) - demand
-            total += min(even, left + (now - at) * max(0.0, unused))
-        return total + even * (self.size - 1 - len(self.told))
+    def left(self) -> float:
+        """What is left of the burst, all gatekeepers' spending counted."""
+        return self.plan.depth - self.own.spent - sum(u.spent for u in self.told.values())
 
     def pass_time(self, now: float) -> None:
         plan, past = self.plan, now - self.at
         if past <= 0:
             return
-        self.demand *= math.exp(-past / self.window)
-        self.store = min(plan.depth / self.size, self.store + past * plan.refill * self.part(self.demand, now))
+        spent = plan.depth - self.left()
+        fade, keep = math.exp(-past / self.window), max(0.0, 1 - past * plan.refill / spent) if spent > 0 else 0.0
+        for use in (self.own, *self.told.values(), *self.sent.values()):
+            use.demand *= fade
+            use.spent *= keep  # the refill goes where the burst was spent, as in one common store
         self.cap = min(plan.cap_depth / self.size, self.cap + past * plan.cap_rate / self.size)
         self.at = now
 
@@ -173,70 +171,72 @@
 class Quota:
     """Summed-demand refusal beyond a local share of the burst, and the hard limits of a plan."""
 
+    PULL = 10.0  # a whole burst left raises the quota by so many times the refill, a whole one overdrawn lowers it
+
     def __init__(self, settings: Settings, rng: random.Random, now: float) -> None:
         self.s, self.rng, self.began = settings, rng, now
         self.customers: dict[int, Customer] = {}
-        self.restarted = False
 
     def customer(self, now: float, r: Request, plan: Plan) -> Customer:
         c = self.customers.get(r.customer)
         if c is None:
-            c = self.customers[r.customer] = Customer(
-                now, plan, max(1, r.set_size), r.set_from, 0.0 if self.restarted else 1.0
-            )
+            c = self.customers[r.customer] = Customer(now, plan, max(1, r.set_size), r.set_from)
             # The ceiling's share grows from this gatekeeper's own start, so that a restart grants nothing anew.
-            c.credit = self.rng.random() * r.units
             c.cap = min(plan.cap_depth, (now - self.began) * plan.cap_rate) / c.size
+            c.dealt = self.rng.random() * r.units
         c.pass_time(now)
         return c
 
     def admits(self, now: float, r: Request, plan: Plan) -> bool:
         c = self.customer(now, r, plan)
-        c.demand += r.units / c.window
+        c.own.demand += r.units / c.window
         c.new = True
         if plan.cap_rate and c.cap < r.units:
             return False  # the hard ceiling: this gatekeeper's part of it, whatever peers say
         if plan.parallel and c.open >= max(1, plan.parallel // c.size):
             return False
-        left = c.left(now)
-        if not plan.refill or left * c.part(c.demand, now) >= r.units:
+        spare = c.left() - r.units
+        if not plan.refill or (spare >= 0 and c.own.spent + r.units <= plan.depth / c.size):
             return True
-        # What was sent on past the local share is paid back within the window: keeps late news of demand,
-        # lost mail and chance itself from adding up. It refuses more where a peer's told demand is too high.
-        quota = plan.refill + 10 * (left - r.units) / c.window
-        demand = c.summed(now)
+        # Past the local share the quota follows what the told spending leaves of the burst, or overdraws:
+        # keeps uneven entry, late news and lost mail from adding up. It errs where a peer's mail stays away.
+        quota = max(0.0, plan.refill * (1 + self.PULL * spare / plan.depth))
+        demand = c.demand()
         if demand <= quota:
             return True
         # The chance is dealt evenly over the tries from a random start: independent draws would empty and
         # waste the small store of a plan in turn.
-        c.credit += r.units * max(0.0, quota) / demand
-        if c.credit < r.units:
+        c.dealt += r.units * quota / demand
+        if c.dealt < r.units:
             return False
-        c.credit -= r.units
+        c.dealt -= r.units
         return True
 
-    def draw(self, now: float, r: Request) -> None:
+    def draw(self, r: Request) -> None:
         c = self.customers[r.customer]
         c.cap -= r.units
-        c.store -= min(r.units, max(0.0, c.left(now)))  # beyond the quota a try takes nothing
+        c.own.spent += min(r.units, max(0.0, c.left()))  # a try beyond the quota takes nothing
 
     def tell(self, now: float, shares: Shares) -> list[Action]:
-        """Demand that a peer of the set would misjudge, largest error first, within the peers' intake."""
+        """Use that a peer of the set would misjudge, largest error first, within the peers' intake."""
         out: list[Action] = []
         fleet = self.s.fleet_size
         budget = max(1, int(self.s.mail_per_s * BEAT_S / 2 / max(1, fleet - 1)))  # half is left to heartbeats
         room = (MAIL_BYTES - TOLD_HEAD.size) // TOLD_ITEM.size
+        fresh = [(id, c) for id, c in self.customers.items() if c.new and c.plan.refill]
+        for _, c in fresh:
+            c.pass_time(now)
+            c.new = False
         for peer in range(fleet):
             if peer == self.s.me:
                 continue
             due = []
-            for id, c in self.customers.items():
-                if c.new and c.plan.refill and (peer - c.first) % fleet < c.size:
-                    c.pass_time(now)
-                    known = c.sent.get(peer, (0.0, now, c.plan.depth / c.size))
-                    error = abs(c.demand - c.aged(known, now)) / c.plan.refill * c.size
-                    error += abs(c.store - known[2]) / c.plan.depth * c.size
-                    if error > 0.1:  # a part of an even share of the quota: smaller errors move no decision
+            for id, c in fresh:
+                if (peer - c.first) % fleet < c.size:
+                    known = c.sent.get(peer, Use())
+                    error = abs(c.own.demand - known.demand) / c.plan.refill
+                    error = (error + abs(c.own.spent - known.spent) / c.plan.depth) * c.size
+                    if error > 0.1:  # a tenth of an even part of the quota: smaller errors move no decision
                         due.append((error, id))
             due.sort(reverse=True)
             for start in range(0, min(len(due), budget * room), room):
@@ -244,14 +244,12 @@
                 data = TOLD_HEAD.pack(b"D", shares.incarnation, shares.sequence)
                 for _, id in due[start : start + room]:
                     c = self.customers[id]
-                    c.sent[peer] = (c.demand, now, c.store)
-                    left = min(32767, max(-32768, round(c.store / c.plan.depth * TOLD_SCALE)))
-                    data += TOLD_ITEM.pack(id, min(65535, round(c.demand / c.plan.refill * TOLD_SCALE)), left)
+                    c.sent[peer] = Use(c.own.demand, c.own.spent)
+                    shown = (c.own.demand / c.plan.refill, c.own.spent / c.plan.depth)
+                    data += TOLD_ITEM.pack(id, *(min(65535, round(x * TOLD_SCALE)) for x in shown))
                 out.append(Tell(peer, data))
         for id in [id for id, c in self.customers.items() if now - c.at > 4 * c.window + 60]:
             del self.customers[id]  # long idle: its share of the burst is full again
-        for c in self.customers.values():
-            c.new = False
         return out
 
     def hear(self, now: float, peer: int, data: bytes, shares: Shares) -> None:
@@ -262,11 +260,11 @@
         if p is None or sequence <= p.told_sequence:
             return
         p.told_sequence = sequence
-        for id, demand, left in TOLD_ITEM.iter_unpack(data[TOLD_HEAD.size :]):
+        for id, demand, spent in TOLD_ITEM.iter_unpack(data[TOLD_HEAD.size :]):
             c = self.customers.get(id)
             if c is not None:
                 c.pass_time(now)
-                c.told[peer] = (demand / TOLD_SCALE * c.plan.refill, now, left / TOLD_SCALE * c.plan.depth)
+                c.told[incarnation] = Use(demand / TOLD_SCALE * c.plan.refill, spent / TOLD_SCALE * c.plan.depth)
 
 
 class Node:
@@ -492,7 +490,7 @@
         node = self.fleet.choose(now, set())
         if node is None:
             return self.refuse(held, BEAT_S)
-        quota.draw(now, r)
+        quota.draw(r)
         self.spare = min(10.0 + self.out / 2, self.spare + self.EXTRA)
         self.send(now, held, node)
 
@@ -526,8 +524,8 @@
         if customer:
             customer.open -= 1
         if customer and o.actual > 0:
-            customer.store -= o.actual - held.r.units
-            customer.demand += (o.actual - held.r.units) / customer.window
+            customer.own.spent += o.actual - held.r.units
+            customer.own.demand += (o.actual - held.r.units) / customer.window
         if o.no_more:
             return self.end(held)
         if o.code not in NEVER_RAN:
