Quota: demand told with the spent burst, as one common account, as often as mail allows

Cause: stores of burst / set size hold less than one request on small plans, so refill was lost at full shares while others were overdrawn; half a second's old news let 10-15% over quota on large plans. It should also help against restarts (spending is told by incarnation) and entry that shifts; it errs while a peer's mail stays away: then the share and the own spending decide.

--- a/pewterring/choice.py
+++ b/pewterring/choice.py
@@ -16,12 +16,13 @@
     StreamStarted, Subscribe, Tell, TimerDue,
 )  # fmt: skip
 
-BEAT, LOOK, ASK = 1, 2, 3  # labels of the timers
+BEAT, LOOK, ASK, NEWS = 1, 2, 3, 4  # labels of the timers
 BEAT_S = 0.5  # heartbeat period (ours, DESIGN)
 LEASE_S = 4 * BEAT_S  # a peer silent for this long is evicted: at 8% loss one in 24,000 beats misleads
 LOOKS = 12  # looks for silent servers within the shortest aim
 BEAT_FORM = struct.Struct(">cIIfIff")  # tag, incarnation, sequence, limit, out, share, demand
-TOLD_HEAD, TOLD_ITEM = struct.Struct(">cII"), struct.Struct(">QHH")  # tag, incarnation, sequence; customer, demand, spent
+TOLD_HEAD, TOLD_ITEM = struct.Struct(">cII"), struct.Struct(">QBBBHH")
+# tag, incarnation, sequence; then for each: customer, number of its plan, size and first of its set, demand, spent
 MAIL_BYTES, TOLD_SCALE = 256, 1000  # demand and spending travel in thousandths of the plan's quota and burst
 
 
@@ -176,19 +177,21 @@
     def __init__(self, settings: Settings, rng: random.Random, now: float) -> None:
         self.s, self.rng, self.began = settings, rng, now
         self.customers: dict[int, Customer] = {}
+        self.plans = list(settings.plans.values())
+        self.period = max(0.1, 4 * (settings.fleet_size - 1) / max(settings.mail_per_s, 1.0))
 
-    def customer(self, now: float, r: Request, plan: Plan) -> Customer:
-        c = self.customers.get(r.customer)
+    def customer(self, now: float, id: int, plan: Plan, size: int, first: int) -> Customer:
+        c = self.customers.get(id)
         if c is None:
-            c = self.customers[r.customer] = Customer(now, plan, max(1, r.set_size), r.set_from)
+            c = self.customers[id] = Customer(now, plan, max(1, size), first)
             # The ceiling's share grows from this gatekeeper's own start, so that a restart grants nothing anew.
             c.cap = min(plan.cap_depth, (now - self.began) * plan.cap_rate) / c.size
-            c.dealt = self.rng.random() * r.units
+            c.dealt = self.rng.random()
         c.pass_time(now)
         return c
 
     def admits(self, now: float, r: Request, plan: Plan) -> bool:
-        c = self.customer(now, r, plan)
+        c = self.customer(now, r.customer, plan, r.set_size, r.set_from)
         c.own.demand += r.units / c.window
         c.new = True
         if plan.cap_rate and c.cap < r.units:
@@ -221,7 +224,7 @@
         """Use that a peer of the set would misjudge, largest error first, within the peers' intake."""
         out: list[Action] = []
         fleet = self.s.fleet_size
-        budget = max(1, int(self.s.mail_per_s * BEAT_S / 2 / max(1, fleet - 1)))  # half is left to heartbeats
+        budget = max(1, int(self.s.mail_per_s * self.period / 2 / max(1, fleet - 1)))  # half is left to heartbeats
         room = (MAIL_BYTES - TOLD_HEAD.size) // TOLD_ITEM.size
         fresh = [(id, c) for id, c in self.customers.items() if c.new and c.plan.refill]
         for _, c in fresh:
@@ -246,7 +249,8 @@
                     c = self.customers[id]
                     c.sent[peer] = Use(c.own.demand, c.own.spent)
                     shown = (c.own.demand / c.plan.refill, c.own.spent / c.plan.depth)
-                    data += TOLD_ITEM.pack(id, *(min(65535, round(x * TOLD_SCALE)) for x in shown))
+                    where = (self.plans.index(c.plan), c.size, c.first)
+                    data += TOLD_ITEM.pack(id, *where, *(min(65535, round(x * TOLD_SCALE)) for x in shown))
                 out.append(Tell(peer, data))
         for id in [id for id, c in self.customers.items() if now - c.at > 4 * c.window + 60]:
             del self.customers[id]  # long idle: its share of the burst is full again
@@ -260,10 +264,9 @@
         if p is None or sequence <= p.told_sequence:
             return
         p.told_sequence = sequence
-        for id, demand, spent in TOLD_ITEM.iter_unpack(data[TOLD_HEAD.size :]):
-            c = self.customers.get(id)
-            if c is not None:
-                c.pass_time(now)
+        for id, number, size, first, demand, spent in TOLD_ITEM.iter_unpack(data[TOLD_HEAD.size :]):
+            if number < len(self.plans) and 0 < size <= self.s.fleet_size:
+                c = self.customer(now, id, self.plans[number], size, first)
                 c.told[incarnation] = Use(demand / TOLD_SCALE * c.plan.refill, spent / TOLD_SCALE * c.plan.depth)
 
 
@@ -423,6 +426,8 @@
         if self.quota is None:
             self.quota = Quota(self.s, self.rng, now)
             self.actions += [SetTimer(self.rng.random() * BEAT_S, BEAT), SetTimer(self.look_s, LOOK)]
+            if self.s.limits.peers and self.s.fleet_size > 1:
+                self.actions.append(SetTimer(self.quota.period, NEWS))
             if self.s.ask_discovery:
                 self.actions.append(Subscribe())
         match event:
@@ -459,12 +464,13 @@
             beat = self.shares.beat(now, self.ceiling.limit, self.out)
             if self.s.limits.peers and self.s.fleet_size > 1:
                 self.actions.append(Tell(None, beat))
-                self.actions += quota.tell(now, self.shares)
             warm = sum(n.entry.rating for n in self.fleet.serving() if self.fleet.warmth(n, now) >= 1.0)
             if warm > 0:
                 self.fleet.pace += (self.fleet.sends / BEAT_S / warm - self.fleet.pace) * 0.2
             self.fleet.sends = 0.0
             self.actions.append(SetTimer(BEAT_S, BEAT))
+        elif label == NEWS:
+            self.actions += [*quota.tell(now, self.shares), SetTimer(quota.period, NEWS)]
         elif label == LOOK:
             expected = max(self.ceiling.mean.values(), default=self.look_s * LOOKS)
             for node in self.fleet.look(now, expected):
