--- a/pewterring/choice.py
+++ b/pewterring/choice.py
@@ -239,7 +239,7 @@
                     known = c.sent.get(peer, Use())
                     error = abs(c.own.demand - known.demand) / c.plan.refill
                     error = (error + abs(c.own.spent - known.spent) / c.plan.depth) * c.size
-                    if error > 0.1:  # a tenth of an even part of the quota: smaller errors move no decision
+                    if error > 0.04:  # a twenty-fifth of an even part of the quota: smaller errors move no decision
                         due.append((error, id))
             due.sort(reverse=True)
             for start in range(0, min(len(due), budget * room), room):
