--- a/pewterring/choice.py
+++ b/pewterring/choice.py
@@ -10,19 +10,15 @@
 import struct
 from collections import deque
 
-from pewterring.interface import (
-    NEVER_RAN, Action, Cancel, Code, Effect, Event, Expired, Fail, Group, ListForm, Mode, Outcome, PeerMail,
-    Plan, Probe, ProbeResult, Refuse, Request, RequestClass, Send, Server, ServerList, SetTimer, Settings,
-    StreamStarted, Subscribe, Tell, TimerDue,
-)  # fmt: skip
+from pewterring import interface as i
 
 BEAT, LOOK, ASK, NEWS = 1, 2, 3, 4  # labels of the timers
 BEAT_S = 0.5  # heartbeat period (ours, DESIGN)
 LEASE_S = 4 * BEAT_S  # a peer silent for this long is evicted: at 8% loss one in 24,000 beats misleads
 LOOKS = 12  # looks for silent servers within the shortest aim
 BEAT_FORM = struct.Struct(">cIIfIff")  # tag, incarnation, sequence, limit, out, share, demand
-TOLD_HEAD, TOLD_ITEM = struct.Struct(">cII"), struct.Struct(">QBBBHH")
-# tag, incarnation, sequence; then for each: customer, number of its plan, size and first of its set, demand, spent
+TOLD_HEAD = struct.Struct(">cII")  # tag, incarnation, sequence; then for each customer:
+TOLD_ITEM = struct.Struct(">QBBBHH")  # its number, its plan's, size and first of its set, demand, spent
 MAIL_BYTES, TOLD_SCALE = 256, 1000  # demand and spending travel in thousandths of the plan's quota and burst
 
 
@@ -32,11 +28,12 @@
     TOLERANCE = 2.5  # queueing allowed over the unloaded latency; a few waits per service fit any sane aim
     AIM_SHARE = 0.33  # the tolerated latency never passes this part of the aim: bounds the baseline's upward
     # drift when all servers slow together, whatever the rolling minimum says
-    BATCH, KEPT, MEMORY = 16, 64, 1 / 32  # samples per update, updates in the rolling minimum, weight of one sample
-    SMOOTH, START, FLOOR, BUSY = 0.2, 4.0, 1.0, 0.75  # EMA of the estimate; slots a server; growth needs out/limit
+    BATCH, KEPT = 16, 64  # samples per update, updates in the rolling minimum
+    MEMORY, SMOOTH = 1 / 32, 0.2  # weight of one sample in the mean, of one update in the estimate
+    START, FLOOR = 4.0, 1.0  # slots a server, at the start and at the least
+    BUSY = 0.75  # the ceiling grows only while so much of it is out
 
-    def __init__(self, classes: dict[str, RequestClass]) -> None:
-        self.classes = classes
+    def __init__(self) -> None:
         self.mean: dict[str, float] = {}
         self.count: dict[str, int] = {}
         self.lows: dict[str, deque[float]] = {}
@@ -49,8 +46,9 @@
             self.limit = self.limit * rating / self.rating if self.rating else self.START * servers
             self.rating, self.servers = rating, servers
 
-    def observe(self, name: str, latency: float, fleet_out: float) -> None:
-        """One latency. Single ones vary too much for a minimum, so each class's running mean is the sample."""
+    def observe(self, cls: i.RequestClass, latency: float, fleet_out: float) -> None:
+        """One latency; single ones vary too much for a minimum, so a class's running mean is the sample."""
+        name = cls.name
         n = self.count[name] = self.count.get(name, 0) + 1
         mean = self.mean.get(name, latency)
         self.mean[name] = mean = mean + (latency - mean) * max(self.MEMORY, 1 / n)
@@ -58,7 +56,7 @@
             return
         lows = self.lows.setdefault(name, deque(maxlen=self.KEPT))
         lows.append(mean)
-        tolerated = min(self.TOLERANCE * min(lows), self.AIM_SHARE * self.classes[name].aim)
+        tolerated = min(self.TOLERANCE * min(lows), self.AIM_SHARE * cls.aim)
         gradient = min(1.0, max(0.5, tolerated / max(mean, 1e-9)))
         new = self.limit * gradient + math.sqrt(self.limit)
         if new > self.limit and fleet_out < self.BUSY * self.limit:
@@ -118,7 +116,7 @@
         return self.peers[peer]
 
     def hear(self, now: float, peer: int, data: bytes, limit: float) -> None:
-        if len(data) != BEAT_FORM.size or peer == self.me:
+        if data[:1] != b"B" or len(data) != BEAT_FORM.size:
             return
         _, incarnation, sequence, theirs, out, share, demand = BEAT_FORM.unpack(data)
         sane = all(math.isfinite(x) and x >= 0 for x in (theirs, share, demand))
@@ -139,9 +137,10 @@
 class Customer:
     """One customer's use, here and as peers told it."""
 
-    def __init__(self, now: float, plan: Plan, size: int, first: int) -> None:
+    def __init__(self, now: float, plan: i.Plan, size: int, first: int) -> None:
         self.plan, self.size, self.first = plan, size, first
         self.window = max(1.0, plan.depth / plan.refill) if plan.refill else 1.0  # the store's own memory
+        self.idle = 2 * max(self.window, plan.cap_depth / plan.cap_rate if plan.cap_rate else 0.0) + 10.0
         self.at, self.new = now, False
         self.own = Use()
         self.told: dict[int, Use] = {}  # by incarnation, so that a restart leaves its former use counted
@@ -161,7 +160,8 @@
         if past <= 0:
             return
         spent = plan.depth - self.left()
-        fade, keep = math.exp(-past / self.window), max(0.0, 1 - past * plan.refill / spent) if spent > 0 else 0.0
+        fade = math.exp(-past / self.window)
+        keep = max(0.0, 1 - past * plan.refill / spent) if spent > 0 else 0.0
         for use in (self.own, *self.told.values(), *self.sent.values()):
             use.demand *= fade
             use.spent *= keep  # the refill goes where the burst was spent, as in one common store
@@ -172,25 +172,25 @@
 class Quota:
     """Summed-demand refusal beyond a local share of the burst, and the hard limits of a plan."""
 
-    PULL = 10.0  # a whole burst left raises the quota by so many times the refill, a whole one overdrawn lowers it
+    PULL = 10.0  # the quota rises and falls by so many refills for a whole burst left or overdrawn
 
-    def __init__(self, settings: Settings, rng: random.Random, now: float) -> None:
-        self.s, self.rng, self.began = settings, rng, now
+    def __init__(self, settings: i.Settings, rng: random.Random) -> None:
+        self.s, self.rng, self.began = settings, rng, 0.0
         self.customers: dict[int, Customer] = {}
         self.plans = list(settings.plans.values())
         self.period = max(0.1, 4 * (settings.fleet_size - 1) / max(settings.mail_per_s, 1.0))
 
-    def customer(self, now: float, id: int, plan: Plan, size: int, first: int) -> Customer:
+    def customer(self, now: float, id: int, plan: i.Plan, size: int, first: int) -> Customer:
         c = self.customers.get(id)
         if c is None:
             c = self.customers[id] = Customer(now, plan, max(1, size), first)
-            # The ceiling's share grows from this gatekeeper's own start, so that a restart grants nothing anew.
+            # The hard ceiling's share grows from this gatekeeper's start: a restart grants nothing anew.
             c.cap = min(plan.cap_depth, (now - self.began) * plan.cap_rate) / c.size
             c.dealt = self.rng.random()
         c.pass_time(now)
         return c
 
-    def admits(self, now: float, r: Request, plan: Plan) -> bool:
+    def admits(self, now: float, r: i.Request, plan: i.Plan) -> bool:
         c = self.customer(now, r.customer, plan, r.set_size, r.set_from)
         c.own.demand += r.units / c.window
         c.new = True
@@ -215,16 +215,16 @@
         c.dealt -= r.units
         return True
 
-    def draw(self, r: Request) -> None:
+    def draw(self, r: i.Request) -> None:
         c = self.customers[r.customer]
         c.cap -= r.units
         c.own.spent += min(r.units, max(0.0, c.left()))  # a try beyond the quota takes nothing
 
-    def tell(self, now: float, shares: Shares) -> list[Action]:
+    def tell(self, now: float, shares: Shares) -> list[i.Action]:
         """Use that a peer of the set would misjudge, largest error first, within the peers' intake."""
-        out: list[Action] = []
+        out: list[i.Action] = []
         fleet = self.s.fleet_size
-        budget = max(1, int(self.s.mail_per_s * self.period / 2 / max(1, fleet - 1)))  # half is left to heartbeats
+        budget = max(1, int(self.s.mail_per_s * self.period / 2 / (fleet - 1)))  # half is left to heartbeats
         room = (MAIL_BYTES - TOLD_HEAD.size) // TOLD_ITEM.size
         fresh = [(id, c) for id, c in self.customers.items() if c.new and c.plan.refill]
         for _, c in fresh:
@@ -239,7 +239,7 @@
                     known = c.sent.get(peer, Use())
                     error = abs(c.own.demand - known.demand) / c.plan.refill
                     error = (error + abs(c.own.spent - known.spent) / c.plan.depth) * c.size
-                    if error > 0.04:  # a twenty-fifth of an even part of the quota: smaller errors move no decision
+                    if error > 0.04:  # of an even part of the quota: smaller errors move no decision
                         due.append((error, id))
             due.sort(reverse=True)
             for start in range(0, min(len(due), budget * room), room):
@@ -251,13 +251,13 @@
                     shown = (c.own.demand / c.plan.refill, c.own.spent / c.plan.depth)
                     where = (self.plans.index(c.plan), c.size, c.first)
                     data += TOLD_ITEM.pack(id, *where, *(min(65535, round(x * TOLD_SCALE)) for x in shown))
-                out.append(Tell(peer, data))
-        for id in [id for id, c in self.customers.items() if now - c.at > 4 * c.window + 60]:
-            del self.customers[id]  # long idle: its share of the burst is full again
+                out.append(i.Tell(peer, data))
+        for id in [id for id, c in self.customers.items() if now - c.at > c.idle]:
+            del self.customers[id]  # its burst and its ceiling are full again: nothing is forgotten
         return out
 
     def hear(self, now: float, peer: int, data: bytes, shares: Shares) -> None:
-        if len(data) < TOLD_HEAD.size or (len(data) - TOLD_HEAD.size) % TOLD_ITEM.size:
+        if data[:1] != b"D" or len(data) < TOLD_HEAD.size or (len(data) - TOLD_HEAD.size) % TOLD_ITEM.size:
             return
         _, incarnation, sequence = TOLD_HEAD.unpack_from(data)
         p = shares.sender(peer, incarnation)
@@ -266,16 +266,17 @@
         p.told_sequence = sequence
         for id, number, size, first, demand, spent in TOLD_ITEM.iter_unpack(data[TOLD_HEAD.size :]):
             if number < len(self.plans) and 0 < size <= self.s.fleet_size:
-                c = self.customer(now, id, self.plans[number], size, first)
-                c.told[incarnation] = Use(demand / TOLD_SCALE * c.plan.refill, spent / TOLD_SCALE * c.plan.depth)
+                plan = self.plans[number]
+                told = Use(demand / TOLD_SCALE * plan.refill, spent / TOLD_SCALE * plan.depth)
+                self.customer(now, id, plan, size, first).told[incarnation] = told
 
 
 class Node:
     """One server as this gatekeeper knows it."""
 
-    def __init__(self, entry: Server) -> None:
+    def __init__(self, entry: i.Server) -> None:
         self.entry = entry
-        self.listed = True
+        self.listed = False
         self.pending: dict[tuple[int, int], float] = {}  # attempts out: when sent
         self.answered = -math.inf
         self.slow, self.errors, self.judged = 1.0, 0.0, 0.0
@@ -288,33 +289,31 @@
 class Fleet:
     """The servers: list, symptoms, cold budget and the least expected wait."""
 
-    SILENCE = 8.0  # odds e^-8 that a healthy server says nothing for so long, its attempts' waits being exponential
+    SILENCE = 8.0  # if waits are exponential, a healthy server says nothing for so long once in e^8 times
     FORGET_S = 5.0  # symptoms fade by 1/e in this time, so that real traffic tests the server again
     SAMPLE = 0.1  # weight of one outcome
 
-    def __init__(self, settings: Settings, rng: random.Random) -> None:
+    def __init__(self, settings: i.Settings, rng: random.Random) -> None:
         self.s, self.rng = settings, rng
         self.nodes: dict[int, Node] = {}
         self.pace, self.sends = 0.0, 0.0  # own sends a second and rating to warm servers
 
-    def update(self, event: ServerList) -> None:
-        if event.form == ListForm.FAILED:
+    def update(self, event: i.ServerList) -> None:
+        if event.form == i.ListForm.FAILED:
             return
-        if event.form != ListForm.CHANGES:
+        if event.form != i.ListForm.CHANGES:
             for node in self.nodes.values():
                 node.listed = False
         for entry in event.servers:
-            node = self.nodes.get(entry.id)
-            if node is None:
-                node = self.nodes[entry.id] = Node(entry)
-            elif entry.came_up > node.entry.came_up:
+            node = self.nodes.setdefault(entry.id, Node(entry))
+            if entry.came_up > node.entry.came_up:
                 node.came_up, node.slow, node.errors, node.tokens = entry.came_up, 1.0, 0.0, 1.0
-            node.entry, node.listed = entry, entry.mode != Mode.DELETED
+            node.entry, node.listed = entry, entry.mode != i.Mode.DELETED
         for id in [id for id, n in self.nodes.items() if not n.listed and not n.pending]:
             del self.nodes[id]
 
     def serving(self) -> list[Node]:
-        return [n for n in self.nodes.values() if n.listed and n.entry.mode == Mode.SERVING]
+        return [n for n in self.nodes.values() if n.listed and n.entry.mode == i.Mode.SERVING]
 
     def rating(self) -> float:
         nodes = self.serving()
@@ -326,17 +325,26 @@
             return 1.0
         return rules.cold_share + (1 - rules.cold_share) * max(0.0, now - node.came_up) / rules.cold
 
+    def take_pace(self, now: float) -> None:
+        """What warm servers take of this gatekeeper, a second and rating: the measure for cold ones."""
+        warm = sum(n.entry.rating * self.warmth(n, now) for n in self.serving())
+        if warm > 0:
+            self.pace += (self.sends / BEAT_S / warm - self.pace) * 0.2
+        self.sends = 0.0
+
     def may_take(self, node: Node, now: float) -> bool:
         """A cold server gets no more than its part of what a warm one gets: far below what tips it over."""
         warmth = self.warmth(node, now)
         if warmth >= 1.0:
             return True
-        rate = warmth * node.entry.rating * self.pace * min(1.25, self.s.rules.fall_multiple / 2)
-        node.tokens = min(1.0 + rate * self.s.rules.tip_after / 2, node.tokens + rate * (now - node.token_at))
+        rules = self.s.rules
+        rate = warmth * node.entry.rating * self.pace * min(1.25, rules.fall_multiple / 2)
+        rate = max(rate, 1 / (rules.tip_after * self.s.fleet_size))  # where all are cold there is no pace yet
+        node.tokens = min(1.0 + rate * rules.tip_after / 2, node.tokens + rate * (now - node.token_at))
         node.token_at = now
         return node.tokens >= 1.0
 
-    def wait(self, node: Node, now: float, trial: bool) -> float:
+    def wait(self, node: Node, now: float) -> float:
         """Expected wait: attempts out over present rating, stretched by what the server's symptoms say."""
         fade = math.exp((node.judged - now) / self.FORGET_S)
         slow, errors = 1.0 + (node.slow - 1.0) * fade, node.errors * fade
@@ -351,25 +359,23 @@
     def choose(self, now: float, avoid: set[int], within: list[Node] | None = None) -> Node | None:
         nodes = [n for n in (self.serving() if within is None else within) if self.may_take(n, now)]
         fresh = [n for n in nodes if n.entry.id not in avoid] or nodes
-        return min(fresh, key=lambda n: (self.wait(n, now, False), self.rng.random()), default=None)
+        return min(fresh, key=lambda n: (self.wait(n, now), self.rng.random()), default=None)
 
     def sent(self, node: Node, key: tuple[int, int], now: float) -> None:
         node.pending[key] = now
-        if self.warmth(node, now) < 1.0:
-            node.tokens -= 1.0
-        else:
-            self.sends += 1.0
+        node.tokens -= 1.0
+        self.sends += 1.0
 
-    def judge(self, node: Node, now: float, expected: float, o: Outcome) -> None:
+    def judge(self, node: Node, now: float, expected: float, o: i.Outcome) -> None:
         node.pending.pop((o.id, o.attempt), None)
         fade = math.exp((node.judged - now) / self.FORGET_S)
         node.slow, node.errors, node.judged = 1.0 + (node.slow - 1.0) * fade, node.errors * fade, now
-        if o.code in (Code.OK, Code.INTERNAL, Code.RESOURCE_EXHAUSTED):
+        if o.code in (i.Code.OK, i.Code.INTERNAL, i.Code.RESOURCE_EXHAUSTED):
             self.answers(node, now)
-        if o.code == Code.OK:
+        if o.code == i.Code.OK:
             node.slow += (min(10.0, o.took / max(expected, 1e-9)) - node.slow) * self.SAMPLE
             node.errors -= node.errors * self.SAMPLE
-        elif o.code in (Code.INTERNAL, Code.ABORTED, Code.UNAVAILABLE, Code.RESOURCE_EXHAUSTED):
+        elif o.code in (i.Code.INTERNAL, i.Code.ABORTED, i.Code.UNAVAILABLE, i.Code.RESOURCE_EXHAUSTED):
             node.errors += (1.0 - node.errors) * self.SAMPLE
 
     def answers(self, node: Node, now: float) -> None:
@@ -394,7 +400,7 @@
 class Held:
     """A request this gatekeeper owes an answer for."""
 
-    def __init__(self, request: Request, cls: RequestClass) -> None:
+    def __init__(self, request: i.Request, cls: i.RequestClass) -> None:
         self.r, self.cls = request, cls
         self.attempts: list[tuple[Node, float]] = []  # where each was sent, when
         self.out: set[int] = set()
@@ -407,70 +413,69 @@
 
     EXTRA = 0.2  # further attempts per first attempt
 
-    def __init__(self, settings: Settings, seed: int) -> None:
+    def __init__(self, settings: i.Settings, seed: int) -> None:
         self.s = settings
         self.rng = random.Random(seed)
-        self.ceiling = Ceiling(settings.classes)
+        self.ceiling = Ceiling()
         self.shares = Shares(settings.me, self.rng.getrandbits(32))
         self.fleet = Fleet(settings, self.rng)
-        self.quota: Quota | None = None
+        self.quota = Quota(settings, self.rng)
+        self.began = False
         self.held: dict[int, Held] = {}
-        self.loose: dict[tuple[int, int], str] = {}  # attempts out after their request's end
+        self.loose: dict[tuple[int, int], i.RequestClass] = {}  # attempts out after their request's end
         self.out = 0
         self.spare = 1.0
-        self.actions: list[Action] = []
+        self.actions: list[i.Action] = []
         self.look_s = min((c.aim for c in settings.classes.values()), default=1.0) / LOOKS
 
-    def handle(self, now: float, event: Event) -> list[Action]:
+    def handle(self, now: float, event: i.Event) -> list[i.Action]:
         self.actions = []
-        if self.quota is None:
-            self.quota = Quota(self.s, self.rng, now)
-            self.actions += [SetTimer(self.rng.random() * BEAT_S, BEAT), SetTimer(self.look_s, LOOK)]
-            if self.s.limits.peers and self.s.fleet_size > 1:
-                self.actions.append(SetTimer(self.quota.period, NEWS))
-            if self.s.ask_discovery:
-                self.actions.append(Subscribe())
+        if not self.began:
+            self.begin(now)
         match event:
-            case Request():
-                self.arrive(now, event, self.quota)
-            case Outcome():
-                self.ended(now, event, self.quota)
-            case ServerList():
+            case i.Request():
+                self.arrive(now, event)
+            case i.Outcome():
+                self.ended(now, event)
+            case i.ServerList():
                 self.fleet.update(event)
                 self.ceiling.rescale(self.fleet.rating(), len(self.fleet.serving()))
-                if event.form == ListForm.FAILED and self.s.ask_discovery:
-                    self.actions.append(SetTimer(self.s.rules.ask_within * self.rng.uniform(0.1, 0.4), ASK))
-            case TimerDue():
-                self.timer(now, event.label, self.quota)
-            case PeerMail():
-                if event.data[:1] == b"B":
-                    self.shares.hear(now, event.peer, event.data, self.ceiling.limit)
-                elif event.data[:1] == b"D":
-                    self.quota.hear(now, event.peer, event.data, self.shares)
-            case ProbeResult():
+                if event.form == i.ListForm.FAILED and self.s.ask_discovery:
+                    self.actions.append(i.SetTimer(self.s.rules.ask_within * self.rng.uniform(0.1, 0.4), ASK))
+            case i.TimerDue():
+                self.timer(now, event.label)
+            case i.PeerMail():
+                self.shares.hear(now, event.peer, event.data, self.ceiling.limit)
+                self.quota.hear(now, event.peer, event.data, self.shares)
+            case i.ProbeResult():
                 node = self.fleet.nodes.get(event.server)
-                if node and event.code == Code.OK:
+                if node and event.code == i.Code.OK:
                     self.fleet.answers(node, now)
-            case StreamStarted():
-                if event.id in self.held:
-                    self.held[event.id].streaming = True
-            case Expired():
-                if event.id in self.held:
-                    self.end(self.held[event.id])
+            case i.StreamStarted() if event.id in self.held:
+                held = self.held[event.id]
+                held.streaming = True
+                self.cancel(held.r.id, held.out - {event.attempt})
+            case i.Expired() if event.id in self.held:
+                self.end(self.held[event.id])
         return self.actions
 
-    def timer(self, now: float, label: int, quota: Quota) -> None:
+    def begin(self, now: float) -> None:
+        self.began, self.quota.began = True, now
+        self.actions += [i.SetTimer(self.rng.random() * BEAT_S, BEAT), i.SetTimer(self.look_s, LOOK)]
+        if self.s.limits.peers and self.s.fleet_size > 1:
+            self.actions.append(i.SetTimer(self.quota.period, NEWS))
+        if self.s.ask_discovery:
+            self.actions.append(i.Subscribe())
+
+    def timer(self, now: float, label: int) -> None:
         if label == BEAT:
             beat = self.shares.beat(now, self.ceiling.limit, self.out)
             if self.s.limits.peers and self.s.fleet_size > 1:
-                self.actions.append(Tell(None, beat))
-            warm = sum(n.entry.rating for n in self.fleet.serving() if self.fleet.warmth(n, now) >= 1.0)
-            if warm > 0:
-                self.fleet.pace += (self.fleet.sends / BEAT_S / warm - self.fleet.pace) * 0.2
-            self.fleet.sends = 0.0
-            self.actions.append(SetTimer(BEAT_S, BEAT))
+                self.actions.append(i.Tell(None, beat))
+            self.fleet.take_pace(now)
+            self.actions.append(i.SetTimer(BEAT_S, BEAT))
         elif label == NEWS:
-            self.actions += [*quota.tell(now, self.shares), SetTimer(quota.period, NEWS)]
+            self.actions += [*self.quota.tell(now, self.shares), i.SetTimer(self.quota.period, NEWS)]
         elif label == LOOK:
             expected = max(self.ceiling.mean.values(), default=self.look_s * LOOKS)
             for node in self.fleet.look(now, expected):
@@ -478,17 +483,21 @@
             for node in self.fleet.nodes.values():
                 if node.silent_since and node.listed and self.s.limits.probing and now - node.probed > 1.0:
                     node.probed = now
-                    self.actions.append(Probe(node.entry.id))
-            self.actions.append(SetTimer(self.look_s, LOOK))
+                    self.actions.append(i.Probe(node.entry.id))
+            self.actions.append(i.SetTimer(self.look_s, LOOK))
         elif label == ASK:
-            self.actions.append(Subscribe())
-
-    def arrive(self, now: float, r: Request, quota: Quota) -> None:
-        held = Held(r, self.s.classes[r.cls])
+            self.actions.append(i.Subscribe())
+
+    def arrive(self, now: float, r: i.Request) -> None:
+        # Nothing is known of a class that the settings don't name: it is held to the strictest rule.
+        cls = self.s.classes.get(r.cls) or i.RequestClass(
+            r.cls, r.not_after - now, r.not_after - now, i.Effect.SIDE_EFFECT
+        )
+        held = Held(r, cls)
         self.held[r.id] = held
         self.shares.wanted += 1
-        plan = self.s.plans.get(r.plan, Plan(r.plan))
-        if not quota.admits(now, r, plan):
+        plan = self.s.plans.get(r.plan, i.Plan(r.plan))
+        if not self.quota.admits(now, r, plan):
             self.shares.wanted -= 1
             return self.refuse(held, r.units / plan.refill if plan.refill else BEAT_S)
         if self.out >= min(self.shares.share, self.ceiling.limit):
@@ -496,7 +505,7 @@
         node = self.fleet.choose(now, set())
         if node is None:
             return self.refuse(held, BEAT_S)
-        quota.draw(r)
+        self.quota.draw(r)
         self.spare = min(10.0 + self.out / 2, self.spare + self.EXTRA)
         self.send(now, held, node)
 
@@ -505,28 +514,27 @@
         held.out.add(key[1])
         held.attempts.append((node, now))
         self.out += 1
-        assert self.quota is not None
         self.quota.customers[held.r.customer].open += 1
         self.fleet.sent(node, key, now)
-        self.actions.append(Send(held.r.id, node.entry.id))
+        self.actions.append(i.Send(held.r.id, node.entry.id))
 
-    def ended(self, now: float, o: Outcome, quota: Quota) -> None:
+    def ended(self, now: float, o: i.Outcome) -> None:
         held = self.held.get(o.id)
         key = (o.id, o.attempt)
-        name = held.cls.name if held else self.loose.pop(key, None)
-        if name is None or (held and o.attempt not in held.out):
+        cls = held.cls if held else self.loose.pop(key, None)
+        if cls is None or (held and o.attempt not in held.out):
             return
         self.out -= 1
         node = self.fleet.nodes.get(o.server)
-        expected = self.ceiling.mean.get(name, o.took)
+        expected = self.ceiling.mean.get(cls.name, o.took)
         if node:
             self.fleet.judge(node, now, expected, o)
-        if o.code == Code.OK and not (held and held.streaming):
-            self.ceiling.observe(name, o.took, self.shares.fleet_out(now, self.out + 1))
+        if o.code == i.Code.OK and not (held and held.streaming):
+            self.ceiling.observe(cls, o.took, self.shares.fleet_out(now, self.out + 1))
         if held is None:
             return
         held.out.discard(o.attempt)
-        customer = quota.customers.get(held.r.customer)
+        customer = self.quota.customers.get(held.r.customer)
         if customer:
             customer.open -= 1
         if customer and o.actual > 0:
@@ -534,7 +542,7 @@
             customer.own.demand += (o.actual - held.r.units) / customer.window
         if o.no_more:
             return self.end(held)
-        if o.code not in NEVER_RAN:
+        if o.code not in i.NEVER_RAN:
             held.ran.append(o.attempt)
         if held.out:
             return  # another attempt of it is still out
@@ -545,17 +553,17 @@
         """Where a further attempt may go without a second effect; None where nowhere."""
         nodes = self.fleet.serving()
         may_have_run = sorted(set(held.ran) | held.out)
-        if not may_have_run or held.cls.effect == Effect.PURE:
+        if not may_have_run or held.cls.effect == i.Effect.PURE:
             return nodes
-        if held.cls.effect == Effect.SIDE_EFFECT:
+        if held.cls.effect == i.Effect.SIDE_EFFECT:
             return None
         if now >= held.attempts[may_have_run[0]][1] + held.cls.repeat_window:
             return None
-        if held.cls.group == Group.ALL:
+        if held.cls.group == i.Group.ALL:
             return nodes
         for n in may_have_run:
             first = held.attempts[n][0].entry
-            if held.cls.group == Group.ZONE:
+            if held.cls.group == i.Group.ZONE:
                 nodes = [x for x in nodes if x.entry.zone == first.zone]
             else:
                 nodes = [x for x in nodes if x.entry.cell == first.cell and x.entry.zone == first.zone]
@@ -578,29 +586,35 @@
         """Second copies of what waits at a server fallen silent, where a repeat is harmless."""
         for id, _ in list(silent.pending):
             held = self.held.get(id)
-            if held and self.s.limits.may_duplicate and len(held.out) == 1 and held.cls.effect != Effect.SIDE_EFFECT:
+            if held and self.s.limits.may_duplicate and len(held.out) == 1:
                 self.again(now, held)
 
     def give_up(self, now: float, held: Held) -> None:
-        harmless = held.cls.effect == Effect.PURE or not held.ran
-        if harmless or (held.cls.effect == Effect.TOKEN and held.cls.group == Group.ALL):
-            if now < held.r.not_after:
-                return self.refuse(held, BEAT_S)
-        self.actions.append(Fail(held.r.id))
+        cls = held.cls
+        repeatable = cls.effect == i.Effect.PURE or (
+            cls.effect == i.Effect.TOKEN and cls.group == i.Group.ALL
+        )
+        if (repeatable or not held.ran) and now < held.r.not_after:
+            return self.refuse(held, BEAT_S)
+        self.actions.append(i.Fail(held.r.id))
         self.end(held)
 
     def refuse(self, held: Held, after: float) -> None:
         limits = self.s.limits
-        self.actions.append(Refuse(held.r.id, min(after, limits.max_retry_after) if limits.retry_after else 0.0))
+        advice = min(after, limits.max_retry_after) if limits.retry_after else 0.0
+        self.actions.append(i.Refuse(held.r.id, advice))
         self.end(held)
 
     def end(self, held: Held) -> None:
         """The request has its final answer; what is still out of it is cancelled where that is allowed."""
         del self.held[held.r.id]
-        customer = self.quota.customers.get(held.r.customer) if self.quota else None
+        customer = self.quota.customers.get(held.r.customer)
         for n in sorted(held.out):
-            self.loose[held.r.id, n] = held.cls.name
+            self.loose[held.r.id, n] = held.cls
             if customer:
                 customer.open -= 1
-            if self.s.limits.cancel:
-                self.actions.append(Cancel(held.r.id, n))
+        self.cancel(held.r.id, held.out)
+
+    def cancel(self, id: int, attempts: set[int]) -> None:
+        if self.s.limits.cancel:
+            self.actions += [i.Cancel(id, n) for n in sorted(attempts)]
