--- /dev/null
+++ b/tests/test_shares.py
@@ -0,0 +1,109 @@
+"""Heartbeats: what they carry, what they divide, and mail that is lost, late, foreign or broken."""
+
+import itertools
+import random
+
+import pytest
+
+from pewterring import interface as i
+from pewterring.choice import BEAT_FORM, LEASE_S, Shares
+from tests.helpers import Drive, settings
+
+
+def beat(incarnation: int, sequence: int, limit: float = 30.0, out: int = 0, share: float = 10.0) -> bytes:
+    return BEAT_FORM.pack(b"B", incarnation, sequence, limit, out, share, 10.0)
+
+
+def test_a_heartbeat_fits_a_message_and_goes_to_all() -> None:
+    d = Drive()
+    tell = d.beat()
+    assert tell.peer is None and len(tell.data) <= 256
+
+
+def test_no_mail_where_peers_may_not_be_told_or_there_are_none() -> None:
+    for setup in (settings(limits=i.Limits()), settings(fleet=1)):
+        d = Drive(setup)
+        assert not [a for n in (1, 4) for a in d.do(i.TimerDue(n)) if isinstance(a, i.Tell)]
+
+
+def test_lower_median_of_live_limits() -> None:
+    s = Shares(0, 1)
+    s.hear(0.0, 1, beat(11, 1, limit=10.0, share=0.0), 100.0)
+    s.demand = 1e9
+    s.divide(0.0, 100.0)
+    assert s.share == pytest.approx(10.0, rel=0.01)
+    s.hear(0.0, 2, beat(12, 1, limit=50.0, share=0.0), 100.0)
+    s.divide(0.0, 100.0)
+    assert s.share == pytest.approx(50.0, rel=0.01)
+
+
+def test_reserves_the_larger_of_share_and_occupancy_and_keeps_one_slot() -> None:
+    s = Shares(0, 1)
+    s.demand = 1e9
+    s.hear(0.0, 1, beat(11, 1, out=25, share=5.0), 30.0)
+    assert s.share == pytest.approx(5.0)
+    s.hear(0.0, 1, beat(11, 2, out=5, share=29.9), 30.0)
+    assert s.share == 1.0
+
+
+def test_silent_peer_is_evicted() -> None:
+    s = Shares(0, 1)
+    s.demand = 1e9
+    s.hear(0.0, 1, beat(11, 1, out=25), 30.0)
+    s.divide(LEASE_S - 0.01, 30.0)
+    assert s.share < 30.0
+    s.divide(LEASE_S, 30.0)
+    assert s.share == 30.0
+
+
+def test_late_and_repeated_mail_is_dropped() -> None:
+    s = Shares(0, 1)
+    s.hear(0.0, 1, beat(11, 5, out=5), 30.0)
+    s.hear(0.1, 1, beat(11, 4, out=25), 30.0)
+    s.hear(0.2, 1, beat(11, 5, out=25), 30.0)
+    assert s.peers[1].out == 5 and s.peers[1].heard == 0.0
+
+
+def test_restarted_peer_is_heard_and_its_former_life_is_not() -> None:
+    s = Shares(0, 1)
+    s.hear(0.0, 1, beat(11, 500, out=5), 30.0)
+    s.hear(0.1, 1, beat(22, 1, out=7), 30.0)
+    assert s.peers[1].out == 7
+    s.hear(0.2, 1, beat(11, 501, out=9), 30.0)
+    assert s.peers[1].out == 7
+
+
+def test_malformed_mail_is_dropped() -> None:
+    d = Drive()
+    rng = random.Random(3)
+    good = beat(11, 1)
+    bad = [good[:n] for n in range(len(good))] + [good + b"x", b"D", b"D" + bytes(8) + b"123"]
+    bad += [rng.randbytes(rng.randrange(257)) for _ in range(500)]
+    bad += [BEAT_FORM.pack(b"B", 1, 1, x, 0, 1.0, 1.0) for x in (float("nan"), float("inf"), -1.0)]
+    for data in bad:
+        d.do(i.PeerMail(1, data))
+    assert d.keeper.shares.live(d.now) == []
+    d.do(i.PeerMail(7, good))  # nobody of this fleet
+    assert 7 not in d.keeper.shares.peers
+
+
+def test_fleet_stays_below_its_ceiling_once_heartbeats_are_through() -> None:
+    """Three gatekeepers, uneven demand that moves: shares sum to the ceiling but for the floor of one slot."""
+    fleet = [Shares(n, 100 + n) for n in range(3)]
+    wants = itertools.cycle([(90, 5, 5), (90, 5, 5), (90, 5, 5), (5, 90, 5), (5, 90, 5), (5, 5, 90)])
+    for step in range(60):
+        now = step * 0.5
+        for s, wanted in zip(fleet, next(wants), strict=True):
+            s.wanted = wanted
+            data = s.beat(now, 30.0, int(min(s.share, 30.0)))
+            for other in fleet:
+                if other is not s:
+                    other.hear(now, s.me, data, 30.0)
+        if step > 4:
+            assert sum(s.share for s in fleet) <= 30.0 + 2.0
+
+
+def test_alone_the_whole_ceiling_is_its_own() -> None:
+    d = Drive(settings(fleet=3))
+    d.beat()
+    assert d.keeper.shares.share == d.keeper.ceiling.limit
