--- a/pewterring/choice.py
+++ b/pewterring/choice.py
@@ -12,14 +12,14 @@
 
 from pewterring import interface as i
 
-BEAT, LOOK, ASK, NEWS = 1, 2, 3, 4  # labels of the timers
+TICK, LOOK, ASK = 1, 2, 3  # labels of the timers
 BEAT_S = 0.5  # heartbeat period (ours, DESIGN)
+NEWS_S = 0.1  # news of quotas between heartbeats come no closer than this, and farther where mail is scarce
 LEASE_S = 4 * BEAT_S  # a peer silent for this long is evicted: at 8% loss one in 24,000 beats misleads
 LOOKS = 12  # looks for silent servers within the shortest aim
-BEAT_FORM = struct.Struct(">cIIfIff")  # tag, incarnation, sequence, limit, out, share, demand
-TOLD_HEAD = struct.Struct(">cII")  # tag, incarnation, sequence; then for each customer:
-TOLD_ITEM = struct.Struct(">QBBBHH")  # its number, its plan's, size and first of its set, demand, spent
-MAIL_BYTES, TOLD_SCALE = 256, 1000  # demand and spending travel in thousandths of the plan's quota and burst
+BEAT_FORM = struct.Struct(">cIIfIff")  # kind, incarnation, sequence, limit, out, share, demand; then news:
+NEWS_FORM = struct.Struct(">QBBBHH")  # a customer, the numbers of its plan, set size and first; demand, spent
+MAIL_BYTES, NEWS_SCALE = 256, 1000  # demand and spending travel in thousandths of the plan's quota and burst
 
 
 class Ceiling:
@@ -69,7 +69,7 @@
 
     def __init__(self, incarnation: int) -> None:
         self.incarnation, self.before = incarnation, -1
-        self.sequence = self.told_sequence = -1
+        self.sequence = -1
         self.heard = -math.inf
         self.limit = self.out = self.share = self.demand = 0.0
 
@@ -97,11 +97,15 @@
         target = whole * (self.demand / demands if demands > 0 else 1 / (1 + len(others)))
         self.share = max(1.0, min(target, whole - sum(max(p.share, p.out) for p in others)))
 
-    def beat(self, now: float, limit: float, out: int) -> bytes:
-        """One atomic snapshot of what this gatekeeper holds and wants."""
-        self.demand += (self.wanted / BEAT_S - self.demand) * 0.25  # four beats: outlasts one lost or late
+    def settle(self, now: float, past: float, limit: float) -> None:
+        """Own demand over the last few heartbeats, and the share that follows."""
+        weight = 1 - math.exp(-past / LEASE_S)
+        self.demand += (self.wanted / max(past, 1e-3) - self.demand) * weight
         self.wanted = 0.0
         self.divide(now, limit)
+
+    def beat(self, limit: float, out: int) -> bytes:
+        """One atomic snapshot of what this gatekeeper holds and wants."""
         self.sequence += 1
         return BEAT_FORM.pack(b"B", self.incarnation, self.sequence, limit, out, self.share, self.demand)
 
@@ -115,16 +119,18 @@
             fresh.before = known.incarnation if known else -1
         return self.peers[peer]
 
-    def hear(self, now: float, peer: int, data: bytes, limit: float) -> None:
-        if data[:1] != b"B" or len(data) != BEAT_FORM.size:
-            return
-        _, incarnation, sequence, theirs, out, share, demand = BEAT_FORM.unpack(data)
+    def hear(self, now: float, peer: int, data: bytes, limit: float) -> bool:
+        """Takes a heartbeat; False where it is malformed, late, or of a former life."""
+        if data[:1] != b"B" or len(data) < BEAT_FORM.size:
+            return False
+        _, incarnation, sequence, theirs, out, share, demand = BEAT_FORM.unpack_from(data)
         sane = all(math.isfinite(x) and x >= 0 for x in (theirs, share, demand))
         p = self.sender(peer, incarnation) if sane else None
         if p is None or sequence <= p.sequence:
-            return
+            return False
         p.sequence, p.heard, p.limit, p.out, p.share, p.demand = sequence, now, theirs, out, share, demand
         self.divide(now, limit)
+        return True
 
 
 class Use:
@@ -178,7 +184,6 @@
         self.s, self.rng, self.began = settings, rng, 0.0
         self.customers: dict[int, Customer] = {}
         self.plans = list(settings.plans.values())
-        self.period = max(0.1, 4 * (settings.fleet_size - 1) / max(settings.mail_per_s, 1.0))
 
     def customer(self, now: float, id: int, plan: i.Plan, size: int, first: int) -> Customer:
         c = self.customers.get(id)
@@ -220,54 +225,46 @@
         c.cap -= r.units
         c.own.spent += min(r.units, max(0.0, c.left()))  # a try beyond the quota takes nothing
 
-    def tell(self, now: float, shares: Shares) -> list[i.Action]:
-        """Use that a peer of the set would misjudge, largest error first, within the peers' intake."""
-        out: list[i.Action] = []
-        fleet = self.s.fleet_size
-        budget = max(1, int(self.s.mail_per_s * self.period / 2 / (fleet - 1)))  # half is left to heartbeats
-        room = (MAIL_BYTES - TOLD_HEAD.size) // TOLD_ITEM.size
+    def sweep(self, now: float) -> list[tuple[int, Customer]]:
+        """Customers with new use; those long idle are dropped, their burst and ceiling being full again."""
+        for id in [id for id, c in self.customers.items() if now - c.at > c.idle]:
+            del self.customers[id]
         fresh = [(id, c) for id, c in self.customers.items() if c.new and c.plan.refill]
         for _, c in fresh:
             c.pass_time(now)
             c.new = False
-        for peer in range(fleet):
-            if peer == self.s.me:
-                continue
-            due = []
-            for id, c in fresh:
-                if (peer - c.first) % fleet < c.size:
-                    known = c.sent.get(peer, Use())
-                    error = abs(c.own.demand - known.demand) / c.plan.refill
-                    error = (error + abs(c.own.spent - known.spent) / c.plan.depth) * c.size
-                    if error > 0.04:  # of an even part of the quota: smaller errors move no decision
-                        due.append((error, id))
-            due.sort(reverse=True)
-            for start in range(0, min(len(due), budget * room), room):
-                shares.sequence += 1
-                data = TOLD_HEAD.pack(b"D", shares.incarnation, shares.sequence)
-                for _, id in due[start : start + room]:
-                    c = self.customers[id]
-                    c.sent[peer] = Use(c.own.demand, c.own.spent)
-                    shown = (c.own.demand / c.plan.refill, c.own.spent / c.plan.depth)
-                    where = (self.plans.index(c.plan), c.size, c.first)
-                    data += TOLD_ITEM.pack(id, *where, *(min(65535, round(x * TOLD_SCALE)) for x in shown))
-                out.append(i.Tell(peer, data))
-        for id in [id for id, c in self.customers.items() if now - c.at > c.idle]:
-            del self.customers[id]  # its burst and its ceiling are full again: nothing is forgotten
-        return out
-
-    def hear(self, now: float, peer: int, data: bytes, shares: Shares) -> None:
-        if data[:1] != b"D" or len(data) < TOLD_HEAD.size or (len(data) - TOLD_HEAD.size) % TOLD_ITEM.size:
-            return
-        _, incarnation, sequence = TOLD_HEAD.unpack_from(data)
-        p = shares.sender(peer, incarnation)
-        if p is None or sequence <= p.told_sequence:
+        return fresh
+
+    def news(self, peer: int, fresh: list[tuple[int, Customer]]) -> bytes:
+        """Use that this peer, where it is of the set, would misjudge; the largest errors first."""
+        due = []
+        for id, c in fresh:
+            if (peer - c.first) % self.s.fleet_size < c.size:
+                known = c.sent.get(peer, Use())
+                error = abs(c.own.demand - known.demand) / c.plan.refill
+                error = (error + abs(c.own.spent - known.spent) / c.plan.depth) * c.size
+                if error > 0.04:  # of an even part of the quota: smaller errors move no decision
+                    due.append((error, id))
+        due.sort(reverse=True)
+        room = (MAIL_BYTES - BEAT_FORM.size) // NEWS_FORM.size
+        data = b""
+        for _, id in due[:room]:
+            c = self.customers[id]
+            c.sent[peer] = Use(c.own.demand, c.own.spent)
+            shown = (c.own.demand / c.plan.refill, c.own.spent / c.plan.depth)
+            scaled = (min(65535, round(x * NEWS_SCALE)) for x in shown)
+            data += NEWS_FORM.pack(id, self.plans.index(c.plan), c.size, c.first, *scaled)
+        for _, id in due[room:]:
+            self.customers[id].new = True
+        return data
+
+    def hear(self, now: float, incarnation: int, data: bytes) -> None:
+        if len(data) % NEWS_FORM.size:
             return
-        p.told_sequence = sequence
-        for id, number, size, first, demand, spent in TOLD_ITEM.iter_unpack(data[TOLD_HEAD.size :]):
+        for id, number, size, first, demand, spent in NEWS_FORM.iter_unpack(data):
             if number < len(self.plans) and 0 < size <= self.s.fleet_size:
                 plan = self.plans[number]
-                told = Use(demand / TOLD_SCALE * plan.refill, spent / TOLD_SCALE * plan.depth)
+                told = Use(demand / NEWS_SCALE * plan.refill, spent / NEWS_SCALE * plan.depth)
                 self.customer(now, id, plan, size, first).told[incarnation] = told
 
 
@@ -325,11 +322,12 @@
             return 1.0
         return rules.cold_share + (1 - rules.cold_share) * max(0.0, now - node.came_up) / rules.cold
 
-    def take_pace(self, now: float) -> None:
+    def take_pace(self, now: float, past: float) -> None:
         """What warm servers take of this gatekeeper, a second and rating: the measure for cold ones."""
         warm = sum(n.entry.rating * self.warmth(n, now) for n in self.serving())
         if warm > 0:
-            self.pace += (self.sends / BEAT_S / warm - self.pace) * 0.2
+            weight = 1 - math.exp(-past / LEASE_S)
+            self.pace += (self.sends / max(past, 1e-3) / warm - self.pace) * weight
         self.sends = 0.0
 
     def may_take(self, node: Node, now: float) -> bool:
@@ -426,6 +424,11 @@
         self.out = 0
         self.spare = 1.0
         self.actions: list[i.Action] = []
+        # A fifth of the peers' intake is left for what else may come.
+        self.tick_s = max(NEWS_S, (settings.fleet_size - 1) / max(0.8 * settings.mail_per_s, 1e-3))
+        if not settings.limits.peers:
+            self.tick_s = BEAT_S
+        self.ticked, self.beaten = 0.0, dict[int, float]()
         self.look_s = min((c.aim for c in settings.classes.values()), default=1.0) / LOOKS
 
     def handle(self, now: float, event: i.Event) -> list[i.Action]:
@@ -445,8 +448,10 @@
             case i.TimerDue():
                 self.timer(now, event.label)
             case i.PeerMail():
-                self.shares.hear(now, event.peer, event.data, self.ceiling.limit)
-                self.quota.hear(now, event.peer, event.data, self.shares)
+                foreign = event.peer == self.s.me or not 0 <= event.peer < self.s.fleet_size
+                if not foreign and self.shares.hear(now, event.peer, event.data, self.ceiling.limit):
+                    news = event.data[BEAT_FORM.size :]
+                    self.quota.hear(now, self.shares.peers[event.peer].incarnation, news)
             case i.ProbeResult():
                 node = self.fleet.nodes.get(event.server)
                 if node and event.code == i.Code.OK:
@@ -460,22 +465,15 @@
         return self.actions
 
     def begin(self, now: float) -> None:
-        self.began, self.quota.began = True, now
-        self.actions += [i.SetTimer(self.rng.random() * BEAT_S, BEAT), i.SetTimer(self.look_s, LOOK)]
-        if self.s.limits.peers and self.s.fleet_size > 1:
-            self.actions.append(i.SetTimer(self.quota.period, NEWS))
+        self.began, self.quota.began, self.ticked = True, now, now
+        self.actions += [i.SetTimer(self.tick_s * self.rng.random(), TICK), i.SetTimer(self.look_s, LOOK)]
         if self.s.ask_discovery:
             self.actions.append(i.Subscribe())
 
     def timer(self, now: float, label: int) -> None:
-        if label == BEAT:
-            beat = self.shares.beat(now, self.ceiling.limit, self.out)
-            if self.s.limits.peers and self.s.fleet_size > 1:
-                self.actions.append(i.Tell(None, beat))
-            self.fleet.take_pace(now)
-            self.actions.append(i.SetTimer(BEAT_S, BEAT))
-        elif label == NEWS:
-            self.actions += [*self.quota.tell(now, self.shares), i.SetTimer(self.quota.period, NEWS)]
+        if label == TICK:
+            self.tick(now)
+            self.actions.append(i.SetTimer(self.tick_s, TICK))
         elif label == LOOK:
             expected = max(self.ceiling.mean.values(), default=self.look_s * LOOKS)
             for node in self.fleet.look(now, expected):
@@ -488,6 +486,19 @@
         elif label == ASK:
             self.actions.append(i.Subscribe())
 
+    def tick(self, now: float) -> None:
+        """Heartbeats when due, and between them news of quotas where there are any."""
+        past, self.ticked = now - self.ticked, now
+        self.shares.settle(now, past, self.ceiling.limit)
+        self.fleet.take_pace(now, past)
+        fresh = self.quota.sweep(now)
+        for peer in range(self.s.fleet_size if self.s.limits.peers else 0):
+            news = self.quota.news(peer, fresh) if peer != self.s.me else b""
+            late = now + self.tick_s / 2 - self.beaten.get(peer, -math.inf) > BEAT_S
+            if peer != self.s.me and (news or late):
+                self.beaten[peer] = now
+                self.actions.append(i.Tell(peer, self.shares.beat(self.ceiling.limit, self.out) + news))
+
     def arrive(self, now: float, r: i.Request) -> None:
         # Nothing is known of a class that the settings don't name: it is held to the strictest rule.
         cls = self.s.classes.get(r.cls) or i.RequestClass(
