A starting gatekeeper leaves unheard peers an even part of the ceiling for one lease

Cause: fleets that start together heard each other claim the whole ceiling and fell to one slot for a second or two. Guards also a gatekeeper restarted alone; it costs a lone one of a larger fleet its first lease.

--- a/pewterring/choice.py
+++ b/pewterring/choice.py
@@ -77,8 +77,9 @@
 class Shares:
     """The ceiling's split: lower median of live limits, occupancy reserved, target split by demand."""
 
-    def __init__(self, me: int, incarnation: int) -> None:
-        self.me, self.incarnation, self.sequence = me, incarnation, 0
+    def __init__(self, fleet: int, incarnation: int) -> None:
+        self.fleet, self.incarnation, self.sequence = fleet, incarnation, 0
+        self.began = -math.inf
         self.peers: dict[int, Peer] = {}
         self.wanted = self.demand = 0.0
         self.share = math.inf
@@ -94,8 +95,12 @@
         limits = sorted([limit, *(p.limit for p in others)])
         whole = limits[(len(limits) - 1) // 2]
         demands = self.demand + sum(p.demand for p in others)
-        target = whole * (self.demand / demands if demands > 0 else 1 / (1 + len(others)))
-        self.share = max(1.0, min(target, whole - sum(max(p.share, p.out) for p in others)))
+        part = self.demand / demands if demands > 0 else 1 / (1 + len(others))
+        # Until its first lease is over a gatekeeper takes those that it has not heard for alive, each with an
+        # even part: starting fleets else claim the whole ceiling in turn and leave each other one slot.
+        unheard = self.fleet - 1 - len(others) if now - self.began < LEASE_S else 0
+        whole -= whole * unheard / self.fleet
+        self.share = max(1.0, min(whole * part, whole - sum(max(p.share, p.out) for p in others)))
 
     def settle(self, now: float, past: float, limit: float) -> None:
         """Own demand over the last few heartbeats, and the share that follows."""
@@ -415,7 +420,7 @@
         self.s = settings
         self.rng = random.Random(seed)
         self.ceiling = Ceiling()
-        self.shares = Shares(settings.me, self.rng.getrandbits(32))
+        self.shares = Shares(settings.fleet_size, self.rng.getrandbits(32))
         self.fleet = Fleet(settings, self.rng)
         self.quota = Quota(settings, self.rng)
         self.began = False
@@ -433,6 +438,9 @@
 
     def handle(self, now: float, event: i.Event) -> list[i.Action]:
         self.actions = []
+        if isinstance(event, i.ServerList):
+            self.fleet.update(event)
+            self.ceiling.rescale(self.fleet.rating(), len(self.fleet.serving()))
         if not self.began:
             self.begin(now)
         match event:
@@ -441,8 +449,6 @@
             case i.Outcome():
                 self.ended(now, event)
             case i.ServerList():
-                self.fleet.update(event)
-                self.ceiling.rescale(self.fleet.rating(), len(self.fleet.serving()))
                 if event.form == i.ListForm.FAILED and self.s.ask_discovery:
                     self.actions.append(i.SetTimer(self.s.rules.ask_within * self.rng.uniform(0.1, 0.4), ASK))
             case i.TimerDue():
@@ -465,7 +471,9 @@
         return self.actions
 
     def begin(self, now: float) -> None:
-        self.began, self.quota.began, self.ticked = True, now, now
+        self.began = True
+        self.shares.began = self.quota.began = self.ticked = now
+        self.shares.divide(now, self.ceiling.limit)
         self.actions += [i.SetTimer(self.tick_s * self.rng.random(), TICK), i.SetTimer(self.look_s, LOOK)]
         if self.s.ask_discovery:
             self.actions.append(i.Subscribe())
