Turned away as full counts a quarter against a server and against the retry budget

Should help wherever queues are short or shared; in an overload of all it costs cheap round trips, bounded by max_attempts and the budget.

--- a/pewterring/choice.py
+++ b/pewterring/choice.py
@@ -9,6 +9,7 @@
 import random
 import struct
 from collections import deque
+from typing import ClassVar
 
 from pewterring import interface as i
 
@@ -294,6 +295,14 @@
     SILENCE = 8.0  # if waits are exponential, a healthy server says nothing for so long once in e^8 times
     FORGET_S = 5.0  # symptoms fade by 1/e in this time, so that real traffic tests the server again
     SAMPLE = 0.1  # weight of one outcome
+    # How far an outcome speaks against its server. Being turned away unseen costs a round trip and no work:
+    # taken for a fault it would drive all traffic to the servers that still accept, and jam them.
+    FAULTS: ClassVar = {
+        i.Code.INTERNAL: 1.0,
+        i.Code.ABORTED: 1.0,
+        i.Code.UNAVAILABLE: 1.0,
+        i.Code.RESOURCE_EXHAUSTED: 0.25,
+    }
 
     def __init__(self, settings: i.Settings, rng: random.Random) -> None:
         self.s, self.rng = settings, rng
@@ -378,8 +387,8 @@
         if o.code == i.Code.OK:
             node.slow += (min(10.0, o.took / max(expected, 1e-9)) - node.slow) * self.SAMPLE
             node.errors -= node.errors * self.SAMPLE
-        elif o.code in (i.Code.INTERNAL, i.Code.ABORTED, i.Code.UNAVAILABLE, i.Code.RESOURCE_EXHAUSTED):
-            node.errors += (1.0 - node.errors) * self.SAMPLE
+        elif o.code in self.FAULTS:
+            node.errors += (self.FAULTS[o.code] - node.errors) * self.SAMPLE
 
     def answers(self, node: Node, now: float) -> None:
         """Back from silence: it may have restarted, so until a list says otherwise it counts as cold."""
@@ -414,7 +423,7 @@
 class Gatekeeper:
     """One gatekeeper: events in, actions out."""
 
-    EXTRA = 0.2  # further attempts per first attempt
+    EXTRA, UNRUN = 0.2, 0.25  # further attempts per first attempt; what one after a proven non-run counts
 
     def __init__(self, settings: i.Settings, seed: int) -> None:
         self.s = settings
@@ -590,14 +599,15 @@
 
     def again(self, now: float, held: Held) -> bool:
         """One more attempt, if rules, deadline and budget let it and it holds a slot of its own."""
-        if len(held.attempts) >= self.s.limits.max_attempts or held.streaming or self.spare < 1.0:
+        price = 1.0 if held.ran or held.out else self.UNRUN  # what never ran has cost the servers little
+        if len(held.attempts) >= self.s.limits.max_attempts or held.streaming or self.spare < price:
             return False
         if now >= held.r.not_after or self.out >= min(self.shares.share, self.ceiling.limit):
             return False
         node = self.fleet.choose(now, {n.entry.id for n, _ in held.attempts}, self.allowed(now, held) or [])
         if node is None:
             return False
-        self.spare -= 1.0
+        self.spare -= price
         self.send(now, held, node)
         return True
 
