Ceiling: the demand of unheard peers counts on, fading

Guards against any lapse of mail, zone cuts, fleets that start together; it can hold a survivor back for half a minute where callers of dead peers never come.

--- a/pewterring/choice.py
+++ b/pewterring/choice.py
@@ -17,6 +17,7 @@
 BEAT_S = 0.5  # heartbeat period (ours, DESIGN)
 NEWS_S = 0.1  # news of quotas between heartbeats come no closer than this, and farther where mail is scarce
 LEASE_S = 4 * BEAT_S  # a peer silent for this long is evicted: at 8% loss one in 24,000 beats misleads
+GHOST_S = 15 * LEASE_S  # how long the demand of unheard peers is remembered: beyond any restart or lapse of mail
 LOOKS = 12  # looks for silent servers within the shortest aim
 BEAT_FORM = struct.Struct(">cIIfIff")  # kind, incarnation, sequence, limit, out, share, demand; then news:
 NEWS_FORM = struct.Struct(">QBBBHH")  # a customer, the numbers of its plan, set size and first; demand, spent
@@ -80,7 +81,7 @@
 
     def __init__(self, fleet: int, incarnation: int) -> None:
         self.fleet, self.incarnation, self.sequence = fleet, incarnation, 0
-        self.began = -math.inf
+        self.began, self.total, self.at = -math.inf, 0.0, 0.0
         self.peers: dict[int, Peer] = {}
         self.wanted = self.demand = 0.0
         self.share = math.inf
@@ -96,11 +97,16 @@
         limits = sorted([limit, *(p.limit for p in others)])
         whole = limits[(len(limits) - 1) // 2]
         demands = self.demand + sum(p.demand for p in others)
-        part = self.demand / demands if demands > 0 else 1 / (1 + len(others))
-        # Until its first lease is over a gatekeeper takes those that it has not heard for alive, each with an
-        # even part: starting fleets else claim the whole ceiling in turn and leave each other one slot.
-        unheard = self.fleet - 1 - len(others) if now - self.began < LEASE_S else 0
-        whole -= whole * unheard / self.fleet
+        # While peers are unheard the demand summed before counts on, fading: where mail is cut or a fleet
+        # starts each side else claims the whole ceiling. If the unheard are dead, their callers come here and
+        # the own demand rises instead; a gatekeeper truly alone gets the whole as the memory fades.
+        missing = self.fleet - 1 - len(others)
+        if now - self.began < LEASE_S:
+            demands += missing * self.demand
+        if missing > 0:
+            demands = max(demands, self.total * math.exp((self.at - now) / GHOST_S))
+        self.total, self.at = demands, now
+        part = self.demand / demands if demands > 0 else 1 / self.fleet
         self.share = max(1.0, min(whole * part, whole - sum(max(p.share, p.out) for p in others)))
 
     def settle(self, now: float, past: float, limit: float) -> None:
