--- a/pewterring/choice.py
+++ b/pewterring/choice.py
@@ -57,8 +57,9 @@
         if n % self.BATCH:
             return
         lows = self.lows.setdefault(name, deque(maxlen=self.KEPT))
-        lows.append(mean)
-        tolerated = min(self.TOLERANCE * min(lows), self.AIM_SHARE * cls.aim)
+        if n * self.MEMORY >= 2:  # the first answers to come back are the fastest: no baseline
+            lows.append(mean)
+        tolerated = min(self.TOLERANCE * min(lows, default=math.inf), self.AIM_SHARE * cls.aim)
         gradient = min(1.0, max(0.5, tolerated / max(mean, 1e-9)))
         new = self.limit * gradient + math.sqrt(self.limit)
         if new > self.limit and fleet_out < self.BUSY * self.limit:
