--- a/pewterring/choice.py
+++ b/pewterring/choice.py
@@ -27,7 +27,7 @@
 class Ceiling:
     """Gradient2: how many attempts the whole back end bears, inferred from latency."""
 
-    TOLERANCE = 2.5  # queueing allowed over the unloaded latency; a few waits per service fit any sane aim
+    TOLERANCE = 3.5  # queueing allowed over the unloaded latency; a few waits per service fit any sane aim
     AIM_SHARE = 0.33  # the tolerated latency never passes this part of the aim: bounds the baseline's upward
     # drift when all servers slow together, whatever the rolling minimum says
     BATCH, KEPT = 16, 64  # samples per update, updates in the rolling minimum
