--- a/pewterring/choice.py
+++ b/pewterring/choice.py
@@ -17,7 +17,7 @@
 BEAT_S = 0.5  # heartbeat period (ours, DESIGN)
 NEWS_S = 0.1  # news of quotas between heartbeats come no closer than this, and farther where mail is scarce
 LEASE_S = 4 * BEAT_S  # a peer silent for this long is evicted: at 8% loss one in 24,000 beats misleads
-GHOST_S = 15 * LEASE_S  # how long the demand of unheard peers is remembered: beyond any restart or lapse of mail
+GHOST_S = 15 * LEASE_S  # the demand of unheard peers fades by 1/e in this: longer than a restart takes
 LOOKS = 12  # looks for silent servers within the shortest aim
 BEAT_FORM = struct.Struct(">cIIfIff")  # kind, incarnation, sequence, limit, out, share, demand; then news:
 NEWS_FORM = struct.Struct(">QBBBHH")  # a customer, the numbers of its plan, set size and first; demand, spent
@@ -71,8 +71,7 @@
     """What one peer's heartbeats said last."""
 
     def __init__(self, incarnation: int) -> None:
-        self.incarnation, self.before = incarnation, -1
-        self.sequence = -1
+        self.incarnation, self.before, self.sequence = incarnation, -1, -1
         self.heard = -math.inf
         self.limit = self.out = self.share = self.demand = 0.0
 
@@ -122,26 +121,19 @@
         self.sequence += 1
         return BEAT_FORM.pack(b"B", self.incarnation, self.sequence, limit, out, self.share, self.demand)
 
-    def sender(self, peer: int, incarnation: int) -> Peer | None:
-        """The peer's record; a restarted peer begins anew, late mail of its former life is dropped."""
-        known = self.peers.get(peer)
-        if known and known.before == incarnation:
-            return None
-        if known is None or known.incarnation != incarnation:
-            fresh = self.peers[peer] = Peer(incarnation)
-            fresh.before = known.incarnation if known else -1
-        return self.peers[peer]
-
     def hear(self, now: float, peer: int, data: bytes, limit: float) -> bool:
-        """Takes a heartbeat; False where it is malformed, late, or of a former life."""
+        """Takes a heartbeat; False where it is malformed, late, or of a former life of the peer."""
         if data[:1] != b"B" or len(data) < BEAT_FORM.size:
             return False
         _, incarnation, sequence, theirs, out, share, demand = BEAT_FORM.unpack_from(data)
+        p = self.peers.get(peer) or Peer(incarnation)
         sane = all(math.isfinite(x) and x >= 0 for x in (theirs, share, demand))
-        p = self.sender(peer, incarnation) if sane else None
-        if p is None or sequence <= p.sequence:
+        if not sane or incarnation == p.before or (incarnation == p.incarnation and sequence <= p.sequence):
             return False
-        p.sequence, p.heard, p.limit, p.out, p.share, p.demand = sequence, now, theirs, out, share, demand
+        p.before = p.before if incarnation == p.incarnation else p.incarnation
+        p.incarnation, p.sequence, p.heard = incarnation, sequence, now
+        p.limit, p.out, p.share, p.demand = theirs, out, share, demand
+        self.peers[peer] = p
         self.divide(now, limit)
         return True
 
@@ -304,12 +296,8 @@
     SAMPLE = 0.1  # weight of one outcome
     # How far an outcome speaks against its server. Being turned away unseen costs a round trip and no work:
     # taken for a fault it would drive all traffic to the servers that still accept, and jam them.
-    FAULTS: ClassVar = {
-        i.Code.INTERNAL: 1.0,
-        i.Code.ABORTED: 1.0,
-        i.Code.UNAVAILABLE: 1.0,
-        i.Code.RESOURCE_EXHAUSTED: 0.25,
-    }
+    FAULTS: ClassVar = dict.fromkeys((i.Code.INTERNAL, i.Code.ABORTED, i.Code.UNAVAILABLE), 1.0)
+    FAULTS[i.Code.RESOURCE_EXHAUSTED] = 0.25
 
     def __init__(self, settings: i.Settings, rng: random.Random) -> None:
         self.s, self.rng = settings, rng
@@ -425,6 +413,8 @@
         self.out: set[int] = set()
         self.ran: list[int] = []  # attempts that ended and may have run
         self.streaming = False
+        every = cls.effect == i.Effect.TOKEN and cls.group == i.Group.ALL
+        self.repeatable = every or cls.effect == i.Effect.PURE
 
 
 class Gatekeeper:
@@ -441,8 +431,7 @@
         self.quota = Quota(settings, self.rng)
         self.began = False
         self.held: dict[int, Held] = {}
-        self.loose: dict[tuple[int, int], i.RequestClass] = {}  # attempts out after their request's end
-        self.out = 0
+        self.flying: dict[tuple[int, int], Held] = {}  # attempts out, also after their request's end
         self.spare = 1.0
         self.actions: list[i.Action] = []
         # A fifth of the peers' intake is left for what else may come.
@@ -452,6 +441,10 @@
         self.ticked, self.beaten = 0.0, dict[int, float]()
         self.look_s = min((c.aim for c in settings.classes.values()), default=1.0) / LOOKS
 
+    @property
+    def out(self) -> int:
+        return len(self.flying)
+
     def handle(self, now: float, event: i.Event) -> list[i.Action]:
         self.actions = []
         if isinstance(event, i.ServerList):
@@ -507,7 +500,7 @@
                     node.probed = now
                     self.actions.append(i.Probe(node.entry.id))
             self.actions.append(i.SetTimer(self.look_s, LOOK))
-        elif label == ASK:
+        else:
             self.actions.append(i.Subscribe())
 
     def tick(self, now: float) -> None:
@@ -525,11 +518,9 @@
 
     def arrive(self, now: float, r: i.Request) -> None:
         # Nothing is known of a class that the settings don't name: it is held to the strictest rule.
-        cls = self.s.classes.get(r.cls) or i.RequestClass(
-            r.cls, r.not_after - now, r.not_after - now, i.Effect.SIDE_EFFECT
-        )
-        held = Held(r, cls)
-        self.held[r.id] = held
+        left = r.not_after - now
+        cls = self.s.classes.get(r.cls) or i.RequestClass(r.cls, left, left, i.Effect.SIDE_EFFECT)
+        held = self.held[r.id] = Held(r, cls)
         self.shares.wanted += 1
         plan = self.s.plans.get(r.plan, i.Plan(r.plan))
         if not self.quota.admits(now, r, plan):
@@ -548,60 +539,49 @@
         key = (held.r.id, len(held.attempts))
         held.out.add(key[1])
         held.attempts.append((node, now))
-        self.out += 1
+        self.flying[key] = held
         self.quota.customers[held.r.customer].open += 1
         self.fleet.sent(node, key, now)
         self.actions.append(i.Send(held.r.id, node.entry.id))
 
     def ended(self, now: float, o: i.Outcome) -> None:
-        held = self.held.get(o.id)
-        key = (o.id, o.attempt)
-        cls = held.cls if held else self.loose.pop(key, None)
-        if cls is None or (held and o.attempt not in held.out):
-            return
-        self.out -= 1
-        node = self.fleet.nodes.get(o.server)
-        expected = self.ceiling.mean.get(cls.name, o.took)
-        if node:
-            self.fleet.judge(node, now, expected, o)
-        if o.code == i.Code.OK and not (held and held.streaming):
-            self.ceiling.observe(cls, o.took, self.shares.fleet_out(now, self.out + 1))
+        held = self.flying.pop((o.id, o.attempt), None)
         if held is None:
             return
         held.out.discard(o.attempt)
+        node = self.fleet.nodes.get(o.server)
+        if node:
+            self.fleet.judge(node, now, self.ceiling.mean.get(held.cls.name, o.took), o)
+        if o.code == i.Code.OK and not held.streaming:
+            self.ceiling.observe(held.cls, o.took, self.shares.fleet_out(now, self.out + 1))
         customer = self.quota.customers.get(held.r.customer)
         if customer:
             customer.open -= 1
-        if customer and o.actual > 0:
-            customer.own.spent += o.actual - held.r.units
-            customer.own.demand += (o.actual - held.r.units) / customer.window
+            extra = o.actual - held.r.units if o.actual > 0 else 0.0
+            customer.own.spent += extra
+            customer.own.demand += extra / customer.window
+        if held.r.id not in self.held:
+            return
         if o.no_more:
             return self.end(held)
         if o.code not in i.NEVER_RAN:
             held.ran.append(o.attempt)
-        if held.out:
-            return  # another attempt of it is still out
-        if not self.again(now, held):
+        if not held.out and not self.again(now, held):
             self.give_up(now, held)
 
-    def allowed(self, now: float, held: Held) -> list[Node] | None:
-        """Where a further attempt may go without a second effect; None where nowhere."""
-        nodes = self.fleet.serving()
-        may_have_run = sorted(set(held.ran) | held.out)
-        if not may_have_run or held.cls.effect == i.Effect.PURE:
+    def allowed(self, now: float, held: Held) -> list[Node]:
+        """Where a further attempt may go without a second effect."""
+        nodes, cls = self.fleet.serving(), held.cls
+        may_have_run = [held.attempts[n] for n in sorted({*held.ran, *held.out})]
+        if not may_have_run or cls.effect == i.Effect.PURE:
             return nodes
-        if held.cls.effect == i.Effect.SIDE_EFFECT:
-            return None
-        if now >= held.attempts[may_have_run[0]][1] + held.cls.repeat_window:
-            return None
-        if held.cls.group == i.Group.ALL:
-            return nodes
-        for n in may_have_run:
-            first = held.attempts[n][0].entry
-            if held.cls.group == i.Group.ZONE:
-                nodes = [x for x in nodes if x.entry.zone == first.zone]
-            else:
-                nodes = [x for x in nodes if x.entry.cell == first.cell and x.entry.zone == first.zone]
+        if cls.effect == i.Effect.SIDE_EFFECT or now >= may_have_run[0][1] + cls.repeat_window:
+            return []
+        for first, _ in may_have_run:
+            if cls.group == i.Group.ZONE:
+                nodes = [n for n in nodes if n.entry.zone == first.entry.zone]
+            elif cls.group == i.Group.CELL:
+                nodes = [n for n in nodes if n.entry.cell == first.entry.cell]
         return nodes
 
     def again(self, now: float, held: Held) -> bool:
@@ -611,7 +591,7 @@
             return False
         if now >= held.r.not_after or self.out >= min(self.shares.share, self.ceiling.limit):
             return False
-        node = self.fleet.choose(now, {n.entry.id for n, _ in held.attempts}, self.allowed(now, held) or [])
+        node = self.fleet.choose(now, {n.entry.id for n, _ in held.attempts}, self.allowed(now, held))
         if node is None:
             return False
         self.spare -= price
@@ -626,11 +606,7 @@
                 self.again(now, held)
 
     def give_up(self, now: float, held: Held) -> None:
-        cls = held.cls
-        repeatable = cls.effect == i.Effect.PURE or (
-            cls.effect == i.Effect.TOKEN and cls.group == i.Group.ALL
-        )
-        if (repeatable or not held.ran) and now < held.r.not_after:
+        if (held.repeatable or not held.ran) and now < held.r.not_after:
             return self.refuse(held, BEAT_S)
         self.actions.append(i.Fail(held.r.id))
         self.end(held)
@@ -644,11 +620,6 @@
     def end(self, held: Held) -> None:
         """The request has its final answer; what is still out of it is cancelled where that is allowed."""
         del self.held[held.r.id]
-        customer = self.quota.customers.get(held.r.customer)
-        for n in sorted(held.out):
-            self.loose[held.r.id, n] = held.cls
-            if customer:
-                customer.open -= 1
         self.cancel(held.r.id, held.out)
 
     def cancel(self, id: int, attempts: set[int]) -> None:
--- /dev/null
+++ b/tests/test_quota.py
@@ -0,0 +1,184 @@
+"""The customer's quota: share of the burst, chance by summed demand, news of peers, hard ceilings."""
+
+import itertools
+import random
+
+import pytest
+
+from pewterring import interface as i
+from pewterring.choice import BEAT_FORM, NEWS_FORM, Quota
+from tests.helpers import PLANS, Drive, sends, settings
+
+SMALL = PLANS["small"]
+
+
+class Fleet:
+    """Three gatekeepers whose mail passes at once, unless it is cut."""
+
+    def __init__(self) -> None:
+        self.all = [Drive(settings(me=n), seed=n) for n in range(3)]
+        self.cut = False
+
+    def pass_time(self, past: float) -> None:
+        for d in self.all:
+            tells = d.tick(past)
+            for t in tells if not self.cut else ():
+                assert t.peer is not None
+                other = self.all[t.peer].keeper
+                other.handle(d.now, i.PeerMail(d.keeper.s.me, t.data))
+
+    def admitted(self, tries: dict[int, int], seconds: float, size: int = 3) -> float:
+        """Units a second sent on of so many tries a second at each gatekeeper."""
+        count, steps = 0, round(seconds / 0.1)
+        for _ in range(steps):
+            for n, rate in tries.items():
+                d = self.all[n]
+                for _ in range(rate // 10):
+                    for send in sends(d.ask(plan="small", size=size)):
+                        count += 1
+                        d.end(send, i.Code.OK)
+            self.pass_time(0.1)
+        return count / seconds
+
+
+def test_within_the_quota_nothing_is_refused() -> None:
+    d = Drive()
+    for _ in range(40):
+        d.now += 2.0
+        (send,) = sends(d.ask(plan="small", size=2))
+        d.end(send, i.Code.OK)
+
+
+@pytest.mark.parametrize("tries", [{0: 20}, {0: 10, 1: 10, 2: 10}, {0: 30, 1: 10}])
+def test_heavy_demand_gets_the_quota_however_it_enters(tries: dict[int, int]) -> None:
+    fleet = Fleet()
+    fleet.admitted(tries, 5.0)
+    assert 0.7 * SMALL.refill <= fleet.admitted(tries, 40.0) <= 1.4 * SMALL.refill
+
+
+def test_traffic_that_shifts_at_a_stroke_grants_no_second_burst() -> None:
+    fleet = Fleet()
+    fleet.admitted({0: 20}, 10.0)
+    assert fleet.admitted({1: 20}, 10.0) <= 1.5 * SMALL.refill
+
+
+def test_a_restart_is_counted_by_the_peers() -> None:
+    fleet = Fleet()
+    fleet.admitted({0: 20, 1: 20}, 10.0)
+    former = fleet.all[0]
+    fleet.all[0] = Drive(settings(me=0), seed=99)
+    fleet.all[0].now = former.now
+    assert fleet.admitted({0: 20, 1: 20}, 10.0) <= 1.6 * SMALL.refill
+
+
+def test_lost_mail_costs_no_more_than_a_share_each() -> None:
+    fleet = Fleet()
+    fleet.cut = True
+    fleet.admitted({0: 20, 1: 20, 2: 20}, 10.0)
+    assert fleet.admitted({0: 20, 1: 20, 2: 20}, 20.0) <= 3.5 * SMALL.refill
+
+
+def test_demand_is_told_only_to_the_set_and_only_on_new_use() -> None:
+    d = Drive(settings(me=0))
+    d.tick()
+    d.ask(plan="small", size=2)
+    assert [t.peer for t in d.tick(0.1)] == [1]
+    assert d.tick(0.1) == []
+
+
+def test_more_customers_than_one_message_holds_are_told_in_turn() -> None:
+    d = Drive(settings(me=0))
+    for customer in range(50):
+        d.ask(plan="small", customer=customer)
+    told: set[int] = set()
+    for _ in range(10):
+        for t in d.tick(0.1):
+            assert len(t.data) <= 256
+            if t.peer == 1:
+                told |= {item[0] for item in NEWS_FORM.iter_unpack(t.data[BEAT_FORM.size :])}
+    assert told == set(range(50))
+
+
+def test_news_of_a_stranger_count_when_it_comes() -> None:
+    d = Drive(settings(me=0))
+    news = NEWS_FORM.pack(5, list(PLANS).index("small"), 3, 0, 20_000, 1000)
+    beat = BEAT_FORM.pack(b"B", 9, 1, 30.0, 0, 1.0, 1.0)
+    d.do(i.PeerMail(1, beat + news))
+    assert not sends([a for _ in range(3) for a in d.ask(plan="small", customer=5)])
+
+
+def test_wrong_news_are_dropped() -> None:
+    d = Drive(settings(me=0))
+    beat = BEAT_FORM.pack(b"B", 9, 1, 30.0, 0, 1.0, 1.0)
+    d.do(i.PeerMail(1, beat + NEWS_FORM.pack(5, 200, 3, 0, 1, 1)))
+    d.do(i.PeerMail(2, beat + NEWS_FORM.pack(5, 0, 77, 0, 1, 1) + b"x"))
+    assert d.keeper.quota.customers == {}
+
+
+def test_memory_is_bounded_by_what_is_in_use() -> None:
+    d = Drive()
+    for customer in range(300):
+        d.ask(plan="small", customer=customer)
+    d.tick(1000.0)
+    assert d.keeper.quota.customers == {}
+
+
+def test_several_units_and_settled_ones() -> None:
+    d = Drive(settings(me=0, fleet=1))
+    r = i.Request(900, "pure", "small", 1, d.now + 4, 3.0, 1, 0)
+    (send,) = sends(d.do(r))
+    left = d.keeper.quota.customers[1].left()
+    d.do(i.Outcome(900, 0, send.server, i.Code.OK, 0.1, True, actual=4.0))
+    assert d.keeper.quota.customers[1].left() == pytest.approx(left - 1.0)
+
+
+@pytest.mark.parametrize("restarts", [False, True])
+def test_hard_ceiling_holds_alone_and_through_restarts(restarts: bool) -> None:
+    """Three gatekeepers that never hear each other, some killed and started anew, against the one store."""
+    plan, rng = PLANS["capped"], random.Random(5)
+    all_ = [Drive(settings(me=n), seed=n) for n in range(3)]
+    store, now, used = plan.cap_depth, all_[0].now, 0
+    for step in range(3000):
+        now += 0.02
+        store = min(plan.cap_depth, store + 0.02 * plan.cap_rate)
+        n = rng.randrange(3)
+        if restarts and step % 250 == 0:
+            all_[n] = Drive(settings(me=n), seed=step)
+        d = all_[n]
+        d.now = now
+        if restarts and step % 250 == 0:
+            d.keeper.quota.began = now
+        for send in sends(d.ask(plan="capped")):
+            store -= 1.0
+            used += 1
+            d.end(send, i.Code.OK)
+        assert store >= -plan.cap_slack
+    assert used > 0.8 * plan.cap_rate * 60.0  # and it is used
+
+
+def test_parallel_quota_keeps_an_even_part_each() -> None:
+    d = Drive(settings(fleet=2))
+    first = [d.ask(plan="narrow", size=2)[0] for _ in range(4)]
+    assert [type(a) for a in first] == [i.Send, i.Send, i.Refuse, i.Refuse]
+    assert isinstance(first[0], i.Send)
+    d.end(first[0], i.Code.OK)
+    assert sends(d.ask(plan="narrow", size=2))
+
+
+def test_the_chance_is_dealt_evenly() -> None:
+    """Constant demand far beyond the quota: gaps between admissions differ little."""
+    q = Quota(settings(me=0, fleet=1), random.Random(1))
+    times = []
+    for n in range(2000):
+        r = i.Request(n, "pure", "small", 1, 1e9, 1.0, 1, 0)
+        if q.admits(n * 0.1, r, SMALL):
+            q.draw(r)
+            times.append(n * 0.1)
+    gaps = [b - a for a, b in itertools.pairwise(times[20:])]
+    assert max(gaps) <= 3 * sum(gaps) / len(gaps)
+
+
+def test_unknown_plan_has_no_quota() -> None:
+    d = Drive()
+    assert len(sends([a for _ in range(10) for a in d.ask(plan="stranger")])) == 10
+    assert d.tick()
