--- a/pewterring/choice.py
+++ b/pewterring/choice.py
@@ -393,11 +393,18 @@
                 node.came_up, node.tokens, node.token_at = now, 1.0, now
             node.silent_since = 0.0
 
+    def streams(self, event: i.StreamStarted, now: float) -> None:
+        """A started stream has answered: however long it lasts, it is no evidence of silence."""
+        if event.server in self.nodes:
+            self.answers(self.nodes[event.server], now)
+            self.nodes[event.server].pending[event.id, event.attempt] = math.inf
+
     def look(self, now: float, expected: float) -> list[Node]:
         """Servers that have just fallen silent; `expected` is the usual latency."""
         found = []
         for node in self.nodes.values():
-            evidence = sum(now - max(t, node.answered) for t in node.pending.values()) / max(expected, 1e-3)
+            waits = (now - max(sent, node.answered) for sent in node.pending.values())
+            evidence = sum(max(0.0, wait) for wait in waits) / max(expected, 1e-3)
             if not node.silent_since and evidence > self.SILENCE * max(1.0, node.slow):
                 node.silent_since = now
                 found.append(node)
@@ -474,6 +481,8 @@
             case i.StreamStarted() if event.id in self.held:
                 held = self.held[event.id]
                 held.streaming = True
+                self.ceiling.observe(held.cls, event.took, self.shares.fleet_out(now, self.out))
+                self.fleet.streams(event, now)
                 self.cancel(held.r.id, held.out - {event.attempt})
             case i.Expired() if event.id in self.held:
                 self.end(self.held[event.id])
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -201,3 +201,14 @@
     d.serve(50)
     used = {id for id, node in d.keeper.fleet.nodes.items() if node.answered > 0}
     assert used == {0, 2, 4, 6}
+
+
+def test_long_streams_are_no_silence() -> None:
+    d = Drive()
+    d.serve(20)
+    first = d.sent("stream")
+    d.do(i.StreamStarted(first.id, 0, first.server, 0.1))
+    d.now += 100.0
+    d.do(i.TimerDue(2))
+    assert not d.keeper.fleet.nodes[first.server].silent_since
+    assert d.end(first, i.Code.OK) == []
