--- a/pewterring/choice.py
+++ b/pewterring/choice.py
@@ -302,7 +302,7 @@
     def __init__(self, settings: i.Settings, rng: random.Random) -> None:
         self.s, self.rng = settings, rng
         self.nodes: dict[int, Node] = {}
-        self.pace, self.sends = 0.0, 0.0  # own sends a second and rating to warm servers
+        self.pace = 0.0  # own requests a second and rating
 
     def update(self, event: i.ServerList) -> None:
         if event.form == i.ListForm.FAILED:
@@ -331,13 +331,10 @@
             return 1.0
         return rules.cold_share + (1 - rules.cold_share) * max(0.0, now - node.came_up) / rules.cold
 
-    def take_pace(self, now: float, past: float) -> None:
-        """What warm servers take of this gatekeeper, a second and rating: the measure for cold ones."""
+    def take_pace(self, now: float, flow: float) -> None:
+        """What a warm server takes of this gatekeeper's flow, by rating: the measure for cold ones."""
         warm = sum(n.entry.rating * self.warmth(n, now) for n in self.serving())
-        if warm > 0:
-            weight = 1 - math.exp(-past / LEASE_S)
-            self.pace += (self.sends / max(past, 1e-3) / warm - self.pace) * weight
-        self.sends = 0.0
+        self.pace = flow / warm if warm > 0 else 0.0
 
     def may_take(self, node: Node, now: float) -> bool:
         """A cold server gets no more than its part of what a warm one gets: far below what tips it over."""
@@ -371,7 +368,6 @@
     def sent(self, node: Node, key: tuple[int, int], now: float) -> None:
         node.pending[key] = now
         node.tokens -= 1.0
-        self.sends += 1.0
 
     def judge(self, node: Node, now: float, expected: float, o: i.Outcome) -> None:
         node.pending.pop((o.id, o.attempt), None)
@@ -516,7 +512,10 @@
         """Heartbeats when due, and between them news of quotas where there are any."""
         past, self.ticked = now - self.ticked, now
         self.shares.settle(now, past, self.ceiling.limit)
-        self.fleet.take_pace(now, past)
+        # What is wanted, as far as the own slots can carry it: after a restart among cold servers a measure
+        # of what was sent would start from nought and hold itself down.
+        usual = max(self.ceiling.mean.values(), default=self.look_s * LOOKS)
+        self.fleet.take_pace(now, min(self.shares.demand, self.shares.share / max(usual, 1e-3)))
         fresh = self.quota.sweep(now)
         for peer in range(self.s.fleet_size if self.s.limits.peers else 0):
             news = self.quota.news(peer, fresh) if peer != self.s.me else b""
