--- a/pewterring/choice.py
+++ b/pewterring/choice.py
@@ -30,12 +30,13 @@
     TOLERANCE = 3.5  # queueing allowed over the unloaded latency; a few waits per service fit any sane aim
     AIM_SHARE = 0.33  # the tolerated latency never passes this part of the aim: bounds the baseline's upward
     # drift when all servers slow together, whatever the rolling minimum says
-    BATCH, KEPT = 16, 64  # samples per update, updates in the rolling minimum
+    BATCH, WINDOW = 48, 1024  # answers of the whole fleet per update, own answers in the rolling minimum
     MEMORY, SMOOTH = 1 / 32, 0.2  # weight of one sample in the mean, of one update in the estimate
     START, FLOOR = 4.0, 1.0  # slots a server, at the start and at the least
     BUSY = 0.75  # the ceiling grows only while so much of it is out
 
-    def __init__(self) -> None:
+    def __init__(self, fleet: int) -> None:
+        self.batch = max(4, self.BATCH // fleet)  # each gatekeeper sees its part: large fleets adapt as fast
         self.mean: dict[str, float] = {}
         self.count: dict[str, int] = {}
         self.lows: dict[str, deque[float]] = {}
@@ -54,9 +55,9 @@
         n = self.count[name] = self.count.get(name, 0) + 1
         mean = self.mean.get(name, latency)
         self.mean[name] = mean = mean + (latency - mean) * max(self.MEMORY, 1 / n)
-        if n % self.BATCH:
+        if n % self.batch:
             return
-        lows = self.lows.setdefault(name, deque(maxlen=self.KEPT))
+        lows = self.lows.setdefault(name, deque(maxlen=self.WINDOW // self.batch))
         if n * self.MEMORY >= 2:  # the first answers to come back are the fastest: no baseline
             lows.append(mean)
         tolerated = min(self.TOLERANCE * min(lows, default=math.inf), self.AIM_SHARE * cls.aim)
@@ -428,7 +429,7 @@
     def __init__(self, settings: i.Settings, seed: int) -> None:
         self.s = settings
         self.rng = random.Random(seed)
-        self.ceiling = Ceiling()
+        self.ceiling = Ceiling(settings.fleet_size)
         self.shares = Shares(settings.fleet_size, self.rng.getrandbits(32))
         self.fleet = Fleet(settings, self.rng)
         self.quota = Quota(settings, self.rng)
--- a/tests/test_ceiling.py
+++ b/tests/test_ceiling.py
@@ -10,7 +10,7 @@
 
 
 def grown(latency: float, count: int = 600, out: float = 1e9) -> Ceiling:
-    c = Ceiling()
+    c = Ceiling(3)
     c.rescale(8.0, 8)
     for _ in range(count):
         c.observe(PURE, latency, out)
@@ -39,7 +39,7 @@
 def test_baseline_may_not_drift_past_the_aim() -> None:
     """All servers slow for so long that the rolling minimum holds slow means alone."""
     c = grown(0.05)
-    for _ in range(Ceiling.BATCH * (Ceiling.KEPT + 20)):
+    for _ in range(Ceiling.WINDOW + 400):
         c.observe(PURE, 0.9, 1e9)
     assert min(c.lows["pure"]) > Ceiling.AIM_SHARE * PURE.aim
     low = c.limit
@@ -49,7 +49,7 @@
 
 
 def test_single_fast_answers_do_not_make_the_baseline() -> None:
-    c = Ceiling()
+    c = Ceiling(3)
     c.rescale(8.0, 8)
     for n in range(640):
         c.observe(PURE, 0.001 if n % 16 == 0 else 0.1, 1e9)
@@ -83,3 +83,13 @@
 def test_live_ratings_do_not_scale_the_ceiling() -> None:
     d = Drive()
     assert d.keeper.fleet.rating() == len(SERVERS)
+
+
+def test_large_fleets_adapt_as_fast_as_small_ones() -> None:
+    """Of the same answers each of twelve gatekeepers sees a twelfth, and its ceiling moves as far."""
+    lone, one_of_twelve = Ceiling(1), Ceiling(12)
+    for c, count in ((lone, 2400), (one_of_twelve, 200)):
+        c.rescale(8.0, 8)
+        for _ in range(count):
+            c.observe(PURE, 0.05, 1e9)
+    assert one_of_twelve.limit == pytest.approx(lone.limit, rel=0.1)
