--- a/pewterring/choice.py
+++ b/pewterring/choice.py
@@ -424,6 +424,9 @@
 class Gatekeeper:
     """One gatekeeper: events in, actions out."""
 
+    LOST = (
+        8.0  # usual latencies after which an attempt is taken for lost; with even waits one in 3,000 is not
+    )
     EXTRA, UNRUN = 0.2, 0.25  # further attempts per first attempt; what one after a proven non-run counts
 
     def __init__(self, settings: i.Settings, seed: int) -> None:
@@ -436,18 +439,16 @@
         self.began = False
         self.held: dict[int, Held] = {}
         self.flying: dict[tuple[int, int], Held] = {}  # attempts out, also after their request's end
-        self.spare = 1.0
+        self.lost, self.spare = 0, 1.0
         self.actions: list[i.Action] = []
         # A fifth of the peers' intake is left for what else may come.
-        self.tick_s = max(NEWS_S, (settings.fleet_size - 1) / max(0.8 * settings.mail_per_s, 1e-3))
-        if not settings.limits.peers:
-            self.tick_s = BEAT_S
+        self.tick_s = max(NEWS_S, (settings.fleet_size - 1) / max(0.8 * settings.mail_per_s, 1.0))
         self.ticked, self.beaten = 0.0, dict[int, float]()
         self.look_s = min((c.aim for c in settings.classes.values()), default=1.0) / LOOKS
 
     @property
     def out(self) -> int:
-        return len(self.flying)
+        return max(0, len(self.flying) - self.lost)
 
     def handle(self, now: float, event: i.Event) -> list[i.Action]:
         self.actions = []
@@ -499,8 +500,16 @@
             self.actions.append(i.SetTimer(self.tick_s, TICK))
         elif label == LOOK:
             expected = max(self.ceiling.mean.values(), default=self.look_s * LOOKS)
-            for node in self.fleet.look(now, expected):
-                self.rescue(now, node)
+            # Attempts that never end hold no slot: a few of them would shut an idle fleet. In a jam the usual
+            # latency grows too, so that what is merely slow goes on holding its slot.
+            self.lost = sum(
+                now - h.attempts[n][1] > self.LOST * expected for (_, n), h in self.flying.items()
+            )
+            # What waits at a server fallen silent gets a second copy where a repeat is harmless.
+            for id in [id for node in self.fleet.look(now, expected) for id, _ in node.pending]:
+                held = self.held.get(id)
+                if held and self.s.limits.may_duplicate and len(held.out) == 1:
+                    self.again(now, held)
             for node in self.fleet.nodes.values():
                 if node.silent_since and node.listed and self.s.limits.probing and now - node.probed > 1.0:
                     node.probed = now
@@ -601,18 +610,10 @@
         if now >= held.r.not_after or self.out >= min(self.shares.share, self.ceiling.limit):
             return False
         node = self.fleet.choose(now, {n.entry.id for n, _ in held.attempts}, self.allowed(now, held))
-        if node is None:
-            return False
-        self.spare -= price
-        self.send(now, held, node)
-        return True
-
-    def rescue(self, now: float, silent: Node) -> None:
-        """Second copies of what waits at a server fallen silent, where a repeat is harmless."""
-        for id, _ in list(silent.pending):
-            held = self.held.get(id)
-            if held and self.s.limits.may_duplicate and len(held.out) == 1:
-                self.again(now, held)
+        if node:
+            self.spare -= price
+            self.send(now, held, node)
+        return node is not None
 
     def give_up(self, now: float, held: Held) -> None:
         if (held.repeatable or not held.ran) and now < held.r.not_after:
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -205,3 +205,17 @@
     first = d.sent()
     d.keeper.shares.share = 0.0
     assert kinds(d.end(first, i.Code.INTERNAL)) == [i.Refuse]
+
+
+def test_endless_attempts_hold_no_slot_but_still_get_their_answer() -> None:
+    d = Drive()
+    d.serve(40)
+    endless = [d.sent("once") for _ in range(5)]
+    assert d.keeper.out == 5
+    d.now += d.keeper.LOST * 0.1 + 0.1
+    d.do(i.TimerDue(2))
+    assert d.keeper.out == 0
+    for s in endless:
+        assert kinds(d.end(s, i.Code.DEADLINE_EXCEEDED)) == [i.Fail]
+    d.do(i.TimerDue(2))
+    assert d.keeper.out == 0
