Use beyond a quota is let in where the plan pays for it and slots lie idle

Acts only below half of the own share and never past a hard ceiling; it could harm where idleness seen here is not idleness of the fleet, as when mail lapses.

--- a/pewterring/choice.py
+++ b/pewterring/choice.py
@@ -201,7 +201,7 @@
         c.pass_time(now)
         return c
 
-    def admits(self, now: float, r: i.Request, plan: i.Plan) -> bool:
+    def admits(self, now: float, r: i.Request, plan: i.Plan, idle: bool) -> bool:
         c = self.customer(now, r.customer, plan, r.set_size, r.set_from)
         c.own.demand += r.units / c.window
         c.new = True
@@ -210,6 +210,8 @@
         if plan.parallel and c.open >= max(1, plan.parallel // c.size):
             return False
         spare = c.left() - r.units
+        if idle and plan.over_worth > plan.over_cost:
+            return True  # a plan that pays for use beyond its quota may have what else would lie idle
         if not plan.refill or (spare >= 0 and c.own.spent + r.units <= plan.depth / c.size):
             return True
         # Past the local share the quota follows what the told spending leaves of the burst, or overdraws:
@@ -427,6 +429,7 @@
     LOST = (
         8.0  # usual latencies after which an attempt is taken for lost; with even waits one in 3,000 is not
     )
+    IDLE = 0.5  # a share of which less than this is out is idle
     EXTRA, UNRUN = 0.2, 0.25  # further attempts per first attempt; what one after a proven non-run counts
 
     def __init__(self, settings: i.Settings, seed: int) -> None:
@@ -541,7 +544,7 @@
         held = self.held[r.id] = Held(r, cls)
         self.shares.wanted += 1
         plan = self.s.plans.get(r.plan, i.Plan(r.plan))
-        if not self.quota.admits(now, r, plan):
+        if not self.quota.admits(now, r, plan, self.out < self.IDLE * self.shares.share):
             self.shares.wanted -= 1
             return self.refuse(held, r.units / plan.refill if plan.refill else BEAT_S)
         if self.out >= min(self.shares.share, self.ceiling.limit):
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -171,7 +171,7 @@
     times = []
     for n in range(2000):
         r = i.Request(n, "pure", "small", 1, 1e9, 1.0, 1, 0)
-        if q.admits(n * 0.1, r, SMALL):
+        if q.admits(n * 0.1, r, SMALL, idle=False):
             q.draw(r)
             times.append(n * 0.1)
     gaps = [b - a for a, b in itertools.pairwise(times[20:])]
@@ -182,3 +182,20 @@
     d = Drive()
     assert len(sends([a for _ in range(10) for a in d.ask(plan="stranger")])) == 10
     assert d.tick()
+
+
+@pytest.mark.parametrize(("over_cost", "served"), [(0.0, True), (0.5, False)])
+def test_use_beyond_the_quota_only_where_it_pays_and_the_share_is_idle(
+    over_cost: float, served: bool
+) -> None:
+    plan = i.Plan("pays", refill=1.0, depth=2.0, over_worth=0.3, over_cost=over_cost)
+    q = Quota(settings(me=0, fleet=1), random.Random(1))
+    admitted = {True: 0, False: 0}
+    for idle in (True, False):
+        for n in range(200):
+            r = i.Request(n, "pure", "pays", idle, 1e9, 1.0, 1, 0)
+            if q.admits(n * 0.01, r, plan, idle):
+                q.draw(r)
+                admitted[idle] += 1
+    assert (admitted[True] == 200) == served
+    assert admitted[False] < 20
