Twins folded: usual latency, the check for a slot, fading symptoms, choice of server

Read over once more: the same expressions stood in two places each, and a method of two lines had one caller.

--- a/pewterring/choice.py
+++ b/pewterring/choice.py
@@ -351,10 +351,14 @@
         node.token_at = now
         return node.tokens >= 1.0
 
+    def symptoms(self, node: Node, now: float) -> tuple[float, float]:
+        """Slowness and share of errors, faded since the last outcome."""
+        fade = math.exp((node.judged - now) / self.FORGET_S)
+        return 1.0 + (node.slow - 1.0) * fade, node.errors * fade
+
     def wait(self, node: Node, now: float) -> float:
         """Expected wait: attempts out over present rating, stretched by what the server's symptoms say."""
-        fade = math.exp((node.judged - now) / self.FORGET_S)
-        slow, errors = 1.0 + (node.slow - 1.0) * fade, node.errors * fade
+        slow, errors = self.symptoms(node, now)
         wait = (len(node.pending) + 1) / max(node.entry.rating * self.warmth(node, now), 1e-9)
         wait *= max(1.0, slow) / max(0.05, 1.0 - errors) ** 4
         if node.silent_since:
@@ -363,19 +367,15 @@
             wait *= 1.0 + self.s.price_cross_zone * 10
         return wait
 
-    def choose(self, now: float, avoid: set[int], within: list[Node] | None = None) -> Node | None:
-        nodes = [n for n in (self.serving() if within is None else within) if self.may_take(n, now)]
+    def choose(self, now: float, among: list[Node], avoid: set[int]) -> Node | None:
+        nodes = [n for n in among if self.may_take(n, now)]
         fresh = [n for n in nodes if n.entry.id not in avoid] or nodes
         return min(fresh, key=lambda n: (self.wait(n, now), self.rng.random()), default=None)
 
-    def sent(self, node: Node, key: tuple[int, int], now: float) -> None:
-        node.pending[key] = now
-        node.tokens -= 1.0
-
     def judge(self, node: Node, now: float, expected: float, o: i.Outcome) -> None:
         node.pending.pop((o.id, o.attempt), None)
-        fade = math.exp((node.judged - now) / self.FORGET_S)
-        node.slow, node.errors, node.judged = 1.0 + (node.slow - 1.0) * fade, node.errors * fade, now
+        node.slow, node.errors = self.symptoms(node, now)
+        node.judged = now
         if o.code in (i.Code.OK, i.Code.INTERNAL, i.Code.RESOURCE_EXHAUSTED):
             self.answers(node, now)
         if o.code == i.Code.OK:
@@ -419,16 +419,14 @@
         self.out: set[int] = set()
         self.ran: list[int] = []  # attempts that ended and may have run
         self.streaming = False
-        every = cls.effect == i.Effect.TOKEN and cls.group == i.Group.ALL
-        self.repeatable = every or cls.effect == i.Effect.PURE
+        everywhere = (cls.effect, cls.group) == (i.Effect.TOKEN, i.Group.ALL)
+        self.repeatable = everywhere or cls.effect == i.Effect.PURE
 
 
 class Gatekeeper:
     """One gatekeeper: events in, actions out."""
 
-    LOST = (
-        8.0  # usual latencies after which an attempt is taken for lost; with even waits one in 3,000 is not
-    )
+    LOST = 8.0  # usual latencies after which an attempt is taken for lost: one in 3,000 if waits are even
     IDLE = 0.5  # a share of which less than this is out is idle
     EXTRA, UNRUN = 0.2, 0.25  # further attempts per first attempt; what one after a proven non-run counts
 
@@ -453,6 +451,13 @@
     def out(self) -> int:
         return max(0, len(self.flying) - self.lost)
 
+    def full(self) -> bool:
+        return self.out >= min(self.shares.share, self.ceiling.limit)
+
+    def usual(self) -> float:
+        """The usual latency of the slowest class; the shortest aim while none is known."""
+        return max(self.ceiling.mean.values(), default=self.look_s * LOOKS)
+
     def handle(self, now: float, event: i.Event) -> list[i.Action]:
         self.actions = []
         if isinstance(event, i.ServerList):
@@ -502,12 +507,11 @@
             self.tick(now)
             self.actions.append(i.SetTimer(self.tick_s, TICK))
         elif label == LOOK:
-            expected = max(self.ceiling.mean.values(), default=self.look_s * LOOKS)
+            expected = self.usual()
             # Attempts that never end hold no slot: a few of them would shut an idle fleet. In a jam the usual
             # latency grows too, so that what is merely slow goes on holding its slot.
-            self.lost = sum(
-                now - h.attempts[n][1] > self.LOST * expected for (_, n), h in self.flying.items()
-            )
+            gone = now - self.LOST * expected
+            self.lost = sum(held.attempts[n][1] < gone for (_, n), held in self.flying.items())
             # What waits at a server fallen silent gets a second copy where a repeat is harmless.
             for id in [id for node in self.fleet.look(now, expected) for id, _ in node.pending]:
                 held = self.held.get(id)
@@ -527,8 +531,7 @@
         self.shares.settle(now, past, self.ceiling.limit)
         # What is wanted, as far as the own slots can carry it: after a restart among cold servers a measure
         # of what was sent would start from nought and hold itself down.
-        usual = max(self.ceiling.mean.values(), default=self.look_s * LOOKS)
-        self.fleet.take_pace(now, min(self.shares.demand, self.shares.share / max(usual, 1e-3)))
+        self.fleet.take_pace(now, min(self.shares.demand, self.shares.share / max(self.usual(), 1e-3)))
         fresh = self.quota.sweep(now)
         for peer in range(self.s.fleet_size if self.s.limits.peers else 0):
             news = self.quota.news(peer, fresh) if peer != self.s.me else b""
@@ -547,9 +550,9 @@
         if not self.quota.admits(now, r, plan, self.out < self.IDLE * self.shares.share):
             self.shares.wanted -= 1
             return self.refuse(held, r.units / plan.refill if plan.refill else BEAT_S)
-        if self.out >= min(self.shares.share, self.ceiling.limit):
+        if self.full():
             return self.refuse(held, BEAT_S)
-        node = self.fleet.choose(now, set())
+        node = self.fleet.choose(now, self.fleet.serving(), set())
         if node is None:
             return self.refuse(held, BEAT_S)
         self.quota.draw(r)
@@ -562,7 +565,8 @@
         held.attempts.append((node, now))
         self.flying[key] = held
         self.quota.customers[held.r.customer].open += 1
-        self.fleet.sent(node, key, now)
+        node.pending[key] = now
+        node.tokens -= 1.0
         self.actions.append(i.Send(held.r.id, node.entry.id))
 
     def ended(self, now: float, o: i.Outcome) -> None:
@@ -610,9 +614,9 @@
         price = 1.0 if held.ran or held.out else self.UNRUN  # what never ran has cost the servers little
         if len(held.attempts) >= self.s.limits.max_attempts or held.streaming or self.spare < price:
             return False
-        if now >= held.r.not_after or self.out >= min(self.shares.share, self.ceiling.limit):
+        if now >= held.r.not_after or self.full():
             return False
-        node = self.fleet.choose(now, {n.entry.id for n, _ in held.attempts}, self.allowed(now, held))
+        node = self.fleet.choose(now, self.allowed(now, held), {n.entry.id for n, _ in held.attempts})
         if node:
             self.spare -= price
             self.send(now, held, node)
