--- a/pewterring/drill/__main__.py
+++ b/pewterring/drill/__main__.py
@@ -31,8 +31,7 @@
 def serve(lines: Iterator[str], out: TextIO) -> None:
     held: dict[str, Gatekeeper] = {}
     for batch in codec.read_batches(lines):
-        for line in answer(batch, held):
-            out.write(line + "\n")
+        out.write("\n".join(answer(batch, held)) + "\n")
         out.flush()
 
 
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -6,7 +6,8 @@
 import pytest
 
 from pewterring import interface as i
-from pewterring.choice import BEAT_FORM, NEWS_FORM, Quota
+from pewterring.choice import Quota
+from pewterring.mail import BEAT_FORM, NEWS_FORM
 from tests.helpers import PLANS, Drive, sends, settings
 
 SMALL = PLANS["small"]
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -6,7 +6,8 @@
 import pytest
 
 from pewterring import interface as i
-from pewterring.choice import BEAT_FORM, LEASE_S, Shares
+from pewterring.choice import LEASE_S, Shares
+from pewterring.mail import BEAT_FORM
 from tests.helpers import Drive, settings
 
 
@@ -62,16 +63,16 @@
     s.hear(0.0, 1, beat(11, 5, out=5), 30.0)
     s.hear(0.1, 1, beat(11, 4, out=25), 30.0)
     s.hear(0.2, 1, beat(11, 5, out=25), 30.0)
-    assert s.peers[1].out == 5 and s.peers[1].heard == 0.0
+    assert s.peers[1].beat.out == 5 and s.peers[1].heard == 0.0
 
 
 def test_restarted_peer_is_heard_and_its_former_life_is_not() -> None:
     s = Shares(3, 1)
     s.hear(0.0, 1, beat(11, 500, out=5), 30.0)
     s.hear(0.1, 1, beat(22, 1, out=7), 30.0)
-    assert s.peers[1].out == 7
+    assert s.peers[1].beat.out == 7
     s.hear(0.2, 1, beat(11, 501, out=9), 30.0)
-    assert s.peers[1].out == 7
+    assert s.peers[1].beat.out == 7
 
 
 def test_malformed_mail_is_dropped() -> None:
