Choice by chance in sparse fleets only; one latency counts four means at most

A plain fleet whose intake of mail is nought is not taken for sparse. Clipping also guards against a few endless answers; it could delay the notice of a jam by some answers.

--- a/pewterring/choice.py
+++ b/pewterring/choice.py
@@ -33,6 +33,7 @@
     AIM_SHARE = 0.33  # of the aim at most: bounds the baseline's upward drift when all servers slow together
     BATCH, WINDOW = 48, 1024  # answers of the whole fleet per update, own answers in the rolling minimum
     MEMORY, SMOOTH = 1 / 32, 0.2  # weight of one sample in the mean, of one update in the estimate
+    CLIP = 4.0  # means one sample counts at most: a few costly requests are no queue
     START, FLOOR = 4.0, 1.0  # slots a server, at the start and at the least
     BUSY = 0.75  # the ceiling grows only while so much of it is out
 
@@ -55,7 +56,7 @@
         # Single latencies vary too much for a minimum: a class's running mean is the sample.
         name, mean = cls.name, self.mean.get(cls.name, latency)
         n = self.count[name] = self.count.get(name, 0) + 1
-        self.mean[name] = mean = mean + (latency - mean) * max(self.MEMORY, 1 / n)
+        self.mean[name] = mean = mean + (min(latency, self.CLIP * mean) - mean) * max(self.MEMORY, 1 / n)
         if n % self.batch:
             return
         lows = self.lows.setdefault(name, deque(maxlen=self.WINDOW // self.batch))
@@ -299,14 +300,13 @@
     SILENCE = 8.0  # if waits are exponential, a healthy server says nothing for so long once in e^8 times
     FORGET_S = 5.0  # symptoms fade by 1/e in this time, so that real traffic tests the server again
     SAMPLE = 0.1  # weight of one outcome
-    FEW = 4  # in so small a fleet own attempts mirror those of all
+    FEW = 4  # about so many gatekeepers may send to a cold server at once
     LOOKED = 24  # servers compared for one request; comparing more costs time and finds little
 
-    def __init__(self, settings: i.Settings, rng: random.Random) -> None:
+    def __init__(self, settings: i.Settings, rng: random.Random, sparse: bool = False) -> None:
         self.s, self.rng = settings, rng
-        self.nodes: dict[int, Node] = {}
-        self.serving: list[Node] = []
-        self.unseen = max(0.0, 1 - self.FEW / max(1, settings.fleet_size))  # how little own attempts tell
+        self.nodes, self.serving = dict[int, Node](), list[Node]()
+        self.unseen = 1.0 if sparse else 0.0  # how little own attempts tell of all
         self.pace = self.rating = 0.0  # own requests a second and rating; the rating that serves
 
     def update(self, now: float, event: i.ServerList) -> None:
@@ -418,9 +418,9 @@
         self.ceiling = Ceiling(settings.fleet_size)
         # Sparse: too large a fleet for all to hear each other's beats within four fifths of the intake.
         self.mail, others = 0.8 * settings.mail_per_s, settings.fleet_size - 1
-        self.sparse = settings.limits.peers and others > self.mail * BEAT_S
+        self.sparse = settings.limits.peers and 0.0 < self.mail * BEAT_S < others
         self.shares = Shares(settings.fleet_size, self.rng.getrandbits(32), self.sparse)
-        self.fleet = Fleet(settings, self.rng)
+        self.fleet = Fleet(settings, self.rng, self.sparse)
         self.quota = Quota(settings, self.rng, self.sparse)
         self.held: dict[int, Held] = {}
         self.flying: dict[tuple[int, int], Held] = {}  # attempts out, also after their request's end
