--- /dev/null
+++ b/tests/test_sparse.py
@@ -0,0 +1,146 @@
+"""Fleets too large for all to hear each other: sampled heartbeats, lent slots, keepers of accounts."""
+
+import dataclasses
+
+from pewterring import interface as i
+from pewterring.choice import BEAT_S, Ceiling, Fleet, Shares
+from pewterring.mail import BEAT, NEWS, Beat, read_news, write_beat
+from tests.helpers import CLASSES, SERVERS, Drive, sends, server, settings
+
+FLEET = 300
+SET_SIZE, SET_FROM = 200, 250  # goes round past the last number
+
+
+def member(me: int, seed: int = 7) -> Drive:
+    return Drive(settings(me=me, fleet=FLEET), seed=seed)
+
+
+def keeper_of(customer: int) -> int:
+    """Who is told of a customer's new use."""
+    d = member(SET_FROM if customer % SET_SIZE else SET_FROM + 1)
+    (told,) = [a for a in ask(d, customer) if isinstance(a, i.Tell)]
+    assert told.peer is not None
+    return told.peer
+
+
+def ask(d: Drive, customer: int) -> list[i.Action]:
+    d.ids += 1
+    r = i.Request(d.ids, "pure", "small", customer, d.now + 4.0, 1.0, SET_SIZE, SET_FROM)
+    return d.do(r)
+
+
+def beat(out: int, number: int, limit: float = 400.0) -> bytes:
+    return write_beat(Beat(number, 1, limit, out, 1.0, 1.0))
+
+
+def test_beats_go_to_a_few_whatever_the_size() -> None:
+    d = member(3)
+    told = [t for _ in range(40) for t in d.tick(BEAT_S / 2)]
+    assert len(told) == 40 and len({t.peer for t in told}) > 20
+    assert all(t.peer != 3 and t.data[:1] == BEAT for t in told)
+
+
+def test_mail_stays_within_the_intake() -> None:
+    """A keeper of many customers, all far past their quotas."""
+    d = member(SET_FROM)
+    start, count = d.now, 0
+    while d.now < start + 20.0:
+        for customer in range(0, 40 * SET_SIZE, SET_SIZE):
+            count += sum(isinstance(a, i.Tell) for a in ask(d, customer))
+        count += len(d.tick(BEAT_S / 2))
+    assert count <= FLEET + 20.0 * 60.0
+
+
+def test_new_use_is_told_at_once_to_one_of_the_set() -> None:
+    keeper = keeper_of(5)
+    assert (keeper - SET_FROM) % FLEET < SET_SIZE
+    d = member((keeper + 1) % FLEET)
+    (told,) = [a for a in ask(d, 5) if isinstance(a, i.Tell)]
+    (news,) = read_news(told.data)
+    assert told.peer == keeper and told.data[:1] == NEWS
+    assert (news.customer, news.size, news.first) == (5, SET_SIZE, SET_FROM)
+
+
+def test_a_keeper_tells_the_set_of_customers_past_their_quota_only() -> None:
+    keeper = member(keeper_of(5))
+    others = [member((keeper.keeper.s.me + n) % FLEET, seed=n) for n in range(1, 31)]
+    heard: list[i.Tell] = []
+    for n, d in enumerate(others):
+        for a in ask(d, 5):
+            if isinstance(a, i.Tell) and a.peer == keeper.keeper.s.me:
+                told = keeper.do(i.PeerMail(d.keeper.s.me, a.data))
+                heard += [t for t in told if isinstance(t, i.Tell)]
+        assert n > 0 or heard == []  # one request is within the quota
+    assert len({t.peer for t in heard}) == SET_SIZE - 1
+    for d in others:
+        for t in [t for t in heard if t.peer == d.keeper.s.me]:
+            d.do(i.PeerMail(keeper.keeper.s.me, t.data))
+    assert sum(len(sends(ask(d, 5))) for d in others) <= len(others) / 5
+
+
+def test_sums_of_somebody_who_is_not_the_keeper_are_passed_over() -> None:
+    keeper = keeper_of(5)
+    d = member((keeper + 1) % FLEET)
+    ask(d, 5)
+    before = d.keeper.quota.customers[5].demand()
+    (told,) = [a for a in ask(member((keeper + 2) % FLEET), 5) if isinstance(a, i.Tell)]
+    d.do(i.PeerMail((keeper + 2) % FLEET, told.data))
+    assert d.keeper.quota.customers[5].demand() <= before
+
+
+def test_idle_slots_are_lent_and_busy_ones_are_not() -> None:
+    for out, served in ((0, 3), (3, 1)):
+        d = member(3)
+        for n in range(10, 30):
+            d.do(i.PeerMail(n, beat(out, n)))
+        d.tick(BEAT_S)
+        d.keeper.shares.share = 1.0
+        count = sum(len(sends(d.ask())) for _ in range(10))
+        assert count >= 3 if out == 0 else count == served
+
+
+def test_those_heard_speak_for_the_rest_and_unheard_it_counts_as_busy() -> None:
+    s = Shares(FLEET, 1, sparse=True)
+    s.began = 0.0
+    for n in range(10, 20):
+        s.hear(1.0, n, beat(1, n), 400.0)
+    s.divide(1.0, 400.0)
+    assert s.elsewhere == FLEET - 1
+    s.divide(100.0, 400.0)
+    assert s.elsewhere == 400.0 and s.room(0) < 3.0
+
+
+def test_servers_are_chosen_in_proportion_to_rating() -> None:
+    d = member(3)
+    double = tuple(dataclasses.replace(s, rating=2.0) for s in SERVERS[:2])
+    d.do(i.ServerList(i.ListForm.CHANGES, double))
+    got = [0] * len(SERVERS)
+    for _ in range(2000):
+        (send,) = sends(d.ask())
+        got[send.server] += 1
+        d.end(send, i.Code.OK)
+    assert all(1.4 < got[n] / (sum(got[2:]) / 6) < 2.8 for n in (0, 1))
+    assert all(count > 50 for count in got)
+
+
+def test_a_cold_server_is_at_first_for_a_few_of_the_fleet() -> None:
+    drives = [Drive(settings(me=n, fleet=FLEET), (server(9, came_up=99.9),), seed=n) for n in range(FLEET)]
+    at_once = sum(len(sends(d.ask())) for d in drives)
+    assert at_once <= 4 * Fleet.FEW
+
+
+def test_large_fleets_move_the_ceiling_as_fast_by_longer_steps() -> None:
+    large = Ceiling(FLEET)
+    large.rescale(80.0, 80)
+    start = large.limit
+    for _ in range(30):
+        large.observe(CLASSES["pure"], 0.05, 1e9)
+    assert large.limit > 1.5 * start
+
+
+def test_a_costly_request_is_no_queue() -> None:
+    c = Ceiling(3)
+    c.rescale(8.0, 8)
+    for n in range(640):
+        c.observe(CLASSES["pure"], 5.0 if n % 50 == 49 else 0.1, 1e9)
+    assert c.mean["pure"] < 0.2
