--- a/pewterring/choice.py
+++ b/pewterring/choice.py
@@ -301,18 +301,18 @@
     FORGET_S = 5.0  # symptoms fade by 1/e in this time, so that real traffic tests the server again
     SAMPLE = 0.1  # weight of one outcome
     FEW = 4  # about so many gatekeepers may send to a cold server at once
-    LOOKED = 24  # servers compared for one request; comparing more costs time and finds little
+    NEAR = 24  # servers, picked by chance, that each of a sparse fleet keeps to: all to all is too many
+    # connections, and few are better known. Bad where those few fail together.
 
     def __init__(self, settings: i.Settings, rng: random.Random, sparse: bool = False) -> None:
         self.s, self.rng = settings, rng
         self.nodes, self.serving = dict[int, Node](), list[Node]()
         self.unseen = 1.0 if sparse else 0.0  # how little own attempts tell of all
-        self.pace = self.rating = 0.0  # own requests a second and rating; the rating that serves
+        self.salt, self.near, self.pace, self.rating = rng.getrandbits(32), set[int](), 0.0, 0.0
 
     def update(self, now: float, event: i.ServerList) -> None:
-        if event.form in (i.ListForm.WHOLE, i.ListForm.REMEMBERED):
-            for node in self.nodes.values():
-                node.listed = False
+        for node in self.nodes.values() if event.form in (i.ListForm.WHOLE, i.ListForm.REMEMBERED) else ():
+            node.listed = False
         for entry in event.servers:
             node = self.nodes.setdefault(entry.id, Node(entry))
             if entry.came_up > node.came_up:
@@ -322,6 +322,8 @@
         for id in [id for id, n in self.nodes.items() if not n.listed and not n.pending]:
             del self.nodes[id]
         self.serving = [n for n in self.nodes.values() if n.listed and n.entry.mode == i.Mode.SERVING]
+        mixed = sorted(self.serving, key=lambda n: (n.entry.id ^ self.salt) * 2654435761 % 2**32)
+        self.near = {n.entry.id for n in (mixed[: self.NEAR] if self.unseen else mixed)}
         self.rating = sum(1.0 if self.s.live_ratings else n.entry.rating for n in self.serving)
 
     def warmth(self, node: Node, now: float) -> float:
@@ -331,7 +333,7 @@
         return rules.cold_share + (1 - rules.cold_share) * max(0.0, age) / rules.cold
 
     def started(self, node: Node, came_up: float, now: float) -> None:
-        """A cold server: only a few of the fleet may send at once, the others when their budget has grown."""
+        # Only a few of the fleet may send at once, the others when their budget has grown.
         node.came_up, node.token_at = came_up, now
         node.tokens = min(1.0, self.rng.random() + self.FEW / self.s.fleet_size)
 
@@ -370,8 +372,7 @@
         return wait
 
     def choose(self, now: float, among: list[Node], avoid: set[int]) -> Node | None:
-        if len(among) > self.LOOKED:
-            among = self.rng.sample(among, self.LOOKED)
+        among = [n for n in among if n.entry.id in self.near] or among
         nodes = [n for n in among if self.may_take(n, now)]
         fresh = [n for n in nodes if n.entry.id not in avoid] or nodes
         return min(fresh, key=lambda n: (self.wait(n, now), self.rng.random()), default=None)
@@ -427,7 +428,7 @@
         self.actions: list[i.Action] = []
         self.lost, self.spare = 0, 1.0
         self.tick_s = BEAT_S / HEARD if self.sparse else max(NEWS_S, others / max(self.mail, 1.0))
-        self.ticked, self.beaten, self.post = 0.0, dict[int, float](), float(settings.fleet_size)
+        self.ticked, self.beaten, self.post = 0.0, dict[int, float](), self.mail
         self.look_s = min((c.aim for c in settings.classes.values()), default=1.0) / LOOKS
 
     @property
@@ -620,8 +621,7 @@
         self.end(held)
 
     def refuse(self, held: Held, after: float) -> None:
-        limits = self.s.limits
-        advice = min(after, limits.max_retry_after) if limits.retry_after else 0.0
+        advice = min(after, self.s.limits.max_retry_after) if self.s.limits.retry_after else 0.0
         self.actions.append(i.Refuse(held.r.id, advice))
         self.end(held)
 
--- a/tests/test_sparse.py
+++ b/tests/test_sparse.py
@@ -63,7 +63,10 @@
 
 def test_a_keeper_tells_the_set_of_customers_past_their_quota_only() -> None:
     keeper = member(keeper_of(5))
+    keeper.tick(10.0)  # its budget of mail grows
     others = [member((keeper.keeper.s.me + n) % FLEET, seed=n) for n in range(1, 31)]
+    for d in others:
+        d.now = keeper.now
     heard: list[i.Tell] = []
     for n, d in enumerate(others):
         for a in ask(d, 5):
