Each of a sparse fleet keeps to 12 servers; its few outcomes weigh thrice and are kept longer

Also guards against slow and failing servers in large fleets. Could harm where work varies much: three slow answers in a row look like a slow server.

--- a/pewterring/choice.py
+++ b/pewterring/choice.py
@@ -299,15 +299,15 @@
 
     SILENCE = 8.0  # if waits are exponential, a healthy server says nothing for so long once in e^8 times
     FORGET_S = 5.0  # symptoms fade by 1/e in this time, so that real traffic tests the server again
-    SAMPLE = 0.1  # weight of one outcome
+    SAMPLE = 0.1  # weight of one outcome; where outcomes are few each weighs thrice, and is kept for as long
     FEW = 4  # about so many gatekeepers may send to a cold server at once
-    NEAR = 24  # servers, picked by chance, that each of a sparse fleet keeps to: all to all is too many
-    # connections, and few are better known. Bad where those few fail together.
+    NEAR = 12  # servers, picked by chance, that each of a sparse fleet keeps to: their connections stay open
+    # and they are better known. Bad where those few fail together.
 
     def __init__(self, settings: i.Settings, rng: random.Random, sparse: bool = False) -> None:
-        self.s, self.rng = settings, rng
-        self.nodes, self.serving = dict[int, Node](), list[Node]()
-        self.unseen = 1.0 if sparse else 0.0  # how little own attempts tell of all
+        self.s, self.rng, self.nodes, self.serving = settings, rng, dict[int, Node](), list[Node]()
+        self.unseen, few = (1.0, 3.0) if sparse else (0.0, 1.0)  # unseen: how little own attempts tell of all
+        self.sample, self.forget_s = few * self.SAMPLE, few * self.FORGET_S
         self.salt, self.near, self.pace, self.rating = rng.getrandbits(32), set[int](), 0.0, 0.0
 
     def update(self, now: float, event: i.ServerList) -> None:
@@ -355,7 +355,7 @@
         return node.tokens >= 1.0
 
     def symptoms(self, node: Node, now: float) -> tuple[float, float]:  # slowness, errors; faded
-        fade = math.exp((node.judged - now) / self.FORGET_S)
+        fade = math.exp((node.judged - now) / self.forget_s)
         return 1.0 + (node.slow - 1.0) * fade, node.errors * fade
 
     def wait(self, node: Node, now: float) -> float:
@@ -383,10 +383,10 @@
         if o.code in (i.Code.OK, i.Code.INTERNAL, i.Code.RESOURCE_EXHAUSTED):
             self.answers(node, now)
         if o.code == i.Code.OK:
-            node.slow += (min(10.0, o.took / max(expected, 1e-9)) - node.slow) * self.SAMPLE
-            node.errors -= node.errors * self.SAMPLE
+            node.slow += (min(10.0, o.took / max(expected, 1e-9)) - node.slow) * self.sample
+            node.errors -= node.errors * self.sample
         elif o.code in FAULTS:
-            node.errors += (FAULTS[o.code] - node.errors) * self.SAMPLE
+            node.errors += (FAULTS[o.code] - node.errors) * self.sample
 
     def answers(self, node: Node, now: float) -> None:
         """Back from silence: it may have restarted, so until a list says otherwise it counts as cold."""
