Read over: no work before an early return, the start told by its own mark, a comment in its place

Customer.pass_time summed what is left of the burst before it knew that time had passed, on every event; the first event was recognised by a negative time.

--- a/pewterring/choice.py
+++ b/pewterring/choice.py
@@ -159,9 +159,10 @@
         return self.plan.depth - self.own.spent - sum(u.spent for u in self.told.values())
 
     def pass_time(self, now: float) -> None:
-        plan, past, spent = self.plan, now - self.at, self.plan.depth - self.left()
+        plan, past = self.plan, now - self.at
         if past <= 0:
             return
+        spent = plan.depth - self.left()
         fade = math.exp(-past / self.window)
         keep = max(0.0, 1 - past * plan.refill / spent) if spent > 0 else 0.0
         for use in (self.own, *self.told.values(), *self.sent.values()):
@@ -446,7 +447,7 @@
         if isinstance(event, i.ServerList):
             self.fleet.update(now, event)
             self.ceiling.rescale(self.fleet.rating, len(self.fleet.serving))
-        if self.shares.began < 0:
+        if self.shares.began == -math.inf:
             self.begin(now)
         match event:
             case i.Request():
@@ -472,9 +473,8 @@
                 held = self.held[event.id]
                 held.streaming = True
                 self.ceiling.observe(held.cls, event.took, self.shares.elsewhere + self.out)
-                if node := self.fleet.nodes.get(
-                    event.server
-                ):  # however long the stream lasts, it is no evidence of silence
+                if node := self.fleet.nodes.get(event.server):
+                    # However long the stream lasts, it is no evidence of silence.
                     self.fleet.answers(node, now)
                     node.pending[event.id, event.attempt] = math.inf
                 self.cancel(held.r.id, held.out - {event.attempt})
