--- /dev/null
+++ b/pewterring/config.py
@@ -0,0 +1,81 @@
+"""What a gatekeeper is told at its start: the configuration file, its limits and settings."""
+
+import os
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+
+import orjson
+
+from pewterring import interface as i
+from pewterring.net.connection import Address, read_address
+from pewterring.net.discovery import Listing, read_listing
+from pewterring.settings import Transport, read_json
+
+CONFIG, LISTEN, DISCOVERY, NAME = "ROUTER_CONFIG", "ROUTER_LISTEN", "ROUTER_DISCOVERY", "ROUTER_NAME"
+
+
+class ConfigError(ValueError):
+    """The configuration cannot be used; the text says why."""
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    name: str
+    listen: Address
+    discovery: Address | None
+    seed: int
+    sockets: int
+    peer_listen: Address | None
+    peers: tuple[Address, ...]
+    peers_all: Address | None
+    known: Listing | None
+    settings: i.Settings
+    transport: Transport
+
+
+def load(path: str | None = None, env: Mapping[str, str] = os.environ) -> Config:
+    """Reads the file at `path`, or the one that the environment names."""
+    path = path or env.get(CONFIG)
+    if not path:
+        raise ConfigError(f"no configuration: name a file, or set {CONFIG}")
+    try:
+        tree = orjson.loads(Path(path).read_bytes())
+    except OSError as error:
+        raise ConfigError(f"{path}: {error.strerror}") from error
+    except orjson.JSONDecodeError as error:
+        raise ConfigError(f"{path}: not JSON: {error}") from error
+    if not isinstance(tree, dict):
+        raise ConfigError(f"{path}: not an object")
+    try:
+        return read(tree, env)
+    except (ValueError, KeyError, TypeError, AttributeError) as error:
+        raise ConfigError(f"{path}: {error}") from error
+
+
+def read(tree: dict[str, object], env: Mapping[str, str]) -> Config:
+    listen = tree.get("listen") or env.get(LISTEN)
+    if not listen:
+        raise ConfigError("listen is missing")
+    limits, seed, known = tree.get("limits"), tree.get("seed", 0), tree.get("known")
+    peers = tree.get("peers") or []
+    if not isinstance(peers, list):
+        raise ConfigError("peers is not a list")
+    settings, transport = read_json(tree.get("settings"))
+    return Config(
+        name=str(tree.get("name") or env.get(NAME, "")),
+        listen=read_address(str(listen)),
+        discovery=address(tree.get("discovery") or env.get(DISCOVERY)),
+        seed=seed if isinstance(seed, int) else int(str(seed), 16),
+        sockets=int(limits.get("sockets", 1024)) if isinstance(limits, dict) else 1024,
+        peer_listen=address(tree.get("peer_listen")),
+        peers=tuple(read_address(str(peer)) for peer in peers),
+        peers_all=address(tree.get("peers_all")),
+        known=read_listing(known) if known else None,
+        settings=settings,
+        transport=transport,
+    )
+
+
+def address(value: object) -> Address | None:
+    return read_address(str(value)) if value else None
--- /dev/null
+++ b/pewterring/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""The gatekeeper on sockets: requests, timers and the turn that hands events to the module."""
--- /dev/null
+++ b/pewterring/gateway/gateway.py
@@ -0,0 +1,295 @@
+"""The turn: what is ready is gathered, handed to the module in one go, then its actions are carried out."""
+
+import asyncio
+import itertools
+import traceback
+from typing import Protocol
+
+from pewterring import interface as i
+from pewterring.gateway.calls import Arrived, Attempt, Call, Ended, Gone, Item, Overdue
+from pewterring.gateway.directory import Directory
+from pewterring.gateway.intake import for_worker, read_request
+from pewterring.http.messages import Malformed, Request, Response, end_to_end
+from pewterring.http.writer import write_request
+from pewterring.log import Log
+from pewterring.net.clients import Client
+from pewterring.net.discovery import Listing
+from pewterring.net.ending import CODES, Ending
+from pewterring.net.peers import Peers
+from pewterring.net.workers import Pool
+from pewterring.settings import Transport
+
+HEALTH = b"/healthz"
+REFUSED, FAILED, OVERDUE = 429, 502, 504
+
+
+class Module(Protocol):
+    """Who decides."""
+
+    def handle(self, now: float, event: i.Event) -> list[i.Action]: ...
+
+
+class Gateway:
+    """Owns the requests and the timers. Every request ends once, whatever module, peers or workers do."""
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        settings: i.Settings,
+        transport: Transport,
+        module: Module,
+        pool: Pool,
+        log: Log,
+    ) -> None:
+        self.loop, self.settings, self.module, self.pool, self.log = loop, settings, module, pool, log
+        self.max_open, self.connect_timeout = transport.max_open, transport.connect_timeout
+        self.patience = max(
+            (c.deadline for c in settings.classes.values()), default=transport.connect_timeout
+        )
+        self.directory = Directory(loop.time)
+        self.peers: Peers | None = None
+        self.calls: dict[int, Call] = {}
+        self.by_client: dict[Client, Call] = {}
+        self.ids = itertools.count(1)
+        self.inbox: list[Item] = []
+        self.over: list[Call] = []  # perhaps done with at the end of this turn
+        self.turning = False
+        self.delays: dict[int, float] = {}  # of the module's timers, by label
+        self.stopping = False
+        self.taken = self.served = self.refused = self.failed = self.left = self.faults = 0
+
+    # What comes in: gathered for the next turn
+
+    def gather(self, item: Item) -> None:
+        self.inbox.append(item)
+        if not self.turning:
+            self.turning = True
+            self.loop.call_soon(self.turn)
+
+    def requested(self, client: Client, request: Request) -> None:
+        if request.target == HEALTH:
+            status = 200 if self.ready else 503
+            return client.answer(status, [], b"", request.method == b"HEAD")
+        try:
+            asked = read_request(request, self.settings, self.loop.time(), next(self.ids))
+        except Malformed as fault:
+            return client.answer(fault.status, [], f"{fault}\n".encode())
+        self.taken += 1
+        if len(self.calls) >= self.max_open:
+            self.refused += 1
+            return client.answer(REFUSED, [], b"")
+        call = Call(asked, request, client)
+        self.calls[asked.id] = self.by_client[client] = call
+        call.timer = self.loop.call_at(asked.not_after, self.gather, Overdue(call))
+        self.gather(Arrived(call))
+
+    def gone(self, client: Client) -> None:
+        if call := self.by_client.pop(client, None):
+            self.gather(Gone(call))
+
+    def listed(self, listing: Listing) -> None:
+        form = i.ListForm.WHOLE if listing.whole else i.ListForm.CHANGES
+        self.gather(self.directory.take(listing, form))
+        self.pool.retain(self.directory.wanted())
+
+    def remembered(self, listing: Listing) -> None:
+        """The list as it was last known, possibly old: the first thing the module hears."""
+        self.gather(self.directory.take(listing, i.ListForm.REMEMBERED))
+
+    def discovery_failed(self, why: str) -> None:
+        self.log("discovery_failed", why=why)
+        if self.settings.ask_discovery:
+            self.gather(i.ServerList(i.ListForm.FAILED))
+
+    def heard(self, peer: int, data: bytes) -> None:
+        self.gather(i.PeerMail(peer, data))
+
+    @property
+    def ready(self) -> bool:
+        """Whether requests can be decided here: some worker is known, and no stop has begun."""
+        return bool(self.directory.serving) and not self.stopping
+
+    # The turn
+
+    def turn(self) -> None:
+        now = self.loop.time()
+        items, self.inbox, self.turning = self.inbox, [], False
+        actions: list[i.Action] = []
+        for item in items:
+            event = self.event(now, item)
+            if event is not None:
+                actions += self.decide(now, event)
+        for action in actions:
+            self.carry_out(now, action)
+        for item in items:
+            if isinstance(item, Overdue):
+                self.close_overdue(item.call)
+        over, self.over = self.over, []
+        for call in over:
+            self.forget(call)
+
+    def event(self, now: float, item: Item) -> i.Event | None:
+        """What the module is told; None where it is nothing to it."""
+        match item:
+            case Arrived(call):
+                return None if call.finished else call.request
+            case Ended(attempt, ending, response):
+                return self.outcome(now, attempt, ending, response)
+            case Gone(call):
+                if call.finished:
+                    return None
+                self.left += 1
+                self.finish(call)
+                return i.Expired(call.request.id)
+            case Overdue(call):
+                for attempt in call.attempts:
+                    if attempt.exchange:
+                        attempt.exchange.give_up(Ending.TIMED_OUT)
+                return None
+        return item
+
+    def outcome(
+        self, now: float, attempt: Attempt, ending: Ending, response: Response | None
+    ) -> i.Outcome | None:
+        call, code = attempt.call, CODES[ending]
+        if code is None:
+            return None
+        if code is i.Code.OK and response is not None and not call.finished:
+            self.served += 1
+            self.answer(call, 200, end_to_end(response.headers), response.body)
+        call.out -= 1
+        # Let go of at the turn's end only: the module may have sent it again earlier in this turn, and each
+        # attempt that it knows of is owed an outcome.
+        self.over.append(call)
+        took = now - attempt.sent_at
+        return i.Outcome(call.request.id, attempt.number, attempt.server, code, took, no_more=call.finished)
+
+    def decide(self, now: float, event: i.Event) -> list[i.Action]:
+        try:
+            return list(self.module.handle(now, event))
+        except Exception as error:  # a fault of the module must cost no more than what it was about
+            self.faults += 1
+            self.log("module_fault", what=repr(error), trace=traceback.format_exc(limit=-4))
+            return self.after_fault(event)
+
+    def after_fault(self, event: i.Event) -> list[i.Action]:
+        if isinstance(event, i.TimerDue) and event.label in self.delays:
+            return [i.SetTimer(self.delays[event.label], event.label)]  # or it would never tick again
+        call = self.calls.get(event.id) if isinstance(event, i.Request | i.Outcome) else None
+        if call is None or call.finished or call.out:
+            return []
+        return [i.Fail(call.request.id)] if call.attempts else [i.Refuse(call.request.id)]
+
+    # What the module wants done
+
+    def carry_out(self, now: float, action: i.Action) -> None:
+        match action:
+            case i.Send(id, server, timeout):
+                self.send(now, id, server, timeout)
+            case i.Cancel(id, number):
+                call = self.calls.get(id)
+                if call and number < len(call.attempts) and (exchange := call.attempts[number].exchange):
+                    exchange.give_up(Ending.CANCELLED)
+            case i.Refuse(id, after):
+                if (call := self.calls.get(id)) and not call.finished:
+                    self.refused += 1
+                    advice = [(b"retry-after", b"%.3f" % after)] if after > 0 else []
+                    self.answer(call, REFUSED, advice, b"")
+            case i.Fail(id):
+                if (call := self.calls.get(id)) and not call.finished:
+                    self.fail(call, now)
+            case i.SetTimer(delay, label):
+                self.delays[label] = delay
+                self.loop.call_later(delay, self.gather, i.TimerDue(label))
+            case i.Probe(server):
+                self.probe(now, server)
+            case i.Tell(peer, data):
+                if self.peers:
+                    self.peers.tell(peer, data)
+            case i.Log(text):
+                self.log("module", text=text)
+            case i.Subscribe():
+                pass  # the list is followed from the start, asked for or not
+
+    def send(self, now: float, id: int, server: int, timeout: float) -> None:
+        call = self.calls.get(id)
+        if call is None:
+            return self.log("module_fault", what="an attempt for a request that is over")
+        attempt = Attempt(call, len(call.attempts), server, now)
+        call.attempts.append(attempt)
+        call.out += 1
+
+        def done(ending: Ending, response: Response | None) -> None:
+            attempt.exchange = None
+            if attempt.timer:
+                attempt.timer.cancel()
+            self.gather(Ended(attempt, ending, response))
+
+        address = self.directory.addresses.get(server)
+        left = call.request.not_after - now
+        if call.finished or left <= 0 or len(call.attempts) > self.settings.limits.max_attempts:
+            return done(Ending.TOO_LATE, None)
+        if address is None:
+            return done(Ending.UNKNOWN, None)
+        if 0 < timeout < left:
+            left = timeout
+        data = for_worker(call.http, left)
+        exchange = self.pool.start(address, data, done, call.http.method == b"HEAD")
+        if exchange.ending is None:
+            attempt.exchange = exchange
+            if timeout > 0:
+                attempt.timer = self.loop.call_later(timeout, exchange.give_up, Ending.TIMED_OUT)
+
+    def probe(self, now: float, server: int) -> None:
+        """Asks a worker for its health on a new connection: an idle one may be dead without a word."""
+        timer: asyncio.TimerHandle | None = None
+
+        def done(ending: Ending, response: Response | None) -> None:
+            if timer:
+                timer.cancel()
+            if (code := CODES[ending]) is not None:
+                self.gather(i.ProbeResult(server, code, self.loop.time() - now))
+
+        address = self.directory.addresses.get(server)
+        if address is None:
+            return done(Ending.UNKNOWN, None)
+        request = write_request(b"GET", HEALTH, [(b"host", str(address).encode())])
+        exchange = self.pool.start(address, request, done, fresh=True)
+        if exchange.ending is None:
+            timer = self.loop.call_later(self.patience, exchange.give_up, Ending.TIMED_OUT)
+
+    # Ends of requests
+
+    def answer(self, call: Call, status: int, headers: list[tuple[bytes, bytes]], body: bytes) -> None:
+        self.finish(call)
+        call.client.answer(status, headers, body, call.http.method == b"HEAD")
+
+    def fail(self, call: Call, now: float) -> None:
+        self.failed += 1
+        self.answer(call, OVERDUE if now >= call.request.not_after else FAILED, [], b"")
+
+    def finish(self, call: Call) -> None:
+        call.finished = True
+        self.by_client.pop(call.client, None)
+        self.over.append(call)
+
+    def forget(self, call: Call) -> None:
+        """Lets go of a request that is over, with all its attempts."""
+        if call.finished and not call.out:
+            self.calls.pop(call.request.id, None)
+            if call.timer:
+                call.timer.cancel()
+
+    def close_overdue(self, call: Call) -> None:
+        """Its time is up and its attempts have been ended: the module answers in the next turn. Should it
+        not, the answer is given for it then."""
+        if not call.finished:
+            self.loop.call_soon(self.loop.call_soon, self.insist, call)
+
+    def insist(self, call: Call) -> None:
+        if not call.finished:
+            self.faults += 1
+            self.log("module_fault", what="a request without an answer at its deadline")
+            self.fail(call, self.loop.time())
+            for action in self.decide(self.loop.time(), i.Expired(call.request.id)):
+                self.carry_out(self.loop.time(), action)
--- /dev/null
+++ b/pewterring/gateway/intake.py
@@ -0,0 +1,70 @@
+"""What a client asks, as the module's request, and what of it a worker gets."""
+
+import re
+
+from pewterring import interface as i
+from pewterring.http.messages import Malformed, Request, end_to_end, only
+from pewterring.http.writer import write_request
+
+CUSTOMER = re.compile(rb"[0-9a-fA-F]{16}")
+MOST_CUSTOMER = 2**33
+NUMBER = re.compile(rb"[0-9]{1,9}")
+UNITS = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?")
+DEADLINE = b"x-deadline-ms"
+REWRITTEN = frozenset({DEADLINE})  # what is written anew for the worker
+
+
+def read_request(request: Request, settings: i.Settings, now: float, id: int) -> i.Request:
+    """Raises Malformed for what the protocol does not know: it must reach no worker."""
+    headers = request.headers
+    if not only(headers, b"x-request-id"):
+        raise Malformed("no X-Request-Id")
+    deadline = only(headers, DEADLINE) or b""
+    if not NUMBER.fullmatch(deadline):
+        raise Malformed("X-Deadline-Ms is no number")
+    customer = request.target.partition(b"?")[0].rpartition(b"/")[2]
+    if not CUSTOMER.fullmatch(customer) or int(customer, 16) >= MOST_CUSTOMER:
+        raise Malformed("the path names no customer")
+    cls = text(only(headers, b"x-class"), "X-Class")
+    known = settings.classes.get(cls)
+    if known and known.effect is i.Effect.TOKEN and not only(headers, b"idempotency-key"):
+        # Without its key the workers could not tell a repeat from a new request.
+        raise Malformed("no Idempotency-Key")
+    quota = read_quota(only(headers, b"quota-info") or b"")
+    return i.Request(
+        id=id,
+        cls=cls,
+        plan=text(only(headers, b"plan"), "Plan"),
+        customer=int(customer, 16),
+        not_after=now + int(deadline) / 1000,
+        units=quota.get(b"units", 1.0),
+        set_size=max(1, int(quota.get(b"spread", 1.0))),
+        set_from=int(quota.get(b"first", 0.0)),
+        is_retry=only(headers, b"x-retry") == b"1",
+    )
+
+
+def text(value: bytes | None, name: str) -> str:
+    if not value:
+        raise Malformed(f"no {name}")
+    try:
+        return value.decode("utf-8")
+    except UnicodeDecodeError as error:
+        raise Malformed(f"{name} cannot be read") from error
+
+
+def read_quota(value: bytes) -> dict[bytes, float]:
+    parts = {}
+    for part in value.split(b",") if value else ():
+        name, equals, number = part.strip().partition(b"=")
+        if not equals or not UNITS.fullmatch(number):
+            raise Malformed("Quota-Info cannot be read")
+        parts[name] = float(number)
+    return parts
+
+
+def for_worker(request: Request, left: float) -> bytes:
+    """The request as a worker gets it: unchanged but for what belongs to one hop, and with the time left."""
+    headers = end_to_end(request.headers, REWRITTEN)
+    headers.append((DEADLINE, b"%d" % max(1, round(left * 1000))))
+    return write_request(request.method, request.target, headers, request.body)
--- /dev/null
+++ b/pewterring/gateway/service.py
@@ -0,0 +1,106 @@
+"""One gatekeeper, put together: starts, serves, and ends in good order at SIGTERM."""
+
+import asyncio
+import gc
+import signal
+
+from pewterring.choice import Gatekeeper
+from pewterring.config import Config
+from pewterring.gateway.gateway import Gateway
+from pewterring.log import Log
+from pewterring.net.clients import Listener
+from pewterring.net.descriptors import Descriptors
+from pewterring.net.discovery import Discovery
+from pewterring.net.peers import Peers
+from pewterring.net.workers import Pool
+
+SWEEP_S = 0.5
+# At SIGTERM new connections keep coming for a while: none must have come for QUIET_S, and AT_LEAST_S must
+# have passed, before the door is closed.
+AT_LEAST_S, QUIET_S, POLL_S = 0.6, 0.3, 0.02
+
+
+class Service:
+    def __init__(self, config: Config, log: Log) -> None:
+        self.config, self.log = config, log
+        self.loop = asyncio.get_running_loop()
+        self.descriptors = Descriptors(config.sockets)
+        transport = config.transport
+        self.pool = Pool(self.loop, self.descriptors, transport.connect_timeout, transport.conn_idle)
+        module = Gatekeeper(config.settings, config.seed)
+        self.gateway = Gateway(self.loop, config.settings, transport, module, self.pool, log)
+        self.listener: Listener | None = None
+        self.discovery: Discovery | None = None
+        self.stop = asyncio.Event()
+
+    async def start(self) -> None:
+        config, gateway = self.config, self.gateway
+        if config.known:
+            gateway.remembered(config.known)
+        if config.peer_listen:
+            peers = Peers(config.settings.me, config.peers, config.peers_all, gateway.heard)
+            await peers.open(self.loop, config.peer_listen)
+            gateway.peers = peers
+        self.listener = Listener(self.loop, config.listen, self.descriptors, gateway)
+        self.descriptors.freed = self.listener.start
+        self.listener.start()
+        if config.discovery:
+            self.discovery = Discovery(
+                self.loop, config.discovery, self.descriptors, gateway.listed, gateway.discovery_failed
+            )
+            self.discovery.start(config.known.version if config.known else None)
+        self.sweep()
+        gc.collect()
+        gc.freeze()  # what was built at the start stays: collections need not look through it
+        self.log("started", name=config.name, listen=str(self.listener.address), ready=gateway.ready)
+
+    def sweep(self) -> None:
+        self.pool.sweep()
+        if self.listener:
+            self.listener.sweep(self.gateway.patience)
+        self.loop.call_later(SWEEP_S, self.sweep)
+
+    async def run(self) -> None:
+        for sign in (signal.SIGTERM, signal.SIGINT):
+            self.loop.add_signal_handler(sign, self.stop.set)
+        await self.start()
+        await self.stop.wait()
+        await self.end()
+
+    async def end(self) -> None:
+        """Goes on accepting while connections still come, answers all, ends when nothing is held."""
+        gateway, listener, began = self.gateway, self.listener, self.loop.time()
+        assert listener is not None
+        self.log("stopping", held=len(gateway.by_client))
+        gateway.stopping = listener.closing = True
+        while not self.quiet(began):
+            await asyncio.sleep(POLL_S)
+        self.descriptors.freed = lambda: None
+        listener.close()
+        # Idle connections are closed last: their clients may have gone on using them until now.
+        while gateway.by_client or listener.opening or any(c.ending is None for c in listener.clients):
+            listener.close_idle()
+            await asyncio.sleep(POLL_S)
+        if self.discovery:
+            self.discovery.close()
+        self.pool.close()
+        while listener.clients:
+            await asyncio.sleep(POLL_S)
+        if gateway.peers:
+            gateway.peers.close()
+        self.log(
+            "stopped",
+            taken=gateway.taken,
+            served=gateway.served,
+            refused=gateway.refused,
+            failed=gateway.failed,
+            left=gateway.left,
+            faults=gateway.faults,
+            opened=self.pool.opened,
+            reused=self.pool.reused,
+        )
+
+    def quiet(self, began: float) -> bool:
+        now = self.loop.time()
+        accepted = self.listener.accepted_at if self.listener else 0.0
+        return now - began >= AT_LEAST_S and now - accepted >= QUIET_S
--- /dev/null
+++ b/pewterring/http/messages.py
@@ -0,0 +1,91 @@
+"""Messages as small typed values, decoded once and encoded once."""
+
+from dataclasses import dataclass, field
+
+Headers = list[tuple[bytes, bytes]]  # names in lower case, in the order they came
+
+# What belongs to one connection or to the framing of one message is never passed on (RFC 9110, 7.6.1).
+HOP_BY_HOP = frozenset(
+    (
+        b"connection",
+        b"content-length",
+        b"expect",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    )
+)
+REASONS = {
+    200: b"OK",
+    400: b"Bad Request",
+    404: b"Not Found",
+    408: b"Request Timeout",
+    413: b"Content Too Large",
+    429: b"Too Many Requests",
+    431: b"Request Header Fields Too Large",
+    501: b"Not Implemented",
+    502: b"Bad Gateway",
+    503: b"Service Unavailable",
+    504: b"Gateway Timeout",
+    505: b"HTTP Version Not Supported",
+}
+
+
+class Malformed(ValueError):
+    """A message that cannot be read; `status` is what a client that sent it is told."""
+
+    def __init__(self, why: str, status: int = 400) -> None:
+        super().__init__(why)
+        self.status = status
+
+
+@dataclass(slots=True)
+class Request:
+    method: bytes
+    target: bytes
+    headers: Headers = field(default_factory=list)
+    body: bytes = b""
+    keep_alive: bool = True
+
+    def get(self, name: bytes) -> bytes | None:
+        return lookup(self.headers, name)
+
+
+@dataclass(slots=True)
+class Response:
+    status: int
+    headers: Headers = field(default_factory=list)
+    body: bytes = b""
+    keep_alive: bool = True
+
+    def get(self, name: bytes) -> bytes | None:
+        return lookup(self.headers, name)
+
+
+def lookup(headers: Headers, name: bytes) -> bytes | None:
+    """The first value under a name given in lower case."""
+    for key, value in headers:
+        if key == name:
+            return value
+    return None
+
+
+def only(headers: Headers, name: bytes) -> bytes | None:
+    """The value under a name that may come once; a second, different one is a contradiction."""
+    found = [value for key, value in headers if key == name]
+    if len(found) > 1:
+        raise Malformed(f"{name.decode('latin-1')} comes {len(found)} times")
+    return found[0] if found else None
+
+
+def end_to_end(headers: Headers, but: frozenset[bytes] = frozenset()) -> Headers:
+    """The headers that may be passed on: not those of one hop, nor those that Connection names."""
+    named = {
+        token.strip().lower() for key, value in headers if key == b"connection" for token in value.split(b",")
+    }
+    return [h for h in headers if h[0] not in HOP_BY_HOP and h[0] not in but and h[0] not in named]
--- /dev/null
+++ b/pewterring/net/clients.py
@@ -0,0 +1,252 @@
+"""Clients' connections: requests come in one at a time on each, and each gets one answer."""
+
+import asyncio
+import socket
+from typing import Protocol
+
+from pewterring.http.messages import Malformed, Request
+from pewterring.http.reader import MAX_BODY, MAX_HEAD, RequestReader
+from pewterring.http.writer import CONTINUE, write_response
+from pewterring.net.connection import Address, Connection
+from pewterring.net.descriptors import Descriptors
+from pewterring.net.ending import Ending
+
+BACKLOG = 512
+ACCEPT_RETRY_S = 0.05  # after the system refused a descriptor; accepting also goes on when one comes free
+LINGER_S = 1.0  # how long a client that sent something unreadable may take to read what it is told
+
+
+class Sink(Protocol):
+    """Who takes the requests."""
+
+    def requested(self, client: "Client", request: Request) -> None: ...
+
+    def gone(self, client: "Client") -> None:
+        """The client went away; its request, if it has one, needs no answer."""
+
+
+class Client(Connection):
+    def __init__(self, listener: "Listener") -> None:
+        super().__init__()
+        self.listener = listener
+        self.reader = RequestReader()
+        self.busy = False  # a request was handed over and is not answered
+        self.keep_alive = True
+        self.since = 0.0  # when it began to wait for the rest of a request, or for its answer to be taken
+        self.lingering = False
+        self.ending: Ending | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        super().connection_made(transport)
+        self.listener.clients.add(self)
+        self.rest()
+
+    def rest(self) -> None:
+        if not self.reader.started:
+            self.since = self.listener.loop.time()
+            self.listener.idle[self] = None
+
+    def received(self, data: memoryview) -> None:
+        if self.lingering or self.ending is not None:
+            return
+        self.listener.idle.pop(self, None)
+        if not self.reader.started:  # once a message: bytes that trickle in win no further time
+            self.since = self.listener.loop.time()
+        self.reader.feed(data)
+        if not self.busy:
+            self.advance()
+        elif len(self.reader.data) > MAX_HEAD + MAX_BODY:
+            self.transport.pause_reading()  # requests sent ahead wait in the socket
+
+    def advance(self) -> None:
+        if self.busy or self.ending is not None:
+            return
+        try:
+            request = self.reader.next()
+        except Malformed as fault:
+            return self.reject(fault.status, Ending.UNREADABLE)
+        if request is None:
+            if self.reader.wants_continue():
+                self.transport.write(CONTINUE)
+            return self.rest()
+        self.busy, self.keep_alive = True, request.keep_alive
+        self.listener.sink.requested(self, request)
+
+    def answer(
+        self, status: int, headers: list[tuple[bytes, bytes]], body: bytes, head_only: bool = False
+    ) -> None:
+        """The one answer to the request handed over."""
+        if not self.busy or not self.up or self.ending is not None:
+            return
+        stays = self.keep_alive and not self.listener.closing
+        self.busy, self.since = False, self.listener.loop.time()
+        self.transport.write(write_response(status, headers, body, stays, head_only))
+        if not stays:
+            return self.end(Ending.DONE)
+        self.transport.resume_reading()
+        self.rest()
+        if self.reader.started:  # not at once: a chain of requests sent ahead would run down the stack
+            self.listener.loop.call_soon(self.advance)
+
+    def reject(self, status: int, ending: Ending) -> None:
+        """Says what was wrong and closes. What the client still sends is read and dropped for a while:
+        closing on unread bytes would reset the connection and take the answer with it."""
+        self.ending, self.lingering = ending, True
+        self.since = self.listener.loop.time()
+        self.transport.write(write_response(status, [], keep_alive=False))
+        if not self.transport.is_closing():
+            self.transport.write_eof()
+
+    def end(self, ending: Ending) -> None:
+        """Closes when what was written has gone out."""
+        if self.ending is None:
+            self.ending = ending
+            self.transport.close()
+
+    def drop(self) -> None:
+        if self.up:
+            self.transport.abort()
+
+    def eof_received(self) -> bool:
+        self.leave()
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        super().connection_lost(exc)
+        self.leave()
+        self.listener.lost(self)
+
+    def leave(self) -> None:
+        """The client has gone: said once, and only where an answer is still due."""
+        self.listener.idle.pop(self, None)
+        if self.busy:
+            self.busy, self.ending = False, Ending.CLIENT_GONE
+            self.listener.sink.gone(self)
+
+    def overdue(self, now: float, patience: float) -> bool:
+        """Whether the rest of a request, the taking of an answer or the close is waited for too long."""
+        if self.lingering:
+            return now - self.since > LINGER_S
+        waits = self.ending is not None or self.unsent or (self.reader.started and not self.busy)
+        return waits and now - self.since > patience
+
+
+class Listener:
+    """Accepts connections while there are descriptors for them."""
+
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, address: Address, descriptors: Descriptors, sink: Sink
+    ) -> None:
+        self.loop, self.descriptors, self.sink = loop, descriptors, sink
+        self.clients: set[Client] = set()
+        self.idle: dict[Client, None] = {}  # in the order in which they came to rest
+        self.opening: set[asyncio.Task[None]] = set()
+        self.closing = False  # every answer from now on closes its connection
+        self.accepting = False
+        self.accepted_at = loop.time()
+        self.socket: socket.socket | None = listen(address)
+        # Half of the descriptors: each request held here needs one on the workers' side too.
+        self.most = max(1, descriptors.hard // 2)
+        descriptors.shedders.append(self.shed)
+
+    @property
+    def address(self) -> Address:
+        assert self.socket is not None
+        return Address(*self.socket.getsockname()[:2])
+
+    def start(self) -> None:
+        if self.socket and not self.accepting:
+            self.accepting = True
+            self.loop.add_reader(self.socket.fileno(), self.accept)
+
+    def pause(self) -> None:
+        if self.socket and self.accepting:
+            self.accepting = False
+            self.loop.remove_reader(self.socket.fileno())
+
+    def accept(self) -> bool:
+        """Takes one that waits. Where descriptors run out it pauses: the system's queue holds the rest."""
+        if self.socket is None:
+            return False
+        full = len(self.clients) + len(self.opening) >= self.most
+        if full:
+            self.shed()
+        if full or not self.descriptors.take(hard=False):
+            self.pause()
+            return False
+        try:
+            peer, _ = self.socket.accept()
+        except (BlockingIOError, InterruptedError, ConnectionAbortedError):
+            self.descriptors.used -= 1
+            return False
+        except OSError:  # no descriptor after all, or no memory
+            self.descriptors.used -= 1
+            self.pause()
+            any(shed() for shed in self.descriptors.shedders)
+            self.loop.call_later(ACCEPT_RETRY_S, self.start)
+            return False
+        self.accepted_at = self.loop.time()
+        peer.setblocking(False)
+        task = self.loop.create_task(self.open(peer))
+        self.opening.add(task)
+        task.add_done_callback(self.opening.discard)
+        return True
+
+    async def open(self, peer: socket.socket) -> None:
+        client = Client(self)
+        try:
+            await self.loop.connect_accepted_socket(lambda: client, peer)
+        except OSError:
+            peer.close()
+        finally:
+            if not client.made:
+                self.descriptors.give_back()
+
+    def lost(self, client: Client) -> None:
+        self.clients.discard(client)
+        self.idle.pop(client, None)
+        self.descriptors.give_back()
+
+    def shed(self) -> bool:
+        """Closes the connection that has idled longest, if any does."""
+        client = next(iter(self.idle), None)
+        if client is None:
+            return False
+        del self.idle[client]
+        client.end(Ending.SHED)
+        return True
+
+    def sweep(self, patience: float) -> None:
+        now = self.loop.time()
+        for client in [c for c in self.clients if c.overdue(now, patience)]:
+            if client.ending is None and not client.unsent:
+                client.reject(408, Ending.UNFINISHED)
+            else:
+                client.drop()
+
+    def close_idle(self) -> None:
+        while self.shed():
+            pass
+
+    def close(self) -> None:
+        """No more connections. What waits to be accepted is accepted first."""
+        if self.socket:
+            while self.accept():
+                pass
+            self.pause()
+            self.socket.close()
+            self.socket = None
+
+
+def listen(address: Address) -> socket.socket:
+    family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
+    listener = socket.socket(family, socket.SOCK_STREAM)
+    try:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.setblocking(False)
+        listener.bind(address)
+        listener.listen(BACKLOG)
+    except OSError:
+        listener.close()
+        raise
+    return listener
--- /dev/null
+++ b/pewterring/net/connection.py
@@ -0,0 +1,55 @@
+"""What every TCP connection here is: a BufferedProtocol that receives into one buffer shared by all."""
+
+import asyncio
+from typing import NamedTuple, cast
+
+RECEIVED = bytearray(64 * 1024)  # one event loop: each read is taken out before the next one comes
+VIEW = memoryview(RECEIVED)
+
+
+class Address(NamedTuple):
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        return f"[{self.host}]:{self.port}" if ":" in self.host else f"{self.host}:{self.port}"
+
+
+def read_address(text: str) -> Address:
+    """HOST:PORT; raises ValueError."""
+    host, colon, port = text.rpartition(":")
+    host = host.removeprefix("[").removesuffix("]")
+    if not colon or not host or not port.isascii() or not port.isdigit() or int(port) > 65535:
+        raise ValueError(f"not HOST:PORT: {text!r}")
+    return Address(host, int(port))
+
+
+class Connection(asyncio.BufferedProtocol):
+    transport: asyncio.Transport
+
+    def __init__(self) -> None:
+        self.unsent = False  # whether bytes of ours wait for the socket to take them
+        self.made = self.up = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport, self.up = cast(asyncio.Transport, transport), True
+        self.made = True
+        self.transport.set_write_buffer_limits(high=0)  # so that pause_writing tells of any byte left over
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.up = False
+
+    def pause_writing(self) -> None:
+        self.unsent = True
+
+    def resume_writing(self) -> None:
+        self.unsent = False
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        return VIEW
+
+    def buffer_updated(self, nbytes: int) -> None:
+        self.received(VIEW[:nbytes])
+
+    def received(self, data: memoryview) -> None:
+        raise NotImplementedError
--- /dev/null
+++ b/pewterring/net/discovery.py
@@ -0,0 +1,135 @@
+"""Follows the list of workers: one watch after the other, the whole list after whatever went wrong."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import orjson
+
+from pewterring.http.messages import Response
+from pewterring.http.writer import write_request
+from pewterring.net.connection import Address, read_address
+from pewterring.net.descriptors import Descriptors
+from pewterring.net.ending import Ending
+from pewterring.net.workers import Exchange, Pool
+
+PATH = b"/v1/servers"
+MAX_LIST = 8 * 1024 * 1024
+WAIT_MS = 2000  # of one watch. What discovery has to tell counts as told 2 s after a wait, so waits are short
+MARGIN_S = 1.0  # how long after its wait an answer may still come
+BACKOFF_S = (0.05, 2.0)  # the first pause after a failure, and the longest
+
+
+@dataclass(frozen=True, slots=True)
+class Entry:
+    host: str
+    address: Address
+    zone: str
+    cell: int
+    health: str
+    rating: float
+    born_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class Listing:
+    version: int
+    whole: bool
+    entries: tuple[Entry, ...]
+
+
+def read_listing(tree: object) -> Listing:
+    """Raises ValueError for what is not discovery's form."""
+    try:
+        if not isinstance(tree, dict) or not isinstance(tree["whole"], bool):
+            raise ValueError("the list is not an object of its form")
+        return Listing(int(tree["seq"]), tree["whole"], tuple(read_entry(e) for e in tree["hosts"]))
+    except (KeyError, TypeError, AttributeError, OverflowError) as error:
+        raise ValueError(f"the list cannot be read: {error!r}") from error
+
+
+def read_entry(tree: dict[str, object]) -> Entry:
+    host, health = tree["host"], tree["health"]
+    if not isinstance(host, str) or health not in ("up", "draining", "removed"):
+        raise ValueError(f"an entry cannot be read: {tree!r}")
+    return Entry(
+        host=host,
+        address=read_address(str(tree["dial"])),
+        zone=str(tree.get("site", "")),
+        cell=int(str(tree.get("block") or 0)),
+        health=str(health),
+        rating=float(str(tree.get("share", 1.0))),
+        born_ms=float(str(tree.get("born_ms") or 0)),
+    )
+
+
+class Discovery:
+    """`told` gets each listing in order, `failed` a word for each failure."""
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        address: Address,
+        descriptors: Descriptors,
+        told: Callable[[Listing], None],
+        failed: Callable[[str], None],
+    ) -> None:
+        self.loop, self.address, self.told, self.failed = loop, address, told, failed
+        self.pool = Pool(loop, descriptors, MARGIN_S, 2 * WAIT_MS / 1000, MAX_LIST)
+        self.version: int | None = None  # None: the whole list is due
+        self.failures = 0
+        self.exchange: Exchange | None = None
+        self.timer: asyncio.TimerHandle | None = None
+        self.closed = False
+
+    def start(self, version: int | None) -> None:
+        """Follows from that version on."""
+        self.version = version
+        self.call()
+
+    def call(self) -> None:
+        if self.closed:
+            return
+        wait = 0 if self.version is None else WAIT_MS
+        target = PATH + (b"?index=%d&wait=%d" % (self.version, wait) if self.version is not None else b"")
+        request = write_request(b"GET", target, [(b"host", str(self.address).encode())])
+        self.timer = self.loop.call_later(wait / 1000 + MARGIN_S, self.overdue)
+        self.exchange = None
+        self.exchange = self.pool.start(self.address, request, self.ended)
+
+    def overdue(self) -> None:
+        if self.exchange:
+            self.exchange.give_up(Ending.TIMED_OUT)
+
+    def ended(self, ending: Ending, response: Response | None) -> None:
+        if self.timer:
+            self.timer.cancel()
+        if self.closed:
+            return
+        if ending is not Ending.SERVED or response is None:
+            return self.retry(ending.value)
+        try:
+            listing = read_listing(orjson.loads(response.body))
+        except ValueError as error:  # orjson's errors are such too
+            return self.retry(str(error))
+        if not listing.whole and (self.version is None or listing.version < self.version):
+            return self.retry("changes that do not follow what is known")
+        self.version, self.failures = listing.version, 0
+        self.told(listing)
+        # The next call comes at once, but not on the stack of this one.
+        self.loop.call_soon(self.call)
+
+    def retry(self, why: str) -> None:
+        """A gap or a failure: what was missed is unknown, so the whole list is due."""
+        self.version = None
+        pause = min(BACKOFF_S[1], BACKOFF_S[0] * 2.0**self.failures) * random.uniform(0.5, 1.0)
+        self.failures = min(self.failures + 1, 16)
+        self.loop.call_later(pause, self.call)
+        self.failed(why)
+
+    def close(self) -> None:
+        self.closed = True
+        if self.exchange:
+            self.exchange.give_up(Ending.LEFT)
+        self.pool.close()
--- /dev/null
+++ b/pewterring/net/workers.py
@@ -0,0 +1,234 @@
+"""Connections to workers: one request at a time on each, idle ones kept and used again, newest first."""
+
+import asyncio
+from collections.abc import Callable
+
+from pewterring.http.messages import Malformed, Response
+from pewterring.http.reader import MAX_BODY, ResponseReader
+from pewterring.net.connection import Address, Connection
+from pewterring.net.descriptors import Descriptors
+from pewterring.net.ending import SUSPECT, Ending, of_answer
+
+Done = Callable[[Ending, Response | None], None]
+
+
+class Exchange:
+    """One request to a worker. `done` is called once, with how it ended; the answer where there is one."""
+
+    __slots__ = ("address", "bodiless", "connection", "data", "done", "ending", "pool", "task")
+
+    def __init__(self, pool: "Pool", address: Address, data: bytes, bodiless: bool, done: Done) -> None:
+        self.pool, self.address, self.data, self.bodiless, self.done = pool, address, data, bodiless, done
+        self.connection: WorkerConnection | None = None
+        self.task: asyncio.Task[None] | None = None
+        self.ending: Ending | None = None
+
+    def end(self, ending: Ending, response: Response | None = None) -> None:
+        if self.ending is not None:
+            return
+        self.ending = ending
+        if ending in SUSPECT:
+            self.pool.suspect(self.address)
+        self.done(ending, response)
+
+    def give_up(self, ending: Ending) -> None:
+        """Closes its connection, so that what still comes goes nowhere."""
+        if self.ending is not None:
+            return
+        connection, self.connection = self.connection, None
+        if connection:
+            if ending is Ending.TIMED_OUT and connection.unsent:
+                ending = Ending.BROKEN_EARLY  # the worker can't get the rest any more
+            connection.exchange = None
+            connection.drop()
+        elif self.task:
+            self.task.cancel()
+            if ending is Ending.TIMED_OUT:
+                ending = Ending.NEVER_UP
+        self.end(ending)
+
+
+class WorkerConnection(Connection):
+    def __init__(self, pool: "Pool", address: Address) -> None:
+        super().__init__()
+        self.pool, self.address = pool, address
+        self.exchange: Exchange | None = None
+        self.reader = ResponseReader()
+        self.idle_since = 0.0
+
+    def send(self, exchange: Exchange) -> bool:
+        """Writes the request in one piece. False where no byte could be written: the connection was dead."""
+        if not self.up or self.transport.is_closing():
+            return False
+        self.reader = ResponseReader(exchange.bodiless, self.pool.most)
+        self.exchange, exchange.connection = exchange, self
+        self.transport.write(exchange.data)
+        if self.transport.is_closing():  # the first write failed: the worker never saw any of it
+            self.exchange = exchange.connection = None
+            return False
+        return True
+
+    def received(self, data: memoryview) -> None:
+        exchange = self.exchange
+        if exchange is None:  # nobody asked: what it means by this would be taken for the next answer
+            self.leave()
+            return self.drop()
+        self.reader.feed(data)
+        try:
+            response = self.reader.next()
+        except Malformed:
+            return self.finish(exchange, Ending.MALFORMED)
+        if response is not None:
+            self.finish(exchange, of_answer(response), response)
+
+    def finish(self, exchange: Exchange, ending: Ending, response: Response | None = None) -> None:
+        self.exchange = exchange.connection = None
+        reusable = (
+            response is not None and response.keep_alive and not self.unsent and not self.reader.started
+        )
+        if reusable and self.up and not self.transport.is_closing():
+            self.pool.keep(self)
+        else:
+            self.drop()
+        exchange.end(ending, response)
+
+    def eof_received(self) -> bool:
+        self.leave()
+        if exchange := self.exchange:
+            try:
+                response = self.reader.close()
+            except Malformed:
+                self.finish(exchange, Ending.MALFORMED)
+            else:
+                ending = of_answer(response) if response else self.broken()
+                self.finish(exchange, ending, response)
+        return False  # the transport closes
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        super().connection_lost(exc)
+        self.leave()
+        if exchange := self.exchange:
+            self.finish(exchange, self.broken())
+        self.pool.descriptors.give_back()
+
+    def broken(self) -> Ending:
+        if self.unsent:
+            return Ending.BROKEN_EARLY
+        return Ending.CUT if self.reader.started else Ending.RESET
+
+    def leave(self) -> None:
+        self.pool.forget(self)
+
+    def drop(self) -> None:
+        if self.up:
+            self.transport.abort()
+
+
+class Pool:
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        descriptors: Descriptors,
+        connect_timeout: float,
+        conn_idle: float,
+        most: int = MAX_BODY,
+    ) -> None:
+        self.loop, self.descriptors, self.connect_timeout, self.most = (
+            loop,
+            descriptors,
+            connect_timeout,
+            most,
+        )
+        # The other side may close at any moment near the end of the idle life, and a request that crosses the
+        # close may have run: half of that life leaves room for lateness on both sides.
+        self.keep_s = conn_idle / 2
+        self.idle: dict[Address, list[WorkerConnection]] = {}
+        self.opening: set[asyncio.Task[None]] = set()
+        self.opened = self.reused = 0
+        descriptors.shedders.append(self.shed)
+
+    def start(
+        self, address: Address, data: bytes, done: Done, bodiless: bool = False, fresh: bool = False
+    ) -> Exchange:
+        """Sends a request on an idle connection or, with `fresh` or where there is none, on a new one."""
+        exchange = Exchange(self, address, data, bodiless, done)
+        since = self.loop.time() - self.keep_s
+        idle = self.idle.get(address, []) if not fresh else []
+        while idle:
+            connection = idle.pop()
+            if connection.idle_since >= since and connection.send(exchange):
+                self.reused += 1
+                return exchange
+            connection.drop()
+        if self.descriptors.take(hard=True):
+            exchange.task = self.loop.create_task(self.open(exchange))
+            self.opening.add(exchange.task)
+            exchange.task.add_done_callback(self.opening.discard)
+        else:
+            exchange.end(Ending.NO_DESCRIPTOR)
+        return exchange
+
+    async def open(self, exchange: Exchange) -> None:
+        connection = WorkerConnection(self, exchange.address)
+        ending = Ending.NEVER_UP
+        try:
+            async with asyncio.timeout(self.connect_timeout):
+                await self.loop.create_connection(lambda: connection, *exchange.address)
+            self.opened += 1
+            if connection.send(exchange):
+                return
+            ending = Ending.BROKEN_EARLY
+        except ConnectionRefusedError:
+            ending = Ending.REFUSED
+        except OSError:  # a time-out is one
+            ending = Ending.NEVER_UP
+        finally:
+            if not connection.made:  # else it gives its descriptor back when it is lost
+                self.descriptors.give_back()
+        connection.drop()
+        exchange.end(ending)
+
+    def keep(self, connection: WorkerConnection) -> None:
+        connection.idle_since = self.loop.time()
+        self.idle.setdefault(connection.address, []).append(connection)
+
+    def forget(self, connection: WorkerConnection) -> None:
+        idle = self.idle.get(connection.address)
+        if idle and connection in idle:
+            idle.remove(connection)
+
+    def drop_idle(self, address: Address) -> None:
+        for connection in self.idle.pop(address, []):
+            connection.drop()
+
+    def suspect(self, address: Address) -> None:
+        """One connection to this worker failed: those that idle there may be as dead and can't say so."""
+        self.drop_idle(address)
+
+    def retain(self, addresses: set[Address]) -> None:
+        """Keeps idle connections to these only."""
+        for address in [a for a in self.idle if a not in addresses]:
+            self.drop_idle(address)
+
+    def sweep(self) -> None:
+        """Drops what has stood idle for too long."""
+        since = self.loop.time() - self.keep_s
+        for address, idle in list(self.idle.items()):
+            fresh = [c for c in idle if c.idle_since >= since]
+            for connection in idle[: len(idle) - len(fresh)]:  # they lie in the order in which they were kept
+                connection.drop()
+            self.idle[address] = fresh
+            if not fresh:
+                del self.idle[address]
+
+    def shed(self) -> bool:
+        """Closes the connection that has idled longest, if any does."""
+        stacks = [idle for idle in self.idle.values() if idle]
+        if not stacks:
+            return False
+        min(stacks, key=lambda idle: idle[0].idle_since).pop(0).drop()
+        return True
+
+    def close(self) -> None:
+        for address in list(self.idle):
+            self.drop_idle(address)
--- a/pewterring/wire/codec.py
+++ b/pewterring/wire/codec.py
@@ -1,16 +1,12 @@
 """Lines of the wire to settings and events, actions to lines. A malformed line raises WireError."""
 
 import base64
-import binascii
-import math
 from collections.abc import Iterator
 from dataclasses import dataclass, field
-from typing import NoReturn, TypeVar
 
 from pewterring import interface as i
+from pewterring.settings import NS, FieldError, Fields, read_settings
 
-T = TypeVar("T")
-NS = 1_000_000_000
 CODES = {
     "OK": i.Code.OK,
     "INTERNAL": i.Code.INTERNAL,
@@ -28,13 +24,9 @@
     "lost": i.ListForm.FAILED,
 }
 MODES = {"SERVING": i.Mode.SERVING, "DRAINING": i.Mode.DRAINING, "DELETED": i.Mode.DELETED}
-EFFECTS = {"pure": i.Effect.PURE, "token": i.Effect.TOKEN, "side_effect": i.Effect.SIDE_EFFECT}
-GROUPS = {"all": i.Group.ALL, "zone": i.Group.ZONE, "cell": i.Group.CELL}
-BOOLS = {"1": True, "true": True, "0": False, "false": False}
 
 
-class WireError(ValueError):
-    """What came in is not the wire's."""
+WireError = FieldError  # what came in is not the wire's
 
 
 @dataclass(slots=True)
@@ -54,134 +46,6 @@
     events: list[tuple[str, i.Event | Started | Killed]] = field(default_factory=list)
 
 
-class Fields:
-    """The name=value parts of one line, read by name and kind."""
-
-    def __init__(self, tag: str, parts: list[str]) -> None:
-        self.tag = tag
-        self.values: dict[str, str] = {}
-        for part in parts:
-            name, equals, value = part.partition("=")
-            if not equals or not name:
-                raise WireError(f"{tag}: a part is not name=value: {part!r}")
-            self.values[name] = value
-
-    def bad(self, name: str, value: object) -> NoReturn:
-        raise WireError(f"{self.tag}: {name} cannot be {value!r}")
-
-    def text(self, name: str, default: str | None = None) -> str:
-        value = self.values.get(name, default)
-        if value is None:
-            raise WireError(f"{self.tag}: {name} is missing")
-        return value
-
-    def whole(self, name: str, default: int | None = None) -> int:
-        value = self.text(name, None if default is None else str(default))
-        try:
-            return int(value)
-        except ValueError:
-            self.bad(name, value)
-
-    def number(self, name: str, default: float | None = None) -> float:
-        value = self.text(name, None if default is None else str(default))
-        try:
-            number = float(value)
-        except ValueError:
-            self.bad(name, value)
-        if not math.isfinite(number):
-            self.bad(name, value)
-        return number
-
-    def seconds(self, name: str, default: float | None = None) -> float:
-        value = self.values.get(name)
-        if value is None and default is not None:
-            return default
-        return self.whole(name) / NS
-
-    def flag(self, name: str, default: bool | None = None) -> bool:
-        value = self.values.get(name)
-        if value is None and default is not None:
-            return default
-        value = self.text(name)
-        if value not in BOOLS:
-            self.bad(name, value)
-        return BOOLS[value]
-
-    def word(self, name: str, words: dict[str, T], default: str | None = None) -> T:
-        value = self.text(name, default)
-        if value not in words:
-            self.bad(name, value)
-        return words[value]
-
-    def octets(self, name: str) -> bytes:
-        value = self.text(name)
-        try:
-            return b"" if value == "-" else base64.b64decode(value, validate=True)
-        except binascii.Error:
-            self.bad(name, value)
-
-
-def read_settings(f: Fields) -> i.Settings:
-    classes, plans = {}, {}
-    for n in range(f.whole("profiles.count", 0)):
-        p = f"profiles.{n}."
-        name = f.text(p + "name")
-        classes[name] = i.RequestClass(
-            name=name,
-            aim=f.seconds(p + "objective"),
-            deadline=f.seconds(p + "deadline"),
-            effect=f.word(p + "effect", EFFECTS),
-            group=f.word(p + "group", GROUPS, "all"),
-            repeat_window=f.seconds(p + "repeat_window", 0.0),
-            worth=f.number(p + "gain", 1.0),
-            late_worth=f.number(p + "late_value", 0.0),
-            stream=f.flag(p + "stream", False),
-        )
-    for n in range(f.whole("tiers_of_service.count", 0)):
-        p = f"tiers_of_service.{n}."
-        name = f.text(p + "name")
-        plans[name] = i.Plan(
-            name=name,
-            refill=f.number(p + "refill", 0.0),
-            depth=f.number(p + "depth", 0.0),
-            parallel=round(f.number(p + "parallel", 0.0)),
-            cap_rate=f.number(p + "cap_rate", 0.0),
-            cap_depth=f.number(p + "never_over_depth", 0.0),
-            cap_slack=f.number(p + "cap_slack", 0.0),
-            price=f.number(p + "value_factor", 1.0),
-            over_worth=f.number(p + "over_worth", 0.0),
-            over_cost=f.number(p + "beyond_costs", 0.0),
-        )
-    return i.Settings(
-        me=f.whole("me"),
-        fleet_size=f.whole("fleet_size"),
-        zone=f.text("az", ""),
-        classes=classes,
-        plans=plans,
-        limits=i.Limits(
-            max_attempts=f.whole("policy_limits.max_attempts", 1),
-            may_duplicate=f.flag("policy_limits.may_duplicate", False),
-            cancel=f.flag("policy_limits.cancel", False),
-            probing=f.flag("policy_limits.probing", False),
-            peers=f.flag("policy_limits.peers", False),
-            retry_after=f.flag("policy_limits.retry_after", False),
-            max_retry_after=f.seconds("policy_limits.max_retry_after", 0.0),
-        ),
-        rules=i.Rules(
-            stop_sending_within=f.seconds("guarantees.stop_sending_within", 0.0),
-            cold=f.seconds("guarantees.cold", 0.0),
-            cold_share=f.number("guarantees.cold_share", 1.0),
-            fall_multiple=f.number("guarantees.fall_multiple", 1.0),
-            tip_after=f.seconds("guarantees.tip_after", 1.0),
-            ask_within=f.seconds("guarantees.ask_within", 0.0),
-        ),
-        ask_discovery=f.text("discovery", "push") == "ask",
-        live_ratings=f.text("weight_kind", "silent") == "live",
-        mail_per_s=f.number("specifics.mail_per_s", 0.0),
-        price_cross_zone=f.number("prices.cross_zone", 0.0),
-    )
-
-
 def read_server(f: Fields) -> i.Server:
     return i.Server(
         id=f.whole("worker"),
@@ -249,7 +113,13 @@
 
 def split(line: str) -> Fields:
     tag, *parts = line.split("\t")
-    return Fields(tag, parts)
+    values: dict[str, str] = {}
+    for part in parts:
+        name, equals, value = part.partition("=")
+        if not equals or not name:
+            raise WireError(f"{tag}: a part is not name=value: {part!r}")
+        values[name] = value
+    return Fields(tag, values)
 
 
 def read_batches(lines: Iterator[str]) -> Iterator[Batch]:
