Tests of parsers, pool, discovery, gateway and program; two leaks that they found

Seen: a connection given up before its task's first step kept its descriptor (a task cancelled then runs no finally); a request that the module forgot stayed in the table until the next turn. Fault lines: Pool.open and Gateway.insist. The descriptor now comes back in the task's callback, and the forgotten request is an item of the turn like others.

--- a/pewterring/gateway/calls.py
+++ b/pewterring/gateway/calls.py
@@ -56,4 +56,9 @@
     call: Call
 
 
-Item = Arrived | Ended | Gone | Overdue | i.ServerList | i.TimerDue | i.PeerMail | i.ProbeResult
+@dataclass(slots=True)
+class Unanswered:
+    call: Call
+
+
+Item = Arrived | Ended | Gone | Overdue | Unanswered | i.ServerList | i.TimerDue | i.PeerMail | i.ProbeResult
--- a/pewterring/gateway/gateway.py
+++ b/pewterring/gateway/gateway.py
@@ -6,7 +6,7 @@
 from typing import Protocol
 
 from pewterring import interface as i
-from pewterring.gateway.calls import Arrived, Attempt, Call, Ended, Gone, Item, Overdue
+from pewterring.gateway.calls import Arrived, Attempt, Call, Ended, Gone, Item, Overdue, Unanswered
 from pewterring.gateway.directory import Directory
 from pewterring.gateway.intake import for_worker, read_request
 from pewterring.http.messages import Malformed, Request, Response, end_to_end
@@ -121,9 +121,6 @@
                 actions += self.decide(now, event)
         for action in actions:
             self.carry_out(now, action)
-        for item in items:
-            if isinstance(item, Overdue):
-                self.close_overdue(item.call)
         over, self.over = self.over, []
         for call in over:
             self.forget(call)
@@ -145,7 +142,16 @@
                 for attempt in call.attempts:
                     if attempt.exchange:
                         attempt.exchange.give_up(Ending.TIMED_OUT)
+                # The module hears of these ends in the next turn and answers. If not, the turn after does.
+                if not call.finished:
+                    self.loop.call_soon(self.loop.call_soon, self.gather, Unanswered(call))
                 return None
+            case Unanswered(call):
+                if call.finished:
+                    return None
+                self.fault("a request without an answer at its deadline")
+                self.fail(call, now)
+                return i.Expired(call.request.id)
         return item
 
     def outcome(
@@ -168,10 +174,13 @@
         try:
             return list(self.module.handle(now, event))
         except Exception as error:  # a fault of the module must cost no more than what it was about
-            self.faults += 1
-            self.log("module_fault", what=repr(error), trace=traceback.format_exc(limit=-4))
+            self.fault(repr(error), traceback.format_exc(limit=-4))
             return self.after_fault(event)
 
+    def fault(self, what: str, trace: str = "") -> None:
+        self.faults += 1
+        self.log("module_fault", what=what, trace=trace)
+
     def after_fault(self, event: i.Event) -> list[i.Action]:
         if isinstance(event, i.TimerDue) and event.label in self.delays:
             return [i.SetTimer(self.delays[event.label], event.label)]  # or it would never tick again
@@ -214,7 +223,7 @@
     def send(self, now: float, id: int, server: int, timeout: float) -> None:
         call = self.calls.get(id)
         if call is None:
-            return self.log("module_fault", what="an attempt for a request that is over")
+            return self.fault("an attempt for a request that is over")
         attempt = Attempt(call, len(call.attempts), server, now)
         call.attempts.append(attempt)
         call.out += 1
@@ -279,17 +288,3 @@
             self.calls.pop(call.request.id, None)
             if call.timer:
                 call.timer.cancel()
-
-    def close_overdue(self, call: Call) -> None:
-        """Its time is up and its attempts have been ended: the module answers in the next turn. Should it
-        not, the answer is given for it then."""
-        if not call.finished:
-            self.loop.call_soon(self.loop.call_soon, self.insist, call)
-
-    def insist(self, call: Call) -> None:
-        if not call.finished:
-            self.faults += 1
-            self.log("module_fault", what="a request without an answer at its deadline")
-            self.fail(call, self.loop.time())
-            for action in self.decide(self.loop.time(), i.Expired(call.request.id)):
-                self.carry_out(self.loop.time(), action)
--- a/pewterring/gateway/service.py
+++ b/pewterring/gateway/service.py
@@ -6,7 +6,7 @@
 
 from pewterring.choice import Gatekeeper
 from pewterring.config import Config
-from pewterring.gateway.gateway import Gateway
+from pewterring.gateway.gateway import Gateway, Module
 from pewterring.log import Log
 from pewterring.net.clients import Listener
 from pewterring.net.descriptors import Descriptors
@@ -21,17 +21,18 @@
 
 
 class Service:
-    def __init__(self, config: Config, log: Log) -> None:
+    def __init__(self, config: Config, log: Log, module: Module | None = None) -> None:
         self.config, self.log = config, log
         self.loop = asyncio.get_running_loop()
         self.descriptors = Descriptors(config.sockets)
         transport = config.transport
         self.pool = Pool(self.loop, self.descriptors, transport.connect_timeout, transport.conn_idle)
-        module = Gatekeeper(config.settings, config.seed)
+        module = module or Gatekeeper(config.settings, config.seed)
         self.gateway = Gateway(self.loop, config.settings, transport, module, self.pool, log)
         self.listener: Listener | None = None
         self.discovery: Discovery | None = None
         self.stop = asyncio.Event()
+        self.sweeping: asyncio.TimerHandle | None = None
 
     async def start(self) -> None:
         config, gateway = self.config, self.gateway
@@ -58,7 +59,7 @@
         self.pool.sweep()
         if self.listener:
             self.listener.sweep(self.gateway.patience)
-        self.loop.call_later(SWEEP_S, self.sweep)
+        self.sweeping = self.loop.call_later(SWEEP_S, self.sweep)
 
     async def run(self) -> None:
         for sign in (signal.SIGTERM, signal.SIGINT):
@@ -75,19 +76,14 @@
         gateway.stopping = listener.closing = True
         while not self.quiet(began):
             await asyncio.sleep(POLL_S)
-        self.descriptors.freed = lambda: None
         listener.close()
         # Idle connections are closed last: their clients may have gone on using them until now.
         while gateway.by_client or listener.opening or any(c.ending is None for c in listener.clients):
             listener.close_idle()
             await asyncio.sleep(POLL_S)
-        if self.discovery:
-            self.discovery.close()
-        self.pool.close()
         while listener.clients:
             await asyncio.sleep(POLL_S)
-        if gateway.peers:
-            gateway.peers.close()
+        self.close()
         self.log(
             "stopped",
             taken=gateway.taken,
@@ -100,6 +96,17 @@
             reused=self.pool.reused,
         )
 
+    def close(self) -> None:
+        if self.sweeping:
+            self.sweeping.cancel()
+        if self.listener:
+            self.listener.close()
+        if self.discovery:
+            self.discovery.close()
+        self.pool.close()
+        if self.gateway.peers:
+            self.gateway.peers.close()
+
     def quiet(self, began: float) -> bool:
         now = self.loop.time()
         accepted = self.listener.accepted_at if self.listener else 0.0
--- a/pewterring/net/workers.py
+++ b/pewterring/net/workers.py
@@ -161,15 +161,15 @@
                 return exchange
             connection.drop()
         if self.descriptors.take(hard=True):
-            exchange.task = self.loop.create_task(self.open(exchange))
+            connection = WorkerConnection(self, address)
+            exchange.task = self.loop.create_task(self.open(exchange, connection))
             self.opening.add(exchange.task)
-            exchange.task.add_done_callback(self.opening.discard)
+            exchange.task.add_done_callback(lambda task: self.opened_or_not(task, connection))
         else:
             exchange.end(Ending.NO_DESCRIPTOR)
         return exchange
 
-    async def open(self, exchange: Exchange) -> None:
-        connection = WorkerConnection(self, exchange.address)
+    async def open(self, exchange: Exchange, connection: WorkerConnection) -> None:
         ending = Ending.NEVER_UP
         try:
             async with asyncio.timeout(self.connect_timeout):
@@ -182,12 +182,15 @@
             ending = Ending.REFUSED
         except OSError:  # a time-out is one
             ending = Ending.NEVER_UP
-        finally:
-            if not connection.made:  # else it gives its descriptor back when it is lost
-                self.descriptors.give_back()
         connection.drop()
         exchange.end(ending)
 
+    def opened_or_not(self, task: asyncio.Task[None], connection: WorkerConnection) -> None:
+        # Not within the task: one that is cancelled before its first step runs none of its code.
+        self.opening.discard(task)
+        if not connection.made:  # else it gives its descriptor back when it is lost
+            self.descriptors.give_back()
+
     def keep(self, connection: WorkerConnection) -> None:
         connection.idle_since = self.loop.time()
         self.idle.setdefault(connection.address, []).append(connection)
--- /dev/null
+++ b/tests/test_discovery.py
@@ -0,0 +1,194 @@
+"""Following the list of workers: the calls that are made, and what the module is told."""
+
+import asyncio
+
+import orjson
+import pytest
+
+from pewterring import interface as i
+from pewterring.gateway.directory import Directory
+from pewterring.http.messages import Request
+from pewterring.http.writer import write_response
+from pewterring.net import discovery
+from pewterring.net.connection import Address
+from pewterring.net.descriptors import Descriptors
+from pewterring.net.discovery import Discovery, Listing, read_listing
+from tests.stand_ins import Rig, Script, StandIn, Talk, as_json, entry, listing, run, until
+
+A, B, C = (Address("127.0.0.1", n) for n in (9001, 9002, 9003))
+WATCH = b"/v1/servers?index=%d&wait=2000"
+
+
+class Agent:
+    """Gives these answers one after the other, then says nothing more."""
+
+    def __init__(self, *answers: bytes | None) -> None:
+        self.answers, self.asked = list(answers), list[bytes]()
+
+    def __call__(self, talk: Talk, request: Request) -> bytes | None:
+        self.asked.append(request.target)
+        if not self.answers:
+            return None
+        answer = self.answers.pop(0)
+        if answer is None:
+            talk.reset()
+        return answer
+
+
+def ok(body: bytes) -> bytes:
+    return write_response(200, [], body)
+
+
+def followed(agent: Agent, version: int | None, calls: int) -> tuple[list[Listing], list[str]]:
+    told: list[Listing] = []
+    failed: list[str] = []
+
+    async def test() -> None:
+        async with StandIn(agent) as stand_in:
+            loop = asyncio.get_running_loop()
+            watch = Discovery(loop, stand_in.address, Descriptors(1000), told.append, failed.append)
+            watch.start(version)
+            await until(lambda: len(agent.asked) >= calls)
+            watch.close()
+
+    run(test)
+    return told, failed
+
+
+def test_one_watch_follows_the_other_on_one_connection() -> None:
+    agent = Agent(ok(as_json(42, False, entry("a", A))), ok(as_json(42, False)), ok(as_json(50, True)))
+    told, failed = followed(agent, 41, 4)
+    assert agent.asked == [WATCH % 41, WATCH % 42, WATCH % 42, WATCH % 50]
+    assert [(x.version, x.whole, len(x.entries)) for x in told] == [
+        (42, False, 1),
+        (42, False, 0),
+        (50, True, 0),
+    ]
+    assert not failed
+
+
+def test_without_a_version_the_whole_list_comes_first() -> None:
+    agent = Agent(ok(as_json(7, True, entry("a", A))))
+    told, _ = followed(agent, None, 2)
+    assert agent.asked == [b"/v1/servers", WATCH % 7] and told[0].whole
+
+
+@pytest.mark.parametrize(
+    "bad",
+    [
+        None,
+        write_response(500, []),
+        write_response(503, []),
+        ok(b"no json"),
+        ok(b"[]"),
+        ok(b'{"seq":1,"hosts":[]}'),
+        ok(b'{"seq":43,"whole":false,"hosts":[{"host":"a"}]}'),
+        ok(as_json(43, False, entry("a", A)).replace(b'"up"', b'"odd"')),
+        ok(as_json(43, False, entry("a", A)).replace(b"127.0.0.1:9001", b"nowhere")),
+        ok(as_json(40, False)),  # older than what is known: not its continuation
+        b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\nContent-Length: 8\r\n\r\n",
+    ],
+)
+def test_after_any_failure_the_whole_list(bad: bytes | None) -> None:
+    agent = Agent(bad, bad, ok(as_json(60, True, entry("a", A))))
+    told, failed = followed(agent, 41, 4)
+    assert agent.asked == [WATCH % 41, b"/v1/servers", b"/v1/servers", WATCH % 60]
+    assert [x.version for x in told] == [60] and len(failed) == 2
+
+
+def test_changes_in_answer_to_the_whole_list_are_a_gap() -> None:
+    agent = Agent(ok(as_json(60, False)), ok(as_json(60, True)))
+    told, failed = followed(agent, None, 3)
+    assert len(failed) == 1 and [x.whole for x in told] == [True]
+
+
+def test_silence_is_a_failure(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(discovery, "WAIT_MS", 20)
+    monkeypatch.setattr(discovery, "MARGIN_S", 0.02)
+    agent = Agent()
+    _, failed = followed(agent, 41, 3)
+    assert agent.asked[0].startswith(b"/v1/servers?index=41") and agent.asked[1:] == [b"/v1/servers"] * 2
+    assert len(failed) == 2
+
+
+def test_pauses_after_failures_grow_and_are_bounded() -> None:
+    async def test() -> None:
+        pauses: list[float] = []
+        loop = asyncio.get_running_loop()
+        watch = Discovery(loop, A, Descriptors(1000), lambda x: None, lambda why: None)
+        watch.loop = type("Loop", (), {"call_later": lambda self, s, f: pauses.append(s)})()
+        for _ in range(40):
+            watch.retry("a test")
+        first, most = discovery.BACKOFF_S
+        assert pauses[0] <= first and max(pauses) <= most and min(pauses[10:]) >= most / 2
+
+    run(test)
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        "{}",
+        '{"seq":"x","whole":true,"hosts":[]}',
+        '{"seq":1,"whole":1,"hosts":[]}',
+        '{"seq":1,"whole":true,"hosts":5}',
+    ],
+)
+def test_what_is_no_list(text: str) -> None:
+    with pytest.raises(ValueError):
+        read_listing(orjson.loads(text))
+
+
+def test_numbers_are_our_own_and_last_while_a_worker_is_listed() -> None:
+    directory = Directory(lambda: 1000.0, lambda: 5000.0)
+    first = directory.take(listing(entry("a", A), entry("b", B, "draining", cell=3)), i.ListForm.REMEMBERED)
+    assert [(s.id, s.mode, s.cell) for s in first.servers] == [
+        (1, i.Mode.SERVING, 0),
+        (2, i.Mode.DRAINING, 3),
+    ]
+    assert directory.wanted() == {A}
+    changed = directory.take(listing(entry("b", C), whole=False), i.ListForm.CHANGES)
+    assert [s.id for s in changed.servers] == [2] and directory.addresses == {1: A, 2: C}
+    gone = directory.take(listing(entry("a", A, "removed"), whole=False), i.ListForm.CHANGES)
+    assert [(s.id, s.mode) for s in gone.servers] == [(1, i.Mode.DELETED)]
+    assert directory.addresses == {2: C}
+    whole = directory.take(listing(entry("a", A)), i.ListForm.WHOLE)
+    assert [s.id for s in whole.servers] == [3] and directory.addresses == {3: A} and len(directory.ids) == 1
+
+
+def test_a_start_is_reckoned_once_however_the_clocks_drift() -> None:
+    clock, unix = [1000.0], [5000.0]
+    directory = Directory(lambda: clock[0], lambda: unix[0])
+
+    def seen(born_ms: float) -> float:
+        return directory.take(listing(entry("a", A, born_ms=born_ms)), i.ListForm.WHOLE).servers[0].came_up
+
+    assert seen(0) == 0.0 and seen(4_990_000) == 990.0
+    clock[0], unix[0] = 1100.0, 5100.7
+    assert seen(4_990_000) == 990.0
+    assert seen(5_090_700) == pytest.approx(1090.0)
+
+
+def test_the_module_hears_what_was_known_first_and_then_the_changes() -> None:
+    async def test() -> None:
+        agent = Agent(ok(as_json(2, False, entry("s-1", A, "draining"))))
+        module = Script()
+        async with StandIn(agent) as stand_in, Rig(module, A, B, discovery=stand_in.address) as rig:
+            await until(lambda: len(module.of(i.ServerList)) == 2)
+            first, second = module.of(i.ServerList)
+            assert (first.form, [s.id for s in first.servers]) == (i.ListForm.REMEMBERED, [1, 2])
+            assert (second.form, [s.mode for s in second.servers]) == (i.ListForm.CHANGES, [i.Mode.DRAINING])
+            assert agent.asked[0] == WATCH % 1 and rig.gateway.ready
+
+    run(test)
+
+
+def test_a_gatekeeper_that_knows_nobody_is_ready_with_the_first_list() -> None:
+    async def test() -> None:
+        agent = Agent(None, ok(as_json(2, True, entry("s-1", A))))
+        async with StandIn(agent) as stand_in, Rig(Script(), discovery=stand_in.address) as rig:
+            assert not rig.gateway.ready
+            await until(lambda: rig.gateway.ready)
+            assert agent.asked[0] == b"/v1/servers"
+
+    run(test)
--- /dev/null
+++ b/tests/test_http.py
@@ -0,0 +1,309 @@
+"""The parsers, split at every byte and fed at random; the writers, read back by the parsers."""
+
+from itertools import pairwise
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from pewterring.http.messages import Malformed, Request, Response, end_to_end, only
+from pewterring.http.reader import MAX_BODY, MAX_HEAD, RequestReader, ResponseReader
+from pewterring.http.writer import write_request, write_response
+
+CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n"
+REQUESTS = {
+    "no body": (b"GET /a/b?c=d HTTP/1.1\r\nHost: x\r\nX-A:  1 \r\n\r\n", b""),
+    "length": (b"POST /a HTTP/1.1\r\nContent-Length: 5\r\n\r\nhello", b"hello"),
+    "length nought": (b"POST /a HTTP/1.1\r\nContent-Length: 0\r\n\r\n", b""),
+    "chunks": (b"POST /a HTTP/1.1\r\n" + CHUNKED + b"3\r\nhel\r\n2;x=y\r\nlo\r\n0\r\n\r\n", b"hello"),
+    "trailers": (b"POST /a HTTP/1.1\r\n" + CHUNKED + b"5\r\nhello\r\n0\r\nX-T: 1\r\n\r\n", b"hello"),
+    "empty lines first": (b"\r\n\r\nPUT /a HTTP/1.1\r\nContent-Length: 1\r\n\r\nx", b"x"),
+}
+ANSWERS = {
+    "length": (b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello", 200, b"hello", True),
+    "no reason": (b"HTTP/1.1 200\r\nContent-Length: 0\r\n\r\n", 200, b"", True),
+    "chunks": (b"HTTP/1.1 200 OK\r\n" + CHUNKED + b"5\r\nhello\r\n0\r\n\r\n", 200, b"hello", True),
+    "interim": (b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\n"
+                b"Content-Length: 1\r\n\r\nx", 200, b"x", True),
+    "no content": (b"HTTP/1.1 204 No Content\r\n\r\n", 204, b"", True),
+    "close said": (b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 1\r\n\r\nx", 200, b"x", False),
+    "old version": (b"HTTP/1.0 200 OK\r\nContent-Length: 1\r\n\r\nx", 200, b"x", False),
+}  # fmt: skip
+
+
+@pytest.mark.parametrize("name", REQUESTS)
+def test_a_request_split_at_every_byte(name: str) -> None:
+    data, body = REQUESTS[name]
+    for cut in range(len(data) + 1):
+        reader = RequestReader()
+        reader.feed(data[:cut])
+        first = reader.next()
+        assert (first is None) == (cut < len(data))
+        reader.feed(data[cut:])
+        message = first or reader.next()
+        assert message is not None and message.body == body and message.keep_alive
+        assert reader.next() is None and not reader.started
+
+
+def test_a_request_byte_by_byte_keeps_what_it_says() -> None:
+    reader = RequestReader()
+    found = []
+    for byte in REQUESTS["no body"][0] * 2:
+        reader.feed(bytes([byte]))
+        found.append(reader.next())
+    whole = [m for m in found if m is not None]
+    assert [(m.method, m.target, m.headers) for m in whole] == 2 * [
+        (b"GET", b"/a/b?c=d", [(b"host", b"x"), (b"x-a", b"1")])
+    ]
+
+
+def test_requests_sent_ahead_come_one_by_one() -> None:
+    reader = RequestReader()
+    reader.feed(b"".join(data for data, _ in REQUESTS.values()))
+    bodies = []
+    while (message := reader.next()) is not None:
+        bodies.append(message.body)
+    assert bodies == [body for _, body in REQUESTS.values()]
+
+
+@pytest.mark.parametrize("name", ANSWERS)
+def test_an_answer_split_at_every_byte(name: str) -> None:
+    data, status, body, stays = ANSWERS[name]
+    for cut in range(len(data) + 1):
+        reader = ResponseReader()
+        reader.feed(data[:cut])
+        first = reader.next()
+        assert (first is None) == (cut < len(data))
+        reader.feed(data[cut:])
+        message = first or reader.next()
+        assert message is not None
+        assert (message.status, message.body, message.keep_alive) == (status, body, stays)
+        assert not reader.started and reader.close() is None
+
+
+def test_an_answer_that_ends_with_its_connection() -> None:
+    data = b"HTTP/1.1 200 OK\r\nX-A: 1\r\n\r\nhello"
+    for cut in range(len(data)):
+        reader = ResponseReader()
+        reader.feed(data[:cut])
+        assert reader.next() is None
+        cut_short = reader.close()  # whole only once its head has come
+        assert (cut_short is not None) == (cut >= len(data) - 5)
+    reader.feed(data[cut:])
+    assert reader.next() is None
+
+
+@pytest.mark.parametrize("name", ["length", "chunks"])
+def test_a_cut_answer_is_none(name: str) -> None:
+    data = ANSWERS[name][0]
+    for cut in range(len(data)):
+        reader = ResponseReader()
+        reader.feed(data[:cut])
+        assert reader.next() is None and reader.close() is None
+
+
+def test_answers_to_head_have_no_body() -> None:
+    reader = ResponseReader(bodiless=True)
+    reader.feed(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n")
+    message = reader.next()
+    assert message is not None and message.body == b"" and message.keep_alive
+
+
+LINE = b"POST /a HTTP/1.1\r\n"
+BAD_REQUESTS = {
+    "no version": (b"GET /a\r\n\r\n", 400),
+    "two spaces": (b"GET  /a HTTP/1.1\r\n\r\n", 400),
+    "a control character in the path": (b"GET /a\x01 HTTP/1.1\r\n\r\n", 400),
+    "not ASCII in the path": (b"GET /\xff HTTP/1.1\r\n\r\n", 400),
+    "another protocol": (b"\x16\x03\x01\x02\x00\r\n\r\n", 400),
+    "HTTP/2": (b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n", 505),
+    "a folded header": (LINE + b"X-A: 1\r\n  2\r\n\r\n", 400),
+    "space before the colon": (LINE + b"X-A : 1\r\n\r\n", 400),
+    "no colon": (LINE + b"X-A\r\n\r\n", 400),
+    "no name": (LINE + b": 1\r\n\r\n", 400),
+    "a bare line feed": (LINE + b"X-A: 1\nX-B: 2\r\n\r\n", 400),
+    "a bare return": (LINE + b"X-A: 1\rX-B: 2\r\n\r\n", 400),
+    "a nought byte": (LINE + b"X-A: \x00\r\n\r\n", 400),
+    "two lengths": (LINE + b"Content-Length: 5\r\nContent-Length: 6\r\n\r\n", 400),
+    "a list of lengths": (LINE + b"Content-Length: 5, 5\r\n\r\n", 400),
+    "a length below nought": (LINE + b"Content-Length: -1\r\n\r\n", 400),
+    "a length with a plus": (LINE + b"Content-Length: +1\r\n\r\n", 400),
+    "length and coding": (LINE + b"Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n", 400),
+    "coding and length": (LINE + b"Transfer-Encoding: chunked\r\nContent-Length: 5\r\n\r\n", 400),
+    "another coding": (LINE + b"Transfer-Encoding: gzip, chunked\r\n\r\n", 501),
+    "coded twice": (LINE + b"Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n", 501),
+    "a chunk without a size": (LINE + CHUNKED + b"\r\n", 400),
+    "a chunk of a negative size": (LINE + CHUNKED + b"-1\r\n", 400),
+    "a chunk of a size that Python alone reads": (LINE + CHUNKED + b"1_0\r\n", 400),
+    "a chunk longer than its size": (LINE + CHUNKED + b"1\r\nab\r\n0\r\n\r\n", 400),
+    "a chunk's line too long": (LINE + CHUNKED + b"1;" + b"x" * 300, 400),
+    "a body too long": (LINE + b"Content-Length: %d\r\n\r\n" % (MAX_BODY + 1), 413),
+    "chunks too long": (LINE + CHUNKED + b"%x\r\n" % (MAX_BODY + 1), 413),
+    "many chunks too long": (LINE + CHUNKED + (b"%x\r\n%b\r\n" % (9000, b"x" * 9000)) * 8, 413),
+    "a head too long": (LINE + b"X-A: " + b"x" * MAX_HEAD, 431),
+    "a long head at once": (LINE + b"X-A: " + b"x" * MAX_HEAD + b"\r\n\r\n", 431),
+    "trailers too long": (LINE + CHUNKED + b"0\r\n" + (b"X-A: %b\r\n" % (b"x" * 1000)) * 20, 431),
+}
+
+
+@pytest.mark.parametrize("name", BAD_REQUESTS)
+def test_unreadable_requests(name: str) -> None:
+    data, status = BAD_REQUESTS[name]
+    reader = RequestReader()
+    reader.feed(data)
+    with pytest.raises(Malformed) as fault:
+        reader.next()
+    assert fault.value.status == status
+
+
+@pytest.mark.parametrize("name", ["two lengths", "a folded header", "a chunk longer than its size"])
+def test_unreadable_requests_split_at_every_byte(name: str) -> None:
+    data, _ = BAD_REQUESTS[name]
+    for cut in range(len(data)):
+        reader = RequestReader()
+        with pytest.raises(Malformed):
+            for piece in (data[:cut], data[cut:]):
+                reader.feed(piece)
+                reader.next()
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"nonsense\r\n\r\n",
+        b"HTTP/1.1 2000 OK\r\n\r\n",
+        b"HTTP/2 200\r\n\r\n",
+        b"HTTP/1.1 101 Switching Protocols\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % (MAX_BODY + 1),
+        b"HTTP/1.1 200 OK\r\n\r\n" + b"x" * (MAX_BODY + 1),
+        b"HTTP/1.1 200 OK\r\n" + CHUNKED + b"zz\r\n",
+    ],
+)
+def test_unreadable_answers(data: bytes) -> None:
+    reader = ResponseReader()
+    reader.feed(data)
+    with pytest.raises(Malformed):
+        reader.next()
+
+
+def test_a_body_of_the_bound_passes() -> None:
+    reader = RequestReader()
+    reader.feed(LINE + b"Content-Length: %d\r\n\r\n" % MAX_BODY + b"x" * MAX_BODY)
+    message = reader.next()
+    assert message is not None and len(message.body) == MAX_BODY
+
+
+def test_continue_is_wanted_once_and_only_while_the_body_is_away() -> None:
+    reader = RequestReader()
+    reader.feed(LINE + b"Expect: 100-continue\r\nContent-Length: 2\r\n\r\n")
+    assert reader.next() is None
+    assert reader.wants_continue() and not reader.wants_continue()
+    reader.feed(b"x")
+    assert reader.next() is None and not reader.wants_continue()
+    early = RequestReader()
+    early.feed(LINE + b"Expect: 100-continue\r\nContent-Length: 2\r\n\r\nx")
+    assert early.next() is None and not early.wants_continue()
+
+
+@pytest.mark.parametrize(
+    ("version", "connection", "stays"),
+    [
+        (b"1.1", b"", True),
+        (b"1.1", b"Connection: close\r\n", False),
+        (b"1.1", b"Connection: Keep-Alive, CLOSE\r\n", False),
+        (b"1.0", b"", False),
+        (b"1.0", b"Connection: keep-alive\r\n", True),
+    ],
+)
+def test_whether_the_connection_goes_on(version: bytes, connection: bytes, stays: bool) -> None:
+    reader = RequestReader()
+    reader.feed(b"GET / HTTP/%b\r\n%b\r\n" % (version, connection))
+    message = reader.next()
+    assert message is not None and message.keep_alive is stays
+
+
+def test_headers_of_one_hop_are_not_passed_on() -> None:
+    headers = [
+        (b"connection", b"close, X-Mine"),
+        (b"x-mine", b"1"),
+        (b"transfer-encoding", b"chunked"),
+        (b"content-length", b"5"),
+        (b"x-keep", b"2"),
+        (b"x-drop", b"3"),
+    ]
+    assert end_to_end(headers, frozenset({b"x-drop"})) == [(b"x-keep", b"2")]
+
+
+def test_a_header_that_may_come_once() -> None:
+    assert only([(b"a", b"1"), (b"b", b"2")], b"a") == b"1" and only([], b"a") is None
+    with pytest.raises(Malformed):
+        only([(b"a", b"1"), (b"a", b"2")], b"a")
+
+
+TOKEN = st.text("abcdefghijklmnopqrstuvwxyz-", min_size=1, max_size=10).map(str.encode)
+VALUE = st.binary(max_size=30).map(lambda b: bytes(c for c in b if 32 < c < 127 or c > 160))
+FRAMING = {b"content-length", b"transfer-encoding", b"connection", b"expect"}
+HEADERS = st.lists(st.tuples(TOKEN.filter(lambda n: n not in FRAMING), VALUE), max_size=6)
+CUTS = st.lists(st.integers(0, 400), max_size=6)
+
+
+def pieces(data: bytes, cuts: list[int]) -> list[bytes]:
+    edges = [0, *sorted(min(c, len(data)) for c in cuts), len(data)]
+    return [data[a:b] for a, b in pairwise(edges)]
+
+
+@given(st.sampled_from([b"GET", b"POST", b"PUT"]), TOKEN, HEADERS, st.binary(max_size=200), CUTS)
+def test_what_is_written_is_read_back(
+    method: bytes, path: bytes, headers: list[tuple[bytes, bytes]], body: bytes, cuts: list[int]
+) -> None:
+    reader = RequestReader()
+    found: list[Request] = []
+    for piece in pieces(write_request(method, b"/" + path, headers, body), cuts):
+        reader.feed(piece)
+        while (request := reader.next()) is not None:
+            found.append(request)
+    (request,) = found
+    assert (request.method, request.target, request.body) == (method, b"/" + path, body)
+    assert end_to_end(request.headers) == end_to_end(headers)
+
+
+@given(st.integers(200, 599).filter(lambda s: s not in (204, 304)), HEADERS, st.binary(max_size=200), CUTS)
+def test_answers_written_are_read_back(
+    status: int, headers: list[tuple[bytes, bytes]], body: bytes, cuts: list[int]
+) -> None:
+    reader = ResponseReader()
+    found: list[Response] = []
+    for piece in pieces(write_response(status, headers, body), cuts):
+        reader.feed(piece)
+        while (response := reader.next()) is not None:
+            found.append(response)
+    (response,) = found
+    assert (response.status, response.body, response.keep_alive) == (status, body, True)
+
+
+@given(st.binary(max_size=300), CUTS)
+def test_no_bytes_do_worse_than_malformed(data: bytes, cuts: list[int]) -> None:
+    for start in (b"", b"POST / HTTP/1.1\r\n", b"HTTP/1.1 200 OK\r\n", b"POST / HTTP/1.1\r\n" + CHUNKED):
+        for reader in (RequestReader(), ResponseReader()):
+            try:
+                for piece in pieces(start + data, cuts):
+                    reader.feed(piece)
+                    while reader.next() is not None:
+                        pass
+                if isinstance(reader, ResponseReader):
+                    reader.close()
+            except Malformed:
+                pass
+
+
+@given(st.lists(st.binary(min_size=1, max_size=50), max_size=6), CUTS)
+def test_chunks_are_put_together(chunks: list[bytes], cuts: list[int]) -> None:
+    coded = b"".join(b"%x\r\n%b\r\n" % (len(c), c) for c in chunks) + b"0\r\n\r\n"
+    reader = RequestReader()
+    found = []
+    for piece in pieces(LINE + CHUNKED + coded, cuts):
+        reader.feed(piece)
+        while (request := reader.next()) is not None:
+            found.append(request.body)
+    assert found == [b"".join(chunks)]
--- /dev/null
+++ b/tests/test_layers.py
@@ -0,0 +1,62 @@
+"""Packages import downward only, and only the module decides."""
+
+import ast
+import sys
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+# From the ground up: each may import those before it, and within itself.
+LAYERS = ["interface", "mail", "state", "choice", "settings", "log", "http", "net", "config", "wire", "drill",
+          "gateway", "__main__"]  # fmt: skip
+RUN_TIME = {"orjson"}  # beside the standard library
+
+
+def modules() -> dict[str, set[str]]:
+    """Each module of the program, with the names of all that it imports."""
+    found: dict[str, set[str]] = {}
+    for path in sorted((ROOT / "pewterring").rglob("*.py")):
+        name = ".".join(path.relative_to(ROOT).with_suffix("").parts).removesuffix(".__init__")
+        imports = found[name] = set()
+        for node in ast.walk(ast.parse(path.read_text(encoding="utf-8"))):
+            if isinstance(node, ast.Import):
+                imports.update(alias.name for alias in node.names)
+            elif isinstance(node, ast.ImportFrom) and node.module:
+                imports.update(f"{node.module}.{alias.name}" for alias in node.names)
+                imports.add(node.module)
+    return found
+
+
+def layer(name: str) -> int:
+    parts = name.split(".")
+    return LAYERS.index(parts[1]) if len(parts) > 1 and parts[1] in LAYERS else -1
+
+
+def test_packages_import_downward() -> None:
+    for name, imports in modules().items():
+        for other in imports:
+            if other.startswith("pewterring."):
+                assert layer(other) <= layer(name), f"{name} imports {other}"
+
+
+def test_no_module_imports_in_a_circle() -> None:
+    found = modules()
+    graph = {name: {x for x in imports if x in found} - {name} for name, imports in found.items()}
+    while graph:
+        free = {name for name, imports in graph.items() if not imports & set(graph)}
+        assert free, f"a circle among {sorted(graph)}"
+        graph = {name: imports for name, imports in graph.items() if name not in free}
+
+
+def test_the_core_stands_without_sockets() -> None:
+    found = modules()
+    for name in ("interface", "mail", "state", "choice", "settings"):
+        roots = {x.split(".")[0] for x in found[f"pewterring.{name}"]}
+        assert not roots & {"asyncio", "socket", "time", "os", "orjson"}, name
+
+
+def test_nothing_beside_the_library_and_what_is_required() -> None:
+    for name, imports in modules().items():
+        for root in {x.split(".")[0] for x in imports} - {"pewterring"}:
+            assert root in sys.stdlib_module_names or root in RUN_TIME, f"{name} imports {root}"
+    required = {x.split("==")[0] for x in (ROOT / "requirements.txt").read_text().split()}
+    assert required == RUN_TIME
--- /dev/null
+++ b/tests/test_service.py
@@ -0,0 +1,345 @@
+"""The program as operators run it: configuration, log, peers, descriptors, and its end at SIGTERM."""
+
+import asyncio
+import contextlib
+import io
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+from pathlib import Path
+from typing import Any
+
+import orjson
+import pytest
+
+from pewterring import __main__ as program
+from pewterring import interface as i
+from pewterring.config import ConfigError, load
+from pewterring.gateway import service as service_module
+from pewterring.http.messages import Request
+from pewterring.log import Log
+from pewterring.net.connection import Address, read_address
+from pewterring.net.peers import Peers
+from pewterring.settings import FieldError, Fields, flatten, read_json, read_settings
+from tests.stand_ins import (
+    OK,
+    Caller,
+    Rig,
+    Script,
+    StandIn,
+    Talk,
+    as_json,
+    asking,
+    entry,
+    run,
+    send_to,
+    until,
+)
+
+ROOT = Path(__file__).resolve().parent.parent
+HEALTH = b"GET /healthz HTTP/1.1\r\n\r\n"
+SETTINGS: dict[str, Any] = {
+    "me": 1, "fleet_size": 2, "az": "a", "discovery": "push",
+    "guarantees": {"cold": 17_000_000_000, "cold_share": 0.24, "fall_multiple": 3.0, "tip_after": 1e9,
+                   "stop_sending_within": 1_000_000_000, "answer_slack": 8_000_000},
+    "policy_limits": {"cancel": True, "conn_idle": 15_000_000_000, "connect_timeout": 250_000_000,
+                      "max_attempts": 3, "max_open": 20000, "may_duplicate": True, "peers": True},
+    "profiles": [
+        {"name": "pure", "objective": 1_200_000_000, "deadline": 4_000_000_000, "effect": "pure"},
+        {"name": "kept", "objective": 1_200_000_000, "deadline": 4_000_000_000, "effect": "token",
+         "group": "cell", "repeat_window": 4_000_000_000},
+    ],
+    "report": {"fields": [], "source": "silent"},
+    "tiers_of_service": [{"name": "free", "refill": 0.0, "depth": 5.5}],
+    "zones": ["a", "b"], "specifics": {"mail_per_s": 100.0, "has_counter": True},
+}  # fmt: skip
+
+
+def configured(tmp_path: Path, **changes: object) -> Path:
+    tree = {
+        "name": "n3", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964", "settings": SETTINGS,
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, **changes,
+    }  # fmt: skip
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(tree))
+    return path
+
+
+def test_nested_settings_are_read_as_pairs_are() -> None:
+    pairs = dict(flatten(SETTINGS))
+    assert (
+        pairs["profiles.count"] == "2" and pairs["zones"] == "a,b" and pairs["policy_limits.cancel"] == "true"
+    )
+    settings, transport = read_json(SETTINGS)
+    assert settings == read_settings(Fields("init", pairs))
+    assert settings.classes["kept"].group is i.Group.CELL and settings.classes["kept"].repeat_window == 4.0
+    assert (settings.rules.tip_after, settings.limits.max_attempts, settings.mail_per_s) == (1.0, 3, 100.0)
+    assert (transport.conn_idle, transport.connect_timeout, transport.max_open) == (15.0, 0.25, 20000)
+    assert transport.answer_slack == 0.008
+    unusable: list[object] = [None, [], {}, {**SETTINGS, "me": "x"}]
+    for bad in unusable:
+        with pytest.raises(FieldError):
+            read_json(bad)
+
+
+def test_a_configuration_is_read(tmp_path: Path) -> None:
+    known = json.loads(as_json(41, True, entry("s", Address("127.0.0.1", 9))))
+    path = configured(tmp_path, known=known, peers=["127.0.0.1:1", "127.0.0.1:2"], discovery="127.0.0.1:3")
+    config = load(str(path), {})
+    assert config.seed == 0x8C1F30D27A5BE964 and config.sockets == 1024 and config.name == "n3"
+    assert config.known is not None and config.known.version == 41
+    assert config.peers == (Address("127.0.0.1", 1), Address("127.0.0.1", 2)) and config.peers_all is None
+    assert load(None, {"ROUTER_CONFIG": str(path)}) == config
+
+
+@pytest.mark.parametrize(
+    ("changes", "word"),
+    [
+        ({"listen": None}, "listen"),
+        ({"listen": "nowhere"}, "nowhere"),
+        ({"listen": "127.0.0.1:99999"}, "99999"),
+        ({"seed": "xyz"}, "xyz"),
+        ({"settings": None}, "settings"),
+        ({"settings": {"me": 0}}, "fleet_size"),
+        ({"known": {"seq": 1}}, "list"),
+        ({"peers": "127.0.0.1:1"}, "peers"),
+    ],
+)
+def test_a_configuration_that_cannot_be_used_says_why(
+    tmp_path: Path, changes: dict[str, object], word: str, capsys: pytest.CaptureFixture[str]
+) -> None:
+    path = configured(tmp_path, **changes)
+    with pytest.raises(ConfigError, match=word):
+        load(str(path), {})
+    assert program.main(["check", str(path)]) == 2
+    assert word in capsys.readouterr().err
+
+
+def test_no_configuration_and_no_json(tmp_path: Path) -> None:
+    (tmp_path / "x").write_text("{")
+    for path, env in ((None, {}), (str(tmp_path / "none"), {}), (str(tmp_path / "x"), {})):
+        with pytest.raises(ConfigError):
+            load(path, env)
+
+
+def test_the_command_line(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    assert program.main(["version"]) == 0 and capsys.readouterr().out.startswith("pewterring ")
+    assert program.main(["check", str(configured(tmp_path))]) == 0
+    assert "n3" in capsys.readouterr().out
+    with pytest.raises(SystemExit):
+        program.main([])
+
+
+def test_addresses() -> None:
+    assert read_address("10.0.0.4:9000") == ("10.0.0.4", 9000)
+    assert str(read_address("[::1]:80")) == "[::1]:80"
+    for bad in ("", "x", ":1", "a:", "a:b", "a:-1", "a:70000"):
+        with pytest.raises(ValueError):
+            read_address(bad)
+
+
+def test_the_log_is_one_line_an_event_and_bounded() -> None:
+    out, now = io.BytesIO(), [5.25]
+    log = Log(out, lambda: now[0], per_s=3)
+    for n in range(10):
+        log("seen", n=n, odd=Address("a", 1))
+    now[0] = 6.0
+    log("later")
+    lines = [orjson.loads(line) for line in out.getvalue().splitlines()]
+    assert [line["event"] for line in lines] == ["seen"] * 3 + ["lines_skipped", "later"]
+    assert lines[0] == {"time": 5.25, "event": "seen", "n": 0, "odd": "a:1"} and lines[3]["count"] == 7
+
+
+def test_a_log_that_nobody_reads_harms_nothing() -> None:
+    class Closed(io.BytesIO):
+        def write(self, data: object) -> int:
+            raise BrokenPipeError
+
+    Log(Closed())("seen")
+
+
+def udp() -> socket.socket:
+    one = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    one.bind(("127.0.0.1", 0))
+    one.setblocking(False)
+    return one
+
+
+def test_datagrams_come_from_peers_only_and_go_out_short() -> None:
+    async def test() -> None:
+        loop = asyncio.get_running_loop()
+        with udp() as one, udp() as two, udp() as stranger:
+            heard: list[tuple[int, bytes]] = []
+            addresses = [Address(*s.getsockname()) for s in (one, two)]
+            own = udp()
+            mine = Address(*own.getsockname())
+            own.close()
+            peers = Peers(
+                1, [addresses[0], mine, addresses[1]], None, lambda n, data: heard.append((n, data))
+            )
+            await peers.open(loop, mine)
+            stranger.sendto(b"lies", mine)
+            one.sendto(b"x" * 257, mine)
+            two.sendto(b"news", mine)
+            one.sendto(b"", mine)
+            await until(lambda: len(heard) == 2)
+            assert sorted(heard) == [(0, b""), (2, b"news")]
+            peers.tell(0, b"x" * 257)
+            peers.tell(1, b"to myself")
+            peers.tell(9, b"to nobody")
+            peers.tell(0, b"x" * 256)
+            assert await loop.sock_recv(one, 999) == b"x" * 256
+            peers.tell(None, b"all")
+            assert [await loop.sock_recv(s, 999) for s in (one, two)] == [b"all", b"all"]
+            peers.error_received(ConnectionRefusedError())
+            peers.close()
+            peers.tell(0, b"after the end")
+
+    run(test)
+
+
+def test_all_are_told_at_the_address_for_all() -> None:
+    async def test() -> None:
+        with udp() as everyone, udp() as one:
+            peers = Peers(
+                0, [Address("127.0.0.1", 1)], Address(*everyone.getsockname()), lambda n, data: None
+            )
+            await peers.open(asyncio.get_running_loop(), Address("127.0.0.1", 0))
+            peers.tell(None, b"all")
+            assert await asyncio.get_running_loop().sock_recv(everyone, 999) == b"all"
+            with contextlib.suppress(BlockingIOError):
+                assert not one.recv(9)
+            peers.close()
+
+    run(test)
+
+
+def test_near_the_limit_idle_connections_go_first_and_the_rest_waits_its_turn() -> None:
+    async def test() -> None:
+        async with Rig(Script(), Address("127.0.0.1", 9)) as rig:
+            rig.listener.most = 2
+            idle = [await rig.caller() for _ in range(2)]
+            for caller in idle:
+                assert (await caller.ask(HEALTH)).status == 200
+            third = await rig.caller()
+            assert (await third.ask(HEALTH)).status == 200
+            assert await idle[0].ended()  # it had idled longest
+            assert (await idle[1].ask(HEALTH)).status == 200
+            for caller in (idle[1], third):
+                caller.write(asking())  # held by a module that says nothing
+            await until(lambda: len(rig.gateway.by_client) == 2)
+            waiting = await rig.caller()
+            waiting.write(HEALTH)
+            await until(lambda: not rig.listener.accepting)
+            assert len(rig.listener.clients) == 2
+            third.close()  # its place comes free
+            assert (await waiting.answer()).status == 200
+
+    run(test)
+
+
+def test_no_descriptor_on_accept_neither_spins_nor_crashes(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def test() -> None:
+        async with Rig(Script(), Address("127.0.0.1", 9)) as rig:
+            real, tries = rig.listener.socket, []
+
+            class Short:
+                """A listening socket for which there is no descriptor the first times."""
+
+                def accept(self) -> tuple[socket.socket, Any]:
+                    tries.append(1)
+                    if len(tries) < 4:
+                        raise OSError(24, "too many open files")
+                    assert real is not None
+                    return real.accept()
+
+                def fileno(self) -> int:
+                    assert real is not None
+                    return real.fileno()
+
+                def close(self) -> None:
+                    assert real is not None
+                    real.close()
+
+            rig.listener.socket = Short()  # type: ignore[assignment]
+            assert (await rig.ask(HEALTH)).status == 200
+            assert len(tries) == 4
+            await until(lambda: rig.service.descriptors.used == 0)
+
+    run(test)
+
+
+def held(talk: Talk, request: Request) -> None:
+    """Answers when the test says so."""
+
+
+def test_at_a_stop_all_is_answered_and_new_connections_are_still_served(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(service_module, "AT_LEAST_S", 0.15)
+    monkeypatch.setattr(service_module, "QUIET_S", 0.1)
+
+    async def test() -> None:
+        async with StandIn(held) as worker, Rig(Script(send_to(1)), worker.address) as rig:
+            idle, busy = await rig.caller(), await rig.caller()
+            assert (await idle.ask(HEALTH)).keep_alive
+            busy.write(asking())
+            await until(lambda: worker.requests)
+            end = asyncio.ensure_future(rig.service.end())
+            await until(lambda: rig.gateway.stopping)
+            late = await rig.caller()
+            late.write(asking())
+            idle.write(asking())
+            await until(lambda: len(worker.requests) == 3)
+            assert not end.done()
+            await until(lambda: rig.listener.socket is None)  # the door is closed, all is still held
+            with pytest.raises(ConnectionError):
+                await rig.caller()
+            for talk in worker.talks:
+                talk.write(OK)
+            for caller in (busy, late, idle):
+                response = await caller.answer()
+                assert (response.status, response.keep_alive) == (200, False)
+                assert await caller.ended()
+            await end
+            assert rig.log.lines[-1]["event"] == "stopped" and rig.log.lines[-1]["served"] == 3
+
+    run(test)
+
+
+def test_sigterm_ends_the_program_in_good_order(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with StandIn() as worker:
+            known = json.loads(as_json(1, True, entry("s", worker.address)))
+            path = configured(tmp_path, known=known)
+            env = {**os.environ, "ROUTER_CONFIG": str(path)}
+            process = await asyncio.create_subprocess_exec(
+                sys.executable, "-m", "pewterring", "serve", cwd=ROOT, env=env, stderr=subprocess.PIPE
+            )
+            assert process.stderr is not None
+            started = orjson.loads(await process.stderr.readline())
+            assert started["event"] == "started" and started["ready"]
+            caller = await Caller.to(read_address(started["listen"]))
+            response = await caller.ask(asking())
+            assert (response.status, response.body) == (200, b"served") and response.keep_alive
+            process.send_signal(signal.SIGTERM)
+            assert orjson.loads(await process.stderr.readline())["event"] == "stopping"
+            assert not (await caller.ask(asking())).keep_alive
+            rest = [orjson.loads(line) for line in (await process.stderr.read()).splitlines()]
+            assert await process.wait() == 0
+            assert [(line["event"], line["served"]) for line in rest] == [("stopped", 2)]
+
+    run(test)
+
+
+def test_an_address_that_is_taken_is_said(tmp_path: Path) -> None:
+    with socket.socket() as taken:
+        taken.bind(("127.0.0.1", 0))
+        taken.listen()
+        path = configured(tmp_path, listen=f"127.0.0.1:{taken.getsockname()[1]}")
+        command = [sys.executable, "-m", "pewterring", "serve", str(path)]
+        done = subprocess.run(command, cwd=ROOT, capture_output=True, timeout=60, check=False)
+    assert done.returncode == 1 and orjson.loads(done.stderr)["event"] == "cannot_serve"
