--- a/pewterring/__main__.py
+++ b/pewterring/__main__.py
@@ -3,12 +3,13 @@
 import argparse
 import asyncio
 import sys
-from importlib import metadata
 
 from pewterring.config import CONFIG, ConfigError, load
 
 
 def version() -> str:
+    from importlib import metadata  # slow to import, and serving starts faster without
+
     try:
         return metadata.version("pewterring")
     except metadata.PackageNotFoundError:  # run from a checkout
--- a/pewterring/gateway/service.py
+++ b/pewterring/gateway/service.py
@@ -51,7 +51,6 @@
             )
             self.discovery.start(config.known.version if config.known else None)
         self.sweep()
-        gc.collect()
         gc.freeze()  # what was built at the start stays: collections need not look through it
         self.log("started", name=config.name, listen=str(self.listener.address), ready=gateway.ready)
 
--- a/pewterring/http/reader.py
+++ b/pewterring/http/reader.py
@@ -17,7 +17,8 @@
 TARGET = re.compile(rb"[\x21-\x7e]+")
 VERSION = re.compile(rb"HTTP/1\.[0-9]")
 STATUS = re.compile(rb"(HTTP/1\.[0-9]) ([1-5][0-9][0-9])(?: ([\t\x20-\x7e\x80-\xff]*))?")
-VALUE = re.compile(rb"[\t\x20-\x7e\x80-\xff]*")
+# All headers of a head at once. A folded line begins with white space, which no name holds.
+HEADERS = re.compile(rb"(?:[!#$%&'*+.^_`|~0-9A-Za-z-]+:[\t\x20-\x7e\x80-\xff]*(?:\r\n|\Z))*")
 DIGITS = re.compile(rb"[0-9]{1,15}")
 HEX = re.compile(rb"[0-9A-Fa-f]{1,8}")
 
@@ -101,7 +102,7 @@
                     self.left += len(line)  # trailers are read and dropped, within the bound of a head
                     if self.left > MAX_HEAD:
                         raise Malformed("the trailers are too long", 431)
-                    read_header(line)
+                    read_headers(line)
                 case Part.UNTIL_CLOSE:
                     self.bound(len(self.data))
                     return None
@@ -189,14 +190,14 @@
         return not self.data and not self.body
 
     def read_head(self, head: bytes) -> Request:
-        first, *lines = head.split(b"\r\n")
+        first, _, rest = head.partition(b"\r\n")
         parts = first.split(b" ")
         if len(parts) != 3 or not METHOD.fullmatch(parts[0]) or not TARGET.fullmatch(parts[1]):
             raise Malformed("the request line cannot be read")
         if not VERSION.fullmatch(parts[2]):
             raise Malformed("not HTTP/1", 505 if parts[2].startswith(b"HTTP/") else 400)
         self.continued = False
-        headers = [read_header(line) for line in lines]
+        headers = read_headers(rest)
         return Request(parts[0], parts[1], headers, keep_alive=stays(parts[2], headers))
 
     def framing(self, message: Request) -> Part:
@@ -211,11 +212,11 @@
         self.bodiless = bodiless
 
     def read_head(self, head: bytes) -> Response | None:
-        first, *lines = head.split(b"\r\n")
+        first, _, rest = head.partition(b"\r\n")
         line = STATUS.fullmatch(first)
         if line is None:
             raise Malformed("the status line cannot be read")
-        status, headers = int(line[2]), [read_header(header) for header in lines]
+        status, headers = int(line[2]), read_headers(rest)
         if status == 101:
             raise Malformed("an upgrade nobody asked for")
         if status < 200:
@@ -240,13 +241,11 @@
         return self.whole(self.cut(len(self.data)))
 
 
-def read_header(line: bytes) -> tuple[bytes, bytes]:
-    name, colon, value = line.partition(b":")
-    value = value.strip(b" \t")
-    # A folded line begins with white space, which no name holds.
-    if not colon or not METHOD.fullmatch(name) or not VALUE.fullmatch(value):
+def read_headers(lines: bytes) -> Headers:
+    if not HEADERS.fullmatch(lines):
         raise Malformed("a header cannot be read")
-    return name.lower(), value
+    parts = (line.partition(b":") for line in lines.split(b"\r\n") if line)
+    return [(name.lower(), value.strip(b" \t")) for name, _, value in parts]
 
 
 def stays(version: bytes, headers: Headers) -> bool:
