Endings counted, unknown plans refused as unreadable, connections older than a restart dropped

Each turn's actions are carried out under guard, so that nonsense from the module costs no other request its answer. A stop closes the door after 1.5 s at the latest. The protocol's headers are read in one pass.

--- a/pewterring/gateway/directory.py
+++ b/pewterring/gateway/directory.py
@@ -17,6 +17,7 @@
         self.addresses: dict[int, Address] = {}
         self.serving: set[int] = set()
         self.born: dict[int, tuple[float, float]] = {}  # born_ms, and the clock's time for it
+        self.restarted: dict[Address, float] = {}  # addresses whose worker has a new start, and when
         self.last = 0
 
     def take(self, listing: Listing, form: i.ListForm) -> i.ServerList:
@@ -48,6 +49,7 @@
         known = self.born.get(id)
         if known is None or known[0] != born_ms:
             known = self.born[id] = (born_ms, self.clock() - (self.unix() - born_ms / 1000))
+            self.restarted[self.addresses[id]] = known[1]
         return known[1]
 
     def remove(self, host: str) -> None:
--- a/pewterring/gateway/gateway.py
+++ b/pewterring/gateway/gateway.py
@@ -91,6 +91,10 @@
         form = i.ListForm.WHOLE if listing.whole else i.ListForm.CHANGES
         self.gather(self.directory.take(listing, form))
         self.pool.retain(self.directory.wanted())
+        # A machine that vanished and came back says nothing on its old connections until they are used.
+        for address, started in self.directory.restarted.items():
+            self.pool.drop_idle(address, made_before=started)
+        self.directory.restarted.clear()
 
     def remembered(self, listing: Listing) -> None:
         """The list as it was last known, possibly old: the first thing the module hears."""
@@ -120,7 +124,10 @@
             if event is not None:
                 actions += self.decide(now, event)
         for action in actions:
-            self.carry_out(now, action)
+            try:
+                self.carry_out(now, action)
+            except Exception as error:  # the other requests of this turn must not go without theirs
+                self.fault(repr(error), traceback.format_exc(limit=-4))
         over, self.over = self.over, []
         for call in over:
             self.forget(call)
--- a/pewterring/gateway/intake.py
+++ b/pewterring/gateway/intake.py
@@ -3,7 +3,7 @@
 import re
 
 from pewterring import interface as i
-from pewterring.http.messages import Malformed, Request, end_to_end, only
+from pewterring.http.messages import Malformed, Request, end_to_end
 from pewterring.http.writer import write_request
 
 CUSTOMER = re.compile(rb"[0-9a-fA-F]{16}")
@@ -11,36 +11,47 @@
 NUMBER = re.compile(rb"[0-9]{1,9}")
 UNITS = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?")
 DEADLINE = b"x-deadline-ms"
+PROTOCOL = frozenset(
+    {b"x-request-id", b"x-class", b"plan", DEADLINE, b"idempotency-key", b"quota-info", b"x-retry"}
+)
 REWRITTEN = frozenset({DEADLINE})  # what is written anew for the worker
 
 
 def read_request(request: Request, settings: i.Settings, now: float, id: int) -> i.Request:
     """Raises Malformed for what the protocol does not know: it must reach no worker."""
-    headers = request.headers
-    if not only(headers, b"x-request-id"):
+    said: dict[bytes, bytes] = {}
+    for name, value in request.headers:
+        if name in PROTOCOL:
+            if name in said:  # which one did the sender mean?
+                raise Malformed(f"{name.decode()} comes twice")
+            said[name] = value
+    if not said.get(b"x-request-id"):
         raise Malformed("no X-Request-Id")
-    deadline = only(headers, DEADLINE) or b""
+    deadline = said.get(DEADLINE, b"")
     if not NUMBER.fullmatch(deadline):
         raise Malformed("X-Deadline-Ms is no number")
     customer = request.target.partition(b"?")[0].rpartition(b"/")[2]
     if not CUSTOMER.fullmatch(customer) or int(customer, 16) >= MOST_CUSTOMER:
         raise Malformed("the path names no customer")
-    cls = text(only(headers, b"x-class"), "X-Class")
+    cls = text(said.get(b"x-class"), "X-Class")
     known = settings.classes.get(cls)
-    if known and known.effect is i.Effect.TOKEN and not only(headers, b"idempotency-key"):
+    if known and known.effect is i.Effect.TOKEN and not said.get(b"idempotency-key"):
         # Without its key the workers could not tell a repeat from a new request.
         raise Malformed("no Idempotency-Key")
-    quota = read_quota(only(headers, b"quota-info") or b"")
+    plan = text(said.get(b"plan"), "Plan")
+    if settings.plans and plan not in settings.plans:
+        raise Malformed("an unknown Plan")  # no quota would bind it
+    quota = read_quota(said.get(b"quota-info", b""))
     return i.Request(
         id=id,
         cls=cls,
-        plan=text(only(headers, b"plan"), "Plan"),
+        plan=plan,
         customer=int(customer, 16),
         not_after=now + int(deadline) / 1000,
         units=quota.get(b"units", 1.0),
         set_size=max(1, int(quota.get(b"spread", 1.0))),
         set_from=int(quota.get(b"first", 0.0)),
-        is_retry=only(headers, b"x-retry") == b"1",
+        is_retry=said.get(b"x-retry") == b"1",
     )
 
 
--- a/pewterring/gateway/service.py
+++ b/pewterring/gateway/service.py
@@ -3,6 +3,7 @@
 import asyncio
 import gc
 import signal
+from typing import Any
 
 from pewterring.choice import Gatekeeper
 from pewterring.config import Config
@@ -16,8 +17,9 @@
 
 SWEEP_S = 0.5
 # At SIGTERM new connections keep coming for a while: none must have come for QUIET_S, and AT_LEAST_S must
-# have passed, before the door is closed.
-AT_LEAST_S, QUIET_S, POLL_S = 0.6, 0.3, 0.02
+# have passed, before the door is closed. After AT_MOST_S it is closed all the same: what comes later would
+# not be answered before the kill.
+AT_LEAST_S, QUIET_S, AT_MOST_S, POLL_S = 0.6, 0.3, 1.5, 0.02
 
 
 class Service:
@@ -54,6 +56,10 @@
         gc.freeze()  # what was built at the start stays: collections need not look through it
         self.log("started", name=config.name, listen=str(self.listener.address), ready=gateway.ready)
 
+    def unexpected(self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
+        """What no code here caught: the loop goes on, and the log says it in the form of all else."""
+        self.log("unexpected", what=context.get("message"), error=repr(context.get("exception")))
+
     def sweep(self) -> None:
         self.pool.sweep()
         if self.listener:
@@ -61,6 +67,7 @@
         self.sweeping = self.loop.call_later(SWEEP_S, self.sweep)
 
     async def run(self) -> None:
+        self.loop.set_exception_handler(self.unexpected)
         for sign in (signal.SIGTERM, signal.SIGINT):
             self.loop.add_signal_handler(sign, self.stop.set)
         await self.start()
@@ -93,6 +100,7 @@
             faults=gateway.faults,
             opened=self.pool.opened,
             reused=self.pool.reused,
+            endings={ending.name.lower(): n for ending, n in self.pool.endings.items()},
         )
 
     def close(self) -> None:
@@ -109,4 +117,5 @@
     def quiet(self, began: float) -> bool:
         now = self.loop.time()
         accepted = self.listener.accepted_at if self.listener else 0.0
-        return now - began >= AT_LEAST_S and now - accepted >= QUIET_S
+        past = now - began
+        return past >= AT_MOST_S or (past >= AT_LEAST_S and now - accepted >= QUIET_S)
--- a/pewterring/http/messages.py
+++ b/pewterring/http/messages.py
@@ -75,14 +75,6 @@
     return None
 
 
-def only(headers: Headers, name: bytes) -> bytes | None:
-    """The value under a name that may come once; a second, different one is a contradiction."""
-    found = [value for key, value in headers if key == name]
-    if len(found) > 1:
-        raise Malformed(f"{name.decode('latin-1')} comes {len(found)} times")
-    return found[0] if found else None
-
-
 def end_to_end(headers: Headers, but: frozenset[bytes] = frozenset()) -> Headers:
     """The headers that may be passed on: not those of one hop, nor those that Connection names."""
     named = {
--- a/pewterring/net/workers.py
+++ b/pewterring/net/workers.py
@@ -1,6 +1,8 @@
 """Connections to workers: one request at a time on each, idle ones kept and used again, newest first."""
 
 import asyncio
+import math
+from collections import Counter
 from collections.abc import Callable
 
 from pewterring.http.messages import Malformed, Response
@@ -28,7 +30,7 @@
             return
         self.ending = ending
         if ending in SUSPECT:
-            self.pool.suspect(self.address)
+            self.pool.drop_idle(self.address)
         self.done(ending, response)
 
     def give_up(self, ending: Ending) -> None:
@@ -40,7 +42,7 @@
             if ending is Ending.TIMED_OUT and connection.unsent:
                 ending = Ending.BROKEN_EARLY  # the worker can't get the rest any more
             connection.exchange = None
-            connection.drop()
+            connection.drop(ending)
         elif self.task:
             self.task.cancel()
             if ending is Ending.TIMED_OUT:
@@ -54,7 +56,12 @@
         self.pool, self.address = pool, address
         self.exchange: Exchange | None = None
         self.reader = ResponseReader()
-        self.idle_since = 0.0
+        self.idle_since = self.made_at = 0.0
+        self.ending: Ending | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        super().connection_made(transport)
+        self.made_at = self.pool.loop.time()
 
     def send(self, exchange: Exchange) -> bool:
         """Writes the request in one piece. False where no byte could be written: the connection was dead."""
@@ -71,8 +78,8 @@
     def received(self, data: memoryview) -> None:
         exchange = self.exchange
         if exchange is None:  # nobody asked: what it means by this would be taken for the next answer
-            self.leave()
-            return self.drop()
+            self.pool.forget(self)
+            return self.drop(Ending.SPOKE)
         self.reader.feed(data)
         try:
             response = self.reader.next()
@@ -89,11 +96,11 @@
         if reusable and self.up and not self.transport.is_closing():
             self.pool.keep(self)
         else:
-            self.drop()
+            self.drop(ending)
         exchange.end(ending, response)
 
     def eof_received(self) -> bool:
-        self.leave()
+        self.pool.forget(self)
         if exchange := self.exchange:
             try:
                 response = self.reader.close()
@@ -106,9 +113,10 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         super().connection_lost(exc)
-        self.leave()
+        self.pool.forget(self)
         if exchange := self.exchange:
             self.finish(exchange, self.broken())
+        self.note(Ending.RESET if exc else Ending.CLOSED)
         self.pool.descriptors.give_back()
 
     def broken(self) -> Ending:
@@ -116,13 +124,16 @@
             return Ending.BROKEN_EARLY
         return Ending.CUT if self.reader.started else Ending.RESET
 
-    def leave(self) -> None:
-        self.pool.forget(self)
-
-    def drop(self) -> None:
+    def drop(self, ending: Ending) -> None:
+        self.note(ending)
         if self.up:
             self.transport.abort()
 
+    def note(self, ending: Ending) -> None:
+        if self.ending is None:
+            self.ending = ending
+            self.pool.endings[ending] += 1
+
 
 class Pool:
     def __init__(
@@ -145,6 +156,7 @@
         self.idle: dict[Address, list[WorkerConnection]] = {}
         self.opening: set[asyncio.Task[None]] = set()
         self.opened = self.reused = 0
+        self.endings: Counter[Ending] = Counter()  # of connections
         descriptors.shedders.append(self.shed)
 
     def start(
@@ -159,7 +171,7 @@
             if connection.idle_since >= since and connection.send(exchange):
                 self.reused += 1
                 return exchange
-            connection.drop()
+            connection.drop(Ending.STALE)
         if self.descriptors.take(hard=True):
             connection = WorkerConnection(self, address)
             exchange.task = self.loop.create_task(self.open(exchange, connection))
@@ -182,7 +194,7 @@
             ending = Ending.REFUSED
         except OSError:  # a time-out is one
             ending = Ending.NEVER_UP
-        connection.drop()
+        connection.drop(ending)
         exchange.end(ending)
 
     def opened_or_not(self, task: asyncio.Task[None], connection: WorkerConnection) -> None:
@@ -199,14 +211,14 @@
         idle = self.idle.get(connection.address)
         if idle and connection in idle:
             idle.remove(connection)
+            if not idle:
+                del self.idle[connection.address]
 
-    def drop_idle(self, address: Address) -> None:
-        for connection in self.idle.pop(address, []):
-            connection.drop()
-
-    def suspect(self, address: Address) -> None:
-        """One connection to this worker failed: those that idle there may be as dead and can't say so."""
-        self.drop_idle(address)
+    def drop_idle(self, address: Address, made_before: float = math.inf) -> None:
+        """Lets go of idle connections that are no longer wanted, or that may be dead without a word."""
+        for connection in [c for c in self.idle.get(address, ()) if c.made_at < made_before]:
+            self.forget(connection)
+            connection.drop(Ending.LEFT)
 
     def retain(self, addresses: set[Address]) -> None:
         """Keeps idle connections to these only."""
@@ -219,7 +231,7 @@
         for address, idle in list(self.idle.items()):
             fresh = [c for c in idle if c.idle_since >= since]
             for connection in idle[: len(idle) - len(fresh)]:  # they lie in the order in which they were kept
-                connection.drop()
+                connection.drop(Ending.STALE)
             self.idle[address] = fresh
             if not fresh:
                 del self.idle[address]
@@ -229,7 +241,7 @@
         stacks = [idle for idle in self.idle.values() if idle]
         if not stacks:
             return False
-        min(stacks, key=lambda idle: idle[0].idle_since).pop(0).drop()
+        min(stacks, key=lambda idle: idle[0].idle_since).pop(0).drop(Ending.SHED)
         return True
 
     def close(self) -> None:
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -163,7 +163,8 @@
     def seen(born_ms: float) -> float:
         return directory.take(listing(entry("a", A, born_ms=born_ms)), i.ListForm.WHOLE).servers[0].came_up
 
-    assert seen(0) == 0.0 and seen(4_990_000) == 990.0
+    assert seen(0) == 0.0 and not directory.restarted
+    assert seen(4_990_000) == 990.0 and directory.restarted == {A: 990.0}
     clock[0], unix[0] = 1100.0, 5100.7
     assert seen(4_990_000) == 990.0
     assert seen(5_090_700) == pytest.approx(1090.0)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -57,6 +57,7 @@
         (asking(X_Class=None), 400, True),
         (asking(X_Class=b"\xff"), 400, True),
         (asking(Plan=None), 400, True),
+        (asking(Plan=b"nobody's"), 400, True),
         (asking(X_Deadline_Ms=None), 400, True),
         (asking(X_Deadline_Ms=b"soon"), 400, True),
         (asking(X_Deadline_Ms=b"-1"), 400, True),
@@ -385,6 +386,7 @@
 def test_nonsense_of_the_module_harms_nobody() -> None:
     async def test() -> None:
         odd: list[i.Action] = [
+            i.Tell(0, None),
             i.Send(99, 1),
             i.Cancel(99, 0),
             i.Refuse(99),
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -6,7 +6,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from pewterring.http.messages import Malformed, Request, Response, end_to_end, only
+from pewterring.http.messages import Malformed, Request, Response, end_to_end
 from pewterring.http.reader import MAX_BODY, MAX_HEAD, RequestReader, ResponseReader
 from pewterring.http.writer import write_request, write_response
 
@@ -235,12 +235,6 @@
     assert end_to_end(headers, frozenset({b"x-drop"})) == [(b"x-keep", b"2")]
 
 
-def test_a_header_that_may_come_once() -> None:
-    assert only([(b"a", b"1"), (b"b", b"2")], b"a") == b"1" and only([], b"a") is None
-    with pytest.raises(Malformed):
-        only([(b"a", b"1"), (b"a", b"2")], b"a")
-
-
 TOKEN = st.text("abcdefghijklmnopqrstuvwxyz-", min_size=1, max_size=10).map(str.encode)
 VALUE = st.binary(max_size=30).map(lambda b: bytes(c for c in b if 32 < c < 127 or c > 160))
 FRAMING = {b"content-length", b"transfer-encoding", b"connection", b"expect"}
--- a/tests/test_workers.py
+++ b/tests/test_workers.py
@@ -325,6 +325,26 @@
     run(test)
 
 
+def test_connections_older_than_their_worker_are_dropped_and_younger_ones_kept() -> None:
+    async def test() -> None:
+        ends = Ends()
+        async with StandIn(held) as worker:
+            ends.start(worker.address)
+            await until(lambda: worker.requests)
+            between = ends.loop.time()
+            ends.start(worker.address)
+            await until(lambda: len(worker.requests) == 2)
+            for talk in worker.talks:
+                talk.write(OK)
+            await until(lambda: len(ends.found) == 2)
+            ends.pool.drop_idle(worker.address, made_before=between)
+            await until(lambda: worker.talks[0].ended)
+            assert len(ends.pool.idle[worker.address]) == 1 and not worker.talks[1].ended
+            assert ends.pool.endings == {Ending.LEFT: 1}
+
+    run(test)
+
+
 def test_connections_to_workers_no_longer_wanted_are_dropped() -> None:
     async def test() -> None:
         ends = Ends()
