--- a/pewterring/gateway/gateway.py
+++ b/pewterring/gateway/gateway.py
@@ -75,7 +75,7 @@
         except Malformed as fault:
             return client.answer(fault.status, [], f"{fault}\n".encode())
         self.taken += 1
-        if len(self.calls) >= self.max_open:
+        if len(self.by_client) >= self.max_open:
             self.refused += 1
             return client.answer(REFUSED, [], b"")
         call = Call(asked, request, client)
--- a/pewterring/gateway/intake.py
+++ b/pewterring/gateway/intake.py
@@ -15,6 +15,7 @@
     {b"x-request-id", b"x-class", b"plan", DEADLINE, b"idempotency-key", b"quota-info", b"x-retry"}
 )
 REWRITTEN = frozenset({DEADLINE})  # what is written anew for the worker
+ALWAYS = frozenset({b"x-request-id", b"idempotency-key"})  # what passes whatever Connection says of it
 
 
 def read_request(request: Request, settings: i.Settings, now: float, id: int) -> i.Request:
@@ -41,13 +42,16 @@
     plan = text(said.get(b"plan"), "Plan")
     if settings.plans and plan not in settings.plans:
         raise Malformed("an unknown Plan")  # no quota would bind it
+    # No client waits for longer than its class says: a slip in the number must not hold a place for days.
+    longest = known.deadline if known else max((c.deadline for c in settings.classes.values()), default=0.0)
+    wait = int(deadline) / 1000
     quota = read_quota(said.get(b"quota-info", b""))
     return i.Request(
         id=id,
         cls=cls,
         plan=plan,
         customer=int(customer, 16),
-        not_after=now + int(deadline) / 1000,
+        not_after=now + (min(wait, longest) if longest > 0 else wait),
         units=quota.get(b"units", 1.0),
         set_size=max(1, int(quota.get(b"spread", 1.0))),
         set_from=int(quota.get(b"first", 0.0)),
@@ -76,6 +80,6 @@
 
 def for_worker(request: Request, left: float) -> bytes:
     """The request as a worker gets it: unchanged but for what belongs to one hop, and with the time left."""
-    headers = end_to_end(request.headers, REWRITTEN)
+    headers = end_to_end(request.headers, REWRITTEN, ALWAYS)
     headers.append((DEADLINE, b"%d" % max(1, round(left * 1000))))
     return write_request(request.method, request.target, headers, request.body)
--- a/pewterring/http/messages.py
+++ b/pewterring/http/messages.py
@@ -75,9 +75,13 @@
     return None
 
 
-def end_to_end(headers: Headers, but: frozenset[bytes] = frozenset()) -> Headers:
-    """The headers that may be passed on: not those of one hop, nor those that Connection names."""
-    named = {
-        token.strip().lower() for key, value in headers if key == b"connection" for token in value.split(b",")
-    }
-    return [h for h in headers if h[0] not in HOP_BY_HOP and h[0] not in but and h[0] not in named]
+def end_to_end(
+    headers: Headers, but: frozenset[bytes] = frozenset(), always: frozenset[bytes] = frozenset()
+) -> Headers:
+    """The headers that may be passed on: not those of one hop, nor those that Connection names, unless they
+    are among `always`; none of `but`."""
+    hop = HOP_BY_HOP | but
+    for name, value in headers:
+        if name == b"connection":
+            hop |= {token.strip().lower() for token in value.split(b",")} - always
+    return [header for header in headers if header[0] not in hop]
--- a/pewterring/net/clients.py
+++ b/pewterring/net/clients.py
@@ -101,6 +101,7 @@
         """Closes when what was written has gone out."""
         if self.ending is None:
             self.ending = ending
+            self.listener.idle.pop(self, None)
             self.transport.close()
 
     def drop(self) -> None:
@@ -119,8 +120,10 @@
     def leave(self) -> None:
         """The client has gone: said once, and only where an answer is still due."""
         self.listener.idle.pop(self, None)
+        if self.ending is None:  # what it sent ahead is nobody's any more
+            self.ending = Ending.CLIENT_GONE if self.busy else Ending.CLOSED
         if self.busy:
-            self.busy, self.ending = False, Ending.CLIENT_GONE
+            self.busy = False
             self.listener.sink.gone(self)
 
     def overdue(self, now: float, patience: float) -> bool:
@@ -212,7 +215,6 @@
         client = next(iter(self.idle), None)
         if client is None:
             return False
-        del self.idle[client]
         client.end(Ending.SHED)
         return True
 
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -12,9 +12,11 @@
 from pewterring.http.writer import write_response
 from pewterring.net.connection import Address
 from pewterring.settings import Transport
+from tests.helpers import DEADLINE
 from tests.stand_ins import (
     OK,
     PATH,
+    PATIENCE,
     Rig,
     Script,
     StandIn,
@@ -497,6 +499,46 @@
     run(test)
 
 
+def test_what_a_gone_client_sent_ahead_is_nobodys() -> None:
+    async def test() -> None:
+        async with StandIn(silent) as worker, Rig(None, worker.address) as rig:
+            caller = await rig.caller()
+            caller.write(asking() * 3)
+            await until(lambda: worker.requests)
+            caller.writer.transport.abort()
+            await until(lambda: not rig.listener.clients)
+            await asyncio.sleep(0)
+            assert rig.gateway.taken == 1 and len(worker.requests) == 1
+
+    run(test)
+
+
+def test_connection_cannot_take_the_id_or_the_key_away() -> None:
+    async def test() -> None:
+        async with StandIn() as worker, Rig(None, worker.address) as rig:
+            more = b"Connection: X-Request-Id, idempotency-key, X-Mine\r\nX-Mine: 1\r\n"
+            asked = asking(b"POST", X_Class=b"token-all", Idempotency_Key=b"k", more=more)
+            assert (await rig.ask(asked)).status == 200
+            (got,) = worker.requests
+            assert (got.get(b"x-request-id"), got.get(b"idempotency-key")) == (b"9b1f03aa5c7e2d41", b"k")
+            assert got.get(b"x-mine") is None
+
+    run(test)
+
+
+@pytest.mark.parametrize("cls", [b"pure", b"nobody-knows"])
+def test_no_request_is_held_for_longer_than_its_class_says(cls: bytes) -> None:
+    async def test() -> None:
+        module = Script(lambda e: [i.Refuse(e.id)] if isinstance(e, i.Request) else [])
+        async with Rig(module, Address("127.0.0.1", 9)) as rig:
+            before = rig.gateway.loop.time()
+            assert (await rig.ask(asking(X_Class=cls, X_Deadline_Ms=b"999999999"))).status == 429
+            (asked,) = module.of(i.Request)
+            assert asked.not_after <= before + DEADLINE + PATIENCE
+
+    run(test)
+
+
 def test_a_client_that_half_closes_or_resets_leaves_nothing_behind() -> None:
     async def test() -> None:
         async with StandIn(silent) as worker, Rig(None, worker.address) as rig:
