Few descriptors: accepting goes on to the last one, and no more requests are held than fit

Cause: accepting paused at half of the budget, but a request counts as taken once the system has accepted its connection; it waited in the system's queue. Fault line: Listener.accept.

--- a/pewterring/gateway/gateway.py
+++ b/pewterring/gateway/gateway.py
@@ -42,7 +42,8 @@
         log: Log,
     ) -> None:
         self.loop, self.settings, self.module, self.pool, self.log = loop, settings, module, pool, log
-        self.max_open, self.connect_timeout = transport.max_open, transport.connect_timeout
+        # As many as the settings allow, and as have a descriptor on both sides.
+        self.max_open = min(transport.max_open, pool.descriptors.calls)
         self.patience = max(
             (c.deadline for c in settings.classes.values()), default=transport.connect_timeout
         )
--- a/pewterring/net/clients.py
+++ b/pewterring/net/clients.py
@@ -1,6 +1,7 @@
 """Clients' connections: requests come in one at a time on each, and each gets one answer."""
 
 import asyncio
+import math
 import socket
 from typing import Protocol
 
@@ -148,9 +149,7 @@
         self.accepting = False
         self.accepted_at = loop.time()
         self.socket: socket.socket | None = listen(address)
-        # Half of the descriptors: each request held here needs one on the workers' side too.
-        self.most = max(1, descriptors.hard // 2)
-        descriptors.shedders.append(self.shed)
+        descriptors.shedders.append(self)
 
     @property
     def address(self) -> Address:
@@ -171,10 +170,7 @@
         """Takes one that waits. Where descriptors run out it pauses: the system's queue holds the rest."""
         if self.socket is None:
             return False
-        full = len(self.clients) + len(self.opening) >= self.most
-        if full:
-            self.shed()
-        if full or not self.descriptors.take(hard=False):
+        if not self.descriptors.take(accepting=True):
             self.pause()
             return False
         try:
@@ -185,7 +181,7 @@
         except OSError:  # no descriptor after all, or no memory
             self.descriptors.used -= 1
             self.pause()
-            any(shed() for shed in self.descriptors.shedders)
+            self.descriptors.shed()
             self.loop.call_later(ACCEPT_RETRY_S, self.start)
             return False
         self.accepted_at = self.loop.time()
@@ -210,13 +206,12 @@
         self.idle.pop(client, None)
         self.descriptors.give_back()
 
-    def shed(self) -> bool:
-        """Closes the connection that has idled longest, if any does."""
-        client = next(iter(self.idle), None)
-        if client is None:
-            return False
-        client.end(Ending.SHED)
-        return True
+    def oldest(self) -> float:
+        return next((client.since for client in self.idle), math.inf)
+
+    def shed(self) -> None:
+        if client := next(iter(self.idle), None):
+            client.end(Ending.SHED)
 
     def sweep(self, patience: float) -> None:
         now = self.loop.time()
@@ -227,8 +222,8 @@
                 client.drop()
 
     def close_idle(self) -> None:
-        while self.shed():
-            pass
+        while self.idle:
+            self.shed()
 
     def close(self) -> None:
         """No more connections. What waits to be accepted is accepted first."""
--- a/pewterring/net/workers.py
+++ b/pewterring/net/workers.py
@@ -157,7 +157,7 @@
         self.opening: set[asyncio.Task[None]] = set()
         self.opened = self.reused = 0
         self.endings: Counter[Ending] = Counter()  # of connections
-        descriptors.shedders.append(self.shed)
+        descriptors.shedders.append(self)
 
     def start(
         self, address: Address, data: bytes, done: Done, bodiless: bool = False, fresh: bool = False
@@ -172,7 +172,7 @@
                 self.reused += 1
                 return exchange
             connection.drop(Ending.STALE)
-        if self.descriptors.take(hard=True):
+        if self.descriptors.take():
             connection = WorkerConnection(self, address)
             exchange.task = self.loop.create_task(self.open(exchange, connection))
             self.opening.add(exchange.task)
@@ -236,13 +236,19 @@
             if not fresh:
                 del self.idle[address]
 
-    def shed(self) -> bool:
-        """Closes the connection that has idled longest, if any does."""
-        stacks = [idle for idle in self.idle.values() if idle]
-        if not stacks:
-            return False
-        min(stacks, key=lambda idle: idle[0].idle_since).pop(0).drop(Ending.SHED)
-        return True
+    def longest(self) -> WorkerConnection | None:
+        """The connection that has idled longest: each stack lies in the order in which they were kept."""
+        firsts = (idle[0] for idle in self.idle.values() if idle)
+        return min(firsts, key=lambda connection: connection.idle_since, default=None)
+
+    def oldest(self) -> float:
+        connection = self.longest()
+        return connection.idle_since if connection else math.inf
+
+    def shed(self) -> None:
+        if connection := self.longest():
+            self.forget(connection)
+            connection.drop(Ending.SHED)
 
     def close(self) -> None:
         for address in list(self.idle):
