Few descriptors: answers end their connections, clients' idle ones are closed last

Cause: an idle client's connection that is shed may cross its next request, which the client sends again only once; a fresh connection counted as idle too. Ruled out: the system's queue (first attempt at 2 ms). Fault lines: Descriptors.take, Listener.shed. Discovery has descriptors of its own, as it went without one.

--- a/pewterring/gateway/service.py
+++ b/pewterring/gateway/service.py
@@ -46,12 +46,11 @@
             await peers.open(self.loop, config.peer_listen)
             gateway.peers = peers
         self.listener = Listener(self.loop, config.listen, self.descriptors, gateway)
+        self.descriptors.shed_early, self.descriptors.shed_late = self.pool.shed, self.listener.shed
         self.descriptors.freed = self.listener.start
         self.listener.start()
         if config.discovery:
-            self.discovery = Discovery(
-                self.loop, config.discovery, self.descriptors, gateway.listed, gateway.discovery_failed
-            )
+            self.discovery = Discovery(self.loop, config.discovery, gateway.listed, gateway.discovery_failed)
             self.discovery.start(config.known.version if config.known else None)
         self.sweep()
         gc.freeze()  # what was built at the start stays: collections need not look through it
--- a/pewterring/net/clients.py
+++ b/pewterring/net/clients.py
@@ -1,7 +1,7 @@
 """Clients' connections: requests come in one at a time on each, and each gets one answer."""
 
 import asyncio
-import math
+import select
 import socket
 from typing import Protocol
 
@@ -79,7 +79,8 @@
         """The one answer to the request handed over."""
         if not self.busy or not self.up or self.ending is not None:
             return
-        stays = self.keep_alive and not self.listener.closing
+        # Where descriptors are few, a connection that ends with its answer crosses no further request.
+        stays = self.keep_alive and not self.listener.closing and not self.listener.descriptors.crowded
         self.busy, self.since = False, self.listener.loop.time()
         self.transport.write(write_response(status, headers, body, stays, head_only))
         if not stays:
@@ -98,6 +99,13 @@
         if not self.transport.is_closing():
             self.transport.write_eof()
 
+    def unread(self) -> bool:
+        """Whether something has come that was not read yet: closed on it, the client would have to send it
+        again, and it does so once only."""
+        poll = select.poll()
+        poll.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
+        return bool(poll.poll(0))
+
     def end(self, ending: Ending) -> None:
         """Closes when what was written has gone out."""
         if self.ending is None:
@@ -149,7 +157,6 @@
         self.accepting = False
         self.accepted_at = loop.time()
         self.socket: socket.socket | None = listen(address)
-        descriptors.shedders.append(self)
 
     @property
     def address(self) -> Address:
@@ -206,12 +213,12 @@
         self.idle.pop(client, None)
         self.descriptors.give_back()
 
-    def oldest(self) -> float:
-        return next((client.since for client in self.idle), math.inf)
-
-    def shed(self) -> None:
-        if client := next(iter(self.idle), None):
+    def shed(self) -> bool:
+        """Closes the connection that has idled longest, if any does."""
+        client = next((client for client in self.idle if not client.unread()), None)
+        if client:
             client.end(Ending.SHED)
+        return client is not None
 
     def sweep(self, patience: float) -> None:
         now = self.loop.time()
@@ -222,8 +229,8 @@
                 client.drop()
 
     def close_idle(self) -> None:
-        while self.idle:
-            self.shed()
+        while self.shed():
+            pass
 
     def close(self) -> None:
         """No more connections. What waits to be accepted is accepted first."""
--- a/pewterring/net/descriptors.py
+++ b/pewterring/net/descriptors.py
@@ -8,44 +8,43 @@
 import os
 import resource
 from collections.abc import Callable
-from typing import Protocol
 
-SPARE = 6  # for the listening socket, the peers' one, and what the library opens in passing
-
-
-class Shedder(Protocol):
-    """Who keeps idle connections."""
-
-    def oldest(self) -> float:
-        """Since when the one that has idled longest idles; infinity where none does."""
-
-    def shed(self) -> None:
-        """Closes that one."""
+SPARE = 10  # for the listening socket, the peers' one, discovery, and what the library opens in passing
 
 
 class Descriptors:
-    def __init__(self, limit: int) -> None:
-        self.all = max(6, min(limit, resource.getrlimit(resource.RLIMIT_NOFILE)[0]) - in_use() - SPARE)
+    def __init__(self, limit: int, taken: int | None = None) -> None:
+        """`taken`: what is open already; None: it is counted, and some are spared."""
+        if taken is None:
+            limit, taken = min(limit, resource.getrlimit(resource.RLIMIT_NOFILE)[0]), in_use() + SPARE
+        self.all = max(6, limit - taken)
         self.hard = self.all - max(2, self.all // 8)  # the rest is for accepting alone
         self.soft = self.hard - max(1, self.hard // 8)  # from here on each new connection costs an idle one
         self.calls = max(1, self.hard // 2)
         self.used = 0
-        self.shedders: list[Shedder] = []
+        # Each closes one idle connection, or says that it has none: workers' early, clients' late, since
+        # closing a client's may cross its next request, and it sends that again only once.
+        self.shed_early: Callable[[], bool] = lambda: False
+        self.shed_late: Callable[[], bool] = lambda: False
         self.freed: Callable[[], None] = lambda: None
 
     def take(self, accepting: bool = False) -> bool:
         """One more connection. A descriptor that is shed comes free a moment later, so it is shed early."""
-        if self.used >= self.soft:
+        if self.crowded:
             self.shed()
         if self.used >= (self.all if accepting else self.hard):
             return False
         self.used += 1
         return True
 
+    @property
+    def crowded(self) -> bool:
+        """Few are left: connections are kept no longer than they are needed."""
+        return self.used >= self.soft
+
     def shed(self) -> None:
-        oldest = min(self.shedders, key=lambda shedder: shedder.oldest(), default=None)
-        if oldest is not None and oldest.oldest() < float("inf"):
-            oldest.shed()
+        if not self.shed_early() and self.used >= self.hard:
+            self.shed_late()
 
     def give_back(self) -> None:
         self.used -= 1
--- a/pewterring/net/discovery.py
+++ b/pewterring/net/discovery.py
@@ -71,12 +71,12 @@
         self,
         loop: asyncio.AbstractEventLoop,
         address: Address,
-        descriptors: Descriptors,
         told: Callable[[Listing], None],
         failed: Callable[[str], None],
     ) -> None:
         self.loop, self.address, self.told, self.failed = loop, address, told, failed
-        self.pool = Pool(loop, descriptors, MARGIN_S, 2 * WAIT_MS / 1000, MAX_LIST)
+        # Its few descriptors are its own: without the list of workers nothing can be decided for long.
+        self.pool = Pool(loop, Descriptors(0, taken=0), MARGIN_S, 2 * WAIT_MS / 1000, MAX_LIST)
         self.version: int | None = None  # None: the whole list is due
         self.failures = 0
         self.exchange: Exchange | None = None
--- a/pewterring/net/workers.py
+++ b/pewterring/net/workers.py
@@ -157,7 +157,6 @@
         self.opening: set[asyncio.Task[None]] = set()
         self.opened = self.reused = 0
         self.endings: Counter[Ending] = Counter()  # of connections
-        descriptors.shedders.append(self)
 
     def start(
         self, address: Address, data: bytes, done: Done, bodiless: bool = False, fresh: bool = False
@@ -236,19 +235,15 @@
             if not fresh:
                 del self.idle[address]
 
-    def longest(self) -> WorkerConnection | None:
-        """The connection that has idled longest: each stack lies in the order in which they were kept."""
-        firsts = (idle[0] for idle in self.idle.values() if idle)
-        return min(firsts, key=lambda connection: connection.idle_since, default=None)
-
-    def oldest(self) -> float:
-        connection = self.longest()
-        return connection.idle_since if connection else math.inf
-
-    def shed(self) -> None:
-        if connection := self.longest():
-            self.forget(connection)
-            connection.drop(Ending.SHED)
+    def shed(self) -> bool:
+        """Closes the connection that has idled longest, if any does."""
+        firsts = (idle[0] for idle in self.idle.values() if idle)  # they lie in the order in which they came
+        connection = min(firsts, key=lambda connection: connection.idle_since, default=None)
+        if connection is None:
+            return False
+        self.forget(connection)
+        connection.drop(Ending.SHED)
+        return True
 
     def close(self) -> None:
         for address in list(self.idle):
