Attempts still connecting to a worker that drains are given up as never run

Read over, no bench: a connection that comes up late brought its request to a worker of which drain had been told meanwhile. Pool.retain gives up what has no connection yet; what is sent stays out.

--- a/pewterring/net/ending.py
+++ b/pewterring/net/ending.py
@@ -12,7 +12,7 @@
     TURNED_AWAY = "a 503 or 504 that says it has not run"
     ERROR = "any other whole answer"
     REFUSED = "the connection was refused"
-    NEVER_UP = "the connection did not come up in time"
+    NEVER_UP = "the connection did not come up in time, or its worker was to get nothing new by then"
     NO_DESCRIPTOR = "no descriptor was left for a connection"
     BROKEN_EARLY = "it broke before the last byte of the request was written"
     RESET = "it broke before an answer began"
--- a/pewterring/net/workers.py
+++ b/pewterring/net/workers.py
@@ -154,7 +154,7 @@
         # close may have run: half of that life leaves room for lateness on both sides.
         self.keep_s = conn_idle / 2
         self.idle: dict[Address, list[WorkerConnection]] = {}
-        self.opening: set[asyncio.Task[None]] = set()
+        self.opening: dict[asyncio.Task[None], Exchange] = {}
         self.opened = self.reused = 0
         self.endings: Counter[Ending] = Counter()  # of connections
 
@@ -174,7 +174,7 @@
         if self.descriptors.take():
             connection = WorkerConnection(self, address)
             exchange.task = self.loop.create_task(self.open(exchange, connection))
-            self.opening.add(exchange.task)
+            self.opening[exchange.task] = exchange
             exchange.task.add_done_callback(lambda task: self.opened_or_not(task, connection))
         else:
             exchange.end(Ending.NO_DESCRIPTOR)
@@ -198,7 +198,7 @@
 
     def opened_or_not(self, task: asyncio.Task[None], connection: WorkerConnection) -> None:
         # Not within the task: one that is cancelled before its first step runs none of its code.
-        self.opening.discard(task)
+        del self.opening[task]
         if not connection.made:  # else it gives its descriptor back when it is lost
             self.descriptors.give_back()
 
@@ -220,9 +220,14 @@
             connection.drop(Ending.LEFT)
 
     def retain(self, addresses: set[Address]) -> None:
-        """Keeps idle connections to these only."""
+        """Keeps idle connections to these only, and goes on connecting to these only: a connection that came
+        up late would bring its request to a worker that was to get nothing new."""
         for address in [a for a in self.idle if a not in addresses]:
             self.drop_idle(address)
+        for exchange in list(self.opening.values()):
+            # One that has a connection is sent already, though its task may not have ended yet.
+            if exchange.connection is None and exchange.address not in addresses:
+                exchange.give_up(Ending.NEVER_UP)
 
     def sweep(self) -> None:
         """Drops what has stood idle for too long."""
--- a/tests/test_workers.py
+++ b/tests/test_workers.py
@@ -325,6 +325,26 @@
     run(test)
 
 
+def test_what_is_still_connecting_to_a_worker_that_drains_never_reaches_it() -> None:
+    async def test() -> None:
+        ends = Ends()
+        async with StandIn(held) as drains, StandIn(held) as stays:
+            ends.start(drains.address)
+            ends.start(stays.address)
+            ends.pool.retain({stays.address})
+            assert ends.found == [Ending.NEVER_UP]
+            await until(lambda: stays.requests and not ends.pool.opening)
+            assert not drains.requests
+            sent = ends.start(stays.address)
+            await until(lambda: len(stays.requests) == 2)
+            assert sent.task is not None
+            ends.pool.opening[sent.task] = sent  # its task may end a moment after it was sent
+            ends.pool.retain(set())
+            assert sent.ending is None  # it may run
+
+    run(test)
+
+
 def test_connections_older_than_their_worker_are_dropped_and_younger_ones_kept() -> None:
     async def test() -> None:
         ends = Ends()
