--- a/pewterring/gateway/intake.py
+++ b/pewterring/gateway/intake.py
@@ -1,6 +1,7 @@
 """What a client asks, as the module's request, and what of it a worker gets."""
 
 import re
+from functools import lru_cache
 
 from pewterring import interface as i
 from pewterring.http.messages import Malformed, Request, end_to_end
@@ -45,20 +46,21 @@
     # No client waits for longer than its class says: a slip in the number must not hold a place for days.
     longest = known.deadline if known else max((c.deadline for c in settings.classes.values()), default=0.0)
     wait = int(deadline) / 1000
-    quota = read_quota(said.get(b"quota-info", b""))
+    units, spread, first = read_quota(said.get(b"quota-info", b""))
     return i.Request(
         id=id,
         cls=cls,
         plan=plan,
         customer=int(customer, 16),
         not_after=now + (min(wait, longest) if longest > 0 else wait),
-        units=quota.get(b"units", 1.0),
-        set_size=max(1, int(quota.get(b"spread", 1.0))),
-        set_from=int(quota.get(b"first", 0.0)),
+        units=units,
+        set_size=spread,
+        set_from=first,
         is_retry=said.get(b"x-retry") == b"1",
     )
 
 
+@lru_cache(4096)  # the same few names and quotas come again and again
 def text(value: bytes | None, name: str) -> str:
     if not value:
         raise Malformed(f"no {name}")
@@ -68,14 +70,16 @@
         raise Malformed(f"{name} cannot be read") from error
 
 
-def read_quota(value: bytes) -> dict[bytes, float]:
+@lru_cache(4096)
+def read_quota(value: bytes) -> tuple[float, int, int]:
+    """Units, spread and first."""
     parts = {}
     for part in value.split(b",") if value else ():
         name, equals, number = part.strip().partition(b"=")
         if not equals or not UNITS.fullmatch(number):
             raise Malformed("Quota-Info cannot be read")
         parts[name] = float(number)
-    return parts
+    return parts.get(b"units", 1.0), max(1, int(parts.get(b"spread", 1.0))), int(parts.get(b"first", 0.0))
 
 
 def for_worker(request: Request, left: float) -> bytes:
