--- a/pewterring/gateway/gateway.py
+++ b/pewterring/gateway/gateway.py
@@ -3,7 +3,8 @@
 import asyncio
 import itertools
 import traceback
-from typing import Protocol
+from collections.abc import Callable
+from typing import Protocol, TypeVar
 
 from pewterring import interface as i
 from pewterring.gateway.calls import Arrived, Attempt, Call, Ended, Gone, Item, Overdue, Unanswered
@@ -19,6 +20,8 @@
 from pewterring.net.workers import Pool
 from pewterring.settings import Transport
 
+T = TypeVar("T")
+R = TypeVar("R")
 HEALTH = b"/healthz"
 REFUSED, FAILED, OVERDUE = 429, 502, 504
 
@@ -121,18 +124,22 @@
         items, self.inbox, self.turning = self.inbox, [], False
         actions: list[i.Action] = []
         for item in items:
-            event = self.event(now, item)
-            if event is not None:
+            if (event := self.guarded(self.event, now, item)) is not None:
                 actions += self.decide(now, event)
         for action in actions:
-            try:
-                self.carry_out(now, action)
-            except Exception as error:  # the other requests of this turn must not go without theirs
-                self.fault(repr(error), traceback.format_exc(limit=-4))
+            self.guarded(self.carry_out, now, action)
         over, self.over = self.over, []
         for call in over:
             self.forget(call)
 
+    def guarded(self, step: Callable[[float, T], R], now: float, what: T) -> R | None:
+        """One step of a turn; should it fail, the other requests of the turn must not go without theirs."""
+        try:
+            return step(now, what)
+        except Exception as error:
+            self.fault(repr(error), traceback.format_exc(limit=-4))
+            return None
+
     def event(self, now: float, item: Item) -> i.Event | None:
         """What the module is told; None where it is nothing to it."""
         match item:
