A worker's close that the loop has not seen is noticed before its connection is used again

The test fails without the look. Names of classes and plans are bounded at 256 bytes, and classes that the settings don't name share one: the module keeps each that it sees.

--- a/pewterring/gateway/intake.py
+++ b/pewterring/gateway/intake.py
@@ -9,6 +9,7 @@
 
 CUSTOMER = re.compile(rb"[0-9a-fA-F]{16}")
 MOST_CUSTOMER = 2**33
+MAX_NAME = 256  # bytes of a class, a plan or a quota: what is remembered of them stays small
 NUMBER = re.compile(rb"[0-9]{1,9}")
 UNITS = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?")
 DEADLINE = b"x-deadline-ms"
@@ -49,7 +50,8 @@
     units, spread, first = read_quota(said.get(b"quota-info", b""))
     return i.Request(
         id=id,
-        cls=cls,
+        # Those that the settings don't name share one: the module remembers each class that it sees.
+        cls=cls if known else "",
         plan=plan,
         customer=int(customer, 16),
         not_after=now + (min(wait, longest) if longest > 0 else wait),
@@ -62,8 +64,8 @@
 
 @lru_cache(4096)  # the same few names and quotas come again and again
 def text(value: bytes | None, name: str) -> str:
-    if not value:
-        raise Malformed(f"no {name}")
+    if not value or len(value) > MAX_NAME:
+        raise Malformed(f"no {name}" if not value else f"{name} is too long")
     try:
         return value.decode("utf-8")
     except UnicodeDecodeError as error:
@@ -74,6 +76,8 @@
 def read_quota(value: bytes) -> tuple[float, int, int]:
     """Units, spread and first."""
     parts = {}
+    if len(value) > MAX_NAME:
+        raise Malformed("Quota-Info is too long")
     for part in value.split(b",") if value else ():
         name, equals, number = part.strip().partition(b"=")
         if not equals or not UNITS.fullmatch(number):
--- a/pewterring/net/clients.py
+++ b/pewterring/net/clients.py
@@ -1,7 +1,6 @@
 """Clients' connections: requests come in one at a time on each, and each gets one answer."""
 
 import asyncio
-import select
 import socket
 from typing import Protocol
 
@@ -99,13 +98,6 @@
         if not self.transport.is_closing():
             self.transport.write_eof()
 
-    def unread(self) -> bool:
-        """Whether something has come that was not read yet: closed on it, the client would have to send it
-        again, and it does so once only."""
-        poll = select.poll()
-        poll.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
-        return bool(poll.poll(0))
-
     def end(self, ending: Ending) -> None:
         """Closes when what was written has gone out."""
         if self.ending is None:
@@ -215,6 +207,7 @@
 
     def shed(self) -> bool:
         """Closes the connection that has idled longest, if any does."""
+        # Not one with a request unread: closed on it, the client would send it again, but only once.
         client = next((client for client in self.idle if not client.unread()), None)
         if client:
             client.end(Ending.SHED)
--- a/pewterring/net/connection.py
+++ b/pewterring/net/connection.py
@@ -1,6 +1,7 @@
 """What every TCP connection here is: a BufferedProtocol that receives into one buffer shared by all."""
 
 import asyncio
+import select
 from typing import NamedTuple, cast
 
 RECEIVED = bytearray(64 * 1024)  # one event loop: each read is taken out before the next one comes
@@ -39,6 +40,12 @@
     def connection_lost(self, exc: Exception | None) -> None:
         self.up = False
 
+    def unread(self) -> bool:
+        """Whether something has come, an end among it, that the loop has not read yet."""
+        poll = select.poll()
+        poll.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
+        return bool(poll.poll(0))
+
     def pause_writing(self) -> None:
         self.unsent = True
 
--- a/pewterring/net/workers.py
+++ b/pewterring/net/workers.py
@@ -167,7 +167,8 @@
         idle = self.idle.get(address, []) if not fresh else []
         while idle:
             connection = idle.pop()
-            if connection.idle_since >= since and connection.send(exchange):
+            # A close that the loop has not seen yet would make a reset of this request: it may have run.
+            if connection.idle_since >= since and not connection.unread() and connection.send(exchange):
                 self.reused += 1
                 return exchange
             connection.drop(Ending.STALE)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -59,6 +59,8 @@
         (asking(X_Request_Id=b""), 400, True),
         (asking(X_Class=None), 400, True),
         (asking(X_Class=b"\xff"), 400, True),
+        (asking(X_Class=b"x" * 300), 400, True),
+        (asking(Quota_Info=b"units=1," * 50 + b"units=1"), 400, True),
         (asking(Plan=None), 400, True),
         (asking(Plan=b"nobody's"), 400, True),
         (asking(X_Deadline_Ms=None), 400, True),
@@ -534,6 +536,7 @@
             before = rig.gateway.loop.time()
             assert (await rig.ask(asking(X_Class=cls, X_Deadline_Ms=b"999999999"))).status == 429
             (asked,) = module.of(i.Request)
+            assert asked.cls == ("pure" if cls == b"pure" else "")
             assert asked.not_after <= before + DEADLINE + PATIENCE
 
     run(test)
--- a/tests/test_workers.py
+++ b/tests/test_workers.py
@@ -148,6 +148,20 @@
     run(test)
 
 
+def test_a_close_that_the_loop_has_not_seen_yet_is_noticed_before_reuse() -> None:
+    async def test() -> None:
+        ends = Ends()
+        async with StandIn() as worker:
+            assert await ends.one(worker.address) is Ending.SERVED
+            far = worker.talks[0].writer.get_extra_info("socket")
+            with socket.socket(fileno=socket.dup(far.fileno())) as copy:
+                copy.shutdown(socket.SHUT_WR)
+            assert await ends.one(worker.address) is Ending.SERVED
+            assert [len(talk.requests) for talk in worker.talks] == [1, 1]
+
+    run(test)
+
+
 def test_an_idle_connection_that_dies_as_it_is_written_on_counts_as_dead_before() -> None:
     """Its first write fails, so the worker never saw a byte: the request goes out on the next connection."""
 
