--- a/pewterring/net/clients.py
+++ b/pewterring/net/clients.py
@@ -206,12 +206,18 @@
         self.descriptors.give_back()
 
     def shed(self) -> bool:
-        """Closes the connection that has idled longest, if any does."""
+        """Closes one connection on which no request is held: the one that has idled longest, or else the one
+        whose request has been coming in for longest, so that clients that never finish shut nobody out."""
         # Not one with a request unread: closed on it, the client would send it again, but only once.
         client = next((client for client in self.idle if not client.unread()), None)
         if client:
             client.end(Ending.SHED)
-        return client is not None
+            return True
+        slow = [c for c in self.clients if c.lingering or (c.reader.started and not c.busy)]
+        slow = [c for c in slow if c.up and not c.transport.is_closing() and not c.unread()]
+        if slow:
+            min(slow, key=lambda c: c.since).drop()
+        return bool(slow)
 
     def sweep(self, patience: float) -> None:
         now = self.loop.time()
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -285,6 +285,20 @@
     run(test)
 
 
+def test_clients_that_never_finish_their_requests_shut_nobody_out() -> None:
+    async def test() -> None:
+        async with StandIn() as worker, Rig(None, worker.address) as rig:
+            few(rig, 6, 4, 3)
+            slow = [await rig.caller() for _ in range(6)]
+            for caller in slow:
+                caller.write(asking()[:-3])
+            await until(lambda: sum(c.reader.started for c in rig.listener.clients) >= 4)
+            assert (await rig.ask(asking())).status == 200
+            assert await slow[0].ended()
+
+    run(test)
+
+
 def test_accepting_goes_on_when_a_descriptor_comes_free() -> None:
     async def test() -> None:
         async with Rig(Script(), Address("127.0.0.1", 9)) as rig:
