--- a/pewterring/net/descriptors.py
+++ b/pewterring/net/descriptors.py
@@ -9,7 +9,7 @@
 import resource
 from collections.abc import Callable
 
-SPARE = 10  # for the listening socket, the peers' one, discovery, and what the library opens in passing
+SPARE = 6  # for the listening socket, the peers' one, discovery (two at once), and two in passing
 
 
 class Descriptors:
