--- a/pewterring/__main__.py
+++ b/pewterring/__main__.py
@@ -4,18 +4,10 @@
 import asyncio
 import sys
 
+from pewterring import __version__
 from pewterring.config import CONFIG, ConfigError, load
 
 
-def version() -> str:
-    from importlib import metadata  # slow to import, and serving starts faster without
-
-    try:
-        return metadata.version("pewterring")
-    except metadata.PackageNotFoundError:  # run from a checkout
-        return "0.2.0"
-
-
 def serve(path: str | None) -> int:
     from pewterring.gateway.service import Service
     from pewterring.log import Log
@@ -65,7 +57,7 @@
     except ConfigError as error:
         print(f"pewterring: {error}", file=sys.stderr)
         return 2
-    print(f"pewterring {version()}")
+    print(f"pewterring {__version__}")
     return 0
 
 
--- a/pewterring/settings.py
+++ b/pewterring/settings.py
@@ -30,7 +30,6 @@
     connect_timeout: float = 1.0
     conn_idle: float = 15.0
     max_open: int = 20_000
-    answer_slack: float = 0.0
 
 
 class Fields:
@@ -161,7 +160,6 @@
         connect_timeout=f.seconds("policy_limits.connect_timeout", default.connect_timeout),
         conn_idle=f.seconds("policy_limits.conn_idle", default.conn_idle),
         max_open=f.whole("policy_limits.max_open", default.max_open),
-        answer_slack=f.seconds("guarantees.answer_slack", default.answer_slack),
     )
 
 
