--- a/pewterring/http/messages.py
+++ b/pewterring/http/messages.py
@@ -44,36 +44,33 @@
         self.status = status
 
 
+class Message:
+    """What requests and responses share."""
+
+    __slots__ = ()
+    headers: Headers
+
+    def get(self, name: bytes) -> bytes | None:
+        """The first value under a name given in lower case."""
+        return next((value for key, value in self.headers if key == name), None)
+
+
 @dataclass(slots=True)
-class Request:
+class Request(Message):
     method: bytes
     target: bytes
     headers: Headers = field(default_factory=list)
     body: bytes = b""
     keep_alive: bool = True
 
-    def get(self, name: bytes) -> bytes | None:
-        return lookup(self.headers, name)
-
 
 @dataclass(slots=True)
-class Response:
+class Response(Message):
     status: int
     headers: Headers = field(default_factory=list)
     body: bytes = b""
     keep_alive: bool = True
 
-    def get(self, name: bytes) -> bytes | None:
-        return lookup(self.headers, name)
-
-
-def lookup(headers: Headers, name: bytes) -> bytes | None:
-    """The first value under a name given in lower case."""
-    for key, value in headers:
-        if key == name:
-            return value
-    return None
-
 
 def end_to_end(
     headers: Headers, but: frozenset[bytes] = frozenset(), always: frozenset[bytes] = frozenset()
--- a/pewterring/http/reader.py
+++ b/pewterring/http/reader.py
@@ -8,17 +8,18 @@
 from enum import Enum
 from typing import Generic, TypeVar
 
-from pewterring.http.messages import Headers, Malformed, Request, Response, lookup
+from pewterring.http.messages import Headers, Malformed, Request, Response
 
 MAX_HEAD = 16 * 1024
 MAX_BODY = 64 * 1024  # the protocol's bound
 MAX_CHUNK_LINE = 256
-METHOD = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
+TOKEN, TEXT = rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+", rb"[\t\x20-\x7e\x80-\xff]*"
+METHOD = re.compile(TOKEN)
 TARGET = re.compile(rb"[\x21-\x7e]+")
 VERSION = re.compile(rb"HTTP/1\.[0-9]")
-STATUS = re.compile(rb"(HTTP/1\.[0-9]) ([1-5][0-9][0-9])(?: ([\t\x20-\x7e\x80-\xff]*))?")
+STATUS = re.compile(rb"(HTTP/1\.[0-9]) ([1-5][0-9][0-9])(?: %b)?" % TEXT)
 # All headers of a head at once. A folded line begins with white space, which no name holds.
-HEADERS = re.compile(rb"(?:[!#$%&'*+.^_`|~0-9A-Za-z-]+:[\t\x20-\x7e\x80-\xff]*(?:\r\n|\Z))*")
+HEADERS = re.compile(rb"(?:%b:%b(?:\r\n|\Z))*" % (TOKEN, TEXT))
 DIGITS = re.compile(rb"[0-9]{1,15}")
 HEX = re.compile(rb"[0-9A-Fa-f]{1,8}")
 
@@ -184,7 +185,7 @@
     def wants_continue(self) -> bool:
         """True once for a request whose client waits for 100 before it sends the body."""
         waits = self.message is not None and not self.continued
-        if not waits or self.message is None or lookup(self.message.headers, b"expect") is None:
+        if not waits or self.message is None or self.message.get(b"expect") is None:
             return False
         self.continued = True
         return not self.data and not self.body
--- a/pewterring/net/clients.py
+++ b/pewterring/net/clients.py
@@ -202,7 +202,6 @@
 
     def lost(self, client: Client) -> None:
         self.clients.discard(client)
-        self.idle.pop(client, None)
         self.descriptors.give_back()
 
     def shed(self) -> bool:
--- a/pewterring/net/discovery.py
+++ b/pewterring/net/discovery.py
@@ -95,7 +95,6 @@
         target = PATH + (b"?index=%d&wait=%d" % (self.version, wait) if self.version is not None else b"")
         request = write_request(b"GET", target, [(b"host", str(self.address).encode())])
         self.timer = self.loop.call_later(wait / 1000 + MARGIN_S, self.overdue)
-        self.exchange = None
         self.exchange = self.pool.start(self.address, request, self.ended)
 
     def overdue(self) -> None:
--- a/pewterring/net/workers.py
+++ b/pewterring/net/workers.py
@@ -144,12 +144,8 @@
         conn_idle: float,
         most: int = MAX_BODY,
     ) -> None:
-        self.loop, self.descriptors, self.connect_timeout, self.most = (
-            loop,
-            descriptors,
-            connect_timeout,
-            most,
-        )
+        self.loop, self.descriptors = loop, descriptors
+        self.connect_timeout, self.most = connect_timeout, most
         # The other side may close at any moment near the end of the idle life, and a request that crosses the
         # close may have run: half of that life leaves room for lateness on both sides.
         self.keep_s = conn_idle / 2
@@ -182,7 +178,6 @@
         return exchange
 
     async def open(self, exchange: Exchange, connection: WorkerConnection) -> None:
-        ending = Ending.NEVER_UP
         try:
             async with asyncio.timeout(self.connect_timeout):
                 await self.loop.create_connection(lambda: connection, *exchange.address)
--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -4,7 +4,6 @@
 import socket
 import struct
 from collections.abc import Awaitable, Callable
-from dataclasses import replace
 from types import TracebackType
 from typing import Any, Self
 
@@ -231,20 +230,15 @@
         discovery: Address | None = None,
         sockets: int = 1024,
         transport: Transport | None = None,
-        config: Config | None = None,
     ) -> None:
         known = listing(*(entry(f"s-{n}", address) for n, address in enumerate(workers, 1)))
-        self.config = config or Config(
+        self.config = Config(
             name="g", listen=Address("127.0.0.1", 0), discovery=discovery, seed=7, sockets=sockets,
             peer_listen=None, peers=(), peers_all=None, known=known if workers else None, settings=settings(),
             transport=transport or Transport(connect_timeout=1.0, conn_idle=60.0),
         )  # fmt: skip
         self.module, self.log = module, Quiet()
 
-    def changed(self, **changes: Any) -> Self:
-        self.config = replace(self.config, **changes)
-        return self
-
     async def __aenter__(self) -> Self:
         self.service = Service(self.config, self.log, self.module)
         self.gateway = self.service.gateway
