--- a/pewterring/__main__.py
+++ b/pewterring/__main__.py
@@ -2,6 +2,8 @@
 
 import argparse
 import asyncio
+import contextlib
+import signal
 import sys
 
 from pewterring import __version__
@@ -12,10 +14,26 @@
     from pewterring.gateway.service import Service
     from pewterring.log import Log
 
+    service: Service | None = None
+    hung_up = False
+
+    def on_hang_up(number: int, frame: object) -> None:
+        # Not the loop's own handler: that one goes with the loop, and one just before the end would kill.
+        nonlocal hung_up
+        hung_up = True
+        if service:
+            with contextlib.suppress(RuntimeError):  # the loop has ended
+                service.loop.call_soon_threadsafe(service.reload)
+
+    signal.signal(signal.SIGHUP, on_hang_up)
     config, log = load(path), Log()
 
     async def run() -> None:
-        await Service(config, log).run()
+        nonlocal service
+        service = Service(config, log, read_again=lambda: load(path))
+        if hung_up:  # after the file was read, perhaps
+            service.reload()
+        await service.run()
 
     try:
         asyncio.run(run())
--- a/pewterring/gateway/service.py
+++ b/pewterring/gateway/service.py
@@ -1,12 +1,14 @@
-"""One gatekeeper, put together: starts, serves, and ends in good order at SIGTERM."""
+"""One gatekeeper, put together: starts, serves, takes a new file at SIGHUP, ends in good order at SIGTERM."""
 
 import asyncio
 import gc
 import signal
+from collections.abc import Callable
+from dataclasses import fields, replace
 from typing import Any
 
 from pewterring.choice import Gatekeeper
-from pewterring.config import Config
+from pewterring.config import Config, ConfigError
 from pewterring.gateway.gateway import Gateway, Module
 from pewterring.log import Log
 from pewterring.net.clients import Listener
@@ -25,9 +27,20 @@
 CROSSING_S = 0.1
 
 
+# What a new file changes while the program runs; all else in it needs a restart. `known` and `seed` are for
+# starts only and change with each file.
+MOVABLE, FOR_STARTS = frozenset({"discovery"}), frozenset({"known", "seed"})
+
+
 class Service:
-    def __init__(self, config: Config, log: Log, module: Module | None = None) -> None:
-        self.config, self.log = config, log
+    def __init__(
+        self,
+        config: Config,
+        log: Log,
+        module: Module | None = None,
+        read_again: Callable[[], Config] | None = None,
+    ) -> None:
+        self.config, self.log, self.read_again = config, log, read_again
         self.loop = asyncio.get_running_loop()
         self.descriptors = Descriptors(config.sockets)
         transport = config.transport
@@ -38,6 +51,7 @@
         self.discovery: Discovery | None = None
         self.stop = asyncio.Event()
         self.sweeping: asyncio.TimerHandle | None = None
+        self.closed = False
 
     async def start(self) -> None:
         config, gateway = self.config, self.gateway
@@ -51,13 +65,37 @@
         self.descriptors.shed_early, self.descriptors.shed_late = self.pool.shed, self.listener.shed
         self.descriptors.freed = self.listener.start
         self.listener.start()
-        if config.discovery:
-            self.discovery = Discovery(self.loop, config.discovery, gateway.listed, gateway.discovery_failed)
-            self.discovery.start(config.known.version if config.known else None)
+        self.follow(config.known.version if config.known else None)
         self.sweep()
         gc.freeze()  # what was built at the start stays: collections need not look through it
         self.log("started", name=config.name, listen=str(self.listener.address), ready=gateway.ready)
 
+    def follow(self, version: int | None) -> None:
+        """Follows the list of workers where the configuration has it now, from that version on."""
+        address, gateway = self.config.discovery, self.gateway
+        self.discovery = address and Discovery(self.loop, address, gateway.listed, gateway.discovery_failed)
+        if self.discovery:
+            self.discovery.start(version)
+
+    def reload(self) -> None:
+        """Reads the file again (SIGHUP). Nothing that is held is dropped; a file that can't be read changes
+        nothing. The list at a new address is another's: its versions say nothing of the former's."""
+        if self.closed or not self.read_again:
+            return
+        try:
+            new = self.read_again()
+        except ConfigError as error:
+            return self.log("reload_failed", why=str(error))
+        changed = {f.name for f in fields(new) if getattr(new, f.name) != getattr(self.config, f.name)}
+        moved = changed & MOVABLE
+        self.config = replace(self.config, **{name: getattr(new, name) for name in moved})
+        if "discovery" in moved and self.listener:  # else the start, still on its way, follows the new one
+            if self.discovery:
+                self.discovery.close()
+            self.follow(None)
+        restart = sorted(changed - MOVABLE - FOR_STARTS)
+        self.log("reloaded", changed=sorted(moved), needs_restart=restart)
+
     def unexpected(self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
         """What no code here caught: the loop goes on, and the log says it in the form of all else."""
         self.log("unexpected", what=context.get("message"), error=repr(context.get("exception")))
@@ -108,6 +146,7 @@
         )
 
     def close(self) -> None:
+        self.closed = True
         if self.sweeping:
             self.sweeping.cancel()
         if self.listener:
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -20,6 +20,7 @@
 from pewterring.config import ConfigError, load
 from pewterring.gateway import service as service_module
 from pewterring.http.messages import Request
+from pewterring.http.writer import write_response
 from pewterring.log import Log
 from pewterring.net.connection import Address, read_address
 from pewterring.net.peers import Peers
@@ -27,6 +28,7 @@
 from tests.stand_ins import (
     OK,
     Caller,
+    Quiet,
     Rig,
     Script,
     StandIn,
@@ -467,3 +469,77 @@
         command = [sys.executable, "-m", "pewterring", "serve", str(path)]
         done = subprocess.run(command, cwd=ROOT, capture_output=True, timeout=60, check=False)
     assert done.returncode == 1 and orjson.loads(done.stderr)["event"] == "cannot_serve"
+
+
+class Lists(StandIn):
+    """Discovery at one address: the whole list at once, watches held until the test ends."""
+
+    def __init__(self, version: int, *hosts: tuple[str, Address]) -> None:
+        whole = write_response(200, [], as_json(version, True, *(entry(*host) for host in hosts)))
+        super().__init__(lambda talk, request: None if b"index" in request.target else whole)
+
+
+def test_sighup_moves_discovery_at_once_and_drops_nothing(tmp_path: Path) -> None:
+    """The program that knows no SIGHUP ends by it, with all that it holds."""
+
+    async def test() -> None:
+        async with (
+            StandIn(held) as old, StandIn() as new, Lists(9, ("s-1", old.address)) as first,
+            Lists(3, ("s-2", new.address)) as second,
+        ):  # fmt: skip
+            path = configured(tmp_path, discovery=str(first.address))
+            process = await asyncio.create_subprocess_exec(
+                sys.executable, "-m", "pewterring", "serve", str(path), cwd=ROOT, stderr=subprocess.PIPE
+            )
+            assert process.stderr is not None
+
+            async def logged(event: str) -> dict[str, Any]:
+                assert process.stderr is not None
+                while (line := orjson.loads(await process.stderr.readline()))["event"] != event:
+                    pass
+                return dict(line)
+
+            address = read_address((await logged("started"))["listen"])
+            await until(lambda: len(first.requests) == 2)  # the whole list, then a watch
+            holding = await Caller.to(address)
+            holding.write(asking())
+            await until(lambda: old.requests)
+            configured(tmp_path, discovery=str(second.address), peers=["127.0.0.1:9"])
+            process.send_signal(signal.SIGHUP)
+            line = await logged("reloaded")
+            assert (line["changed"], line["needs_restart"]) == (["discovery"], ["peers"])
+            await until(lambda: len(second.requests) == 2)
+            assert [b"index" in request.target for request in second.requests] == [False, True]
+            await until(lambda: all(talk.ended for talk in first.talks))
+            caller = await Caller.to(address)
+            assert (await caller.ask(asking())).status == 200 and len(new.requests) == 1
+            old.talks[0].write(OK)
+            assert (await holding.answer()).status == 200
+            path.write_text("{")
+            process.send_signal(signal.SIGHUP)
+            assert "JSON" in (await logged("reload_failed"))["why"]
+            assert (await caller.ask(asking())).status == 200
+            process.send_signal(signal.SIGTERM)
+            process.send_signal(signal.SIGHUP)  # the two may meet
+            assert (await logged("stopped"))["served"] == 3
+            assert await process.wait() == 0
+            assert len(first.requests) == 2
+
+    run(test)
+
+
+def test_a_reload_before_the_start_is_the_start_s_own_file(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with StandIn() as worker, Lists(1, ("s-1", worker.address)) as lists:
+            config = load(str(configured(tmp_path)), {})
+            new = load(str(configured(tmp_path, discovery=str(lists.address))), {})
+            service = service_module.Service(config, Quiet(), Script(), read_again=lambda: new)
+            service.reload()
+            assert not lists.requests
+            await service.start()
+            await until(lambda: service.gateway.ready)
+            service.close()
+            service.reload()  # after the end it begins nothing
+            assert service.discovery is not None and service.discovery.closed
+
+    run(test)
