--- a/pewterring/gateway/directory.py
+++ b/pewterring/gateway/directory.py
@@ -4,8 +4,8 @@
 from collections.abc import Callable
 
 from pewterring import interface as i
-from pewterring.net.connection import Address
 from pewterring.net.discovery import Entry, Listing
+from pewterring.net.workers import Target
 
 MODES = {"up": i.Mode.SERVING, "draining": i.Mode.DRAINING, "removed": i.Mode.DELETED}
 
@@ -14,10 +14,10 @@
     def __init__(self, clock: Callable[[], float], unix: Callable[[], float] = time.time) -> None:
         self.clock, self.unix = clock, unix
         self.ids: dict[str, int] = {}
-        self.addresses: dict[int, Address] = {}
+        self.targets: dict[int, Target] = {}
         self.serving: set[int] = set()
         self.born: dict[int, tuple[float, float]] = {}  # born_ms, and the clock's time for it
-        self.restarted: dict[Address, float] = {}  # addresses whose worker has a new start, and when
+        self.restarted: dict[Target, float] = {}  # those with a new start, and when
         self.last = 0
 
     def take(self, listing: Listing, form: i.ListForm) -> i.ServerList:
@@ -36,7 +36,7 @@
         if id is None:
             self.last += 1
             id = self.ids[entry.host] = self.last
-        self.addresses[id] = entry.address
+        self.targets[id] = Target(id, entry.address)
         (self.serving.add if entry.health == "up" else self.serving.discard)(id)
         came_up = self.came_up(id, entry.born_ms)
         return i.Server(id, entry.zone, entry.cell, MODES[entry.health], entry.rating, came_up)
@@ -49,15 +49,15 @@
         known = self.born.get(id)
         if known is None or known[0] != born_ms:
             known = self.born[id] = (born_ms, self.clock() - (self.unix() - born_ms / 1000))
-            self.restarted[self.addresses[id]] = known[1]
+            self.restarted[self.targets[id]] = known[1]
         return known[1]
 
     def remove(self, host: str) -> None:
         if (id := self.ids.pop(host, None)) is not None:
-            self.addresses.pop(id, None)
+            self.targets.pop(id, None)
             self.serving.discard(id)
             self.born.pop(id, None)
 
-    def wanted(self) -> set[Address]:
+    def wanted(self) -> set[Target]:
         """Where connections are worth keeping."""
-        return {self.addresses[id] for id in self.serving}
+        return {self.targets[id] for id in self.serving}
--- a/pewterring/gateway/gateway.py
+++ b/pewterring/gateway/gateway.py
@@ -23,7 +23,7 @@
 T = TypeVar("T")
 R = TypeVar("R")
 HEALTH = b"/healthz"
-REFUSED, FAILED, OVERDUE = 429, 502, 504
+CONFLICT, REFUSED, FAILED, OVERDUE = 409, 429, 502, 504
 
 
 class Module(Protocol):
@@ -55,12 +55,16 @@
         self.calls: dict[int, Call] = {}
         self.by_client: dict[Client, Call] = {}
         self.ids = itertools.count(1)
+        # The ids that clients gave lately, in two generations of the longest deadline each: one that comes
+        # again is another's, held or just answered, and would reach the workers a second time.
+        self.recent: tuple[set[bytes], set[bytes]] = (set(), set())
+        self.turned_over = loop.time()
         self.inbox: list[Item] = []
         self.over: list[Call] = []  # perhaps done with at the end of this turn
         self.turning = False
         self.delays: dict[int, float] = {}  # of the module's timers, by label
         self.stopping = False
-        self.taken = self.served = self.refused = self.failed = self.left = self.faults = 0
+        self.taken = self.served = self.refused = self.failed = self.left = self.faults = self.unusable = 0
 
     # What comes in: gathered for the next turn
 
@@ -75,9 +79,13 @@
             status = 200 if self.ready else 503
             return client.answer(status, [], b"", request.method == b"HEAD")
         try:
-            asked = read_request(request, self.settings, self.loop.time(), next(self.ids))
+            asked, their_id = read_request(request, self.settings, self.loop.time(), next(self.ids))
         except Malformed as fault:
-            return client.answer(fault.status, [], f"{fault}\n".encode())
+            self.unusable += 1
+            return client.turn_away(fault.status, f"{fault}\n")
+        if self.is_known(their_id):
+            self.unusable += 1
+            return client.turn_away(CONFLICT, "X-Request-Id is another request's\n")
         self.taken += 1
         if len(self.by_client) >= self.max_open:
             self.refused += 1
@@ -87,6 +95,16 @@
         call.timer = self.loop.call_at(asked.not_after, self.gather, Overdue(call))
         self.gather(Arrived(call))
 
+    def is_known(self, their_id: bytes) -> bool:
+        """Whether the id was used lately; if not, it counts as used from now on."""
+        if (now := self.loop.time()) - self.turned_over > self.patience:
+            self.recent, self.turned_over = (set(), self.recent[0]), now
+        young, old = self.recent
+        if their_id in young or their_id in old:
+            return True
+        young.add(their_id)
+        return False
+
     def gone(self, client: Client) -> None:
         if call := self.by_client.pop(client, None):
             self.gather(Gone(call))
@@ -96,13 +114,14 @@
         self.gather(self.directory.take(listing, form))
         self.pool.retain(self.directory.wanted())
         # A machine that vanished and came back says nothing on its old connections until they are used.
-        for address, started in self.directory.restarted.items():
-            self.pool.drop_idle(address, made_before=started)
+        for target, started in self.directory.restarted.items():
+            self.pool.drop_idle(target, made_before=started)
         self.directory.restarted.clear()
 
     def remembered(self, listing: Listing) -> None:
         """The list as it was last known, possibly old: the first thing the module hears."""
         self.gather(self.directory.take(listing, i.ListForm.REMEMBERED))
+        self.pool.retain(self.directory.wanted())
 
     def discovery_failed(self, why: str) -> None:
         self.log("discovery_failed", why=why)
@@ -249,16 +268,16 @@
                 attempt.timer.cancel()
             self.gather(Ended(attempt, ending, response))
 
-        address = self.directory.addresses.get(server)
+        target = self.directory.targets.get(server)
         left = call.request.not_after - now
         if call.finished or left <= 0 or len(call.attempts) > self.settings.limits.max_attempts:
             return done(Ending.TOO_LATE, None)
-        if address is None:
+        if target is None:
             return done(Ending.UNKNOWN, None)
         if 0 < timeout < left:
             left = timeout
         data = for_worker(call.http, left)
-        exchange = self.pool.start(address, data, done, call.http.method == b"HEAD")
+        exchange = self.pool.start(target, data, done, call.http.method == b"HEAD")
         if exchange.ending is None:
             attempt.exchange = exchange
             if timeout > 0:
@@ -274,11 +293,11 @@
             if (code := CODES[ending]) is not None:
                 self.gather(i.ProbeResult(server, code, self.loop.time() - now))
 
-        address = self.directory.addresses.get(server)
-        if address is None:
+        target = self.directory.targets.get(server)
+        if target is None:
             return done(Ending.UNKNOWN, None)
-        request = write_request(b"GET", HEALTH, [(b"host", str(address).encode())])
-        exchange = self.pool.start(address, request, done, fresh=True)
+        request = write_request(b"GET", HEALTH, [(b"host", str(target.address).encode())])
+        exchange = self.pool.start(target, request, done, fresh=True)
         if exchange.ending is None:
             timer = self.loop.call_later(self.patience, exchange.give_up, Ending.TIMED_OUT)
 
--- a/pewterring/gateway/service.py
+++ b/pewterring/gateway/service.py
@@ -17,7 +17,7 @@
 from pewterring.net.peers import Peers
 from pewterring.net.workers import Pool
 
-SWEEP_S = 0.5
+SWEEP_S = 0.25
 # At SIGTERM new connections keep coming for a while: none must have come for QUIET_S, and AT_LEAST_S must
 # have passed, before the door is closed. After AT_MOST_S it is closed all the same: what comes later would
 # not be answered before the kill.
@@ -138,6 +138,7 @@
             served=gateway.served,
             refused=gateway.refused,
             failed=gateway.failed,
+            unusable=gateway.unusable,
             left=gateway.left,
             faults=gateway.faults,
             opened=self.pool.opened,
--- a/pewterring/http/reader.py
+++ b/pewterring/http/reader.py
@@ -13,6 +13,8 @@
 MAX_HEAD = 16 * 1024
 MAX_BODY = 64 * 1024  # the protocol's bound
 MAX_CHUNK_LINE = 256
+MAX_BLANK = 16  # empty lines before a message
+MAX_INTERIM = 8  # interim answers before the one that counts
 TOKEN, TEXT = rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+", rb"[\t\x20-\x7e\x80-\xff]*"
 METHOD = re.compile(TOKEN)
 TARGET = re.compile(rb"[\x21-\x7e]+")
@@ -20,6 +22,9 @@
 STATUS = re.compile(rb"(HTTP/1\.[0-9]) ([1-5][0-9][0-9])(?: %b)?" % TEXT)
 # All headers of a head at once. A folded line begins with white space, which no name holds.
 HEADERS = re.compile(rb"(?:%b:%b(?:\r\n|\Z))*" % (TOKEN, TEXT))
+LOOSE = re.compile(rb"(?:%b:[^\r\n\0]*(?:\r\n|\Z))*" % TOKEN)  # with control characters in values
+CONTROL = re.compile(rb"[\0-\x08\n-\x1f\x7f]")
+FRAMING = frozenset({b"content-length", b"transfer-encoding", b"connection"})
 DIGITS = re.compile(rb"[0-9]{1,15}")
 HEX = re.compile(rb"[0-9A-Fa-f]{1,8}")
 
@@ -47,6 +52,8 @@
         self.message: M | None = None
         self.left = 0
         self.body = bytearray()
+        self.blank = 0  # empty lines before this message
+        self.lines = 0  # bytes of its chunk lines and trailers: many tiny chunks are work without a body
 
     @property
     def started(self) -> bool:
@@ -76,6 +83,7 @@
                     line = self.take_line(MAX_CHUNK_LINE)
                     if line is None:
                         return None
+                    self.overhead(len(line))
                     size, _, extension = line.partition(b";")
                     size = size.rstrip(b" \t") if extension else size
                     if not HEX.fullmatch(size):
@@ -100,17 +108,18 @@
                         return None
                     if not line:
                         return self.whole(bytes(self.body))
-                    self.left += len(line)  # trailers are read and dropped, within the bound of a head
-                    if self.left > MAX_HEAD:
-                        raise Malformed("the trailers are too long", 431)
+                    self.overhead(len(line))  # trailers are read and dropped
                     read_headers(line)
                 case Part.UNTIL_CLOSE:
                     self.bound(len(self.data))
                     return None
 
     def take_head(self) -> bytes | None:
-        while self.data.startswith(b"\r\n"):  # empty lines before a message are skipped
+        while self.data.startswith(b"\r\n"):  # empty lines before a message are skipped, but not for ever
             del self.data[:2]
+            self.blank += 1
+            if self.blank > MAX_BLANK:
+                raise Malformed("nothing but empty lines")
         end = self.data.find(b"\r\n\r\n", max(0, self.scanned - 3))
         if end < 0:
             self.scanned = len(self.data)
@@ -128,6 +137,11 @@
             raise Malformed("a line is too long")
         return None if end < 0 else self.cut(end + 2)[:-2]
 
+    def overhead(self, size: int) -> None:
+        self.lines += size + 2
+        if self.lines > MAX_HEAD:
+            raise Malformed("the chunks' lines or the trailers are too long", 431)
+
     def cut(self, size: int) -> bytes:
         piece = bytes(self.data[:size])
         del self.data[:size]
@@ -142,6 +156,7 @@
         assert message is not None
         message.body = body
         self.message, self.part, self.left = None, Part.HEAD, 0
+        self.blank = self.lines = 0
         self.body.clear()
         return message
 
@@ -211,16 +226,20 @@
     def __init__(self, bodiless: bool = False, most: int = MAX_BODY) -> None:
         super().__init__(most)
         self.bodiless = bodiless
+        self.interim = 0
 
     def read_head(self, head: bytes) -> Response | None:
         first, _, rest = head.partition(b"\r\n")
         line = STATUS.fullmatch(first)
         if line is None:
             raise Malformed("the status line cannot be read")
-        status, headers = int(line[2]), read_headers(rest)
+        status, headers = int(line[2]), read_answer_headers(rest)
         if status == 101:
             raise Malformed("an upgrade nobody asked for")
         if status < 200:
+            self.interim += 1
+            if self.interim > MAX_INTERIM:
+                raise Malformed("nothing but interim answers")
             return None
         return Response(status, headers, keep_alive=stays(line[1], headers))
 
@@ -245,10 +264,27 @@
 def read_headers(lines: bytes) -> Headers:
     if not HEADERS.fullmatch(lines):
         raise Malformed("a header cannot be read")
+    return split_headers(lines)
+
+
+def split_headers(lines: bytes) -> Headers:
     parts = (line.partition(b":") for line in lines.split(b"\r\n") if line)
     return [(name.lower(), value.strip(b" \t")) for name, _, value in parts]
 
 
+def read_answer_headers(lines: bytes) -> Headers:
+    """Leaves away the fields that cannot be read (a worker's broken report of its load, say): the answer that
+    they came with stands, as long as its framing can be read."""
+    if HEADERS.fullmatch(lines):
+        return split_headers(lines)
+    if not LOOSE.fullmatch(lines):
+        raise Malformed("a header cannot be read")
+    headers = split_headers(lines)
+    if any(name in FRAMING and CONTROL.search(value) for name, value in headers):
+        raise Malformed("the framing cannot be read")
+    return [header for header in headers if not CONTROL.search(header[1])]
+
+
 def stays(version: bytes, headers: Headers) -> bool:
     """Whether the connection goes on after the message."""
     said = [value.lower() for name, value in headers if name == b"connection"]
--- a/pewterring/interface.py
+++ b/pewterring/interface.py
@@ -106,6 +106,7 @@
     ask_discovery: bool = False
     live_ratings: bool = False
     mail_per_s: float = 0.0
+    max_units: float = 0.0  # of one request; 0: not stated
     price_cross_zone: float = 0.0
 
 
--- a/pewterring/net/clients.py
+++ b/pewterring/net/clients.py
@@ -14,6 +14,11 @@
 BACKLOG = 512
 ACCEPT_RETRY_S = 0.05  # after the system refused a descriptor; accepting also goes on when one comes free
 LINGER_S = 1.0  # how long a client that sent something unreadable may take to read what it is told
+DISCARD = 1024 * 1024  # bytes of it that are read and dropped meanwhile; the rest waits in the socket
+WHOLE_S = 2.0  # for a request to come whole: from its first byte, the first on a connection from connecting
+IDLE_S = 2.0  # a connection without a request is closed after this, the least that the protocol allows
+ERROR_PAUSE_S = 0.1  # after an error a connection's next request is read this much later: sent again and
+# again at full speed, what cannot be used would take the loop's time from all others
 
 
 class Sink(Protocol):
@@ -32,34 +37,40 @@
         self.reader = RequestReader()
         self.busy = False  # a request was handed over and is not answered
         self.keep_alive = True
-        self.since = 0.0  # when it began to wait for the rest of a request, or for its answer to be taken
+        self.since = 0.0  # when it began to wait for (the rest of) a request, or for its answer to be taken
+        self.asked = False  # whether a whole request ever came
         self.lingering = False
+        self.discarded = 0
+        self.resting: asyncio.TimerHandle | None = None  # the pause after an error
         self.ending: Ending | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
+        self.since = self.listener.loop.time()
         self.listener.clients.add(self)
         self.rest()
 
     def rest(self) -> None:
         if not self.reader.started:
-            self.since = self.listener.loop.time()
             self.listener.idle[self] = None
 
     def received(self, data: memoryview) -> None:
-        if self.lingering or self.ending is not None:
-            return
+        if self.ending is not None:
+            return self.discard(len(data))
         self.listener.idle.pop(self, None)
-        if not self.reader.started:  # once a message: bytes that trickle in win no further time
+        # Once a message, and not for the first: bytes that trickle in, or come late, win no further time.
+        if not self.reader.started and self.asked:
             self.since = self.listener.loop.time()
         self.reader.feed(data)
-        if not self.busy:
+        if self.resting:
+            self.transport.pause_reading()
+        elif not self.busy:
             self.advance()
         elif len(self.reader.data) > MAX_HEAD + MAX_BODY:
             self.transport.pause_reading()  # requests sent ahead wait in the socket
 
     def advance(self) -> None:
-        if self.busy or self.ending is not None:
+        if self.busy or self.resting or self.ending is not None:
             return
         try:
             request = self.reader.next()
@@ -69,7 +80,8 @@
             if self.reader.wants_continue():
                 self.transport.write(CONTINUE)
             return self.rest()
-        self.busy, self.keep_alive = True, request.keep_alive
+        self.busy = self.asked = True
+        self.keep_alive = request.keep_alive
         self.listener.sink.requested(self, request)
 
     def answer(
@@ -89,6 +101,23 @@
         if self.reader.started:  # not at once: a chain of requests sent ahead would run down the stack
             self.listener.loop.call_soon(self.advance)
 
+    def turn_away(self, status: int, why: str) -> None:
+        """An error for a request that could be read and can't be used, and a pause before the next."""
+        self.answer(status, [], why.encode())
+        if self.up and self.ending is None and not self.resting:
+            self.resting = self.listener.loop.call_later(ERROR_PAUSE_S, self.resume)
+
+    def resume(self) -> None:
+        self.resting = None
+        if self.up and self.ending is None:
+            self.transport.resume_reading()
+            self.advance()
+
+    def discard(self, size: int) -> None:
+        self.discarded += size
+        if self.discarded > DISCARD:
+            self.transport.pause_reading()
+
     def reject(self, status: int, ending: Ending) -> None:
         """Says what was wrong and closes. What the client still sends is read and dropped for a while:
         closing on unread bytes would reset the connection and take the answer with it."""
@@ -120,6 +149,8 @@
 
     def leave(self) -> None:
         """The client has gone: said once, and only where an answer is still due."""
+        if self.resting:
+            self.resting.cancel()
         self.listener.idle.pop(self, None)
         if self.ending is None:  # what it sent ahead is nobody's any more
             self.ending = Ending.CLIENT_GONE if self.busy else Ending.CLOSED
@@ -129,10 +160,12 @@
 
     def overdue(self, now: float, patience: float) -> bool:
         """Whether the rest of a request, the taking of an answer or the close is waited for too long."""
-        if self.lingering:
-            return now - self.since > LINGER_S
-        waits = self.ending is not None or self.unsent or (self.reader.started and not self.busy)
-        return waits and now - self.since > patience
+        past = now - self.since
+        if self.ending is not None:
+            return past > LINGER_S if self.lingering else past > patience
+        if self.busy:
+            return False
+        return past > (patience if self.unsent else WHOLE_S if self.reader.started else IDLE_S)
 
 
 class Listener:
@@ -221,10 +254,12 @@
     def sweep(self, patience: float) -> None:
         now = self.loop.time()
         for client in [c for c in self.clients if c.overdue(now, patience)]:
-            if client.ending is None and not client.unsent:
-                client.reject(408, Ending.UNFINISHED)
-            else:
+            if client.ending is not None or client.unsent:
                 client.drop()
+            elif client.reader.started:
+                client.reject(408, Ending.UNFINISHED)
+            elif not client.unread():  # its next request may just have come
+                client.end(Ending.STALE)
 
     def close_idle(self, idle_s: float) -> None:
         """Closes what has idled for so long."""
--- a/pewterring/net/discovery.py
+++ b/pewterring/net/discovery.py
@@ -12,7 +12,7 @@
 from pewterring.net.connection import Address, read_address
 from pewterring.net.descriptors import Descriptors
 from pewterring.net.ending import Ending
-from pewterring.net.workers import Exchange, Pool
+from pewterring.net.workers import Exchange, Pool, Target
 
 PATH = b"/v1/servers"
 MAX_LIST = 8 * 1024 * 1024
@@ -95,7 +95,7 @@
         target = PATH + (b"?index=%d&wait=%d" % (self.version, wait) if self.version is not None else b"")
         request = write_request(b"GET", target, [(b"host", str(self.address).encode())])
         self.timer = self.loop.call_later(wait / 1000 + MARGIN_S, self.overdue)
-        self.exchange = self.pool.start(self.address, request, self.ended)
+        self.exchange = self.pool.start(Target(0, self.address), request, self.ended)
 
     def overdue(self) -> None:
         if self.exchange:
--- a/pewterring/net/ending.py
+++ b/pewterring/net/ending.py
@@ -18,6 +18,7 @@
     RESET = "it broke before an answer began"
     CUT = "it broke within an answer"
     MALFORMED = "the answer could not be read"
+    STALLED = "the answer began and its rest did not come"
     TIMED_OUT = "nothing came in time"
     CANCELLED = "given up, as the answer is no longer wanted"
     TOO_LATE = "never begun: the request was over, or had all its attempts"
@@ -48,6 +49,7 @@
     Ending.RESET: Code.ABORTED,
     Ending.CUT: Code.ABORTED,
     Ending.MALFORMED: Code.ABORTED,
+    Ending.STALLED: Code.ABORTED,
     Ending.TIMED_OUT: Code.DEADLINE_EXCEEDED,
     Ending.CANCELLED: Code.CANCELLED,
     Ending.TOO_LATE: Code.TOO_LATE,
--- a/pewterring/net/workers.py
+++ b/pewterring/net/workers.py
@@ -4,6 +4,7 @@
 import math
 from collections import Counter
 from collections.abc import Callable
+from typing import NamedTuple
 
 from pewterring.http.messages import Malformed, Response
 from pewterring.http.reader import MAX_BODY, ResponseReader
@@ -11,16 +12,24 @@
 from pewterring.net.descriptors import Descriptors
 from pewterring.net.ending import SUSPECT, Ending, of_answer
 
+
+class Target(NamedTuple):
+    """One worker at one address. A new one at an old address is another: it inherits no connection."""
+
+    worker: int
+    address: Address
+
+
 Done = Callable[[Ending, Response | None], None]
 
 
 class Exchange:
     """One request to a worker. `done` is called once, with how it ended; the answer where there is one."""
 
-    __slots__ = ("address", "bodiless", "connection", "data", "done", "ending", "pool", "task")
+    __slots__ = ("bodiless", "connection", "data", "done", "ending", "pool", "target", "task")
 
-    def __init__(self, pool: "Pool", address: Address, data: bytes, bodiless: bool, done: Done) -> None:
-        self.pool, self.address, self.data, self.bodiless, self.done = pool, address, data, bodiless, done
+    def __init__(self, pool: "Pool", target: Target, data: bytes, bodiless: bool, done: Done) -> None:
+        self.pool, self.target, self.data, self.bodiless, self.done = pool, target, data, bodiless, done
         self.connection: WorkerConnection | None = None
         self.task: asyncio.Task[None] | None = None
         self.ending: Ending | None = None
@@ -30,7 +39,7 @@
             return
         self.ending = ending
         if ending in SUSPECT:
-            self.pool.drop_idle(self.address)
+            self.pool.drop_idle(self.target)
         self.done(ending, response)
 
     def give_up(self, ending: Ending) -> None:
@@ -51,13 +60,14 @@
 
 
 class WorkerConnection(Connection):
-    def __init__(self, pool: "Pool", address: Address) -> None:
+    def __init__(self, pool: "Pool", target: Target) -> None:
         super().__init__()
-        self.pool, self.address = pool, address
+        self.pool, self.target = pool, target
         self.exchange: Exchange | None = None
         self.reader = ResponseReader()
         self.idle_since = self.made_at = 0.0
         self.ending: Ending | None = None
+        self.rest: asyncio.TimerHandle | None = None  # until when the rest of an answer must have come
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
@@ -87,9 +97,21 @@
             return self.finish(exchange, Ending.MALFORMED)
         if response is not None:
             self.finish(exchange, of_answer(response), response)
+        elif self.rest is None:
+            self.rest = self.pool.loop.call_later(self.pool.connect_timeout, self.stalled, exchange)
+
+    def stalled(self, exchange: Exchange) -> None:
+        """Part of an answer has come and nothing ends it: its length is wrong, or it never ends. An answer is
+        small and comes in one piece, so it is given as long as a connection may take to come up."""
+        self.rest = None
+        if self.exchange is exchange and not self.unread():  # what is only unread yet is not missing
+            self.finish(exchange, Ending.STALLED)
 
     def finish(self, exchange: Exchange, ending: Ending, response: Response | None = None) -> None:
         self.exchange = exchange.connection = None
+        if self.rest:
+            self.rest.cancel()
+            self.rest = None
         reusable = (
             response is not None and response.keep_alive and not self.unsent and not self.reader.started
         )
@@ -125,6 +147,9 @@
         return Ending.CUT if self.reader.started else Ending.RESET
 
     def drop(self, ending: Ending) -> None:
+        if self.rest:
+            self.rest.cancel()
+            self.rest = None
         self.note(ending)
         if self.up:
             self.transport.abort()
@@ -149,18 +174,19 @@
         # The other side may close at any moment near the end of the idle life, and a request that crosses the
         # close may have run: half of that life leaves room for lateness on both sides.
         self.keep_s = conn_idle / 2
-        self.idle: dict[Address, list[WorkerConnection]] = {}
+        self.idle: dict[Target, list[WorkerConnection]] = {}
+        self.wanted: set[Target] | None = None  # None: all are
         self.opening: dict[asyncio.Task[None], Exchange] = {}
         self.opened = self.reused = 0
         self.endings: Counter[Ending] = Counter()  # of connections
 
     def start(
-        self, address: Address, data: bytes, done: Done, bodiless: bool = False, fresh: bool = False
+        self, target: Target, data: bytes, done: Done, bodiless: bool = False, fresh: bool = False
     ) -> Exchange:
         """Sends a request on an idle connection or, with `fresh` or where there is none, on a new one."""
-        exchange = Exchange(self, address, data, bodiless, done)
+        exchange = Exchange(self, target, data, bodiless, done)
         since = self.loop.time() - self.keep_s
-        idle = self.idle.get(address, []) if not fresh else []
+        idle = self.idle.get(target, []) if not fresh else []
         while idle:
             connection = idle.pop()
             # A close that the loop has not seen yet would make a reset of this request: it may have run.
@@ -169,7 +195,7 @@
                 return exchange
             connection.drop(Ending.STALE)
         if self.descriptors.take():
-            connection = WorkerConnection(self, address)
+            connection = WorkerConnection(self, target)
             exchange.task = self.loop.create_task(self.open(exchange, connection))
             self.opening[exchange.task] = exchange
             exchange.task.add_done_callback(lambda task: self.opened_or_not(task, connection))
@@ -180,7 +206,7 @@
     async def open(self, exchange: Exchange, connection: WorkerConnection) -> None:
         try:
             async with asyncio.timeout(self.connect_timeout):
-                await self.loop.create_connection(lambda: connection, *exchange.address)
+                await self.loop.create_connection(lambda: connection, *exchange.target.address)
             self.opened += 1
             if connection.send(exchange):
                 return
@@ -199,42 +225,45 @@
             self.descriptors.give_back()
 
     def keep(self, connection: WorkerConnection) -> None:
+        if self.wanted is not None and connection.target not in self.wanted:
+            return connection.drop(Ending.LEFT)  # its worker went while it was in use
         connection.idle_since = self.loop.time()
-        self.idle.setdefault(connection.address, []).append(connection)
+        self.idle.setdefault(connection.target, []).append(connection)
 
     def forget(self, connection: WorkerConnection) -> None:
-        idle = self.idle.get(connection.address)
+        idle = self.idle.get(connection.target)
         if idle and connection in idle:
             idle.remove(connection)
             if not idle:
-                del self.idle[connection.address]
+                del self.idle[connection.target]
 
-    def drop_idle(self, address: Address, made_before: float = math.inf) -> None:
+    def drop_idle(self, target: Target, made_before: float = math.inf) -> None:
         """Lets go of idle connections that are no longer wanted, or that may be dead without a word."""
-        for connection in [c for c in self.idle.get(address, ()) if c.made_at < made_before]:
+        for connection in [c for c in self.idle.get(target, ()) if c.made_at < made_before]:
             self.forget(connection)
             connection.drop(Ending.LEFT)
 
-    def retain(self, addresses: set[Address]) -> None:
+    def retain(self, targets: set[Target]) -> None:
         """Keeps idle connections to these only, and goes on connecting to these only: a connection that came
         up late would bring its request to a worker that was to get nothing new."""
-        for address in [a for a in self.idle if a not in addresses]:
-            self.drop_idle(address)
+        self.wanted = targets
+        for target in [t for t in self.idle if t not in targets]:
+            self.drop_idle(target)
         for exchange in list(self.opening.values()):
             # One that has a connection is sent already, though its task may not have ended yet.
-            if exchange.connection is None and exchange.address not in addresses:
+            if exchange.connection is None and exchange.target not in targets:
                 exchange.give_up(Ending.NEVER_UP)
 
     def sweep(self) -> None:
         """Drops what has stood idle for too long."""
         since = self.loop.time() - self.keep_s
-        for address, idle in list(self.idle.items()):
+        for target, idle in list(self.idle.items()):
             fresh = [c for c in idle if c.idle_since >= since]
             for connection in idle[: len(idle) - len(fresh)]:  # they lie in the order in which they were kept
                 connection.drop(Ending.STALE)
-            self.idle[address] = fresh
+            self.idle[target] = fresh
             if not fresh:
-                del self.idle[address]
+                del self.idle[target]
 
     def shed(self) -> bool:
         """Closes the connection that has idled longest, if any does."""
@@ -247,5 +276,5 @@
         return True
 
     def close(self) -> None:
-        for address in list(self.idle):
-            self.drop_idle(address)
+        for target in list(self.idle):
+            self.drop_idle(target)
--- a/pewterring/settings.py
+++ b/pewterring/settings.py
@@ -150,6 +150,7 @@
         ask_discovery=f.text("discovery", "push") == "ask",
         live_ratings=f.text("weight_kind", "silent") == "live",
         mail_per_s=f.number("specifics.mail_per_s", 0.0),
+        max_units=f.number("specifics.max_units", 0.0),
         price_cross_zone=f.number("prices.cross_zone", 0.0),
     )
 
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -33,7 +33,9 @@
 
 
 def settings(me: int = 0, fleet: int = 3, limits: i.Limits = LIMITS, ask: bool = False) -> i.Settings:
-    return i.Settings(me, fleet, "a", CLASSES, PLANS, limits, RULES, ask_discovery=ask, mail_per_s=60.0)
+    return i.Settings(
+        me, fleet, "a", CLASSES, PLANS, limits, RULES, ask_discovery=ask, mail_per_s=60.0, max_units=4.0
+    )
 
 
 def server(id: int, zone: str = "a", cell: int = 0, came_up: float = 0.0) -> i.Server:
--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -1,6 +1,7 @@
 """Stand-ins for what a gatekeeper meets on sockets, written from the protocol pages."""
 
 import asyncio
+import itertools
 import socket
 import struct
 from collections.abc import Awaitable, Callable
@@ -141,8 +142,8 @@
         self.writer.close()
 
 
+NUMBERS = itertools.count(1)
 ASKED = {
-    b"X-Request-Id": b"9b1f03aa5c7e2d41",
     b"X-Class": b"pure",
     b"Plan": b"free",
     b"X-Deadline-Ms": b"4000",
@@ -158,8 +159,9 @@
     more: bytes = b"",
     **headers: bytes | None,
 ) -> bytes:
-    """A request in the protocol's form; X_Class=None leaves that header away."""
+    """A request in the protocol's form, with an id of its own; X_Class=None leaves that header away."""
     changed = {name.replace("_", "-").encode(): value for name, value in headers.items()}
+    changed.setdefault(b"X-Request-Id", b"%016x" % next(NUMBERS))
     lines = [b"%b: %b\r\n" % (n, v) for n, v in {**ASKED, **changed}.items() if v is not None]
     length = b"Content-Length: %d\r\n" % len(body) if body else b""
     return b"%b %b HTTP/1.1\r\nHost: origin.svc\r\n%b%b%b\r\n%b" % (
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -12,6 +12,7 @@
 from pewterring.net import discovery
 from pewterring.net.connection import Address
 from pewterring.net.discovery import Discovery, Listing, read_listing
+from pewterring.net.workers import Target
 from tests.stand_ins import Rig, Script, StandIn, Talk, as_json, entry, listing, run, until
 
 A, B, C = (Address("127.0.0.1", n) for n in (9001, 9002, 9003))
@@ -145,14 +146,15 @@
         (1, i.Mode.SERVING, 0),
         (2, i.Mode.DRAINING, 3),
     ]
-    assert directory.wanted() == {A}
+    assert directory.wanted() == {Target(1, A)}
     changed = directory.take(listing(entry("b", C), whole=False), i.ListForm.CHANGES)
-    assert [s.id for s in changed.servers] == [2] and directory.addresses == {1: A, 2: C}
+    assert [s.id for s in changed.servers] == [2] and directory.targets == {1: Target(1, A), 2: Target(2, C)}
     gone = directory.take(listing(entry("a", A, "removed"), whole=False), i.ListForm.CHANGES)
     assert [(s.id, s.mode) for s in gone.servers] == [(1, i.Mode.DELETED)]
-    assert directory.addresses == {2: C}
+    assert directory.targets == {2: Target(2, C)}
     whole = directory.take(listing(entry("a", A)), i.ListForm.WHOLE)
-    assert [s.id for s in whole.servers] == [3] and directory.addresses == {3: A} and len(directory.ids) == 1
+    assert [s.id for s in whole.servers] == [3] and directory.targets == {3: Target(3, A)}
+    assert len(directory.ids) == 1
 
 
 def test_a_start_is_reckoned_once_however_the_clocks_drift() -> None:
@@ -163,7 +165,7 @@
         return directory.take(listing(entry("a", A, born_ms=born_ms)), i.ListForm.WHOLE).servers[0].came_up
 
     assert seen(0) == 0.0 and not directory.restarted
-    assert seen(4_990_000) == 990.0 and directory.restarted == {A: 990.0}
+    assert seen(4_990_000) == 990.0 and directory.restarted == {Target(1, A): 990.0}
     clock[0], unix[0] = 1100.0, 5100.7
     assert seen(4_990_000) == 990.0
     assert seen(5_090_700) == pytest.approx(1090.0)
--- a/tests/test_examples.py
+++ b/tests/test_examples.py
@@ -37,10 +37,12 @@
             while (await caller.ask(b"GET /healthz HTTP/1.1\r\n\r\n")).status != 200:
                 await asyncio.sleep(0.01)
             other = b"/api/0000000000000008"  # a customer of another plan
-            served = await caller.ask(asking(target=other, X_Class=b"read", Plan=b"unlimited"))
+            quota = b"units=1,spread=1,first=0"
+            asked = asking(target=other, X_Class=b"read", Plan=b"unlimited", Quota_Info=quota)
+            served = await caller.ask(asked)
             assert served.status == 200 and served.body.startswith(b"toy-")
-            basic = asking(X_Class=b"read", Plan=b"basic", Quota_Info=b"units=1,spread=1,first=0")
-            statuses = [(await caller.ask(basic)).status for _ in range(20)]
+            basic = [asking(X_Class=b"read", Plan=b"basic", Quota_Info=quota) for _ in range(20)]
+            statuses = [(await caller.ask(asked)).status for asked in basic]
             assert statuses[0] == 200 and statuses[-1] == 429 and set(statuses) == {200, 429}
         finally:
             keeper.terminate()
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -2,14 +2,17 @@
 
 import asyncio
 import contextlib
+import time
 from typing import Any
 
 import pytest
 
 from pewterring import interface as i
+from pewterring.choice import Gatekeeper
 from pewterring.http.messages import Request
 from pewterring.http.reader import MAX_BODY
 from pewterring.http.writer import write_response
+from pewterring.net import clients as clients_module
 from pewterring.net.connection import Address
 from pewterring.settings import Transport
 from tests.helpers import DEADLINE
@@ -28,6 +31,8 @@
     until,
 )
 
+HEALTH = b"GET /healthz HTTP/1.1\r\n\r\n"
+
 
 def silent(talk: Talk, request: Request) -> None:
     return None
@@ -39,7 +44,8 @@
         answer = write_response(200, [(b"x-made-by", b"worker")], body[::-1])
         async with StandIn(lambda talk, request: answer) as worker, Rig(None, worker.address) as rig:
             target = b"/api/x%20y/00000000b4d65521?q=%2F&r=1"
-            asked = asking(b"POST", target, body, X_Class=b"token-all", Idempotency_Key=b"5c0f", X_Other=b"9")
+            more = {"X_Request_Id": b"9b1f03aa5c7e2d41", "Idempotency_Key": b"5c0f", "X_Other": b"9"}
+            asked = asking(b"POST", target, body, X_Class=b"token-all", **more)
             response = await rig.ask(asked)
             assert (response.status, response.body) == (200, body[::-1])
             assert response.get(b"x-made-by") == b"worker"
@@ -59,6 +65,26 @@
         (asking(X_Request_Id=b""), 400, True),
         (asking(X_Class=None), 400, True),
         (asking(X_Class=b"\xff"), 400, True),
+        (asking(X_Class=b"nobody-knows"), 400, True),
+        (asking(X_Request_Id=b"7" * 300), 400, True),
+        (asking(X_Deadline_Ms=b"0"), 400, True),
+        (asking(X_Deadline_Ms=b"nan"), 400, True),
+        (asking(Quota_Info=None), 400, True),
+        (asking(Quota_Info=b"units=-1,spread=3,first=1"), 400, True),
+        (asking(Quota_Info=b"units=+1,spread=3,first=1"), 400, True),
+        (asking(Quota_Info=b"units=0,spread=3,first=1"), 400, True),
+        (asking(Quota_Info=b"units=5,spread=3,first=1"), 400, True),
+        (asking(Quota_Info=b"units=1e3,spread=3,first=1"), 400, True),
+        (asking(Quota_Info=b"units=inf,spread=3,first=1"), 400, True),
+        (asking(Quota_Info=b"units=1,spread=0,first=1"), 400, True),
+        (asking(Quota_Info=b"units=1,spread=4,first=1"), 400, True),
+        (asking(Quota_Info=b"units=1,spread=1.5,first=1"), 400, True),
+        (asking(Quota_Info=b"units=1,spread=3,first=3"), 400, True),
+        (asking(Quota_Info=b"units=1,spread=3,first=-1"), 400, True),
+        (asking(Quota_Info=b"units=1,units=2,spread=3,first=1"), 400, True),
+        (asking(b"POST"), 405, True),
+        (asking(b"GET", X_Class=b"once"), 405, True),
+        (asking(b"DELETE", X_Class=b"once"), 405, True),
         (asking(X_Class=b"x" * 300), 400, True),
         (asking(Quota_Info=b"units=1," * 50 + b"units=1"), 400, True),
         (asking(Plan=None), 400, True),
@@ -79,7 +105,11 @@
         (asking(b"POST", more=b"Content-Length: %d\r\n" % (MAX_BODY + 1)), 413, False),
         (asking(b"POST", more=b"Content-Length: 1\r\nContent-Length: 2\r\n"), 400, False),
         (asking(more=b"X-A: 1\r\n 2\r\n"), 400, False),
+        (asking(b"POST", X_Class=b"once", body=b"x", more=b"Transfer-Encoding: chunked\r\n"), 400, False),
+        (asking(b"POST", X_Class=b"once", more=b"Content-Length: -1\r\n"), 400, False),
+        (asking(b"POST", X_Class=b"once", more=b"Content-Length: %b\r\n" % (b"9" * 30)), 400, False),
         (b"nonsense\r\n\r\n", 400, False),
+        (b"\r\n" * 99, 400, False),
     ],
 )
 def test_what_cannot_be_read_reaches_no_worker(asked: bytes, status: int, stays: bool) -> None:
@@ -93,6 +123,60 @@
             else:
                 assert await caller.ended()
             assert len(worker.requests) == int(stays)
+            # Nor is there a mark on the customer that it names.
+            keeper = rig.gateway.module
+            assert isinstance(keeper, Gatekeeper) and len(keeper.quota.customers) == int(stays)
+
+    run(test)
+
+
+def test_the_id_of_an_open_request_or_of_one_just_answered_is_turned_away() -> None:
+    """Sent on it would be the same request once more: a second effect."""
+
+    async def test() -> None:
+        async with StandIn(silent) as worker, Rig(Script(send_to(1)), worker.address) as rig:
+            first = await rig.caller()
+            first.write(asking(X_Request_Id=b"7"))
+            await until(lambda: worker.requests)
+            assert (await rig.ask(asking(X_Request_Id=b"7"))).status == 409
+            worker.talks[0].write(OK)
+            assert (await first.answer()).status == 200
+            assert (await first.ask(asking(X_Request_Id=b"7"))).status == 409
+            assert len(worker.requests) == 1 and rig.gateway.taken == 1
+
+    run(test)
+
+
+def test_ids_are_forgotten_after_a_while() -> None:
+    async def test() -> None:
+        async with Rig(Script(), Address("127.0.0.1", 9)) as rig:
+            gateway = rig.gateway
+            assert not gateway.is_known(b"7") and gateway.is_known(b"7")
+            for _ in range(2):
+                gateway.turned_over -= gateway.patience
+                gateway.is_known(b"8")
+            assert not gateway.is_known(b"7") and sum(map(len, gateway.recent)) == 2
+
+    run(test)
+
+
+def test_who_sends_what_cannot_be_used_again_and_again_waits_between() -> None:
+    """Each is answered at once; the pause before the next is read leaves the loop to others."""
+
+    async def test() -> None:
+        async with StandIn() as worker, Rig(None, worker.address) as rig:
+            bad = await rig.caller()
+            bad.write(b"".join(asking(X_Request_Id=None) for _ in range(50)))
+            assert (await bad.answer()).status == 400
+            other = await rig.caller()
+            for _ in range(10):
+                assert (await other.ask(asking())).status == 200
+            (waiting,) = [c for c in rig.listener.clients if c.resting]
+            assert waiting.reader.started
+            waiting.resume()
+            assert [(await bad.answer()).status for _ in range(3)] == [400] * 3
+            bad.close()
+            await until(lambda: len(rig.listener.clients) == 1)
 
     run(test)
 
@@ -114,7 +198,7 @@
     async def test() -> None:
         async with StandIn() as worker, Rig(None, worker.address) as rig:
             caller = await rig.caller()
-            caller.write(asking() * 5)
+            caller.write(b"".join(asking() for _ in range(5)))
             assert [(await caller.answer()).status for _ in range(5)] == [200] * 5
             assert len(worker.talks) == 1  # one after the other, on one connection
 
@@ -291,7 +375,14 @@
     async def test() -> None:
         module = Script(send_to(1), fail_when_over)
         async with StandIn() as worker, Rig(module, worker.address) as rig:
-            assert (await rig.ask(asking(X_Deadline_Ms=b"0"))).status in (502, 504)
+            turn = rig.gateway.turn
+
+            def late() -> None:
+                time.sleep(0.005)
+                turn()
+
+            rig.gateway.turn = late  # type: ignore[method-assign]
+            assert (await rig.ask(asking(X_Deadline_Ms=b"1"))).status in (502, 504)
             assert [o.code for o in module.of(i.Outcome)] == [i.Code.TOO_LATE]
             assert not worker.talks
 
@@ -477,7 +568,9 @@
     async def test() -> None:
         async with StandIn() as worker, Rig(None, worker.address) as rig:
             caller = await rig.caller()
-            caller.write(asking(b"POST", more=b"Expect: 100-continue\r\nContent-Length: 2\r\n"))
+            caller.write(
+                asking(b"POST", X_Class=b"once", more=b"Expect: 100-continue\r\nContent-Length: 2\r\n")
+            )
             assert await caller.reader.readuntil(b"\r\n\r\n") == b"HTTP/1.1 100 Continue\r\n\r\n"
             assert (await caller.ask(b"hi")).status == 200
             assert worker.requests[0].body == b"hi" and worker.requests[0].get(b"expect") is None
@@ -485,18 +578,60 @@
     run(test)
 
 
-def test_a_request_that_never_comes_whole_is_ended() -> None:
+def test_a_request_that_does_not_come_whole_in_time_is_ended(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The time runs from connecting, for later requests from their first byte: trickled bytes win none."""
+    monkeypatch.setattr(clients_module, "WHOLE_S", 0.3)
+
+    async def test() -> None:
+        async with Rig(Script(), Address("127.0.0.1", 9)) as rig:
+            fresh, used = await rig.caller(), await rig.caller()
+            assert (await used.ask(HEALTH)).status == 200
+            began = rig.gateway.loop.time()
+            for caller in (fresh, used):
+                loop_until_told = asyncio.ensure_future(caller.answer())
+                for byte in asking()[:-3]:
+                    if loop_until_told.done():
+                        break
+                    caller.write(bytes([byte]))
+                    await asyncio.sleep(0.005)
+                assert (await loop_until_told).status == 408
+                assert await caller.ended()
+            assert rig.gateway.loop.time() - began < PATIENCE
+
+    run(test)
+
+
+def test_who_connects_and_says_nothing_or_nothing_more_is_closed(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(clients_module, "IDLE_S", 0.1)
+
+    async def test() -> None:
+        async with Rig(Script(), Address("127.0.0.1", 9)) as rig:
+            silent, asked, busy = [await rig.caller() for _ in range(3)]
+            assert (await asked.ask(HEALTH)).keep_alive
+            busy.write(asking())  # held by a module that says nothing
+            await until(lambda: rig.gateway.by_client)
+            assert await silent.ended() and await asked.ended()
+            await until(lambda: len(rig.listener.clients) == 1)
+            assert rig.gateway.by_client and not rig.listener.idle
+
+    run(test)
+
+
+def test_a_body_refused_by_its_length_is_dropped_within_bounds() -> None:
+    """The answer comes before the body is read; not more than some of the body ever is."""
+
     async def test() -> None:
         async with Rig(Script(), Address("127.0.0.1", 9)) as rig:
-            rig.gateway.patience = 0.05
             caller = await rig.caller()
-            caller.write(asking()[:-3])
-            assert (await caller.answer()).status == 408
-            assert await caller.ended()
-            idle = await rig.caller()  # one that has asked nothing is left alone
-            await asyncio.sleep(0.1)
-            rig.listener.sweep(0.05)
-            assert (await idle.ask(b"GET /healthz HTTP/1.1\r\n\r\n")).status == 200
+            caller.write(asking(b"POST", X_Class=b"once", more=b"Content-Length: 60000000\r\n"))
+            assert (await caller.answer()).status == 413
+            (client,) = rig.listener.clients
+            with contextlib.suppress(ConnectionError):
+                for _ in range(100):
+                    caller.write(b"x" * 100_000)
+                    await asyncio.sleep(0)
+            assert client.discarded <= clients_module.DISCARD + 64 * 1024
+            await until(lambda: not rig.listener.clients)  # its descriptor comes free all the same
 
     run(test)
 
@@ -519,24 +654,22 @@
     async def test() -> None:
         async with StandIn() as worker, Rig(None, worker.address) as rig:
             more = b"Connection: X-Request-Id, idempotency-key, X-Mine\r\nX-Mine: 1\r\n"
-            asked = asking(b"POST", X_Class=b"token-all", Idempotency_Key=b"k", more=more)
+            asked = asking(b"POST", X_Class=b"token-all", X_Request_Id=b"7", Idempotency_Key=b"k", more=more)
             assert (await rig.ask(asked)).status == 200
             (got,) = worker.requests
-            assert (got.get(b"x-request-id"), got.get(b"idempotency-key")) == (b"9b1f03aa5c7e2d41", b"k")
+            assert (got.get(b"x-request-id"), got.get(b"idempotency-key")) == (b"7", b"k")
             assert got.get(b"x-mine") is None
 
     run(test)
 
 
-@pytest.mark.parametrize("cls", [b"pure", b"nobody-knows"])
-def test_no_request_is_held_for_longer_than_its_class_says(cls: bytes) -> None:
+def test_no_request_is_held_for_longer_than_its_class_says() -> None:
     async def test() -> None:
         module = Script(lambda e: [i.Refuse(e.id)] if isinstance(e, i.Request) else [])
         async with Rig(module, Address("127.0.0.1", 9)) as rig:
             before = rig.gateway.loop.time()
-            assert (await rig.ask(asking(X_Class=cls, X_Deadline_Ms=b"999999999"))).status == 429
+            assert (await rig.ask(asking(X_Deadline_Ms=b"999999999"))).status == 429
             (asked,) = module.of(i.Request)
-            assert asked.cls == ("pure" if cls == b"pure" else "")
             assert asked.not_after <= before + DEADLINE + PATIENCE
 
     run(test)
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -301,3 +301,57 @@
         while (request := reader.next()) is not None:
             found.append(request.body)
     assert found == [b"".join(chunks)]
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"\r\n" * 1000,
+        b"POST /a HTTP/1.1\r\n" + CHUNKED + b"1;a=%b\r\nx\r\n" % (b"b" * 200) * 1000,
+        b"POST /a HTTP/1.1\r\n" + CHUNKED + b"1\r\nx\r\n" * 10_000,
+    ],
+)
+def test_what_never_becomes_a_message_is_ended_long_before_it_costs_much(data: bytes) -> None:
+    """Empty lines, and chunks that are nearly all frame, are work without a body."""
+    reader = RequestReader()
+    with pytest.raises(Malformed):
+        for at in range(0, len(data), 1000):
+            reader.feed(data[at : at + 1000])
+            assert reader.next() is None
+            assert at < 2 * MAX_HEAD
+    assert at <= 2 * MAX_HEAD
+
+
+def test_interim_answers_are_skipped_within_bounds() -> None:
+    interim, last = b"HTTP/1.1 102 Processing\r\n\r\n", write_response(200, [], b"x")
+    reader = ResponseReader()
+    reader.feed(interim * 8 + last)
+    answer = reader.next()
+    assert answer is not None and answer.body == b"x"
+    reader = ResponseReader()
+    reader.feed(interim * 9)
+    with pytest.raises(Malformed):
+        reader.next()
+
+
+@pytest.mark.parametrize("report", [b"\x01\x02", b"{\x7f", b"\xff\x1b["])
+def test_a_report_that_cannot_be_read_does_not_spoil_its_answer(report: bytes) -> None:
+    data = b"HTTP/1.1 200 OK\r\nX-Load: %b\r\nX-A: 1\r\nContent-Length: 2\r\n\r\nok" % report
+    for cut in range(len(data) + 1):
+        reader = ResponseReader()
+        reader.feed(data[:cut])
+        first = reader.next()
+        reader.feed(data[cut:])
+        answer = first or reader.next()
+        assert answer is not None and answer.body == b"ok" and answer.keep_alive
+        assert answer.headers == [(b"x-a", b"1"), (b"content-length", b"2")]
+
+
+@pytest.mark.parametrize(
+    "field", [b"Content-Length: 2\x01", b"Connection: close\x01", b"X-A: a\0b", b"X A: 1"]
+)
+def test_framing_and_names_must_be_readable_all_the_same(field: bytes) -> None:
+    reader = ResponseReader()
+    reader.feed(b"HTTP/1.1 200 OK\r\n%b\r\nContent-Length: 2\r\n\r\nok" % field)
+    with pytest.raises(Malformed):
+        reader.next()
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -44,7 +44,7 @@
 ROOT = Path(__file__).resolve().parent.parent
 HEALTH = b"GET /healthz HTTP/1.1\r\n\r\n"
 SETTINGS: dict[str, Any] = {
-    "me": 1, "fleet_size": 2, "az": "a", "discovery": "push",
+    "me": 1, "fleet_size": 3, "az": "a", "discovery": "push",
     "guarantees": {"cold": 17_000_000_000, "cold_share": 0.24, "fall_multiple": 3.0, "tip_after": 1e9,
                    "stop_sending_within": 1_000_000_000, "answer_slack": 8_000_000},
     "policy_limits": {"cancel": True, "conn_idle": 15_000_000_000, "connect_timeout": 250_000_000,
--- a/tests/test_workers.py
+++ b/tests/test_workers.py
@@ -13,7 +13,7 @@
 from pewterring.net.connection import Address
 from pewterring.net.descriptors import Descriptors
 from pewterring.net.ending import CODES, Ending, of_answer
-from pewterring.net.workers import Exchange, Pool, WorkerConnection
+from pewterring.net.workers import Exchange, Pool, Target, WorkerConnection
 from tests.stand_ins import OK, StandIn, Talk, asking, run, until
 
 
@@ -31,7 +31,7 @@
         def done(ending: Ending, response: Response | None) -> None:
             self.found.append(ending)
 
-        return self.pool.start(address, data or asking(), done, fresh=fresh)
+        return self.pool.start(Target(1, address), data or asking(), done, fresh=fresh)
 
     async def one(self, address: Address) -> Ending:
         count = len(self.found)
@@ -99,16 +99,16 @@
         ends = Ends(idle_s=1.0)
         async with StandIn() as worker:
             assert await ends.one(worker.address) is Ending.SERVED
-            (connection,) = ends.pool.idle[worker.address]
+            (connection,) = ends.pool.idle[Target(1, worker.address)]
             connection.idle_since -= 0.4
             ends.pool.sweep()
-            assert ends.pool.idle[worker.address] == [connection]
+            assert ends.pool.idle[Target(1, worker.address)] == [connection]
             connection.idle_since -= 0.2
             ends.pool.sweep()
             assert not ends.pool.idle
             await until(lambda: worker.talks[0].ended)
             assert await ends.one(worker.address) is Ending.SERVED  # on a new one
-            ends.pool.idle[worker.address][0].idle_since -= 0.6  # too old, and not swept yet
+            ends.pool.idle[Target(1, worker.address)][0].idle_since -= 0.6  # too old, and not swept yet
             assert await ends.one(worker.address) is Ending.SERVED
             assert ends.pool.opened == 3 and ends.pool.reused == 0
 
@@ -123,7 +123,7 @@
             assert await ends.one(worker.address) is Ending.SERVED
             talk = worker.talks[0]
             {"spoke": lambda: talk.write(OK), "closed": talk.close, "reset": talk.reset}[what]()
-            await until(lambda: not ends.pool.idle.get(worker.address))
+            await until(lambda: not ends.pool.idle.get(Target(1, worker.address)))
             assert await ends.one(worker.address) is Ending.SERVED
             assert len(worker.talks) == 2
 
@@ -169,7 +169,7 @@
         ends = Ends()
         async with StandIn() as worker:
             assert await ends.one(worker.address) is Ending.SERVED
-            (connection,) = ends.pool.idle[worker.address]
+            (connection,) = ends.pool.idle[Target(1, worker.address)]
             sock = connection.transport.get_extra_info("socket")
             socket.socket(fileno=socket.dup(sock.fileno())).shutdown(socket.SHUT_WR)
             assert await ends.one(worker.address) is Ending.SERVED
@@ -222,12 +222,12 @@
 
 
 def piped(ends: Ends, takes: int) -> tuple[WorkerConnection, Exchange]:
-    connection = WorkerConnection(ends.pool, Address("127.0.0.1", 9))
+    connection = WorkerConnection(ends.pool, Target(1, Address("127.0.0.1", 9)))
     pipe = Pipe(takes)
     pipe.connection = connection
     assert ends.budget.take()
     connection.connection_made(cast(asyncio.Transport, pipe))
-    exchange = Exchange(ends.pool, connection.address, asking(), False, lambda e, r: ends.found.append(e))
+    exchange = Exchange(ends.pool, connection.target, asking(), False, lambda e, r: ends.found.append(e))
     assert connection.send(exchange)
     return connection, exchange
 
@@ -345,7 +345,7 @@
         async with StandIn(held) as drains, StandIn(held) as stays:
             ends.start(drains.address)
             ends.start(stays.address)
-            ends.pool.retain({stays.address})
+            ends.pool.retain({Target(1, stays.address)})
             assert ends.found == [Ending.NEVER_UP]
             await until(lambda: stays.requests and not ends.pool.opening)
             assert not drains.requests
@@ -371,9 +371,9 @@
             for talk in worker.talks:
                 talk.write(OK)
             await until(lambda: len(ends.found) == 2)
-            ends.pool.drop_idle(worker.address, made_before=between)
+            ends.pool.drop_idle(Target(1, worker.address), made_before=between)
             await until(lambda: worker.talks[0].ended)
-            assert len(ends.pool.idle[worker.address]) == 1 and not worker.talks[1].ended
+            assert len(ends.pool.idle[Target(1, worker.address)]) == 1 and not worker.talks[1].ended
             assert ends.pool.endings == {Ending.LEFT: 1}
 
     run(test)
@@ -385,9 +385,9 @@
         async with StandIn() as one, StandIn() as two:
             assert await ends.one(one.address) is Ending.SERVED
             assert await ends.one(two.address) is Ending.SERVED
-            ends.pool.retain({two.address})
+            ends.pool.retain({Target(1, two.address)})
             await until(lambda: one.talks[0].ended)
-            assert set(ends.pool.idle) == {two.address} and not two.talks[0].ended
+            assert set(ends.pool.idle) == {Target(1, two.address)} and not two.talks[0].ended
             ends.pool.close()
             await until(lambda: two.talks[0].ended and ends.budget.used == 0)
 
@@ -407,3 +407,81 @@
     assert sum(budget.take(accepting=True) for _ in range(200)) == budget.all - budget.hard
     budget.give_back()
     assert freed == [1] and budget.take(accepting=True)
+
+
+@pytest.mark.parametrize(
+    "part",
+    [
+        b"HTTP/1.1 200 OK\r\nContent-Length: 500\r\n\r\nshort",
+        b"HTTP/1.1 200 OK\r\nX-A: ",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab",
+        b"HTTP/1.1 200 OK\r\n\r\nends with a connection that stays open",
+    ],
+)
+def test_an_answer_that_begins_and_does_not_end_is_cut_off(part: bytes) -> None:
+    """Its connection stays open and silent: without a bound the request would wait to its deadline."""
+
+    async def test() -> None:
+        ends = Ends(connect_s=0.05)
+        async with StandIn(lambda talk, request: part) as worker:
+            assert await ends.one(worker.address) is Ending.STALLED
+            assert CODES[Ending.STALLED] is Code.ABORTED  # it may have run
+            await until(lambda: worker.talks[0].ended and ends.budget.used == 0)
+            worker.answer = lambda talk, request: OK
+            assert await ends.one(worker.address) is Ending.SERVED and len(worker.talks) == 2
+
+    run(test)
+
+
+@pytest.mark.parametrize(
+    "endless", [b"HTTP/1.1 200 OK\r\n" + b"X-A: 1\r\n" * 4000, b"\x00\xff" * 9000, b"\r\n" * 9000,
+                b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n" + b"x" * 70_000,
+                b"HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n",
+                b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nabc",
+                b"HTTP/1.1 102 Processing\r\n\r\n" * 50]
+)  # fmt: skip
+def test_a_spoilt_answer_is_a_failed_attempt_that_may_have_run(endless: bytes) -> None:
+    async def test() -> None:
+        ends = Ends()
+        async with StandIn(lambda talk, request: endless) as worker:
+            assert await ends.one(worker.address) is Ending.MALFORMED
+            await until(lambda: worker.talks[0].ended and ends.budget.used == 0)
+
+    run(test)
+
+
+def test_an_answer_that_comes_in_pieces_is_whole() -> None:
+    async def test() -> None:
+        def slowly(talk: Talk, request: Request) -> None:
+            for n in range(0, len(OK), 20):
+                asyncio.get_running_loop().call_later(n / 2000, talk.write, OK[n : n + 20])
+
+        ends = Ends()
+        async with StandIn(slowly) as worker:
+            assert await ends.one(worker.address) is Ending.SERVED
+            assert await ends.one(worker.address) is Ending.SERVED and len(worker.talks) == 1
+
+    run(test)
+
+
+def test_a_new_worker_at_an_old_address_inherits_no_connection() -> None:
+    async def test() -> None:
+        ends = Ends()
+        async with StandIn(held) as machine:
+            old, new = Target(1, machine.address), Target(2, machine.address)
+            idle, busy = (ends.pool.start(old, asking(), lambda e, r: ends.found.append(e)) for _ in range(2))
+            await until(lambda: len(machine.requests) == 2)
+            machine.talks[0].write(OK)
+            await until(lambda: len(ends.found) == 1)
+            ends.pool.retain({new})  # the old one is gone, its attempt is still out
+            await until(lambda: machine.talks[0].ended)
+            assert busy.ending is None
+            machine.talks[1].write(OK)
+            await until(lambda: len(ends.found) == 2)
+            await until(lambda: machine.talks[1].ended)  # not kept for the new one
+            machine.answer = lambda talk, request: OK
+            ends.pool.start(new, asking(), lambda e, r: ends.found.append(e))
+            await until(lambda: len(ends.found) == 3)
+            assert len(machine.talks) == 3 and idle.ending is Ending.SERVED
+
+    run(test)
