--- a/pewterring/choice.py
+++ b/pewterring/choice.py
@@ -159,16 +159,20 @@
         return self.plan.depth - self.own.spent - sum(u.spent for u in self.told.values())
 
     def pass_time(self, now: float) -> None:
-        plan, past = self.plan, now - self.at
-        if past <= 0:
+        if (past := now - self.at) <= 0:
             return
-        spent = plan.depth - self.left()
-        fade = math.exp(-past / self.window)
-        keep = max(0.0, 1 - past * plan.refill / spent) if spent > 0 else 0.0
+        # The refill goes where the burst was spent, as in one common store. The own part is reckoned as peers
+        # know it: with what they have not heard of yet, all reckon theirs too large and refill too much.
+        fade, refill = math.exp(-past / self.window), past * self.plan.refill
+        sent = [self.own] if self.keeper >= 0 else list(self.sent.values()) or [self.own]
+        known, told = max(use.spent for use in sent), sum(use.spent for use in self.told.values())
+        part = min(1.0, refill / (known + told)) if known + told > 0 else 1.0
+        own = self.own.spent - (known * part if part < 1 else refill)
         for use in (self.own, *self.told.values(), *self.sent.values()):
             use.demand *= fade
-            use.spent *= keep  # the refill goes where the burst was spent, as in one common store
-        self.cap = min(plan.cap_depth / self.size, self.cap + past * plan.cap_rate / self.size)
+            use.spent *= 1 - part
+        self.own.spent = max(0.0, own)
+        self.cap = min(self.plan.cap_depth / self.size, self.cap + past * self.plan.cap_rate / self.size)
         self.at = now
 
 
@@ -176,14 +180,15 @@
     """Summed-demand refusal beyond a local share of the burst, and the hard limits of a plan."""
 
     PULL = 10.0  # the quota rises and falls by so many refills for a whole burst left or overdrawn
-    KEPT = 0.4  # of the burst is kept back where another has the account, for what its news don't tell yet
+    KEPT = 0.4  # of the burst is kept back where another has the account, for what its news don't tell yet;
+    # else as much as makes the quota nought where the store is empty: a try sent on too early only costs
     SPEAK = 0.2  # a keeper speaks when the set would misjudge demand or spending by so much in all
 
     def __init__(self, settings: i.Settings, rng: random.Random, sparse: bool = False) -> None:
         self.s, self.rng, self.began, self.sparse = settings, rng, 0.0, sparse
         self.customers: dict[int, Customer] = {}
         self.fresh: dict[int, Customer] = {}  # those with use that is not told yet
-        self.plans, self.kept = list(settings.plans.values()), self.KEPT if sparse else 0.0
+        self.plans, self.kept = list(settings.plans.values()), self.KEPT if sparse else 1 / self.PULL
 
     def customer(self, now: float, id: int, plan: i.Plan, size: int, first: int) -> Customer:
         c = self.customers.get(id)
@@ -206,7 +211,7 @@
         over = plan.cap_rate and c.cap < r.units  # the hard ceiling: the part held here, whatever peers say
         if over or (plan.parallel and c.open >= max(1, plan.parallel // c.size)):
             return False
-        spare = c.left() - r.units - plan.depth * self.kept
+        spare = c.left() - min(plan.depth, r.units + plan.depth * self.kept)  # a full store gives all it has
         if idle and plan.over_worth > plan.over_cost:
             return True  # a plan that pays for use beyond its quota may have what else would lie idle
         if not plan.refill or (spare >= 0 and c.own.spent + r.units <= plan.depth / c.size):
@@ -244,18 +249,15 @@
         fresh, self.fresh = self.fresh, {}
         for id, c in fresh.items():
             c.pass_time(now)
-            circle: list[int] = []
+            tell = not self.sparse
             if self.sparse and c.keeper != self.s.me:
                 due.setdefault(c.keeper, []).append((1.0, id, c.new))
                 c.new = Use()
             elif self.sparse and c.demand() > c.plan.refill:
                 self.fresh[id] = c
-                if self.misjudged(c, c.keeper) > self.SPEAK and c.size <= post:
+                if tell := self.misjudged(c, c.keeper) > self.SPEAK and c.size <= post:
                     c.sent[c.keeper], post = Use(c.own.demand, c.own.spent), post - c.size
-                    circle = list(range(c.first, c.first + c.size))
-            elif not self.sparse:
-                circle = list(range(c.first, c.first + c.size))
-            for peer in (n % self.s.fleet_size for n in circle):
+            for peer in (n % self.s.fleet_size for n in range(c.first, c.first + c.size * tell)):
                 if (error := self.misjudged(c, peer) * c.size) > 0.04 or self.sparse:
                     due.setdefault(peer, []).append((error, id, c.own))
         due.pop(self.s.me, None)
@@ -454,9 +456,8 @@
                 self.arrive(now, event)
             case i.Outcome():
                 self.ended(now, event)
-            case i.ServerList():
-                if event.form == i.ListForm.FAILED and self.s.ask_discovery:
-                    self.actions.append(i.SetTimer(self.s.rules.ask_within * self.rng.uniform(0.1, 0.4), ASK))
+            case i.ServerList(i.ListForm.FAILED) if self.s.ask_discovery:
+                self.actions.append(i.SetTimer(self.s.rules.ask_within * self.rng.uniform(0.1, 0.4), ASK))
             case i.TimerDue():
                 self.timer(now, event.label)
             case i.PeerMail():
@@ -466,9 +467,8 @@
                 elif not foreign and self.shares.hear(now, event.peer, event.data, self.ceiling.limit):
                     life = self.shares.peers[event.peer].beat.incarnation
                     self.quota.hear(now, event.peer, life, event.data)
-            case i.ProbeResult():
-                if event.code == i.Code.OK and (node := self.fleet.nodes.get(event.server)):
-                    self.fleet.answers(node, now)
+            case i.ProbeResult(server, i.Code.OK) if server in self.fleet.nodes:
+                self.fleet.answers(self.fleet.nodes[server], now)
             case i.StreamStarted() if event.id in self.held:
                 held = self.held[event.id]
                 held.streaming = True
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -15,6 +15,7 @@
 PLANS = {
     "free": i.Plan("free"),
     "small": i.Plan("small", refill=1.0, depth=4.0),
+    "busy": i.Plan("busy", refill=10.0, depth=12.0),
     "capped": i.Plan("capped", cap_rate=2.0, cap_depth=8.0, cap_slack=0.8),
     "narrow": i.Plan("narrow", parallel=4),
 }
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -16,9 +16,10 @@
 class Fleet:
     """Three gatekeepers whose mail passes at once, unless it is cut."""
 
-    def __init__(self) -> None:
+    def __init__(self, plan: str = "small") -> None:
         self.all = [Drive(settings(me=n), seed=n) for n in range(3)]
-        self.cut = False
+        self.cut, self.plan, self.rng = False, PLANS[plan], random.Random(5)
+        self.store, self.beyond = self.plan.depth, 0  # the one true store, and tries sent on without it
 
     def pass_time(self, past: float) -> None:
         for d in self.all:
@@ -28,17 +29,20 @@
                 other = self.all[t.peer].keeper
                 other.handle(d.now, i.PeerMail(d.keeper.s.me, t.data))
 
-    def admitted(self, tries: dict[int, int], seconds: float, size: int = 3) -> float:
+    def admitted(self, tries: dict[int, int], seconds: float, size: int = 3, unevenly: bool = False) -> float:
         """Units a second sent on of so many tries a second at each gatekeeper."""
         count, steps = 0, round(seconds / 0.1)
         for _ in range(steps):
             for n, rate in tries.items():
                 d = self.all[n]
-                for _ in range(rate // 10):
-                    for send in sends(d.ask(plan="small", size=size)):
+                for _ in range(self.rng.randrange(1 + rate // 5) if unevenly else rate // 10):
+                    for send in sends(d.ask(plan=self.plan.name, size=size)):
                         count += 1
+                        self.beyond += self.store < 1
+                        self.store -= self.store >= 1  # beyond the quota a try takes nothing
                         d.end(send, i.Code.OK)
             self.pass_time(0.1)
+            self.store = min(self.plan.depth, self.store + 0.1 * self.plan.refill)
         return count / seconds
 
 
@@ -57,6 +61,14 @@
     assert 0.7 * SMALL.refill <= fleet.admitted(tries, 40.0) <= 1.4 * SMALL.refill
 
 
+@pytest.mark.parametrize(("tries", "size"), [({0: 40}, 1), ({0: 40}, 3), ({0: 20, 1: 20, 2: 20}, 3)])
+def test_little_is_sent_on_while_the_store_is_empty(tries: dict[int, int], size: int) -> None:
+    """Where the chance let the whole refill through at an empty store, many came a little too early."""
+    fleet = Fleet("busy")
+    sent = 60 * fleet.admitted(tries, 60.0, size, unevenly=True)
+    assert fleet.beyond <= 0.05 * sent and sent >= 0.95 * (fleet.plan.depth + 60 * fleet.plan.refill)
+
+
 def test_traffic_that_shifts_at_a_stroke_grants_no_second_burst() -> None:
     fleet = Fleet()
     fleet.admitted({0: 20}, 10.0)
