--- a/pewterring/gateway/service.py
+++ b/pewterring/gateway/service.py
@@ -18,6 +18,7 @@
 from pewterring.net.workers import Pool
 
 SWEEP_S = 0.25
+FIGURES_S = 10.0  # between two lines of figures in the log
 # At SIGTERM new connections keep coming for a while: none must have come for QUIET_S, and AT_LEAST_S must
 # have passed, before the door is closed. After AT_MOST_S it is closed all the same: what comes later would
 # not be answered before the kill.
@@ -51,6 +52,7 @@
         self.discovery: Discovery | None = None
         self.stop = asyncio.Event()
         self.sweeping: asyncio.TimerHandle | None = None
+        self.figured = self.loop.time()
         self.closed = False
 
     async def start(self) -> None:
@@ -104,6 +106,9 @@
         self.pool.sweep()
         if self.listener:
             self.listener.sweep(self.gateway.patience)
+        if self.loop.time() - self.figured >= FIGURES_S:
+            self.figured += FIGURES_S
+            self.log("figures", **self.figures())
         self.sweeping = self.loop.call_later(SWEEP_S, self.sweep)
 
     async def run(self) -> None:
@@ -132,19 +137,26 @@
         while listener.clients:
             await asyncio.sleep(POLL_S)
         self.close()
-        self.log(
-            "stopped",
-            taken=gateway.taken,
-            served=gateway.served,
-            refused=gateway.refused,
-            failed=gateway.failed,
-            unusable=gateway.unusable,
-            left=gateway.left,
-            faults=gateway.faults,
-            opened=self.pool.opened,
-            reused=self.pool.reused,
-            endings={ending.name.lower(): n for ending, n in self.pool.endings.items()},
-        )
+        self.log("stopped", **self.figures())
+
+    def figures(self) -> dict[str, object]:
+        """What was done since the start, and what is held now."""
+        gateway, pool = self.gateway, self.pool
+        return {
+            "taken": gateway.taken,
+            "served": gateway.served,
+            "refused": gateway.refused,
+            "failed": gateway.failed,
+            "unusable": gateway.unusable,
+            "left": gateway.left,
+            "faults": gateway.faults,
+            "held": len(gateway.by_client),
+            "clients": len(self.listener.clients) if self.listener else 0,
+            "opened": pool.opened,
+            "reused": pool.reused,
+            "outcomes": {ending.name.lower(): n for ending, n in pool.outcomes.items()},
+            "endings": {ending.name.lower(): n for ending, n in pool.endings.items()},
+        }
 
     def close(self) -> None:
         self.closed = True
--- a/pewterring/net/workers.py
+++ b/pewterring/net/workers.py
@@ -38,6 +38,7 @@
         if self.ending is not None:
             return
         self.ending = ending
+        self.pool.outcomes[ending] += 1
         if ending in SUSPECT:
             self.pool.drop_idle(self.target)
         self.done(ending, response)
@@ -179,6 +180,7 @@
         self.opening: dict[asyncio.Task[None], Exchange] = {}
         self.opened = self.reused = 0
         self.endings: Counter[Ending] = Counter()  # of connections
+        self.outcomes: Counter[Ending] = Counter()  # of exchanges
 
     def start(
         self, target: Target, data: bytes, done: Done, bodiless: bool = False, fresh: bool = False
