--- a/pewterring/config.py
+++ b/pewterring/config.py
@@ -26,6 +26,7 @@
     discovery: Address | None
     seed: int
     sockets: int
+    memory_mb: int
     peer_listen: Address | None
     peers: tuple[Address, ...]
     peers_all: Address | None
@@ -57,7 +58,9 @@
     listen = tree.get("listen") or env.get(LISTEN)
     if not listen:
         raise ConfigError("listen is missing")
-    limits, seed, known = tree.get("limits"), tree.get("seed", 0), tree.get("known")
+    limits, seed, known = tree.get("limits") or {}, tree.get("seed", 0), tree.get("known")
+    if not isinstance(limits, dict):
+        raise ConfigError("limits is not an object")
     peers = tree.get("peers") or []
     if not isinstance(peers, list):
         raise ConfigError("peers is not a list")
@@ -67,7 +70,8 @@
         listen=read_address(str(listen)),
         discovery=address(tree.get("discovery") or env.get(DISCOVERY)),
         seed=seed if isinstance(seed, int) else int(str(seed), 16),
-        sockets=int(limits.get("sockets", 1024)) if isinstance(limits, dict) else 1024,
+        sockets=int(limits.get("sockets", 1024)),
+        memory_mb=int(limits.get("memory_mb", 192)),
         peer_listen=address(tree.get("peer_listen")),
         peers=tuple(read_address(str(peer)) for peer in peers),
         peers_all=address(tree.get("peers_all")),
--- a/pewterring/gateway/service.py
+++ b/pewterring/gateway/service.py
@@ -18,6 +18,7 @@
 from pewterring.net.workers import Pool
 
 SWEEP_S = 0.25
+ANSWERS = 8  # one part in so many of the memory is for answers that have not come whole
 FIGURES_S = 10.0  # between two lines of figures in the log
 # At SIGTERM new connections keep coming for a while: none must have come for QUIET_S, and AT_LEAST_S must
 # have passed, before the door is closed. After AT_MOST_S it is closed all the same: what comes later would
@@ -45,7 +46,10 @@
         self.loop = asyncio.get_running_loop()
         self.descriptors = Descriptors(config.sockets)
         transport = config.transport
-        self.pool = Pool(self.loop, self.descriptors, transport.connect_timeout, transport.conn_idle)
+        room = config.memory_mb * 1024 * 1024 // ANSWERS
+        self.pool = Pool(
+            self.loop, self.descriptors, transport.connect_timeout, transport.conn_idle, room=room
+        )
         module = module or Gatekeeper(config.settings, config.seed)
         self.gateway = Gateway(self.loop, config.settings, transport, module, self.pool, log)
         self.listener: Listener | None = None
@@ -152,6 +156,7 @@
             "faults": gateway.faults,
             "held": len(gateway.by_client),
             "clients": len(self.listener.clients) if self.listener else 0,
+            "rejected": dict(self.listener.rejected) if self.listener else {},
             "opened": pool.opened,
             "reused": pool.reused,
             "outcomes": {ending.name.lower(): n for ending, n in pool.outcomes.items()},
--- a/pewterring/http/reader.py
+++ b/pewterring/http/reader.py
@@ -12,6 +12,7 @@
 
 MAX_HEAD = 16 * 1024
 MAX_BODY = 64 * 1024  # the protocol's bound
+MAX_ANSWER = 1024 * 1024  # of an answer's body: workers go past that bound, several times over
 MAX_CHUNK_LINE = 256
 MAX_BLANK = 16  # empty lines before a message
 MAX_INTERIM = 8  # interim answers before the one that counts
--- a/pewterring/net/clients.py
+++ b/pewterring/net/clients.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+from collections import Counter
 from typing import Protocol
 
 from pewterring.http.messages import Malformed, Request
@@ -122,6 +123,7 @@
         """Says what was wrong and closes. What the client still sends is read and dropped for a while:
         closing on unread bytes would reset the connection and take the answer with it."""
         self.ending, self.lingering = ending, True
+        self.listener.rejected[str(status)] += 1
         self.since = self.listener.loop.time()
         self.transport.write(write_response(status, [], keep_alive=False))
         if not self.transport.is_closing():
@@ -179,6 +181,7 @@
         self.idle: dict[Client, None] = {}  # in the order in which they came to rest
         self.opening: set[asyncio.Task[None]] = set()
         self.closing = False  # every answer from now on closes its connection
+        self.rejected: Counter[str] = Counter()  # what could not be read, by status
         self.accepting = False
         self.accepted_at = loop.time()
         self.socket: socket.socket | None = listen(address)
--- a/pewterring/net/ending.py
+++ b/pewterring/net/ending.py
@@ -19,6 +19,7 @@
     CUT = "it broke within an answer"
     MALFORMED = "the answer could not be read"
     STALLED = "the answer began and its rest did not come"
+    NO_ROOM = "no memory was left for the rest of the answer"
     TIMED_OUT = "nothing came in time"
     CANCELLED = "given up, as the answer is no longer wanted"
     TOO_LATE = "never begun: the request was over, or had all its attempts"
@@ -50,6 +51,7 @@
     Ending.CUT: Code.ABORTED,
     Ending.MALFORMED: Code.ABORTED,
     Ending.STALLED: Code.ABORTED,
+    Ending.NO_ROOM: Code.ABORTED,
     Ending.TIMED_OUT: Code.DEADLINE_EXCEEDED,
     Ending.CANCELLED: Code.CANCELLED,
     Ending.TOO_LATE: Code.TOO_LATE,
--- a/pewterring/net/workers.py
+++ b/pewterring/net/workers.py
@@ -7,7 +7,7 @@
 from typing import NamedTuple
 
 from pewterring.http.messages import Malformed, Response
-from pewterring.http.reader import MAX_BODY, ResponseReader
+from pewterring.http.reader import MAX_ANSWER, ResponseReader
 from pewterring.net.connection import Address, Connection
 from pewterring.net.descriptors import Descriptors
 from pewterring.net.ending import SUSPECT, Ending, of_answer
@@ -68,7 +68,8 @@
         self.reader = ResponseReader()
         self.idle_since = self.made_at = 0.0
         self.ending: Ending | None = None
-        self.rest: asyncio.TimerHandle | None = None  # until when the rest of an answer must have come
+        self.rest: asyncio.TimerHandle | None = None  # until when more of an answer must have come
+        self.came_at, self.holding = 0.0, 0  # when the last part of an answer came; bytes of it so far
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
@@ -98,21 +99,38 @@
             return self.finish(exchange, Ending.MALFORMED)
         if response is not None:
             self.finish(exchange, of_answer(response), response)
-        elif self.rest is None:
+            return
+        self.came_at = self.pool.loop.time()
+        self.holding += len(data)
+        self.pool.held += len(data)
+        if self.pool.held > self.pool.room:
+            return self.finish(exchange, Ending.NO_ROOM)
+        if self.rest is None:
             self.rest = self.pool.loop.call_later(self.pool.connect_timeout, self.stalled, exchange)
 
     def stalled(self, exchange: Exchange) -> None:
-        """Part of an answer has come and nothing ends it: its length is wrong, or it never ends. An answer is
-        small and comes in one piece, so it is given as long as a connection may take to come up."""
+        """Part of an answer has come and nothing more follows: its length is wrong. The parts come one behind
+        the other, so each is given as long as a connection may take to come up."""
         self.rest = None
-        if self.exchange is exchange and not self.unread():  # what is only unread yet is not missing
+        wait = self.came_at + self.pool.connect_timeout - self.pool.loop.time()
+        if self.unread():  # what is only unread yet is not missing
+            wait = self.pool.connect_timeout
+        if wait > 0:
+            self.rest = self.pool.loop.call_later(wait, self.stalled, exchange)
+        else:
             self.finish(exchange, Ending.STALLED)
 
-    def finish(self, exchange: Exchange, ending: Ending, response: Response | None = None) -> None:
-        self.exchange = exchange.connection = None
+    def let_go(self) -> None:
+        """Nothing more of an answer is waited for."""
         if self.rest:
             self.rest.cancel()
             self.rest = None
+        self.pool.held -= self.holding
+        self.holding = 0
+
+    def finish(self, exchange: Exchange, ending: Ending, response: Response | None = None) -> None:
+        self.exchange = exchange.connection = None
+        self.let_go()
         reusable = (
             response is not None and response.keep_alive and not self.unsent and not self.reader.started
         )
@@ -148,9 +166,7 @@
         return Ending.CUT if self.reader.started else Ending.RESET
 
     def drop(self, ending: Ending) -> None:
-        if self.rest:
-            self.rest.cancel()
-            self.rest = None
+        self.let_go()
         self.note(ending)
         if self.up:
             self.transport.abort()
@@ -168,10 +184,12 @@
         descriptors: Descriptors,
         connect_timeout: float,
         conn_idle: float,
-        most: int = MAX_BODY,
+        most: int = MAX_ANSWER,
+        room: int = 64 * MAX_ANSWER,
     ) -> None:
         self.loop, self.descriptors = loop, descriptors
         self.connect_timeout, self.most = connect_timeout, most
+        self.held, self.room = 0, room  # bytes of answers that have not come whole, and how many may be held
         # The other side may close at any moment near the end of the idle life, and a request that crosses the
         # close may have run: half of that life leaves room for lateness on both sides.
         self.keep_s = conn_idle / 2
--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -236,6 +236,7 @@
         known = listing(*(entry(f"s-{n}", address) for n, address in enumerate(workers, 1)))
         self.config = Config(
             name="g", listen=Address("127.0.0.1", 0), discovery=discovery, seed=7, sockets=sockets,
+            memory_mb=192,
             peer_listen=None, peers=(), peers_all=None, known=known if workers else None, settings=settings(),
             transport=transport or Transport(connect_timeout=1.0, conn_idle=60.0),
         )  # fmt: skip
