--- a/pewterring/choice.py
+++ b/pewterring/choice.py
@@ -65,9 +65,8 @@
         tolerated = min(self.TOLERANCE * min(lows, default=math.inf), self.AIM_SHARE * cls.aim)
         gradient = min(1.0, max(0.5, tolerated / max(mean, 1e-9)))
         new = self.limit * gradient + math.sqrt(self.limit)
-        if new > self.limit and fleet_out < self.BUSY * self.limit:
-            return  # an idle fleet says nothing of room above
-        self.limit = max(self.FLOOR * self.servers, self.limit + (new - self.limit) * self.smooth)
+        if new <= self.limit or fleet_out >= self.BUSY * self.limit:  # an idle fleet tells of no room above
+            self.limit = max(self.FLOOR * self.servers, self.limit + (new - self.limit) * self.smooth)
 
 
 class Shares:
@@ -114,11 +113,14 @@
         if missing > 0:
             demands = max(demands, self.total * math.exp((self.at - now) / GHOST_S))
         self.total, self.at, self.whole = demands, now, whole
-        part = self.demand / demands if demands > 0 else 1 / self.fleet
-        self.share = max(1.0, min(whole * part, whole - reserved))
+        # New here, it takes its part all the same: peers reserve as they did without it, and will make room.
+        new = not self.sparse and now - self.began < LEASE_S
+        part = self.demand / demands if demands > 0 and (self.demand > 0 or not new) else 1 / self.fleet
+        self.share = max(1.0, whole * part if new else min(whole * part, whole - reserved))
 
     def settle(self, now: float, past: float, limit: float) -> None:
-        self.demand += (self.wanted / max(past, 1e-3) - self.demand) * (1 - math.exp(-past / self.lease))
+        weight = max(1 - math.exp(-past / self.lease), past / max(past, now - self.began))  # first a mean
+        self.demand += (self.wanted / past - self.demand) * weight
         self.wanted = 0.0
         self.divide(now, limit)
 
@@ -129,10 +131,8 @@
     def hear(self, now: float, peer: int, data: bytes, limit: float) -> bool:
         """Takes a heartbeat; False where it is malformed, late, or of a former life of the peer."""
         beat, p = read_beat(data), self.peers.get(peer)
-        if beat is None or (p and beat.incarnation == p.before):
-            return False
-        known = p and beat.incarnation == p.beat.incarnation
-        if p and known and beat.sequence <= p.beat.sequence:
+        known = bool(beat and p and beat.incarnation == p.beat.incarnation)
+        if not beat or (p and (beat.incarnation == p.before or (known and beat.sequence <= p.beat.sequence))):
             return False
         self.peers[peer] = Peer(beat, now, -1 if not p else p.before if known else p.beat.incarnation)
         if not self.sparse:
@@ -186,7 +186,7 @@
 
     def __init__(self, settings: i.Settings, rng: random.Random, sparse: bool = False) -> None:
         self.s, self.rng, self.began, self.sparse = settings, rng, 0.0, sparse
-        self.customers: dict[int, Customer] = {}
+        self.customers, self.lives = dict[int, Customer](), dict[int, int]()  # lives: peers' incarnations
         self.fresh: dict[int, Customer] = {}  # those with use that is not told yet
         self.plans, self.kept = list(settings.plans.values()), self.KEPT if sparse else 1 / self.PULL
 
@@ -281,6 +281,9 @@
         return write_news(news)
 
     def hear(self, now: float, peer: int, incarnation: int, data: bytes) -> None:
+        if self.lives.setdefault(peer, incarnation) != incarnation:  # a new life knows nothing: all anew
+            self.lives[peer] = incarnation
+            self.fresh.update({id: c for id, c in self.customers.items() if c.sent.pop(peer, None)})
         for n in read_news(data):
             if n.plan < len(self.plans) and 0 < n.size <= self.s.fleet_size:
                 plan = self.plans[n.plan]
@@ -304,8 +307,7 @@
     FORGET_S = 5.0  # symptoms fade by 1/e in this time, so that real traffic tests the server again
     SAMPLE = 0.1  # weight of one outcome; where outcomes are few each weighs thrice, and is kept for as long
     FEW = 4  # about so many gatekeepers may send to a cold server at once
-    NEAR = 12  # servers, picked by chance, that each of a sparse fleet keeps to: their connections stay open
-    # and they are better known. Bad where those few fail together.
+    NEAR = 12  # servers that each of a sparse fleet keeps to, picked by chance, so that connections stay open
 
     def __init__(self, settings: i.Settings, rng: random.Random, sparse: bool = False) -> None:
         self.s, self.rng, self.nodes, self.serving = settings, rng, dict[int, Node](), list[Node]()
@@ -499,8 +501,7 @@
 
     def look(self, now: float, usual: float) -> None:
         # Attempts that never end hold no slot: a few would shut an idle fleet. In a jam `usual` grows too.
-        gone = now - self.LOST * usual
-        self.lost = sum(held.attempts[n][1] < gone for (_, n), held in self.flying.items())
+        self.lost = sum(now - h.attempts[n][1] > self.LOST * usual for (_, n), h in self.flying.items())
         # What waits at a server fallen silent gets a second copy where a repeat is harmless.
         for id in [id for node in self.fleet.look(now, usual) for id, _ in node.pending]:
             held = self.held.get(id)
@@ -512,7 +513,7 @@
                 self.actions.append(i.Probe(node.entry.id))
 
     def tick(self, now: float) -> None:
-        past, self.ticked = now - self.ticked, now
+        past, self.ticked = max(1e-3, now - self.ticked), now
         self.shares.settle(now, past, self.ceiling.limit)
         # What is wanted, as far as own slots carry it: what was sent would start from nought after a restart.
         self.fleet.take_pace(now, min(self.shares.demand, self.shares.share / max(self.usual(), 1e-3)))
@@ -527,8 +528,7 @@
             return self.tell_news(now)
         news = self.quota.news(now, 0.0)
         for peer in [n for n in range(self.s.fleet_size) if n != self.s.me]:
-            late = now + self.tick_s / 2 - self.beaten.get(peer, -math.inf) > BEAT_S
-            if late or peer in news:
+            if peer in news or now + self.tick_s / 2 - self.beaten.get(peer, -math.inf) > BEAT_S:
                 self.beaten[peer] = now
                 self.actions.append(i.Tell(peer, beat + news.get(peer, b"")))
 
@@ -547,7 +547,7 @@
             return self.refuse(held, r.units / plan.refill if plan.refill else BEAT_S)
         self.shares.wanted += 1
         if self.full() or (node := self.fleet.choose(now, self.fleet.serving, set())) is None:
-            return self.refuse(held, BEAT_S)
+            return self.refuse(held, self.usual())
         self.quota.draw(r)
         self.spare = min(10.0 + self.out / 2, self.spare + self.EXTRA)
         self.send(now, held, node)
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -219,3 +219,12 @@
         assert kinds(d.end(s, i.Code.DEADLINE_EXCEEDED)) == [i.Fail]
     d.do(i.TimerDue(2))
     assert d.keeper.out == 0
+
+
+def test_who_finds_no_slot_is_told_to_come_back_when_one_comes_free() -> None:
+    """After a usual latency: told half a second, its next try came past the time in which it is wanted."""
+    d = Drive()
+    d.serve(20, latency=0.1)
+    d.keeper.ceiling.limit = 0.0
+    (refusal,) = d.ask()
+    assert isinstance(refusal, i.Refuse) and refusal.retry_after == pytest.approx(0.1)
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -84,6 +84,22 @@
     assert fleet.admitted({0: 20, 1: 20}, 10.0) <= 1.6 * SMALL.refill
 
 
+def test_a_peer_s_new_life_is_told_all_again() -> None:
+    """What its former life knew is gone, and without new use nobody would tell it."""
+    fleet = Fleet()
+    fleet.admitted({0: 20}, 10.0)
+    fleet.pass_time(5 * 0.1)
+    knows = fleet.all[0].keeper
+    assert not knows.quota.fresh
+    fleet.all[1] = Drive(settings(me=1), seed=99)
+    fleet.all[1].now = fleet.all[0].now
+    for _ in range(12):
+        fleet.pass_time(0.1)
+    (customer,) = fleet.all[1].keeper.quota.customers.values()
+    (told,) = customer.told.values()
+    assert told.spent == pytest.approx(knows.quota.customers[1].own.spent, abs=0.2) and told.spent > 1.0
+
+
 def test_lost_mail_costs_no_more_than_a_share_each() -> None:
     fleet = Fleet()
     fleet.cut = True
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -133,3 +133,21 @@
         s.wanted = 30.0
         s.settle(9.5 + 2 * LEASE_S + n * 0.5, 0.5, 30.0)
     assert s.share > 25.0
+
+
+def test_who_restarts_takes_its_part_at_once() -> None:
+    """Its peers have shared the whole ceiling out among them, and its demand would grow from nought: with the
+    floor of one slot it refused most of its first seconds."""
+    d = Drive()
+    for peer in (1, 2):
+        d.do(i.PeerMail(peer, beat(peer, 1, limit=32.0, share=16.0)))
+    assert d.keeper.shares.share == pytest.approx(32 / 3)  # its demand is unknown: an even part
+    for _ in range(5):
+        for _ in range(2):
+            d.sent()
+        d.tick(0.1)
+    assert d.keeper.shares.demand == pytest.approx(20.0)  # the mean, not a tenth of it
+    assert d.keeper.shares.share == pytest.approx(32 / 2)  # of 40 a second in all
+    d.tick(LEASE_S)
+    d.do(i.PeerMail(1, beat(1, 2, limit=32.0, share=30.0)))
+    assert d.keeper.shares.share <= 2.0  # from then on what peers reserve binds
