--- a/pewterring/gateway/service.py
+++ b/pewterring/gateway/service.py
@@ -69,6 +69,7 @@
             gateway.peers = peers
         self.listener = Listener(self.loop, config.listen, self.descriptors, gateway)
         self.descriptors.shed_early, self.descriptors.shed_late = self.pool.shed, self.listener.shed
+        self.descriptors.shed_rested = self.listener.shed_rested
         self.descriptors.freed = self.listener.start
         self.listener.start()
         self.follow(config.known.version if config.known else None)
--- a/pewterring/net/clients.py
+++ b/pewterring/net/clients.py
@@ -18,6 +18,7 @@
 DISCARD = 1024 * 1024  # bytes of it that are read and dropped meanwhile; the rest waits in the socket
 WHOLE_S = 2.0  # for a request to come whole: from its first byte, the first on a connection from connecting
 IDLE_S = 2.0  # a connection without a request is closed after this, the least that the protocol allows
+RESTED_S = 0.5  # and after this where descriptors get fewer; who asks again or at all mostly does so sooner
 ERROR_PAUSE_S = 0.1  # after an error a connection's next request is read this much later: sent again and
 # again at full speed, what cannot be used would take the loop's time from all others
 
@@ -240,6 +241,15 @@
         self.clients.discard(client)
         self.descriptors.give_back()
 
+    def shed_rested(self) -> bool:
+        """Closes the connection that has been without a request for longest, if that is long."""
+        until = self.loop.time() - RESTED_S
+        client = next(iter(self.idle), None)  # they lie in the order in which they came to rest
+        if client is None or client.since > until or client.unread():
+            return False
+        client.end(Ending.SHED)
+        return True
+
     def shed(self) -> bool:
         """Closes one connection on which no request is held: the one that has idled longest, or else the one
         whose request has been coming in for longest, so that clients that never finish shut nobody out."""
--- a/pewterring/net/descriptors.py
+++ b/pewterring/net/descriptors.py
@@ -22,14 +22,18 @@
         self.soft = self.hard - max(1, self.hard // 8)  # from here on each new connection costs an idle one
         self.calls = max(1, self.hard // 2)
         self.used = 0
-        # Each closes one idle connection, or says that it has none: workers' early, clients' late, since
-        # closing a client's may cross its next request, and it sends that again only once.
+        # Each closes one idle connection, or says that it has none. First clients' that have rested for a
+        # while: most are of those who come once, or say nothing. Then workers'. Clients' that rest only now go
+        # last: the close may cross the next request, and that is sent again only once.
+        self.shed_rested: Callable[[], bool] = lambda: False
         self.shed_early: Callable[[], bool] = lambda: False
         self.shed_late: Callable[[], bool] = lambda: False
         self.freed: Callable[[], None] = lambda: None
 
     def take(self, accepting: bool = False) -> bool:
         """One more connection. A descriptor that is shed comes free a moment later, so it is shed early."""
+        if self.filling:
+            self.shed_rested()
         if self.crowded:
             self.shed()
         if self.used >= (self.all if accepting else self.hard):
@@ -37,6 +41,11 @@
         self.used += 1
         return True
 
+    @property
+    def filling(self) -> bool:
+        """Some room is left: who only holds a connection gives it up before anybody else has to."""
+        return self.used >= self.soft * 3 // 4
+
     @property
     def crowded(self) -> bool:
         """Few are left: connections are kept no longer than they are needed."""
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -22,6 +22,7 @@
 from pewterring.http.messages import Request
 from pewterring.http.writer import write_response
 from pewterring.log import Log
+from pewterring.net import clients as clients_module
 from pewterring.net.connection import Address, read_address
 from pewterring.net.peers import Peers
 from pewterring.settings import FieldError, Fields, flatten, read_json, read_settings
@@ -245,6 +246,28 @@
     run(test)
 
 
+def test_who_only_holds_a_connection_gives_it_up_before_workers_connections_go(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Hundreds that connect and say nothing made each answer end its connection, and each attempt open one."""
+    monkeypatch.setattr(clients_module, "RESTED_S", 0.0)
+
+    async def test() -> None:
+        async with StandIn() as worker, Rig(None, worker.address) as rig:
+            few(rig, 12, 10, 8)
+            caller = await rig.caller()
+            assert (await caller.ask(asking())).status == 200
+            silent = [await rig.caller() for _ in range(20)]
+            await until(lambda: len(rig.listener.clients) <= 7)
+            fresh = await rig.caller()
+            for _ in range(3):
+                response = await fresh.ask(asking())
+                assert response.status == 200 and response.keep_alive
+            assert len(worker.talks) == 1 and await silent[0].ended()
+
+    run(test)
+
+
 def test_a_connection_with_an_unread_request_is_not_shed() -> None:
     async def test() -> None:
         async with Rig(Script(), Address("127.0.0.1", 9)) as rig:
