--- a/pewterring/net/descriptors.py
+++ b/pewterring/net/descriptors.py
@@ -23,7 +23,7 @@
         self.calls = max(1, self.hard // 2)
         self.used = 0
         # Each closes one idle connection, or says that it has none. First clients' that have rested for a
-        # while: most are of those who come once, or say nothing. Then workers'. Clients' that rest only now go
+        # while: most come once, or say nothing. Then workers'. Clients' that rest only now go
         # last: the close may cross the next request, and that is sent again only once.
         self.shed_rested: Callable[[], bool] = lambda: False
         self.shed_early: Callable[[], bool] = lambda: False
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -249,7 +249,7 @@
 def test_who_only_holds_a_connection_gives_it_up_before_workers_connections_go(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    """Hundreds that connect and say nothing made each answer end its connection, and each attempt open one."""
+    """Hundreds that say nothing made answers end their connections, and attempts open new ones."""
     monkeypatch.setattr(clients_module, "RESTED_S", 0.0)
 
     async def test() -> None:
