--- a/pewterring/choice.py
+++ b/pewterring/choice.py
@@ -280,9 +280,9 @@
             news.append(News(id, self.plans.index(c.plan), c.size, c.first, *shown))
         return write_news(news)
 
-    def hear(self, now: float, peer: int, incarnation: int, data: bytes) -> None:
-        if self.lives.setdefault(peer, incarnation) != incarnation:  # a new life knows nothing: all anew
-            self.lives[peer] = incarnation
+    def hear(self, now: float, peer: int, life: int, data: bytes) -> None:
+        if self.lives.setdefault(peer, life) != life:  # a new life knows nothing: all anew
+            self.lives[peer] = life
             self.fresh.update({id: c for id, c in self.customers.items() if c.sent.pop(peer, None)})
         for n in read_news(data):
             if n.plan < len(self.plans) and 0 < n.size <= self.s.fleet_size:
@@ -291,13 +291,13 @@
                 c = self.customer(now, n.customer, plan, n.size, n.first)
                 if peer == c.keeper:  # sums, the own use among them
                     told = Use(max(0.0, told.demand - c.own.demand), max(0.0, told.spent - c.own.spent))
-                    c.told = {incarnation: told}
+                    c.told = {life: told}
                 elif c.keeper == self.s.me:  # booked as if it had come through here
                     c.own.demand += told.demand
                     c.own.spent += min(told.spent, max(0.0, c.left()))
                     self.fresh[n.customer] = c
-                elif not self.sparse:
-                    c.told[incarnation] = told
+                elif not self.sparse:  # lives whose use is refilled are let go of
+                    c.told = {k: u for k, u in c.told.items() if u.spent or u.demand > 0.01} | {life: told}
 
 
 class Fleet:
--- a/pewterring/gateway/gateway.py
+++ b/pewterring/gateway/gateway.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import math
 import traceback
 from collections.abc import Callable
 from typing import Protocol, TypeVar
@@ -64,6 +65,8 @@
         self.turning = False
         self.delays: dict[int, float] = {}  # of the module's timers, by label
         self.stopping = False
+        self.ends_at = math.inf  # when all must be answered, as a kill may follow
+        self.asked_at = loop.time()
         self.taken = self.served = self.refused = self.failed = self.left = self.faults = self.unusable = 0
 
     # What comes in: gathered for the next turn
@@ -79,7 +82,8 @@
             status = 200 if self.ready else 503
             return client.answer(status, [], b"", request.method == b"HEAD")
         try:
-            asked, their_id = read_request(request, self.settings, self.loop.time(), next(self.ids))
+            now = self.asked_at = self.loop.time()
+            asked, their_id = read_request(request, self.settings, now, next(self.ids), self.ends_at)
         except Malformed as fault:
             self.unusable += 1
             return client.turn_away(fault.status, f"{fault}\n")
--- a/pewterring/gateway/intake.py
+++ b/pewterring/gateway/intake.py
@@ -1,5 +1,6 @@
 """What a client asks, as the module's request, and what of it a worker gets."""
 
+import math
 import re
 from functools import lru_cache
 from typing import NamedTuple
@@ -23,8 +24,10 @@
 METHODS = SAFE | {b"POST"}
 
 
-def read_request(request: Request, settings: i.Settings, now: float, id: int) -> tuple[i.Request, bytes]:
-    """The module's request, and the id that its client gave it.
+def read_request(
+    request: Request, settings: i.Settings, now: float, id: int, ends_at: float = math.inf
+) -> tuple[i.Request, bytes]:
+    """The module's request, and the id that its client gave it. None waits past `ends_at`.
 
     Raises Malformed for what the protocol does not know: it must reach neither a worker nor the module, where
     it would mark the customer that it names.
@@ -66,7 +69,7 @@
         plan=plan,
         customer=int(customer, 16),
         # No client waits for longer than its class says: a slip in the number must not hold a place for days.
-        not_after=now + min(int(wait) / 1000, cls.deadline),
+        not_after=min(now + min(int(wait) / 1000, cls.deadline), ends_at),
         units=quota.units,
         set_size=quota.spread,
         set_from=quota.first,
--- a/pewterring/gateway/service.py
+++ b/pewterring/gateway/service.py
@@ -20,10 +20,13 @@
 SWEEP_S = 0.25
 ANSWERS = 8  # one part in so many of the memory is for answers that have not come whole
 FIGURES_S = 10.0  # between two lines of figures in the log
-# At SIGTERM new connections keep coming for a while: none must have come for QUIET_S, and AT_LEAST_S must
-# have passed, before the door is closed. After AT_MOST_S it is closed all the same: what comes later would
-# not be answered before the kill.
-AT_LEAST_S, QUIET_S, AT_MOST_S, POLL_S = 0.6, 0.3, 1.5, 0.02
+# At SIGTERM clients go on using the connections that they have for as long as these stay open, and find
+# nobody in its place before the next start. So it serves on, connections and all, for the longest deadline
+# (LONGEST_S where that is longer) and ON_S more. No kill comes before KILL_S past that deadline: what is
+# taken meanwhile is answered SPARE_S earlier. It ends sooner where, AT_LEAST_S having passed, nothing came
+# for QUIET_S.
+LONGEST_S, ON_S, KILL_S, SPARE_S = 3.0, 0.2, 0.7, 0.2
+AT_LEAST_S, QUIET_S, POLL_S = 0.6, 0.3, 0.02
 # A request that crosses the close of its connection comes again on a new one, while the door is open. The
 # first on a new connection comes at once: a connection is closed only when it has idled for so long.
 CROSSING_S = 0.1
@@ -125,13 +128,16 @@
         await self.end()
 
     async def end(self) -> None:
-        """Goes on accepting while connections still come, answers all, ends when nothing is held."""
+        """Goes on serving while requests still come, answers all, ends when nothing is held."""
         gateway, listener, began = self.gateway, self.listener, self.loop.time()
         assert listener is not None
         self.log("stopping", held=len(gateway.by_client))
-        gateway.stopping = listener.closing = True
-        while not self.quiet(began):
+        gateway.stopping = True
+        longest = min(gateway.patience, LONGEST_S)
+        gateway.ends_at = began + longest + KILL_S - SPARE_S
+        while not self.quiet(began, longest):
             await asyncio.sleep(POLL_S)
+        listener.closing = True
         # Idle connections are closed now and not before: their clients may have gone on using them.
         listener.close_idle(CROSSING_S)
         await asyncio.sleep(CROSSING_S)
@@ -176,8 +182,8 @@
         if self.gateway.peers:
             self.gateway.peers.close()
 
-    def quiet(self, began: float) -> bool:
+    def quiet(self, began: float, longest: float) -> bool:
         now = self.loop.time()
-        accepted = self.listener.accepted_at if self.listener else 0.0
+        came = max(self.gateway.asked_at, self.listener.accepted_at if self.listener else 0.0)
         past = now - began
-        return past >= AT_MOST_S or (past >= AT_LEAST_S and now - accepted >= QUIET_S)
+        return past >= longest + ON_S or (past >= AT_LEAST_S and now - came >= QUIET_S)
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -100,6 +100,17 @@
     assert told.spent == pytest.approx(knows.quota.customers[1].own.spent, abs=0.2) and told.spent > 1.0
 
 
+def test_former_lives_are_let_go_of_when_their_use_is_refilled() -> None:
+    fleet = Fleet()
+    for n in range(6):
+        fleet.all[1] = Drive(settings(me=1), seed=100 + n)
+        fleet.all[1].now = fleet.all[0].now
+        fleet.admitted({1: 20}, 2.0)
+        fleet.pass_time(8.0)
+    fleet.admitted({0: 1, 1: 20}, 1.0)
+    assert len(fleet.all[0].keeper.quota.customers[1].told) <= 2
+
+
 def test_lost_mail_costs_no_more_than_a_share_each() -> None:
     fleet = Fleet()
     fleet.cut = True
