--- a/pewterring/gateway/service.py
+++ b/pewterring/gateway/service.py
@@ -18,7 +18,7 @@
 from pewterring.net.workers import Pool
 
 SWEEP_S = 0.25
-ANSWERS = 8  # one part in so many of the memory is for answers that have not come whole
+BUFFERS = 8  # one part in so many of the memory is for answers that have not come whole, one for requests
 FIGURES_S = 10.0  # between two lines of figures in the log
 # At SIGTERM clients go on using the connections that they have for as long as these stay open, and find
 # nobody in its place before the next start. So it serves on, connections and all, for the longest deadline
@@ -49,7 +49,7 @@
         self.loop = asyncio.get_running_loop()
         self.descriptors = Descriptors(config.sockets)
         transport = config.transport
-        room = config.memory_mb * 1024 * 1024 // ANSWERS
+        room = config.memory_mb * 1024 * 1024 // BUFFERS
         self.pool = Pool(
             self.loop, self.descriptors, transport.connect_timeout, transport.conn_idle, room=room
         )
@@ -70,7 +70,8 @@
             peers = Peers(config.settings.me, config.peers, config.peers_all, gateway.heard)
             await peers.open(self.loop, config.peer_listen)
             gateway.peers = peers
-        self.listener = Listener(self.loop, config.listen, self.descriptors, gateway)
+        room = config.memory_mb * 1024 * 1024 // BUFFERS
+        self.listener = Listener(self.loop, config.listen, self.descriptors, gateway, room)
         self.descriptors.shed_early, self.descriptors.shed_late = self.pool.shed, self.listener.shed
         self.descriptors.shed_rested = self.listener.shed_rested
         self.descriptors.freed = self.listener.start
--- a/pewterring/net/clients.py
+++ b/pewterring/net/clients.py
@@ -42,7 +42,7 @@
         self.since = 0.0  # when it began to wait for (the rest of) a request, or for its answer to be taken
         self.asked = False  # whether a whole request ever came
         self.lingering = False
-        self.discarded = 0
+        self.discarded = self.holding = 0  # bytes dropped; bytes of requests that have not come whole
         self.resting: asyncio.TimerHandle | None = None  # the pause after an error
         self.ending: Ending | None = None
 
@@ -70,6 +70,7 @@
             self.advance()
         elif len(self.reader.data) > MAX_HEAD + MAX_BODY:
             self.transport.pause_reading()  # requests sent ahead wait in the socket
+        self.hold()
 
     def advance(self) -> None:
         if self.busy or self.resting or self.ending is not None:
@@ -100,9 +101,20 @@
             return self.end(Ending.DONE)
         self.transport.resume_reading()
         self.rest()
+        self.hold()
         if self.reader.started:  # not at once: a chain of requests sent ahead would run down the stack
             self.listener.loop.call_soon(self.advance)
 
+    def hold(self) -> None:
+        """Books what is buffered. Where all clients' unfinished requests fill their part of the memory, who
+        adds to it is sent away."""
+        size = 0 if self.ending else len(self.reader.data) + len(self.reader.body)
+        self.listener.held += size - self.holding
+        self.holding = size
+        if self.listener.held > self.listener.room and self.ending is None and not self.busy:
+            self.reject(503, Ending.NO_ROOM)
+            self.hold()
+
     def turn_away(self, status: int, why: str) -> None:
         """An error for a request that could be read and can't be used, and a pause before the next."""
         self.answer(status, [], why.encode())
@@ -125,6 +137,7 @@
         closing on unread bytes would reset the connection and take the answer with it."""
         self.ending, self.lingering = ending, True
         self.listener.rejected[str(status)] += 1
+        self.reader = RequestReader()  # what it holds is nobody's any more
         self.since = self.listener.loop.time()
         self.transport.write(write_response(status, [], keep_alive=False))
         if not self.transport.is_closing():
@@ -154,6 +167,8 @@
         """The client has gone: said once, and only where an answer is still due."""
         if self.resting:
             self.resting.cancel()
+        self.listener.held -= self.holding
+        self.holding = 0
         self.listener.idle.pop(self, None)
         if self.ending is None:  # what it sent ahead is nobody's any more
             self.ending = Ending.CLIENT_GONE if self.busy else Ending.CLOSED
@@ -175,8 +190,14 @@
     """Accepts connections while there are descriptors for them."""
 
     def __init__(
-        self, loop: asyncio.AbstractEventLoop, address: Address, descriptors: Descriptors, sink: Sink
+        self,
+        loop: asyncio.AbstractEventLoop,
+        address: Address,
+        descriptors: Descriptors,
+        sink: Sink,
+        room: int = 64 * MAX_BODY,
     ) -> None:
+        self.held, self.room = 0, room  # bytes of requests that have not come whole, and how many may be held
         self.loop, self.descriptors, self.sink = loop, descriptors, sink
         self.clients: set[Client] = set()
         self.idle: dict[Client, None] = {}  # in the order in which they came to rest
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -636,6 +636,29 @@
     run(test)
 
 
+def test_unfinished_requests_fill_no_more_than_their_part_of_the_memory() -> None:
+    """Hundreds of bodies that never end, each within its bound, would add up past the limit."""
+
+    async def test() -> None:
+        async with StandIn() as worker, Rig(None, worker.address) as rig:
+            rig.listener.room = 150_000
+            slow = [await rig.caller() for _ in range(4)]
+            for n, caller in enumerate(slow):
+                caller.write(asking(b"POST", X_Class=b"once", more=b"Content-Length: 65000\r\n"))
+                caller.write(b"x" * 60_000)
+                await until(lambda n=n: rig.listener.held >= min(n + 1, 2) * 60_000)  # type: ignore[misc]
+            assert {(await caller.answer()).status for caller in slow[2:]} == {503}
+            assert rig.listener.held <= 150_000
+            slow[0].write(b"x" * 5000)
+            assert (await slow[0].answer()).status == 200
+            for caller in slow:
+                caller.close()
+            await until(lambda: not rig.listener.clients)
+            assert rig.listener.held == 0
+
+    run(test)
+
+
 def test_what_a_gone_client_sent_ahead_is_nobodys() -> None:
     async def test() -> None:
         async with StandIn(silent) as worker, Rig(None, worker.address) as rig:
