--- a/pewterring/gateway/service.py
+++ b/pewterring/gateway/service.py
@@ -49,9 +49,9 @@
         self.loop = asyncio.get_running_loop()
         self.descriptors = Descriptors(config.sockets)
         transport = config.transport
-        room = config.memory_mb * 1024 * 1024 // BUFFERS
+        self.room = config.memory_mb * 1024 * 1024 // BUFFERS
         self.pool = Pool(
-            self.loop, self.descriptors, transport.connect_timeout, transport.conn_idle, room=room
+            self.loop, self.descriptors, transport.connect_timeout, transport.conn_idle, room=self.room
         )
         module = module or Gatekeeper(config.settings, config.seed)
         self.gateway = Gateway(self.loop, config.settings, transport, module, self.pool, log)
@@ -70,8 +70,7 @@
             peers = Peers(config.settings.me, config.peers, config.peers_all, gateway.heard)
             await peers.open(self.loop, config.peer_listen)
             gateway.peers = peers
-        room = config.memory_mb * 1024 * 1024 // BUFFERS
-        self.listener = Listener(self.loop, config.listen, self.descriptors, gateway, room)
+        self.listener = Listener(self.loop, config.listen, self.descriptors, gateway, self.room)
         self.descriptors.shed_early, self.descriptors.shed_late = self.pool.shed, self.listener.shed
         self.descriptors.shed_rested = self.listener.shed_rested
         self.descriptors.freed = self.listener.start
--- a/pewterring/net/ending.py
+++ b/pewterring/net/ending.py
@@ -19,7 +19,7 @@
     CUT = "it broke within an answer"
     MALFORMED = "the answer could not be read"
     STALLED = "the answer began and its rest did not come"
-    NO_ROOM = "no memory was left for the rest of the answer"
+    NO_ROOM = "no memory was left for the rest of the answer, or of a client's request"
     TIMED_OUT = "nothing came in time"
     CANCELLED = "given up, as the answer is no longer wanted"
     TOO_LATE = "never begun: the request was over, or had all its attempts"
