--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -181,6 +181,8 @@
 
 
 def test_limits_of_the_module_can_fail() -> None:
-    assert limits.faults("x = 1\n" * limits.MOST_LINES) == []
-    assert len(limits.faults("x = 1\n" * (limits.MOST_LINES + 1))) == 1
-    assert len(limits.faults("\n" * 900 + "#" * (limits.MOST_WIDTH + 1))) == 1
+    half = "x = 1\n" * (limits.MOST_LINES // 2)
+    assert limits.faults({"a.py": half, "b.py": half}) == []
+    assert len(limits.faults({"a.py": half, "b.py": half + "x = 1\n"})) == 1
+    assert len(limits.faults({"a.py": "\n" * 900 + "#" * (limits.MOST_WIDTH + 1)})) == 1
+    assert limits.faults(limits.policy()) == []
