The lab's emulator: clients, front, gatekeepers, workers, faults, rules checked at each event

Change: pewterring/lab plays scenarios (TOML, versioned, checked by msgspec with errors that name the key) around the real Gatekeeper behind its own interface, or baselines: processor-sharing workers that warm up and fall over, connections, discovery pushed or asked, peers' datagrams, a count keeper, 19 kinds of fault that overlap. Random streams belong to each actor. The five rules are checked at every event; eight deliberately wrong policies are each caught by theirs.

--- /dev/null
+++ b/pewterring/lab/demand.py
@@ -0,0 +1,238 @@
+"""Customers, the requests that they make, and the front that deals these among gatekeepers."""
+
+import math
+from collections.abc import Callable, Sequence
+
+import numpy as np
+
+from pewterring.lab import schema
+from pewterring.lab.calls import CustomerLike, Intent
+from pewterring.lab.engine import START, Engine
+from pewterring.lab.stores import Store
+from pewterring.lab.streams import Stream
+
+CUSTOMERS_AT_MOST = 200_000
+
+
+class Customer(CustomerLike):
+    """One customer: its plan, how it uses it, its set of gatekeepers, its true stores."""
+
+    __slots__ = (
+        "_cumulative",
+        "beyond",
+        "ceiling",
+        "epoch",
+        "first",
+        "id",
+        "kind",
+        "open",
+        "peak",
+        "phase",
+        "plan",
+        "plan_number",
+        "planned",
+        "quota",
+        "rate",
+        "reference",
+        "set_size",
+        "spike_every_s",
+        "spike_s",
+        "stream",
+        "units",
+        "within",
+    )  # fmt: skip
+
+    def __init__(
+        self, id: int, plan: schema.Plan, plan_number: int, scenario: schema.Scenario, number: int, seed: int
+    ) -> None:
+        self.id, self.plan, self.plan_number, self.units = id, plan, plan_number, plan.units
+        self.stream = stream = Stream(seed, f"customer.{plan.name}", number)
+        use, fleet = scenario.customers, scenario.gatekeepers.count
+        low, high = plan.spread
+        self.set_size = max(1, min(fleet, round(stream.uniform(low, high) * fleet)))
+        self.first = stream.below(fleet)
+        kind, base = stream.uniform(), plan.refill / plan.units if plan.refill else plan.customer_rate
+        calm = stream.uniform(*use.calm)
+        self.kind, self.peak = "calm", 0.0
+        self.rate = base * calm
+        self.phase = stream.uniform()
+        if not plan.refill:
+            self.rate = base
+        elif kind < use.full:
+            self.kind, self.rate = "full", base * stream.uniform(0.9, 1.1)
+        elif kind < use.full + use.heavy:
+            self.kind, self.rate = "heavy", base * use.heavy_x
+        elif kind < use.full + use.heavy + use.spiky:
+            self.kind, self.peak = "spiky", base * use.spike_x
+        self.spike_s, self.spike_every_s = use.spike_s, use.spike_every_s
+        self.quota = Store(plan.refill, plan.depth, START)  # of the tries that were sent on
+        self.reference = Store(
+            plan.refill, plan.depth, START
+        )  # of all first tries, as one gateway would let in
+        self.ceiling = Store(plan.cap_rate, plan.cap_depth, START)
+        self.open = 0  # attempts out
+        self.planned = 0  # draws begun: of an older one nothing comes
+        self.epoch, self._cumulative = -1, np.zeros(0)
+        self.within = self.beyond = 0.0  # units sent on
+
+    def inside(self) -> float:
+        """Requests a second that it asks within its quota, in the mean."""
+        base = self.plan.refill / self.units if self.plan.refill else math.inf
+        spiking = min(1.0, self.spike_s / self.spike_every_s) if self.peak else 0.0
+        return min(base, self.rate) * (1 - spiking) + min(base, self.peak) * spiking
+
+    def rate_at(self, now: float) -> tuple[float, float]:
+        """Requests a second now, and until when that holds."""
+        if not self.peak:
+            return self.rate, math.inf
+        into = (now - START + self.phase * self.spike_every_s) % self.spike_every_s
+        # Past the end by a little: a moment that rounds to the present would never pass.
+        if into < self.spike_s:
+            return self.peak, now + self.spike_s - into + 1e-6
+        return self.rate, now + self.spike_every_s - into + 1e-6
+
+    def cumulative(self, now: float, front: "Front") -> "np.ndarray[tuple[int], np.dtype[np.float64]]":
+        """The running sums of its gatekeepers' weights, drawn anew from time to time."""
+        epoch = int((now - START) / front.setup.shift_s + self.phase)
+        if epoch != self.epoch:
+            self.epoch = epoch
+            self._cumulative = np.cumsum(self.stream.weights(self.set_size, front.setup.skew))
+        return self._cumulative
+
+
+class Front:
+    """Deals a customer's requests among its set. It sees a dead gatekeeper only after a time."""
+
+    def __init__(self, setup: schema.Front, fleet: int, seed: int) -> None:
+        self.setup, self.fleet = setup, fleet
+        stream = Stream(seed, "front")
+        self.balance = stream.weights(fleet, setup.balance) if setup.balance else None
+        self.closed_at = [math.inf] * fleet  # from when on it passes a gatekeeper over
+        self.damped: dict[int, float] = {}  # by gatekeeper: what is left of its traffic
+
+    def gone(self, keeper: int, now: float, notice: float) -> None:
+        self.closed_at[keeper] = min(self.closed_at[keeper], now + notice)
+
+    def back(self, keeper: int) -> None:
+        self.closed_at[keeper] = math.inf
+
+    def pick(self, customer: Customer, now: float, stream: Stream) -> int | None:
+        """A gatekeeper for one request; None where it knows of none in the set that serves."""
+        if customer.set_size == 1 and not self.damped and now < self.closed_at[customer.first]:
+            return customer.first
+        sums = customer.cumulative(now, self)
+        total, last = float(sums[-1]), customer.set_size - 1
+        for _ in range(12):
+            at = min(last, int(np.searchsorted(sums, stream.uniform() * total, side="right")))
+            keeper = (customer.first + at) % self.fleet
+            if now >= self.closed_at[keeper]:
+                continue
+            if self.damped and stream.uniform() >= self.damped.get(keeper, 1.0):
+                continue
+            if self.balance is not None and stream.uniform() * 4 >= min(4.0, float(self.balance[keeper])):
+                continue
+            return keeper
+        here = [(customer.first + n) % self.fleet for n in range(customer.set_size)]
+        serving = [k for k in here if now < self.closed_at[k]]
+        return serving[stream.below(len(serving))] if serving else None
+
+
+class Demand:
+    """All customers, and when each asks."""
+
+    def __init__(
+        self, scenario: schema.Scenario, engine: Engine, seed: int, ask: Callable[[Intent], None]
+    ) -> None:
+        self.scenario, self.engine, self.ask = scenario, engine, ask
+        self.end = START + scenario.duration_s
+        self.rate = schema.rate(scenario)
+        self.numbers = 0
+        self.shares = np.cumsum([c.share for c in scenario.classes]).tolist()
+        self.customers: list[Customer] = []
+        self.by_id: dict[int, Customer] = {}
+        shares = sum(p.share for p in scenario.plans)
+        for plan_number, plan in enumerate(scenario.plans):
+            inside, number, wanted = 0.0, 0, self.rate * plan.share / shares
+            while inside < wanted or number == 0:
+                id = (plan_number << 24) + number + 1
+                customer = Customer(id, plan, plan_number, scenario, number, seed)
+                more = customer.inside()
+                if number and inside + more / 2 > wanted:
+                    break
+                self.customers.append(customer)
+                self.by_id[id] = customer
+                inside, number = inside + more, number + 1
+                if len(self.customers) > CUSTOMERS_AT_MOST:
+                    raise schema.ScenarioError(
+                        f"plans.{plan_number}: more than {CUSTOMERS_AT_MOST} customers"
+                    )
+        self.hot: dict[int, float] = {}  # by customer: requests a second beside its own
+        load = scenario.load
+        self.most = (1 + load.ramp) * load.burst
+
+    def start(self) -> None:
+        for customer in self.customers:
+            self.plan_next(customer)
+
+    def shape(self, now: float) -> float:
+        """Of the load at its most: a ramp, and a burst on it."""
+        load, past = self.scenario.load, now - START
+        level = 1 - load.ramp + 2 * load.ramp * past / self.scenario.duration_s
+        if load.burst_at_s <= past < load.burst_at_s + load.burst_for_s:
+            level *= load.burst
+        return level / self.most
+
+    def plan_next(self, customer: Customer) -> None:
+        """The next moment at which it may ask. Rates hold for a time: at its end the draw begins anew."""
+        now = self.engine.now
+        customer.planned += 1
+        while now < self.end:
+            rate, until = customer.rate_at(now)
+            rate = (rate + self.hot.get(customer.id, 0.0)) * self.most
+            wait = customer.stream.exponential(1 / rate) if rate > 0 else math.inf
+            if now + wait < until:
+                now += wait
+                if customer.stream.uniform() < self.shape(now):
+                    if now < self.end:
+                        self.engine.at(now, self.due, customer, customer.planned)
+                    return
+            else:
+                now = until
+
+    def due(self, customer: Customer, planned: int) -> None:
+        if planned != customer.planned:
+            return
+        self.plan_next(customer)
+        now, stream = self.engine.now, customer.stream
+        classes: Sequence[schema.RequestClass] = self.scenario.classes
+        drawn, number = stream.uniform() * self.shares[-1], 0
+        while number < len(classes) - 1 and drawn >= self.shares[number]:
+            number += 1
+        cls = classes[number]
+        self.numbers += 1
+        intent = Intent(self.numbers, customer, cls, work_of(cls, stream), now)
+        intent.worth = cls.worth * customer.plan.price * customer.units
+        intent.wanted_in = customer.reference.take(now, customer.units)
+        self.ask(intent)
+
+    def heat(self, share: float, stream: Stream) -> int:
+        """One customer asks for that share of the load beside its own; returns its id."""
+        customer = self.customers[stream.below(len(self.customers))]
+        self.hot[customer.id] = share * self.rate
+        self.plan_next(customer)
+        return customer.id
+
+    def cool(self, id: int) -> None:
+        if self.hot.pop(id, None) is not None:
+            self.plan_next(self.by_id[id])
+
+
+def work_of(cls: schema.RequestClass, stream: Stream) -> float:
+    """Seconds of one core at speed 1."""
+    if cls.dist == "exp":
+        return stream.exponential(cls.work_s)
+    if cls.dist == "lognormal" and cls.cv:
+        return stream.lognormal(cls.work_s, cls.cv)
+    if cls.dist == "pareto" and cls.cv:
+        return stream.pareto(cls.work_s, cls.cv)
+    return cls.work_s
--- /dev/null
+++ b/pewterring/lab/faults.py
@@ -0,0 +1,293 @@
+"""What goes wrong, and when: each kind of fault of the schema as what it does to a world, and its end.
+
+Whom a fault strikes is drawn from the fault's own stream. Faults overlap freely: each takes back what it
+did.
+"""
+
+from collections.abc import Callable
+from functools import singledispatch
+from typing import Any
+
+from pewterring.lab import schema
+from pewterring.lab.engine import START
+from pewterring.lab.streams import Stream
+from pewterring.lab.workers import Worker
+from pewterring.lab.world import Host, World
+
+End = Callable[[], None] | None
+
+
+def prepare(scenario: schema.Scenario, seed: int, policy: str = "", watch: int = 0) -> World:
+    """A run with its faults put in, ready to be played."""
+    world = World(scenario, seed, policy, watch)
+    for n, fault in enumerate(scenario.faults):
+        plan(world, fault, Stream(seed, "fault", n))
+    return world
+
+
+def plan(world: World, fault: schema.Fault, stream: Stream) -> None:
+    """Puts a fault into the run: it begins at its time and, where it lasts, ends."""
+
+    def start() -> None:
+        if (end := begin(fault, world, stream)) is not None:
+            world.engine.after(fault.for_s, end)
+
+    world.engine.at(START + fault.at_s, start)
+
+
+def struck_hosts(world: World, fault: Any, stream: Stream) -> list[Host]:
+    hosts = world.hosts
+    if fault.targets:
+        return [hosts[n] for n in fault.targets]
+    if fault.zone:
+        return [h for h in hosts if h.zone == fault.zone]
+    return [hosts[n] for n in stream.sample(len(hosts), max(1, round(fault.part * len(hosts))))]
+
+
+def struck_workers(world: World, fault: Any, stream: Stream) -> list[Worker]:
+    present = [w for w in world.workers if w.mode.value == "serving"]
+    if fault.targets:
+        return [world.workers[n] for n in fault.targets]
+    if fault.zone:
+        return [w for w in present if w.zone == fault.zone]
+    return [present[n] for n in stream.sample(len(present), max(1, round(fault.part * len(present))))]
+
+
+@singledispatch
+def begin(fault: Any, world: World, stream: Stream) -> End:
+    """What it does, and what undoes it."""
+    raise NotImplementedError(type(fault).__name__)
+
+
+@begin.register(schema.Kill)
+def _(fault: schema.Kill, world: World, stream: Stream) -> End:
+    struck = [h for h in struck_hosts(world, fault, stream) if h.up]
+    for host in struck:
+        world.kill(host)
+    lives = {host.number: host.life for host in struck}
+
+    def end() -> None:
+        for host in struck:
+            if not host.up and host.life == lives[host.number]:
+                world.start_host(host)
+
+    return end
+
+
+@begin.register(schema.Restart)
+def _(fault: schema.Restart, world: World, stream: Stream) -> End:
+    struck = struck_hosts(world, fault, stream)
+    for n, host in enumerate(struck):
+        batch = n * fault.batches // len(struck)
+        world.engine.after(fault.for_s * batch / fault.batches, world.leave, host, fault.down_s)
+    return None
+
+
+@begin.register(schema.Freeze)
+def _(fault: schema.Freeze, world: World, stream: Stream) -> End:
+    struck = struck_hosts(world, fault, stream)
+    for host in struck:
+        world.freeze(host)
+
+    def end() -> None:
+        for host in struck:
+            world.thaw(host)
+
+    return end
+
+
+def on_workers(
+    world: World,
+    fault: Any,
+    stream: Stream,
+    on: Callable[[Worker], None],
+    off: Callable[[Worker], None],
+) -> End:
+    struck = struck_workers(world, fault, stream)
+
+    def change(step: Callable[[Worker], None]) -> None:
+        for worker in struck:
+            worker.advance()
+            step(worker)
+            worker.plan()
+
+    change(on)
+    return lambda: change(off)
+
+
+@begin.register(schema.Slow)
+def _(fault: schema.Slow, world: World, stream: Stream) -> End:
+    def on(worker: Worker) -> None:
+        worker.slow *= fault.times
+
+    def off(worker: Worker) -> None:
+        worker.slow /= fault.times
+
+    return on_workers(world, fault, stream, on, off)
+
+
+@begin.register(schema.Silent)
+def _(fault: schema.Silent, world: World, stream: Stream) -> End:
+    struck = [w for w in struck_workers(world, fault, stream) if w.state == "up"]
+    for worker in struck:
+        world.silence(worker)
+
+    def end() -> None:
+        for worker in struck:
+            world.speak(worker, fault.cold)
+
+    return end
+
+
+@begin.register(schema.Release)
+def _(fault: schema.Release, world: World, stream: Stream) -> End:
+    struck = struck_workers(world, fault, stream)
+
+    def replace(worker: Worker) -> None:
+        new = world.add_worker(worker.zone, worker.cell, world.engine.now)
+        world.publish(world.log[-1])
+        assert new.mode.value == "serving"
+        world.drain(worker, fault.drain_s)
+
+    for n, worker in enumerate(struck):
+        batch = n * fault.batches // len(struck)
+        world.engine.after(fault.for_s * batch / fault.batches, replace, worker)
+    return None
+
+
+def on_share(world: World, fault: Any, stream: Stream, name: str, share: float) -> End:
+    """Raises a worker's chance of something by `share` of what is left of 1, and takes that back."""
+
+    def on(worker: Worker) -> None:
+        setattr(worker, name, 1 - (1 - getattr(worker, name)) * (1 - min(share, 0.999)))
+
+    def off(worker: Worker) -> None:
+        setattr(worker, name, max(0.0, 1 - (1 - getattr(worker, name)) / (1 - min(share, 0.999))))
+
+    return on_workers(world, fault, stream, on, off)
+
+
+@begin.register(schema.Errors)
+def _(fault: schema.Errors, world: World, stream: Stream) -> End:
+    return on_share(world, fault, stream, "error_rate", fault.share)
+
+
+@begin.register(schema.SpoiltAnswers)
+def _(fault: schema.SpoiltAnswers, world: World, stream: Stream) -> End:
+    return on_share(world, fault, stream, "spoilt", fault.share)
+
+
+@begin.register(schema.LostAnswers)
+def _(fault: schema.LostAnswers, world: World, stream: Stream) -> End:
+    return on_share(world, fault, stream, "lost", fault.share)
+
+
+@begin.register(schema.ZoneCut)
+def _(fault: schema.ZoneCut, world: World, stream: Stream) -> End:
+    world.cut.add(fault.zone)
+    if fault.clients:
+        world.clients_cut.add(fault.zone)
+
+    def end() -> None:
+        world.cut.discard(fault.zone)
+        world.clients_cut.discard(fault.zone)
+
+    return end
+
+
+@begin.register(schema.MessageLoss)
+def _(fault: schema.MessageLoss, world: World, stream: Stream) -> End:
+    kept = 1 - min(fault.share, 0.999999)
+    world.mail_loss = 1 - (1 - world.mail_loss) * kept
+    world.mail_late += fault.late_s
+
+    def end() -> None:
+        world.mail_loss = max(0.0, 1 - (1 - world.mail_loss) / kept)
+        world.mail_late = max(0.0, world.mail_late - fault.late_s)
+
+    return end
+
+
+@begin.register(schema.KeeperSilent)
+def _(fault: schema.KeeperSilent, world: World, stream: Stream) -> End:
+    world.keeper.silent = True
+
+    def end() -> None:
+        world.keeper.silent = False
+
+    return end
+
+
+@begin.register(schema.KeeperSlow)
+def _(fault: schema.KeeperSlow, world: World, stream: Stream) -> End:
+    world.keeper.times *= fault.times
+
+    def end() -> None:
+        world.keeper.times /= fault.times
+
+    return end
+
+
+@begin.register(schema.KeeperEmpty)
+def _(fault: schema.KeeperEmpty, world: World, stream: Stream) -> End:
+    world.keeper.silent = True
+
+    def end() -> None:
+        world.keeper.silent = False
+        world.keeper.forget()
+
+    return end
+
+
+@begin.register(schema.KeeperSplit)
+def _(fault: schema.KeeperSplit, world: World, stream: Stream) -> End:
+    world.keeper.part_ways()
+    return world.keeper.heal
+
+
+@begin.register(schema.ListLate)
+def _(fault: schema.ListLate, world: World, stream: Stream) -> End:
+    world.list_late += fault.by_s
+
+    def end() -> None:
+        world.list_late = max(0.0, world.list_late - fault.by_s)
+
+    return end
+
+
+@begin.register(schema.TrafficShift)
+def _(fault: schema.TrafficShift, world: World, stream: Stream) -> End:
+    hosts = world.hosts
+    if fault.zone:
+        left = [h.number for h in hosts if h.zone != fault.zone]
+    else:
+        left = stream.sample(len(hosts), len(hosts) // 2)
+    for number in left:
+        world.front.damped[number] = world.front.damped.get(number, 1.0) * fault.to
+
+    def end() -> None:
+        for number in left:
+            level = world.front.damped.get(number, 1.0) / fault.to if fault.to else 1.0
+            if level >= 1 - 1e-9:
+                world.front.damped.pop(number, None)
+            else:
+                world.front.damped[number] = level
+
+    return end
+
+
+@begin.register(schema.HotCustomer)
+def _(fault: schema.HotCustomer, world: World, stream: Stream) -> End:
+    id = world.demand.heat(fault.share, stream)
+    return lambda: world.demand.cool(id)
+
+
+@begin.register(schema.RetryStorm)
+def _(fault: schema.RetryStorm, world: World, stream: Stream) -> End:
+    before = world.retries
+    world.retries, world.storm = max(before, fault.retries), True
+
+    def end() -> None:
+        world.retries, world.storm = before, False
+
+    return end
