lab load: the same scenarios on loopback sockets, with real gatekeeper processes

Change: pewterring/lab/loopback. Customers, front, the workers' service, the faults and the account are the emulator's own code on the loop's clock; workers, discovery and the peers' way are stand-ins written from the protocol page; 1 to 8 processes of 'pewterring serve' between them. Arrivals are open-loop and count from when they were due; bodies are checked; bounded in count and time, loopback addresses only.

--- a/pewterring/cli/lab.py
+++ b/pewterring/cli/lab.py
@@ -100,12 +100,16 @@
     return BROKEN
 
 
+def origin(result: Result) -> str:
+    return "measured on loopback" if result.policy == "loopback" else "emulated"
+
+
 def report(result: Result) -> list[str]:
     counts = result.counts
     ended = ("tries", "served", "late", "refused", "failed", "attempts")
     lines = [
         f"{result.scenario}, {result.policy}, seed {result.seed}: {result.gatekeepers} gatekeepers, "
-        f"{result.workers} workers, {result.duration_s:g} s (emulated)",
+        f"{result.workers} workers, {result.duration_s:g} s ({origin(result)})",
         f"G {result.g:.3f}   served {result.served:.3f}",
         f"asked {counts['intents']:.0f}, " + ", ".join(f"{name} {counts[name]:.0f}" for name in ended),
         "latency " + ", ".join(f"{name} {value:.3f} s" for name, value in result.latency.items()),
@@ -287,6 +291,48 @@
     return BROKEN
 
 
+@lab.command()
+@scenario_argument
+@sets_option
+@click.option("--seed", type=int, help="Instead of the scenario's own.")
+@click.option(
+    "--target", default="", metavar="HOST:PORT", help="Only clients, against what serves there (loopback)."
+)
+@click.option("--out", type=click.Path(dir_okay=False), help="Write the whole result as JSON.")
+@click.option("--plot", "plot_to", type=click.Path(dir_okay=False), help="Draw the run, as .png or .svg.")
+@click.option(
+    "--logs", default="", type=click.Path(file_okay=False), help="Keep gatekeepers' logs in this folder."
+)
+@json_option
+def load(
+    scenario: str, sets: Sequence[str], seed: int | None, target: str, out: str | None, plot_to: str | None,
+    logs: str, as_json: bool,
+) -> int:  # fmt: skip
+    """Play a scenario in real time on loopback sockets, with 1 to 8 real gatekeeper processes."""
+    from pewterring.lab import plots
+    from pewterring.lab.loopback import load as loading
+
+    if plot_to:
+        plots.form_of(plot_to)
+    result = loading.load(scenario, tuple(sets), seed, target, logs)
+    if out:
+        Path(out).write_bytes(result.to_json())
+    if plot_to:
+        plots.plot_run(result, plot_to)
+    counts = result.counts
+    if as_json:
+        click.echo(json.dumps({"broken": result.broken, **experiment.metrics(result)}))
+    else:
+        click.echo("\n".join(report(result)))
+        names = ("wrong_bodies", "never_answered", "crashed")
+        ends = ", ".join(f"{name.replace('_', ' ')} {counts[name]:.0f}" for name in names)
+        late = f"loop late by {counts['latest_s'] * 1000:.0f} ms at most"
+        click.echo(f"\n{ends}, most memory {counts['memory_kb'] / 1024:.1f} MB, {late}")
+    if result.broken:
+        click.echo(result.broken, err=True)
+    return BROKEN if result.broken or counts["wrong_bodies"] or counts["crashed"] else 0
+
+
 @lab.command("schema")
 def show_schema() -> int:
     """Print the scenario format as JSON Schema."""
--- a/pewterring/lab/demand.py
+++ b/pewterring/lab/demand.py
@@ -184,7 +184,7 @@
 
     def plan_next(self, customer: Customer) -> None:
         """The next moment at which it may ask. Rates hold for a time: at its end the draw begins anew."""
-        now = self.engine.now
+        now = self.engine.due
         customer.planned += 1
         while now < self.end:
             rate, until = customer.rate_at(now)
@@ -203,7 +203,7 @@
         if planned != customer.planned:
             return
         self.plan_next(customer)
-        now, stream = self.engine.now, customer.stream
+        now, stream = self.engine.due, customer.stream
         classes: Sequence[schema.RequestClass] = self.scenario.classes
         drawn, number = stream.uniform() * self.shares[-1], 0
         while number < len(classes) - 1 and drawn >= self.shares[number]:
--- a/pewterring/lab/engine.py
+++ b/pewterring/lab/engine.py
@@ -8,13 +8,18 @@
 
 
 class Engine:
-    __slots__ = ("_order", "_queue", "events", "now")
+    """Simulated time: nothing lasts, all that happens was planned. `now` is in seconds."""
 
     def __init__(self) -> None:
         self.now, self.events = START, 0
         self._queue: list[tuple[float, int, Callable[..., None], tuple[Any, ...]]] = []
         self._order = 0
 
+    @property
+    def due(self) -> float:
+        """When what happens now was to happen."""
+        return self.now
+
     def at(self, when: float, what: Callable[..., None], *given: Any) -> None:
         """Calls what(*given) at that time, or now where that has passed."""
         self._order += 1
--- a/pewterring/lab/plots.py
+++ b/pewterring/lab/plots.py
@@ -30,7 +30,8 @@
     """Six panels: service, latencies, attempts against the ceiling, the latencies' tail, use, refusals."""
     path = form_of(path)
     figure, panels = plt.subplots(3, 2, figsize=(13, 11), layout="constrained")
-    where = f"seed {result.seed}, {result.gatekeepers} gatekeepers, {result.workers} workers; emulated"
+    how = "measured on loopback" if result.policy == "loopback" else "emulated"
+    where = f"seed {result.seed}, {result.gatekeepers} gatekeepers, {result.workers} workers; {how}"
     figure.suptitle(
         f"{result.scenario}, {result.policy}: G {result.g:.3f}, served {result.served:.3f} ({where})"
     )
--- a/pewterring/lab/world.py
+++ b/pewterring/lab/world.py
@@ -58,7 +58,14 @@
 
 
 class World:
-    def __init__(self, scenario: schema.Scenario, seed: int, policy: str = "", watch: int = 0) -> None:
+    def __init__(
+        self,
+        scenario: schema.Scenario,
+        seed: int,
+        policy: str = "",
+        watch: int = 0,
+        engine: Engine | None = None,
+    ) -> None:
         """`watch`: the number of an intent whose life is written down in `trail`."""
         self.scenario, self.seed, self.watch = scenario, seed, watch
         self.policy_name = policy or scenario.gatekeepers.policy
@@ -67,7 +74,7 @@
                 f"gatekeepers.policy: no {self.policy_name!r}; there are {', '.join(sorted(POLICIES))}"
             )
         self.trail: list[tuple[float, str]] = []
-        self.engine = Engine()
+        self.engine = engine or Engine()
         self.account = Account(scenario)
         self.zones = scenario.zones
         g, w = scenario.gatekeepers, scenario.workers
