--- a/pewterring/cli/main.py
+++ b/pewterring/cli/main.py
@@ -11,7 +11,8 @@
 from pewterring.config import CONFIG, ConfigError
 
 LAZY = {
-    "lab": ("pewterring.cli.lab", "lab", "Emulate, sweep, compare, plot, hunt and explain (extra [lab]).")
+    "config": ("pewterring.cli.config", "config", "Check a configuration, show it, print its schema."),
+    "lab": ("pewterring.cli.lab", "lab", "Emulate, sweep, compare, plot, hunt and explain (extra [lab])."),
 }
 
 
--- /dev/null
+++ b/tests/test_config_command.py
@@ -0,0 +1,73 @@
+"""pewterring config: what is unknown is refused by name, what holds is shown with its origin."""
+
+from pathlib import Path
+from typing import Any
+
+import orjson
+import pytest
+
+from pewterring.__main__ import main
+from pewterring.cli.config import json_schema
+
+EXAMPLE = Path(__file__).resolve().parent.parent / "examples" / "config.json"
+
+
+def written(tmp_path: Path, **changes: Any) -> str:
+    tree = orjson.loads(EXAMPLE.read_bytes()) | changes
+    path = tmp_path / "c.json"
+    path.write_bytes(orjson.dumps(tree))
+    return str(path)
+
+
+def test_the_example_can_be_used(capsys: pytest.CaptureFixture[str]) -> None:
+    assert main(["config", "check", str(EXAMPLE)]) == 0
+    assert "can be used" in capsys.readouterr().out
+
+
+@pytest.mark.parametrize(
+    ("changes", "said"),
+    [
+        ({"lisen": "127.0.0.1:1"}, "lisen: not known; did you mean listen?"),
+        ({"limits": {"socket": 5}}, "limits.socket: not known; did you mean limits.sockets?"),
+        ({"settings": {"me": 0, "fleet_size": 1, "policy_limits": {"max_attemts": 3}}},
+         "settings.policy_limits.max_attemts: not known; did you mean policy_limits.max_attempts?"),
+        ({"settings": {"me": 0}}, "fleet_size is missing"),
+        ({"listen": "nowhere"}, "nowhere"),
+    ],
+)  # fmt: skip
+def test_slips_are_named_with_what_was_meant(
+    changes: dict[str, Any], said: str, tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    assert main(["config", "check", written(tmp_path, **changes)]) == 2
+    assert said in capsys.readouterr().err
+
+
+def test_settings_of_other_programs_are_no_slips(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    settings = orjson.loads(EXAMPLE.read_bytes())["settings"] | {"goal": {"whole": 0.6}, "tier": 0}
+    assert main(["config", "check", written(tmp_path, settings=settings)]) == 0
+    assert "no use for" in capsys.readouterr().out
+
+
+def test_what_holds_is_shown_with_its_origin(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
+) -> None:
+    monkeypatch.setenv("ROUTER_LISTEN", "127.0.0.1:7")
+    path = written(tmp_path, listen="", limits={})
+    assert main(["config", "show", path, "--json"]) == 0
+    shown = orjson.loads(capsys.readouterr().out)
+    assert shown["listen"] == {"value": "127.0.0.1:7", "from": "ROUTER_LISTEN"}
+    assert shown["limits.sockets"] == {"value": 1024, "from": "default"}
+    assert shown["settings.profiles.1.effect"] == {"value": "token", "from": "file"}
+    assert shown["settings.guarantees.cold"]["value"] == "17 s"
+    assert main(["config", "show", path]) == 0 and "settings.fleet_size" in capsys.readouterr().out
+
+
+def test_the_schema_says_what_the_reader_reads(capsys: pytest.CaptureFixture[str]) -> None:
+    assert main(["config", "schema"]) == 0
+    tree = orjson.loads(capsys.readouterr().out)
+    assert tree == json_schema()
+    settings = tree["properties"]["settings"]
+    assert settings["required"] == ["me", "fleet_size"]
+    one = settings["properties"]["profiles"]["items"]
+    assert one["properties"]["effect"]["enum"] == ["pure", "token", "side_effect"]
+    assert {"name", "objective", "deadline", "effect"} <= set(one["required"])
