--- a/pewterring/lab/account.py
+++ b/pewterring/lab/account.py
@@ -78,7 +78,7 @@
                 "never_answered",
                 "first_tries_sent", "messages", "messages_dropped", "message_bytes", "probes", "connections",
                 "lists", "counter_calls", "counter_failed", "work_done", "work_useful", "work_offered",
-                "fell_over",
+                "fell_over", "cold_worst",
             ),
             0.0,
         )  # fmt: skip
--- a/pewterring/lab/experiment.py
+++ b/pewterring/lab/experiment.py
@@ -61,6 +61,7 @@
         "messages_per_gatekeeper_s": counts["messages"] / result.duration_s / result.gatekeepers,
         "connections_per_try": counts["connections"] / max(1.0, counts["first_tries_sent"]),
         "fell_over": counts["fell_over"],
+        "cold_worst": counts["cold_worst"],
     }
     found |= {f"price_{name}": value for name, value in result.prices.items()}
     found |= {f"latency_{name}_s": value for name, value in result.latency.items()}
--- a/pewterring/lab/schema.py
+++ b/pewterring/lab/schema.py
@@ -325,6 +325,7 @@
     keeper: Keeper = Keeper()
     prices: Prices = Prices()
     faults: tuple[Fault, ...] = ()
+    random_faults: Annotated[int, Meta(ge=0, le=1000)] = 0  # drawn beside these, from the run's seed
 
 
 def rate(scenario: Scenario) -> float:
--- a/pewterring/lab/world.py
+++ b/pewterring/lab/world.py
@@ -191,6 +191,7 @@
             engine.run(START + s.duration_s + longest + 1.0)
         except Broken as broken:
             self.broken = broken
+        self.account.counts["cold_worst"] = max(w.worst for w in self.workers)
         for worker in self.workers:
             worker.advance()
             self.account.counts["work_done"] += worker.worked + worker.handshakes * s.workers.handshake_work_s
--- a/tests/lab/test_load.py
+++ b/tests/lab/test_load.py
@@ -11,7 +11,8 @@
 from pewterring.http.writer import write_request, write_response
 from pewterring.lab import hunt, schema
 from pewterring.lab.loopback.clients import ClientPool, Exchange
-from pewterring.lab.loopback.load import fits, load, read_target
+from pewterring.lab.loopback.clock import RealEngine
+from pewterring.lab.loopback.load import SocketWorld, fits, load, read_target
 from pewterring.lab.loopback.ports import HOST, DiscoveryPort, Relay, WorkerPort
 from tests.lab.scenarios import small
 from tests.stand_ins import StandIn, run, until
@@ -44,6 +45,20 @@
     assert all("module_fault" not in p.read_text() for p in (tmp_path / "logs").glob("*.log"))
 
 
+def test_a_gatekeeper_whose_port_is_taken_moves(tmp_path: Path) -> None:
+    """Ports looked up beforehand were another's by the time of the start: the run ended before it began."""
+
+    async def test() -> None:
+        world = SocketWorld(small(), 1, RealEngine(asyncio.get_running_loop()), tmp_path, None)
+        async with StandIn() as taken:
+            world.processes[0].listen = (taken.address.host, taken.address.port)
+            await world.open()
+            assert world.processes[0].listen[1] != taken.address.port and all(h.up for h in world.hosts)
+            await world.close()
+
+    run(test)
+
+
 def test_only_loopback_is_a_target() -> None:
     assert read_target("127.0.0.1:80") == ("127.0.0.1", 80) and read_target("[::1]:9") == ("::1", 9)
     for wrong in ("10.0.0.1:80", "example.org:80", "localhost:80", "127.0.0.1", "127.0.0.1:x"):
--- a/tests/lab/test_tools.py
+++ b/tests/lab/test_tools.py
@@ -95,6 +95,15 @@
         assert hunt.breaks(hunt.draw(base, seed)) == (0, "")
 
 
+@pytest.mark.parametrize("path", sorted(EXAMPLES.glob("*.toml")), ids=lambda p: p.stem)
+def test_the_examples_break_no_rule_also_with_more_faults(path: Path) -> None:
+    sets = ["duration_s=20", "workers.count=6", "gatekeepers.count=5", "load.part=0.4", "random_faults=3"]
+    result, _ = experiment.run(path, sets, seed=3)
+    assert not result.broken and result.counts["served"] > 100
+    again, _ = experiment.run(path, sets, seed=3)
+    assert again.to_json() == result.to_json()
+
+
 def test_run_explain_plot_and_sweep_by_command(
     scenario: str, tmp_path: Path, capsys: pytest.CaptureFixture[str]
 ) -> None:
