--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -7,8 +7,8 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 # From the ground up: each may import those before it, and within itself.
-LAYERS = ["interface", "mail", "state", "choice", "settings", "log", "http", "net", "config", "wire", "drill",
-          "gateway", "lab", "cli", "__main__"]  # fmt: skip
+LAYERS = ["membership", "interface", "mail", "state", "choice", "settings", "log", "http", "net", "config",
+          "wire", "drill", "gateway", "lab", "cli", "__main__"]  # fmt: skip
 RUN_TIME = {"click", "orjson"}  # beside the standard library
 # Of a part alone, never on the way of `serve`.
 EXTRAS = {"lab": {"hdrh", "matplotlib", "msgspec", "numpy", "tqdm"}, "cli": {"msgspec", "tqdm"}}
