--- a/benchmarks/lab_speed.py
+++ b/benchmarks/lab_speed.py
@@ -9,6 +9,7 @@
 import argparse
 import platform
 import time
+from collections.abc import Sequence
 from pathlib import Path
 
 from pewterring import interface as i
@@ -28,7 +29,7 @@
         self.inner: Policy = POLICIES["pewterring"](settings, seed)
         self.reason = ""
 
-    def handle(self, now: float, event: i.Event) -> list[LabAction]:
+    def handle(self, now: float, event: i.Event) -> Sequence[LabAction]:
         began = time.perf_counter()
         actions = self.inner.handle(now, event)
         Timed.spent += time.perf_counter() - began
--- a/pewterring/lab/policies.py
+++ b/pewterring/lab/policies.py
@@ -6,7 +6,7 @@
 
 import math
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -29,7 +29,7 @@
 class Policy(Protocol):
     reason: str
 
-    def handle(self, now: float, event: i.Event) -> list[LabAction]: ...
+    def handle(self, now: float, event: i.Event) -> Sequence[LabAction]: ...
 
     def ceiling(self) -> float:
         """How many attempts it takes the whole back end to bear; nan where it has no such idea."""
@@ -47,14 +47,14 @@
         self.module = Gatekeeper(settings, seed)
         self.reason = ""
 
-    def handle(self, now: float, event: i.Event) -> list[LabAction]:
+    def handle(self, now: float, event: i.Event) -> Sequence[LabAction]:
         if not isinstance(event, i.Request):
             self.reason = "tries"
-            return list(self.module.handle(now, event))
+            return self.module.handle(now, event)
         passed = self.module.shares.wanted
         actions = self.module.handle(now, event)
         self.reason = "ceiling" if self.module.shares.wanted > passed else "quota"
-        return list(actions)
+        return actions
 
     def ceiling(self) -> float:
         return self.module.shares.whole
