--- a/pewterring/lab/loopback/load.py
+++ b/pewterring/lab/loopback/load.py
@@ -218,13 +218,8 @@
         now = self.engine.now
         if now >= intent.ends:
             return self.account.unserved(intent, now)
-        self.ids += 1
-        self.intent_of.append(intent.number)
-        request = i.Request(
-            self.ids, intent.cls.name, customer.plan.name, customer.id, intent.ends, customer.units,
-            customer.set_size, customer.first, intent.tries > 1,
-        )  # fmt: skip
-        call = Call(request, intent, self.classes[intent.cls.name], host.number, host.life)
+        call = self.new_call(intent, customer, host)
+        request = call.request
         self.by_id[request.id] = (call, customer)
         quota = f"units={customer.units:g},spread={customer.set_size},first={customer.first}"
         left = max(1, round((intent.ends - now) * 1000))
--- a/pewterring/lab/world.py
+++ b/pewterring/lab/world.py
@@ -265,13 +265,8 @@
         now = self.engine.now
         if now >= intent.ends:  # it waited in front of one that stood still
             return self.account.unserved(intent, now)
-        self.ids += 1
-        self.intent_of.append(intent.number)
-        request = i.Request(
-            self.ids, intent.cls.name, customer.plan.name, customer.id, intent.ends, customer.units,
-            customer.set_size, customer.first, intent.tries > 1,
-        )  # fmt: skip
-        call = Call(request, intent, self.classes[intent.cls.name], host.number, host.life)
+        call = self.new_call(intent, customer, host)
+        request = call.request
         host.calls[request.id] = call
         self.engine.at(call.not_after, self.turn, host, host.life, self.overdue, call)
         if (impatient := self.scenario.clients.impatient) and customer.stream.uniform() < impatient:
@@ -285,6 +280,16 @@
             )
         self.tell(host, request)
 
+    def new_call(self, intent: Intent, customer: Customer, host: Host) -> Call:
+        """A try under an id of its own."""
+        self.ids += 1
+        self.intent_of.append(intent.number)
+        request = i.Request(
+            self.ids, intent.cls.name, customer.plan.name, customer.id, intent.ends, customer.units,
+            customer.set_size, customer.first, intent.tries > 1,
+        )  # fmt: skip
+        return Call(request, intent, self.classes[intent.cls.name], host.number, host.life)
+
     def client_leaves(self, host: Host, call: Call) -> None:
         if call.answered or call.gone:
             return
