Lab: a customer is a type of its own; twins, unread state and dead paths go

Read over: intents knew their customer only by a stand-in type, so that seven asserts, some on the hot path, told it again; a dozen fields were written and never read; the load tool repeated the emulator's summing up (and lacked cold_worst by that), its samples, the longest deadline and what counts as room; addresses were put together by hand beside net.connection; two token buckets stood beside the lab's Store; adding a worker wrote the list and publishing had to see through it; timers and mail had a short way that had shown no gain. Change: lab/customers.py; one place for each of these. lab load loads matplotlib only for a plot. On sockets cold_worst is now filled in.

--- a/pewterring/cli/lab.py
+++ b/pewterring/cli/lab.py
@@ -81,14 +81,7 @@
 
         plots.form_of(plot_to)
     result, world = experiment.run(scenario, sets, seed, policy)
-    if out:
-        Path(out).write_bytes(result.to_json())
-    if plot_to:
-        plots.plot_run(result, plot_to, world.scenario.faults)
-    if as_json:
-        click.echo(json.dumps({"broken": result.broken, **experiment.metrics(result)}))
-    else:
-        click.echo("\n".join(report(result)))
+    hand_out(result, out, plot_to, as_json, world.scenario.faults)
     if not result.broken:
         return 0
     assert world.broken is not None
@@ -100,6 +93,26 @@
     return BROKEN
 
 
+def hand_out(
+    result: Result,
+    out: str | None,
+    plot_to: str | None,
+    as_json: bool,
+    faults: Sequence[schema.Fault] = (),
+) -> None:
+    """A run's result to where it was asked for."""
+    if out:
+        Path(out).write_bytes(result.to_json())
+    if plot_to:
+        from pewterring.lab import plots
+
+        plots.plot_run(result, plot_to, faults)
+    if as_json:
+        click.echo(json.dumps({"broken": result.broken, **experiment.metrics(result)}))
+    else:
+        click.echo("\n".join(report(result)))
+
+
 def origin(result: Result) -> str:
     return "measured on loopback" if result.policy == "loopback" else "emulated"
 
@@ -309,21 +322,16 @@
     logs: str, as_json: bool,
 ) -> int:  # fmt: skip
     """Play a scenario in real time on loopback sockets, with 1 to 8 real gatekeeper processes."""
-    from pewterring.lab import plots
     from pewterring.lab.loopback import load as loading
 
     if plot_to:
+        from pewterring.lab import plots
+
         plots.form_of(plot_to)
     result = loading.load(scenario, tuple(sets), seed, target, logs)
-    if out:
-        Path(out).write_bytes(result.to_json())
-    if plot_to:
-        plots.plot_run(result, plot_to)
+    hand_out(result, out, plot_to, as_json)
     counts = result.counts
-    if as_json:
-        click.echo(json.dumps({"broken": result.broken, **experiment.metrics(result)}))
-    else:
-        click.echo("\n".join(report(result)))
+    if not as_json:
         names = ("wrong_bodies", "never_answered", "crashed")
         ends = ", ".join(f"{name.replace('_', ' ')} {counts[name]:.0f}" for name in names)
         late = f"loop late by {counts['latest_s'] * 1000:.0f} ms at most"
--- a/pewterring/lab/calls.py
+++ b/pewterring/lab/calls.py
@@ -1,38 +1,26 @@
 """What the emulator holds of requests: a client's intent, each try of it, each attempt of a gatekeeper."""
 
 from pewterring import interface as i
-from pewterring.lab.schema import Plan, RequestClass
-
-
-class CustomerLike:
-    """What an intent needs of its customer."""
-
-    id: int
-    units: float
-    plan: Plan
+from pewterring.lab.customers import Customer
+from pewterring.lab.schema import RequestClass
 
 
 class Intent:
     """What a client wants done once, through all its tries. Times are the engine's, in seconds."""
 
     __slots__ = (
-        "asked", "begun", "cls", "customer", "effects", "ends", "number", "ran_at", "retries", "served",
-        "tries",
-        "units", "wanted_in", "work", "worth",
+        "asked", "begun", "cls", "customer", "ends", "number", "ran_at", "served", "tries", "wanted_in",
+        "work", "worth",
     )  # fmt: skip
 
-    def __init__(
-        self, number: int, customer: CustomerLike, cls: RequestClass, work: float, now: float
-    ) -> None:
+    def __init__(self, number: int, customer: Customer, cls: RequestClass, work: float, now: float) -> None:
         self.number, self.customer, self.cls, self.work = number, customer, cls, work
         self.asked, self.ends = now, now + cls.deadline_s
         self.begun = 0  # times that a worker began it
         self.ran_at: list[int] = []  # where
-        self.effects = 0
         self.tries = 0
         self.served = False
         self.wanted_in = True  # whether one store that saw all first tries would have let it in
-        self.units = customer.units
         self.worth = 0.0
 
 
@@ -41,8 +29,7 @@
 
     __slots__ = (
         "answered", "attempts", "cls", "excused", "first_sent", "gone", "id", "intent", "keeper", "life",
-        "not_after", "out",
-        "request", "within",
+        "not_after", "request", "within",
     )  # fmt: skip
 
     def __init__(
@@ -51,19 +38,21 @@
         self.request, self.intent, self.cls, self.keeper, self.life = request, intent, cls, keeper, life
         self.id, self.not_after = request.id, request.not_after
         self.attempts: list[Attempt] = []
-        self.out = 0
         self.answered = False  # its final answer is given
         self.gone = False  # its client has given up, or its gatekeeper is dead
         self.excused = 0.0  # until when its gatekeeper stood still: it could not answer before
         self.first_sent = -1.0
         self.within = True  # the quota, when it was first sent on
 
+    def may_have_run(self) -> list["Attempt"]:
+        """Those that are out, or ended without proof that they never ran."""
+        return [a for a in self.attempts if a.ended is None or a.ended not in i.NEVER_RAN]
+
 
 class Attempt:
     __slots__ = (
-        "arrived", "call", "conn_life", "ended", "fresh", "keeper", "life", "number", "queued", "ran",
-        "sent_at", "stopped",
-        "told_start", "work", "worker", "written",
+        "arrived", "call", "conn_life", "ended", "keeper", "life", "number", "queued", "ran", "sent_at",
+        "stopped", "told_start", "work", "worker",
     )  # fmt: skip
 
     def __init__(self, call: Call, number: int, worker: int, now: float, work: float) -> None:
@@ -71,14 +60,12 @@
         self.keeper = call.keeper
         self.life = 0  # of the worker's process that has it
         self.conn_life = -1  # of the worker's process that its connection leads to; -1: none
-        self.fresh = False  # it opened its connection
-        self.written = False  # its last byte has gone out: from now on it may have run
         self.arrived = self.queued = self.ran = self.stopped = False
         self.told_start = False
         self.ended: i.Code | None = None  # what its gatekeeper was told
 
     def effect(self) -> None:
-        """A worker begins it. A repeat of a keyed one is dropped by the worker's group."""
+        """A worker begins it."""
         intent = self.call.intent
         intent.begun += 1
         intent.ran_at.append(self.worker)
--- a/pewterring/lab/demand.py
+++ b/pewterring/lab/demand.py
@@ -1,108 +1,20 @@
-"""Customers, the requests that they make, and the front that deals these among gatekeepers."""
+"""The requests that customers make, and the front that deals these among gatekeepers."""
 
 import bisect
 import math
-from array import array
 from collections.abc import Callable, Sequence
 
 import numpy as np
 
 from pewterring.lab import schema
-from pewterring.lab.calls import CustomerLike, Intent
+from pewterring.lab.calls import Intent
+from pewterring.lab.customers import Customer
 from pewterring.lab.engine import START, Engine
-from pewterring.lab.stores import Store
 from pewterring.lab.streams import Stream
 
 CUSTOMERS_AT_MOST = 200_000
 
 
-class Customer(CustomerLike):
-    """One customer: its plan, how it uses it, its set of gatekeepers, its true stores."""
-
-    __slots__ = (
-        "_cumulative",
-        "beyond",
-        "ceiling",
-        "epoch",
-        "first",
-        "id",
-        "kind",
-        "open",
-        "peak",
-        "phase",
-        "plan",
-        "plan_number",
-        "planned",
-        "quota",
-        "rate",
-        "reference",
-        "set_size",
-        "spike_every_s",
-        "spike_s",
-        "stream",
-        "units",
-        "within",
-    )  # fmt: skip
-
-    def __init__(
-        self, id: int, plan: schema.Plan, plan_number: int, scenario: schema.Scenario, number: int, seed: int
-    ) -> None:
-        self.id, self.plan, self.plan_number, self.units = id, plan, plan_number, plan.units
-        self.stream = stream = Stream(seed, f"customer.{plan.name}", number)
-        use, fleet = scenario.customers, scenario.gatekeepers.count
-        low, high = plan.spread
-        self.set_size = max(1, min(fleet, round(stream.uniform(low, high) * fleet)))
-        self.first = stream.below(fleet)
-        kind, base = stream.uniform(), plan.refill / plan.units if plan.refill else plan.customer_rate
-        calm = stream.uniform(*use.calm)
-        self.kind, self.peak = "calm", 0.0
-        self.rate = base * calm
-        self.phase = stream.uniform()
-        if not plan.refill:
-            self.rate = base
-        elif kind < use.full:
-            self.kind, self.rate = "full", base * stream.uniform(0.9, 1.1)
-        elif kind < use.full + use.heavy:
-            self.kind, self.rate = "heavy", base * use.heavy_x
-        elif kind < use.full + use.heavy + use.spiky:
-            self.kind, self.peak = "spiky", base * use.spike_x
-        self.spike_s, self.spike_every_s = use.spike_s, use.spike_every_s
-        self.quota = Store(plan.refill, plan.depth, START)  # of the tries that were sent on
-        self.reference = Store(
-            plan.refill, plan.depth, START
-        )  # of all first tries, as one gateway would let in
-        self.ceiling = Store(plan.cap_rate, plan.cap_depth, START)
-        self.open = 0  # attempts out
-        self.planned = 0  # draws begun: of an older one nothing comes
-        self.epoch, self._cumulative = -1, array("d")
-        self.within = self.beyond = 0.0  # units sent on
-
-    def inside(self) -> float:
-        """Requests a second that it asks within its quota, in the mean."""
-        base = self.plan.refill / self.units if self.plan.refill else math.inf
-        spiking = min(1.0, self.spike_s / self.spike_every_s) if self.peak else 0.0
-        return min(base, self.rate) * (1 - spiking) + min(base, self.peak) * spiking
-
-    def rate_at(self, now: float) -> tuple[float, float]:
-        """Requests a second now, and until when that holds."""
-        if not self.peak:
-            return self.rate, math.inf
-        into = (now - START + self.phase * self.spike_every_s) % self.spike_every_s
-        # Past the end by a little: a moment that rounds to the present would never pass.
-        if into < self.spike_s:
-            return self.peak, now + self.spike_s - into + 1e-6
-        return self.rate, now + self.spike_every_s - into + 1e-6
-
-    def cumulative(self, now: float, front: "Front") -> Sequence[float]:
-        """The running sums of its gatekeepers' weights, drawn anew from time to time."""
-        epoch = int((now - START) / front.setup.shift_s + self.phase)
-        if epoch != self.epoch:
-            self.epoch = epoch
-            weights = self.stream.weights(self.set_size, front.setup.skew)
-            self._cumulative = array("d", np.cumsum(weights).tobytes())
-        return self._cumulative
-
-
 class Front:
     """Deals a customer's requests among its set. It sees a dead gatekeeper only after a time."""
 
@@ -123,7 +35,7 @@
         """A gatekeeper for one request; None where it knows of none in the set that serves."""
         if customer.set_size == 1 and not self.damped and now < self.closed_at[customer.first]:
             return customer.first
-        sums = customer.cumulative(now, self)
+        sums = customer.weights(now, self.setup)
         total, last = sums[-1], customer.set_size - 1
         for _ in range(12):
             at = min(last, bisect.bisect_right(sums, stream.uniform() * total))
@@ -158,7 +70,7 @@
             inside, number, wanted = 0.0, 0, self.rate * plan.share / shares
             while inside < wanted or number == 0:
                 id = (plan_number << 24) + number + 1
-                customer = Customer(id, plan, plan_number, scenario, number, seed)
+                customer = Customer(id, plan, scenario, number, seed)
                 more = customer.inside()
                 if number and inside + more / 2 > wanted:
                     break
--- a/pewterring/lab/experiment.py
+++ b/pewterring/lab/experiment.py
@@ -20,10 +20,7 @@
 from pewterring.lab.faults import prepare
 from pewterring.lab.world import World
 
-RUNS, TABLE = (
-    "runs.jsonl",
-    "table.csv",
-)  # of a sweep's folder: each finished run, and all of them as one table
+RUNS, TABLE = "runs.jsonl", "table.csv"  # in a sweep's folder: each finished run, and all as one table
 MOST_RUNS = 100_000
 
 
--- a/pewterring/lab/explore.py
+++ b/pewterring/lab/explore.py
@@ -102,13 +102,17 @@
     after = copy.deepcopy(state)
     end = after.now + FAIR_PERIODS
     running = {n for n, m in enumerate(after.members) if m is not None}
+
+    def agree() -> bool:
+        return all(m is None or set(m.alive()) == running for m in after.members)
+
     while after.now < end:
         while after.flight:
             sender, to, data = after.flight.pop(0)
             node = after.members[to]
             if node is not None:
                 after.send(to, node.hear(after.now, sender, data))
-        if all(m is None or set(m.alive()) == running for m in after.members) and after.now > end - 1:
+        if after.now > end - 1 and agree():
             return True
         due = [(m.due(), n) for n, m in enumerate(after.members) if m is not None]
         when, n = min(due)
@@ -116,7 +120,7 @@
         node = after.members[n]
         assert node is not None
         after.send(n, node.tick(after.now))
-    return all(m is None or set(m.alive()) == running for m in after.members)
+    return agree()
 
 
 def explore(size: int = 3, depth: int = 4, crashes: int = 1, make: Make = fresh) -> tuple[int, int]:
--- a/pewterring/lab/faults.py
+++ b/pewterring/lab/faults.py
@@ -188,9 +188,7 @@
     struck = struck_workers(world, fault, stream)
 
     def replace(worker: Worker) -> None:
-        new = world.add_worker(worker.zone, worker.cell, world.engine.now)
-        world.publish(world.log[-1])
-        assert new.mode.value == "serving"
+        world.publish(world.entry(world.add_worker(worker.zone, worker.cell, world.engine.now)))
         world.drain(worker, fault.drain_s)
 
     for n, worker in enumerate(struck):
--- a/pewterring/lab/gossip.py
+++ b/pewterring/lab/gossip.py
@@ -10,6 +10,7 @@
 from typing import Protocol
 
 from pewterring.lab.engine import START, Engine
+from pewterring.lab.stores import Store
 from pewterring.lab.streams import Stream
 from pewterring.membership.members import Members, Out, Setup
 from pewterring.membership.messages import State
@@ -32,7 +33,7 @@
     too long: after `patience` periods, or by phi-accrual, after a silence whose chance under the intervals
     seen is 10^-8."""
 
-    PATIENCE, PHI, WINDOW = 6.0, 8.0, 32
+    PATIENCE, WINDOW = 6.0, 32
 
     def __init__(self, me: int, size: int, intake: float, rng: random.Random, accrual: bool = False) -> None:
         self.me, self.size, self.accrual = me, size, accrual
@@ -82,7 +83,6 @@
         intake: float = 100.0,
         kind: str = "swim",
         setup: Setup | None = None,
-        seeds: int = 0,
     ) -> None:
         self.size, self.seed, self.loss, self.delay, self.intake = size, seed, loss, delay, intake
         self.kind, self.setup = kind, setup or Setup()
@@ -92,9 +92,8 @@
         self.lives = [0] * size
         self.planned = [0] * size
         self.side = [0] * size  # instances hear only those of their side
-        self.tokens = [(intake, START)] * size
+        self.intakes = [Store(intake, intake, START) for _ in range(size)]
         self.sent = self.octets = self.dropped = 0
-        self.extra_delay = 0.0
         for n in range(size):
             self.engine.after(self.streams[n].uniform(), self.start, n)
 
@@ -113,11 +112,6 @@
         self.nodes[n] = None
         self.lives[n] += 1
 
-    def members(self, n: int) -> Members:
-        node = self.nodes[n]
-        assert isinstance(node, Members)
-        return node
-
     def turn(self, n: int, node: Detector, out: list[Out]) -> None:
         for to, data in out:
             self.send(n, to, data)
@@ -135,19 +129,15 @@
         stream = self.streams[a]
         if self.loss and stream.uniform() < self.loss:
             return
-        self.engine.after(stream.uniform(*self.delay) + self.extra_delay, self.arrive, a, b, data)
+        self.engine.after(stream.uniform(*self.delay), self.arrive, a, b, data)
 
     def arrive(self, a: int, b: int, data: bytes) -> None:
         node, now = self.nodes[b], self.engine.now
         if node is None or self.side[a] != self.side[b]:
             return
-        tokens, at = self.tokens[b]
-        tokens = min(self.intake, tokens + (now - at) * self.intake)
-        if tokens < 1:
-            self.tokens[b] = (tokens, now)
+        if not self.intakes[b].take(now, 1.0):
             self.dropped += 1
             return
-        self.tokens[b] = (tokens - 1, now)
         self.turn(b, node, node.hear(now, a, data))
 
     def run(self, seconds: float) -> None:
--- a/pewterring/lab/loopback/load.py
+++ b/pewterring/lab/loopback/load.py
@@ -19,7 +19,7 @@
 from pewterring.lab import schema
 from pewterring.lab.account import Result
 from pewterring.lab.calls import Attempt, Call, Intent
-from pewterring.lab.demand import Customer
+from pewterring.lab.customers import Customer
 from pewterring.lab.engine import START
 from pewterring.lab.faults import put_in
 from pewterring.lab.loopback.clients import ClientPool, Exchange
@@ -29,6 +29,7 @@
 from pewterring.lab.streams import Stream
 from pewterring.lab.workers import Worker
 from pewterring.lab.world import GIVES_UP_S, Host, World
+from pewterring.net.connection import Address, read_address
 
 MOST_GATEKEEPERS, MOST_WORKERS, MOST_SECONDS, MOST_REQUESTS = 8, 64, 600.0, 300_000
 HEALTH = {i.Mode.SERVING: "up", i.Mode.DRAINING: "draining", i.Mode.DELETED: "removed"}
@@ -57,13 +58,13 @@
         )
 
 
-def read_target(text: str) -> tuple[str, int]:
+def read_target(text: str) -> Address:
     """HOST:PORT on loopback, in numbers; a load goes nowhere else."""
-    host, colon, port = text.rpartition(":")
     try:
-        if not colon or not ipaddress.ip_address(host.strip("[]")).is_loopback:
+        address = read_address(text)
+        if not ipaddress.ip_address(address.host).is_loopback:
             raise ValueError
-        return host.strip("[]"), int(port)
+        return address
     except ValueError:
         raise LoadError(f"--target {text}: not HOST:PORT with a loopback address in numbers") from None
 
@@ -105,24 +106,18 @@
             engine.began = engine.loop.time()  # the run begins now, whatever the start took
             self.demand.start()
             put_in(self)
-            for second in range(1, int(s.duration_s) + 1):
-                engine.at(START + second, self.sample, second - 1)
-            longest = max(c.deadline_s for c in s.classes)
-            await asyncio.sleep(s.duration_s + longest + GIVES_UP_S + 0.2)
+            self.plan_samples()
+            await asyncio.sleep(s.duration_s + self.longest + GIVES_UP_S + 0.2)
         finally:
             await self.close()
+        self.sum_up()
         counts = self.account.counts
-        for worker in self.workers:
-            worker.advance()
-            counts["work_done"] += worker.worked + worker.handshakes * s.workers.handshake_work_s
-            counts["connections"] += worker.handshakes
         counts["messages"], counts["message_bytes"] = self.relay.passed + self.relay.lost, self.relay.octets
         counts["wrong_bodies"], counts["memory_kb"] = self.wrong_bodies, self.memory_kb
         counts["latest_s"] = engine.latest
         counts["crashed"] = sum(len(p.crashed) for p in self.processes)
         failed = "; ".join(sorted({repr(e) for e in engine.failed}))
-        result = self.account.result("loopback", self.seed, engine.now, engine.events, failed)
-        return result
+        return self.account.result("loopback", self.seed, engine.now, engine.events, failed)
 
     async def open(self) -> None:
         if self.target:
@@ -164,18 +159,15 @@
         process, w = self.processes[host.number], self.scenario.workers
         port = self.discoveries[host.number]
         peers = [
-            f"{p.peer_listen[0]}:{p.peer_listen[1]}"
-            if p is process
-            else self.relay.address(host.number, p.number)
+            str(p.peer_listen) if p is process else self.relay.address(host.number, p.number)
             for p in self.processes
         ]
         return {
-            "name": f"g{host.number}", "listen": f"{process.listen[0]}:{process.listen[1]}",
-            "discovery": f"{port.address[0]}:{port.address[1]}", "seed": f"{host.stream.seed64():x}",
+            "name": f"g{host.number}", "listen": str(process.listen), "discovery": str(port.address),
+            "seed": f"{host.stream.seed64():x}",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
-            "peer_listen": f"{process.peer_listen[0]}:{process.peer_listen[1]}", "peers": peers,
-            "known": port.whole(), "settings": settings_tree(self.settings(host), w.idle_s,
-            w.connect_timeout_s),
+            "peer_listen": str(process.peer_listen), "peers": peers, "known": port.whole(),
+            "settings": settings_tree(self.settings(host), w.idle_s, w.connect_timeout_s),
         }  # fmt: skip
 
     async def close(self) -> None:
@@ -184,9 +176,8 @@
             process.look()
             process.signal(signal.SIGCONT)
             process.signal(signal.SIGTERM)
-        longest = max(c.deadline_s for c in self.scenario.classes)
         try:
-            async with asyncio.timeout(longest + ENDED_S):
+            async with asyncio.timeout(self.longest + ENDED_S):
                 await asyncio.gather(*(p.ended() for p in self.processes))
         except TimeoutError:
             for process in self.processes:
@@ -259,8 +250,7 @@
                 self.charge(call, customer)
             return self.client_served(call, customer.plan)
         if response.status in (429, 503):
-            quota = customer.quota
-            room = call.first_sent < 0 and (not quota.rate or quota.look(now) >= quota.depth / 2)
+            room = call.first_sent < 0 and customer.has_room(now)
             self.account.refusal(now, "tries" if call.first_sent >= 0 else "quota", room)
             after = response.get(b"retry-after")
             return self.answered(call.intent, "refused", float(after) if after else 0.0)
@@ -291,7 +281,7 @@
         work = call.intent.work * (1 + noise * (2 * worker.stream.uniform() - 1) if noise else 1.0)
         attempt = Attempt(call, len(call.attempts), worker.number, now, work)
         call.attempts.append(attempt)
-        attempt.arrived = attempt.written = True
+        attempt.arrived = True
         attempt.life = worker.life
         link.attempt = attempt
         self.link_of[attempt] = link
@@ -318,9 +308,7 @@
         if link is None:
             return
         attempt.ended = code
-        customer = attempt.call.intent.customer
-        assert isinstance(customer, Customer)
-        customer.open -= 1
+        attempt.call.intent.customer.open -= 1
         if worker.state == "silent" or not self.reaches(host.zone, worker.zone):
             return
         if code == i.Code.OK and not attempt.call.answered:
@@ -330,9 +318,7 @@
     def gave_up(self, attempt: Attempt) -> None:
         """The connection is closed: the gatekeeper waits no more, or is dead."""
         if self.link_of.pop(attempt, None) is not None:
-            customer = attempt.call.intent.customer
-            assert isinstance(customer, Customer)
-            customer.open -= 1
+            attempt.call.intent.customer.open -= 1
             attempt.ended = i.Code.CANCELLED
             self.workers[attempt.worker].stop(attempt)
 
@@ -360,7 +346,7 @@
         if entry.came_up:
             born = (time.time() - (START + offset - entry.came_up)) * 1000
         return {
-            "host": f"s-{worker.number}", "dial": f"{address[0]}:{address[1]}", "site": entry.zone, "class":
+            "host": f"s-{worker.number}", "dial": str(address), "site": entry.zone, "class":
             "m",
             "block": entry.cell, "health": HEALTH[entry.mode], "share": entry.rating, "born_ms": round(born),
         }  # fmt: skip
--- a/pewterring/lab/loopback/ports.py
+++ b/pewterring/lab/loopback/ports.py
@@ -16,6 +16,7 @@
 from pewterring.http.writer import write_response
 from pewterring.lab.calls import Attempt
 from pewterring.lab.workers import Worker
+from pewterring.net.connection import Address
 
 HOST = "127.0.0.1"
 NOT_RUN = [(b"x-not-run", b"1")]
@@ -73,12 +74,12 @@
         self.worker, self.taken, self.left = worker, taken, left
         self.links: set[WorkerLink] = set()
         self.server: asyncio.Server | None = None
-        self.address = ("", 0)
+        self.address = Address(HOST, 0)
 
     async def open(self) -> None:
         loop = asyncio.get_running_loop()
         self.server = await loop.create_server(lambda: WorkerLink(self), HOST, self.address[1])
-        self.address = self.server.sockets[0].getsockname()[:2]
+        self.address = Address(*self.server.sockets[0].getsockname()[:2])
 
     def asked(self, link: WorkerLink, request: Request) -> None:
         if request.target == b"/healthz":
@@ -119,12 +120,12 @@
         self.entries: dict[str, dict[str, Any]] = {}
         self.watches: set[DiscoveryLink] = set()
         self.server: asyncio.Server | None = None
-        self.address = ("", 0)
+        self.address = Address(HOST, 0)
 
     async def open(self) -> None:
         loop = asyncio.get_running_loop()
         self.server = await loop.create_server(lambda: DiscoveryLink(self), HOST, 0)
-        self.address = self.server.sockets[0].getsockname()[:2]
+        self.address = Address(*self.server.sockets[0].getsockname()[:2])
 
     def tell(self, entry: dict[str, Any]) -> None:
         self.version += 1
@@ -210,10 +211,10 @@
     def __init__(self, passes: Callable[[int, int], float | None]) -> None:
         self.passes = passes  # the delay of a datagram from one to another; None: it is lost
         self.ends: dict[tuple[int, int], asyncio.DatagramTransport] = {}
-        self.listens: dict[int, tuple[str, int]] = {}
+        self.listens: dict[int, Address] = {}
         self.passed = self.lost = self.octets = 0
 
-    async def open(self, listens: dict[int, tuple[str, int]]) -> None:
+    async def open(self, listens: dict[int, Address]) -> None:
         self.listens = listens
         loop = asyncio.get_running_loop()
         for a in listens:
@@ -224,8 +225,7 @@
 
     def address(self, a: int, b: int) -> str:
         """Where gatekeeper a sends what is for b, and b's address to a."""
-        host, port = self.ends[a, b].get_extra_info("sockname")[:2]
-        return f"{host}:{port}"
+        return str(Address(*self.ends[a, b].get_extra_info("sockname")[:2]))
 
     def came(self, a: int, b: int, data: bytes) -> None:
         delay = self.passes(a, b)
--- a/pewterring/lab/loopback/processes.py
+++ b/pewterring/lab/loopback/processes.py
@@ -12,6 +12,7 @@
 
 from pewterring import interface as i
 from pewterring.lab.loopback.ports import HOST
+from pewterring.net.connection import Address
 
 NS = 1_000_000_000
 READY_S, POLL_S = 20.0, 0.02
@@ -73,8 +74,8 @@
 
     def move(self) -> None:
         """To ports that are free just now. Nothing keeps them so: who finds one taken moves again."""
-        self.listen = (HOST, free_port())
-        self.peer_listen = (HOST, free_port(socket.SOCK_DGRAM))
+        self.listen = Address(HOST, free_port())
+        self.peer_listen = Address(HOST, free_port(socket.SOCK_DGRAM))
 
     async def start(self, config: dict[str, Any]) -> None:
         path = self.folder / f"g{self.number}.json"
@@ -92,9 +93,8 @@
         """Whether it says that it has started, and answers its health call with 200, within READY_S."""
         async with asyncio.timeout(READY_S):
             while self.child is not None and self.child.returncode is None:
-                if (
-                    STARTED not in self.log.read_bytes()[self.log_from :]
-                ):  # else another answers at its address
+                # Its own word first: at an address that it could not bind another may answer.
+                if STARTED not in self.log.read_bytes()[self.log_from :]:
                     await asyncio.sleep(POLL_S)
                     continue
                 with contextlib.suppress(OSError):
--- a/pewterring/lab/policies.py
+++ b/pewterring/lab/policies.py
@@ -12,6 +12,7 @@
 
 from pewterring import interface as i
 from pewterring.choice import Ceiling, Gatekeeper
+from pewterring.lab.stores import Store
 
 
 @dataclass(frozen=True, slots=True)
@@ -122,19 +123,17 @@
 
     def __init__(self, settings: i.Settings, seed: int) -> None:
         super().__init__(settings, seed)
-        self.stores: dict[int, tuple[float, float]] = {}
+        self.stores: dict[int, Store] = {}
 
     def admits(self, now: float, request: i.Request) -> bool:
         plan = self.s.plans[request.plan]
         self.reason = "quota"
         if not plan.refill:
             return True
-        depth = max(request.units, plan.depth / request.set_size)
-        level, at = self.stores.get(request.customer, (depth, now))
-        level = min(depth, level + (now - at) * plan.refill / request.set_size)
-        inside = level >= request.units
-        self.stores[request.customer] = (level - request.units * inside, now)
-        return inside
+        if (store := self.stores.get(request.customer)) is None:
+            depth = max(request.units, plan.depth / request.set_size)
+            store = self.stores[request.customer] = Store(plan.refill / request.set_size, depth, now)
+        return store.take(now, request.units)
 
 
 class StaticCeiling(Baseline):
--- a/pewterring/lab/rules.py
+++ b/pewterring/lab/rules.py
@@ -74,7 +74,7 @@
         out = [a for a in call.attempts if a.ended is None]
         if out and not self.limits.may_duplicate:
             self.broken(2, now, "a second attempt while one is out, where copies are not allowed", call.id)
-        may_have_run = [a for a in call.attempts if a.ended is None or a.ended not in i.NEVER_RAN]
+        may_have_run = call.may_have_run()
         cls = call.cls
         if not may_have_run or cls.effect == i.Effect.PURE:
             return
@@ -100,7 +100,7 @@
 
     def may_refuse(self, now: float, call: Call) -> None:
         self.checked[2] += 1
-        may_have_run = [a for a in call.attempts if a.ended is None or a.ended not in i.NEVER_RAN]
+        may_have_run = call.may_have_run()
         everywhere = call.cls.effect == i.Effect.TOKEN and call.cls.group == i.Group.ALL
         if may_have_run and call.cls.effect != i.Effect.PURE and not everywhere:
             self.broken(
--- a/pewterring/lab/schema.py
+++ b/pewterring/lab/schema.py
@@ -328,13 +328,22 @@
     random_faults: Annotated[int, Meta(ge=0, le=1000)] = 0  # drawn beside these, from the run's seed
 
 
+def mean_work(scenario: Scenario) -> float:
+    """Of a request of any class, in seconds of one core at speed 1."""
+    return sum(c.share * c.work_s for c in scenario.classes) / sum(c.share for c in scenario.classes)
+
+
+def longest_deadline(scenario: Scenario) -> float:
+    return max(c.deadline_s for c in scenario.classes)
+
+
 def rate(scenario: Scenario) -> float:
     """Requests a second asked inside the quotas."""
     if scenario.load.rate is not None:
         return scenario.load.rate
-    workers, shares = scenario.workers, sum(c.share for c in scenario.classes)
-    work_s = sum(c.share * c.work_s for c in scenario.classes) / shares
-    return (scenario.load.part or 0.0) * workers.count * workers.cores * workers.speed / work_s
+    workers = scenario.workers
+    done = workers.count * workers.cores * workers.speed
+    return (scenario.load.part or 0.0) * done / mean_work(scenario)
 
 
 def load(path: str | Path, sets: typing.Sequence[str] = ()) -> Scenario:
--- a/pewterring/lab/workers.py
+++ b/pewterring/lab/workers.py
@@ -45,7 +45,6 @@
         self.life = 0
         self.mode = i.Mode.SERVING
         self.state: Literal["up", "silent", "down"] = "up"  # silent: says nothing; down: refuses connections
-        self.came_up = 0.0  # 0: long ago
         self.restart(0.0)
         # What troubles set:
         self.slow, self.error_rate, self.spoilt, self.lost = 1.0, setup.error_rate, 0.0, 0.0
@@ -58,7 +57,7 @@
     def restart(self, came_up: float) -> None:
         """A new process: it knows nothing of what was here before."""
         self.life += 1
-        self.came_up = came_up
+        self.came_up = came_up  # 0: long ago
         self.progress, self.told_at = 0.0, self.engine.now
         self.serving: list[tuple[float, int, Attempt]] = []  # a heap by the progress at which each ends
         self.in_service = 0  # those of `serving` that are not stopped
--- a/pewterring/lab/world.py
+++ b/pewterring/lab/world.py
@@ -13,7 +13,8 @@
 from pewterring.lab import schema
 from pewterring.lab.account import Account, Result
 from pewterring.lab.calls import Attempt, Call, Intent
-from pewterring.lab.demand import Customer, Demand, Front
+from pewterring.lab.customers import Customer
+from pewterring.lab.demand import Demand, Front
 from pewterring.lab.engine import START, Engine
 from pewterring.lab.keeper import CountKeeper
 from pewterring.lab.policies import POLICIES, Count, Policy
@@ -87,13 +88,12 @@
         )  # fmt: skip
         self.rules = Rules(self.limits, scenario.discovery.drain_grace_s, g.answer_slack_s)
         self.hosts = [Host(n, self.zones[n % len(self.zones)], seed) for n in range(g.count)]
-        shares = sum(c.share for c in scenario.classes)
-        self.mean_work = sum(c.share * c.work_s for c in scenario.classes) / shares
+        self.mean_work, self.longest = schema.mean_work(scenario), schema.longest_deadline(scenario)
         self.workers: list[Worker] = []
-        self.log: list[i.Server] = []  # what discovery has had to tell, in order
         self.list_late = 0.0
         for n in range(w.count):
             self.add_worker(self.zones[n % len(self.zones)], n // w.cell_size)
+        self.log = [self.entry(worker) for worker in self.workers]  # what discovery has to tell, in order
         self.first_list = len(self.log)
         self.discovery_stream = Stream(seed, "discovery")
         self.list_calls: list[float] = []
@@ -174,7 +174,6 @@
         )  # fmt: skip
         worker.came_up = came_up
         self.workers.append(worker)
-        self.log.append(self.entry(worker))
         return worker
 
     @staticmethod
@@ -195,23 +194,30 @@
             host.seen = self.first_list
             engine.after(host.stream.uniform(0, s.gatekeepers.start_spread_s), self.start_host, host)
         engine.after(s.gatekeepers.start_spread_s + READY_S, self.demand.start)
-        for second in range(1, int(s.duration_s) + 1):
-            engine.at(START + second, self.sample, second - 1)
-        longest = max(c.deadline_s for c in s.classes)
+        self.plan_samples()
         try:
-            engine.run(START + s.duration_s + longest + 1.0)
+            engine.run(START + s.duration_s + self.longest + 1.0)
         except Broken as broken:
             self.broken = broken
-        self.account.counts["cold_worst"] = max(w.worst for w in self.workers)
-        for worker in self.workers:
-            worker.advance()
-            self.account.counts["work_done"] += worker.worked + worker.handshakes * s.workers.handshake_work_s
-            self.account.counts["connections"] += worker.handshakes
+        self.sum_up()
         return self.account.result(
             self.policy_name, self.seed, engine.now, engine.events, str(self.broken) if self.broken else ""
         )
 
-    def note(self, intent: Intent, text: str) -> None:
+    def plan_samples(self) -> None:
+        for second in range(1, int(self.scenario.duration_s) + 1):
+            self.engine.at(START + second, self.sample, second - 1)
+
+    def sum_up(self) -> None:
+        """What the workers have counted, into the account."""
+        counts, setup = self.account.counts, self.scenario.workers
+        counts["cold_worst"] = max(w.worst for w in self.workers)
+        for worker in self.workers:
+            worker.advance()
+            counts["work_done"] += worker.worked + worker.handshakes * setup.handshake_work_s
+            counts["connections"] += worker.handshakes
+
+    def note(self, text: str) -> None:
         self.trail.append((self.engine.now - START, text))
 
     def sample(self, second: int) -> None:
@@ -241,7 +247,6 @@
 
     def try_once(self, intent: Intent) -> None:
         customer = intent.customer
-        assert isinstance(customer, Customer)
         now, stream = self.engine.now, customer.stream
         intent.tries += 1
         self.account.counts["tries"] += 1
@@ -273,7 +278,6 @@
             self.engine.at((now + call.not_after) / 2, self.turn, host, host.life, self.client_leaves, call)
         if self.watch == intent.number:
             self.note(
-                intent,
                 f"try {intent.tries} comes as request {request.id} ({request.cls}, plan {request.plan}, "
                 f"customer {customer.id}, {customer.units:g} units) to gatekeeper {host.number}; "
                 f"the customer's store holds {customer.quota.look(now):.2f}",
@@ -297,19 +301,17 @@
         host.calls.pop(call.id, None)
         self.account.unserved(call.intent, self.engine.now)
         if self.watch == call.intent.number:
-            self.note(call.intent, f"its client gives up request {call.id}")
+            self.note(f"its client gives up request {call.id}")
         self.tell(host, i.Expired(call.id))
 
     def answered(self, intent: Intent, kind: str, after: float) -> None:
         """The client learns how a try ended, other than with an answer; it may try again."""
         now, clients = self.engine.now, self.scenario.clients
-        stream = intent.customer.stream  # type: ignore[attr-defined]
+        stream = intent.customer.stream
         if kind == "unreachable":
             self.account.counts["unreachable"] += 1
         if self.watch == intent.number:
-            self.note(
-                intent, f"its client learns: {kind}" + (f", come back in {after:.3f} s" if after else "")
-            )
+            self.note(f"its client learns: {kind}" + (f", come back in {after:.3f} s" if after else ""))
         harmless = kind in ("refused", "unreachable") or intent.cls.effect == "safe"
         if intent.cls.effect == "keyed" and intent.cls.group == "all":
             harmless = harmless or now - intent.asked <= intent.cls.repeat_window_s
@@ -334,7 +336,7 @@
             self.marks.setdefault("late", intent.number)
         self.account.answered(now, call, plan)
         if self.watch == intent.number:
-            self.note(intent, f"its client has the answer, {now - intent.asked:.3f} s after it asked first")
+            self.note(f"its client has the answer, {now - intent.asked:.3f} s after it asked first")
 
     # Gatekeepers
 
@@ -381,8 +383,8 @@
             return
         host.leaving = True
         self.front.gone(host.number, self.engine.now, LEAVES_S)
-        longest = max(c.deadline_s for c in self.scenario.classes)
-        self.engine.after(AT_LEAST_S, self.left, host, host.life, self.engine.now + longest + KILL_S, down_s)
+        at_last = self.engine.now + self.longest + KILL_S
+        self.engine.after(AT_LEAST_S, self.left, host, host.life, at_last, down_s)
 
     def left(self, host: Host, life: int, at_last: float, down_s: float) -> None:
         if host.life != life:
@@ -423,13 +425,7 @@
 
     def set_timer(self, host: Host, action: i.SetTimer) -> None:
         due = i.TimerDue(action.label)
-        self.engine.after(max(0.0, action.delay), self.timer_due, host, host.life, due)
-
-    def timer_due(self, host: Host, life: int, due: i.TimerDue) -> None:
-        if host.life == life and host.up and not host.frozen:
-            self.tell(host, due)
-        else:
-            self.turn(host, life, self.tell, due)
+        self.engine.after(max(0.0, action.delay), self.turn, host, host.life, self.tell, due)
 
     def cancel(self, host: Host, action: i.Cancel) -> None:
         if attempt := host.out.get((action.id, action.attempt)):
@@ -444,9 +440,8 @@
         self.rules.final(now, call, kind)
         if kind == "refused":
             self.rules.may_refuse(now, call)
-            assert host.policy is not None and isinstance(intent.customer, Customer)
-            quota = intent.customer.quota  # room: half of the burst or more is unused
-            room = call.first_sent < 0 and (not quota.rate or quota.look(now) >= quota.depth / 2)
+            assert host.policy is not None
+            room = call.first_sent < 0 and intent.customer.has_room(now)
             self.account.refusal(now, host.policy.reason or "tries", room)
             if room:
                 self.marks.setdefault("refused", intent.number)
@@ -456,7 +451,7 @@
         call.answered = True
         if self.watch == intent.number:
             why = f" ({host.policy.reason})" if host.policy and kind == "refused" else ""
-            self.note(intent, f"gatekeeper {host.number} gives its final answer: {kind}{why}")
+            self.note(f"gatekeeper {host.number} gives its final answer: {kind}{why}")
         wait = self.delay(self.scenario.network.client_s, host.stream)
         self.engine.after(wait, self.answered, intent, kind, after)
 
@@ -487,7 +482,6 @@
             return self.rules.unlisted(now, id, action.server)
         intent, worker = call.intent, self.workers[number]
         customer = intent.customer
-        assert isinstance(customer, Customer)
         noise = intent.cls.attempt_noise
         work = intent.work * (1 + noise * (2 * host.stream.uniform() - 1) if noise else 1.0)
         attempt = Attempt(call, len(call.attempts), number, now, work)
@@ -500,7 +494,6 @@
         call.attempts.append(attempt)
         if attempt.number:
             self.marks.setdefault("retried", intent.number)
-        call.out += 1
         host.out[id, attempt.number] = attempt
         attempt.told_start = host.told_start[action.server] >= worker.came_up
         self.account.counts["attempts"] += 1
@@ -509,7 +502,7 @@
             self.charge(call, customer)
         customer.open += 1
         if self.watch == intent.number:
-            self.note(intent, f"gatekeeper {host.number} sends attempt {attempt.number} to worker {number}")
+            self.note(f"gatekeeper {host.number} sends attempt {attempt.number} to worker {number}")
         way = self.way(host, worker.zone)
         reached = worker.state != "silent" and self.reaches(host.zone, worker.zone)
         if worker.state == "down":
@@ -519,11 +512,9 @@
             return self.ends_in(2 * way, host, attempt, i.Code.UNAVAILABLE)
         attempt.conn_life = worker.life
         if old:
-            attempt.written = True
             if reached:  # else nothing comes back
                 engine.after(way, self.at_worker, attempt, worker)
         elif reached:
-            attempt.fresh = True
             attempt.work += worker.setup.handshake_work_s
             engine.after(worker.setup.handshake_s + 3 * way, self.at_worker, attempt, worker)
         else:
@@ -541,10 +532,7 @@
         call.within = customer.quota.take(now, units)
         if plan.parallel and customer.open >= plan.parallel:
             call.within = False
-        if call.within:
-            customer.within += units
-        else:
-            customer.beyond += units
+        if not call.within:
             self.marks.setdefault("beyond", call.intent.number)
         if plan.cap_rate:
             customer.ceiling.look(now)
@@ -552,12 +540,11 @@
             self.rules.ceiling(now, call, customer.ceiling.level, plan.cap_slack)
         self.account.sent_first(now, call, plan)
         if self.watch == call.intent.number:
-            self.note(call.intent, "it counts as " + ("within" if call.within else "beyond") + " the quota")
+            self.note("it counts as " + ("within" if call.within else "beyond") + " the quota")
 
     def at_worker(self, attempt: Attempt, worker: Worker) -> None:
         if attempt.ended is not None:
             return
-        attempt.written = True
         host = self.hosts[attempt.keeper]
         if worker.state == "silent" or not self.reaches(host.zone, worker.zone):
             return
@@ -567,7 +554,6 @@
         attempt.arrived, attempt.life = True, worker.life
         if self.watch == attempt.call.intent.number:
             self.note(
-                attempt.call.intent,
                 f"attempt {attempt.number} is at worker {worker.number}: {worker.in_service} in service, "
                 f"{worker.lined_up} waiting",
             )
@@ -601,11 +587,8 @@
         """Nothing more is waited for: the worker is told, its connection is free or closed."""
         call, worker = attempt.call, self.workers[attempt.worker]
         attempt.ended = code
-        call.out -= 1
         host.out.pop((call.id, attempt.number), None)
-        customer = call.intent.customer
-        assert isinstance(customer, Customer)
-        customer.open -= 1
+        call.intent.customer.open -= 1
         if attempt.conn_life == worker.life:
             usable = code in (i.Code.OK, i.Code.INTERNAL, i.Code.RESOURCE_EXHAUSTED)
             worker.release(host.number, self.engine.now, usable)
@@ -613,7 +596,7 @@
         if given_up and worker.state != "silent" and self.reaches(host.zone, worker.zone):
             self.engine.after(self.way(host, worker.zone), worker.stop, attempt)
         if self.watch == call.intent.number:
-            self.note(call.intent, f"attempt {attempt.number} ends: {code.value}")
+            self.note(f"attempt {attempt.number} ends: {code.value}")
 
     def hear_end(self, host: Host, attempt: Attempt) -> None:
         call = attempt.call
@@ -667,8 +650,7 @@
 
     def publish(self, entry: i.Server) -> None:
         """News for the list: each gatekeeper hears of it in its own time."""
-        if not self.log or self.log[-1] is not entry:
-            self.log.append(entry)
+        self.log.append(entry)
         setup, upto = self.scenario.discovery, len(self.log)
         notice = setup.notice_s * (0.7 + 0.6 * self.discovery_stream.uniform()) + self.list_late
         for host in self.hosts:
@@ -761,10 +743,7 @@
             return
         host.tokens = tokens - 1.0
         self.account.counts["message_bytes"] += len(mail.data)
-        if host.frozen:
-            self.turn(host, host.life, self.tell, mail)
-        else:
-            self.tell(host, mail)
+        self.turn(host, host.life, self.tell, mail)
 
     def count(self, host: Host, name: int, amount: float, life: float) -> None:
         self.account.counts["counter_calls"] += 1
--- a/pewterring/membership/members.py
+++ b/pewterring/membership/members.py
@@ -90,7 +90,6 @@
         self.told: dict[int, int] = {}  # rumours that are still told, by member: how often they were
         self.relayed: dict[int, tuple[int, int, float]] = {}  # own sequence: whom for, its sequence, until
         self.loss = 0.0  # of round trips, measured
-        self.answered = self.asked = 0
         self.changes: list[Change] = []
         self.conflicts = 0  # times that another under this name was heard of
         self.former: dict[int, int] = {}  # other lives under this name, and their latest incarnation
@@ -100,8 +99,11 @@
 
     def alive(self) -> list[int]:
         """Those that are held to be there, the own number among them; suspects are."""
-        there = [m.number for m in self.members.values() if m.state <= State.SUSPECT]
-        return sorted([*there, *([] if self.left else [self.me])])
+        return sorted([*self.there(), *([] if self.left else [self.me])])
+
+    def there(self) -> list[int]:
+        """The others that are held to be there."""
+        return [m.number for m in self.members.values() if m.state <= State.SUSPECT]
 
     def state(self, member: int) -> State | None:
         """None: nothing was ever heard of it."""
@@ -168,7 +170,7 @@
             n for n in range(self.size) if n != self.me and (self.state(n) or State.ALIVE) != State.ALIVE
         ]
         silent += [n for n in range(self.size) if n != self.me and n not in self.members]
-        there = [m.number for m in self.members.values() if m.state <= State.SUSPECT]
+        there = self.there()
         # Over the fleet each of the silent is called about twice a period: a cut heals soon, the dead cost
         # little.
         if silent and (not there or self.rng.random() < 2 * len(silent) / (len(there) + 1)):
@@ -196,7 +198,6 @@
         if probe.sent < tries:
             probe.sent += 1
             probe.next_at = now + part / tries
-            self.asked += 1
             known = self.members.get(probe.member)
             first = probe.member if known and known.state != State.ALIVE else -1
             out.append((probe.member, self.message(Kind.PING, probe.sequence, probe.member, first)))
@@ -249,7 +250,6 @@
             # Of the pings sent so far one was answered, directly or by a helper.
             lost = (probe.sent - 1) / probe.sent if not probe.helped else 1.0
             self.loss += (lost - self.loss) * self.MEMORY
-            self.answered += 1
             self.probe = None
         return []
 
@@ -279,8 +279,7 @@
             self.told[number] = 0
             self.changes.append(Change(now, number, state, incarnation, life))
             return
-        newer = (incarnation, state) > (known.incarnation, known.state)
-        if not newer:
+        if (incarnation, state) <= (known.incarnation, known.state):
             return
         changed = state != known.state or life != known.life
         known.incarnation, known.life = incarnation, life
@@ -293,7 +292,7 @@
 
     def leave(self, now: float) -> list[Out]:
         """Says good-bye to some, who tell the rest."""
-        there = [m.number for m in self.members.values() if m.state <= State.SUSPECT]
+        there = self.there()
         message = write(Message(Kind.LEAVE, self.incarnation, self.life, 0, self.me))
         self.left = True
         return [(n, message) for n in self.rng.sample(there, min(len(there), 3 * self.setup.helpers))]
--- a/tests/lab/test_load.py
+++ b/tests/lab/test_load.py
@@ -51,7 +51,7 @@
     async def test() -> None:
         world = SocketWorld(small(), 1, RealEngine(asyncio.get_running_loop()), tmp_path, None)
         async with StandIn() as taken:
-            world.processes[0].listen = (taken.address.host, taken.address.port)
+            world.processes[0].listen = taken.address
             await world.open()
             assert world.processes[0].listen[1] != taken.address.port and all(h.up for h in world.hosts)
             await world.close()
