Lab: of two faults that overlap each ends only what it began

Cause: cuts, silences and splits of the keeper, retry storms, shifts of traffic and freezes were kept as one flag or one number each, against what faults.py promises: the end of the first of two ended the second as well, a storm's end could leave the other's retries for good, a shift to nothing wiped out its neighbour's. Change: each counts, or lists, the faults that are on; a freeze of a former life thaws nobody. Result: a test with two of each kind fails on all seven before and passes now.

--- a/pewterring/lab/demand.py
+++ b/pewterring/lab/demand.py
@@ -23,7 +23,8 @@
         stream = Stream(seed, "front")
         self.balance = stream.weights(fleet, setup.balance) if setup.balance else None
         self.closed_at = [math.inf] * fleet  # from when on it passes a gatekeeper over
-        self.damped: dict[int, float] = {}  # by gatekeeper: what is left of its traffic
+        self.dampers: dict[int, list[float]] = {}  # by gatekeeper: what each fault leaves of its traffic
+        self.damped: dict[int, float] = {}  # and all of them together
 
     def gone(self, keeper: int, now: float, notice: float) -> None:
         self.closed_at[keeper] = min(self.closed_at[keeper], now + notice)
@@ -31,6 +32,17 @@
     def back(self, keeper: int) -> None:
         self.closed_at[keeper] = math.inf
 
+    def damp(self, keeper: int, to: float) -> None:
+        """Traffic that comes through it falls to that part; `free` takes this back."""
+        self.dampers.setdefault(keeper, []).append(to)
+        self.damped[keeper] = math.prod(self.dampers[keeper])
+
+    def free(self, keeper: int, to: float) -> None:
+        self.dampers[keeper].remove(to)
+        self.damped[keeper] = math.prod(self.dampers[keeper])
+        if not self.dampers[keeper]:
+            del self.dampers[keeper], self.damped[keeper]
+
     def pick(self, customer: Customer, now: float, stream: Stream) -> int | None:
         """A gatekeeper for one request; None where it knows of none in the set that serves."""
         if customer.set_size == 1 and not self.damped and now < self.closed_at[customer.first]:
--- a/pewterring/lab/faults.py
+++ b/pewterring/lab/faults.py
@@ -129,13 +129,14 @@
 
 @begin.register(schema.Freeze)
 def _(fault: schema.Freeze, world: World, stream: Stream) -> End:
-    struck = struck_hosts(world, fault, stream)
-    for host in struck:
+    struck = [(host, host.life) for host in struck_hosts(world, fault, stream) if host.up]
+    for host, _ in struck:
         world.freeze(host)
 
     def end() -> None:
-        for host in struck:
-            world.thaw(host)
+        for host, life in struck:
+            if host.life == life:  # else it has been killed meanwhile
+                world.thaw(host)
 
     return end
 
@@ -226,13 +227,15 @@
 
 @begin.register(schema.ZoneCut)
 def _(fault: schema.ZoneCut, world: World, stream: Stream) -> End:
-    world.cut.add(fault.zone)
-    if fault.clients:
-        world.clients_cut.add(fault.zone)
+    cuts = [world.cut, world.clients_cut] if fault.clients else [world.cut]
+    for cut in cuts:
+        cut[fault.zone] += 1
 
     def end() -> None:
-        world.cut.discard(fault.zone)
-        world.clients_cut.discard(fault.zone)
+        for cut in cuts:
+            cut[fault.zone] -= 1
+            if not cut[fault.zone]:
+                del cut[fault.zone]
 
     return end
 
@@ -252,10 +255,10 @@
 
 @begin.register(schema.KeeperSilent)
 def _(fault: schema.KeeperSilent, world: World, stream: Stream) -> End:
-    world.keeper.silent = True
+    world.keeper.silent += 1
 
     def end() -> None:
-        world.keeper.silent = False
+        world.keeper.silent -= 1
 
     return end
 
@@ -272,10 +275,10 @@
 
 @begin.register(schema.KeeperEmpty)
 def _(fault: schema.KeeperEmpty, world: World, stream: Stream) -> End:
-    world.keeper.silent = True
+    world.keeper.silent += 1
 
     def end() -> None:
-        world.keeper.silent = False
+        world.keeper.silent -= 1
         world.keeper.forget()
 
     return end
@@ -305,15 +308,11 @@
     else:
         left = stream.sample(len(hosts), len(hosts) // 2)
     for number in left:
-        world.front.damped[number] = world.front.damped.get(number, 1.0) * fault.to
+        world.front.damp(number, fault.to)
 
     def end() -> None:
         for number in left:
-            level = world.front.damped.get(number, 1.0) / fault.to if fault.to else 1.0
-            if level >= 1 - 1e-9:
-                world.front.damped.pop(number, None)
-            else:
-                world.front.damped[number] = level
+            world.front.free(number, fault.to)
 
     return end
 
@@ -326,10 +325,5 @@
 
 @begin.register(schema.RetryStorm)
 def _(fault: schema.RetryStorm, world: World, stream: Stream) -> End:
-    before = world.retries
-    world.retries, world.storm = max(before, fault.retries), True
-
-    def end() -> None:
-        world.retries, world.storm = before, False
-
-    return end
+    world.storm.append(fault.retries)
+    return lambda: world.storm.remove(fault.retries)
--- a/pewterring/lab/keeper.py
+++ b/pewterring/lab/keeper.py
@@ -12,7 +12,8 @@
 class CountKeeper:
     def __init__(self, engine: Engine, setup: Keeper) -> None:
         self.engine, self.setup = engine, setup
-        self.silent, self.times, self.split = False, 1.0, False
+        self.silent = self.split = 0  # faults that make it so just now
+        self.times = 1.0
         self.numbers: list[dict[int, tuple[float, float]]] = [{}, {}]  # of each side: total, until
         self.free_at = [[0.0] * setup.parts, [0.0] * setup.parts]
 
@@ -21,12 +22,14 @@
 
     def part_ways(self) -> None:
         """Two keepers from now on: the second begins with what the first has."""
-        self.split = True
-        self.numbers[1] = dict(self.numbers[0])
+        self.split += 1
+        if self.split == 1:
+            self.numbers[1] = dict(self.numbers[0])
 
     def heal(self) -> None:
-        self.split = False
-        self.numbers[1] = {}
+        self.split -= 1
+        if not self.split:
+            self.numbers[1] = {}
 
     def add(
         self, side: int, name: int, amount: float, life: float, answer: Callable[[i.Code, float, float], None]
--- a/pewterring/lab/loopback/load.py
+++ b/pewterring/lab/loopback/load.py
@@ -373,7 +373,7 @@
     def kill(self, host: Host) -> None:
         if not host.up or self.target:
             return
-        host.up = False
+        host.up, host.frozen = False, 0
         host.life += 1
         self.front.gone(host.number, self.engine.now, self.scenario.front.notice_s)
         self.memory_kb = max(self.memory_kb, self.processes[host.number].memory_kb())
@@ -398,12 +398,12 @@
 
     def freeze(self, host: Host) -> None:
         if host.up and not self.target:
-            host.frozen = True
+            host.frozen += 1
             self.processes[host.number].signal(signal.SIGSTOP)
 
     def thaw(self, host: Host) -> None:
-        if host.frozen:
-            host.frozen = False
+        host.frozen = max(0, host.frozen - 1)
+        if not host.frozen and not self.target:
             self.processes[host.number].signal(signal.SIGCONT)
 
 
--- a/pewterring/lab/world.py
+++ b/pewterring/lab/world.py
@@ -6,6 +6,7 @@
 """
 
 from array import array
+from collections import Counter
 from collections.abc import Callable
 from typing import Any
 
@@ -47,7 +48,8 @@
     def __init__(self, number: int, zone: str, seed: int) -> None:
         self.number, self.zone, self.stream = number, zone, Stream(seed, "gatekeeper", number)
         self.policy: Policy | None = None
-        self.life, self.up, self.leaving, self.frozen = 0, False, False, False
+        self.life, self.up, self.leaving = 0, False, False
+        self.frozen = 0  # faults under which it stands still
         self.backlog: list[tuple[Callable[..., None], tuple[Any, ...]]] = []
         self.calls: dict[int, Call] = {}  # not answered yet
         self.out: dict[tuple[int, int], Attempt] = {}
@@ -102,9 +104,9 @@
         self.demand = Demand(scenario, self.engine, seed, self.ask)
         self.keeper = CountKeeper(self.engine, scenario.keeper)
         self.ids = 0
-        self.retries, self.storm = scenario.clients.retries, False
-        self.cut: set[str] = set()  # zones that nothing enters or leaves
-        self.clients_cut: set[str] = set()
+        self.storm: list[int] = []  # retries of each client, by each storm that is on
+        self.cut = Counter[str]()  # zones that nothing enters or leaves, and by how many faults
+        self.clients_cut = Counter[str]()
         self.mail_loss, self.mail_late = scenario.network.peer_loss, 0.0
         self.broken: Broken | None = None
         self.doers: dict[type[Any], Callable[[Host, Any], None]] = {
@@ -229,6 +231,10 @@
         into.shares = round(sum(x for p in policies if (x := p.share()) == x), 3)
         self.keeper.sweep()
 
+    @property
+    def retries(self) -> int:
+        return max(self.scenario.clients.retries, *self.storm, 0)
+
     def delay(self, base: float, stream: Stream) -> float:
         return base * (1 + self.scenario.network.jitter * (2 * stream.uniform() - 1))
 
@@ -343,7 +349,7 @@
     def start_host(self, host: Host) -> None:
         """From nothing, but with the list as it had it last."""
         host.life += 1
-        host.up, host.leaving, host.frozen = True, False, False
+        host.up, host.leaving, host.frozen = True, False, 0
         host.policy = POLICIES[self.policy_name](self.settings(host), host.stream.seed64())
         host.tokens, host.token_at, host.subscribed = 1.0, self.engine.now, False
         host.told_end.clear()
@@ -364,7 +370,7 @@
         if not host.up:
             return
         now = self.engine.now
-        host.up, host.frozen = False, False
+        host.up, host.frozen = False, 0
         host.life += 1
         host.backlog.clear()
         self.front.gone(host.number, now, self.scenario.front.notice_s)
@@ -395,12 +401,12 @@
         self.engine.after(down_s, self.start_host, host)
 
     def freeze(self, host: Host) -> None:
-        host.frozen = host.up
+        host.frozen += host.up
 
     def thaw(self, host: Host) -> None:
-        if not host.frozen:
+        host.frozen = max(0, host.frozen - 1)
+        if host.frozen:
             return
-        host.frozen = False
         for call in host.calls.values():
             call.excused = self.engine.now
         backlog, host.backlog = host.backlog, []
--- a/tests/lab/test_world.py
+++ b/tests/lab/test_world.py
@@ -11,6 +11,7 @@
 from pewterring import interface as i
 from pewterring.lab.calls import Attempt
 from pewterring.lab.engine import START, Engine
+from pewterring.lab.faults import prepare
 from pewterring.lab.keeper import CountKeeper
 from pewterring.lab.policies import POLICIES
 from pewterring.lab.schema import Keeper, Workers
@@ -220,3 +221,32 @@
     engine.run(START + 20)
     keeper.sweep()
     assert keeper.numbers[0] == {}
+
+
+TWICE: dict[str, Any] = {
+    "zone_cut": lambda w: (dict(w.cut), dict(w.clients_cut)),
+    "keeper_silent": lambda w: bool(w.keeper.silent),
+    "keeper_empty": lambda w: bool(w.keeper.silent),
+    "keeper_split": lambda w: bool(w.keeper.split),
+    "retry_storm": lambda w: (w.retries, bool(w.storm)),
+    "traffic_shift": lambda w: dict(w.front.damped),
+    "freeze": lambda w: [bool(h.frozen) for h in w.hosts],
+}
+
+
+@pytest.mark.parametrize("kind", sorted(TWICE))
+def test_a_fault_ends_only_what_it_began(kind: str) -> None:
+    """Of two that overlap the end of the first ended the second as well, or left its mark for good."""
+    look = TWICE[kind]
+    fault: dict[str, Any] = {"kind": kind, "at_s": 1.0, "for_s": 2.0}
+    fault |= {"zone": "b"} if kind in ("zone_cut", "traffic_shift") else {}
+    fault |= {"clients": True} if kind == "zone_cut" else {"to": 0.0} if kind == "traffic_shift" else {}
+    fault |= {"part": 1.0} if kind == "freeze" else {}
+    second = fault | {"at_s": 2.0} | ({"retries": 9} if kind == "retry_storm" else {})
+    world = prepare(small(faults=[fault, second], load={"rate": 5.0}), 1)
+    seen: list[Any] = []
+    for at in (0.9, 2.5, 3.5, 4.5):
+        world.engine.at(START + at, lambda: seen.append(look(world)))
+    assert not world.run().broken
+    before, both, last, after = seen
+    assert before == after and before not in (both, last)
