Middle fleets try cold workers: choice by warmth where own attempts show little

Cause: Fleet.wait counts own attempts alone; with 40 gatekeepers each has one or two out, so some warm worker always shows none and (0 + 1) / rating beats a cold one's 1 / (rating * warmth). Ruled out: the cold budget (tokens were there), the list (18 + 18 told ready). Change: the chance that stands for what peers have out there acts by how little own attempts tell, 1 - 4 / fleet, not only past the step of sparse fleets; outcomes weigh more by the same measure. Fleets of up to four choose as before.

--- a/pewterring/choice.py
+++ b/pewterring/choice.py
@@ -311,7 +311,10 @@
 
     def __init__(self, settings: i.Settings, rng: random.Random, sparse: bool = False) -> None:
         self.s, self.rng, self.nodes, self.serving = settings, rng, dict[int, Node](), list[Node]()
-        self.unseen, few = (1.0, 3.0) if sparse else (0.0, 1.0)  # unseen: how little own attempts tell of all
+        # How little own attempts tell of a server's load: nothing is unseen by a few, nearly all by many. Who
+        # goes by them all the same always finds a warm server that looks idle, and never tries a cold one.
+        self.unseen, self.sparse = max(0.0, 1 - self.FEW / settings.fleet_size), sparse
+        few = 1 + 2 * self.unseen
         self.sample, self.forget_s = few * self.SAMPLE, few * self.FORGET_S
         self.salt, self.near, self.pace, self.rating = rng.getrandbits(32), set[int](), 0.0, 0.0
 
@@ -328,7 +331,7 @@
             del self.nodes[id]
         self.serving = [n for n in self.nodes.values() if n.listed and n.entry.mode == i.Mode.SERVING]
         mixed = sorted(self.serving, key=lambda n: (n.entry.id ^ self.salt) * 2654435761 % 2**32)
-        self.near = {n.entry.id for n in (mixed[: self.NEAR] if self.unseen else mixed)}
+        self.near = {n.entry.id for n in (mixed[: self.NEAR] if self.sparse else mixed)}
         self.rating = sum(1.0 if self.s.live_ratings else n.entry.rating for n in self.serving)
 
     def warmth(self, node: Node, now: float) -> float:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -212,3 +212,19 @@
     d.do(i.TimerDue(2))
     assert not d.keeper.fleet.nodes[first.server].silent_since
     assert d.end(first, i.Code.OK) == []
+
+
+def test_where_many_send_a_cold_server_gets_its_part_though_warm_ones_look_idle() -> None:
+    """Forty gatekeepers, each with an attempt or two out: by own attempts alone some warm server always looks
+    idle, and none of them would try the cold ones. Six in ten workers replaced left the others in a jam."""
+    servers = tuple(server(n, came_up=0.0 if n < 8 else 100.0) for n in range(20))
+    d = Drive(settings(fleet=40), servers)
+    sent = dict.fromkeys(range(20), 0)
+    for _ in range(120):  # within six of the ten seconds that they stay cold
+        d.now += 0.05
+        d.tick()
+        for send in sends(d.ask()):
+            sent[send.server] += 1
+            d.end(send, i.Code.OK)
+    warm, cold = sum(sent[n] for n in range(8)) / 8, sum(sent[n] for n in range(8, 20)) / 12
+    assert cold > 0.2 * warm
