New workers get their fair part: the budget alone deals it, paced by what is sent on

Cause: a gatekeeper of 40 has a send for a given cold worker every ten seconds or so (Fleet.may_take), and then chose by chance against all warm ones (Fleet.wait): the two in series halve the part. Then the pace went by what was wanted or slots could carry (Gatekeeper.tick), half as much again as what is sent. Change: where own attempts show little, a cold worker whose budget holds a send comes first; the budget is the fair part, paced by requests sent on. The loaded chance stays for warm ones.

--- a/pewterring/choice.py
+++ b/pewterring/choice.py
@@ -81,7 +81,8 @@
         self.began, self.total, self.at, self.share = -math.inf, 0.0, 0.0, math.inf
         self.whole = self.elsewhere = 0.0  # the fleet's ceiling, and what peers have out of it
         self.peers: dict[int, Peer] = {}
-        self.wanted = self.demand = 0.0
+        self.wanted = self.passed = 0.0  # since the last tick: asked inside quotas, and sent on
+        self.demand = self.flow = 0.0  # the same a second
 
     def live(self, now: float) -> list[Peer]:
         return [p for p in self.peers.values() if now - p.heard < self.lease]
@@ -121,7 +122,8 @@
     def settle(self, now: float, past: float, limit: float) -> None:
         weight = max(1 - math.exp(-past / self.lease), past / max(past, now - self.began))  # first a mean
         self.demand += (self.wanted / past - self.demand) * weight
-        self.wanted = 0.0
+        self.flow += (self.passed / past - self.flow) * weight
+        self.wanted = self.passed = 0.0
         self.divide(now, limit)
 
     def beat(self, limit: float, out: int) -> bytes:
@@ -356,7 +358,7 @@
         if warmth >= 1.0:
             return True
         rules = self.s.rules
-        rate = warmth * node.entry.rating * self.pace * min(1.25, rules.fall_multiple / 2)
+        rate = warmth * node.entry.rating * self.pace * min(1.25 - self.unseen / 4, rules.fall_multiple / 2)
         rate = max(rate, 1 / (rules.tip_after * self.s.fleet_size))  # where all are cold there is no pace yet
         node.tokens = min(1.0 + rate * rules.tip_after / 2, node.tokens + rate * (now - node.token_at))
         node.token_at = now
@@ -370,8 +372,10 @@
         """Expected wait: attempts out over present rating, stretched by what the server's symptoms say."""
         slow, errors = self.symptoms(node, now)
         # Chance stands for what peers have out there: who has little out chooses in proportion to rating.
-        ahead = 1 + self.unseen * (self.rng.expovariate(1.0) - 1)
-        wait = (len(node.pending) + ahead) / max(node.entry.rating * self.warmth(node, now), 1e-9)
+        # A cold one's part is dealt by its budget: dealt by chance once more it would be halved.
+        warmth, chance = self.warmth(node, now), self.rng.expovariate(1.0)
+        ahead = 0.0 if warmth < 1.0 and self.unseen else 1 + self.unseen * (chance - 1)
+        wait = (len(node.pending) + ahead) / max(node.entry.rating * warmth, 1e-9)
         wait *= max(1.0, slow) / max(0.05, 1.0 - errors) ** 4
         if node.silent_since:
             wait *= 1000.0
@@ -518,8 +522,7 @@
     def tick(self, now: float) -> None:
         past, self.ticked = max(1e-3, now - self.ticked), now
         self.shares.settle(now, past, self.ceiling.limit)
-        # What is wanted, as far as own slots carry it: what was sent would start from nought after a restart.
-        self.fleet.take_pace(now, min(self.shares.demand, self.shares.share / max(self.usual(), 1e-3)))
+        self.fleet.take_pace(now, self.shares.flow)
         self.quota.sweep(now)
         if not self.s.limits.peers or self.s.fleet_size < 2:
             return
@@ -547,10 +550,13 @@
         held = self.held[r.id] = Held(r, cls)
         plan = self.s.plans.get(r.plan, i.Plan(r.plan))
         if not self.quota.admits(now, r, plan, self.out < self.IDLE * self.shares.share):
-            return self.refuse(held, r.units / plan.refill if plan.refill else BEAT_S)
+            return self.refuse(held, r.units / plan.refill if plan.refill else BEAT_S, "quota")
         self.shares.wanted += 1
-        if self.full() or (node := self.fleet.choose(now, self.fleet.serving, set())) is None:
-            return self.refuse(held, self.usual())
+        if self.full():
+            return self.refuse(held, self.usual(), "ceiling")
+        if (node := self.fleet.choose(now, self.fleet.serving, set())) is None:
+            return self.refuse(held, self.usual(), "workers")
+        self.shares.passed += 1
         self.quota.draw(r)
         self.spare = min(10.0 + self.out / 2, self.spare + self.EXTRA)
         self.send(now, held, node)
@@ -619,13 +625,13 @@
         everywhere = (held.cls.effect, held.cls.group) == (i.Effect.TOKEN, i.Group.ALL)
         harmless = everywhere or held.cls.effect == i.Effect.PURE or not held.ran
         if harmless and now < held.r.not_after:
-            return self.refuse(held, BEAT_S)
+            return self.refuse(held, BEAT_S, "tries")
         self.actions.append(i.Fail(held.r.id))
         self.end(held)
 
-    def refuse(self, held: Held, after: float) -> None:
+    def refuse(self, held: Held, after: float, why: str) -> None:
         advice = min(after, self.s.limits.max_retry_after) if self.s.limits.retry_after else 0.0
-        self.actions.append(i.Refuse(held.r.id, advice))
+        self.actions.append(i.Refuse(held.r.id, advice, why))
         self.end(held)
 
     def end(self, held: Held) -> None:
--- a/pewterring/cli/main.py
+++ b/pewterring/cli/main.py
@@ -12,6 +12,7 @@
 
 LAZY = {
     "config": ("pewterring.cli.config", "config", "Check a configuration, show it, print its schema."),
+    "tally": ("pewterring.cli.tally", "tally", "Sum gatekeepers' tally lines over the fleet."),
     "lab": ("pewterring.cli.lab", "lab", "Emulate, sweep, compare, plot, hunt and explain (extra [lab])."),
 }
 
--- a/pewterring/config.py
+++ b/pewterring/config.py
@@ -13,6 +13,7 @@
 from pewterring.settings import Transport, read_json
 
 CONFIG, LISTEN, DISCOVERY, NAME = "ROUTER_CONFIG", "ROUTER_LISTEN", "ROUTER_DISCOVERY", "ROUTER_NAME"
+TALLY = "ROUTER_TALLY_S"  # the period of the lines that docs/oncall.md tells how to sum; unset or 0: none
 
 
 class ConfigError(ValueError):
@@ -33,6 +34,7 @@
     known: Listing | None
     settings: i.Settings
     transport: Transport
+    tally_s: float = 0.0
 
 
 def load(path: str | None = None, env: Mapping[str, str] = os.environ) -> Config:
@@ -78,6 +80,7 @@
         known=read_listing(known) if known else None,
         settings=settings,
         transport=transport,
+        tally_s=float(env.get(TALLY) or 0.0),
     )
 
 
--- a/pewterring/gateway/service.py
+++ b/pewterring/gateway/service.py
@@ -54,6 +54,10 @@
             self.loop, self.descriptors, transport.connect_timeout, transport.conn_idle, room=self.room
         )
         module = module or Gatekeeper(config.settings, config.seed)
+        if config.tally_s > 0:
+            from pewterring.gateway.tally import Tally
+
+            module = Tally(module, log, config.tally_s)
         self.gateway = Gateway(self.loop, config.settings, transport, module, self.pool, log)
         self.listener: Listener | None = None
         self.discovery: Discovery | None = None
--- a/pewterring/interface.py
+++ b/pewterring/interface.py
@@ -209,6 +209,7 @@
 class Refuse:
     id: int
     retry_after: float = 0.0  # 0: no advice
+    why: str = ""  # which of the module's reasons, for the log and the lab
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -182,7 +182,7 @@
     (refusal,) = d.ask()
     assert isinstance(refusal, i.Refuse) and 0 < refusal.retry_after <= LIMITS.max_retry_after
     d = Drive(settings(limits=i.Limits(max_attempts=2)), servers=())
-    assert d.ask() == [i.Refuse(1, 0.0)]
+    assert [(a.id, a.retry_after) for a in d.ask() if isinstance(a, i.Refuse)] == [(1, 0.0)]
 
 
 def test_extra_attempts_have_a_budget() -> None:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -1,5 +1,8 @@
 """Servers: the list, drains, cold budget, symptoms and recovery."""
 
+import dataclasses
+import random
+
 import pytest
 
 from pewterring import interface as i
@@ -215,8 +218,8 @@
 
 
 def test_where_many_send_cold_servers_are_tried_though_warm_ones_look_idle() -> None:
-    """Twenty gatekeepers, each with an attempt or two out: by own attempts alone some warm server always looks
-    idle, and none of them would try the cold ones. Six in ten workers replaced left the others in a jam."""
+    """Twenty gatekeepers, each with an attempt or two out: by own attempts alone some warm server always
+    looks idle, and none would try the cold ones. Six in ten workers replaced left the others in a jam."""
     servers = tuple(server(n, came_up=0.0 if n < 8 else 100.0) for n in range(20))
     d = Drive(settings(fleet=20), servers)
     assert not d.keeper.sparse
@@ -228,3 +231,25 @@
             tried.add(send.server)
             d.end(send, i.Code.OK)
     assert len(tried & set(range(8, 20))) >= 4
+
+
+def test_the_parts_of_many_senders_add_up_to_a_cold_server_s_fair_part() -> None:
+    """Six in ten servers are new. Chance on top of the budget halved what they got, and a budget reckoned by
+    what was wanted instead of what was sent on gave them more than the warm ones: either way half a fleet
+    stood in a jam beside an idle one."""
+    servers = tuple(server(n, came_up=0.0 if n < 24 else 100.0) for n in range(60))
+    setups = [dataclasses.replace(settings(me=n, fleet=40), mail_per_s=100.0) for n in range(40)]
+    fleet = [Drive(s, servers, seed=n) for n, s in enumerate(setups)]
+    sent, fair, rng = dict.fromkeys(range(60), 0), 0.0, random.Random(3)
+    for step in range(1, 401):  # eight seconds, seven requests a second each
+        for d in fleet:
+            d.now = 100.0 + step * 0.02
+            if step % 25 == 0:
+                d.tick()
+            if rng.random() < 0.14:
+                for send in sends(d.ask()):
+                    sent[send.server] += 1
+                    d.end(send, i.Code.OK, took=0.02)
+        fair += (RULES.cold_share + (1 - RULES.cold_share) * step * 0.02 / RULES.cold) / 400
+    warm, cold = sum(sent[n] for n in range(24)) / 24, sum(sent[n] for n in range(24, 60)) / 36
+    assert 0.7 * fair < cold / warm < 1.25 * fair
--- /dev/null
+++ b/tests/test_tally.py
@@ -0,0 +1,52 @@
+"""Counts of decisions: the lines that a gatekeeper writes, and their sum over a fleet."""
+
+import io
+from pathlib import Path
+
+import orjson
+import pytest
+from click.testing import CliRunner
+
+from pewterring import interface as i
+from pewterring.choice import Gatekeeper
+from pewterring.cli.tally import read, tally, windows
+from pewterring.gateway.tally import Tally
+from pewterring.log import Log
+from tests.helpers import SERVERS, settings
+
+
+def test_a_line_counts_a_period_and_changes_no_action() -> None:
+    out = io.BytesIO()
+    plain, counted = Gatekeeper(settings(), 7), Tally(Gatekeeper(settings(), 7), Log(out), 1.0)
+    events: list[i.Event] = [i.ServerList(i.ListForm.WHOLE, SERVERS)]
+    events += [i.Request(n, "pure", "small", 1, 104.0, 1.0, 3, 0) for n in range(1, 9)]
+    events.append(i.Expired(99))
+    for n, event in enumerate(events):
+        now = 100.0 + 0.01 * n if n + 1 < len(events) else 101.5
+        assert counted.handle(now, event) == plain.handle(now, event)
+    (line,) = [orjson.loads(raw) for raw in out.getvalue().splitlines()]
+    assert line["event"] == "tally" and line["list_whole"] == 1 and line["asked"] == 8
+    assert line["sent"] + line["refused_quota"] == 8 and line["workers"] == 8
+    assert line["out"] == line["sent"]
+
+
+def test_lines_are_summed_over_gatekeepers_and_held_figures_are_not(tmp_path: Path) -> None:
+    one = b'0.420 {"time":10.0,"event":"tally","sent":2,"limit":8.0,"out":1}\nnot a line\n' + orjson.dumps(
+        {"time": 11.0, "event": "tally", "sent": 3, "limit": 10.0, "out": 2}
+    )
+    two = b'{"time":10.5,"event":"tally","sent":5,"limit":20.0,"out":4}\n{"time":16,"event":"tally","sent":1'
+    (tmp_path / "a.log").write_bytes(one)
+    (tmp_path / "b.log").write_bytes(two)
+    rows = windows([(n, read(tmp_path / n)) for n in ("a.log", "b.log")], 5.0)
+    assert rows == [
+        {"from_s": 0.0, "gatekeepers": 2, "sent": 10, "limit": 15.0, "out": 6.0},
+    ]
+    done = CliRunner().invoke(tally, [str(tmp_path)])
+    assert done.exit_code == 0 and "sent" in done.output
+
+
+@pytest.mark.parametrize("arguments", [["--window", "0"], []])
+def test_logs_without_such_lines_and_wrong_windows_are_told(tmp_path: Path, arguments: list[str]) -> None:
+    (tmp_path / "a.log").write_text('{"time":1,"event":"started"}\n')
+    done = CliRunner().invoke(tally, [str(tmp_path), *arguments])
+    assert done.exit_code != 0 and ("window" in done.output or "ROUTER_TALLY_S" in done.output)
