Fleets of more than four take the ways of sparse ones; near workers pace cold ones

Cause: Gatekeeper.__init__, the line drawn by the intake alone, not by what messages, connections and small shares cost. Change: sparse from five gatekeepers on. A cold worker's pace is what falls to the near workers, since only who keeps to it sends there (Fleet.take_pace; by all workers its part was a fifth).

--- a/pewterring/choice.py
+++ b/pewterring/choice.py
@@ -343,13 +343,15 @@
         return rules.cold_share + (1 - rules.cold_share) * max(0.0, age) / rules.cold
 
     def started(self, node: Node, came_up: float, now: float) -> None:
-        # Only a few of the fleet may send at once, the others when their budget has grown.
+        # Only a few of those that keep to it may send at once, the others when their budget has grown.
         node.came_up, node.token_at = came_up, now
-        node.tokens = min(1.0, self.rng.random() + self.FEW / self.s.fleet_size)
+        part = self.NEAR / max(1, len(self.serving)) if self.sparse else 1.0
+        senders = self.s.fleet_size * min(1.0, part)
+        node.tokens = min(1.0, self.rng.random() + self.FEW / senders)
 
     def take_pace(self, now: float, flow: float) -> None:
         """What a warm server takes of this gatekeeper's flow, by rating: the measure for cold ones."""
-        warm = sum(n.entry.rating * self.warmth(n, now) for n in self.serving)
+        warm = sum(n.entry.rating * self.warmth(n, now) for n in self.serving if n.entry.id in self.near)
         self.pace = flow / warm if warm > 0 else 0.0
 
     def may_take(self, node: Node, now: float) -> bool:
@@ -429,9 +431,10 @@
     def __init__(self, settings: i.Settings, seed: int) -> None:
         self.s, self.rng = settings, random.Random(seed)
         self.ceiling = Ceiling(settings.fleet_size)
-        # Sparse: too large a fleet for all to hear each other's beats within four fifths of the intake.
+        # Sparse: so many that each sees little of customers and servers, and telling all of all costs more
+        # than it is worth, long before it overruns their intake of mail.
         self.mail, others = 0.8 * settings.mail_per_s, settings.fleet_size - 1
-        self.sparse = settings.limits.peers and 0.0 < self.mail * BEAT_S < others
+        self.sparse = settings.limits.peers and self.mail > 0.0 and settings.fleet_size > Fleet.FEW
         self.shares = Shares(settings.fleet_size, self.rng.getrandbits(32), self.sparse)
         self.fleet = Fleet(settings, self.rng, self.sparse)
         self.quota = Quota(settings, self.rng, self.sparse)
