Keepers answer who tells them of use past the quota, and what they said holds a while

Cause: Quota.news told sums to the whole set when they had changed by a fifth, within the budget of mail, and Customer.pass_time let them fade within one to five seconds as if the others had stopped: one of thirty decided on sums that were seconds old and faded, while its own tries, told at once, brought no answer. Change: the account's keeper answers each telling of use past the quota with the sums; for the store's own memory what it said holds, neither demand fading nor spending refilled while demand is past the quota.

--- a/pewterring/choice.py
+++ b/pewterring/choice.py
@@ -9,6 +9,7 @@
 import math
 import random
 from collections import deque
+from collections.abc import Sequence
 
 from pewterring import interface as i
 from pewterring.mail import NEWS, NEWS_ROOM, Beat, News, read_beat, read_news, write_beat, write_news
@@ -151,7 +152,7 @@
         self.own, self.new = Use(), Use()  # all own use, and what of it is not told yet
         self.told: dict[int, Use] = {}  # by incarnation, so that a restart leaves its former use counted
         self.sent: dict[int, Use] = {}  # what each peer knows of the own use
-        self.dealt, self.cap, self.open = 0.0, 0.0, 0
+        self.dealt, self.cap, self.open, self.heard = 0.0, 0.0, 0, -math.inf  # heard: when sums came
 
     def demand(self) -> float:
         return self.own.demand + sum(u.demand for u in self.told.values())
@@ -169,9 +170,12 @@
         sent = [self.own] if self.keeper >= 0 else list(self.sent.values()) or [self.own]
         known, told = max(use.spent for use in sent), sum(use.spent for use in self.told.values())
         part = min(1.0, refill / (known + told)) if known + told > 0 else 1.0
+        # What the keeper said holds for a while: past the quota others spend what is refilled.
+        if stays := now - self.heard < self.window:
+            part = 0.0 if self.demand() > self.plan.refill else part
         own = self.own.spent - (known * part if part < 1 else refill)
         for use in (self.own, *self.told.values(), *self.sent.values()):
-            use.demand *= fade
+            use.demand *= 1.0 if stays and use is not self.own else fade
             use.spent *= 1 - part
         self.own.spent = max(0.0, own)
         self.cap = min(self.plan.cap_depth / self.size, self.cap + past * self.plan.cap_rate / self.size)
@@ -241,11 +245,12 @@
             del self.customers[id]  # its burst and ceiling are full again
             self.fresh.pop(id, None)
 
-    def news(self, now: float, post: float) -> dict[int, bytes]:
+    def news(self, now: float, post: float, asker: int = -1, asked: Sequence[int] = ()) -> dict[int, bytes]:
         """New use, for the peers that would misjudge it without; the largest errors first.
 
         In a sparse fleet telling sets of dozens all use would overrun their intake: there one of the set
-        keeps the account. The others tell it what is new; it tells sums, of customers past their quota only.
+        keeps the account. The others tell it what is new; it tells sums, of customers past their quota only:
+        to who told it of new use at once, to the set when they have changed.
         """
         due: dict[int, list[tuple[float, int, Use]]] = {}
         fresh, self.fresh = self.fresh, {}
@@ -259,6 +264,8 @@
                 self.fresh[id] = c
                 if tell := self.misjudged(c, c.keeper) > self.SPEAK and c.size <= post:
                     c.sent[c.keeper], post = Use(c.own.demand, c.own.spent), post - c.size
+                elif id in asked:
+                    due.setdefault(asker, []).append((2.0, id, c.own))
             for peer in (n % self.s.fleet_size for n in range(c.first, c.first + c.size * tell)):
                 if (error := self.misjudged(c, peer) * c.size) > 0.04 or self.sparse:
                     due.setdefault(peer, []).append((error, id, c.own))
@@ -282,7 +289,9 @@
             news.append(News(id, self.plans.index(c.plan), c.size, c.first, *shown))
         return write_news(news)
 
-    def hear(self, now: float, peer: int, life: int, data: bytes) -> None:
+    def hear(self, now: float, peer: int, life: int, data: bytes) -> list[int]:
+        """Takes news; the customers that are in this one's keeping."""
+        booked = []
         if self.lives.setdefault(peer, life) != life:  # a new life knows nothing: all anew
             self.lives[peer] = life
             self.fresh.update({id: c for id, c in self.customers.items() if c.sent.pop(peer, None)})
@@ -293,13 +302,15 @@
                 c = self.customer(now, n.customer, plan, n.size, n.first)
                 if peer == c.keeper:  # sums, the own use among them
                     told = Use(max(0.0, told.demand - c.own.demand), max(0.0, told.spent - c.own.spent))
-                    c.told = {life: told}
+                    c.told, c.heard = {life: told}, now
                 elif c.keeper == self.s.me:  # booked as if it had come through here
                     c.own.demand += told.demand
                     c.own.spent += min(told.spent, max(0.0, c.left()))
                     self.fresh[n.customer] = c
+                    booked.append(n.customer)
                 elif not self.sparse:  # lives whose use is refilled are let go of
                     c.told = {k: u for k, u in c.told.items() if u.spent or u.demand > 0.01} | {life: told}
+        return booked
 
 
 class Fleet:
@@ -475,7 +486,7 @@
             case i.PeerMail():
                 foreign = event.peer == self.s.me or not 0 <= event.peer < self.s.fleet_size
                 if not foreign and self.sparse and event.data[:1] == NEWS:
-                    self.quota.hear(now, event.peer, 0, event.data)
+                    self.tell_news(now, event.peer, self.quota.hear(now, event.peer, 0, event.data))
                 elif not foreign and self.shares.hear(now, event.peer, event.data, self.ceiling.limit):
                     life = self.shares.peers[event.peer].beat.incarnation
                     self.quota.hear(now, event.peer, life, event.data)
@@ -492,7 +503,7 @@
                 self.cancel(held.r.id, held.out - {event.attempt})
             case i.Expired() if event.id in self.held:
                 self.end(self.held[event.id])
-        if self.sparse and self.quota.fresh and isinstance(event, i.Request | i.PeerMail):
+        if self.sparse and self.quota.fresh and isinstance(event, i.Request):
             self.tell_news(now)
         return self.actions
 
@@ -541,8 +552,8 @@
                 self.beaten[peer] = now
                 self.actions.append(i.Tell(peer, beat + news.get(peer, b"")))
 
-    def tell_news(self, now: float) -> None:
-        news = self.quota.news(now, self.post)
+    def tell_news(self, now: float, asker: int = -1, asked: Sequence[int] = ()) -> None:
+        news = self.quota.news(now, self.post, asker, asked)
         self.post -= len(news)
         self.actions += [i.Tell(peer, NEWS + news[peer]) for peer in sorted(news)]
 
--- a/tests/test_sparse.py
+++ b/tests/test_sparse.py
@@ -2,10 +2,12 @@
 
 import dataclasses
 
+import pytest
+
 from pewterring import interface as i
 from pewterring.choice import BEAT_S, Ceiling, Fleet, Shares
-from pewterring.mail import BEAT, NEWS, Beat, read_news, write_beat
-from tests.helpers import CLASSES, SERVERS, Drive, sends, server, settings
+from pewterring.mail import BEAT, NEWS, Beat, News, read_news, write_beat, write_news
+from tests.helpers import CLASSES, PLANS, SERVERS, Drive, sends, server, settings
 
 FLEET = 300
 SET_SIZE, SET_FROM = 200, 250  # goes round past the last number
@@ -147,3 +149,34 @@
     for n in range(640):
         c.observe(CLASSES["pure"], 5.0 if n % 50 == 49 else 0.1, 1e9)
     assert c.mean["pure"] < 0.2
+
+
+def test_who_tells_of_use_past_the_quota_is_answered_at_once() -> None:
+    """Sums told to the set when they had changed reached one of thirty a second late: each passed what the
+    others had used up already."""
+    keeper, others = member(keeper_of(5)), [member(SET_FROM), member(SET_FROM + 1)]
+    for _ in range(40):  # ten a second, far past the quota of one
+        for d in (keeper, *others):
+            d.now += 0.05
+        for d in others:
+            for told in [a for a in ask(d, 5) if isinstance(a, i.Tell)]:
+                answers = keeper.do(i.PeerMail(d.keeper.s.me, told.data))
+                back = [a for a in answers if isinstance(a, i.Tell) and a.peer == d.keeper.s.me]
+                for answer in back:
+                    d.do(i.PeerMail(keeper.keeper.s.me, answer.data))
+    assert len(back) == 1
+    for d in others:
+        seen, account = d.keeper.quota.customers[5], keeper.keeper.quota.customers[5]
+        assert seen.demand() > 0.8 * account.demand() and seen.left() < account.left() + 1.0
+
+
+def test_what_the_keeper_said_holds_while_others_spend_what_is_refilled() -> None:
+    d, keeper = member(SET_FROM), keeper_of(5)
+    sums = write_news([News(5, list(PLANS).index("small"), SET_SIZE, SET_FROM, 10.0, 1.0)])
+    d.do(i.PeerMail(keeper, NEWS + sums))
+    d.now += 2.0
+    customer = d.keeper.quota.customer(d.now, 5, PLANS["small"], SET_SIZE, SET_FROM)
+    assert customer.left() == pytest.approx(0.0) and customer.demand() == pytest.approx(10.0)
+    d.now += 10.0  # nothing more was heard: as in any store, it is refilled and forgotten
+    customer.pass_time(d.now)
+    assert customer.left() > 3.0 and customer.demand() < 2.0
