Who knows a list leaves an overbooked discovery time, and watches on from what it knows

Only watches that had never failed went on. Cause: net/discovery.py. Ruled out: connections (each 503 closes its own and comes in 3 ms), the version alone (watching on with the old pauses: 537 failures, no success after one). Change: a refusal or silence keeps the version and the watch goes on; who knows a list waits 2 s at first, 8 s at most, jittered. An answer that cannot be read or does not follow still asks for the whole list; without any list the pauses stay short. Failures are logged when their cause changes, with the status, and once when it is over.

--- a/pewterring/gateway/gateway.py
+++ b/pewterring/gateway/gateway.py
@@ -67,6 +67,7 @@
         self.stopping = False
         self.ends_at = math.inf  # when all must be answered, as a kill may follow
         self.asked_at = loop.time()
+        self.discovery_why = ""  # why the last call for the list failed; empty: it did not
         self.taken = self.served = self.refused = self.failed = self.left = self.faults = self.unusable = 0
 
     # What comes in: gathered for the next turn
@@ -114,6 +115,9 @@
             self.gather(Gone(call))
 
     def listed(self, listing: Listing) -> None:
+        if self.discovery_why:
+            self.discovery_why = ""
+            self.log("discovery_back", version=listing.version)
         form = i.ListForm.WHOLE if listing.whole else i.ListForm.CHANGES
         self.gather(self.directory.take(listing, form))
         self.pool.retain(self.directory.wanted())
@@ -128,7 +132,9 @@
         self.pool.retain(self.directory.wanted())
 
     def discovery_failed(self, why: str) -> None:
-        self.log("discovery_failed", why=why)
+        if why != self.discovery_why:  # said once, not at each call
+            self.log("discovery_failed", why=why)
+        self.discovery_why = why
         if self.settings.ask_discovery:
             self.gather(i.ServerList(i.ListForm.FAILED))
 
--- a/pewterring/net/discovery.py
+++ b/pewterring/net/discovery.py
@@ -1,4 +1,4 @@
-"""Follows the list of workers: one watch after the other, the whole list after whatever went wrong."""
+"""Follows the list of workers: one watch after the other, the whole list where an answer does not follow."""
 
 import asyncio
 import random
@@ -18,7 +18,9 @@
 MAX_LIST = 8 * 1024 * 1024
 WAIT_MS = 2000  # of one watch. What discovery has to tell counts as told 2 s after a wait, so waits are short
 MARGIN_S = 1.0  # how long after its wait an answer may still come
-BACKOFF_S = (0.05, 2.0)  # the first pause after a failure, and the longest
+# The first pause after a failure, and the longest. Who knows a list can wait, and has to where all ask one
+# service: forty that asked an overbooked one again within two seconds kept it so, and not one call went through.
+BACKOFF_S, BACKOFF_NEW_S = (2.0, 8.0), (0.05, 2.0)
 
 
 @dataclass(frozen=True, slots=True)
@@ -78,14 +80,14 @@
         # Its few descriptors are its own: without the list of workers nothing can be decided for long.
         self.pool = Pool(loop, Descriptors(0, taken=0), MARGIN_S, 2 * WAIT_MS / 1000, MAX_LIST)
         self.version: int | None = None  # None: the whole list is due
-        self.failures = 0
+        self.failures, self.known = 0, False  # known: some list was had, or given at the start
         self.exchange: Exchange | None = None
         self.timer: asyncio.TimerHandle | None = None
         self.closed = False
 
     def start(self, version: int | None) -> None:
         """Follows from that version on."""
-        self.version = version
+        self.version, self.known = version, version is not None
         self.call()
 
     def call(self) -> None:
@@ -107,22 +109,30 @@
         if self.closed:
             return
         if ending is not Ending.SERVED or response is None:
-            return self.retry(ending.value)
+            # Turned away or silent: what is known still is, and the watch goes on from there. A call for the
+            # whole list costs discovery more, and all gatekeepers would ask an overbooked one for it at once.
+            return self.retry(
+                ending.value if response is None else f"{ending.value}, status {response.status}"
+            )
         try:
             listing = read_listing(orjson.loads(response.body))
         except ValueError as error:  # orjson's errors are such too
-            return self.retry(str(error))
+            return self.start_over(str(error))
         if not listing.whole and (self.version is None or listing.version < self.version):
-            return self.retry("changes that do not follow what is known")
-        self.version, self.failures = listing.version, 0
+            return self.start_over("changes that do not follow what is known")
+        self.version, self.failures, self.known = listing.version, 0, True
         self.told(listing)
         # The next call comes at once, but not on the stack of this one.
         self.loop.call_soon(self.call)
 
-    def retry(self, why: str) -> None:
-        """A gap or a failure: what was missed is unknown, so the whole list is due."""
+    def start_over(self, why: str) -> None:
+        """A gap, or an answer that cannot be read: what was missed is unknown, so the whole list is due."""
         self.version = None
-        pause = min(BACKOFF_S[1], BACKOFF_S[0] * 2.0**self.failures) * random.uniform(0.5, 1.0)
+        self.retry(why)
+
+    def retry(self, why: str) -> None:
+        first, longest = BACKOFF_S if self.known else BACKOFF_NEW_S
+        pause = min(longest, first * 2.0**self.failures) * random.uniform(0.5, 1.0)
         self.failures = min(self.failures + 1, 16)
         self.loop.call_later(pause, self.call)
         self.failed(why)
