--- a/pewterring/net/discovery.py
+++ b/pewterring/net/discovery.py
@@ -19,7 +19,7 @@
 WAIT_MS = 2000  # of one watch. What discovery has to tell counts as told 2 s after a wait, so waits are short
 MARGIN_S = 1.0  # how long after its wait an answer may still come
 # The first pause after a failure, and the longest. Who knows a list can wait, and has to where all ask one
-# service: forty that asked an overbooked one again within two seconds kept it so, and not one call went through.
+# service: forty that asked an overbooked one again within two seconds kept it so, and no call went through.
 BACKOFF_S, BACKOFF_NEW_S = (2.0, 8.0), (0.05, 2.0)
 
 
