The line to sparse fleets goes by what beats to all would take of the mail

Change: sparse where beats to all would take more than three tenths of the mail, 14 gatekeepers at an intake of 100 a second.

--- a/pewterring/choice.py
+++ b/pewterring/choice.py
@@ -24,6 +24,7 @@
 # How far an outcome speaks against its server. Being turned away unseen costs a round trip and no work: taken
 # for a fault it would drive all traffic to the servers that still accept, and jam them.
 FAULTS = {i.Code.INTERNAL: 1.0, i.Code.ABORTED: 1.0, i.Code.UNAVAILABLE: 1.0, i.Code.RESOURCE_EXHAUSTED: 0.25}
+SPARSE = 0.3  # of the mail that beats to all may take; at an intake of 100 a second up to 13 gatekeepers
 HEARD = 2  # in a sparse fleet: peers told of a beat in its period
 
 
@@ -445,10 +446,10 @@
     def __init__(self, settings: i.Settings, seed: int) -> None:
         self.s, self.rng = settings, random.Random(seed)
         self.ceiling = Ceiling(settings.fleet_size)
-        # Sparse: so many that each sees little of customers and servers, and telling all of all costs more
-        # than it is worth, long before it overruns their intake of mail.
+        # Sparse: so many that beats to all would take more than a part of the intake of mail. News of all to
+        # all cost more than they are worth from there on, long before they overrun it.
         self.mail, others = 0.8 * settings.mail_per_s, settings.fleet_size - 1
-        self.sparse = settings.limits.peers and self.mail > 0.0 and settings.fleet_size > Fleet.FEW
+        self.sparse = settings.limits.peers and 0.0 < SPARSE * self.mail * BEAT_S < others
         self.shares = Shares(settings.fleet_size, self.rng.getrandbits(32), self.sparse)
         self.fleet = Fleet(settings, self.rng, self.sparse)
         self.quota = Quota(settings, self.rng, self.sparse)
--- a/tests/test_sparse.py
+++ b/tests/test_sparse.py
@@ -209,3 +209,12 @@
             near.append(Drive(settings(me=me, fleet=40), servers).keeper.fleet.near)
         moved += len(near[1] - near[0] - set(new[-18:]))
     assert moved <= 40 * 12 / 4  # of those that stay, so many of what is near came near anew
+
+
+def test_the_line_to_sparse_fleets_goes_by_what_beats_to_all_would_take() -> None:
+    """At 42 gatekeepers, where beats to all filled the intake, G fell at a stroke; messages had cost more
+    than they were worth from some fourteen on."""
+    for intake, most in ((100.0, 13), (200.0, 25)):
+        for fleet in (2, 4, most, most + 1, 41, 42, 200):
+            setup = dataclasses.replace(settings(fleet=fleet), mail_per_s=intake)
+            assert Drive(setup).keeper.sparse == (fleet > most)
