The lab asks the module why it refused; one Module protocol; tally.toml held to balancer.toml

Need: on reading the change again, the lab still told refusals apart by the module's inner count though Refuse carries the reason now; the tally wrote the gateway's Module protocol again; deploy/tally.toml copies balancer.toml and nothing kept the two alike. Change: lab/policies.py reads Refuse.why, gateway/tally.py imports the protocol, a test holds the two files equal but for the counts.

--- a/pewterring/gateway/tally.py
+++ b/pewterring/gateway/tally.py
@@ -5,17 +5,14 @@
 
 import math
 from collections import Counter
-from typing import Any, Protocol
+from typing import Any
 
 from pewterring import interface as i
 from pewterring.choice import Gatekeeper
+from pewterring.gateway.gateway import Module
 from pewterring.log import Log
 
 
-class Module(Protocol):
-    def handle(self, now: float, event: i.Event) -> list[i.Action]: ...
-
-
 class Tally:
     """Counts what passes; `period` in seconds. Lines come with events; who gets none is silent."""
 
--- a/pewterring/lab/policies.py
+++ b/pewterring/lab/policies.py
@@ -42,19 +42,17 @@
 
 
 class Pewterring:
-    """The decision module behind its interface. What it refuses is told apart by what it counts itself."""
+    """The decision module behind its interface. It says itself why it refuses."""
 
     def __init__(self, settings: i.Settings, seed: int) -> None:
         self.module = Gatekeeper(settings, seed)
         self.reason = ""
 
     def handle(self, now: float, event: i.Event) -> Sequence[LabAction]:
-        if not isinstance(event, i.Request):
-            self.reason = "tries"
-            return self.module.handle(now, event)
-        passed = self.module.shares.wanted
         actions = self.module.handle(now, event)
-        self.reason = "ceiling" if self.module.shares.wanted > passed else "quota"
+        for action in actions:
+            if isinstance(action, i.Refuse):  # the account knows no reason of its own for "none may take it"
+                self.reason = "ceiling" if action.why == "workers" else action.why
         return actions
 
     def ceiling(self) -> float:
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -156,3 +156,12 @@
     env = {**os.environ, "PYTHONPATH": str(tmp_path), "WATCHED": str(watched)}
     subprocess.run([sys.executable, str(script)], env=env, check=True, timeout=PATIENCE)
     assert {line.split()[0] for line in watched.read_text().splitlines()} & {"start", "refused"}
+
+
+def test_the_file_with_counts_differs_by_them_alone() -> None:
+    plain, counted = (
+        tomllib.loads((ROOT / "deploy" / name).read_text(encoding="utf-8"))
+        for name in ("balancer.toml", "tally.toml")
+    )
+    assert counted.pop("run") == "export ROUTER_TALLY_S=1; " + plain.pop("run")
+    assert counted == plain
