Health is one of worker and class; what waits unanswered is sent elsewhere or given up on

Fleet.answers cleared the silence of a worker at every answer of another class, slowness and errors mixed the classes, and Gatekeeper.look looked at sums over both. Ruled out: the ceiling (0 to 8 of some 1,000 refusals in those windows but for one). Change: slowness, errors, waits and silence are kept by worker and class (state.Health); an outcome speaks for another class only where nothing of that came back lately. A silence counts as half an error of the class. Requests there are copied, or taken back and sent on where copies are barred; what must not run twice fails at once when its aim has passed.

--- a/pewterring/choice.py
+++ b/pewterring/choice.py
@@ -13,7 +13,7 @@
 from pewterring import interface as i
 from pewterring import mail
 from pewterring.mail import Ask, Back, Grant
-from pewterring.state import Held, Node, Peer, Use
+from pewterring.state import Health, Held, Node, Peer, Use
 
 TICK, LOOK, ASK, WAIT = 1, 2, 3, 4  # labels of the timers
 BEAT_S = 0.5  # heartbeat period (ours, DESIGN)
@@ -43,8 +43,7 @@
         # Each gatekeeper sees its part of the fleet's answers: large fleets adapt as fast, by longer steps.
         self.batch = max(1, self.BATCH // fleet)
         self.smooth = min(0.5, self.SMOOTH * max(1.0, fleet / self.BATCH))
-        self.mean: dict[str, float] = {}
-        self.count: dict[str, int] = {}
+        self.mean, self.count = dict[str, float](), dict[str, int]()  # by class
         self.lows: dict[str, deque[float]] = {}
         self.rating, self.limit, self.servers = 0.0, 0.0, 0
 
@@ -86,16 +85,13 @@
         self.wanted = self.passed = 0.0  # since the last tick: asked inside quotas, and sent on
         self.demand = self.flow = 0.0  # the same a second
 
-    def live(self, now: float) -> list[Peer]:
-        return [p for p in self.peers.values() if now - p.heard < self.lease]
-
     def room(self, out: int) -> float:
         """The share, and in a sparse fleet what lies idle: a slot or two would refuse chance meetings."""
         free = 1 - (self.elsewhere + out) / max(self.whole, 1.0) if self.sparse else -math.inf
         return self.share + self.LENT * math.sqrt(self.share) * min(1.0, max(0.0, 0.5 + free / self.IDLE))
 
     def divide(self, now: float, limit: float) -> None:
-        others = self.live(now)
+        others = [p for p in self.peers.values() if now - p.heard < self.lease]
         whole = sorted([limit, *(p.beat.limit for p in others)])[len(others) // 2]
         demands = self.demand + sum(p.beat.demand for p in others)
         self.elsewhere = sum(p.beat.out for p in others)
@@ -116,7 +112,7 @@
         if missing > 0:
             demands = max(demands, self.total * math.exp((self.at - now) / GHOST_S))
         self.total, self.at, self.whole = demands, now, whole
-        # New here, it takes its part all the same: peers reserve as they did without it, and will make room.
+        # New here, it takes its part all the same: peers reserve as before, and will make room.
         new = not self.sparse and now - self.began < LEASE_S
         part = self.demand / demands if demands > 0 and (self.demand > 0 or not new) else 1 / self.fleet
         self.share = max(1.0, whole * part if new else min(whole * part, whole - reserved))
@@ -130,9 +126,8 @@
 
     def beat(self, limit: float, out: int) -> bytes:
         self.sequence += 1
-        return mail.write_beat(
-            mail.Beat(self.incarnation, self.sequence, limit, out, self.share, self.demand)
-        )
+        beat = mail.Beat(self.incarnation, self.sequence, limit, out, self.share, self.demand)
+        return mail.write_beat(beat)
 
     def hear(self, now: float, peer: int, data: bytes, limit: float) -> bool:
         """Takes a heartbeat; False where it is malformed, late, or of a former life of the peer."""
@@ -153,8 +148,8 @@
         self.idle = 2 * max(self.window, plan.cap_depth / plan.cap_rate if plan.cap_rate else 0.0) + 10.0
         self.at, self.keeper = now, keeper  # keeper: who of the set keeps the account
         self.own = Use()  # all own use; at the keeper in a sparse fleet that of the whole set
-        self.told: dict[int, Use] = {}  # by incarnation, so that a restart leaves its former use counted
-        self.sent: dict[int, Use] = {}  # what each peer knows of the own use
+        # By incarnation, so that a restart leaves former use counted; what each peer knows of the own use.
+        self.told, self.sent = dict[int, Use](), dict[int, Use]()
         self.dealt, self.cap, self.open, self.unsaid = 0.0, 0.0, 0, 0.0  # unsaid: demand, to the keeper
         # At the keeper: what of the hard ceiling it gives out, and the slots that are out by its leave.
         self.pool, self.grants = 0.0, dict[tuple[int, int], float]()
@@ -162,9 +157,6 @@
     def demand(self) -> float:
         return self.own.demand + sum(u.demand for u in self.told.values())
 
-    def part(self) -> float:
-        return self.spent() / self.plan.depth if self.plan.depth else 0.0
-
     def spent(self) -> float:
         """What of the burst is spent, by all gatekeepers."""
         return self.own.spent + sum(u.spent for u in self.told.values())
@@ -196,15 +188,11 @@
 class Quota:
     """Summed-demand refusal beyond a local share of the burst, and the hard limits of a plan.
 
-    A small fleet tells its use to the whole set, and each reckons for itself. In a sparse one a keeper among
-    the set has the account and deals the same chance from it to whoever asks. Everywhere it gives out the
-    slots of a plan that caps attempts out, and half of a hard ceiling.
+    A small fleet tells its use to the whole set. In a sparse one a keeper among them deals the same chance.
     """
 
-    PULL = (
-        10.0  # the quota rises and falls by so many refills for a whole burst left or overdrawn; as much of
-    )
-    # the burst is kept back as makes it nought where the store is empty: a try sent on too early only costs
+    PULL = 10.0  # the quota rises and falls by so many refills for a whole burst left or overdrawn; kept back
+    # is so much as makes it nought at an empty store: a try sent on too early only costs
     SAID_S = 2.0  # an answer is remembered so long, in case it was lost and the question comes again
     HELD = 4.0  # usual latencies that a keeper counts a slot as out when its end is not told
 
@@ -215,17 +203,15 @@
         self.said: dict[tuple[int, int, int], tuple[float, Grant]] = {}  # answers lately given, as keeper
         self.plans = list(settings.plans.values())
 
-    def customer(
-        self, now: float, id: int, plan: i.Plan, size: int, first: int, spent: float = 0.0
-    ) -> Customer:
+    def customer(self, now: float, id: int, plan: i.Plan, size: int, first: int) -> Customer:
         c = self.customers.get(id)
         if c is None:
             size = max(1, size)
             c = self.customers[id] = Customer(now, plan, size, first, (first + id % size) % self.s.fleet_size)
             # Half of a hard ceiling lies in even parts, half with the keeper. Both grow from the start here,
-            # and the first asker says what of the burst is spent: a restart grants nothing anew.
+            # and a keeper's first asker says what of the burst is spent: a restart grants nothing anew.
             c.pool = min(plan.cap_depth, (now - self.began) * plan.cap_rate) / 2
-            c.cap, c.dealt, c.own.spent = c.pool / size, self.rng.random(), spent
+            c.cap, c.dealt = c.pool / size, self.rng.random()
         c.pass_time(now)
         return c
 
@@ -236,7 +222,7 @@
         if not plan.refill or (spare >= 0 and c.own.spent + units <= plan.depth / (1 if whole else c.size)):
             return True
         # Past the local share the quota follows what the told spending leaves of the burst, or overdraws:
-        # keeps uneven entry, late news and lost mail from adding up. It errs where a peer's mail stays away.
+        # keeps uneven entry, late news and lost mail from adding up.
         quota, demand = max(0.0, plan.refill * (1 + self.PULL * spare / plan.depth)), c.demand()
         if demand > quota:
             # Dealt evenly from a random start: draws would empty and waste a small store in turn.
@@ -247,20 +233,20 @@
         return True
 
     def asks(self, c: Customer, units: float) -> bool:
-        """Whether the keeper is asked: uneven entry uses up one part of a ceiling while others are full."""
+        # Uneven entry uses up one part of a ceiling while others are full.
         common = (self.sparse and c.plan.refill) or c.plan.parallel or (c.plan.cap_rate and c.cap < units)
         return bool(common) and c.size > 1 and self.s.limits.peers
 
     def grant(self, now: float, peer: int, ask: Ask, usual: float) -> Grant:
-        """The keeper's answer, the same to a question that comes again. What it gave out is used at once or
-        lost: no message can make two hold it."""
+        """The keeper's answer, the same to a repeated question. Used at once or lost, no two can hold it."""
         if (known := self.said.get((peer, ask.token, ask.customer))) and peer != self.s.me:
             return known[1]
         plan = self.plans[ask.plan]
-        c = self.customer(now, ask.customer, plan, ask.size, ask.first, ask.spent * plan.depth)
-        c.grants = {
-            key: at for key, at in c.grants.items() if now - at <= self.HELD * usual
-        }  # else end is lost
+        new = ask.customer not in self.customers
+        c = self.customer(now, ask.customer, plan, ask.size, ask.first)
+        c.own.spent += ask.spent * plan.depth * new
+        # Of those that are older the end was lost.
+        c.grants = {key: at for key, at in c.grants.items() if now - at <= self.HELD * usual}
         c.own.demand += ask.demand / c.window if self.sparse and peer != self.s.me else 0.0
         granted = not self.sparse or self.admits(c, ask.units)
         granted = granted and not (plan.parallel and len(c.grants) >= plan.parallel)
@@ -270,8 +256,8 @@
             c.grants[peer, ask.token] = now
         if granted and self.sparse:
             c.take(ask.units)
-        demand = c.demand() / plan.refill if plan.refill else 0.0
-        grant = Grant(ask.token, granted, pooled, demand, c.part())
+        parts = c.demand() / max(plan.refill, 1e-9), c.spent() / max(plan.depth, 1e-9)
+        grant = Grant(ask.token, granted, pooled, *parts)
         self.said[peer, ask.token, ask.customer] = now, grant
         return grant
 
@@ -332,6 +318,7 @@
     """The servers: list, symptoms, cold budget and the least expected wait."""
 
     SILENCE = 8.0  # if waits are exponential, a healthy server says nothing for so long once in e^8 times
+    UNHEARD = 0.5  # how far a silence speaks against the server for its class: it may be one lost answer
     FORGET_S = 5.0  # symptoms fade by 1/e in this time, so that real traffic tests the server again
     SAMPLE = 0.1  # weight of one outcome; where outcomes are few each weighs thrice, and is kept for as long
     FEW = 4  # about so many gatekeepers may send to a cold server at once
@@ -339,8 +326,7 @@
 
     def __init__(self, settings: i.Settings, rng: random.Random, sparse: bool = False) -> None:
         self.s, self.rng, self.nodes, self.serving = settings, rng, dict[int, Node](), list[Node]()
-        # How little own attempts tell of a server's load: nothing is unseen by a few, nearly all by many. Who
-        # goes by them all the same always finds a warm server that looks idle, and never tries a cold one.
+        # How little own attempts tell of a server's load: many always find a warm one that looks idle.
         self.unseen, self.sparse = max(0.0, 1 - self.FEW / settings.fleet_size), sparse
         few = 1 + 2 * self.unseen
         self.sample, self.forget_s = few * self.SAMPLE, few * self.FORGET_S
@@ -352,10 +338,11 @@
         for entry in event.servers:
             node = self.nodes.setdefault(entry.id, Node(entry))
             if entry.came_up > node.came_up:
-                node.slow, node.errors = 1.0, 0.0
+                for h in node.health.values():
+                    h.slow, h.errors = 1.0, 0.0
                 self.started(node, entry.came_up, now)
             node.entry, node.listed = entry, entry.mode != i.Mode.DELETED
-        for id in [id for id, n in self.nodes.items() if not n.listed and not n.pending]:
+        for id in [id for id, n in self.nodes.items() if not n.listed and not n.out]:
             del self.nodes[id]
         self.serving = [n for n in self.nodes.values() if n.listed and n.entry.mode == i.Mode.SERVING]
         # All know one order, and each keeps to an arc of it from its own part of the round on: each server is
@@ -395,59 +382,69 @@
         node.token_at = now
         return node.tokens >= 1.0
 
-    def symptoms(self, node: Node, now: float) -> tuple[float, float]:  # slowness, errors; faded
-        fade = math.exp((node.judged - now) / self.forget_s)
-        return 1.0 + (node.slow - 1.0) * fade, node.errors * fade
+    def symptoms(self, h: Health, now: float) -> tuple[float, float]:  # slowness, errors; faded
+        fade = math.exp((h.judged - now) / self.forget_s)
+        return 1.0 + (h.slow - 1.0) * fade, h.errors * fade
 
-    def wait(self, node: Node, now: float) -> float:
-        """Expected wait: attempts out over present rating, stretched by what the server's symptoms say."""
-        slow, errors = self.symptoms(node, now)
+    def wait(self, node: Node, now: float, cls: str) -> float:
+        """Expected wait: attempts out over present rating, stretched by what the class met there."""
+        h = node.of(cls)
+        slow, errors = self.symptoms(h, now)
         # Chance stands for what peers have out there: who has little out chooses in proportion to rating.
         # A cold one's part is dealt by its budget: dealt by chance once more it would be halved.
         warmth, chance = self.warmth(node, now), self.rng.expovariate(1.0)
         ahead = 0.0 if warmth < 1.0 and self.unseen else 1 + self.unseen * (chance - 1)
-        wait = (len(node.pending) + ahead) / max(node.entry.rating * warmth, 1e-9)
+        wait = (node.out + ahead) / max(node.entry.rating * warmth, 1e-9)
         wait *= max(1.0, slow) / max(0.05, 1.0 - errors) ** 4
-        if node.silent_since:
+        if h.silent_since:
             wait *= 1000.0
         if node.entry.zone != self.s.zone:
             wait *= 1.0 + self.s.price_cross_zone * 10
         return wait
 
-    def choose(self, now: float, among: list[Node], avoid: set[int]) -> Node | None:
+    def choose(self, now: float, among: list[Node], held: Held) -> Node | None:
         among = [n for n in among if n.entry.id in self.near] or among
         nodes = [n for n in among if self.may_take(n, now)]
-        fresh = [n for n in nodes if n.entry.id not in avoid] or nodes
-        return min(fresh, key=lambda n: (self.wait(n, now), self.rng.random()), default=None)
+        fresh = [n for n in nodes if n not in [tried for tried, _ in held.attempts]] or nodes
+        return min(fresh, key=lambda n: (self.wait(n, now, held.cls.name), self.rng.random()), default=None)
 
-    def judge(self, node: Node, now: float, expected: float, o: i.Outcome) -> None:
-        node.pending.pop((o.id, o.attempt), None)
-        (node.slow, node.errors), node.judged = self.symptoms(node, now), now
+    def judge(self, node: Node, mine: Health, now: float, expected: float, o: i.Outcome) -> None:
+        mine.pending.pop((o.id, o.attempt), None)
         if o.code in (i.Code.OK, i.Code.INTERNAL, i.Code.RESOURCE_EXHAUSTED):
-            self.answers(node, now)
-        if o.code == i.Code.OK:
-            node.slow += (min(10.0, o.took / max(expected, 1e-9)) - node.slow) * self.sample
-            node.errors -= node.errors * self.sample
-        elif o.code in FAULTS:
-            node.errors += (FAULTS[o.code] - node.errors) * self.sample
-
-    def answers(self, node: Node, now: float) -> None:
+            self.answers(node, now, mine)
+        # It speaks for classes too of which nothing came back lately: one may go unanswered, others served.
+        for h in node.health.values():
+            if h is not mine and now - h.met < self.forget_s:
+                continue
+            (h.slow, h.errors), h.judged = self.symptoms(h, now), now
+            if o.code == i.Code.OK:
+                h.slow += (min(10.0, o.took / max(expected, 1e-9)) - h.slow) * self.sample
+                h.errors -= h.errors * self.sample
+            elif o.code in FAULTS:
+                h.errors += (FAULTS[o.code] - h.errors) * self.sample
+        if o.code == i.Code.OK or o.code in FAULTS:
+            mine.met = now
+
+    def answers(self, node: Node, now: float, mine: Health | None = None) -> None:
         """Back from silence: it may have restarted, so until a list says otherwise it counts as cold."""
-        node.answered = now
-        if node.silent_since:
-            if now - node.silent_since > self.s.rules.tip_after:
+        for h in [mine] if mine else node.health.values():
+            h.answered = now
+            if h.silent_since and now - max(h.silent_since, node.answered) > self.s.rules.tip_after:
                 self.started(node, now, now)
-            node.silent_since = 0.0
+            h.silent_since = 0.0
+        node.answered = now
 
-    def look(self, now: float, expected: float) -> list[Node]:
-        """Servers that have just fallen silent; `expected` is the usual latency."""
-        found = []
-        for node in [n for n in self.nodes.values() if n.pending and not n.silent_since]:
-            waits = (max(0.0, now - max(sent, node.answered)) for sent in node.pending.values())
-            if sum(waits) > self.SILENCE * max(1.0, node.slow) * max(expected, 1e-3):
-                node.silent_since = now
-                found.append(node)
-        return found
+    def look(self, now: float, expected: dict[str, float], usual: float) -> None:
+        """Finds where a class has just gone unanswered; `expected` is its usual latency."""
+        for node in self.nodes.values():
+            for cls, h in node.health.items():
+                if h.silent_since or not h.pending:
+                    continue
+                waits = sum(max(0.0, now - max(sent, h.answered)) for sent in h.pending.values())
+                if waits > self.SILENCE * max(1.0, h.slow) * max(expected.get(cls, usual), 1e-3):
+                    (h.slow, h.errors), h.judged = self.symptoms(h, now), now
+                    h.errors += (1.0 - h.errors) * self.UNHEARD
+                    h.silent_since = h.met = now
 
 
 class Gatekeeper:
@@ -461,8 +458,7 @@
     def __init__(self, settings: i.Settings, seed: int) -> None:
         self.s, self.rng = settings, random.Random(seed)
         self.ceiling = Ceiling(settings.fleet_size)
-        # Sparse: so many that beats to all would take more than a part of the intake of mail. News of all to
-        # all cost more than they are worth from there on, long before they overrun it.
+        # Sparse: so many that beats to all would cost more than they are worth, long before they overrun it.
         self.mail, others = 0.8 * settings.mail_per_s, settings.fleet_size - 1
         self.sparse = settings.limits.peers and 0.0 < SPARSE * self.mail * BEAT_S < others
         self.shares = Shares(settings.fleet_size, self.rng.getrandbits(32), self.sparse)
@@ -519,8 +515,8 @@
                 self.ceiling.observe(held.cls, event.took, self.shares.elsewhere + self.out)
                 if node := self.fleet.nodes.get(event.server):
                     # However long the stream lasts, it is no evidence of silence.
-                    self.fleet.answers(node, now)
-                    node.pending[event.id, event.attempt] = math.inf
+                    self.fleet.answers(node, now, node.of(held.cls.name))
+                    node.of(held.cls.name).pending[event.id, event.attempt] = math.inf
                 self.cancel(held.r.id, held.out - {event.attempt})
             case i.Expired() if event.id in self.held:
                 self.end(self.held[event.id])
@@ -551,16 +547,28 @@
     def look(self, now: float, usual: float) -> None:
         # Attempts that never end hold no slot: a few would shut an idle fleet. In a jam `usual` grows too.
         self.lost = sum(now - h.attempts[n][1] > self.LOST * usual for (_, n), h in self.flying.items())
-        # What waits at a server fallen silent gets a second copy where a repeat is harmless.
-        for id in [id for node in self.fleet.look(now, usual) for id, _ in node.pending]:
-            held = self.held.get(id)
-            if held and self.s.limits.may_duplicate and len(held.out) == 1:
-                self.again(now, held)
-        for node in self.fleet.nodes.values() if self.s.limits.probing else ():
-            if node.silent_since and node.listed and now - node.probed > 1.0:
+        self.fleet.look(now, self.ceiling.mean, usual)
+        for node in self.fleet.nodes.values():
+            for h in [h for h in node.health.values() if h.silent_since]:
+                for id, attempt in list(h.pending):
+                    if (held := self.held.get(id)) and held.out == {attempt} and not held.streaming:
+                        self.rescue(now, held, attempt)
+            if node.silent and self.s.limits.probing and node.listed and now - node.probed > 1.0:
                 node.probed = now
                 self.actions.append(i.Probe(node.entry.id))
 
+    def rescue(self, now: float, held: Held, attempt: int) -> None:
+        """What waits where nobody answers gets a second copy, or is taken back and sent elsewhere. What must
+        not run twice is given up on once its answer is worth nothing, and told so at once."""
+        once, room = held.cls.effect == i.Effect.SIDE_EFFECT, self.spare >= 1.0 and not self.full()
+        room = room and bool(self.allowed(now, held))
+        if self.s.limits.may_duplicate and not once:
+            self.again(now, held)
+        elif (
+            room if not once else held.cls.late_worth == 0 and now - held.attempts[attempt][1] >= held.cls.aim
+        ):
+            self.cancel(held.r.id, {attempt})
+
     def tick(self, now: float) -> None:
         past, self.ticked = max(1e-3, now - self.ticked), now
         self.shares.settle(now, past, self.ceiling.limit)
@@ -594,12 +602,13 @@
         whole = asks and self.sparse and c.keeper == self.s.me
         kept = -1 / Quota.PULL if asks and self.sparse else 1 / Quota.PULL
         if not (whole or self.quota.admits(c, r.units, kept) or self.pays(held)):
-            return self.refuse(held, self.pause(held), "quota")
+            return self.refuse(held, "quota")
         if not asks:
             return self.proceed(now, held, None)
         self.tokens = self.tokens % 65535 + 1
         number = self.quota.plans.index(c.plan)
-        held.ask = Ask(self.tokens, r.customer, number, c.size, c.first, r.units, c.unsaid, c.part())
+        spent = c.spent() / max(c.plan.depth, 1e-9)
+        held.ask = Ask(self.tokens, r.customer, number, c.size, c.first, r.units, c.unsaid, spent)
         c.unsaid = 0.0
         if c.keeper == self.s.me:
             return self.proceed(now, held, self.quota.grant(now, self.s.me, held.ask, self.usual()))
@@ -628,9 +637,6 @@
         sold = held.plan.over_worth > held.plan.over_cost and not held.plan.parallel
         return sold and self.out < self.IDLE * self.shares.share
 
-    def pause(self, held: Held) -> float:
-        return held.r.units / held.plan.refill if held.plan.refill else BEAT_S
-
     def proceed(self, now: float, held: Held, said: Grant | None) -> None:
         """Sends a request on where its account allows it; by its own view where no keeper said anything."""
         r, plan = held.r, held.plan
@@ -643,16 +649,16 @@
         else:
             allowed = held.ask is None or not self.sparse or self.quota.admits(c, r.units) or self.pays(held)
         if not allowed or now >= r.not_after:
-            return self.refuse(held, self.pause(held), "quota")
+            return self.refuse(held, "quota")
         # The parts held here, whatever peers say: of the hard ceiling, and of the slots.
         slot = said.granted if said else c.open < max(1, plan.parallel // c.size)
         if (plan.parallel and not slot) or (plan.cap_rate and not pooled and c.cap < r.units):
-            return self.refuse(held, self.usual(), "limit")
+            return self.refuse(held, "limit")
         self.shares.wanted += 1
         if self.full():
-            return self.refuse(held, self.usual(), "ceiling")
-        if (node := self.fleet.choose(now, self.fleet.serving, set())) is None:
-            return self.refuse(held, self.usual(), "workers")
+            return self.refuse(held, "ceiling")
+        if (node := self.fleet.choose(now, self.fleet.serving, held)) is None:
+            return self.refuse(held, "workers")
         self.shares.passed += 1
         c.cap -= 0.0 if pooled else r.units
         if not (said and self.sparse):
@@ -669,7 +675,7 @@
         self.flying[key] = held
         if customer := self.quota.customers.get(held.r.customer):
             customer.open += 1
-        node.pending[key] = now
+        node.of(held.cls.name).pending[key] = now
         node.tokens -= 1.0
         self.actions.append(i.Send(held.r.id, node.entry.id))
 
@@ -678,9 +684,10 @@
             return
         held.out.discard(o.attempt)
         if node := self.fleet.nodes.get(o.server):
-            self.fleet.judge(node, now, self.ceiling.mean.get(held.cls.name, o.took), o)
+            expected = self.ceiling.mean.get(held.cls.name, o.took)
+            self.fleet.judge(node, node.of(held.cls.name), now, expected, o)
         # Cancelled as its copy came first, it would have taken longer still. Left out, the usual latency
-        # falls, more attempts look silent and get copies, whose cancels make it fall: a fleet stayed so.
+        # falls, more look silent and get copies, whose cancels make it fall: a fleet stayed so.
         late = o.code == i.Code.CANCELLED and o.took > self.ceiling.mean.get(held.cls.name, math.inf)
         if (o.code == i.Code.OK or late) and not held.streaming:
             self.ceiling.observe(held.cls, o.took, self.shares.elsewhere + self.out + 1)
@@ -688,10 +695,8 @@
             customer.open = max(0, customer.open - 1)
         if o.actual > 0 and held.inside:
             held.extra = o.actual - held.r.units
-        if held.r.id not in self.held and not held.out:
-            self.give_back(held)
         if held.r.id not in self.held:
-            return
+            return None if held.out else self.give_back(held)
         if o.no_more:
             return self.end(held)
         if o.code not in i.NEVER_RAN:
@@ -720,8 +725,7 @@
         spent = len(held.attempts) >= self.s.limits.max_attempts or self.spare < price
         if spent or held.streaming or now >= held.r.not_after or self.full():
             return False
-        node = self.fleet.choose(now, self.allowed(now, held), {n.entry.id for n, _ in held.attempts})
-        if node:
+        if node := self.fleet.choose(now, self.allowed(now, held), held):
             self.spare -= price
             self.send(now, held, node)
         return node is not None
@@ -730,17 +734,18 @@
         everywhere = (held.cls.effect, held.cls.group) == (i.Effect.TOKEN, i.Group.ALL)
         harmless = everywhere or held.cls.effect == i.Effect.PURE or not held.ran
         if harmless and now < held.r.not_after:
-            return self.refuse(held, BEAT_S, "tries")
+            return self.refuse(held, "tries")
         self.actions.append(i.Fail(held.r.id))
         self.end(held)
 
-    def refuse(self, held: Held, after: float, why: str) -> None:
+    def refuse(self, held: Held, why: str) -> None:
+        refill, slot = held.plan.refill, BEAT_S if why == "tries" else self.usual()
+        after = held.r.units / refill if why == "quota" and refill else slot
         advice = min(after, self.s.limits.max_retry_after) if self.s.limits.retry_after else 0.0
         self.actions.append(i.Refuse(held.r.id, advice, why))
         self.end(held)
 
     def end(self, held: Held) -> None:
-        # Its final answer is given; what is still out of it is cancelled where that is allowed.
         del self.held[held.r.id]
         if held.until:
             self.asking = {token: h for token, h in self.asking.items() if h is not held}
@@ -749,17 +754,16 @@
             self.give_back(held)
 
     def give_back(self, held: Held) -> None:
-        """Tells the account, once nothing of the request is out, that its slot is free and its true units."""
+        """Tells the account, once nothing of it is out, of the free slot and the true units."""
         extra = held.extra if held.attempts else -held.r.units * held.inside
-        c, back = self.quota.customers.get(held.r.customer), Back(0, held.r.customer, extra)
-        if c and held.ask:
-            back = Back(held.ask.token, held.r.customer, extra)
-            if c.keeper != self.s.me and (held.plan.parallel or extra):
-                # Twice where that is harmless: a slot whose end is lost stays taken for some latencies.
-                self.actions += [i.Tell(c.keeper, mail.write_ask(back))] * (
-                    1 if extra or held.plan.refill else 2
-                )
-        if c and not (self.sparse and held.ask and c.keeper != self.s.me):
+        back = Back(held.ask.token if held.ask else 0, held.r.customer, extra)
+        c = self.quota.customers.get(held.r.customer)
+        away = c is not None and held.ask is not None and c.keeper != self.s.me
+        if c and away and (held.plan.parallel or extra):
+            # Twice where that is harmless: a slot whose end is lost stays taken for some latencies.
+            times = 1 if extra or held.plan.refill else 2
+            self.actions += [i.Tell(c.keeper, mail.write_ask(back))] * times
+        if not (self.sparse and away):
             self.quota.back(self.s.me, back)
 
     def cancel(self, id: int, attempts: set[int]) -> None:
--- a/pewterring/gateway/tally.py
+++ b/pewterring/gateway/tally.py
@@ -84,7 +84,7 @@
                 "demands": shares.total,
                 "usual": module.usual(),
                 "out": module.out,
-                "peers": len(shares.live(now)),
+                "peers": sum(now - p.heard < shares.lease for p in shares.peers.values()),
                 "workers": len(module.fleet.serving),
                 "customers": len(module.quota.customers),
             }
--- a/pewterring/state.py
+++ b/pewterring/state.py
@@ -25,22 +25,42 @@
 
 
 @dataclass(slots=True, eq=False)
-class Node:
-    """One server as this gatekeeper knows it."""
+class Health:
+    """What the requests of one class meet at a server."""
 
-    entry: i.Server
-    listed: bool = False
     pending: dict[tuple[int, int], float] = field(default_factory=dict)  # attempts out: when sent
     answered: float = -math.inf
     slow: float = 1.0
     errors: float = 0.0
     judged: float = 0.0
+    met: float = -math.inf  # when an attempt of the class itself ended last
     silent_since: float = 0.0  # 0: it answers
+
+
+@dataclass(slots=True, eq=False)
+class Node:
+    """One server as this gatekeeper knows it."""
+
+    entry: i.Server
+    listed: bool = False
+    health: dict[str, Health] = field(default_factory=dict)  # by class
+    answered: float = -math.inf
     probed: float = 0.0
     came_up: float = 0.0  # 0: long ago
     tokens: float = 1.0
     token_at: float = 0.0
 
+    @property
+    def out(self) -> int:
+        return sum(len(h.pending) for h in self.health.values())
+
+    @property
+    def silent(self) -> bool:
+        return any(h.silent_since for h in self.health.values())
+
+    def of(self, cls: str) -> Health:
+        return self.health.setdefault(cls, Health())
+
 
 @dataclass(slots=True, eq=False)
 class Held:
--- /dev/null
+++ b/tests/test_health.py
@@ -0,0 +1,100 @@
+"""Health by worker and class: one class may go unanswered where the others are served."""
+
+import dataclasses
+
+import pytest
+
+from pewterring import interface as i
+from pewterring.choice import LOOK
+from tests.helpers import LIMITS, Drive, sends, server, settings
+
+ONE = (server(1), server(3))
+
+
+def warm(d: Drive) -> None:
+    d.serve(40)
+    for _ in range(20):
+        d.now += 0.1
+        d.end(d.sent("once"), i.Code.OK)
+
+
+def unanswered(d: Drive, cls: str, past: float = 1.5) -> tuple[i.Send, list[i.Action]]:
+    """A request that waits for so long, beside others that are answered."""
+    first = d.sent(cls)
+    done: list[i.Action] = []
+    other = "pure" if cls == "once" else "once"
+    for _ in range(int(past / 0.1)):
+        d.now += 0.1
+        for send in sends(d.ask(other)):
+            d.end(send, i.Code.OK)
+        done += d.do(i.TimerDue(LOOK))
+    return first, done
+
+
+def test_a_class_goes_elsewhere_where_it_is_left_unanswered_and_the_others_stay() -> None:
+    """At each answer of another class the worker counted as well again: half of one class's requests waited
+    at workers that served the rest as usual (cludo-main rough-2)."""
+    d = Drive(servers=ONE)
+    warm(d)
+    first, _ = unanswered(d, "once")
+    d.do(i.Outcome(first.id, 0, first.server, i.Code.CANCELLED, 1.0))
+    got = {1: 0, 3: 0}
+    for _ in range(20):
+        d.now += 0.02
+        send = d.sent("once")
+        got[send.server] += 1
+        d.end(send, i.Code.OK)
+    assert got[first.server] == 0
+    pure = {1: 0, 3: 0}
+    for _ in range(40):
+        d.now += 0.02
+        send = d.sent("pure")
+        pure[send.server] += 1
+        d.end(send, i.Code.OK)
+    assert pure[first.server] >= 10
+
+
+def test_what_must_not_run_twice_is_given_up_on_once_its_answer_is_worth_nothing() -> None:
+    d = Drive(servers=ONE)
+    warm(d)
+    first, done = unanswered(d, "once")
+    assert i.Cancel(first.id, 0) in done and not sends(done)
+    ended = d.do(i.Outcome(first.id, 0, first.server, i.Code.CANCELLED, 1.0))
+    assert ended == [i.Fail(first.id)]
+
+
+def test_it_is_not_given_up_on_while_its_answer_would_still_be_wanted() -> None:
+    d = Drive(servers=ONE)
+    warm(d)
+    _, done = unanswered(d, "once", past=0.9)  # the aim is a second
+    assert not [a for a in done if isinstance(a, i.Cancel)]
+
+
+@pytest.mark.parametrize("duplicate", [True, False])
+def test_what_may_be_repeated_is_sent_elsewhere_with_one_attempt_out_where_copies_are_barred(
+    duplicate: bool,
+) -> None:
+    """Where no second copy is allowed a request waited at a silent worker until its client gave up."""
+    limits = dataclasses.replace(LIMITS, may_duplicate=duplicate)
+    d = Drive(settings(limits=limits), ONE)
+    warm(d)
+    first, done = unanswered(d, "pure")
+    if duplicate:
+        (copy,) = sends(done)
+    else:
+        assert i.Cancel(first.id, 0) in done and not sends(done)
+        (copy,) = sends(d.do(i.Outcome(first.id, 0, first.server, i.Code.CANCELLED, 1.0)))
+    assert copy.id == first.id and copy.server != first.server
+
+
+def test_a_fault_speaks_for_a_class_of_which_nothing_came_back_lately() -> None:
+    d = Drive(servers=ONE)
+    d.serve(10)
+    d.end(d.sent("once"), i.Code.OK)
+    d.now += 60.0
+    for _ in range(12):
+        d.now += 0.01
+        send = d.sent("pure")
+        d.end(send, i.Code.INTERNAL if send.server == 1 else i.Code.OK, last=True)
+    node = d.keeper.fleet.nodes[1]
+    assert d.keeper.fleet.symptoms(node.of("once"), d.now)[1] > 0.05
