SIGHUP loads new settings into the running module, whole or not at all, and back

Seen: only discovery moved at a reload; classes, plans, limits, rules, fleet size and peers needed a restart, which drops what a gatekeeper knows. Lines: MOVABLE in gateway/service.py; the module reckons from its settings at its start only. Change: gateway/switch.py renews what follows from the settings and leaves what is held, out and known; between two turns, after what was read by the former settings has been handed on. Peers, transport, patience and open requests follow. Plans of the same name keep use, slots and parts; new customers start without a part of a hard ceiling. A file is refused in one line with key, value and what is allowed: bounds, contradictions, and at a reload likely slips of names. Name, number, addresses and limits of the process are named as needing a restart. A set that changes for a known customer is taken over (Quota.customer); ceilings are drawn on only where a plan has one.

--- a/pewterring/choice.py
+++ b/pewterring/choice.py
@@ -158,11 +158,10 @@
         return self.own.demand + sum(u.demand for u in self.told.values())
 
     def spent(self) -> float:
-        """What of the burst is spent, by all gatekeepers."""
         return self.own.spent + sum(u.spent for u in self.told.values())
 
     def take(self, units: float) -> None:
-        """Takes what the store holds of them: a try beyond the quota takes nothing."""
+        # A try beyond the quota takes nothing.
         self.own.spent += min(units, max(0.0, self.plan.depth - self.spent()))
 
     def pass_time(self, now: float) -> None:
@@ -205,13 +204,15 @@
 
     def customer(self, now: float, id: int, plan: i.Plan, size: int, first: int) -> Customer:
         c = self.customers.get(id)
+        keeper = (first + id % max(1, size)) % self.s.fleet_size
+        if c and (c.size, c.first, c.keeper) != (size, first, keeper):  # its set has changed
+            c.size, c.first, c.keeper, c.pool = size, first, keeper, 0.0
         if c is None:
-            size = max(1, size)
-            c = self.customers[id] = Customer(now, plan, size, first, (first + id % size) % self.s.fleet_size)
+            c = self.customers[id] = Customer(now, plan, size, first, keeper)
             # Half of a hard ceiling lies in even parts, half with the keeper. Both grow from the start here,
             # and a keeper's first asker says what of the burst is spent: a restart grants nothing anew.
             c.pool = min(plan.cap_depth, (now - self.began) * plan.cap_rate) / 2
-            c.cap, c.dealt = c.pool / size, self.rng.random()
+            c.cap, c.dealt = c.pool / max(1, size), self.rng.random()
         c.pass_time(now)
         return c
 
@@ -622,7 +623,6 @@
         self.actions += [i.Tell(keeper, mail.write_ask(ask)), i.SetTimer(wait, WAIT)]
 
     def answer(self, now: float, peer: int, said: Ask | Grant | Back) -> None:
-        """As the keeper of an account, or to its answer, if it has not come too late."""
         match said:
             case Ask() if said.plan < len(self.quota.plans) and 0 < said.size <= self.s.fleet_size:
                 grant = self.quota.grant(now, peer, said, self.usual())
@@ -660,7 +660,7 @@
         if (node := self.fleet.choose(now, self.fleet.serving, held)) is None:
             return self.refuse(held, "workers")
         self.shares.passed += 1
-        c.cap -= 0.0 if pooled else r.units
+        c.cap -= 0.0 if pooled or not plan.cap_rate else r.units
         if not (said and self.sparse):
             before = c.own.spent
             c.take(r.units)
--- a/pewterring/cli/config.py
+++ b/pewterring/cli/config.py
@@ -5,6 +5,7 @@
 """
 
 import difflib
+import math
 import os
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
@@ -15,10 +16,9 @@
 import orjson
 
 from pewterring.config import CONFIG, DISCOVERY, LISTEN, NAME, ConfigError, load
-from pewterring.settings import Fields, flatten, read_settings, read_transport
+from pewterring.settings import Fields, agree, flatten, read_settings, read_transport, slips
 
 T = TypeVar("T")
-NEAR = 0.8  # so like a known name that it is taken for a slip of it
 # The file's own keys: kind, the environment's variable that stands in, the default, what it is.
 TOP: dict[str, tuple[str, str, object, str]] = {
     "name": ("string", NAME, "", "the gatekeeper's name"),
@@ -70,8 +70,10 @@
     def whole(self, name: str, default: int | None = None) -> int:
         return self.note(name, "integer", super().whole(name, default), default)
 
-    def number(self, name: str, default: float | None = None) -> float:
-        return self.note(name, "number", super().number(name, default), default)
+    def number(
+        self, name: str, default: float | None = None, least: float = -math.inf, most: float = math.inf
+    ) -> float:
+        return self.note(name, "number", super().number(name, default, least, most), default)
 
     def seconds(self, name: str, default: float | None = None) -> float:
         return self.note(name, "nanoseconds", super().seconds(name, default), default)
@@ -92,7 +94,7 @@
         raise ConfigError("settings: not an object")
     fields = Noting(dict(flatten(tree)))
     try:
-        read_settings(fields)
+        agree(fields, read_settings(fields))
         read_transport(fields)
     except ValueError as error:
         raise ConfigError(str(error)) from error
@@ -124,15 +126,10 @@
             near = difflib.get_close_matches(key, TOP, 1, 0.5)
             refused.append(f"{key}: not known" + (f"; did you mean {near[0]}?" if near else ""))
     fields = noted(tree.get("settings") or {})
-    for key in fields.values:
-        if key in fields.seen:
-            continue
-        # The platform's settings hold much that is not for a gatekeeper: only what looks like a slip is one.
-        near = difflib.get_close_matches(key, [k for k in fields.seen if k not in fields.values], 1, NEAR)
-        if near:
-            refused.append(f"settings.{key}: not known; did you mean {near[0]}?")
-        else:
-            unused.append(f"settings.{key}")
+    wrong = slips(fields, fields.seen)
+    refused += [line.replace(": ", ".", 1) for line in wrong]
+    slipped = {line.split(": ")[1] for line in wrong}
+    unused += [f"settings.{key}" for key in fields.values if key not in fields.seen and key not in slipped]
     return refused, unused
 
 
--- a/pewterring/cli/serving.py
+++ b/pewterring/cli/serving.py
@@ -28,7 +28,7 @@
 
     async def run() -> None:
         nonlocal service
-        service = Service(config, log, read_again=lambda: load(path))
+        service = Service(config, log, read_again=lambda: load(path, strict=True))
         if hung_up:  # after the file was read, perhaps
             service.reload()
         await service.run()
--- a/pewterring/config.py
+++ b/pewterring/config.py
@@ -37,8 +37,9 @@
     tally_s: float = 0.0
 
 
-def load(path: str | None = None, env: Mapping[str, str] = os.environ) -> Config:
-    """Reads the file at `path`, or the one that the environment names."""
+def load(path: str | None = None, env: Mapping[str, str] = os.environ, strict: bool = False) -> Config:
+    """Reads the file at `path`, or the one that the environment names. `strict` refuses likely slips in the
+    settings: at a start they are let pass, as what was meant to be set would else be nothing at all."""
     path = path or env.get(CONFIG)
     if not path:
         raise ConfigError(f"no configuration: name a file, or set {CONFIG}")
@@ -51,12 +52,12 @@
     if not isinstance(tree, dict):
         raise ConfigError(f"{path}: not an object")
     try:
-        return read(tree, env)
+        return read(tree, env, strict)
     except (ValueError, KeyError, TypeError, AttributeError) as error:
         raise ConfigError(f"{path}: {error}") from error
 
 
-def read(tree: dict[str, object], env: Mapping[str, str]) -> Config:
+def read(tree: dict[str, object], env: Mapping[str, str], strict: bool = False) -> Config:
     listen = tree.get("listen") or env.get(LISTEN)
     if not listen:
         raise ConfigError("listen is missing")
@@ -66,7 +67,7 @@
     peers = tree.get("peers") or []
     if not isinstance(peers, list):
         raise ConfigError("peers is not a list")
-    settings, transport = read_json(tree.get("settings"))
+    settings, transport = read_json(tree.get("settings"), strict)
     return Config(
         name=str(tree.get("name") or env.get(NAME, "")),
         listen=read_address(str(listen)),
--- a/pewterring/gateway/gateway.py
+++ b/pewterring/gateway/gateway.py
@@ -45,15 +45,12 @@
         pool: Pool,
         log: Log,
     ) -> None:
-        self.loop, self.settings, self.module, self.pool, self.log = loop, settings, module, pool, log
-        # As many as the settings allow, and as have a descriptor on both sides.
-        self.max_open = min(transport.max_open, pool.descriptors.calls)
-        self.patience = max(
-            (c.deadline for c in settings.classes.values()), default=transport.connect_timeout
-        )
+        self.loop, self.module, self.pool, self.log = loop, module, pool, log
+        self.calls: dict[int, Call] = {}
+        self.patience = 0.0
+        self.renew(settings, transport)
         self.directory = Directory(loop.time)
         self.peers: Peers | None = None
-        self.calls: dict[int, Call] = {}
         self.by_client: dict[Client, Call] = {}
         self.ids = itertools.count(1)
         # The ids that clients gave lately, in two generations of the longest deadline each: one that comes
@@ -70,6 +67,14 @@
         self.discovery_why = ""  # why the last call for the list failed; empty: it did not
         self.taken = self.served = self.refused = self.failed = self.left = self.faults = self.unusable = 0
 
+    def renew(self, settings: i.Settings, transport: Transport) -> None:
+        """By these settings from now on. What is held may have been taken under longer deadlines."""
+        self.settings = settings
+        # As many as the settings allow, and as have a descriptor on both sides.
+        self.max_open = min(transport.max_open, self.pool.descriptors.calls)
+        longest = max((c.deadline for c in settings.classes.values()), default=transport.connect_timeout)
+        self.patience = longest if not self.calls else max(self.patience, longest)
+
     # What comes in: gathered for the next turn
 
     def gather(self, item: Item) -> None:
--- a/pewterring/gateway/service.py
+++ b/pewterring/gateway/service.py
@@ -10,6 +10,7 @@
 from pewterring.choice import Gatekeeper
 from pewterring.config import Config, ConfigError
 from pewterring.gateway.gateway import Gateway, Module
+from pewterring.gateway.switch import renew
 from pewterring.log import Log
 from pewterring.net.clients import Listener
 from pewterring.net.descriptors import Descriptors
@@ -34,7 +35,8 @@
 
 # What a new file changes while the program runs; all else in it needs a restart. `known` and `seed` are for
 # starts only and change with each file.
-MOVABLE, FOR_STARTS = frozenset({"discovery"}), frozenset({"known", "seed"})
+MOVABLE = frozenset({"discovery", "settings", "transport", "peers", "peers_all"})
+FOR_STARTS = frozenset({"known", "seed"})
 
 
 class Service:
@@ -53,7 +55,7 @@
         self.pool = Pool(
             self.loop, self.descriptors, transport.connect_timeout, transport.conn_idle, room=self.room
         )
-        module = module or Gatekeeper(config.settings, config.seed)
+        module = self.module = module or Gatekeeper(config.settings, config.seed)
         if config.tally_s > 0:
             from pewterring.gateway.tally import Tally
 
@@ -92,23 +94,53 @@
             self.discovery.start(version)
 
     def reload(self) -> None:
-        """Reads the file again (SIGHUP). Nothing that is held is dropped; a file that can't be read changes
-        nothing. The list at a new address is another's: its versions say nothing of the former's."""
+        """Reads the file again (SIGHUP) and goes on by it. Nothing that is held is dropped; a file that can't
+        be used changes nothing. The list at a new address is another's: its versions say nothing of the
+        former's."""
         if self.closed or not self.read_again:
             return
         try:
             new = self.read_again()
         except ConfigError as error:
             return self.log("reload_failed", why=str(error))
+        restart = []
+        if new.settings.me != self.config.settings.me:  # peers know it by its number
+            restart.append("settings.me")
+            me, fleet = self.config.settings.me, new.settings.fleet_size
+            if me >= fleet:
+                why = f"settings: fleet_size cannot be {fleet} for number {me}: {me + 1} or more is allowed"
+                return self.log("reload_failed", why=why)
+            new = replace(new, settings=replace(new.settings, me=me))
         changed = {f.name for f in fields(new) if getattr(new, f.name) != getattr(self.config, f.name)}
-        moved = changed & MOVABLE
-        self.config = replace(self.config, **{name: getattr(new, name) for name in moved})
+        moved, old = changed & MOVABLE, self.config
+        if not self.gateway.peers:
+            moved -= {"peers", "peers_all"}  # there is no socket for them
+        self.config = replace(old, **{name: getattr(new, name) for name in moved})
+        if moved & {"settings", "transport"}:
+            self.switch(self.config)
+        if moved & {"peers", "peers_all"} and self.gateway.peers:
+            self.gateway.peers.renew(new.peers, new.peers_all)
         if "discovery" in moved and self.listener:  # else the start, still on its way, follows the new one
             if self.discovery:
                 self.discovery.close()
             self.follow(None)
-        restart = sorted(changed - MOVABLE - FOR_STARTS)
-        self.log("reloaded", changed=sorted(moved), needs_restart=restart)
+        restart += sorted(changed - moved - FOR_STARTS)
+        within = sorted(
+            f.name
+            for f in fields(old.settings)
+            if getattr(old.settings, f.name) != getattr(self.config.settings, f.name)
+        )
+        self.log("reloaded", changed=sorted(moved), settings=within, needs_restart=restart)
+
+    def switch(self, config: Config) -> None:
+        """From here on by these settings. What was read by the former ones is handed to the module first."""
+        gateway = self.gateway
+        if gateway.inbox:
+            gateway.turn()
+        gateway.renew(config.settings, config.transport)
+        self.pool.renew(config.transport.connect_timeout, config.transport.conn_idle)
+        if isinstance(self.module, Gatekeeper):
+            renew(self.module, self.loop.time(), config.settings)
 
     def unexpected(self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
         """What no code here caught: the loop goes on, and the log says it in the form of all else."""
--- a/pewterring/net/peers.py
+++ b/pewterring/net/peers.py
@@ -17,8 +17,13 @@
     def __init__(
         self, me: int, peers: Sequence[Address], everyone: Address | None, heard: Callable[[int, bytes], None]
     ) -> None:
-        self.me, self.peers, self.everyone, self.heard = me, peers, everyone, heard
-        self.numbers = {address: n for n, address in enumerate(peers) if n != me}
+        self.me, self.heard = me, heard
+        self.renew(peers, everyone)
+
+    def renew(self, peers: Sequence[Address], everyone: Address | None) -> None:
+        """Who the peers are from now on, by number."""
+        self.peers, self.everyone = peers, everyone
+        self.numbers = {address: n for n, address in enumerate(peers) if n != self.me}
 
     async def open(self, loop: asyncio.AbstractEventLoop, address: Address) -> None:
         await loop.create_datagram_endpoint(lambda: self, local_addr=address)
--- a/pewterring/net/workers.py
+++ b/pewterring/net/workers.py
@@ -188,11 +188,9 @@
         room: int = 64 * MAX_ANSWER,
     ) -> None:
         self.loop, self.descriptors = loop, descriptors
-        self.connect_timeout, self.most = connect_timeout, most
+        self.most = most
         self.held, self.room = 0, room  # bytes of answers that have not come whole, and how many may be held
-        # The other side may close at any moment near the end of the idle life, and a request that crosses the
-        # close may have run: half of that life leaves room for lateness on both sides.
-        self.keep_s = conn_idle / 2
+        self.renew(connect_timeout, conn_idle)
         self.idle: dict[Target, list[WorkerConnection]] = {}
         self.wanted: set[Target] | None = None  # None: all are
         self.opening: dict[asyncio.Task[None], Exchange] = {}
@@ -200,6 +198,12 @@
         self.endings: Counter[Ending] = Counter()  # of connections
         self.outcomes: Counter[Ending] = Counter()  # of exchanges
 
+    def renew(self, connect_timeout: float, conn_idle: float) -> None:
+        self.connect_timeout = connect_timeout
+        # The other side may close at any moment near the end of the idle life, and a request that crosses the
+        # close may have run: half of that life leaves room for lateness on both sides.
+        self.keep_s = conn_idle / 2
+
     def start(
         self, target: Target, data: bytes, done: Done, bodiless: bool = False, fresh: bool = False
     ) -> Exchange:
--- a/pewterring/settings.py
+++ b/pewterring/settings.py
@@ -6,9 +6,9 @@
 import base64
 import binascii
 import math
-from collections.abc import Iterator, Mapping
+from collections.abc import Collection, Iterator, Mapping
 from dataclasses import dataclass
-from typing import NoReturn, TypeVar
+from typing import Any, NoReturn, TypeVar
 
 from pewterring import interface as i
 
@@ -16,6 +16,7 @@
 NS = 1_000_000_000
 EFFECTS = {"pure": i.Effect.PURE, "token": i.Effect.TOKEN, "side_effect": i.Effect.SIDE_EFFECT}
 GROUPS = {"all": i.Group.ALL, "zone": i.Group.ZONE, "cell": i.Group.CELL}
+SLIP = 0.8  # so like a known name that it is taken for a slip of it
 BOOLS = {"1": True, "true": True, "0": False, "false": False}
 
 
@@ -54,7 +55,9 @@
         except ValueError:
             self.bad(name, value)
 
-    def number(self, name: str, default: float | None = None) -> float:
+    def number(
+        self, name: str, default: float | None = None, least: float = -math.inf, most: float = math.inf
+    ) -> float:
         value = self.text(name, None if default is None else str(default))
         try:
             number = float(value)
@@ -62,6 +65,12 @@
             self.bad(name, value)
         if not math.isfinite(number):
             self.bad(name, value)
+        return self.within(name, number, least, most)
+
+    def within(self, name: str, number: float, least: float, most: float = math.inf) -> float:
+        if not least <= number <= most:
+            allowed = f"{least:g} to {most:g}" if most < math.inf else f"{least:g} or more"
+            raise FieldError(f"{self.tag}: {name} cannot be {number:g}: {allowed} is allowed")
         return number
 
     def seconds(self, name: str, default: float | None = None) -> float:
@@ -93,6 +102,36 @@
             self.bad(name, value)
 
 
+def slips(f: Fields, known: Collection[str]) -> list[str]:
+    """Names that nobody reads and that look like slips of one that is read and not given.
+
+    Others are no error: the platform's settings hold much that is not for a gatekeeper.
+    """
+    import difflib  # at a reload only
+
+    missing, found = [name for name in known if name not in f.values], []
+    for name in f.values:
+        if name not in known and (near := difflib.get_close_matches(name, missing, 1, SLIP)):
+            found.append(f"{f.tag}: {name}: not known; did you mean {near[0]}?")
+    return found
+
+
+def agree(f: Fields, settings: i.Settings) -> i.Settings:
+    """Raises FieldError where two settings contradict each other."""
+    f.within("fleet_size", settings.fleet_size, 1)
+    f.within("me", settings.me, 0, settings.fleet_size - 1)
+    for n, cls in enumerate(settings.classes.values()):
+        f.within(f"profiles.{n}.deadline", cls.deadline, cls.aim)
+    for n, plan in enumerate(settings.plans.values()):
+        p = f"tiers_of_service.{n}."
+        if plan.refill > 0 and plan.depth <= 0:
+            raise FieldError(f"{f.tag}: {p}depth cannot be {plan.depth:g} beside a refill: over 0 is allowed")
+        if plan.cap_rate > 0 and plan.cap_depth <= 0:
+            name = f"{f.tag}: {p}never_over_depth"
+            raise FieldError(f"{name} cannot be {plan.cap_depth:g} beside a cap_rate: over 0 is allowed")
+    return settings
+
+
 def read_settings(f: Fields) -> i.Settings:
     classes, plans = {}, {}
     for n in range(f.whole("profiles.count", 0)):
@@ -114,15 +153,15 @@
         name = f.text(p + "name")
         plans[name] = i.Plan(
             name=name,
-            refill=f.number(p + "refill", 0.0),
-            depth=f.number(p + "depth", 0.0),
-            parallel=round(f.number(p + "parallel", 0.0)),
-            cap_rate=f.number(p + "cap_rate", 0.0),
-            cap_depth=f.number(p + "never_over_depth", 0.0),
-            cap_slack=f.number(p + "cap_slack", 0.0),
-            price=f.number(p + "value_factor", 1.0),
-            over_worth=f.number(p + "over_worth", 0.0),
-            over_cost=f.number(p + "beyond_costs", 0.0),
+            refill=f.number(p + "refill", 0.0, 0.0),
+            depth=f.number(p + "depth", 0.0, 0.0),
+            parallel=round(f.number(p + "parallel", 0.0, 0.0)),
+            cap_rate=f.number(p + "cap_rate", 0.0, 0.0),
+            cap_depth=f.number(p + "never_over_depth", 0.0, 0.0),
+            cap_slack=f.number(p + "cap_slack", 0.0, 0.0),
+            price=f.number(p + "value_factor", 1.0, 0.0),
+            over_worth=f.number(p + "over_worth", 0.0, 0.0),
+            over_cost=f.number(p + "beyond_costs", 0.0, 0.0),
         )
     return i.Settings(
         me=f.whole("me"),
@@ -142,16 +181,16 @@
         rules=i.Rules(
             stop_sending_within=f.seconds("guarantees.stop_sending_within", 0.0),
             cold=f.seconds("guarantees.cold", 0.0),
-            cold_share=f.number("guarantees.cold_share", 1.0),
-            fall_multiple=f.number("guarantees.fall_multiple", 1.0),
+            cold_share=f.number("guarantees.cold_share", 1.0, 0.0, 1.0),
+            fall_multiple=f.number("guarantees.fall_multiple", 1.0, 0.0),
             tip_after=f.seconds("guarantees.tip_after", 1.0),
             ask_within=f.seconds("guarantees.ask_within", 0.0),
         ),
         ask_discovery=f.text("discovery", "push") == "ask",
         live_ratings=f.text("weight_kind", "silent") == "live",
-        mail_per_s=f.number("specifics.mail_per_s", 0.0),
-        max_units=f.number("specifics.max_units", 0.0),
-        price_cross_zone=f.number("prices.cross_zone", 0.0),
+        mail_per_s=f.number("specifics.mail_per_s", 0.0, 0.0),
+        max_units=f.number("specifics.max_units", 0.0, 0.0),
+        price_cross_zone=f.number("prices.cross_zone", 0.0, 0.0),
     )
 
 
@@ -187,9 +226,25 @@
     return str(value)
 
 
-def read_json(tree: object) -> tuple[i.Settings, Transport]:
-    """The settings of a real gatekeeper's configuration."""
+class Asked(dict[str, str]):
+    """Values by name, and which names were asked for."""
+
+    def __init__(self, values: Mapping[str, str]) -> None:
+        super().__init__(values)
+        self.names: set[str] = set()
+
+    def get(self, name: str, default: Any = None) -> Any:
+        self.names.add(name)
+        return super().get(name, default)
+
+
+def read_json(tree: object, strict: bool = False) -> tuple[i.Settings, Transport]:
+    """The settings of a real gatekeeper's configuration; `strict` refuses names that look like slips."""
     if not isinstance(tree, dict):
         raise FieldError("settings: not an object")
-    fields = Fields("settings", dict(flatten(tree)))
-    return read_settings(fields), read_transport(fields)
+    asked = Asked(dict(flatten(tree)))
+    fields = Fields("settings", asked)
+    read = agree(fields, read_settings(fields)), read_transport(fields)
+    if strict and (found := slips(fields, asked.names)):
+        raise FieldError("; ".join(found))
+    return read
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -546,7 +546,7 @@
             configured(tmp_path, discovery=str(second.address), peers=["127.0.0.1:9"])
             process.send_signal(signal.SIGHUP)
             line = await logged("reloaded")
-            assert (line["changed"], line["needs_restart"]) == (["discovery"], ["peers"])
+            assert (line["changed"], line["needs_restart"]) == (["discovery"], ["peers"])  # it has no socket
             await until(lambda: len(second.requests) == 2)
             assert [b"index" in request.target for request in second.requests] == [False, True]
             await until(lambda: all(talk.ended for talk in first.talks))
