--- a/pewterring/gateway/service.py
+++ b/pewterring/gateway/service.py
@@ -89,7 +89,9 @@
     def follow(self, version: int | None) -> None:
         """Follows the list of workers where the configuration has it now, from that version on."""
         address, gateway = self.config.discovery, self.gateway
-        self.discovery = address and Discovery(self.loop, address, gateway.listed, gateway.discovery_failed)
+        pushed = not self.config.settings.ask_discovery
+        told, failed = gateway.listed, gateway.discovery_failed
+        self.discovery = address and Discovery(self.loop, address, told, failed, pushed)
         if self.discovery:
             self.discovery.start(version)
 
--- a/pewterring/net/discovery.py
+++ b/pewterring/net/discovery.py
@@ -21,6 +21,9 @@
 # The first pause after a failure, and the longest. Who knows a list can wait, and has to where all ask one
 # service: forty that asked an overbooked one again within two seconds kept it so, and no call went through.
 BACKOFF_S, BACKOFF_NEW_S = (2.0, 8.0), (0.05, 2.0)
+# Where lists are pushed the address is an agent's on this machine: it answers at once, at no cost, and what
+# it has counts as told from the first moment after an outage. After a failure it is asked without a wait.
+BACKOFF_AGENT_S, AGENT_S = (0.1, 0.2), 0.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -75,8 +78,10 @@
         address: Address,
         told: Callable[[Listing], None],
         failed: Callable[[str], None],
+        pushed: bool = False,
     ) -> None:
         self.loop, self.address, self.told, self.failed = loop, address, told, failed
+        self.pushed = pushed
         # Its few descriptors are its own: without the list of workers nothing can be decided for long.
         self.pool = Pool(loop, Descriptors(0, taken=0), MARGIN_S, 2 * WAIT_MS / 1000, MAX_LIST)
         self.version: int | None = None  # None: the whole list is due
@@ -93,10 +98,12 @@
     def call(self) -> None:
         if self.closed:
             return
-        wait = 0 if self.version is None else WAIT_MS
+        again = self.pushed and self.failures > 0 and self.version is not None
+        wait = 0 if again or self.version is None else WAIT_MS
+        margin = AGENT_S if again else MARGIN_S
         target = PATH + (b"?index=%d&wait=%d" % (self.version, wait) if self.version is not None else b"")
         request = write_request(b"GET", target, [(b"host", str(self.address).encode())])
-        self.timer = self.loop.call_later(wait / 1000 + MARGIN_S, self.overdue)
+        self.timer = self.loop.call_later(wait / 1000 + margin, self.overdue)
         self.exchange = self.pool.start(Target(0, self.address), request, self.ended)
 
     def overdue(self) -> None:
@@ -131,7 +138,7 @@
         self.retry(why)
 
     def retry(self, why: str) -> None:
-        first, longest = BACKOFF_S if self.known else BACKOFF_NEW_S
+        first, longest = BACKOFF_AGENT_S if self.pushed else BACKOFF_S if self.known else BACKOFF_NEW_S
         pause = min(longest, first * 2.0**self.failures) * random.uniform(0.5, 1.0)
         self.failures = min(self.failures + 1, 16)
         self.loop.call_later(pause, self.call)
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -46,14 +46,16 @@
     return write_response(200, [], body)
 
 
-def followed(agent: Agent, version: int | None, calls: int) -> tuple[list[Listing], list[str]]:
+def followed(
+    agent: Agent, version: int | None, calls: int, pushed: bool = False
+) -> tuple[list[Listing], list[str]]:
     told: list[Listing] = []
     failed: list[str] = []
 
     async def test() -> None:
         async with StandIn(agent) as stand_in:
             loop = asyncio.get_running_loop()
-            watch = Discovery(loop, stand_in.address, told.append, failed.append)
+            watch = Discovery(loop, stand_in.address, told.append, failed.append, pushed)
             watch.start(version)
             await until(lambda: len(agent.asked) >= calls)
             watch.close()
@@ -116,6 +118,17 @@
     assert [x.version for x in told] == [60] and len(failed) == 2
 
 
+def test_an_agent_is_asked_again_at_once_and_without_a_wait() -> None:
+    """What it has counts as told from the first moment after an outage: pauses of 2 to 8 s and calls that may
+    wait came too late for a drain."""
+    agent = Agent(None, write_response(503, []), None, ok(as_json(60, False)))
+    told, failed = followed(agent, 41, 5, pushed=True)
+    at_once = b"/v1/servers?index=41&wait=0"
+    assert agent.asked == [WATCH % 41, at_once, at_once, at_once, WATCH % 60]
+    assert [x.version for x in told] == [60] and len(failed) == 3
+    assert discovery.BACKOFF_AGENT_S[1] + discovery.AGENT_S < 1.0
+
+
 def test_changes_in_answer_to_the_whole_list_are_a_gap() -> None:
     agent = Agent(ok(as_json(60, False)), ok(as_json(60, True)))
     told, failed = followed(agent, None, 3)
