--- a/pewterring/choice.py
+++ b/pewterring/choice.py
@@ -199,7 +199,7 @@
         self.customers, self.lives = dict[int, Customer](), dict[int, int]()  # lives: peers' incarnations
         self.fresh: dict[int, Customer] = {}  # those with use that is not told yet
         self.said: dict[tuple[int, int, int], tuple[float, Grant]] = {}  # answers lately given, as keeper
-        self.plans = list(settings.plans.values())
+        self.plans = {mail.number(name): plan for name, plan in settings.plans.items()}
 
     def customer(self, now: float, id: int, plan: i.Plan, size: int, first: int) -> Customer:
         c = self.customers.get(id)
@@ -297,7 +297,7 @@
             c = self.customers[id]
             c.sent[peer] = Use(use.demand, use.spent)
             shown = (use.demand / c.plan.refill, use.spent / c.plan.depth)
-            news.append(mail.News(id, self.plans.index(c.plan), c.size, c.first, *shown))
+            news.append(mail.News(id, mail.number(c.plan.name), c.size, c.first, *shown))
         return mail.write_news(news)
 
     def hear(self, now: float, peer: int, life: int, data: bytes) -> None:
@@ -305,7 +305,7 @@
             self.lives[peer] = life
             self.fresh.update({id: c for id, c in self.customers.items() if c.sent.pop(peer, None)})
         for n in mail.read_news(data):
-            if n.plan < len(self.plans) and 0 < n.size <= self.s.fleet_size:
+            if n.plan in self.plans and 0 < n.size <= self.s.fleet_size:
                 plan = self.plans[n.plan]
                 told = Use(n.demand * plan.refill, n.spent * plan.depth)
                 c = self.customer(now, n.customer, plan, n.size, n.first)
@@ -606,7 +606,7 @@
         if not asks:
             return self.proceed(now, held, None)
         self.tokens = self.tokens % 65535 + 1
-        number = self.quota.plans.index(c.plan)
+        number = mail.number(c.plan.name)
         spent = c.spent() / max(c.plan.depth, 1e-9)
         held.ask = Ask(self.tokens, r.customer, number, c.size, c.first, r.units, c.unsaid, spent)
         c.unsaid = 0.0
@@ -623,7 +623,7 @@
 
     def answer(self, now: float, peer: int, said: Ask | Grant | Back) -> None:
         match said:
-            case Ask() if said.plan < len(self.quota.plans) and 0 < said.size <= self.s.fleet_size:
+            case Ask() if said.plan in self.quota.plans and 0 < said.size <= self.s.fleet_size:
                 grant = self.quota.grant(now, peer, said, self.usual())
                 self.actions.append(i.Tell(peer, mail.write_ask(grant)))
             case Back():
--- a/pewterring/mail.py
+++ b/pewterring/mail.py
@@ -2,12 +2,13 @@
 
 import math
 import struct
+import zlib
 from collections.abc import Iterator, Sequence
 from typing import NamedTuple
 
 BEAT_FORM = struct.Struct(">cIIfIff")
-NEWS_FORM = struct.Struct(">QBHHhh")
-ASK_FORM, GRANT_FORM = struct.Struct(">cHQBHHeee"), struct.Struct(">cH??ee")
+NEWS_FORM = struct.Struct(">QHHHhh")
+ASK_FORM, GRANT_FORM = struct.Struct(">cHQHHHeee"), struct.Struct(">cH??ee")
 BACK_FORM, HALF_MOST = struct.Struct(">cHQe"), 65504.0  # the largest number of two bytes
 # How a message begins: a heartbeat, a question to the keeper of an account, its answer, the end of what it
 # granted.
@@ -17,6 +18,11 @@
 NEWS_ROOM = (MAIL_BYTES - BEAT_FORM.size) // NEWS_FORM.size  # news that fit behind a heartbeat
 
 
+def number(plan: str) -> int:
+    """What a plan is called: by its name, not its place, as settings may change while gatekeepers run."""
+    return zlib.crc32(plan.encode()) & 0xFFFF
+
+
 class Beat(NamedTuple):
     """One atomic snapshot of a gatekeeper: what it holds and wants."""
 
--- a/tests/test_switch.py
+++ b/tests/test_switch.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import copy
+import dataclasses
 import json
 from pathlib import Path
 from typing import Any
@@ -14,6 +15,7 @@
 from pewterring.gateway.service import Service
 from pewterring.gateway.switch import FOLLOWS, renew
 from pewterring.http.messages import Request
+from pewterring.mail import number
 from tests.helpers import CLASSES, PLANS, Drive, sends, settings
 from tests.stand_ins import OK, Caller, Quiet, StandIn, Talk, asking, entry, listing, run, until
 from tests.test_service import SETTINGS, configured
@@ -210,3 +212,18 @@
         service.pool.close()
 
     run(test)
+
+
+def test_gatekeepers_that_have_switched_and_others_mean_the_same_plan() -> None:
+    """Plans went by their place in the settings: one more in front, and a customer was booked on another."""
+    more = {"first": i.Plan("first", refill=1.0, depth=9.0), **PLANS}
+    switched = Drive(dataclasses.replace(settings(me=1), plans=more))
+    for _ in range(3):
+        switched.ask(plan="busy")
+    told = [t for t in switched.tick(0.2) if t.peer == 0]
+    other = Drive(settings(me=0))
+    for t in told:
+        other.do(i.PeerMail(1, t.data))
+    assert other.keeper.quota.customers[1].plan.name == "busy"
+    assert other.keeper.quota.customers[1].spent() == pytest.approx(1.0, abs=0.1)  # two are refilled
+    assert len({number(name) for name in more}) == len(more)
