What ends settles what is owed: late second answers, clients gone, drains, stops, broken watches

A connection now rests a fifth of connect_timeout before reuse; discovery's is used on at once. - An attempt still connecting was sent after its client had left, was served elsewhere or refused, where cancel is not allowed (gateway.py, `finish` left it to the module). It is withdrawn as TOO_LATE, told once; slot and units come back (choice.py: `drawn`). So is one of which part is unwritten. - A client that sent much ahead and left was never seen to (clients.py: reading paused); what it sent behind an error was begun. Its end is looked for every 0.1 s. An older whole list in answer to a watch was taken, and with it workers that drain as up. - At a stop the door closed before the last idle connections did, so what crossed that close found nobody; and silence of 0.3 s ended it though clients were connected. Now the door outlasts the last close, and it ends early only where nobody is connected. - A fault in `for_worker` or `Pool.start` left an attempt without outcome and a descriptor booked. Ruled out by tests that passed before too: what waits for a keeper, or for a further attempt, is not sent once its client left.

--- a/pewterring/choice.py
+++ b/pewterring/choice.py
@@ -679,6 +679,7 @@
         if (held := self.flying.pop((o.id, o.attempt), None)) is None:
             return
         held.out.discard(o.attempt)
+        held.drawn = held.drawn or o.code != i.Code.TOO_LATE  # what was never issued takes no units
         if node := self.fleet.nodes.get(o.server):
             expected = self.ceiling.mean.get(held.cls.name, o.took)
             self.fleet.judge(node, node.of(held.cls.name), now, expected, o)
@@ -751,7 +752,7 @@
 
     def give_back(self, held: Held) -> None:
         """Tells the account, once nothing of it is out, of the free slot and the true units."""
-        extra = held.extra if held.attempts else -held.r.units * held.inside
+        extra = held.extra if held.drawn else -held.r.units * held.inside
         back = Back(held.ask.token if held.ask else 0, held.r.customer, extra)
         c = self.quota.customers.get(held.r.customer)
         away = c is not None and held.ask is not None and c.keeper != self.s.me
--- a/pewterring/gateway/calls.py
+++ b/pewterring/gateway/calls.py
@@ -29,6 +29,7 @@
     sent_at: float
     exchange: Exchange | None = None
     timer: asyncio.TimerHandle | None = None
+    ended: bool = False
 
 
 # What waits for the next turn, beside the events that the module gets as they are.
--- a/pewterring/gateway/gateway.py
+++ b/pewterring/gateway/gateway.py
@@ -278,7 +278,7 @@
         call.out += 1
 
         def done(ending: Ending, response: Response | None) -> None:
-            attempt.exchange = None
+            attempt.exchange, attempt.ended = None, True
             if attempt.timer:
                 attempt.timer.cancel()
             self.gather(Ended(attempt, ending, response))
@@ -291,8 +291,13 @@
             return done(Ending.UNKNOWN, None)
         if 0 < timeout < left:
             left = timeout
-        data = for_worker(call.http, left)
-        exchange = self.pool.start(target, data, done, call.http.method == b"HEAD")
+        try:
+            data = for_worker(call.http, left)
+            exchange = self.pool.start(target, data, done, call.http.method == b"HEAD")
+        except Exception:
+            if not attempt.ended:  # the module is owed an outcome for it all the same
+                done(Ending.TOO_LATE, None)
+            raise
         if exchange.ending is None:
             attempt.exchange = exchange
             if timeout > 0:
@@ -330,6 +335,9 @@
         call.finished = True
         self.by_client.pop(call.client, None)
         self.over.append(call)
+        for attempt in call.attempts:
+            if attempt.exchange:
+                attempt.exchange.withdraw()
 
     def forget(self, call: Call) -> None:
         """Lets go of a request that is over, with all its attempts."""
--- a/pewterring/gateway/service.py
+++ b/pewterring/gateway/service.py
@@ -25,8 +25,8 @@
 # At SIGTERM clients go on using the connections that they have for as long as these stay open, and find
 # nobody in its place before the next start. So it serves on, connections and all, for the longest deadline
 # (LONGEST_S where that is longer) and ON_S more. No kill comes before KILL_S past that deadline: what is
-# taken meanwhile is answered SPARE_S earlier. It ends sooner where, AT_LEAST_S having passed, nothing came
-# for QUIET_S.
+# taken meanwhile is answered SPARE_S earlier. It ends sooner where, AT_LEAST_S having passed, nobody is
+# connected and nothing came for QUIET_S: who has a connection may use it at any moment.
 LONGEST_S, ON_S, KILL_S, SPARE_S = 3.0, 0.2, 0.7, 0.2
 AT_LEAST_S, QUIET_S, POLL_S = 0.6, 0.3, 0.02
 # A request that crosses the close of its connection comes again on a new one, while the door is open. The
@@ -43,6 +43,11 @@
 C = TypeVar("C", Config, Settings)
 
 
+def pushed_within(config: Config) -> float | None:
+    """Where lists are pushed: how soon what is in them must be acted on."""
+    return None if config.settings.ask_discovery else config.settings.rules.stop_sending_within
+
+
 def differing(one: C, other: C) -> set[str]:
     return {f.name for f in fields(one) if getattr(one, f.name) != getattr(other, f.name)}
 
@@ -97,9 +102,8 @@
     def follow(self, version: int | None) -> None:
         """Follows the list of workers where the configuration has it now, from that version on."""
         address, gateway = self.config.discovery, self.gateway
-        pushed = not self.config.settings.ask_discovery
         told, failed = gateway.listed, gateway.discovery_failed
-        self.discovery = address and Discovery(self.loop, address, told, failed, pushed)
+        self.discovery = address and Discovery(self.loop, address, told, failed, pushed_within(self.config))
         if self.discovery:
             self.discovery.start(version)
 
@@ -145,6 +149,8 @@
             gateway.turn()
         gateway.renew(config.settings, config.transport)
         self.pool.renew(config.transport.connect_timeout, config.transport.conn_idle)
+        if self.discovery:
+            self.discovery.renew(pushed_within(config))
         if isinstance(self.module, Gatekeeper):
             renew(self.module, self.loop.time(), config.settings)
 
@@ -180,12 +186,15 @@
         while not self.quiet(began, longest):
             await asyncio.sleep(POLL_S)
         listener.closing = True
-        # Idle connections are closed now and not before: their clients may have gone on using them.
-        listener.close_idle(CROSSING_S)
-        await asyncio.sleep(CROSSING_S)
-        listener.close()
-        while gateway.by_client or listener.opening or any(c.ending is None for c in listener.clients):
-            listener.close_idle(CROSSING_S)
+        # Idle connections are closed now and not before: their clients may have gone on using them. The door
+        # stays open for what crosses such a close, the last one too.
+        left = self.loop.time()
+        while gateway.by_client or listener.opening or listener.socket or listener.stays:
+            now = self.loop.time()
+            if listener.close_idle(CROSSING_S) or listener.idle:
+                left = now
+            if now - left >= CROSSING_S or now >= gateway.ends_at:
+                listener.close()
             await asyncio.sleep(POLL_S)
         while listener.clients:
             await asyncio.sleep(POLL_S)
@@ -225,7 +234,10 @@
             self.gateway.peers.close()
 
     def quiet(self, began: float, longest: float) -> bool:
-        now = self.loop.time()
-        came = max(self.gateway.asked_at, self.listener.accepted_at if self.listener else 0.0)
+        now, listener = self.loop.time(), self.listener
         past = now - began
-        return past >= longest + ON_S or (past >= AT_LEAST_S and now - came >= QUIET_S)
+        if past >= longest + ON_S or listener is None:
+            return True
+        came = max(self.gateway.asked_at, listener.accepted_at)
+        nobody = not listener.clients and not listener.opening
+        return nobody and past >= AT_LEAST_S and now - came >= QUIET_S
--- a/pewterring/net/clients.py
+++ b/pewterring/net/clients.py
@@ -19,6 +19,7 @@
 WHOLE_S = 2.0  # for a request to come whole: from its first byte, the first on a connection from connecting
 IDLE_S = 2.0  # a connection without a request is closed after this, the least that the protocol allows
 RESTED_S = 0.5  # and after this where descriptors get fewer; who asks again or at all mostly does so sooner
+LEFT_S = 0.1  # who left is looked for so often where nothing is read: nothing is begun for it 0.3 s later
 ERROR_PAUSE_S = 0.1  # after an error a connection's next request is read this much later: sent again and
 # again at full speed, what cannot be used would take the loop's time from all others
 
@@ -44,6 +45,7 @@
         self.lingering = False
         self.discarded = self.holding = 0  # bytes dropped; bytes of requests that have not come whole
         self.resting: asyncio.TimerHandle | None = None  # the pause after an error
+        self.watching: asyncio.TimerHandle | None = None  # for its end, while nothing is read
         self.ending: Ending | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -64,14 +66,29 @@
         if not self.reader.started and self.asked:
             self.since = self.listener.loop.time()
         self.reader.feed(data)
-        if self.resting:
-            self.transport.pause_reading()
-        elif not self.busy:
-            self.advance()
-        elif len(self.reader.data) > MAX_HEAD + MAX_BODY:
-            self.transport.pause_reading()  # requests sent ahead wait in the socket
+        self.advance()
+        if self.resting or self.ahead:  # what follows waits in the socket
+            self.pause()
         self.hold()
 
+    @property
+    def ahead(self) -> bool:
+        """Whether so much was sent ahead that what follows has to wait in the socket."""
+        return len(self.reader.data) > MAX_HEAD + MAX_BODY
+
+    def pause(self) -> None:
+        self.transport.pause_reading()
+        if not self.watching:
+            self.watching = self.listener.loop.call_later(LEFT_S, self.watch)
+
+    def watch(self) -> None:
+        """A client that leaves while nothing is read of it is not told of by its bytes' end."""
+        self.watching = None
+        if self.up and self.ending is None and not self.transport.is_reading():
+            if self.hung_up():
+                return self.drop()
+            self.watching = self.listener.loop.call_later(LEFT_S, self.watch)
+
     def advance(self) -> None:
         if self.busy or self.resting or self.ending is not None:
             return
@@ -82,6 +99,7 @@
         if request is None:
             if self.reader.wants_continue():
                 self.transport.write(CONTINUE)
+            self.transport.resume_reading()
             return self.rest()
         self.busy = self.asked = True
         self.keep_alive = request.keep_alive
@@ -99,7 +117,8 @@
         self.transport.write(write_response(status, headers, body, stays, head_only))
         if not stays:
             return self.end(Ending.DONE)
-        self.transport.resume_reading()
+        if not self.ahead:
+            self.transport.resume_reading()
         self.rest()
         self.hold()
         if self.reader.started:  # not at once: a chain of requests sent ahead would run down the stack
@@ -123,9 +142,13 @@
 
     def resume(self) -> None:
         self.resting = None
-        if self.up and self.ending is None:
+        if not self.up or self.ending is not None:
+            return
+        if self.hung_up():  # what it sent before it left is nobody's any more
+            return self.drop()
+        self.advance()
+        if not self.ahead:
             self.transport.resume_reading()
-            self.advance()
 
     def discard(self, size: int) -> None:
         self.discarded += size
@@ -165,8 +188,9 @@
 
     def leave(self) -> None:
         """The client has gone: said once, and only where an answer is still due."""
-        if self.resting:
-            self.resting.cancel()
+        for timer in (self.resting, self.watching):
+            if timer:
+                timer.cancel()
         self.listener.held -= self.holding
         self.holding = 0
         self.listener.idle.pop(self, None)
@@ -295,11 +319,18 @@
             elif not client.unread():  # its next request may just have come
                 client.end(Ending.STALE)
 
-    def close_idle(self, idle_s: float) -> None:
-        """Closes what has idled for so long."""
+    @property
+    def stays(self) -> bool:
+        """Whether some connection has not come to its end."""
+        return any(c.ending is None for c in self.clients)
+
+    def close_idle(self, idle_s: float) -> bool:
+        """Closes what has idled for so long; whether there was any."""
         until = self.loop.time() - idle_s
-        for client in [c for c in self.idle if c.since <= until and not c.unread()]:
+        ended = [c for c in self.idle if c.since <= until and not c.unread()]
+        for client in ended:
             client.end(Ending.LEFT)
+        return bool(ended)
 
     def close(self) -> None:
         """No more connections. What waits to be accepted is accepted first."""
--- a/pewterring/net/connection.py
+++ b/pewterring/net/connection.py
@@ -46,6 +46,12 @@
         poll.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
         return bool(poll.poll(0))
 
+    def hung_up(self) -> bool:
+        """Whether the other side has sent its end, or is gone, read or not."""
+        poll = select.poll()
+        poll.register(self.transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
+        return bool(poll.poll(0))
+
     def pause_writing(self) -> None:
         self.unsent = True
 
--- a/pewterring/net/discovery.py
+++ b/pewterring/net/discovery.py
@@ -22,8 +22,12 @@
 # service: forty that asked an overbooked one again within two seconds kept it so, and no call went through.
 BACKOFF_S, BACKOFF_NEW_S = (2.0, 8.0), (0.05, 2.0)
 # Where lists are pushed the address is an agent's on this machine: it answers at once, at no cost, and what
-# it has counts as told from the first moment after an outage. After a failure it is asked without a wait.
-BACKOFF_AGENT_S, AGENT_S = (0.1, 0.2), 0.5
+# it has counts as told whether or not a watch is open, from the first moment after an outage too. So a watch
+# that an outage has broken must be found broken, and the agent asked anew, well within the time in which
+# sending to a worker has to stop: a watch waits for so small a part of that, and as long for its answer. No
+# less than these where that time is very short. After a failure the agent is asked without a wait.
+AGENT_PART, AGENT_WAIT_S, AGENT_MARGIN_S = 4, 0.1, 0.2
+BACKOFF_AGENT_S = (0.1, 0.2)
 
 
 @dataclass(frozen=True, slots=True)
@@ -78,18 +82,30 @@
         address: Address,
         told: Callable[[Listing], None],
         failed: Callable[[str], None],
-        pushed: bool = False,
+        within: float | None = None,
     ) -> None:
+        """`within`: where lists are pushed, how soon what the agent has must be acted on."""
         self.loop, self.address, self.told, self.failed = loop, address, told, failed
-        self.pushed = pushed
+        self.renew(within)
         # Its few descriptors are its own: without the list of workers nothing can be decided for long.
-        self.pool = Pool(loop, Descriptors(0, taken=0), MARGIN_S, 2 * WAIT_MS / 1000, MAX_LIST)
+        # One call follows the other at once on one connection, as the protocol wants it.
+        own = Descriptors(0, taken=0)
+        self.pool = Pool(loop, own, MARGIN_S, 2 * WAIT_MS / 1000, MAX_LIST, rests=False)
         self.version: int | None = None  # None: the whole list is due
         self.failures, self.known = 0, False  # known: some list was had, or given at the start
         self.exchange: Exchange | None = None
         self.timer: asyncio.TimerHandle | None = None
         self.closed = False
 
+    def renew(self, within: float | None) -> None:
+        """From the next call on."""
+        self.pushed = within is not None
+        self.wait_ms, self.margin_s = WAIT_MS, MARGIN_S
+        if within is not None:
+            part = within / AGENT_PART
+            self.wait_ms = min(WAIT_MS, round(1000 * max(AGENT_WAIT_S, part)))
+            self.margin_s = min(MARGIN_S, max(AGENT_MARGIN_S, part))
+
     def start(self, version: int | None) -> None:
         """Follows from that version on."""
         self.version, self.known = version, version is not None
@@ -99,11 +115,10 @@
         if self.closed:
             return
         again = self.pushed and self.failures > 0 and self.version is not None
-        wait = 0 if again or self.version is None else WAIT_MS
-        margin = AGENT_S if again else MARGIN_S
+        wait = 0 if again or self.version is None else self.wait_ms
         target = PATH + (b"?index=%d&wait=%d" % (self.version, wait) if self.version is not None else b"")
         request = write_request(b"GET", target, [(b"host", str(self.address).encode())])
-        self.timer = self.loop.call_later(wait / 1000 + margin, self.overdue)
+        self.timer = self.loop.call_later(wait / 1000 + self.margin_s, self.overdue)
         self.exchange = self.pool.start(Target(0, self.address), request, self.ended)
 
     def overdue(self) -> None:
@@ -125,8 +140,9 @@
             listing = read_listing(orjson.loads(response.body))
         except ValueError as error:  # orjson's errors are such too
             return self.start_over(str(error))
-        if not listing.whole and (self.version is None or listing.version < self.version):
-            return self.start_over("changes that do not follow what is known")
+        # A watch is answered with what is newer. An older whole list would bring back workers that have left.
+        if listing.version < self.version if self.version is not None else not listing.whole:
+            return self.start_over("a list that does not follow what is known")
         self.version, self.failures, self.known = listing.version, 0, True
         self.told(listing)
         # The next call comes at once, but not on the stack of this one.
--- a/pewterring/net/ending.py
+++ b/pewterring/net/ending.py
@@ -22,7 +22,7 @@
     NO_ROOM = "no memory was left for the rest of the answer, or of a client's request"
     TIMED_OUT = "nothing came in time"
     CANCELLED = "given up, as the answer is no longer wanted"
-    TOO_LATE = "never begun: the request was over, or had all its attempts"
+    TOO_LATE = "never begun, or not whole: its request was over, had all its attempts or cannot be sent"
     UNKNOWN = "never begun: no such worker"
     # A connection between exchanges
     CLOSED = "the other side closed it in good order"
--- a/pewterring/net/workers.py
+++ b/pewterring/net/workers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import math
+from bisect import bisect_right
 from collections import Counter
 from collections.abc import Callable
 from typing import NamedTuple
@@ -12,6 +13,11 @@
 from pewterring.net.descriptors import Descriptors
 from pewterring.net.ending import SUSPECT, Ending, of_answer
 
+# What giving an exchange up is, where part of its request is not written, and where none is.
+UNSENT = {Ending.TIMED_OUT: Ending.BROKEN_EARLY, Ending.CANCELLED: Ending.TOO_LATE}
+UNOPENED = {Ending.TIMED_OUT: Ending.NEVER_UP, Ending.CANCELLED: Ending.TOO_LATE}
+REST_PART = 5  # of the time that a connection may take to come up, a connection rests between two requests
+
 
 class Target(NamedTuple):
     """One worker at one address. A new one at an old address is another: it inherits no connection."""
@@ -49,16 +55,21 @@
             return
         connection, self.connection = self.connection, None
         if connection:
-            if ending is Ending.TIMED_OUT and connection.unsent:
-                ending = Ending.BROKEN_EARLY  # the worker can't get the rest any more
+            if connection.unsent:  # the worker can't get the rest any more
+                ending = UNSENT.get(ending, ending)
             connection.exchange = None
             connection.drop(ending)
         elif self.task:
             self.task.cancel()
-            if ending is Ending.TIMED_OUT:
-                ending = Ending.NEVER_UP
+            ending = UNOPENED.get(ending, ending)
         self.end(ending)
 
+    def withdraw(self) -> None:
+        """Nobody waits for its answer any more. Where the worker cannot have the request whole yet it never
+        gets it, which needs nobody's leave; else it goes on as it is."""
+        if self.connection is None or self.connection.unsent:
+            self.give_up(Ending.TOO_LATE)
+
 
 class WorkerConnection(Connection):
     def __init__(self, pool: "Pool", target: Target) -> None:
@@ -186,9 +197,10 @@
         conn_idle: float,
         most: int = MAX_ANSWER,
         room: int = 64 * MAX_ANSWER,
+        rests: bool = True,
     ) -> None:
         self.loop, self.descriptors = loop, descriptors
-        self.most = most
+        self.most, self.rests = most, rests
         self.held, self.room = 0, room  # bytes of answers that have not come whole, and how many may be held
         self.renew(connect_timeout, conn_idle)
         self.idle: dict[Target, list[WorkerConnection]] = {}
@@ -203,24 +215,36 @@
         # The other side may close at any moment near the end of the idle life, and a request that crosses the
         # close may have run: half of that life leaves room for lateness on both sides.
         self.keep_s = conn_idle / 2
+        # A second answer may follow some milliseconds behind the one that counts, and would be the next
+        # request's. So a connection rests before it is used again, for a part of what the network may take.
+        self.rest_s = min(connect_timeout / REST_PART, self.keep_s / 2) if self.rests else 0.0
 
     def start(
         self, target: Target, data: bytes, done: Done, bodiless: bool = False, fresh: bool = False
     ) -> Exchange:
         """Sends a request on an idle connection or, with `fresh` or where there is none, on a new one."""
         exchange = Exchange(self, target, data, bodiless, done)
-        since = self.loop.time() - self.keep_s
+        if not self.wants(target):  # decided beside the list that says so, or by an older one
+            exchange.end(Ending.NEVER_UP)
+            return exchange
+        now = self.loop.time()
         idle = self.idle.get(target, []) if not fresh else []
-        while idle:
-            connection = idle.pop()
+        rested = bisect_right(idle, now - self.rest_s, key=lambda connection: connection.idle_since)
+        for connection in reversed(idle[:rested]):
+            idle.remove(connection)
             # A close that the loop has not seen yet would make a reset of this request: it may have run.
-            if connection.idle_since >= since and not connection.unread() and connection.send(exchange):
+            kept = connection.idle_since >= now - self.keep_s
+            if kept and not connection.unread() and connection.send(exchange):
                 self.reused += 1
                 return exchange
             connection.drop(Ending.STALE)
         if self.descriptors.take():
             connection = WorkerConnection(self, target)
-            exchange.task = self.loop.create_task(self.open(exchange, connection))
+            try:
+                exchange.task = self.loop.create_task(self.open(exchange, connection))
+            except Exception:
+                self.descriptors.give_back()
+                raise
             self.opening[exchange.task] = exchange
             exchange.task.add_done_callback(lambda task: self.opened_or_not(task, connection))
         else:
@@ -248,8 +272,11 @@
         if not connection.made:  # else it gives its descriptor back when it is lost
             self.descriptors.give_back()
 
+    def wants(self, target: Target) -> bool:
+        return self.wanted is None or target in self.wanted
+
     def keep(self, connection: WorkerConnection) -> None:
-        if self.wanted is not None and connection.target not in self.wanted:
+        if not self.wants(connection.target):
             return connection.drop(Ending.LEFT)  # its worker went while it was in use
         connection.idle_since = self.loop.time()
         self.idle.setdefault(connection.target, []).append(connection)
--- a/pewterring/state.py
+++ b/pewterring/state.py
@@ -76,5 +76,6 @@
     ask: Ask | None = None  # the question to the keeper of its account
     asked: int = 0  # times that it was asked
     until: float = 0.0  # how long the answer is waited for; 0: it isn't
+    drawn: bool = False  # an attempt of it was issued
     inside: bool = False  # its units were taken from the quota's store
     extra: float = 0.0  # so many more than the guess were its true units
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -197,6 +197,7 @@
 def test_many_requests_on_one_connection_even_sent_ahead() -> None:
     async def test() -> None:
         async with StandIn() as worker, Rig(None, worker.address) as rig:
+            rig.service.pool.rest_s = 0.0  # else the next one would find the worker's connection at rest
             caller = await rig.caller()
             caller.write(b"".join(asking() for _ in range(5)))
             assert [(await caller.answer()).status for _ in range(5)] == [200] * 5
