--- a/pewterring/gateway/calls.py
+++ b/pewterring/gateway/calls.py
@@ -30,6 +30,7 @@
     exchange: Exchange | None = None
     timer: asyncio.TimerHandle | None = None
     ended: bool = False
+    unrun: bool = False  # its ending proves that it never ran
 
 
 # What waits for the next turn, beside the events that the module gets as they are.
--- a/pewterring/gateway/gateway.py
+++ b/pewterring/gateway/gateway.py
@@ -279,6 +279,7 @@
 
         def done(ending: Ending, response: Response | None) -> None:
             attempt.exchange, attempt.ended = None, True
+            attempt.unrun = CODES[ending] in i.NEVER_RAN
             if attempt.timer:
                 attempt.timer.cancel()
             self.gather(Ended(attempt, ending, response))
@@ -293,7 +294,8 @@
             left = timeout
         try:
             data = for_worker(call.http, left)
-            exchange = self.pool.start(target, data, done, call.http.method == b"HEAD")
+            head, within = call.http.method == b"HEAD", self.repeat_within(call, now)
+            exchange = self.pool.start(target, data, done, head, within=within)
         except Exception:
             if not attempt.ended:  # the module is owed an outcome for it all the same
                 done(Ending.TOO_LATE, None)
@@ -303,6 +305,15 @@
             if timeout > 0:
                 attempt.timer = self.loop.call_later(timeout, exchange.give_up, Ending.TIMED_OUT)
 
+    def repeat_within(self, call: Call, now: float) -> float:
+        """How soon the attempt just made has to begin. The workers know a repeat again for a while only: one
+        whose connection came up after that would run a second time."""
+        cls = self.settings.classes.get(call.request.cls)
+        if cls is None or cls.effect is not i.Effect.TOKEN:
+            return math.inf
+        first = next((a.sent_at for a in call.attempts[:-1] if not a.unrun), math.inf)
+        return max(0.0, first + cls.repeat_window - now)
+
     def probe(self, now: float, server: int) -> None:
         """Asks a worker for its health on a new connection: an idle one may be dead without a word."""
         timer: asyncio.TimerHandle | None = None
--- a/pewterring/net/workers.py
+++ b/pewterring/net/workers.py
@@ -220,9 +220,16 @@
         self.rest_s = min(connect_timeout / REST_PART, self.keep_s / 2) if self.rests else 0.0
 
     def start(
-        self, target: Target, data: bytes, done: Done, bodiless: bool = False, fresh: bool = False
+        self,
+        target: Target,
+        data: bytes,
+        done: Done,
+        bodiless: bool = False,
+        fresh: bool = False,
+        within: float = math.inf,
     ) -> Exchange:
-        """Sends a request on an idle connection or, with `fresh` or where there is none, on a new one."""
+        """Sends a request on an idle connection or, with `fresh` or where there is none, on a new one. It has
+        to begin `within` that time."""
         exchange = Exchange(self, target, data, bodiless, done)
         if not self.wants(target):  # decided beside the list that says so, or by an older one
             exchange.end(Ending.NEVER_UP)
@@ -241,7 +248,7 @@
         if self.descriptors.take():
             connection = WorkerConnection(self, target)
             try:
-                exchange.task = self.loop.create_task(self.open(exchange, connection))
+                exchange.task = self.loop.create_task(self.open(exchange, connection, within))
             except Exception:
                 self.descriptors.give_back()
                 raise
@@ -251,9 +258,9 @@
             exchange.end(Ending.NO_DESCRIPTOR)
         return exchange
 
-    async def open(self, exchange: Exchange, connection: WorkerConnection) -> None:
+    async def open(self, exchange: Exchange, connection: WorkerConnection, within: float) -> None:
         try:
-            async with asyncio.timeout(self.connect_timeout):
+            async with asyncio.timeout(min(self.connect_timeout, within)):
                 await self.loop.create_connection(lambda: connection, *exchange.target.address)
             self.opened += 1
             if connection.send(exchange):
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -1,6 +1,8 @@
 """Instants in which something ends while something is still owed. Each order is forced by events."""
 
 import asyncio
+import socket
+from dataclasses import replace
 from typing import Any
 
 import pytest
@@ -15,7 +17,7 @@
 from pewterring.net import clients as clients_module
 from pewterring.net.clients import Client
 from pewterring.net.connection import Address
-from tests.helpers import LIMITS, settings
+from tests.helpers import CLASSES, LIMITS, settings
 from tests.stand_ins import (
     OK,
     Caller,
@@ -282,6 +284,40 @@
     run(test)
 
 
+def test_a_repeat_whose_connection_comes_up_after_its_window_is_not_begun(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The workers know it no more by then, and would run it a second time."""
+
+    async def test() -> None:
+        window = 0.2  # of the class; a connection may take a second to come up
+        classes = {**CLASSES, "token-all": replace(CLASSES["token-all"], repeat_window=window)}
+        module = Script(send_to(1), repeat_once)
+        setup = replace(settings(), classes=classes)
+        async with StandIn(held) as worker, Rig(module, worker.address, setup=setup) as rig:
+            caller = await rig.caller()
+            key = b"Idempotency-Key: k\r\n"
+            caller.write(asking(b"POST", body=b"x", more=key, X_Class=b"token-all"))
+            await until(lambda: worker.requests)
+            gate = Gate(rig, monkeypatch)
+            worker.talks[0].reset()
+            over = rig.service.loop.time() + 2 * window
+            await until(lambda: rig.service.loop.time() > over)  # what is tested is a time that is over
+            assert gate.waiting
+            gate.open.set()
+            assert (await caller.answer()).status == 502
+            await until(lambda: not rig.gateway.calls and not rig.service.pool.opening)
+            assert [o.code for o in module.of(i.Outcome)] == [i.Code.ABORTED, i.Code.UNAVAILABLE]
+            assert len(worker.requests) == 1
+
+    def repeat_once(event: i.Event) -> list[i.Action]:
+        if not isinstance(event, i.Outcome):
+            return []
+        return [i.Send(event.id, 1)] if event.attempt == 0 else [i.Fail(event.id)]
+
+    run(test)
+
+
 # A stop
 
 
@@ -352,3 +388,42 @@
             assert (await caller.ask(asking())).status == 200
 
     run(test)
+
+
+def test_a_stop_within_the_start_ends_in_good_order() -> None:
+    async def test() -> None:
+        async with Rig(None, Address("127.0.0.1", 9)) as rig:
+            service = service_module.Service(rig.config, rig.log)
+            service.stop.set()  # as a signal before the start is complete, and again
+            running = asyncio.ensure_future(service.run())
+            await until(lambda: service.gateway.stopping)
+            service.stop.set()
+            await running
+            assert [line["event"] for line in rig.log.lines][-2:] == ["stopping", "stopped"]
+
+    run(test)
+
+
+def test_who_does_not_take_its_answer_keeps_no_descriptor_for_long() -> None:
+    async def test() -> None:
+        async with StandIn(held) as worker, Rig(Script(send_to(1)), worker.address) as rig:
+            loop = rig.service.loop
+            with socket.socket() as client:
+                client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+                client.setblocking(False)
+                await loop.sock_connect(client, rig.address)
+                await loop.sock_sendall(client, asking())
+                await until(lambda: worker.requests)
+                (theirs,) = rig.listener.clients
+                sending = theirs.transport.get_extra_info("socket")
+                sending.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+                worker.talks[0].write(write_response(200, [], b"x" * 1_000_000))
+                await until(lambda: rig.gateway.served)
+                assert theirs.unsent
+                rig.listener.sweep(patience=3600.0)
+                assert rig.listener.clients
+                rig.listener.sweep(patience=0.0)
+                await until(lambda: not rig.listener.clients)
+                await until(lambda: rig.service.descriptors.used == len(rig.service.pool.idle))
+
+    run(test)
