--- a/pewterring/choice.py
+++ b/pewterring/choice.py
@@ -645,9 +645,7 @@
             if c.keeper != self.s.me:
                 c.own, c.told = Use(), {0: Use(said.demand * plan.refill, said.spent * plan.depth)}
         else:
-            full = (
-                plan.refill > 0 and now < c.busy
-            )  # keepers of busy accounts answer least: by their last word
+            full = plan.refill > 0 and now < c.busy  # left unanswered, it goes by the keeper's last word
             known = held.ask is None or not self.sparse or (not full and self.quota.admits(c, r.units))
             allowed = known or self.pays(held)
         if not allowed or now >= r.not_after:
