Broken watches asked anew in time; evictions answer; who left in the queue begins nothing

Calls turned away keep their pauses of 2 to 8 s: that discovery is overbooked. - `Listener.shed` reset a client whose request was half read: taken, if its last byte was on its way, and lost. It is told 503. - A request that lay in the system's queue (accepting pauses where descriptors run out) behind which its client had left was sent on: the turn comes before the loop reads the end. `Client.advance` looks for it. - `Gateway.repeat_within` asked the settings of the moment for the class: after a SIGHUP that takes a keyed class away, a repeat could begin past its window. A call keeps the class that it came with.

--- a/pewterring/gateway/calls.py
+++ b/pewterring/gateway/calls.py
@@ -15,6 +15,7 @@
     request: i.Request
     http: Request
     client: Client
+    cls: i.RequestClass  # as the settings were when it came
     attempts: list["Attempt"] = field(default_factory=list)
     out: int = 0  # attempts whose end the module has not been told
     finished: bool = False  # its final answer is given, or nobody waits for one
--- a/pewterring/gateway/gateway.py
+++ b/pewterring/gateway/gateway.py
@@ -100,7 +100,7 @@
         if len(self.by_client) >= self.max_open:
             self.refused += 1
             return client.answer(REFUSED, [], b"")
-        call = Call(asked, request, client)
+        call = Call(asked, request, client, self.settings.classes[asked.cls])
         self.calls[asked.id] = self.by_client[client] = call
         call.timer = self.loop.call_at(asked.not_after, self.gather, Overdue(call))
         self.gather(Arrived(call))
@@ -308,11 +308,10 @@
     def repeat_within(self, call: Call, now: float) -> float:
         """How soon the attempt just made has to begin. The workers know a repeat again for a while only: one
         whose connection came up after that would run a second time."""
-        cls = self.settings.classes.get(call.request.cls)
-        if cls is None or cls.effect is not i.Effect.TOKEN:
+        if call.cls.effect is not i.Effect.TOKEN:
             return math.inf
         first = next((a.sent_at for a in call.attempts[:-1] if not a.unrun), math.inf)
-        return max(0.0, first + cls.repeat_window - now)
+        return max(0.0, first + call.cls.repeat_window - now)
 
     def probe(self, now: float, server: int) -> None:
         """Asks a worker for its health on a new connection: an idle one may be dead without a word."""
--- a/pewterring/net/clients.py
+++ b/pewterring/net/clients.py
@@ -101,6 +101,8 @@
                 self.transport.write(CONTINUE)
             self.transport.resume_reading()
             return self.rest()
+        if self.hung_up():  # it waited in the socket for longer than its client did: nothing begins for it
+            return self.drop()
         self.busy = self.asked = True
         self.keep_alive = request.keep_alive
         self.listener.sink.requested(self, request)
@@ -166,6 +168,15 @@
         if not self.transport.is_closing():
             self.transport.write_eof()
 
+    def evict(self) -> None:
+        """Its descriptor is needed. The last byte of its request may be on its way: it is told that trying
+        again is harmless, and finds no close without a word."""
+        if self.ending is not None:  # it was told something else before
+            return self.drop()
+        self.listener.rejected["503"] += 1
+        self.transport.write(write_response(503, [], keep_alive=False))
+        self.end(Ending.SHED)
+
     def end(self, ending: Ending) -> None:
         """Closes when what was written has gone out."""
         if self.ending is None:
@@ -306,7 +317,7 @@
         slow = [c for c in self.clients if c.lingering or (c.reader.started and not c.busy)]
         slow = [c for c in slow if c.up and not c.transport.is_closing() and not c.unread()]
         if slow:
-            min(slow, key=lambda c: c.since).drop()
+            min(slow, key=lambda c: c.since).evict()
         return bool(slow)
 
     def sweep(self, patience: float) -> None:
--- a/pewterring/net/discovery.py
+++ b/pewterring/net/discovery.py
@@ -20,7 +20,10 @@
 MARGIN_S = 1.0  # how long after its wait an answer may still come
 # The first pause after a failure, and the longest. Who knows a list can wait, and has to where all ask one
 # service: forty that asked an overbooked one again within two seconds kept it so, and no call went through.
-BACKOFF_S, BACKOFF_NEW_S = (2.0, 8.0), (0.05, 2.0)
+# But what a broken watch misses counts as told 6 s after it fell silent, and what an outage kept back 6 s
+# after its end. So a watch that nothing answered is opened anew at once, for once, calls after that wait for
+# nothing, and pauses stay short enough for the next one to come in time.
+BACKOFF_S, BACKOFF_NEW_S, BROKE_S = (2.0, 8.0), (0.05, 2.0), (0.2, 5.0)
 # Where lists are pushed the address is an agent's on this machine: it answers at once, at no cost, and what
 # it has counts as told whether or not a watch is open, from the first moment after an outage too. So a watch
 # that an outage has broken must be found broken, and the agent asked anew, well within the time in which
@@ -93,6 +96,7 @@
         self.pool = Pool(loop, own, MARGIN_S, 2 * WAIT_MS / 1000, MAX_LIST, rests=False)
         self.version: int | None = None  # None: the whole list is due
         self.failures, self.known = 0, False  # known: some list was had, or given at the start
+        self.broken = False  # nothing answered the last watch, nor a call since then
         self.exchange: Exchange | None = None
         self.timer: asyncio.TimerHandle | None = None
         self.closed = False
@@ -114,7 +118,7 @@
     def call(self) -> None:
         if self.closed:
             return
-        again = self.pushed and self.failures > 0 and self.version is not None
+        again = self.broken or (self.pushed and self.failures > 0)
         wait = 0 if again or self.version is None else self.wait_ms
         target = PATH + (b"?index=%d&wait=%d" % (self.version, wait) if self.version is not None else b"")
         request = write_request(b"GET", target, [(b"host", str(self.address).encode())])
@@ -133,9 +137,9 @@
         if ending is not Ending.SERVED or response is None:
             # Turned away or silent: what is known still is, and the watch goes on from there. A call for the
             # whole list costs discovery more, and all gatekeepers would ask an overbooked one for it at once.
-            return self.retry(
-                ending.value if response is None else f"{ending.value}, status {response.status}"
-            )
+            if response is None:
+                return self.broke(ending.value)
+            return self.retry(f"{ending.value}, status {response.status}")
         try:
             listing = read_listing(orjson.loads(response.body))
         except ValueError as error:  # orjson's errors are such too
@@ -143,7 +147,7 @@
         # A watch is answered with what is newer. An older whole list would bring back workers that have left.
         if listing.version < self.version if self.version is not None else not listing.whole:
             return self.start_over("a list that does not follow what is known")
-        self.version, self.failures, self.known = listing.version, 0, True
+        self.version, self.failures, self.known, self.broken = listing.version, 0, True, False
         self.told(listing)
         # The next call comes at once, but not on the stack of this one.
         self.loop.call_soon(self.call)
@@ -153,8 +157,17 @@
         self.version = None
         self.retry(why)
 
+    def broke(self, why: str) -> None:
+        """Nothing came: of a watch, the first time, that is no sign of an overbooked discovery."""
+        first, self.broken = not self.broken and self.version is not None, True
+        if self.pushed or not first:
+            return self.retry(why)
+        self.loop.call_later(BROKE_S[0] * random.uniform(0.5, 1.0), self.call)
+        self.failed(why)
+
     def retry(self, why: str) -> None:
         first, longest = BACKOFF_AGENT_S if self.pushed else BACKOFF_S if self.known else BACKOFF_NEW_S
+        longest = min(longest, BROKE_S[1]) if self.broken else longest
         pause = min(longest, first * 2.0**self.failures) * random.uniform(0.5, 1.0)
         self.failures = min(self.failures + 1, 16)
         self.loop.call_later(pause, self.call)
