--- a/pewterring/net/clients.py
+++ b/pewterring/net/clients.py
@@ -146,8 +146,6 @@
         self.resting = None
         if not self.up or self.ending is not None:
             return
-        if self.hung_up():  # what it sent before it left is nobody's any more
-            return self.drop()
         self.advance()
         if not self.ahead:
             self.transport.resume_reading()
--- a/pewterring/net/connection.py
+++ b/pewterring/net/connection.py
@@ -42,14 +42,15 @@
 
     def unread(self) -> bool:
         """Whether something has come, an end among it, that the loop has not read yet."""
-        poll = select.poll()
-        poll.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
-        return bool(poll.poll(0))
+        return self.polled(select.POLLIN)
 
     def hung_up(self) -> bool:
         """Whether the other side has sent its end, or is gone, read or not."""
+        return self.polled(select.POLLRDHUP)
+
+    def polled(self, events: int) -> bool:
         poll = select.poll()
-        poll.register(self.transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
+        poll.register(self.transport.get_extra_info("socket").fileno(), events)
         return bool(poll.poll(0))
 
     def pause_writing(self) -> None:
--- a/pewterring/net/discovery.py
+++ b/pewterring/net/discovery.py
@@ -162,15 +162,17 @@
         first, self.broken = not self.broken and self.version is not None, True
         if self.pushed or not first:
             return self.retry(why)
-        self.loop.call_later(BROKE_S[0] * random.uniform(0.5, 1.0), self.call)
-        self.failed(why)
+        self.call_again(BROKE_S[0], why)
 
     def retry(self, why: str) -> None:
         first, longest = BACKOFF_AGENT_S if self.pushed else BACKOFF_S if self.known else BACKOFF_NEW_S
         longest = min(longest, BROKE_S[1]) if self.broken else longest
-        pause = min(longest, first * 2.0**self.failures) * random.uniform(0.5, 1.0)
+        pause = min(longest, first * 2.0**self.failures)
         self.failures = min(self.failures + 1, 16)
-        self.loop.call_later(pause, self.call)
+        self.call_again(pause, why)
+
+    def call_again(self, pause: float, why: str) -> None:
+        self.loop.call_later(pause * random.uniform(0.5, 1.0), self.call)
         self.failed(why)
 
     def close(self) -> None:
--- a/tests/schedules.py
+++ b/tests/schedules.py
@@ -216,7 +216,6 @@
         agents = [StandIn(self.listed), StandIn(self.listed)]
         for stand_in in (*self.workers, *agents):
             await stand_in.__aenter__()
-        setup = replace(setup, classes=CLASSES)
         module = Gatekeeper(setup, self.seed)
         rig = Rig(None, *(w.address for w in self.workers), discovery=agents[0].address, setup=setup)
         service = self.service = Service(
--- a/tests/test_accounts.py
+++ b/tests/test_accounts.py
@@ -47,9 +47,12 @@
     def deliver(self) -> None:
         while self.mail:
             peer, told = self.mail.pop(0)
-            if told.peer is not None:
+            if told.peer is not None and self.takes(told.peer):
                 self.do(told.peer, i.PeerMail(peer, told.data))
 
+    def takes(self, peer: int) -> bool:
+        return True
+
     def ask(self, n: int, plan: str, units: float = 1.0, left: float = DEADLINE) -> int:
         self.ids += 1
         self.do(n, i.Request(self.ids, "pure", plan, 7, self.now + left, units, min(SIZE, self.fleet), 0))
@@ -169,17 +172,13 @@
         super().__init__()
         self.intake, self.room, self.at = intake, 0.0, self.now
 
-    def deliver(self) -> None:
-        while self.mail:
-            peer, told = self.mail.pop(0)
-            if told.peer == KEEPER:
-                self.room = min(self.intake / 4, self.room + (self.now - self.at) * self.intake)
-                self.at, self.room = self.now, self.room - 1
-                if self.room < 0:
-                    self.room += 1
-                    continue
-            if told.peer is not None:
-                self.do(told.peer, i.PeerMail(peer, told.data))
+    def takes(self, peer: int) -> bool:
+        if peer != KEEPER:
+            return True
+        self.room = min(self.intake / 4, self.room + (self.now - self.at) * self.intake)
+        self.at, taken = self.now, self.room >= 1
+        self.room -= taken
+        return taken
 
     def day(self, times: float, seconds: float) -> int:
         """Units sent on where so many times the quota is asked for."""
--- a/tests/test_schedules.py
+++ b/tests/test_schedules.py
@@ -46,10 +46,6 @@
     patch.setattr(Service, "end", hasty)
 
 
-def no_withdrawal(patch: pytest.MonkeyPatch) -> None:
-    patch.setattr("pewterring.net.workers.Exchange.withdraw", lambda self: None)
-
-
 @pytest.mark.parametrize(
     ("broken", "shows"),
     [
