--- /dev/null
+++ b/pewterring/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Admission: gradient ceiling and reserved shares, for the gatekeeper and the serving tier."""
--- a/pewterring/choice.py
+++ b/pewterring/choice.py
@@ -7,18 +7,16 @@
 
 import math
 import random
-from collections import deque
 
 from pewterring import interface as i
 from pewterring import mail
+from pewterring.admission.ceiling import Ceiling
+from pewterring.admission.shares import BEAT_S, Shares
 from pewterring.mail import Ask, Back, Grant
-from pewterring.state import Health, Held, Node, Peer, Use
+from pewterring.state import Account, Health, Held, Node, Use
 
 TICK, LOOK, ASK, WAIT = 1, 2, 3, 4  # labels of the timers
-BEAT_S = 0.5  # heartbeat period (ours, DESIGN)
 NEWS_S = 0.1  # news of quotas between heartbeats come no closer than this, and farther where mail is scarce
-LEASE_S = 4 * BEAT_S  # a peer silent for this long is evicted: at 8% loss one in 24,000 beats misleads
-GHOST_S = 15 * LEASE_S  # the demand of unheard peers fades by 1/e in this: longer than a restart takes
 LOOKS = 12  # looks for silent servers within the shortest aim
 # How far an outcome speaks against its server. Being turned away unseen costs a round trip and no work: taken
 # for a fault it would drive all traffic to the servers that still accept, and jam them.
@@ -26,133 +24,8 @@
 SPARSE = 0.3  # of the mail that beats to all may take; at an intake of 100 a second up to 13 gatekeepers
 
 
-class Ceiling:
-    """Gradient2: how many attempts the whole back end bears, inferred from latency."""
-
-    TOLERANCE = 3.5  # queueing allowed over the unloaded latency; a few waits per service fit any sane aim
-    AIM_SHARE = 0.33  # of the aim at most: bounds the baseline's upward drift when all servers slow together
-    BATCH, WINDOW = 48, 1024  # answers of the whole fleet per update, own answers in the rolling minimum
-    MEMORY, SMOOTH = 1 / 32, 0.2  # weight of one sample in the mean, of one update in the estimate
-    CLIP = 4.0  # means one sample counts at most: a few costly requests are no queue
-    START, FLOOR = 4.0, 1.0  # slots a server, at the start and at the least
-    BUSY = 0.75  # the ceiling grows only while so much of it is out
-
-    def __init__(self, fleet: int) -> None:
-        self.batch = max(1, self.BATCH // fleet)
-        self.smooth = min(0.5, self.SMOOTH * max(1.0, fleet / self.BATCH))
-        self.mean, self.count = dict[str, float](), dict[str, int]()  # by class
-        self.lows: dict[str, deque[float]] = {}
-        self.rating, self.limit, self.servers = 0.0, 0.0, 0
-
-    def rescale(self, rating: float, servers: int) -> None:
-        """Slots belong to servers: the limit follows the serving rating on the list at once."""
-        if rating > 0:
-            self.limit = self.limit * rating / self.rating if self.rating else self.START * servers
-            self.rating, self.servers = rating, servers
-
-    def observe(self, cls: i.RequestClass, latency: float, fleet_out: float) -> None:
-        # Single latencies vary too much for a minimum: a class's running mean is the sample.
-        name, mean = cls.name, self.mean.get(cls.name, latency)
-        n = self.count[name] = self.count.get(name, 0) + 1
-        self.mean[name] = mean = mean + (min(latency, self.CLIP * mean) - mean) * max(self.MEMORY, 1 / n)
-        if n % self.batch:
-            return
-        lows = self.lows.setdefault(name, deque(maxlen=self.WINDOW // self.batch))
-        if n * self.MEMORY >= 2:  # the first answers to come back are the fastest: no baseline
-            lows.append(mean)
-        tolerated = min(self.TOLERANCE * min(lows, default=math.inf), self.AIM_SHARE * cls.aim)
-        gradient = min(1.0, max(0.5, tolerated / max(mean, 1e-9)))
-        new = self.limit * gradient + math.sqrt(self.limit)
-        if new <= self.limit or fleet_out >= self.BUSY * self.limit:  # an idle fleet tells of no room above
-            self.limit = max(self.FLOOR * self.servers, self.limit + (new - self.limit) * self.smooth)
-
-
-class Shares:
-    """The ceiling's split: lower median of live limits, occupancy reserved, target split by demand."""
-
-    LENT = 2.0  # of the square root of a share: what chance alone adds to attempts out, two in forty times
-    IDLE = 0.5  # lent in full where half this part of the ceiling is free, nothing where so much is overdrawn
-
-    def __init__(self, fleet: int, incarnation: int, sparse: bool = False) -> None:
-        self.fleet, self.incarnation, self.sequence, self.sparse = fleet, incarnation, 0, sparse
-        self.lease = 2 * LEASE_S if sparse else LEASE_S  # in a sparse fleet some 16 peers are heard in this
-        self.began, self.total, self.at, self.share = -math.inf, 0.0, 0.0, math.inf
-        self.whole = self.elsewhere = 0.0  # the fleet's ceiling, and what peers have out of it
-        self.peers: dict[int, Peer] = {}
-        self.wanted = self.passed = 0.0  # since the last tick: asked inside quotas, and sent on
-        self.demand = self.flow = 0.0  # the same a second
-
-    def room(self, out: int) -> float:
-        """The share, and in a sparse fleet what lies idle: a slot or two would refuse chance meetings."""
-        free = 1 - (self.elsewhere + out) / max(self.whole, 1.0) if self.sparse else -math.inf
-        return self.share + self.LENT * math.sqrt(self.share) * min(1.0, max(0.0, 0.5 + free / self.IDLE))
-
-    def divide(self, now: float, limit: float) -> None:
-        others = [p for p in self.peers.values() if now - p.heard < self.lease]
-        whole = sorted([limit, *(p.beat.limit for p in others)])[len(others) // 2]
-        demands = self.demand + sum(p.beat.demand for p in others)
-        self.elsewhere = sum(p.beat.out for p in others)
-        reserved = sum(max(p.beat.share, p.beat.out) for p in others)
-        if self.sparse:
-            # Those heard, chance picks, speak for the rest: too roughly to take what they reserve from the
-            # whole, so only attempts past it bring the share to its floor. Unheard, the rest counts as busy.
-            demands *= self.fleet / (1 + len(others))
-            self.elsewhere *= (self.fleet - 1) / max(1, len(others))
-            if not others and now - self.began >= self.lease:
-                self.elsewhere = whole
-            reserved = self.elsewhere
-        # Peers unheard: the demand summed before counts on, fading: with mail cut each side else claims the
-        # whole ceiling. If they are dead their callers come here, and the own demand rises instead.
-        missing = 0 if self.sparse else self.fleet - 1 - len(others)
-        if now - self.began < LEASE_S:
-            demands += missing * self.demand
-        if missing > 0:
-            demands = max(demands, self.total * math.exp((self.at - now) / GHOST_S))
-        self.total, self.at, self.whole = demands, now, whole
-        # New here, it takes its part all the same: peers reserve as before, and will make room.
-        new = not self.sparse and now - self.began < LEASE_S
-        part = self.demand / demands if demands > 0 and (self.demand > 0 or not new) else 1 / self.fleet
-        self.share = max(1.0, whole * part if new else min(whole * part, whole - reserved))
-
-    def settle(self, now: float, past: float, limit: float) -> None:
-        weight = max(1 - math.exp(-past / self.lease), past / max(past, now - self.began))  # first a mean
-        self.demand += (self.wanted / past - self.demand) * weight
-        self.flow += (self.passed / past - self.flow) * weight
-        self.wanted = self.passed = 0.0
-        self.divide(now, limit)
-
-    def beat(self, limit: float, out: int) -> bytes:
-        self.sequence += 1
-        beat = mail.Beat(self.incarnation, self.sequence, limit, out, self.share, self.demand)
-        return mail.write_beat(beat)
-
-    def hear(self, now: float, peer: int, data: bytes, limit: float) -> bool:
-        """Takes a heartbeat; False where it is malformed, late, or of a former life of the peer."""
-        beat, p = mail.read_beat(data), self.peers.get(peer)
-        known = bool(beat and p and beat.incarnation == p.beat.incarnation)
-        if not beat or (p and (beat.incarnation == p.before or (known and beat.sequence <= p.beat.sequence))):
-            return False
-        self.peers[peer] = Peer(beat, now, -1 if not p else p.before if known else p.beat.incarnation)
-        if not self.sparse:
-            self.divide(now, limit)
-        return True
-
-
-class Customer:  # its use here, and as peers told it
-    def __init__(self, now: float, plan: i.Plan, size: int, first: int, keeper: int) -> None:
-        self.plan, self.size, self.first = plan, size, first
-        self.window = max(1.0, plan.depth / plan.refill) if plan.refill else 1.0  # the store's own memory
-        self.idle = 2 * max(self.window, plan.cap_depth / plan.cap_rate if plan.cap_rate else 0.0) + 10.0
-        self.at, self.keeper = now, keeper  # keeper: who of the set keeps the account
-        self.own = Use()  # all own use; at the keeper in a sparse fleet that of the whole set
-        # By incarnation, so that a restart leaves former use counted; what each peer knows of the own use.
-        self.told, self.sent = dict[int, Use](), dict[int, Use]()
-        self.dealt, self.cap, self.open = 0.0, 0.0, 0
-        self.unsaid = self.unasked = 0.0  # demand, and use without its leave, that the keeper was not told
-        # Until when it counts as full, and others go on as it said; questions that it left unanswered lately.
-        self.busy = self.stands = self.missed = 0.0
-        # At the keeper: what of the hard ceiling it gives out, and the slots that are out by its leave.
-        self.pool, self.grants = 0.0, dict[tuple[int, int], float]()
+class Customer(Account):
+    """Its use here, and as peers told it."""
 
     def demand(self) -> float:
         return self.own.demand + sum(u.demand for u in self.told.values())
--- a/pewterring/lab/policies.py
+++ b/pewterring/lab/policies.py
@@ -11,7 +11,8 @@
 from typing import Protocol
 
 from pewterring import interface as i
-from pewterring.choice import Ceiling, Gatekeeper
+from pewterring.admission.ceiling import Ceiling
+from pewterring.choice import Gatekeeper
 from pewterring.lab.stores import Store
 
 
--- a/pewterring/state.py
+++ b/pewterring/state.py
@@ -24,6 +24,25 @@
     spent: float = 0.0
 
 
+class Account:
+    """A customer's quota and limits as this gatekeeper keeps them, and what it was told of them."""
+
+    def __init__(self, now: float, plan: i.Plan, size: int, first: int, keeper: int) -> None:
+        self.plan, self.size, self.first = plan, size, first
+        self.window = max(1.0, plan.depth / plan.refill) if plan.refill else 1.0  # the store's own memory
+        self.idle = 2 * max(self.window, plan.cap_depth / plan.cap_rate if plan.cap_rate else 0.0) + 10.0
+        self.at, self.keeper = now, keeper  # keeper: who of the set keeps the account
+        self.own = Use()  # all own use; at the keeper in a sparse fleet that of the whole set
+        # By incarnation, so that a restart leaves former use counted; what each peer knows of the own use.
+        self.told, self.sent = dict[int, Use](), dict[int, Use]()
+        self.dealt, self.cap, self.open = 0.0, 0.0, 0
+        self.unsaid = self.unasked = 0.0  # demand, and use without its leave, that the keeper was not told
+        # Until when it counts as full, and others go on as it said; questions that it left unanswered lately.
+        self.busy = self.stands = self.missed = 0.0
+        # At the keeper: what of the hard ceiling it gives out, and the slots that are out by its leave.
+        self.pool, self.grants = 0.0, dict[tuple[int, int], float]()
+
+
 @dataclass(slots=True, eq=False)
 class Health:
     """What the requests of one class meet at a server."""
--- a/tests/test_ceiling.py
+++ b/tests/test_ceiling.py
@@ -3,7 +3,7 @@
 import pytest
 
 from pewterring import interface as i
-from pewterring.choice import Ceiling
+from pewterring.admission.ceiling import Ceiling
 from tests.helpers import CLASSES, SERVERS, Drive
 
 PURE = CLASSES["pure"]
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -6,7 +6,7 @@
 import pytest
 
 from pewterring import interface as i
-from pewterring.choice import LEASE_S, Shares
+from pewterring.admission.shares import LEASE_S, Shares
 from pewterring.mail import BEAT_FORM
 from tests.helpers import Drive, settings
 
--- a/tests/test_sparse.py
+++ b/tests/test_sparse.py
@@ -4,7 +4,9 @@
 import random
 
 from pewterring import interface as i
-from pewterring.choice import BEAT_S, Ceiling, Fleet, Shares
+from pewterring.admission.ceiling import Ceiling
+from pewterring.admission.shares import BEAT_S, Shares
+from pewterring.choice import Fleet
 from pewterring.mail import BEAT, Beat, write_beat
 from tests.helpers import CLASSES, SERVERS, Drive, sends, server, settings
 
