--- /dev/null
+++ b/tests/batch/test_scheduler.py
@@ -0,0 +1,140 @@
+"""Order of items, retries, continuation and giving up."""
+
+import pytest
+
+from pewterring.batch.messages import ItemSpec
+from pewterring.batch.scheduler import LONGEST_PAUSE_S, Failure, ItemScheduler, QueuedItem
+from tests.batch.stand_ins import ROUTE, item
+
+OTHER_ROUTE = ("h.example", "/other/")
+
+
+def add(
+    scheduler: ItemScheduler,
+    job: str,
+    *items: ItemSpec,
+    due_at: float = 10.0,
+    give_up_at: float = 60.0,
+    route: tuple[str, str] = ROUTE,
+) -> None:
+    scheduler.add_job(job, route, items, due_at=due_at, give_up_at=give_up_at, max_attempts=2)
+
+
+def names(items: list[QueuedItem]) -> list[str]:
+    return [entry.spec.id for entry in items]
+
+
+def start_one(scheduler: ItemScheduler, now: float) -> QueuedItem:
+    (started,) = scheduler.items_to_start(now, 1)
+    return started
+
+
+def test_earliest_due_first_and_largest_first_within_a_job() -> None:
+    scheduler = ItemScheduler()
+    add(scheduler, "later", item("l1"), due_at=20)
+    add(scheduler, "sooner", item("small", 5), item("large", 50), item("middle", 20), due_at=10)
+    assert names(scheduler.items_to_start(0.0, 2)) == ["large", "middle"]
+    assert names(scheduler.items_to_start(0.0, 5)) == ["small", "l1"]
+    assert not scheduler.has_ready
+
+
+def test_jobs_that_cannot_make_it_go_behind_the_others() -> None:
+    scheduler = ItemScheduler()
+    add(scheduler, "missed", item("m1"), due_at=10)
+    add(scheduler, "possible", item("p1"), due_at=30)
+    assert names(scheduler.items_to_start(11.0, 2)) == ["p1", "m1"]
+
+
+def test_a_route_without_places_does_not_hold_up_another() -> None:
+    scheduler = ItemScheduler()
+    add(scheduler, "first", item("f1"), due_at=10)
+    add(scheduler, "second", item("s1"), due_at=20, route=OTHER_ROUTE)
+    started = scheduler.start(0.0, lambda entry: entry.route == OTHER_ROUTE)
+    assert names(started) == ["s1"]
+    assert scheduler.has_ready
+
+
+def test_a_refused_item_pauses_and_never_becomes_dead_by_refusals() -> None:
+    scheduler = ItemScheduler()
+    add(scheduler, "j", item("i"))
+    now = 0.0
+    for _ in range(20):
+        entry = start_one(scheduler, now)
+        assert not scheduler.on_failure(entry, Failure.REFUSED, now)
+        assert scheduler.items_to_start(now, 1) == []
+        deadline = scheduler.next_deadline()
+        assert deadline is not None and now < deadline <= now + LONGEST_PAUSE_S
+        now = deadline
+    assert entry.failed_attempts == 0
+
+
+def test_failed_attempts_end_at_the_routes_limit() -> None:
+    scheduler = ItemScheduler()
+    add(scheduler, "j", item("i"))
+    entry = start_one(scheduler, 0.0)
+    assert not scheduler.on_failure(entry, Failure.FAILED, 0.0)
+    entry = start_one(scheduler, 1.0)
+    assert scheduler.on_failure(entry, Failure.FAILED, 1.0)
+    assert "j" not in scheduler
+
+
+def test_an_impossible_item_is_dead_at_once() -> None:
+    scheduler = ItemScheduler()
+    add(scheduler, "j", item("i"), item("k"))
+    entry = start_one(scheduler, 0.0)
+    assert scheduler.on_failure(entry, Failure.IMPOSSIBLE, 0.0)
+    assert "j" in scheduler
+
+
+def test_a_cut_item_keeps_its_text_and_continues_first() -> None:
+    scheduler = ItemScheduler()
+    add(scheduler, "j", item("cut", 10), item("rest", 5))
+    entry = start_one(scheduler, 0.0)
+    scheduler.on_progress(entry, "1", "a")
+    scheduler.on_progress(entry, "2", "b")
+    scheduler.on_failure(entry, Failure.CUT, 0.0)
+    resumed = start_one(scheduler, 1.0)
+    assert resumed is entry
+    assert resumed.last_event_id == "2"
+    scheduler.on_progress(resumed, "3", "c")
+    assert scheduler.on_success(resumed, 2.0)
+    assert resumed.text == "a\nb\nc"
+
+
+def test_items_past_their_time_are_given_up_running_or_not() -> None:
+    scheduler = ItemScheduler()
+    add(scheduler, "j", item("running", 9), item("waiting", 1), give_up_at=5)
+    running = start_one(scheduler, 0.0)
+    assert scheduler.expire(4.9) == []
+    assert set(names(scheduler.expire(5.0))) == {"running", "waiting"}
+    assert not scheduler.on_success(running, 6.0)
+    assert not scheduler.on_failure(running, Failure.IMPOSSIBLE, 6.0)
+
+
+def test_what_an_ended_job_still_brings_changes_nothing() -> None:
+    scheduler = ItemScheduler()
+    add(scheduler, "j", item("i"), item("k"))
+    entry = start_one(scheduler, 0.0)
+    scheduler.end_job("j")
+    assert not scheduler.on_success(entry, 1.0)
+    assert scheduler.items_to_start(1.0, 5) == []
+
+
+def test_an_item_of_an_earlier_leadership_does_not_count_for_the_new_queue() -> None:
+    scheduler = ItemScheduler()
+    add(scheduler, "j", item("i"))
+    old = start_one(scheduler, 0.0)
+    scheduler.clear()
+    add(scheduler, "j", item("i"))
+    assert not scheduler.on_success(old, 1.0)
+    assert not scheduler.on_failure(old, Failure.IMPOSSIBLE, 1.0)
+    assert names(scheduler.items_to_start(1.0, 1)) == ["i"]
+
+
+@pytest.mark.parametrize("failure", [Failure.CUT, Failure.REFUSED])
+def test_taking_a_route_takes_paused_items_too(failure: Failure) -> None:
+    scheduler = ItemScheduler()
+    add(scheduler, "j", item("i"), item("k"))
+    scheduler.on_failure(start_one(scheduler, 0.0), failure, 0.0)
+    assert set(names(scheduler.take_route(ROUTE))) == {"i", "k"}
+    assert scheduler.items_to_start(9.0, 5) == []
--- /dev/null
+++ b/tests/batch/test_service.py
@@ -0,0 +1,345 @@
+"""Batch calls and dispatch at the leader, over a log that is not replicated; no sockets."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from pewterring.batch.commands import AddResults, CloseJob
+from pewterring.batch.dispatch import LeastBusyDispatcher
+from pewterring.batch.execution import ItemExecution
+from pewterring.batch.messages import (
+    EndJob,
+    ItemBody,
+    ItemResult,
+    JobAccepted,
+    JobEnded,
+    JobRefused,
+    NotLeading,
+    ReadItem,
+    ReadResults,
+    ResultPage,
+    SubmitJob,
+    Unknown,
+    Unsure,
+)
+from pewterring.batch.results import ResultCommitter
+from pewterring.batch.scheduler import Failure
+from pewterring.batch.service import BatchService
+from pewterring.batch.state import BatchState
+from pewterring.distribution.tables import Tables
+from tests.batch.stand_ins import ROUTE, FakeLog, FakeRunner, ManualClock, item, route, tables, until, worker
+
+LONG_MS = 60_000
+
+
+class Store:
+    """One store that leads, with all around it faked."""
+
+    def __init__(self, known: Tables, clock: ManualClock | None = None) -> None:
+        self.clock = clock or ManualClock()
+        self.tables = known
+        self.fresh = True
+        self.state = BatchState(self.clock)
+        self.log = FakeLog(self.state)
+        self.runner = FakeRunner()
+        self.execution = ItemExecution(
+            self.state,
+            LeastBusyDispatcher(lambda: self.tables),
+            self.runner,
+            ResultCommitter(self.log),
+            lambda: self.tables,
+            lambda now: self.fresh,
+            self.clock,
+        )
+        self.service = BatchService(
+            self.log,
+            self.state,
+            self.execution,
+            lambda: self.tables,
+            self.clock,
+            status_s=120,
+            result_budget_bytes=0,
+        )
+
+    async def lead(self) -> None:
+        self.log.is_leader = True
+        self.service.leadership_changed(True)
+        await self.service.handle(ReadResults("none", 0))
+
+    def lose(self) -> None:
+        self.log.is_leader = False
+        self.log.leader = "10.0.0.2#b"
+        self.service.leadership_changed(False)
+
+    async def page(self, job: str, after: int = 0, wait_ms: float = 0.0) -> ResultPage:
+        page = await self.service.handle(ReadResults(job, after, wait_ms))
+        assert isinstance(page, ResultPage)
+        return page
+
+    async def exchanges(self, count: int) -> None:
+        await until(lambda: len(self.runner.exchanges) >= count)
+
+
+def submit(job: str, *names: str, tokens: int = 10) -> SubmitJob:
+    return SubmitJob(job, *ROUTE, items=tuple(item(name, tokens) for name in names))
+
+
+def scenario(test: Callable[[Store], Awaitable[None]], known: Tables | None = None) -> None:
+    async def run() -> None:
+        store = Store(known or tables(worker("w1"), worker("w22")))
+        await store.lead()
+        await test(store)
+        store.service.close()
+
+    asyncio.run(run())
+
+
+def test_a_job_runs_and_its_results_are_read() -> None:
+    async def test(store: Store) -> None:
+        assert await store.service.handle(submit("j", "a", "b")) == JobAccepted()
+        await store.exchanges(2)
+        reading = asyncio.create_task(store.page("j", 0, LONG_MS))
+        first = store.runner.exchanges[0]
+        first.answer("x", "y")
+        page = await reading
+        assert page == ResultPage(2, 1, (ItemResult(first.item.spec.id, "succeeded", "x\ny"),))
+        store.runner.exchanges[1].fail(Failure.IMPOSSIBLE)
+        last = await store.page("j", 1, LONG_MS)
+        assert last.next_position == 2
+        assert last.results[0].state == "dead_letter"
+
+    scenario(test)
+
+
+def test_a_job_is_taken_once() -> None:
+    async def test(store: Store) -> None:
+        store.log.held = True
+        calls = [asyncio.create_task(store.service.handle(submit("j", "a"))) for _ in range(2)]
+        await until(lambda: not store.log.commands)
+        store.log.release()
+        assert await asyncio.gather(*calls) == [JobAccepted(), JobAccepted()]
+        assert await store.service.handle(submit("j", "a")) == JobAccepted()
+        assert len(store.log.commands) == 1
+
+    scenario(test)
+
+
+def test_the_quota_counts_jobs_that_are_being_committed() -> None:
+    async def test(store: Store) -> None:
+        store.log.held = True
+        first = asyncio.create_task(store.service.handle(submit("j1", "a", tokens=60)))
+        await asyncio.sleep(0)
+        second = await store.service.handle(submit("j2", "a", tokens=60))
+        assert isinstance(second, JobRefused) and second.full
+        store.log.release()
+        assert await first == JobAccepted()
+        third = await store.service.handle(submit("j3", "a", tokens=60))
+        assert isinstance(third, JobRefused) and third.full
+        assert await store.service.handle(EndJob("j1")) == JobEnded()
+        assert await store.service.handle(submit("j4", "a", tokens=60)) == JobAccepted()
+
+    scenario(test, tables(routes=(route(max_queued_tokens=100),)))
+
+
+def test_an_unsure_proposal_frees_its_part_of_the_quota() -> None:
+    async def test(store: Store) -> None:
+        store.log.lose = True
+        assert await store.service.handle(submit("j1", "a", tokens=60)) == Unsure()
+        store.log.lose = False
+        assert await store.service.handle(submit("j2", "a", tokens=60)) == JobAccepted()
+
+    scenario(test, tables(routes=(route(max_queued_tokens=100),)))
+
+
+def test_a_job_without_a_route_is_refused() -> None:
+    async def test(store: Store) -> None:
+        reply = await store.service.handle(submit("j", "a"))
+        assert isinstance(reply, JobRefused) and not reply.full
+
+    scenario(test, tables(routes=()))
+
+
+def test_another_store_is_named_where_this_one_does_not_lead() -> None:
+    async def test(store: Store) -> None:
+        store.lose()
+        for call in (submit("j", "a"), ReadResults("j", 0), ReadItem("j", "a"), EndJob("j")):
+            assert await store.service.handle(call) == NotLeading("10.0.0.2#b")
+
+    scenario(test)
+
+
+def test_unknown_is_said_only_after_a_read_barrier() -> None:
+    async def test(store: Store) -> None:
+        for call in (ReadResults("j", 0), ReadItem("j", "a"), EndJob("j")):
+            before = store.log.barriers
+            assert await store.service.handle(call) == Unknown()
+            assert store.log.barriers == before + 1
+
+    scenario(test)
+
+
+def test_without_a_lease_reads_wait_for_a_barrier() -> None:
+    async def test(store: Store) -> None:
+        await store.service.handle(submit("j", "a"))
+        store.log.lease = False
+        before = store.log.barriers
+        await store.page("j")
+        assert store.log.barriers > before
+
+    scenario(test)
+
+
+def test_bodies_are_read_until_the_result_is_listed() -> None:
+    async def test(store: Store) -> None:
+        await store.service.handle(submit("j", "a"))
+        assert await store.service.handle(ReadItem("j", "a")) == ItemBody("YQ==")
+        await store.exchanges(1)
+        store.runner.exchanges[0].answer("x")
+        await store.page("j", 0, LONG_MS)
+        assert await store.service.handle(ReadItem("j", "a")) == Unknown()
+
+    scenario(test)
+
+
+def test_ending_a_job_stops_its_items_before_it_is_committed() -> None:
+    async def test(store: Store) -> None:
+        await store.service.handle(submit("j", "a"))
+        await store.exchanges(1)
+        store.log.held = True
+        ending = asyncio.create_task(store.service.handle(EndJob("j")))
+        await until(lambda: store.runner.cancelled == ["a"])
+        assert not any(isinstance(command, CloseJob) for command in store.log.commands)
+        store.log.release()
+        assert await ending == JobEnded()
+        assert await store.service.handle(EndJob("j")) == JobEnded()
+        assert (await store.page("j", 0, LONG_MS)).results == ()
+
+    scenario(test)
+
+
+def test_results_that_come_during_a_proposal_go_into_the_next() -> None:
+    async def test(store: Store) -> None:
+        await store.service.handle(submit("j", "a", "b", "c"))
+        await store.exchanges(3)
+        store.log.held = True
+        store.runner.exchanges[0].answer("x")
+        await until(lambda: store.execution.running == 2)
+        await asyncio.sleep(0)
+        store.runner.exchanges[1].answer("y")
+        store.runner.exchanges[2].answer("z")
+        await until(lambda: store.execution.running == 0)
+        store.log.release()
+        await store.page("j", 2, LONG_MS)
+        groups = [command for command in store.log.commands if isinstance(command, AddResults)]
+        assert [len(group.results) for group in groups] == [1, 2]
+
+    scenario(test)
+
+
+def test_leadership_lost_cancels_all_and_regained_runs_what_is_unfinished() -> None:
+    async def test(store: Store) -> None:
+        await store.service.handle(submit("j", "a", "b"))
+        await store.exchanges(2)
+        waiting = asyncio.create_task(store.service.handle(ReadResults("j", 0, LONG_MS)))
+        await asyncio.sleep(0)
+        store.lose()
+        assert isinstance(await waiting, NotLeading)
+        await until(lambda: len(store.runner.cancelled) == 2)
+        await store.lead()
+        await store.exchanges(4)
+        for exchange in store.runner.exchanges[2:]:
+            exchange.answer("x")
+        await until(lambda: store.execution.running == 0)
+        assert (await store.page("j", 1, LONG_MS)).next_position == 2
+
+    scenario(test)
+
+
+def test_nothing_starts_while_the_tables_are_stale() -> None:
+    async def test(store: Store) -> None:
+        store.fresh = False
+        await store.service.handle(submit("j", "a"))
+        for _ in range(5):
+            await asyncio.sleep(0)
+        assert store.runner.exchanges == []
+        store.fresh = True
+        store.service.tables_changed()
+        await store.exchanges(1)
+
+    scenario(test)
+
+
+def test_items_go_to_ready_workers_within_a_share_of_their_capacity() -> None:
+    async def test(store: Store) -> None:
+        await store.service.handle(submit("j", *(f"i{number}" for number in range(20))))
+        await store.exchanges(6)
+        for _ in range(5):
+            await asyncio.sleep(0)
+        assert len(store.runner.exchanges) == 6
+        assert {exchange.worker.id for exchange in store.runner.exchanges} == {"w1"}
+        store.runner.exchanges[0].answer("x")
+        await store.exchanges(7)
+
+    scenario(test, tables(worker("w1"), worker("w22", state="draining"), worker("w333", service="other")))
+
+
+def test_items_of_a_route_that_is_gone_are_dead_only_after_a_while() -> None:
+    async def test(store: Store) -> None:
+        await store.service.handle(submit("j", "a"))
+        store.tables = tables(routes=())
+        store.service.tables_changed()
+        await asyncio.sleep(0)
+        assert (await store.page("j")).results == ()
+        store.clock.now += 4
+        store.service.tables_changed()
+        page = await store.page("j", 0, LONG_MS)
+        assert [result.state for result in page.results] == ["dead_letter"]
+
+    scenario(test, tables())
+
+
+def test_items_past_their_time_are_given_up() -> None:
+    async def test(store: Store) -> None:
+        await store.service.handle(submit("j", "a", "b"))
+        await store.exchanges(2)
+        store.clock.now += 61
+        store.service.tables_changed()
+        page = await store.page("j", 1, LONG_MS)
+        assert [result.state for result in page.results] == ["dead_letter"]
+        await until(lambda: set(store.runner.cancelled) == {"a", "b"})
+
+    scenario(test)
+
+
+def test_finished_jobs_are_forgotten_after_their_time_for_reading() -> None:
+    async def test(store: Store) -> None:
+        await store.service.handle(submit("done", "a"))
+        await store.exchanges(1)
+        store.runner.exchanges[0].answer("x")
+        await store.page("done", 0, LONG_MS)
+        await store.service.handle(submit("ended", "a"))
+        await store.service.handle(EndJob("ended"))
+        store.clock.now += 100
+        await store.service.drop_old_jobs()
+        assert await store.page("done")
+        store.clock.now += 31
+        await store.service.handle(submit("running", "a"))
+        await store.service.drop_old_jobs()
+        assert await store.service.handle(ReadResults("done", 0)) == Unknown()
+        assert await store.service.handle(ReadResults("ended", 0)) == Unknown()
+        assert await store.page("running")
+
+    scenario(test)
+
+
+def test_a_page_is_bounded_but_never_empty_where_there_is_a_result() -> None:
+    async def test(store: Store) -> None:
+        await store.service.handle(submit("j", "a", "b"))
+        await store.exchanges(2)
+        for exchange in store.runner.exchanges:
+            exchange.answer("x" * 1_000_000)
+        await store.page("j", 1, LONG_MS)
+        first = await store.page("j")
+        assert len(first.results) == 1
+        assert (await store.page("j", first.next_position)).next_position == 2
+
+    scenario(test)
--- /dev/null
+++ b/tests/batch/test_state.py
@@ -0,0 +1,138 @@
+"""The replicated state of a partition against a plain model, through snapshots and repeated commands."""
+
+from collections.abc import Iterable
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from pewterring.batch.commands import (
+    Accepted,
+    AcceptJob,
+    AddResults,
+    CloseJob,
+    Command,
+    CommandError,
+    DropJobs,
+    JobResult,
+    Listed,
+    Outcome,
+    encode_command,
+)
+from pewterring.batch.messages import ItemResult
+from pewterring.batch.state import BatchState, StateError
+from tests.batch.stand_ins import ManualClock, item
+
+JOBS = st.sampled_from(["j1", "j2", "j3"])
+HOSTS = st.sampled_from(["a.example", "b.example"])
+ITEMS = st.sampled_from(["i1", "i2", "i3", "i4"])
+TOKENS = st.integers(1, 50)
+
+
+class ModelJob:
+    def __init__(self, host: str, tokens: dict[str, int]) -> None:
+        self.host = host
+        self.tokens = tokens
+        self.listed: list[tuple[str, str]] = []
+        self.ended = False
+
+    def unlisted(self) -> set[str]:
+        return set() if self.ended else set(self.tokens) - {name for name, _ in self.listed}
+
+
+class StateAgainstModel(RuleBasedStateMachine):
+    """Random commands; every answer and all that can be read is as the model says."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.clock = ManualClock()
+        self.state = BatchState(self.clock)
+        self.index = 0
+        self.model: dict[str, ModelJob] = {}
+
+    def apply(self, command: Command) -> Outcome:
+        self.index += 1
+        return self.state.apply(self.index, encode_command(command))
+
+    @rule(job=JOBS, host=HOSTS, items=st.dictionaries(ITEMS, TOKENS, min_size=1))
+    def accept(self, job: str, host: str, items: dict[str, int]) -> None:
+        specs = tuple(item(name, tokens) for name, tokens in items.items())
+        outcome = self.apply(AcceptJob(job, host, "/p/", specs))
+        assert outcome == Accepted(job, new=job not in self.model)
+        self.model.setdefault(job, ModelJob(host, items))
+
+    @rule(results=st.lists(st.tuples(JOBS, ITEMS, st.text(max_size=3)), max_size=4))
+    def add_results(self, results: list[tuple[str, str, str]]) -> None:
+        entries = tuple(JobResult(job, ItemResult(name, "succeeded", text)) for job, name, text in results)
+        expected = [(job, name) for job, name, text in results if self.list_in_model(job, name, text)]
+        assert self.apply(AddResults(entries)) == Listed(tuple(expected))
+
+    def list_in_model(self, job: str, name: str, text: str) -> bool:
+        if job not in self.model or name not in self.model[job].unlisted():
+            return False
+        self.model[job].listed.append((name, text))
+        return True
+
+    @rule(job=JOBS)
+    def close(self, job: str) -> None:
+        self.apply(CloseJob(job))
+        if job in self.model:
+            self.model[job].ended = True
+
+    @rule(jobs=st.lists(JOBS, max_size=2))
+    def drop(self, jobs: list[str]) -> None:
+        self.apply(DropJobs(tuple(jobs)))
+        for job in jobs:
+            self.model.pop(job, None)
+
+    @rule()
+    def through_a_snapshot(self) -> None:
+        restored = BatchState(self.clock)
+        restored.restore(self.state.snapshot())
+        self.state = restored
+
+    @invariant()
+    def agrees(self) -> None:
+        assert {job.id for job in self.state.jobs()} == set(self.model)
+        for job_id, model in self.model.items():
+            job = self.state.job(job_id)
+            assert job is not None
+            assert job.total == len(model.tokens)
+            assert [(result.id, result.text) for result in job.results] == model.listed
+            assert set(job.items) == model.unlisted()
+            assert job.ended == model.ended
+
+    @invariant()
+    def counts_waiting_tokens(self) -> None:
+        for host in ("a.example", "b.example"):
+            assert self.state.waiting_tokens((host, "/p/")) == self.expected_tokens(host)
+
+    def expected_tokens(self, host: str) -> int:
+        jobs: Iterable[ModelJob] = (job for job in self.model.values() if job.host == host)
+        return sum(job.tokens[name] for job in jobs for name in job.unlisted())
+
+
+TestStateAgainstModel = StateAgainstModel.TestCase
+TestStateAgainstModel.settings = settings(max_examples=50, stateful_step_count=25, deadline=None)
+
+
+def test_age_counts_on_through_a_snapshot() -> None:
+    clock = ManualClock()
+    state = BatchState(clock)
+    state.apply(1, encode_command(AcceptJob("j", "h", "/p/", (item("i"),), age_ms=500)))
+    clock.now += 2
+    data = state.snapshot()
+    clock.now = 7000.0
+    state.restore(data)
+    job = state.job("j")
+    assert job is not None
+    assert clock.now - job.accepted_at == pytest.approx(2.5)
+
+
+def test_what_cannot_be_read_is_an_error_of_this_layer() -> None:
+    state = BatchState(ManualClock())
+    with pytest.raises(CommandError):
+        state.apply(1, b'{"type":"Other"}')
+    with pytest.raises(StateError):
+        state.restore(b"{")
--- /dev/null
+++ b/tests/configuration/test_reader.py
@@ -0,0 +1,98 @@
+"""What is read from a configuration, and what is refused."""
+
+from typing import Any
+
+import pytest
+
+from pewterring.configuration.digest import as_line, digest_of
+from pewterring.configuration.model import RouteType, WeightedService
+from pewterring.configuration.reader import InvalidConfiguration, read_configuration
+from tests.configuration.documents import document, encoded, with_route
+
+
+def test_a_whole_configuration_is_read() -> None:
+    raw = encoded()
+    configuration = read_configuration(raw)
+    streaming, batch = configuration.routes
+    assert configuration.version == 7
+    assert configuration.document == raw
+    assert streaming.host == "ficu95.example"
+    assert streaming.services == (WeightedService("huvo11a", 90), WeightedService("wuno96b", 10))
+    assert streaming.gap_aim_ms == 250
+    assert batch.route_type is RouteType.BATCH_JOB
+    assert batch.timeout_ms > 0
+    assert batch.max_queued_tokens == 1400000
+    engine = configuration.services["huvo11a"].engine
+    assert engine is not None
+    assert (engine.capacity, engine.stride, engine.models) == (48, 14, ("m",))
+    assert configuration.services["wuno96b"].engine is None
+    assert configuration.limits.idle_timeout_ms == 15000
+
+
+def test_limits_may_be_absent() -> None:
+    assert read_configuration(encoded(limits=None)).limits.max_header_bytes == 16384
+
+
+@pytest.mark.parametrize("length", [0, 1, 100, len(encoded()) - 1])
+def test_a_document_that_is_cut_short_is_refused(length: int) -> None:
+    with pytest.raises(InvalidConfiguration):
+        read_configuration(encoded()[:length])
+
+
+@pytest.mark.parametrize("raw", [b"[]", b"null", b"7", b'"x"', b"\xff\xfe", b'{"version":NaN}', b"{}"])
+def test_what_is_no_configuration_is_refused(raw: bytes) -> None:
+    with pytest.raises(InvalidConfiguration):
+        read_configuration(raw)
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"backend": "nobody"},
+        {"backend": None},
+        {"backend": 5},
+        {"weighted_backends": [{"backend": "nobody", "weight": 1}]},
+        {"weighted_backends": []},
+        {"weighted_backends": [{"backend": "huvo11a", "weight": 0}, {"backend": "wuno96b", "weight": 0}]},
+        {"weighted_backends": [{"backend": "huvo11a", "weight": -1}, {"backend": "wuno96b", "weight": 2}]},
+        {"timeout_ms": 0},
+        {"timeout_ms": -5},
+        {"timeout_ms": "soon"},
+        {"path_prefix": "pufi791/"},
+        {"path_prefix": "/pufi791"},
+        {"path_prefix": ""},
+        {"path_prefix": "/pufi791/\n"},
+        {"hostname": None},
+        {"hostname": "FICU95.example", "path_prefix": "/lohu930/"},
+        {"route_type": "other"},
+        {"max_attempts": 0},
+    ],
+)
+def test_a_faulty_route_is_refused_and_named(changes: dict[str, Any]) -> None:
+    with pytest.raises(InvalidConfiguration) as caught:
+        read_configuration(with_route(1, **changes))
+    assert caught.value.path.startswith("routes.1")
+
+
+@pytest.mark.parametrize("version", ["7", 7.5, None, True, [7]])
+def test_a_version_is_an_integer(version: object) -> None:
+    with pytest.raises(InvalidConfiguration) as caught:
+        read_configuration(encoded(version=version))
+    assert caught.value.path == "version"
+
+
+def test_services_are_named_once() -> None:
+    services = document()["backends"]
+    with pytest.raises(InvalidConfiguration):
+        read_configuration(encoded(backends=[*services, services[0]]))
+
+
+def test_the_root_is_a_prefix() -> None:
+    assert read_configuration(with_route(1, path_prefix="/")).routes[1].path_prefix == "/"
+
+
+def test_a_digest_is_of_what_the_document_says() -> None:
+    pretty = encoded().replace(b",", b",\r\n  ")
+    assert b"\n" not in as_line(pretty)
+    assert digest_of(as_line(pretty)) == digest_of(encoded())
+    assert digest_of(encoded(version=8)) != digest_of(encoded())
--- /dev/null
+++ b/tests/configuration/test_routes.py
@@ -0,0 +1,34 @@
+"""Which route a request has."""
+
+import orjson
+import pytest
+
+from pewterring.configuration.reader import read_configuration
+from pewterring.configuration.routes import RouteTable
+from tests.configuration.documents import document, encoded
+
+
+@pytest.mark.parametrize(
+    ("host", "path", "name"),
+    [
+        ("ficu95.example", "/lohu930/x", "r-1"),
+        ("ficu95.example", "/lohu930/", "r-1"),
+        ("ficu95.example", "/lohu930/pufi791/x", "r-2"),
+        ("ficu95.example", "/lohu930/pufi791", "r-1"),
+        ("FICU95.example:8144", "/lohu930/pufi791/", "r-2"),
+        ("ficu95.example", "/lohu930", None),
+        ("ficu95.example", "/", None),
+        ("other.example", "/lohu930/x", None),
+        ("", "/lohu930/x", None),
+    ],
+)
+def test_the_longest_prefix_of_the_host_is_found(host: str, path: str, name: str | None) -> None:
+    route = RouteTable(read_configuration(encoded())).find(host, path)
+    assert (route.name if route else None) == name
+
+
+def test_the_order_of_routes_does_not_matter() -> None:
+    turned = document()
+    turned["routes"].reverse()
+    route = RouteTable(read_configuration(orjson.dumps(turned))).find("ficu95.example", "/lohu930/pufi791/x")
+    assert route is not None and route.name == "r-2"
--- /dev/null
+++ b/tests/consensus/simulation.py
@@ -0,0 +1,404 @@
+"""A group whose network, disks and clocks are simulated, with what must hold checked at every step."""
+
+import heapq
+import json
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from pewterring.consensus.errors import ConsensusError, NotLeader
+from pewterring.consensus.messages import ConsensusMessage, Entry, Membership
+from pewterring.consensus.raft import Raft
+from pewterring.consensus.types import RaftLimits, RaftTiming, Ready, Save, Snapshot
+from tests.consensus.memory_storage import MemoryStorage
+
+TIMING = RaftTiming()
+LIMITS = RaftLimits(
+    message_bytes=300, window_bytes=900, window_messages=4, snapshot_part_bytes=200, kept_bytes=500
+)
+SNAPSHOT_AFTER = 20  # entries
+
+
+class Violation(AssertionError):
+    """Something that must always hold did not."""
+
+
+@dataclass
+class Weather:
+    """How the network and the disks behave."""
+
+    lost: float = 0.0  # part of the messages
+    repeated: float = 0.0
+    delay_s: tuple[float, float] = (0.001, 0.005)
+    late: float = 0.0  # part of the messages that take up to half a second
+    sync_s: tuple[float, float] = (0.001, 0.01)
+
+
+@dataclass
+class Member:
+    """One machine: its disk, and its process while it runs."""
+
+    name: str
+    disk: MemoryStorage
+    clock_rate: float
+    raft: Raft | None = None
+    life: int = 0
+    frozen: bool = False
+    postponed: list[Callable[[], None]] = field(default_factory=list)
+    applied: list[list[object]] = field(default_factory=list)  # [index, term, text] of commands
+    job: Callable[[], None] | None = None
+    since_snapshot: int = 0
+    timer_at: float | None = None
+    proposals: dict[tuple[int, int], str] = field(default_factory=dict)
+    reads: dict[tuple[int, int], int] = field(default_factory=dict)  # (term, ticket) -> least index to see
+
+
+class Simulation:
+    """Members by name, simulated time, and the history that all members must agree with."""
+
+    def __init__(self, seed: int, voters: int = 3, raft_class: type[Raft] = Raft) -> None:
+        self.rng = random.Random(seed)
+        self.raft_class = raft_class
+        self.now = 0.0
+        self.weather = Weather()
+        self.cuts: set[tuple[str, str]] = set()  # (sender, target)
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._sequence = 0
+        self.members: dict[str, Member] = {}
+        self.leaders: dict[int, str] = {}  # by term
+        self.history: dict[int, tuple[int, bytes]] = {}  # applied entries by index
+        self.acknowledged: dict[str, int] = {}  # text -> index
+        self.seen_index = 0  # what a read that begins now must see
+        self.reads_done = 0
+        names = tuple("abcdefg"[:voters])
+        for name in names:
+            self._add(name, MemoryStorage(names))
+
+    # Machines.
+
+    def _add(self, name: str, disk: MemoryStorage) -> None:
+        self.members[name] = Member(name, disk, self.rng.uniform(0.95, 1.05))
+        self.start(name)
+
+    def join(self, name: str) -> None:
+        """A machine with an empty disk comes up."""
+        self._add(name, MemoryStorage())
+
+    def start(self, name: str) -> None:
+        member = self.members[name]
+        if member.raft is not None:
+            return
+        member.life += 1
+        member.timer_at = None
+        loaded = member.disk.load()
+        member.applied = json.loads(loaded.snapshot) if loaded.snapshot is not None else []
+        member.raft = self.raft_class(
+            "g", name, TIMING, random.Random(self.rng.random()), loaded.state, self._clock(member), LIMITS
+        )
+        self._pump(member)
+
+    def crash(self, name: str) -> None:
+        """The process dies; a save under way is on disk or is not."""
+        member = self.members[name]
+        if member.raft is None:
+            return
+        if member.job is not None and self.rng.random() < 0.5:
+            member.job()
+        member.job = None
+        member.raft = None
+        member.frozen = False
+        member.postponed.clear()
+        member.proposals.clear()
+        member.reads.clear()
+        member.since_snapshot = 0
+
+    def freeze(self, name: str) -> None:
+        self.members[name].frozen = self.members[name].raft is not None
+
+    def thaw(self, name: str) -> None:
+        member = self.members[name]
+        member.frozen = False
+        postponed, member.postponed = member.postponed, []
+        for action in postponed:
+            action()
+
+    # Time.
+
+    def _clock(self, member: Member) -> float:
+        return 1000.0 + self.now * member.clock_rate
+
+    def _at(self, time: float, action: Callable[[], None]) -> None:
+        self._sequence += 1
+        heapq.heappush(self._events, (time, self._sequence, action))
+
+    def run(self, duration: float) -> None:
+        end = self.now + duration
+        while self._events and self._events[0][0] <= end:
+            self.now, _, action = heapq.heappop(self._events)
+            action()
+        self.now = end
+
+    def run_until(self, condition: Callable[[], bool], limit: float = 30.0) -> None:
+        end = self.now + limit
+        while not condition():
+            if not self._events or self._events[0][0] > end:
+                raise Violation("what was waited for did not come")
+            self.now, _, action = heapq.heappop(self._events)
+            action()
+
+    def _in_life(self, member: Member, action: Callable[[Raft], None]) -> Callable[[], None]:
+        """The action, done if the process still lives then; when it is frozen, after that."""
+        life = member.life
+
+        def act() -> None:
+            if member.raft is None or member.life != life:
+                return
+            if member.frozen:
+                member.postponed.append(act)
+                return
+            try:
+                action(member.raft)
+            except ConsensusError as error:
+                raise Violation(str(error)) from error
+            self._pump(member)
+
+        return act
+
+    # What a process does.
+
+    def _pump(self, member: Member) -> None:
+        raft = member.raft
+        assert raft is not None
+        self._compact_if_due(member, raft)
+        wanted = True
+        while wanted:
+            ready = raft.take_ready(self._clock(member), can_save=member.job is None)
+            self._do(member, raft, ready)
+            wanted = ready.snapshot_wanted
+            if wanted:
+                raft.offer_snapshot(raft.make_snapshot(json.dumps(member.applied).encode()))
+        self._check_leader(member, raft)
+        self._arm_timer(member, raft)
+
+    def _arm_timer(self, member: Member, raft: Raft) -> None:
+        deadline = raft.next_deadline()
+        if deadline is None:
+            return
+        time = max(self.now, (deadline - 1000.0) / member.clock_rate + 1e-6)
+        if member.timer_at is not None and member.timer_at <= time:
+            return
+        member.timer_at = time
+
+        def tick(raft: Raft) -> None:
+            if member.timer_at == time:
+                member.timer_at = None
+            raft.tick(self._clock(member))
+
+        self._at(time, self._in_life(member, tick))
+
+    def _do(self, member: Member, raft: Raft, ready: Ready) -> None:
+        for message in ready.messages_first:
+            self._send(message)
+        for entry in ready.committed:
+            self._apply(member, entry)
+        for ticket in ready.confirmed_reads:
+            assert ticket.index is not None
+            self._check_read(raft, ticket.index, member.reads.pop((raft.term, ticket.number)))
+        if ready.save is not None:
+            self._begin_save(member, ready.save)
+
+    def _begin_job(self, member: Member, work: Callable[[], None], done: Callable[[Raft], None]) -> None:
+        member.job = work
+
+        def finish(raft: Raft) -> None:
+            work()
+            member.job = None
+            done(raft)
+
+        self._at(self.now + self.rng.uniform(*self.weather.sync_s), self._in_life(member, finish))
+
+    def _begin_save(self, member: Member, save: Save) -> None:
+        def write() -> None:
+            if save.snapshot is not None:
+                snapshot = save.snapshot
+                member.disk.save(save.hard_state, None, ())
+                member.disk.save_snapshot(snapshot.index, snapshot.term, snapshot.membership, snapshot.data)
+                member.disk.save(None, save.truncate_from, save.entries)
+            else:
+                member.disk.save(save.hard_state, save.truncate_from, save.entries)
+
+        def done(raft: Raft) -> None:
+            if save.snapshot is not None:
+                member.applied = json.loads(save.snapshot.data)
+                self._check_restored(member, save.snapshot)
+                member.since_snapshot = 0
+            raft.persisted(self._clock(member), save)
+            for message in save.messages_after_sync:
+                self._send(message)
+
+        self._begin_job(member, write, done)
+
+    def _compact_if_due(self, member: Member, raft: Raft) -> None:
+        if member.since_snapshot < SNAPSHOT_AFTER or member.job is not None or raft.installing:
+            return
+        member.since_snapshot = 0
+        snapshot = raft.make_snapshot(json.dumps(member.applied).encode())
+
+        def write() -> None:
+            member.disk.save_snapshot(snapshot.index, snapshot.term, snapshot.membership, snapshot.data)
+
+        self._begin_job(member, write, lambda raft: raft.compact(snapshot))
+
+    def _apply(self, member: Member, entry: Entry) -> None:
+        known = self.history.setdefault(entry.index, (entry.term, bytes(entry.data)))
+        if known != (entry.term, bytes(entry.data)):
+            raise Violation(f"{member.name} applied {entry}, others {known}")
+        member.since_snapshot += 1
+        if entry.kind == "command":
+            text = json.loads(bytes(entry.data))
+            member.applied.append([entry.index, entry.term, text])
+            if member.proposals.pop((entry.index, entry.term), None) is not None:
+                self.acknowledged[text] = entry.index
+                self.seen_index = max(self.seen_index, entry.index)
+
+    # The network.
+
+    def _send(self, message: ConsensusMessage) -> None:
+        if (message.sender, message.target) in self.cuts or self.rng.random() < self.weather.lost:
+            return
+        self._deliver_later(message)
+        if self.rng.random() < self.weather.repeated:
+            self._deliver_later(message)
+
+    def _deliver_later(self, message: ConsensusMessage) -> None:
+        delay = self.rng.uniform(*self.weather.delay_s)
+        if self.rng.random() < self.weather.late:
+            delay = self.rng.uniform(0.0, 0.5)
+        self._at(self.now + delay, lambda: self._deliver(message))
+
+    def _deliver(self, message: ConsensusMessage) -> None:
+        member = self.members.get(message.target)
+        if member is not None and (message.sender, message.target) not in self.cuts:
+            self._in_life(member, lambda raft: raft.step(self._clock(member), message))()
+
+    def cut_off(self, name: str) -> None:
+        """No message reaches or leaves the member."""
+        for other in self.members:
+            self.cuts |= {(name, other), (other, name)}
+
+    # What must hold.
+
+    def _check_leader(self, member: Member, raft: Raft) -> None:
+        if raft.is_leader and self.leaders.setdefault(raft.term, member.name) != member.name:
+            raise Violation(f"{member.name} and {self.leaders[raft.term]} lead in term {raft.term}")
+
+    def _check_read(self, raft: Raft, index: int, least: int) -> None:
+        if index < least:
+            raise Violation(f"{raft.member} reads at {index} what was {least} before")
+        self.seen_index = max(self.seen_index, index)
+        self.reads_done += 1
+
+    def _check_restored(self, member: Member, snapshot: Snapshot) -> None:
+        expected = [
+            [index, term, json.loads(data)]
+            for index, (term, data) in sorted(self.history.items())
+            if index <= snapshot.index and isinstance(json.loads(data), str)
+        ]
+        if member.applied != expected:
+            raise Violation(f"{member.name} restored what the others never were")
+
+    def check_converges(self) -> None:
+        """With all machines and links well, the group takes commands and all members agree."""
+        self.weather = Weather()
+        self.cuts.clear()
+        for name, member in self.members.items():
+            self.start(name)
+            if member.frozen:
+                self.thaw(name)
+        self.run_until(lambda: self.leader() is not None and self.leader_raft().leads_committed)
+        text = f"last {self.now}"
+        while text not in self.acknowledged:
+            self.propose(text)
+            self.run(0.5)
+        self.run(2.0)
+        leader = self.members[self.leader() or ""]
+        membership = self.leader_raft().membership
+        texts = {entry[2] for entry in leader.applied}
+        if not texts >= self.acknowledged.keys():
+            raise Violation(f"lost: {self.acknowledged.keys() - texts}")
+        for name in (*membership.voters, *membership.learners):
+            if self.members[name].applied != leader.applied:
+                raise Violation(f"{name} and {leader.name} differ")
+
+    # What clients do.
+
+    def leader(self) -> str | None:
+        """The member that leads in the highest term."""
+        leading = [member for member in self.members.values() if member.raft and member.raft.is_leader]
+        return max(leading, key=lambda member: member.raft.term if member.raft else 0).name if leading else None
+
+    def leader_raft(self) -> Raft:
+        raft = self.members[self.leader() or ""].raft
+        assert raft is not None
+        return raft
+
+    def propose(self, text: str, name: str | None = None) -> bool:
+        """Proposes a command at a member, or at the leader; False if that was refused."""
+        member = self.members.get(name or self.leader() or "")
+        if member is None or member.raft is None or member.frozen:
+            return False
+        try:
+            key = member.raft.propose(self._clock(member), json.dumps(text).encode())
+        except NotLeader:
+            return False
+        member.proposals[key] = text
+        self._pump(member)
+        return True
+
+    def read(self, name: str | None = None) -> bool:
+        """Reads at a member, or at the leader; False if that was refused."""
+        member = self.members.get(name or self.leader() or "")
+        if member is None or member.raft is None or member.frozen:
+            return False
+        try:
+            ticket = member.raft.request_read(self._clock(member))
+        except NotLeader:
+            return False
+        if ticket.index is not None:
+            self._check_read(member.raft, ticket.index, self.seen_index)
+        else:
+            member.reads[member.raft.term, ticket.number] = self.seen_index
+        self._pump(member)
+        return True
+
+    def change(self, membership: Membership) -> bool:
+        """Proposes a membership at the leader; False if that was refused."""
+        member = self.members.get(self.leader() or "")
+        if member is None or member.raft is None or member.frozen:
+            return False
+        try:
+            member.raft.propose_membership(self._clock(member), membership)
+        except ConsensusError:
+            return False
+        self._pump(member)
+        return True
+
+    def replace_step(self, old: str, new: str) -> bool:
+        """The next change on the way from `old` to `new`; True when there is none left."""
+        name = self.leader()
+        if name is None:
+            return False
+        raft = self.leader_raft()
+        now = raft.membership
+        if new not in (*now.voters, *now.learners):
+            self.change(Membership(voters=now.voters, learners=(*now.learners, new)))
+        elif new in now.learners:
+            if raft.match(new) >= raft.commit_index - 5:
+                learners = tuple(learner for learner in now.learners if learner != new)
+                self.change(Membership(voters=(*now.voters, new), learners=learners))
+        elif old in now.voters:
+            voters = tuple(voter for voter in now.voters if voter != old)
+            self.change(Membership(voters=voters, learners=now.learners))
+        else:
+            return raft.commit_index >= raft.applied_index and raft.leads_committed
+        return False
--- /dev/null
+++ b/tests/control/test_duties.py
@@ -0,0 +1,104 @@
+"""What the leader finds to be committed by itself."""
+
+from pewterring.consensus.messages import Membership
+from pewterring.control.commands import Command, CreateGroup, EndRetirement, PutWorker, Result, SetRetiring
+from pewterring.control.duties import PLACEMENT_S, LeaderDuties
+from pewterring.control.membership import MembershipPlanner
+from pewterring.control.nodes import NodeTable
+from pewterring.control.publisher import FeedPublisher
+from pewterring.control.retiring import RetirementDesk
+from pewterring.control.state import ControlState
+from pewterring.distribution.messages import NodeRecord
+from pewterring.registry.workers import WorkerRegistry
+from tests.control.records import apply, status, store, worker
+
+MEMBERSHIP = Membership(("10.0.0.1#seed",))
+STEP_S = 0.25
+
+
+class Leader:
+    """The duties of a leader whose commands are committed at once, with the nodes that are there."""
+
+    def __init__(self, *live: NodeRecord) -> None:
+        self.now = 0.0
+        self.live = list(live)
+        self.state = ControlState()
+        self.nodes = NodeTable()
+        self.publisher = FeedPublisher(self.state, self.nodes)
+        registry = WorkerRegistry(self.state.workers, self.state.departed, 1.0)
+        desk = RetirementDesk(self.state, self.nodes, self.propose, 3)
+        planner = MembershipPlanner(MEMBERSHIP.voters[0], 3)
+        self.duties = LeaderDuties(self.state, self.nodes, registry, self.publisher, desk, planner, 3)
+        self.duties.start(self.now, 1, MEMBERSHIP)
+
+    async def propose(self, command: Command) -> Result:
+        return apply(self.state, command)
+
+    def run(self, seconds: float) -> list[Command]:
+        done: list[Command] = []
+        end = self.now + seconds
+        while self.now < end:
+            for node in self.live:
+                self.nodes.hear(self.now, node)
+            self.duties.observe(self.now, MEMBERSHIP)
+            commands = self.duties.due_commands(self.now)
+            for command in commands:
+                apply(self.state, command)
+            done += commands
+            self.now += STEP_S
+        return done
+
+
+def placements(commands: list[Command]) -> list[CreateGroup]:
+    return [command for command in commands if isinstance(command, CreateGroup)]
+
+
+def test_stores_in_different_zones_are_placed_at_once_and_only_once() -> None:
+    leader = Leader(store(1), store(2), store(3))
+    assert len(placements(leader.run(STEP_S))) == 1
+    assert placements(leader.run(5.0)) == []
+
+
+def test_stores_of_one_zone_are_placed_after_a_while() -> None:
+    leader = Leader(store(1, "a"), store(2, "a"), store(3, "a"))
+    assert placements(leader.run(PLACEMENT_S)) == []
+    assert len(placements(leader.run(STEP_S))) == 1
+
+
+def test_too_few_stores_are_not_placed() -> None:
+    assert placements(Leader(store(1), store(2)).run(5.0)) == []
+
+
+def test_nodes_are_committed_when_they_come_and_go() -> None:
+    leader = Leader(store(1), store(2))
+    leader.run(1.0)
+    assert set(leader.state.nodes) == {"store-1", "store-2"}
+    assert leader.run(1.0) == []
+    leader.live.pop()
+    leader.run(3.0)
+    assert set(leader.state.nodes) == {"store-1"}
+    assert set(leader.state.stores) == {"store-1", "store-2"}
+
+
+def test_a_silent_worker_is_removed() -> None:
+    leader = Leader()
+    apply(leader.state, PutWorker(worker("i-1")))
+    leader.run(3.5)
+    assert "i-1" in leader.state.workers
+    leader.run(1.0)
+    assert not leader.state.workers
+
+
+def test_a_retirement_ends_by_a_report_that_came_after_it() -> None:
+    stores = [store(number) for number in (1, 2, 3, 4)]
+    leader = Leader(*stores)
+    leader.run(1.0)
+    leader.publisher.report(leader.now, status(stores[1:], commit=5))
+    apply(leader.state, SetRetiring("store-1", stores[0].member))
+    assert leader.run(3.0) == []
+    leader.publisher.report(leader.now, status(stores[:3], commit=5))
+    assert leader.run(1.0) == []
+    leader.publisher.report(leader.now, status(stores[1:], commit=6, complete=2))
+    assert leader.run(1.0) == []
+    leader.publisher.report(leader.now, status(stores[1:], commit=7))
+    assert leader.run(1.0) == [EndRetirement("store-1")]
--- /dev/null
+++ b/tests/control/test_publisher.py
@@ -0,0 +1,167 @@
+"""The leader's side of the feed, followed by the node's side."""
+
+import pytest
+
+from pewterring.control.commands import CreateGroup, PutWorker, RemoveWorkers, SetRetiring
+from pewterring.control.nodes import SILENCE_S, NodeTable
+from pewterring.control.publisher import FeedPublisher
+from pewterring.control.state import ControlState
+from pewterring.distribution.follower import TableFollower
+from pewterring.distribution.messages import FEED_MESSAGES, PlacementRecord, TableChanges
+from pewterring.transport.lines import MessageCodec
+from tests.control.records import apply, gateway, put, status, store, worker
+
+
+class Feed:
+    """A publisher whose changes reach all followers at once."""
+
+    def __init__(self) -> None:
+        self.state = ControlState()
+        self.nodes = NodeTable()
+        self.publisher = FeedPublisher(self.state, self.nodes)
+        self.followers: list[TableFollower] = []
+        self.start(epoch=3)
+
+    def start(self, epoch: int) -> None:
+        self.nodes.start(0.0, self.state.nodes)
+        self.publisher.start(epoch, ["10.0.0.2", "10.0.0.1"])
+        self.followers.clear()
+
+    def open(self) -> TableFollower:
+        self.publish()
+        follower = TableFollower()
+        follower.whole(self.publisher.open(len(self.followers)), 0.0)
+        self.followers.append(follower)
+        return follower
+
+    def publish(self) -> list[TableChanges]:
+        changes = [self.publisher.state_changes(), self.publisher.node_changes()]
+        told = [change for change in changes if change is not None]
+        for change in told:
+            for follower in self.followers:
+                follower.change(change)
+        return told
+
+
+def test_a_session_is_told_all_tables_and_then_each_change() -> None:
+    feed = Feed()
+    apply(feed.state, PutWorker(worker("i-1")))
+    early = feed.open()
+    apply(feed.state, put(0, 5))
+    apply(feed.state, PutWorker(worker("i-2", "10.0.0.2:80")))
+    apply(feed.state, RemoveWorkers(("i-1",)))
+    apply(feed.state, CreateGroup(PlacementRecord("batch-0", ("a",))))
+    feed.nodes.hear(0.0, gateway(1))
+    feed.publish()
+    late = feed.open()
+    for follower in (early, late):
+        tables = follower.tables
+        assert set(tables.workers) == {"i-2"}
+        assert tables.nodes == (gateway(1),)
+        assert tables.placements[0].group == "batch-0"
+        assert tables.controls == ("10.0.0.1", "10.0.0.2")
+        assert tables.configuration is not None and tables.configuration.version == 5
+        assert tables.versions == feed.publisher.versions
+        assert tables.versions.epoch == 3
+
+
+def test_nothing_is_published_where_nothing_changed() -> None:
+    feed = Feed()
+    feed.open()
+    versions = feed.publisher.versions
+    feed.nodes.hear(0.0, gateway(1))
+    assert len(feed.publish()) == 1
+    feed.nodes.hear(0.1, gateway(1))
+    assert feed.publish() == []
+    assert feed.publisher.versions.nodes == versions.nodes + 1
+
+
+def test_a_session_opened_before_nodes_are_published_gets_the_next_change() -> None:
+    feed = Feed()
+    feed.nodes.hear(0.0, gateway(1))
+    follower = TableFollower()
+    follower.whole(feed.publisher.open("new"), 0.0)
+    feed.followers.append(follower)
+    assert not follower.tables.nodes
+    feed.publish()
+    assert follower.tables.nodes == (gateway(1),)
+
+
+def test_a_renewal_confirms_the_published_versions_of_open_sessions() -> None:
+    feed = Feed()
+    assert feed.publisher.renew("unknown") is None
+    feed.publisher.open("known")
+    renewed = feed.publisher.renew("known")
+    assert renewed is not None and renewed.versions == feed.publisher.versions
+    feed.publisher.close("known")
+    assert feed.publisher.renew("known") is None
+
+
+def test_a_retiring_store_is_marked() -> None:
+    feed = Feed()
+    feed.nodes.hear(0.0, store(1))
+    follower = feed.open()
+    apply(feed.state, SetRetiring("store-1", store(1).member))
+    feed.publish()
+    assert follower.tables.nodes[0].retiring
+
+
+def test_progress_of_a_partition_alone_is_not_published() -> None:
+    feed = Feed()
+    follower = feed.open()
+    stores = [store(1), store(2), store(3)]
+    feed.publisher.report(0.0, status(stores, commit=5))
+    assert len(feed.publish()) == 1
+    feed.publisher.report(0.0, status(stores, commit=6))
+    assert feed.publish() == []
+    feed.publisher.report(0.0, status(stores[::-1], commit=4))
+    assert feed.publish() == []
+    feed.publisher.report(0.0, status(stores[::-1], commit=6, term=2))
+    feed.publish()
+    assert follower.tables.groups[0].leader == stores[2].member
+
+
+def test_a_new_leader_knows_the_committed_nodes_and_drops_sessions() -> None:
+    feed = Feed()
+    feed.open()
+    feed.nodes.hear(0.0, store(1))
+    command = feed.nodes.uncommitted(feed.state.nodes)
+    assert command is not None
+    apply(feed.state, command)
+    assert feed.nodes.uncommitted(feed.state.nodes) is None
+    feed.start(epoch=4)
+    assert not feed.publisher.sessions
+    assert feed.open().tables.nodes == (store(1),)
+
+
+@pytest.mark.parametrize(("last_heard", "gone"), [(0.0, True), (1.0, False)])
+def test_a_silent_node_leaves(last_heard: float, gone: bool) -> None:
+    nodes = NodeTable()
+    nodes.start(0.0, {})
+    nodes.hear(0.0, gateway(1))
+    now = 0.0
+    while now < SILENCE_S:
+        assert not nodes.expire(now)
+        if now == last_heard:
+            nodes.hear(now, gateway(1))
+        now += 0.25
+    assert nodes.expire(now + 0.25) is gone
+    assert (nodes.uncommitted({"edge-1": gateway(1)}) is not None) is gone
+
+
+def test_a_leader_that_was_held_up_drops_no_node() -> None:
+    nodes = NodeTable()
+    nodes.start(0.0, {"edge-1": gateway(1)})
+    assert not nodes.expire(10.0)
+    assert not nodes.expire(10.4)
+
+
+def test_a_changed_configuration_passes_the_codec() -> None:
+    feed = Feed()
+    apply(feed.state, put(0, 5))
+    (change,) = feed.publish()
+    codec = MessageCodec(FEED_MESSAGES)
+    decoded = codec.decode(codec.encode(change))
+    assert isinstance(decoded, TableChanges)
+    assert decoded.configuration is not None
+    assert bytes(decoded.configuration) == bytes(feed.state.document)
--- /dev/null
+++ b/tests/control/test_service.py
@@ -0,0 +1,206 @@
+"""Calls of the operator and the workers, through ASGI and without sockets."""
+
+import asyncio
+from typing import Any
+
+import msgspec
+import orjson
+import pytest
+
+from pewterring.control.api import ControlApi
+from pewterring.control.calls import Answer, Call
+from pewterring.control.commands import Command, PutNodes, Result
+from pewterring.control.errors import NotLeading, OutcomeUnsure
+from pewterring.control.messages import RelayedAnswer, RelayedCall
+from pewterring.control.nodes import NodeTable
+from pewterring.control.relay import CallRouter, RelayFailed
+from pewterring.control.retiring import RetirementDesk
+from pewterring.control.service import ControlService
+from pewterring.control.state import ControlState
+from pewterring.registry.workers import WorkerRegistry
+from tests.configuration.documents import encoded, with_route
+from tests.control.records import apply, store
+
+BEAT = (
+    b'{"backend":"huvo11a","address":"10.128.0.9:8080","zone":"z","capacity":48,"state":"ready","sequence":4}'
+)
+
+
+class Machine:
+    """One control machine; commands are committed at once unless `failure` says otherwise."""
+
+    def __init__(self, ip: str = "10.0.0.1") -> None:
+        self.state = ControlState()
+        self.nodes = NodeTable()
+        self.proposals = 0
+        self.failure: Exception | None = None
+        self.leader = ip
+        self.other: Machine | None = None
+        self.relayed = 0
+        registry = WorkerRegistry(self.state.workers, self.state.departed, 1.0)
+        desk = RetirementDesk(self.state, self.nodes, self.propose, 3)
+        self.service = ControlService(self.state, registry, desk, self, lambda: 0.0)
+        self.router = CallRouter(self.service.handle, lambda: self.leader, self.request, ip)
+
+    async def propose(self, command: Command) -> Result:
+        self.check_lease()
+        self.proposals += 1
+        return apply(self.state, command)
+
+    async def read_barrier(self) -> None:
+        self.check_lease()
+
+    def check_lease(self) -> None:
+        if self.failure is not None:
+            raise self.failure
+
+    async def request(self, ip: str, message: msgspec.Struct, timeout_s: float) -> msgspec.Struct:
+        self.relayed += 1
+        if self.other is None or not isinstance(message, RelayedCall):
+            raise RelayFailed
+        return await self.other.router.answer_relayed(message)
+
+    def call(self, method: str, path: str, body: bytes = b"", **headers: str) -> Answer:
+        return asyncio.run(self.call_api(method, path, body, headers))
+
+    async def call_api(self, method: str, path: str, body: bytes, headers: dict[str, str]) -> Answer:
+        parts = [body[: len(body) // 2], body[len(body) // 2 :]]
+        incoming = [
+            {"type": "http.request", "body": parts[0], "more_body": True},
+            {"type": "http.request", "body": parts[1]},
+        ]
+        sent: list[Any] = []
+
+        async def receive() -> Any:
+            return incoming.pop(0)
+
+        async def send(message: Any) -> None:
+            sent.append(message)
+
+        scope = {
+            "type": "http",
+            "method": method,
+            "path": path,
+            "headers": [(key.replace("_", "-").encode(), value.encode()) for key, value in headers.items()],
+        }
+        await ControlApi(self.router.answer)(scope, receive, send)
+        return Answer(sent[0]["status"], b"".join(message["body"] for message in sent[1:]))
+
+    def replace(self, base: int, document: bytes) -> int:
+        return self.call("POST", "/v1/Config.Replace", document, base_version=str(base)).status
+
+
+def test_a_heartbeat_is_acknowledged_and_committed_once() -> None:
+    machine = Machine()
+    for _ in range(3):
+        answer = machine.call("POST", "/v1/Instances.Heartbeat/i-1", BEAT)
+        assert answer == Answer(200, b"{}")
+    assert machine.proposals == 1
+    assert machine.state.workers["i-1"].service == "huvo11a"
+    assert machine.call("POST", "/v1/Instances.Deregister/i-1").status == 200
+    assert machine.call("POST", "/v1/Instances.Deregister/i-1").status == 200
+    assert machine.call("POST", "/v1/Instances.Heartbeat/i-1", BEAT).status == 200
+    assert not machine.state.workers
+    assert machine.call("POST", "/v1/Instances.Heartbeat/i-1", b"{").status == 400
+
+
+def test_a_configuration_is_taken_read_and_taken_again() -> None:
+    machine = Machine()
+    assert machine.call("GET", "/v1/Config.Get").status == 404
+    document = encoded(version=5).replace(b",", b",\n")
+    assert machine.replace(0, document) == 200
+    assert machine.replace(0, document) == 200
+    answer = machine.call("GET", "/v1/Config.Get")
+    assert answer.status == 200
+    assert orjson.loads(answer.body) == orjson.loads(document)
+    assert machine.replace(5, encoded(version=7)) == 200
+    assert machine.replace(0, document) == 200
+    assert machine.replace(5, encoded(version=8)) == 412
+    assert machine.replace(7, encoded(version=7, limits={})) == 400
+    assert machine.state.version == 7
+
+
+@pytest.mark.parametrize(
+    "body", [b"", encoded()[:-9], with_route(0, timeout_ms=0), with_route(1, backend="nobody")]
+)
+def test_an_invalid_configuration_is_refused(body: bytes) -> None:
+    machine = Machine()
+    assert machine.replace(0, body) == 400
+    assert machine.proposals == 0
+
+
+def test_the_base_version_must_be_given() -> None:
+    assert Machine().call("POST", "/v1/Config.Replace", encoded()).status == 400
+
+
+def test_an_unknown_path_or_method_is_refused() -> None:
+    machine = Machine()
+    assert machine.call("GET", "/v1/Other").status == 404
+    assert machine.call("GET", "/v1/Config.Replace").status == 405
+    assert machine.call("POST", "/v1/Instances.Heartbeat/").status == 404
+
+
+def test_a_retirement_is_started_and_read() -> None:
+    machine = Machine()
+    stores = tuple(store(number) for number in (1, 2, 3, 4))
+    for node in stores:
+        machine.nodes.hear(0.0, node)
+    apply(machine.state, PutNodes(stores))
+    assert machine.call("GET", "/v1/Retire.Get/store-1").status == 404
+    assert machine.call("POST", "/v1/Retire.Start/store-1", b'{"duration_s":10}').status == 200
+    assert machine.call("GET", "/v1/Retire.Get/store-1").body == b'{"state":"running"}'
+    assert machine.call("POST", "/v1/Retire.Start/store-9").status == 404
+    assert machine.call("POST", "/v1/Retire.Start/store-2").status == 409
+
+
+def follower_of(leader: Machine) -> Machine:
+    follower = Machine("10.0.0.2")
+    follower.leader = "10.0.0.1"
+    follower.other = leader
+    return follower
+
+
+def test_a_follower_answers_what_the_leader_says() -> None:
+    leader = Machine()
+    follower = follower_of(leader)
+    assert follower.replace(0, encoded(version=5)) == 200
+    assert follower.replace(0, encoded(version=6)) == 412
+    assert leader.state.version == 5
+    assert follower.state.version == 0
+    assert orjson.loads(follower.call("GET", "/v1/Config.Get").body)["version"] == 5
+
+
+def test_a_follower_looks_for_the_leader_again(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("pewterring.control.relay.PAUSE_S", 0.0)
+    leader = Machine()
+    leader.failure = NotLeading()
+    follower = follower_of(leader)
+
+    async def scenario() -> Answer:
+        call = asyncio.create_task(
+            follower.router.answer(Call("POST", "/v1/Instances.Heartbeat/i-1", "", BEAT))
+        )
+        while follower.relayed < 3:
+            await asyncio.sleep(0)
+        leader.failure = None
+        return await call
+
+    assert asyncio.run(scenario()).status == 200
+
+
+@pytest.mark.parametrize("leader", ["", "10.0.0.1", "10.0.0.2"])
+def test_without_an_answering_leader_nothing_is_promised(
+    leader: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr("pewterring.control.relay.ANSWER_S", 0.0)
+    machine = Machine("10.0.0.2")
+    machine.leader = leader
+    machine.failure = OutcomeUnsure()
+    assert machine.replace(0, encoded()) == 503
+
+
+def test_a_relayed_call_is_not_passed_on_again() -> None:
+    machine = Machine()
+    machine.failure = NotLeading()
+    answer = asyncio.run(machine.router.answer_relayed(RelayedCall("GET", "/v1/Config.Get")))
+    assert answer == RelayedAnswer(503, not_leading=True)
--- /dev/null
+++ b/tests/storage/simulated_disk.py
@@ -0,0 +1,194 @@
+"""A disk in memory that loses power, fills up, and forgets what was not synced."""
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from pewterring.storage.disk import DiskFile, Operation
+from pewterring.storage.errors import StorageFailed, StorageFull
+
+
+class PowerLoss(Exception):
+    """The machine lost power in the middle of an operation. Not a `StorageError`: nobody handles it."""
+
+
+@dataclass
+class _Content:
+    """One file: what is durable, and the changes since."""
+
+    durable: bytes = b""
+    current: bytearray = field(default_factory=bytearray)
+    changes: list[tuple[int, bytes | None]] = field(default_factory=list)  # (offset, data), or a truncation
+
+    def change(self, offset: int, data: bytes | None) -> None:
+        self.changes.append((offset, data))
+        _apply(self.current, offset, data)
+
+    def sync(self) -> None:
+        self.durable = bytes(self.current)
+        self.changes.clear()
+
+    def lose_power(self, rng: random.Random, lose_all: bool) -> None:
+        content = bytearray(self.durable)
+        for offset, data in self.changes:
+            fate = "lost" if lose_all else rng.choice(("lost", "torn", "kept"))
+            if fate == "lost":
+                continue
+            if fate == "torn" and data is not None:
+                data = data[: rng.randrange(len(data) + 1)]
+            _apply(content, offset, data)
+        self.current = content
+        self.sync()
+
+
+def _apply(content: bytearray, offset: int, data: bytes | None) -> None:
+    if data is None:
+        del content[offset:]
+        return
+    content.extend(bytes(max(0, offset - len(content))))
+    content[offset : offset + len(data)] = data
+
+
+class SimulatedFile:
+    """An open file of a `SimulatedDisk`."""
+
+    def __init__(self, disk: "SimulatedDisk", name: str, content: _Content) -> None:
+        self._disk = disk
+        self._name = name
+        self._content = content
+        self._life = disk.life
+
+    def write(self, data: bytes) -> None:
+        room = self._disk.room()
+        offset = len(self._content.current)
+        self._content.change(offset, data[:room])
+        self._reach(Operation.WRITE)
+        if room < len(data):
+            raise StorageFull(f"no room for {self._name}")
+
+    def truncate(self, size: int) -> None:
+        self._content.change(size, None)
+        self._reach(Operation.TRUNCATE)
+
+    def sync(self) -> None:
+        self._reach(Operation.SYNC)
+        self._content.sync()
+        if self._name in self._disk.files:
+            self._disk.durable_names[self._name] = self._content
+
+    def close(self) -> None:
+        self._life = -1
+
+    def _reach(self, operation: Operation) -> None:
+        assert self._life == self._disk.life, "the file was closed, or opened before the loss of power"
+        self._disk.reach(operation, self._name)
+
+
+class SimulatedDisk:
+    """Implements `Disk`. `on_operation` is called in the middle of each operation and may raise.
+
+    At that point the operation has been done as far as it goes without a sync.
+    """
+
+    def __init__(self, capacity: int | None = None) -> None:
+        self.files: dict[str, _Content] = {}
+        self.durable_names: dict[str, _Content] = {}
+        self.on_operation: Callable[[int, Operation, str], None] | None = None
+        self.operations = 0
+        self.capacity = capacity
+        self.life = 0
+        self._name_changes: list[Callable[[dict[str, _Content]], object]] = []
+
+    def names(self) -> list[str]:
+        return list(self.files)
+
+    def read(self, name: str) -> bytes:
+        return bytes(self._content(name).current)
+
+    def size(self, name: str) -> int:
+        return len(self._content(name).current)
+
+    def create(self, name: str) -> DiskFile:
+        content = _Content()
+        self._change_names(lambda names: names.__setitem__(name, content))
+        self.reach(Operation.CREATE, name)
+        return SimulatedFile(self, name, content)
+
+    def open(self, name: str) -> DiskFile:
+        return SimulatedFile(self, name, self._content(name))
+
+    def rename(self, old: str, new: str) -> None:
+        content = self._content(old)
+
+        def change(names: dict[str, _Content]) -> None:
+            names.pop(old, None)
+            names[new] = content
+
+        self._change_names(change)
+        self.reach(Operation.RENAME, old)
+
+    def remove(self, name: str) -> None:
+        self._content(name)
+        self._change_names(lambda names: names.pop(name, None))
+        self.reach(Operation.REMOVE, name)
+
+    def sync_folder(self) -> None:
+        self.reach(Operation.SYNC_FOLDER, "")
+        self.durable_names = dict(self.files)
+        self._name_changes.clear()
+
+    # For tests
+
+    def reach(self, operation: Operation, name: str) -> None:
+        self.operations += 1
+        if self.on_operation is not None:
+            self.on_operation(self.operations, operation, name)
+
+    def room(self) -> int:
+        if self.capacity is None:
+            return 1 << 60
+        return max(0, self.capacity - sum(len(content.current) for content in self.files.values()))
+
+    def lose_power_at(self, number: int) -> None:
+        """Raises `PowerLoss` in the operation of that number, counted from now."""
+        last = self.operations + number
+
+        def hook(count: int, operation: Operation, name: str) -> None:
+            if count == last:
+                raise PowerLoss(f"{operation} {name}")
+
+        self.on_operation = hook
+
+    def kill(self) -> None:
+        """Ends the process: its open files are gone, all that it wrote stays."""
+        self.on_operation = None
+        self.life += 1
+
+    def lose_power(self, rng: random.Random) -> None:
+        """Keeps what was synced; the rest is kept, torn or lost, by the generator."""
+        self.kill()
+        lose_all = rng.random() < 0.25
+        names = dict(self.durable_names)
+        for change in self._name_changes:
+            if not lose_all and rng.random() < 0.5:
+                change(names)
+        contents = {id(content): content for content in names.values()}
+        for content in contents.values():
+            content.lose_power(rng, lose_all)
+        self.files = names
+        self.durable_names = dict(names)
+        self._name_changes.clear()
+
+    def damage(self, name: str, content: bytes) -> None:
+        """Replaces a file's durable content."""
+        self.files[name].current = bytearray(content)
+        self.files[name].sync()
+
+    def _change_names(self, change: Callable[[dict[str, _Content]], object]) -> None:
+        self._name_changes.append(change)
+        change(self.files)
+
+    def _content(self, name: str) -> _Content:
+        if name not in self.files:
+            raise StorageFailed(f"there is no {name}")
+        return self.files[name]
--- /dev/null
+++ b/tests/storage/test_group.py
@@ -0,0 +1,321 @@
+"""A member's storage: what it returns after crashes equals a plain model."""
+
+import contextlib
+import random
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from pewterring.consensus.messages import Membership
+from pewterring.consensus.persistent import GroupStorage, HardState
+from pewterring.storage.disk import Disk, FolderDisk
+from pewterring.storage.errors import CorruptLog, CorruptSnapshot, StorageError, StorageFull
+from pewterring.storage.group import DiskGroupStorage
+from pewterring.storage.log import SegmentedLog
+from tests.storage.model import MEMBERS, Call, Model, after, entry, plain, random_call
+from tests.storage.simulated_disk import PowerLoss, SimulatedDisk
+
+SEGMENT_BYTES = 300
+CALLS = 12
+
+
+def opened(disk: Disk) -> DiskGroupStorage:
+    storage = DiskGroupStorage(disk, "group", SEGMENT_BYTES)
+    storage.load()
+    return storage
+
+
+def holds(disk: Disk, model: Model) -> bool:
+    return model.matches(DiskGroupStorage(disk, "group", SEGMENT_BYTES).load())
+
+
+def schedule(seed: int) -> Iterator[tuple[Model, Call, Model]]:
+    """Calls with the models before and after them."""
+    rng = random.Random(seed)
+    model = Model()
+    for _ in range(CALLS):
+        call = random_call(model, rng)
+        changed = after(model, call)
+        yield model, call, changed
+        model = changed
+
+
+def test_it_implements_the_protocol() -> None:
+    storage: GroupStorage = DiskGroupStorage(SimulatedDisk(), "group")
+    assert storage.load().snapshot is None
+
+
+def test_a_new_folder_is_empty() -> None:
+    assert holds(SimulatedDisk(), Model())
+
+
+@pytest.mark.parametrize("seed", range(40))
+def test_a_schedule_of_calls_on_files(seed: int, tmp_path: Path) -> None:
+    storage = opened(FolderDisk(tmp_path))
+    for _, call, changed in schedule(seed):
+        call(storage)
+        assert holds(FolderDisk(tmp_path), changed)
+        storage = opened(FolderDisk(tmp_path))
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_power_lost_in_each_operation_keeps_what_was_acknowledged(seed: int) -> None:
+    """The state found is that before or after the interrupted call, and it is still there afterwards."""
+    number = 0
+    interrupted = True
+    while interrupted:
+        number += 1
+        for fate in range(3):
+            interrupted = _lose_power_once(seed, number, fate)
+
+
+def _lose_power_once(seed: int, number: int, fate: int) -> bool:
+    """Plays a schedule up to the operation of that number; False where there are not so many."""
+    disk = SimulatedDisk()
+    storage = opened(disk)
+    disk.lose_power_at(number)
+    rng = random.Random(f"{seed} {number} {fate}")
+    for before, call, changed in schedule(seed):
+        try:
+            call(storage)
+        except PowerLoss:
+            _check_after_crash(disk, before, changed, rng)
+            return True
+    return False
+
+
+def _check_after_crash(disk: SimulatedDisk, before: Model, changed: Model, rng: random.Random) -> None:
+    if rng.random() < 0.3:  # a crash of the process first; what is found then must outlast a loss of power
+        disk.kill()
+    else:
+        disk.lose_power(rng)
+    found = [model for model in (before, changed) if holds(disk, model)]
+    assert found
+    model = found[0]
+    _crash_while_loading(disk, rng)
+    assert holds(disk, model)
+    storage = opened(disk)
+    call = random_call(model, rng)
+    call(storage)
+    disk.lose_power(rng)
+    assert holds(disk, after(model, call))
+
+
+def _crash_while_loading(disk: SimulatedDisk, rng: random.Random) -> None:
+    disk.lose_power_at(rng.randrange(1, 5))
+    with contextlib.suppress(PowerLoss):
+        opened(disk)
+    disk.lose_power(rng)
+
+
+@pytest.mark.parametrize("forgotten", ["sync", "sync_folder"])
+def test_the_check_finds_a_sync_that_does_nothing(forgotten: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    if forgotten == "sync":
+        monkeypatch.setattr("tests.storage.simulated_disk.SimulatedFile.sync", lambda self: None)
+    else:
+        monkeypatch.setattr(SimulatedDisk, "sync_folder", lambda self: None)
+    with pytest.raises((AssertionError, CorruptLog)):
+        for seed in range(12):
+            test_power_lost_in_each_operation_keeps_what_was_acknowledged(seed)
+
+
+@pytest.mark.parametrize("seed", range(10))
+def test_a_full_disk_changes_nothing_and_the_call_can_be_repeated(seed: int) -> None:
+    rng = random.Random(seed)
+    disk = SimulatedDisk()
+    storage = opened(disk)
+    for _, call, changed in schedule(seed):
+        disk.capacity = sum(disk.size(name) for name in disk.names()) + rng.randrange(80)
+        try:
+            call(storage)
+        except StorageFull:
+            disk.capacity = None
+            call(storage)
+        disk.capacity = None
+        if rng.random() < 0.3:
+            disk.lose_power(rng)
+            assert holds(disk, changed)
+            storage = opened(disk)
+    assert holds(disk, changed)
+
+
+def test_segments_that_a_snapshot_covers_are_removed() -> None:
+    disk = SimulatedDisk()
+    storage = opened(disk)
+    for index in range(1, 101):
+        storage.save(None, None, [entry(index, 1, 100)])
+    assert sum(name.endswith(".log") for name in disk.names()) > 10
+    storage.save_snapshot(98, 1, MEMBERS, b"state")
+    storage.save_snapshot(100, 1, MEMBERS, b"state")
+    assert sorted(name.split(".")[-1] for name in disk.names()) == ["log", "snapshot"]
+    assert storage.size_bytes == sum(disk.size(name) for name in disk.names())
+    assert storage.size_bytes < 1000
+
+
+def test_the_vote_outlasts_the_segment_that_it_was_written_in() -> None:
+    disk = SimulatedDisk()
+    storage = opened(disk)
+    storage.save(HardState(7, "10.0.0.1#a"), None, [entry(1, 7)])
+    storage.save_snapshot(1, 7, MEMBERS, b"state")
+    disk.lose_power(random.Random(1))
+    state = opened(disk).load().state
+    assert (state.term, state.vote) == (7, "10.0.0.1#a")
+
+
+def test_first_voters_are_kept_and_given_once() -> None:
+    disk = SimulatedDisk()
+    storage = opened(disk)
+    storage.initialize(MEMBERS)
+    storage.initialize(Membership(("10.0.0.9#z",)))
+    disk.lose_power(random.Random(1))
+    storage = opened(disk)
+    storage.initialize(Membership(("10.0.0.9#z",)))
+    loaded = storage.load()
+    assert (loaded.state.snapshot_index, loaded.state.snapshot_membership) == (0, MEMBERS)
+    assert loaded.snapshot is None
+
+
+def test_a_snapshot_ahead_of_the_log_takes_its_place_even_if_the_entries_come_later() -> None:
+    disk = SimulatedDisk()
+    storage = opened(disk)
+    storage.save(None, None, [entry(1, 1)])
+    storage.save_snapshot(3, 1, MEMBERS, b"state")
+    storage.save(None, None, [entry(index, 1) for index in range(2, 6)])
+    assert plain(opened(disk).load().state.entries) == plain([entry(4, 1), entry(5, 1)])
+
+
+def test_an_older_snapshot_is_ignored() -> None:
+    disk = SimulatedDisk()
+    storage = opened(disk)
+    storage.save(None, None, [entry(index, 1) for index in range(1, 6)])
+    storage.save_snapshot(4, 1, MEMBERS, b"new")
+    storage.save_snapshot(2, 1, MEMBERS, b"old")
+    assert opened(disk).load().snapshot == b"new"
+
+
+def test_a_gap_is_refused() -> None:
+    storage = opened(SimulatedDisk())
+    with pytest.raises(StorageError):
+        storage.save(None, None, [entry(2, 1)])
+
+
+def test_a_damaged_snapshot_is_reported() -> None:
+    disk = SimulatedDisk()
+    opened(disk).save_snapshot(3, 1, MEMBERS, b"state")
+    name = next(name for name in disk.names() if name.endswith(".snapshot"))
+    content = disk.read(name)
+    for position in range(len(content)):
+        damaged = bytearray(content)
+        damaged[position] ^= 1
+        disk.damage(name, bytes(damaged))
+        with pytest.raises(CorruptSnapshot):
+            opened(disk)
+
+
+def test_a_record_of_another_kind_is_reported() -> None:
+    disk = SimulatedDisk()
+    opened(disk)
+    log = SegmentedLog(disk, "group")
+    list(log.open(None))
+    log.append([b'{"type":"unknown"}\n'])
+    with pytest.raises(CorruptLog):
+        opened(disk)
+
+
+def test_nothing_is_saved_before_loading_or_after_a_failure() -> None:
+    disk = SimulatedDisk()
+    storage = DiskGroupStorage(disk, "group")
+    with pytest.raises(StorageError):
+        storage.save(HardState(1), None, ())
+    storage.load()
+    disk.kill()
+    storage.close()
+    with pytest.raises(StorageError):
+        storage.save(HardState(1), None, ())
+
+
+def test_groups_share_a_folder() -> None:
+    disk = SimulatedDisk()
+    for number, group in enumerate(("batch", "batch-1", "batch-10"), 1):
+        storage = DiskGroupStorage(disk, group)
+        storage.load()
+        storage.save(None, None, [entry(index, number) for index in range(1, 4)])
+        storage.save_snapshot(2, number, MEMBERS, group.encode())
+    for number, group in enumerate(("batch", "batch-1", "batch-10"), 1):
+        loaded = DiskGroupStorage(disk, group).load()
+        assert loaded.snapshot == group.encode()
+        assert plain(loaded.state.entries) == plain([entry(3, number)])
+
+
+@pytest.mark.parametrize("group", ["", "a.b", "a/b", "a b"])
+def test_a_group_must_be_able_to_name_files(group: str) -> None:
+    with pytest.raises(ValueError, match="group"):
+        DiskGroupStorage(SimulatedDisk(), group)
+
+
+class StorageMachine(RuleBasedStateMachine):
+    """Any sequence of calls, crashes, losses of power in the middle, and full disks."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.disk = SimulatedDisk()
+        self.model = Model()
+        self.storage = opened(self.disk)
+
+    @rule(seed=st.integers(0, 10000))
+    def call(self, seed: int) -> None:
+        call = random_call(self.model, random.Random(seed))
+        call(self.storage)
+        self.model = after(self.model, call)
+
+    @rule(seed=st.integers(0, 10000), number=st.integers(1, 12))
+    def lose_power_within_a_call(self, seed: int, number: int) -> None:
+        call = random_call(self.model, random.Random(seed))
+        changed = after(self.model, call)
+        self.disk.lose_power_at(number)
+        try:
+            call(self.storage)
+            self.model = changed
+        except PowerLoss:
+            pass
+        self.disk.lose_power(random.Random(seed))
+        if holds(self.disk, changed):
+            self.model = changed
+        self.storage = opened(self.disk)
+
+    @rule(seed=st.integers(0, 10000), room=st.integers(0, 200))
+    def call_on_a_full_disk(self, seed: int, room: int) -> None:
+        call = random_call(self.model, random.Random(seed))
+        self.disk.capacity = sum(self.disk.size(name) for name in self.disk.names()) + room
+        try:
+            call(self.storage)
+            self.model = after(self.model, call)
+        except StorageFull:
+            pass
+        self.disk.capacity = None
+
+    @rule()
+    def kill(self) -> None:
+        self.disk.kill()
+        self.storage = opened(self.disk)
+
+    @rule(seed=st.integers(0, 10000))
+    def lose_power(self, seed: int) -> None:
+        self.disk.lose_power(random.Random(seed))
+        self.storage = opened(self.disk)
+
+    @invariant()
+    def recovery_equals_the_model(self) -> None:
+        self.disk.kill()
+        assert holds(self.disk, self.model)
+        self.storage = opened(self.disk)
+
+
+StorageMachine.TestCase.settings = settings(
+    max_examples=60, stateful_step_count=25, deadline=None, derandomize=True, database=None
+)
+TestStorageMachine = StorageMachine.TestCase
--- /dev/null
+++ b/tests/storage/test_log.py
@@ -0,0 +1,175 @@
+"""Records and the segmented log."""
+
+import random
+
+import pytest
+
+from pewterring.storage.errors import CorruptLog, StorageFull
+from pewterring.storage.log import SegmentedLog
+from pewterring.storage.records import HEADER_BYTES, encode_batch, encode_record, read_record
+from tests.storage.simulated_disk import PowerLoss, SimulatedDisk
+
+LAST_FILE = "log.00000002.log"
+
+
+def read_all(log: SegmentedLog, first: int | None = None) -> list[bytes]:
+    return [payload for _, payload in log.open(first)]
+
+
+def two_segments() -> tuple[SimulatedDisk, list[list[bytes]]]:
+    """A disk with two segments, and the batches of the last one."""
+    disk = SimulatedDisk()
+    log = SegmentedLog(disk, "log")
+    assert read_all(log) == []
+    log.append([b"first"])
+    batches = [[b"head"], [b"a", b"bb"], [b"ccc"], [b"dd", b"e", b"ffff"]]
+    log.roll(batches[0])
+    for batch in batches[1:]:
+        log.append(batch)
+    disk.kill()
+    return disk, batches
+
+
+def whole_batches(batches: list[list[bytes]], size: int) -> list[bytes]:
+    """The payloads of the batches that fit into `size` bytes."""
+    payloads: list[bytes] = []
+    for batch in batches:
+        size -= len(encode_batch(batch, 1))
+        if size < 0:
+            break
+        payloads.extend(batch)
+    return payloads
+
+
+def test_a_record_is_read_as_written() -> None:
+    data = encode_record(b'{"a":1}\n', 7, is_last=False)
+    record = read_record(b"??" + data, 2)
+    assert record is not None
+    assert (record.payload, record.batch, record.is_last) == (b'{"a":1}\n', 7, False)
+    assert record.end == 2 + len(data) == 2 + HEADER_BYTES + 8
+
+
+def test_any_flipped_bit_makes_a_record_invalid() -> None:
+    data = encode_record(b'{"a":1}\n', 7)
+    for position in range(len(data) * 8):
+        damaged = bytearray(data)
+        damaged[position // 8] ^= 1 << position % 8
+        assert read_record(bytes(damaged), 0) is None
+
+
+def test_zeros_are_no_record() -> None:
+    assert read_record(bytes(100), 0) is None
+
+
+def test_a_tear_at_any_byte_of_the_last_segment_keeps_the_whole_batches_before() -> None:
+    whole, batches = two_segments()
+    content = whole.read(LAST_FILE)
+    for size in range(len(content)):
+        disk, _ = two_segments()
+        disk.damage(LAST_FILE, content[:size])
+        log = SegmentedLog(disk, "log")
+        expected = [b"first", *whole_batches(batches, size)]
+        assert read_all(log) == expected
+        log.append([b"next"])
+        disk.lose_power(random.Random(size))
+        assert read_all(SegmentedLog(disk, "log")) == [*expected, b"next"]
+
+
+def test_a_flip_at_any_byte_of_the_last_batch_cuts_it_and_elsewhere_is_corruption() -> None:
+    whole, batches = two_segments()
+    content = whole.read(LAST_FILE)
+    last_start = len(content) - len(encode_batch(batches[-1], 1))
+    for position in range(len(content)):
+        damaged = bytearray(content)
+        damaged[position] ^= 0x40
+        disk, _ = two_segments()
+        disk.damage(LAST_FILE, bytes(damaged))
+        log = SegmentedLog(disk, "log")
+        if position < last_start:
+            with pytest.raises(CorruptLog) as caught:
+                read_all(log)
+            assert caught.value.file == LAST_FILE
+            assert caught.value.offset <= position
+            continue
+        assert read_all(log) == [b"first", *whole_batches(batches, last_start)]
+        assert disk.size(LAST_FILE) == last_start
+
+
+def test_damage_in_an_earlier_segment_is_corruption() -> None:
+    file = "log.00000001.log"
+    content = two_segments()[0].read(file)
+    for size in range(1, len(content)):
+        disk, _ = two_segments()
+        disk.damage(file, content[:size])
+        with pytest.raises(CorruptLog) as caught:
+            read_all(SegmentedLog(disk, "log"))
+        assert (caught.value.file, caught.value.offset) == (file, 0)
+
+
+@pytest.mark.parametrize("missing", ["log.00000001.log", LAST_FILE])
+def test_a_missing_segment_is_corruption(missing: str) -> None:
+    disk, _ = two_segments()
+    log = SegmentedLog(disk, "log")
+    read_all(log)
+    log.roll([b"third"])
+    disk.remove(missing)
+    with pytest.raises(CorruptLog):
+        read_all(SegmentedLog(disk, "log"))
+
+
+def test_removed_segments_may_come_back_in_any_combination() -> None:
+    for seed in range(30):
+        disk, _ = two_segments()
+        log = SegmentedLog(disk, "log")
+        read_all(log)
+        for number in range(3, 7):
+            log.roll([b"%d" % number])
+        log.remove_before(5)
+        disk.lose_power(random.Random(seed))
+        assert read_all(SegmentedLog(disk, "log"), 5) == [b"5", b"6"]
+
+
+def test_what_a_killed_process_left_unsynced_is_synced_before_it_counts() -> None:
+    disk, _ = two_segments()
+    log = SegmentedLog(disk, "log")
+    read_all(log)
+    disk.lose_power_at(2)  # the sync of the append
+    with pytest.raises(PowerLoss):
+        log.append([b"unsynced"])
+    disk.kill()
+    found = read_all(SegmentedLog(disk, "log"))
+    assert found[-1] == b"unsynced"
+    for seed in range(10):
+        disk.lose_power(random.Random(seed))
+        assert read_all(SegmentedLog(disk, "log")) == found
+
+
+def test_a_full_disk_leaves_the_log_usable() -> None:
+    for room in range(60):
+        disk, _ = two_segments()
+        log = SegmentedLog(disk, "log")
+        before = read_all(log)
+        disk.capacity = sum(disk.size(name) for name in disk.names()) + room
+        with pytest.raises(StorageFull):
+            log.append([b"x" * 40, b"y" * 40])
+        disk.capacity = None
+        log.append([b"fits"])
+        disk.lose_power(random.Random(room))
+        assert read_all(SegmentedLog(disk, "log")) == [*before, b"fits"]
+
+
+def test_a_segment_that_cannot_be_started_does_not_come_back() -> None:
+    for seed in range(20):
+        disk, _ = two_segments()
+        log = SegmentedLog(disk, "log")
+        before = read_all(log)
+        disk.capacity = sum(disk.size(name) for name in disk.names()) + 5
+        with pytest.raises(StorageFull):
+            log.roll([b"x" * 40])
+        disk.capacity = None
+        log.append([b"fits"])
+        disk.lose_power_at(1)
+        with pytest.raises(PowerLoss):
+            log.append([b"torn"])
+        disk.lose_power(random.Random(seed))
+        assert read_all(SegmentedLog(disk, "log"))[: len(before) + 1] == [*before, b"fits"]
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -7,11 +7,38 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 # From the ground up: each may import those before it, and within itself.
-LAYERS = ["membership", "interface", "mail", "state", "choice", "settings", "log", "http", "net", "config",
-          "wire", "drill", "gateway", "lab", "cli", "__main__"]  # fmt: skip
+LAYERS = ["membership", "interface", "mail", "state", "admission", "choice", "settings", "log", "http", "net",
+          "config", "wire", "drill", "gateway", "consensus", "storage", "transport", "node",
+          "configuration", "distribution", "registry", "routing", "control", "batch", "edge", "lab", "cli",
+          "__main__"]  # fmt: skip
 RUN_TIME = {"click", "orjson"}  # beside the standard library
+# Libraries of the serving tier, for its parts alone.
+TIER = {
+    "h11",
+    "hypercorn",
+    "javaproperties",
+    "loguru",
+    "marshmallow",
+    "msgspec",
+    "returns",
+    "sortedcontainers",
+}
+TIER_PARTS = [
+    "consensus",
+    "storage",
+    "transport",
+    "node",
+    "configuration",
+    "registry",
+    "distribution",
+    "routing",
+    "control",
+    "batch",
+    "edge",
+]
 # Of a part alone, never on the way of `serve`.
-EXTRAS = {"lab": {"hdrh", "matplotlib", "msgspec", "numpy", "tqdm"}, "cli": {"msgspec", "tqdm"}}
+EXTRAS = {"lab": {"hdrh", "matplotlib", "msgspec", "numpy", "tqdm"}, "cli": {"loguru", "msgspec", "tqdm"}}
+EXTRAS |= dict.fromkeys(TIER_PARTS, TIER)
 
 
 def modules() -> dict[str, set[str]]:
@@ -29,6 +56,10 @@
     return found
 
 
+def required(name: str) -> set[str]:
+    return {line.split("==")[0] for line in (ROOT / name).read_text().split()}
+
+
 def layer(name: str) -> int:
     parts = name.split(".")
     return LAYERS.index(parts[1]) if len(parts) > 1 and parts[1] in LAYERS else -1
@@ -62,8 +93,8 @@
         allowed = RUN_TIME | EXTRAS.get(name.split(".")[1] if "." in name else "", set())
         for root in {x.split(".")[0] for x in imports} - {"pewterring"}:
             assert root in sys.stdlib_module_names or root in allowed, f"{name} imports {root}"
-    required = {x.split("==")[0] for x in (ROOT / "requirements.txt").read_text().split()}
-    assert required == RUN_TIME
+    assert required("requirements.txt") == RUN_TIME
+    assert required("requirements-tier.txt") == TIER | {"orjson"}
 
 
 def test_serve_loads_nothing_that_it_does_not_use() -> None:
@@ -73,4 +104,5 @@
         [sys.executable, "-c", look], check=True, capture_output=True, text=True, cwd=ROOT
     )
     heavy = {"click", "argparse", "pewterring.lab", "pewterring.cli.main"}.union(*EXTRAS.values())
+    heavy |= {f"pewterring.{part}" for part in TIER_PARTS}
     assert not heavy & set(loaded.stdout.split())
--- /dev/null
+++ b/tests/transport/test_http_client.py
@@ -0,0 +1,456 @@
+"""The client of workers against raw sockets."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import pytest
+
+from pewterring.transport.http_answer import AnswerReader
+from pewterring.transport.http_client import (
+    AnswerBroken,
+    ConnectFailed,
+    ConnectionCounts,
+    NoFreeConnection,
+    SendRequest,
+    StaleConnection,
+    WorkerPool,
+)
+from pewterring.transport.http_common import encode_chunk
+from pewterring.transport.http_fetch import AnswerTimeout, fetch
+from tests.transport.http_stand_ins import PATIENCE_S, RawWorker, Recorder, Script, Wire
+
+REQUEST = SendRequest("POST", "/x?", [(b"Host", b"h"), (b"Request-Id", b"a1")], b"body", b"a1")
+OK = b"HTTP/1.1 200 OK\r\nRequest-Id: a1\r\nContent-Length: 2\r\n\r\nok"
+CHUNKED = (
+    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\none\r\n4;x=y\r\ntwo!\r\n0\r\nT: 1\r\n\r\n"
+)
+FIRST_CHUNK_END = CHUNKED.index(b"4;x=y")
+LIMIT = 4
+
+
+class SteppedClock:
+    def __init__(self) -> None:
+        self.now = 1000.0
+
+    def __call__(self) -> float:
+        return self.now
+
+
+async def read_request(wire: Wire) -> bytes:
+    return await wire.until(b"\r\n\r\n") + await wire.read(4)
+
+
+def answering(*answers: bytes, close: bool = False) -> Script:
+    """Answers one request after the other on one connection."""
+
+    async def script(wire: Wire) -> None:
+        for raw in answers:
+            await read_request(wire)
+            wire.send(raw)
+        if close:
+            wire.close()
+        else:
+            await wire.rest()
+            wire.close()
+
+    return script
+
+
+def resetting(raw: bytes) -> Script:
+    async def script(wire: Wire) -> None:
+        await read_request(wire)
+        wire.send(raw)
+        await wire.writer.drain()
+        wire.reset()
+
+    return script
+
+
+async def exchange(pool: WorkerPool, address: str, request: SendRequest = REQUEST) -> Recorder:
+    recorder = Recorder()
+    pool.send(address, request, recorder, LIMIT)
+    await recorder.end()
+    return recorder
+
+
+def play(*scripts: Script, then: Callable[[WorkerPool, RawWorker], Awaitable[None]]) -> None:
+    async def run() -> None:
+        pool = WorkerPool()
+        async with RawWorker(*scripts) as worker:
+            try:
+                await then(pool, worker)
+            finally:
+                pool.close()
+
+    asyncio.run(run())
+
+
+def one_exchange(script: Script) -> Recorder:
+    recorders: list[Recorder] = []
+
+    async def then(pool: WorkerPool, worker: RawWorker) -> None:
+        recorders.append(await exchange(pool, worker.address))
+
+    play(script, then=then)
+    return recorders[0]
+
+
+def test_a_request_goes_out_as_given() -> None:
+    seen: list[bytes] = []
+
+    async def script(wire: Wire) -> None:
+        seen.append(await read_request(wire))
+        wire.send(OK)
+        await wire.rest()
+
+    recorder = one_exchange(script)
+    assert recorder.error is None
+    assert recorder.head is not None
+    assert (recorder.head.status, recorder.body) == (200, b"ok")
+    assert recorder.head.headers[0] == (b"Request-Id", b"a1")
+    assert type(recorder.head.headers[0][1]) is bytes
+    assert seen[0] == (b"POST /x? HTTP/1.1\r\nHost: h\r\nRequest-Id: a1\r\nContent-Length: 4\r\n\r\nbody")
+
+
+def test_connections_are_used_again_the_latest_first() -> None:
+    async def then(pool: WorkerPool, worker: RawWorker) -> None:
+        first, second = Recorder(), Recorder()
+        pool.send(worker.address, REQUEST, first, LIMIT)
+        pool.send(worker.address, REQUEST, second, LIMIT)
+        await first.end()
+        await second.end()
+        assert pool.counts(worker.address) == ConnectionCounts(open=2, idle=2)
+        for _ in range(2):
+            assert (await exchange(pool, worker.address)).error is None
+        assert worker.accepted == 2
+        pool.close_idle(worker.address)
+        assert pool.counts(worker.address) == ConnectionCounts(0, 0)
+
+    both = answering(OK, OK, OK)
+    play(both, both, then=then)
+
+
+@pytest.mark.parametrize(
+    "raw",
+    [
+        OK.replace(b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n"),
+        OK + b"surplus",
+        OK.replace(b"HTTP/1.1", b"HTTP/1.0"),
+    ],
+)
+def test_a_connection_that_is_not_used_again(raw: bytes) -> None:
+    async def then(pool: WorkerPool, worker: RawWorker) -> None:
+        for _ in range(2):
+            recorder = await exchange(pool, worker.address)
+            assert (recorder.error, recorder.body) == (None, b"ok")
+            assert pool.counts(worker.address).open == 0
+        assert worker.accepted == 2
+
+    play(answering(raw), answering(raw), then=then)
+
+
+def test_keep_alive_bounds_the_rest() -> None:
+    async def run(header: bytes, rest_s: float) -> int:
+        clock = SteppedClock()
+        pool = WorkerPool(now=clock)
+        raw = OK.replace(b"\r\n\r\n", header + b"\r\n\r\n")
+        async with RawWorker(answering(raw, raw), answering(raw)) as worker:
+            await exchange(pool, worker.address)
+            clock.now += rest_s
+            await exchange(pool, worker.address)
+            pool.close()
+            return worker.accepted
+
+    assert asyncio.run(run(b"\r\nKeep-Alive: timeout=5", 3.9)) == 1
+    assert asyncio.run(run(b"\r\nKeep-Alive: timeout=5", 4.1)) == 2
+    assert asyncio.run(run(b"\r\nKeep-Alive: max=3, timeout=1", 0.4)) == 1
+    assert asyncio.run(run(b"\r\nKeep-Alive: max=3, timeout=1", 0.6)) == 2
+    assert asyncio.run(run(b"", 3.9)) == 1
+    assert asyncio.run(run(b"", 4.1)) == 2
+
+
+def test_connections_that_rested_too_long_are_closed() -> None:
+    async def run() -> None:
+        clock = SteppedClock()
+        pool = WorkerPool(now=clock)
+        async with RawWorker(answering(OK)) as worker:
+            await exchange(pool, worker.address)
+            pool._sweep()
+            assert pool.counts(worker.address).idle == 1
+            clock.now += 5.0
+            pool._sweep()
+            assert pool.counts(worker.address).open == 0
+        pool.close()
+
+    asyncio.run(run())
+
+
+def test_a_refused_connection_was_not_sent() -> None:
+    async def run() -> None:
+        async with RawWorker() as worker:
+            address = worker.address
+        pool = WorkerPool()
+        recorder = await exchange(pool, address)
+        assert isinstance(recorder.error, ConnectFailed)
+        assert not recorder.error.sent
+        assert pool.counts(address).open == 0
+
+    asyncio.run(run())
+
+
+def test_a_connection_that_does_not_come_up_was_not_sent() -> None:
+    async def run() -> None:
+        pool = WorkerPool()
+        recorder = Recorder()
+        async with RawWorker() as worker:
+            pool.send(worker.address, REQUEST, recorder, LIMIT, connect_timeout_s=0.0)
+            error = await recorder.end()
+        assert isinstance(error, ConnectFailed)
+        assert not error.sent
+
+    asyncio.run(run())
+
+
+def test_the_limit_counts_connections_that_come_up() -> None:
+    async def then(pool: WorkerPool, worker: RawWorker) -> None:
+        first = Recorder()
+        pool.send(worker.address, REQUEST, first, limit=1)
+        with pytest.raises(NoFreeConnection):
+            pool.send(worker.address, REQUEST, Recorder(), limit=1)
+        assert await first.end() is None
+        second = Recorder()
+        pool.send(worker.address, REQUEST, second, limit=1)
+        assert await second.end() is None
+
+    play(answering(OK, OK), then=then)
+
+
+@pytest.mark.parametrize("reset", [False, True])
+def test_a_reused_connection_that_ends_without_an_answer_is_stale(reset: bool) -> None:
+    async def script(wire: Wire) -> None:
+        await read_request(wire)
+        wire.send(OK)
+        await read_request(wire)
+        if reset:
+            wire.reset()
+        else:
+            wire.close()
+
+    async def then(pool: WorkerPool, worker: RawWorker) -> None:
+        assert (await exchange(pool, worker.address)).error is None
+        recorder = await exchange(pool, worker.address)
+        assert isinstance(recorder.error, StaleConnection)
+        assert recorder.error.sent
+
+    play(script, then=then)
+
+
+def test_a_resting_connection_that_closes_or_speaks_is_not_used() -> None:
+    async def then(pool: WorkerPool, worker: RawWorker) -> None:
+        for _ in range(3):
+            assert (await exchange(pool, worker.address)).error is None
+            async with asyncio.timeout(PATIENCE_S):
+                while pool.counts(worker.address).open:
+                    await asyncio.sleep(0)
+        assert worker.accepted == 3
+
+    async def speaking(wire: Wire) -> None:
+        await read_request(wire)
+        wire.send(OK)
+        await wire.writer.drain()
+        await asyncio.sleep(0)
+        wire.send(OK)
+        await wire.rest()
+
+    play(answering(OK, close=True), speaking, answering(OK, close=True), then=then)
+
+
+def test_a_close_that_was_not_read_yet_is_seen_before_sending() -> None:
+    async def then(pool: WorkerPool, worker: RawWorker) -> None:
+        assert (await exchange(pool, worker.address)).error is None
+        connection = pool._addresses[worker.address].idle[0]
+        connection.transport.pause_reading()
+        closing.set()
+        async with asyncio.timeout(PATIENCE_S):
+            while not connection.unread():
+                await asyncio.sleep(0)
+        assert (await exchange(pool, worker.address)).error is None
+        assert worker.accepted == 2
+
+    closing = asyncio.Event()
+
+    async def closes_on_demand(wire: Wire) -> None:
+        await read_request(wire)
+        wire.send(OK)
+        await closing.wait()
+        wire.close()
+
+    play(closes_on_demand, answering(OK), then=then)
+
+
+def test_an_answer_to_another_request_is_not_taken() -> None:
+    recorder = one_exchange(answering(OK.replace(b"a1", b"b2")))
+    assert isinstance(recorder.error, AnswerBroken)
+    assert recorder.error.sent
+    assert recorder.head is None
+    assert recorder.body == b""
+
+
+def test_interim_answers_are_left_out() -> None:
+    interim = b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nRequest-Id: b2\r\n\r\n"
+    recorder = one_exchange(answering(interim + OK))
+    assert (recorder.error, recorder.body) == (None, b"ok")
+
+
+@pytest.mark.parametrize(
+    ("raw", "body"),
+    [
+        (b"", b""),
+        (OK[:20], b""),
+        (OK[:-1], b"o"),
+        (CHUNKED[:-2], b"onetwo!"),
+        (CHUNKED[: CHUNKED.index(b"o!")], b"onetw"),
+        (b"garbage\r\n\r\n", b""),
+        (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\noneX", b"one"),
+        (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\none\r\nzz\r\n", b"one"),
+        (b"HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n", b""),
+    ],
+)
+def test_an_answer_that_is_cut_or_garbage_is_broken(raw: bytes, body: bytes) -> None:
+    recorder = one_exchange(answering(raw, close=True))
+    assert isinstance(recorder.error, AnswerBroken)
+    assert recorder.error.sent
+    assert recorder.body == body
+
+
+def test_an_answer_until_close() -> None:
+    raw = b"HTTP/1.1 200 OK\r\n\r\nall of it"
+    recorder = one_exchange(answering(raw, close=True))
+    assert (recorder.error, recorder.body) == (None, b"all of it")
+    assert isinstance(one_exchange(resetting(raw)).error, AnswerBroken)
+
+
+def test_pieces_come_as_they_are_read() -> None:
+    async def then(pool: WorkerPool, worker: RawWorker) -> None:
+        recorder = Recorder()
+        pool.send(worker.address, REQUEST, recorder, LIMIT)
+        async with asyncio.timeout(PATIENCE_S):
+            await recorder.arrived.wait()
+        assert (recorder.body, recorder.ended.is_set()) == (b"one", False)
+        go_on.set()
+        assert await recorder.end() is None
+        assert recorder.body == b"onetwo!"
+
+    go_on = asyncio.Event()
+
+    async def script(wire: Wire) -> None:
+        await read_request(wire)
+        wire.send(CHUNKED[:FIRST_CHUNK_END])
+        await go_on.wait()
+        wire.send(CHUNKED[FIRST_CHUNK_END:])
+        await wire.rest()
+
+    play(script, then=then)
+
+
+def test_cancel_closes_at_once() -> None:
+    async def then(pool: WorkerPool, worker: RawWorker) -> None:
+        recorder = Recorder()
+        running = pool.send(worker.address, REQUEST, recorder, LIMIT)
+        assert not running.sent
+        async with asyncio.timeout(PATIENCE_S):
+            await recorder.arrived.wait()
+            assert running.sent
+            running.cancel()
+            assert pool.counts(worker.address).open == 0
+            await closed.wait()
+        assert not recorder.ended.is_set()
+        running.cancel()
+
+    closed = asyncio.Event()
+
+    async def script(wire: Wire) -> None:
+        await read_request(wire)
+        wire.send(OK[:-1])
+        assert await wire.rest() == b""
+        closed.set()
+
+    play(script, then=then)
+
+
+def test_cancel_while_connecting() -> None:
+    async def then(pool: WorkerPool, worker: RawWorker) -> None:
+        recorder = Recorder()
+        pool.send(worker.address, REQUEST, recorder, LIMIT).cancel()
+        assert pool.counts(worker.address).open == 0
+        assert (await exchange(pool, worker.address)).error is None
+        assert not recorder.ended.is_set()
+
+    play(answering(OK), answering(OK), then=then)
+
+
+def test_a_retired_address_keeps_no_connection() -> None:
+    async def then(pool: WorkerPool, worker: RawWorker) -> None:
+        recorder = Recorder()
+        pool.send(worker.address, REQUEST, recorder, LIMIT)
+        pool.close_address(worker.address)
+        assert await recorder.end() is None
+        assert (await exchange(pool, worker.address)).error is None
+        assert worker.accepted == 2
+
+    play(answering(OK), answering(OK), then=then)
+
+
+def test_expired_connections_make_room_for_a_new_one_that_is_counted() -> None:
+    async def run() -> None:
+        clock = SteppedClock()
+        pool = WorkerPool(now=clock)
+        async with RawWorker(answering(OK), answering(OK)) as worker:
+            await exchange(pool, worker.address)
+            clock.now += 60.0
+            await exchange(pool, worker.address)
+            assert pool.counts(worker.address) == ConnectionCounts(open=1, idle=1)
+        pool.close()
+
+    asyncio.run(run())
+
+
+def test_fetch_reads_whole_answers_and_raises() -> None:
+    async def then(pool: WorkerPool, worker: RawWorker) -> None:
+        answer = await fetch(pool, worker.address, REQUEST, LIMIT, PATIENCE_S)
+        assert (answer.head.status, answer.body) == (200, b"onetwo!")
+        with pytest.raises(AnswerBroken):
+            await fetch(pool, worker.address, REQUEST, LIMIT, PATIENCE_S)
+        with pytest.raises(AnswerTimeout):
+            await fetch(pool, worker.address, REQUEST, LIMIT, 0.05)
+        assert pool.counts(worker.address).open == 0
+
+    silent = answering(b"")
+    play(answering(CHUNKED, b"garbage\r\n\r\n"), silent, then=then)
+
+
+def test_an_answer_reads_the_same_at_every_split() -> None:
+    for raw, body in ((OK, b"ok"), (CHUNKED, b"onetwo!")):
+        for split in range(len(raw) + 1):
+            reader = AnswerReader("GET")
+            assert reader.feed(raw[:split]) + reader.feed(raw[split:] + b"") == body
+            assert (reader.complete, reader.error, reader.surplus) == (True, None, False)
+            assert reader.reusable
+
+
+def test_chunks_whose_content_looks_like_chunks_at_every_split() -> None:
+    content = b"2\r\nab\r\n"
+    head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+    stream = encode_chunk(b"one") + encode_chunk(content) + b"0\r\n\r\n"
+    for split in range(len(stream) + 1):
+        reader = AnswerReader("GET")
+        assert reader.feed(head) == b""
+        assert reader.feed(stream[:split]) + reader.feed(stream[split:]) == b"one" + content
+        assert (reader.complete, reader.error, reader.surplus) == (True, None, False)
+
+
+def test_answers_without_a_body() -> None:
+    for method, raw in (("HEAD", OK[:-2]), ("GET", b"HTTP/1.1 204 No Content\r\n\r\n")):
+        reader = AnswerReader(method)
+        assert reader.feed(raw) == b""
+        assert (reader.complete, reader.reusable) == (True, True)
--- /dev/null
+++ b/tests/transport/test_lines.py
@@ -0,0 +1,308 @@
+"""JSON lines over loopback connections."""
+
+import asyncio
+import random
+import socket
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import msgspec
+import pytest
+
+from pewterring.transport import channel as channel_module
+from pewterring.transport.datagrams import DatagramPort
+from pewterring.transport.lines import (
+    Channel,
+    ChannelClosed,
+    LineServer,
+    LinkPool,
+    MessageCodec,
+    RequestFailed,
+    RequestNotSent,
+    RequestTimeout,
+    UndecodableLine,
+    connect,
+)
+
+LOOPBACK = "127.0.0.1"
+TIMEOUT_S = 10.0  # of what must not happen
+
+
+class Say(msgspec.Struct, frozen=True, tag=True):
+    """A message whose handling the test chooses."""
+
+    text: str
+
+
+class Heard(msgspec.Struct, frozen=True, tag=True):
+    """The answer to `Say`."""
+
+    text: str
+
+
+class Unlisted(msgspec.Struct, frozen=True, tag=True):
+    """A message that the codec does not have."""
+
+
+CODEC = MessageCodec((Say, Heard))
+
+
+class Peer:
+    """The server's side: answers by the text that it gets."""
+
+    def __init__(self) -> None:
+        self.received: asyncio.Queue[tuple[Channel, Say]] = asyncio.Queue()
+        self.release = asyncio.Event()
+        self.server = LineServer(CODEC, self.on_message)
+
+    def on_message(self, channel: Channel, message: Say) -> Heard | Awaitable[Heard | None] | None:
+        self.received.put_nowait((channel, message))
+        if message.text == "error":
+            raise ValueError("handler's error")
+        if message.text == "ignore":
+            return None
+        if message.text.startswith("later"):
+            return self._later(message)
+        return Heard(message.text)
+
+    async def _later(self, message: Say) -> Heard:
+        if message.text == "later error":
+            raise ValueError("handler's error")
+        await self.release.wait()
+        return Heard(message.text)
+
+    async def text(self) -> str:
+        return (await self.received.get())[1].text
+
+
+def run(scenario: Callable[[Peer, Channel], Awaitable[None]]) -> None:
+    """Runs a scenario with a server and one channel to it."""
+
+    async def play() -> None:
+        peer = Peer()
+        await peer.server.start(LOOPBACK, 0)
+        channel = await connect(CODEC, LOOPBACK, peer.server.port, TIMEOUT_S)
+        try:
+            async with asyncio.timeout(TIMEOUT_S):
+                await scenario(peer, channel)
+        finally:
+            channel.close()
+            await peer.server.stop()
+
+    asyncio.run(play())
+
+
+def test_a_codec_returns_what_it_encoded() -> None:
+    line = CODEC.line(Say("ü\n"), request_id=3)
+    assert line.endswith(b"\n")
+    assert line.count(b"\n") == 1
+    envelope = CODEC.decode_line(line)
+    assert (envelope.id, envelope.reply_to) == (3, 0)
+    assert CODEC.decode(envelope.body) == Say("ü\n")
+
+
+@pytest.mark.parametrize(
+    "body", [b"", b"{}", b"[", b'{"type":"Unlisted"}', b'{"type":"Say","text":7}', b"\xff"]
+)
+def test_a_codec_refuses_what_is_no_message(body: bytes) -> None:
+    with pytest.raises(UndecodableLine):
+        CODEC.decode(body)
+
+
+def test_one_way_messages_arrive_in_order() -> None:
+    async def scenario(peer: Peer, channel: Channel) -> None:
+        for number in range(1000):
+            assert channel.send(Say(str(number)))
+        assert [await peer.text() for _ in range(1000)] == [str(number) for number in range(1000)]
+
+    run(scenario)
+
+
+def test_each_request_gets_its_own_answer() -> None:
+    async def scenario(peer: Peer, channel: Channel) -> None:
+        late = asyncio.ensure_future(channel.request(Say("later"), TIMEOUT_S))
+        answers = await asyncio.gather(*(channel.request(Say(str(n)), TIMEOUT_S) for n in range(50)))
+        assert answers == [Heard(str(n)) for n in range(50)]
+        assert not late.done()
+        peer.release.set()
+        assert await late == Heard("later")
+
+    run(scenario)
+
+
+def test_a_long_line_arrives_whole() -> None:
+    text = "x" * 6_000_000
+
+    async def scenario(peer: Peer, channel: Channel) -> None:
+        assert await channel.request(Say(text), TIMEOUT_S) == Heard(text)
+
+    run(scenario)
+
+
+@pytest.mark.parametrize("text", ["error", "later error"])
+def test_an_error_of_the_handler_fails_the_request_and_nothing_else(text: str) -> None:
+    async def scenario(peer: Peer, channel: Channel) -> None:
+        with pytest.raises(RequestFailed):
+            await channel.request(Say(text), TIMEOUT_S)
+        assert await channel.request(Say("next"), TIMEOUT_S) == Heard("next")
+
+    run(scenario)
+
+
+def test_a_request_without_answer_times_out_and_a_late_answer_is_dropped() -> None:
+    async def scenario(peer: Peer, channel: Channel) -> None:
+        with pytest.raises(RequestTimeout):
+            await channel.request(Say("later"), 0.0)
+        peer.release.set()
+        assert await channel.request(Say("next"), TIMEOUT_S) == Heard("next")
+
+    run(scenario)
+
+
+def test_open_requests_fail_when_the_peer_closes() -> None:
+    async def scenario(peer: Peer, channel: Channel) -> None:
+        closed = asyncio.Event()
+        channel.on_close.append(lambda _: closed.set())
+        request = asyncio.ensure_future(channel.request(Say("later"), TIMEOUT_S))
+        server_side, _ = await peer.received.get()
+        server_side.close()
+        with pytest.raises(ChannelClosed) as caught:
+            await request
+        assert not isinstance(caught.value, RequestNotSent)
+        await closed.wait()
+        assert channel.closed
+        assert not channel.send(Say("more"))
+        with pytest.raises(RequestNotSent):
+            await channel.request(Say("more"), TIMEOUT_S)
+
+    run(scenario)
+
+
+def test_messages_are_dropped_past_the_backlog(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(channel_module, "MAX_BACKLOG_BYTES", 1_000_000)
+
+    async def scenario(peer: Peer, channel: Channel) -> None:
+        text = "x" * 100_000
+        sent = 0
+        while channel.send(Say(text)):  # nothing is read meanwhile: this task does not wait
+            sent += 1
+        with pytest.raises(RequestNotSent):
+            await channel.request(Say("no room"), TIMEOUT_S)
+        for _ in range(sent):
+            assert await peer.text() == text
+        assert await channel.request(Say("again"), TIMEOUT_S) == Heard("again")
+
+    run(scenario)
+
+
+@pytest.mark.parametrize("line", [b"rubbish\n", b'{"id":1,"body":{"type":"Unlisted"}}\n', b"x" * 5000])
+def test_a_line_that_is_no_message_closes_the_channel(line: bytes, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(channel_module, "MAX_LINE_BYTES", 4000)
+
+    async def scenario(peer: Peer, channel: Channel) -> None:
+        closed = asyncio.Event()
+        channel.on_close.append(lambda _: closed.set())
+        channel.send_line(line)
+        await closed.wait()
+        assert peer.received.empty()
+
+    run(scenario)
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_lines_are_the_same_however_the_bytes_come(seed: int) -> None:
+    rng = random.Random(seed)
+    texts = ["x" * rng.randrange(60) for _ in range(40)]
+    stream = b"".join(CODEC.line(Say(text)) for text in texts)
+    received: list[str] = []
+    channel = Channel(CODEC, lambda _, message: received.append(message.text))
+    while stream:
+        size = rng.randrange(1, 100)
+        channel.data_received(stream[:size])
+        stream = stream[size:]
+    assert received == texts
+
+
+def test_a_connection_that_is_refused_raises_request_not_sent() -> None:
+    async def play() -> None:
+        with socket.socket() as unused:  # bound, not listening
+            unused.bind((LOOPBACK, 0))
+            with pytest.raises(RequestNotSent):
+                await connect(CODEC, LOOPBACK, unused.getsockname()[1], TIMEOUT_S)
+
+    asyncio.run(play())
+
+
+def test_a_pool_connects_on_demand_and_keeps_the_first_messages() -> None:
+    async def scenario(peer: Peer, _: Channel) -> None:
+        pool = LinkPool(CODEC, peer.server.port, rng=random.Random(1))
+        assert pool.send(LOOPBACK, Say("first"))
+        assert pool.send(LOOPBACK, Say("second"))
+        assert [await peer.text(), await peer.text()] == ["first", "second"]
+        assert await pool.request(LOOPBACK, Say("third"), TIMEOUT_S) == Heard("third")
+        assert len(peer.server.channels) == 2
+        pool.close()
+
+    run(scenario)
+
+
+def test_a_pool_answers_messages_from_the_peer() -> None:
+    async def scenario(peer: Peer, _: Channel) -> None:
+        pool = LinkPool(CODEC, peer.server.port, lambda _, say: Heard(say.text), rng=random.Random(1))
+        pool.send(LOOPBACK, Say("hello"))
+        server_side, _say = await peer.received.get()
+        assert await server_side.request(Say("and you"), TIMEOUT_S) == Heard("and you")
+        pool.close()
+
+    run(scenario)
+
+
+def test_a_pool_connects_again_after_a_loss() -> None:
+    async def scenario(peer: Peer, _: Channel) -> None:
+        pool = LinkPool(CODEC, peer.server.port, rng=random.Random(1))
+        request = asyncio.ensure_future(pool.request(LOOPBACK, Say("later"), TIMEOUT_S))
+        server_side, _say = await peer.received.get()
+        server_side.close()
+        with pytest.raises(ChannelClosed):
+            await request
+        assert await pool.request(LOOPBACK, Say("again"), TIMEOUT_S) == Heard("again")
+        pool.close()
+
+    run(scenario)
+
+
+def test_a_pool_without_a_peer_fails_requests_and_drops_messages() -> None:
+    async def play() -> None:
+        with socket.socket() as unused:
+            unused.bind((LOOPBACK, 0))
+            pool = LinkPool(CODEC, unused.getsockname()[1], rng=random.Random(1))
+            with pytest.raises(RequestNotSent):
+                await pool.request(LOOPBACK, Say("nobody"), TIMEOUT_S)
+            assert not pool.send(LOOPBACK, Say("in the pause after a failure"))
+            pool.close()
+
+    asyncio.run(play())
+
+
+def test_pauses_grow_to_their_limit() -> None:
+    pool = LinkPool(CODEC, 1, rng=random.Random(1))
+    pauses = [pool.pause_s(failures) for failures in range(20)]
+    assert all(0.1 <= pause <= 1.0 for pause in pauses)
+    assert min(pauses[5:]) >= 0.5
+
+
+def test_datagrams_arrive_with_the_sender() -> None:
+    async def play() -> None:
+        received: asyncio.Queue[Any] = asyncio.Queue()
+        one = DatagramPort(lambda data, ip: received.put_nowait((data, ip)))
+        other = DatagramPort(lambda data, ip: None)
+        await one.start(LOOPBACK, 0)
+        await other.start(LOOPBACK, 0)
+        other.send(LOOPBACK, b"hello", one.port)
+        async with asyncio.timeout(TIMEOUT_S):
+            assert await received.get() == (b"hello", LOOPBACK)
+        one.close()
+        other.close()
+        other.send(LOOPBACK, b"dropped", 1)
+
+    asyncio.run(play())
