--- /dev/null
+++ b/tests/consensus/scenarios.py
@@ -0,0 +1,127 @@
+"""Courses of events in which one broken rule does harm."""
+
+from pewterring.consensus.messages import AppendRequest, ConsensusMessage
+from pewterring.consensus.raft import Raft
+from tests.consensus.simulation import Simulation
+
+NEVER_S = 1000.0
+
+
+def _settled(seed: int, voters: int, raft_class: type[Raft]) -> tuple[Simulation, str, list[str]]:
+    """A group with a leader that has committed; the leader, and the others."""
+    simulation = Simulation(seed, voters, raft_class)
+    simulation.run_until(lambda: simulation.leader() is not None and simulation.leader_raft().leads_committed)
+    simulation.run(1.0)
+    leader = simulation.leader()
+    assert leader is not None
+    return simulation, leader, [name for name in simulation.members if name != leader]
+
+
+def vote_lost_with_power(seed: int, raft_class: type[Raft]) -> None:
+    """A voter loses power before its first vote is on disk, and is asked by another candidate."""
+    simulation = Simulation(seed, 3, raft_class)
+    simulation.cut("a", "c")
+    simulation.members["b"].sync_s = NEVER_S
+    simulation.run_while(lambda: simulation.leader() is None, 5.0)
+    first = simulation.leader() or "a"
+    simulation.crash("b", saves_lost=True)
+    simulation.members["b"].sync_s = None
+    simulation.cuts.clear()
+    simulation.cut_off(first)
+    simulation.start("b")
+    simulation.run(5.0)
+    simulation.check_converges()
+
+
+def follower_loses_entry(seed: int, raft_class: type[Raft]) -> None:
+    """The follower whose answer made the majority loses power before its disk has the entry."""
+    simulation, leader, (slow, cut) = _settled(seed, 3, raft_class)
+    simulation.cut_off(cut)
+    simulation.members[slow].sync_s = NEVER_S
+    simulation.propose("x")
+    simulation.run(0.3)
+    simulation.crash(slow, saves_lost=True)
+    simulation.crash(leader)
+    simulation.members[slow].sync_s = None
+    simulation.cuts.clear()
+    simulation.start(slow)
+    simulation.run(5.0)
+    simulation.check_converges()
+
+
+def leader_loses_entry(seed: int, raft_class: type[Raft]) -> None:
+    """The leader loses power before its disk has an entry that one follower of two has."""
+    simulation, leader, (holder, cut) = _settled(seed, 3, raft_class)
+    simulation.cut_off(cut)
+    simulation.members[leader].sync_s = NEVER_S
+    simulation.propose("x")
+    simulation.run(0.3)
+    simulation.crash(leader, saves_lost=True)
+    simulation.crash(holder)
+    simulation.members[leader].sync_s = None
+    simulation.cuts.clear()
+    simulation.start(leader)
+    simulation.run(5.0)
+    simulation.check_converges()
+
+
+def old_entry_overwritten(seed: int, raft_class: type[Raft]) -> None:
+    """A majority gets an old term's entry from a new leader, and a member with a later term's wins then.
+
+    This is figure 8 of the paper on Raft (Ongaro and Ousterhout, 2014).
+    """
+    simulation, first, (second, third, fourth, fifth) = _settled(seed, 5, raft_class)
+    for name in (third, fourth, fifth):
+        simulation.cut(first, name)
+    simulation.propose("x" * 300)
+    simulation.run(0.2)
+    simulation.crash(first)
+    simulation.crash(second)
+    simulation.drops = lambda message: isinstance(message, AppendRequest)
+    simulation.run_until(lambda: simulation.leader() is not None)
+    later = simulation.leader() or ""
+    simulation.run(0.2)
+    simulation.crash(later)
+    third, fourth = (name for name in (third, fourth, fifth) if name != later)
+    simulation.crash(fourth)
+    simulation.cuts.clear()
+    old = simulation.members[first].disk.last_index
+    simulation.drops = lambda message: _has_entry_after(message, old)
+    simulation.start(first)
+    simulation.start(second)
+    simulation.run_until(lambda: simulation.leader() in (first, second))
+    simulation.run(0.5)
+    simulation.crash(first)
+    simulation.crash(second)
+    simulation.drops = lambda message: False
+    simulation.start(later)
+    simulation.start(fourth)
+    simulation.run(5.0)
+    simulation.check_converges()
+
+
+def _has_entry_after(message: ConsensusMessage, index: int) -> bool:
+    return isinstance(message, AppendRequest) and any(entry.index > index for entry in message.entries)
+
+
+def rival_under_lease(seed: int, raft_class: type[Raft]) -> None:
+    """A member cut from the leader stands for election, and its voter starts again under the lease."""
+    simulation, leader, (keeper, rival) = _settled(seed, 3, raft_class)
+    simulation.cut(leader, rival)
+    _read_and_write(simulation, leader, 1.5)
+    if simulation.leader() == leader:
+        simulation.crash(keeper)
+        simulation.cut_off(leader)
+        simulation.start(keeper)
+    _read_and_write(simulation, leader, 0.5)
+    simulation.check_converges()
+
+
+def _read_and_write(simulation: Simulation, reader: str, duration: float) -> None:
+    """Reads at `reader`, and writes at another that leads after it."""
+    end = simulation.now + duration
+    while simulation.now < end:
+        if simulation.leader() != reader:
+            simulation.propose(str(simulation.now))
+        simulation.read(reader)
+        simulation.run(0.005)
--- a/tests/consensus/simulation.py
+++ b/tests/consensus/simulation.py
@@ -44,6 +44,7 @@
     raft: Raft | None = None
     life: int = 0
     frozen: bool = False
+    sync_s: float | None = None  # a disk of its own slowness
     postponed: list[Callable[[], None]] = field(default_factory=list)
     applied: list[list[object]] = field(default_factory=list)  # [index, term, text] of commands
     job: Callable[[], None] | None = None
@@ -62,6 +63,7 @@
         self.now = 0.0
         self.weather = Weather()
         self.cuts: set[tuple[str, str]] = set()  # (sender, target)
+        self.drops: Callable[[ConsensusMessage], bool] = lambda message: False
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._sequence = 0
         self.members: dict[str, Member] = {}
@@ -97,12 +99,12 @@
         )
         self._pump(member)
 
-    def crash(self, name: str) -> None:
+    def crash(self, name: str, saves_lost: bool = False) -> None:
         """The process dies; a save under way is on disk or is not."""
         member = self.members[name]
         if member.raft is None:
             return
-        if member.job is not None and self.rng.random() < 0.5:
+        if member.job is not None and not saves_lost and self.rng.random() < 0.5:
             member.job()
         member.job = None
         member.raft = None
@@ -139,12 +141,20 @@
         self.now = end
 
     def run_until(self, condition: Callable[[], bool], limit: float = 30.0) -> None:
+        """Runs until `condition` holds, which must come."""
+        if not self.run_while(lambda: not condition(), limit):
+            raise Violation("what was waited for did not come")
+
+    def run_while(self, condition: Callable[[], bool], limit: float) -> bool:
+        """Runs while `condition` holds; False if it still does at the limit."""
         end = self.now + limit
-        while not condition():
+        while condition():
             if not self._events or self._events[0][0] > end:
-                raise Violation("what was waited for did not come")
+                self.now = end
+                return False
             self.now, _, action = heapq.heappop(self._events)
             action()
+        return True
 
     def _in_life(self, member: Member, action: Callable[[Raft], None]) -> Callable[[], None]:
         """The action, done if the process still lives then; when it is frozen, after that."""
@@ -215,7 +225,8 @@
             member.job = None
             done(raft)
 
-        self._at(self.now + self.rng.uniform(*self.weather.sync_s), self._in_life(member, finish))
+        sync_s = self.rng.uniform(*self.weather.sync_s) if member.sync_s is None else member.sync_s
+        self._at(self.now + sync_s, self._in_life(member, finish))
 
     def _begin_save(self, member: Member, save: Save) -> None:
         def write() -> None:
@@ -264,7 +275,9 @@
     # The network.
 
     def _send(self, message: ConsensusMessage) -> None:
-        if (message.sender, message.target) in self.cuts or self.rng.random() < self.weather.lost:
+        if (message.sender, message.target) in self.cuts or self.drops(message):
+            return
+        if self.rng.random() < self.weather.lost:
             return
         self._deliver_later(message)
         if self.rng.random() < self.weather.repeated:
@@ -281,10 +294,14 @@
         if member is not None and (message.sender, message.target) not in self.cuts:
             self._in_life(member, lambda raft: raft.step(self._clock(member), message))()
 
+    def cut(self, name: str, other: str) -> None:
+        """No message passes between the two."""
+        self.cuts |= {(name, other), (other, name)}
+
     def cut_off(self, name: str) -> None:
         """No message reaches or leaves the member."""
         for other in self.members:
-            self.cuts |= {(name, other), (other, name)}
+            self.cut(name, other)
 
     # What must hold.
 
@@ -311,8 +328,10 @@
         """With all machines and links well, the group takes commands and all members agree."""
         self.weather = Weather()
         self.cuts.clear()
+        self.drops = lambda message: False
         for name, member in self.members.items():
             self.start(name)
+            member.sync_s = None
             if member.frozen:
                 self.thaw(name)
         self.run_until(lambda: self.leader() is not None and self.leader_raft().leads_committed)
@@ -335,7 +354,9 @@
     def leader(self) -> str | None:
         """The member that leads in the highest term."""
         leading = [member for member in self.members.values() if member.raft and member.raft.is_leader]
-        return max(leading, key=lambda member: member.raft.term if member.raft else 0).name if leading else None
+        return (
+            max(leading, key=lambda member: member.raft.term if member.raft else 0).name if leading else None
+        )
 
     def leader_raft(self) -> Raft:
         raft = self.members[self.leader() or ""].raft
--- /dev/null
+++ b/tests/consensus/test_breakages.py
@@ -0,0 +1,42 @@
+"""Each rule is needed: broken alone, it is caught; kept, the same courses of events do no harm."""
+
+from collections.abc import Callable
+
+import pytest
+
+from pewterring.consensus.raft import Raft
+from tests.consensus import breakages, scenarios
+from tests.consensus.schedules import play
+from tests.consensus.simulation import Violation
+
+Scenario = Callable[[int, type[Raft]], None]
+SEEDS = 6
+
+PAIRS: list[tuple[Scenario, type[Raft]]] = [
+    (scenarios.vote_lost_with_power, breakages.VoteBeforeSync),
+    (scenarios.follower_loses_entry, breakages.AnswerBeforeSync),
+    (scenarios.leader_loses_entry, breakages.CountsOwnUnsaved),
+    (scenarios.old_entry_overwritten, breakages.CommitsOldTerm),
+    (scenarios.rival_under_lease, breakages.VotesAgainAtOnce),
+    (scenarios.rival_under_lease, breakages.VotesWhileLed),
+]
+
+
+@pytest.mark.parametrize(("scenario", "broken"), PAIRS, ids=lambda value: value.__name__)
+def test_broken_rule_is_caught(scenario: Scenario, broken: type[Raft]) -> None:
+    with pytest.raises(Violation):
+        for seed in range(SEEDS):
+            scenario(seed, broken)
+
+
+@pytest.mark.parametrize("scenario", dict(PAIRS), ids=lambda value: value.__name__)
+def test_kept_rules_do_no_harm(scenario: Scenario) -> None:
+    for seed in range(SEEDS):
+        scenario(seed, Raft)
+
+
+@pytest.mark.parametrize("broken", [breakages.ReadsWithoutLease, breakages.ReadsBeforeOwnEntry])
+def test_stale_read_is_caught_by_schedules(broken: type[Raft]) -> None:
+    with pytest.raises(Violation):
+        for seed in range(60):
+            play(seed, 3 + 2 * (seed % 2), 150, broken)
--- /dev/null
+++ b/tests/consensus/test_machine.py
@@ -0,0 +1,117 @@
+"""Hypothesis chooses the faults and calls, and shrinks what breaks an invariant."""
+
+from hypothesis import HealthCheck, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, rule
+
+from tests.consensus.simulation import Simulation, Weather
+
+NAMES = st.sampled_from("abc")
+
+
+class GroupMachine(RuleBasedStateMachine):
+    """Three members; one at a time may lose its disk and be replaced."""
+
+    @initialize(seed=st.integers(0, 1000))
+    def begin(self, seed: int) -> None:
+        self.simulation = Simulation(seed)
+        self.places = {name: name for name in "abc"}  # the member that is there now
+        self.joining: tuple[str, str] | None = None
+        self.count = 0
+
+    @rule(duration=st.sampled_from((0.01, 0.1, 0.5, 2.0)))
+    def run(self, duration: float) -> None:
+        if self.joining is not None and self.simulation.replace_step(*self.joining):
+            self.joining = None
+        self.simulation.run(duration)
+
+    @rule(number=st.sampled_from((1, 3, 30)))
+    def propose(self, number: int) -> None:
+        for _ in range(number):
+            self.count += 1
+            self.simulation.propose(str(self.count))
+
+    @rule()
+    def read_everywhere(self) -> None:
+        for name in list(self.simulation.members):
+            self.simulation.read(name)
+
+    @rule(name=NAMES)
+    def crash(self, name: str) -> None:
+        self.simulation.crash(self.places[name])
+
+    @rule()
+    def crash_leader(self) -> None:
+        self.simulation.crash(self.simulation.leader() or "a")
+
+    @rule()
+    def crash_all(self) -> None:
+        for name in self.places.values():
+            self.simulation.crash(name)
+
+    @rule(name=NAMES)
+    def start(self, name: str) -> None:
+        self.simulation.start(self.places[name])
+
+    @rule(name=NAMES)
+    def freeze(self, name: str) -> None:
+        self.simulation.freeze(self.places[name])
+
+    @rule()
+    def thaw(self) -> None:
+        for name in list(self.simulation.members):
+            self.simulation.thaw(name)
+
+    @rule(sender=NAMES, receiver=NAMES)
+    def cut_one_way(self, sender: str, receiver: str) -> None:
+        self.simulation.cuts.add((self.places[sender], self.places[receiver]))
+
+    @rule(name=NAMES)
+    def cut_off(self, name: str) -> None:
+        self.simulation.cut_off(self.places[name])
+
+    @rule()
+    def heal(self) -> None:
+        self.simulation.cuts.clear()
+
+    @rule(bad=st.booleans(), slow=st.booleans())
+    def change_weather(self, bad: bool, slow: bool) -> None:
+        part = 0.2 if bad else 0.0
+        sync_s = (0.01, 0.3) if slow else (0.001, 0.01)
+        self.simulation.weather = Weather(lost=part, repeated=part, late=part, sync_s=sync_s)
+
+    @rule(name=NAMES)
+    def lose_disk(self, name: str) -> None:
+        if self.joining is not None:
+            return
+        self.count += 1
+        old, new = self.places[name], f"{name}#{self.count}"
+        self.simulation.crash(old)
+        del self.simulation.members[old]
+        self.simulation.join(new)
+        self.places[name] = new
+        self.joining = (old, new)
+
+    def teardown(self) -> None:
+        if not hasattr(self, "simulation"):
+            return
+        simulation = self.simulation
+        simulation.check_converges()
+        for _ in range(200):
+            if self.joining is None or simulation.replace_step(*self.joining):
+                break
+            simulation.run(0.2)
+        else:
+            raise AssertionError("a lost member was not replaced")
+        simulation.check_converges()
+
+
+GroupMachine.TestCase.settings = settings(
+    max_examples=40,
+    stateful_step_count=40,
+    deadline=None,
+    derandomize=True,
+    database=None,
+    suppress_health_check=[HealthCheck.too_slow],
+)
+TestGroupMachine = GroupMachine.TestCase
--- /dev/null
+++ b/tests/consensus/test_schedules.py
@@ -0,0 +1,103 @@
+"""Seeded schedules of crashes, freezes, cuts, lost, late and repeated messages, and slow disks."""
+
+import pytest
+
+from tests.consensus.schedules import play
+from tests.consensus.simulation import Simulation
+
+STEPS = 150
+
+
+@pytest.mark.parametrize("voters", [1, 2, 3, 5])
+def test_schedules(voters: int) -> None:
+    played = [play(seed, voters, STEPS) for seed in range(10)]
+    assert all(simulation.acknowledged for simulation in played)
+    assert sum(simulation.reads_done for simulation in played) > 0
+
+
+def test_lost_disks_are_replaced_under_load() -> None:
+    """Machines lose their disks one after the other, each replaced by a new member."""
+    for seed in range(3):
+        simulation = Simulation(seed)
+        simulation.weather.lost = 0.02
+        for number, lost in enumerate(("a", "b", "c")):
+            _commit_some(simulation, f"{number}")
+            simulation.crash(lost)
+            new = f"{lost}#2"
+            simulation.join(new)
+            _replace(simulation, lost, new)
+            del simulation.members[lost]
+        simulation.check_converges()
+        assert set(simulation.leader_raft().membership.voters) == {"a#2", "b#2", "c#2"}
+        assert len(simulation.acknowledged) > 90
+
+
+def _commit_some(simulation: Simulation, prefix: str) -> None:
+    for number in range(40):
+        simulation.propose(f"{prefix}.{number}")
+        simulation.run(0.05)
+
+
+def _replace(simulation: Simulation, old: str, new: str) -> None:
+    for step in range(400):
+        if simulation.replace_step(old, new):
+            return
+        simulation.propose(f"while {new} joins {step}")
+        simulation.run(0.05)
+    raise AssertionError(f"{new} did not take the place of {old}")
+
+
+def test_removed_leader_steps_down() -> None:
+    simulation = Simulation(1)
+    simulation.run_until(lambda: simulation.leader() is not None and simulation.leader_raft().leads_committed)
+    old = simulation.leader() or ""
+    membership = simulation.leader_raft().membership
+    rest = tuple(voter for voter in membership.voters if voter != old)
+    assert simulation.change(type(membership)(voters=rest))
+    simulation.run_until(lambda: simulation.leader() in rest)
+    simulation.run(3.0)
+    raft = simulation.members[old].raft
+    assert raft is not None and not raft.is_leader and raft.next_deadline() is None
+
+
+def test_leader_hands_out_a_snapshot_to_one_that_was_long_away() -> None:
+    simulation = Simulation(2)
+    simulation.run_until(lambda: simulation.leader() is not None)
+    away = next(name for name in simulation.members if name != simulation.leader())
+    simulation.crash(away)
+    for number in range(100):
+        simulation.propose(f"{number} {'x' * 50}")
+        simulation.run(0.05)
+    simulation.start(away)
+    simulation.run(3.0)
+    assert simulation.members[away].disk.snapshot_index > 0
+    simulation.check_converges()
+
+
+def test_quiet_group_keeps_its_leader() -> None:
+    simulation = Simulation(3, voters=5)
+    simulation.run_until(lambda: simulation.leader() is not None)
+    simulation.run(60.0)
+    assert len(simulation.leaders) == 1
+
+
+def test_member_cut_off_for_long_does_not_disturb_when_it_comes_back() -> None:
+    simulation = Simulation(4)
+    simulation.run_until(lambda: simulation.leader() is not None)
+    leader = simulation.leader()
+    away = next(name for name in simulation.members if name != leader)
+    simulation.cut_off(away)
+    simulation.run(20.0)
+    simulation.cuts.clear()
+    simulation.run(5.0)
+    assert simulation.leader() == leader and len(simulation.leaders) == 1
+
+
+def test_new_leader_within_two_seconds_of_a_crash() -> None:
+    for seed in range(20):
+        simulation = Simulation(seed)
+        simulation.run_until(lambda s=simulation: s.leader() is not None)  # type: ignore[misc]
+        simulation.run(1.0)
+        crashed = simulation.leader() or ""
+        simulation.crash(crashed)
+        assert simulation.run_while(lambda s=simulation: s.leader() is None, 2.0)  # type: ignore[misc]
