--- a/pewterring/admission/service.py
+++ b/pewterring/admission/service.py
@@ -8,7 +8,9 @@
 
 from pewterring import interface as i
 from pewterring.admission.ceiling import Ceiling
-from pewterring.admission.shares import LEASE_S, Shares
+from pewterring.admission.digests import Totals
+from pewterring.admission.relayed_shares import RelayedShares
+from pewterring.admission.shares import LEASE_S
 from pewterring.mail import Beat, read_beat
 
 
@@ -27,9 +29,10 @@
 class ServiceAdmission:
     """Decides, for one service, whether an attempt may go out now."""
 
-    def __init__(self, incarnation: int, processes: int = 1) -> None:
+    def __init__(self, incarnation: int, processes: int = 1, counted: bool = True) -> None:
+        """`counted` says whether this process is one of the gateways that share the ceiling."""
         self.ceiling = SlotCeiling(max(1, processes))
-        self.shares = Shares(max(1, processes), incarnation)
+        self.shares = RelayedShares(max(1, processes), incarnation, counted)
         self.shares.lends = True
         self.out = 0
         self._batch: dict[int, tuple[float, Beat]] = {}  # by peer: attempts of batch items
@@ -59,6 +62,9 @@
 
     def batch_out(self, now: float) -> int:
         """Attempts of batch items at other processes."""
+        totals = self.shares.totals
+        if totals is not None and self.shares.has_totals(now):
+            return int(totals.batch_out)
         return sum(beat.out for heard, beat in self._batch.values() if now - heard < LEASE_S)
 
     def acquire(self) -> bool:
@@ -96,45 +102,12 @@
         """Takes a gateway's heartbeat."""
         self.shares.hear(now, peer, data, self.ceiling.limit)
 
+    def hear_totals(self, now: float, totals: Totals) -> None:
+        """Takes the totals of a fleet too large for heartbeats from all to all."""
+        self.shares.hear_totals(now, totals, self.ceiling.limit)
+
     def hear_batch(self, now: float, peer: int, data: bytes) -> None:
         """Takes the heartbeat of a process that runs batch items: they yield, so they reserve no share."""
         beat = read_beat(data)
         if beat is not None:
             self._batch[peer] = (now, beat)
-
-
-class BatchAdmission:
-    """What batch items may use of one service: the room that live requests leave below the common ceiling."""
-
-    LIVE_MARGIN = 2.0  # of the square root of live attempts out: what they may grow by between heartbeats
-    FILL = 0.9  # of the ceiling at most, live requests included
-
-    def __init__(self, incarnation: int) -> None:
-        self._view = ServiceAdmission(incarnation)
-        self.out = 0
-
-    def rescale(self, now: float, slots: int, processes: int) -> None:
-        """Takes the number of slots of the ready workers, and of gateways that share them."""
-        self._view.rescale(now, slots, processes)
-
-    def hear(self, now: float, peer: int, data: bytes) -> None:
-        """Takes a gateway's heartbeat."""
-        self._view.hear(now, peer, data)
-
-    def observe(self, now: float, route: i.RequestClass, ratio: float) -> None:
-        """Takes a ratio of seen to expected time to the first byte."""
-        self._view.ceiling.observe(route, ratio, self._view.shares.elsewhere + self.out)
-
-    def tick(self, now: float) -> None:
-        """Once a heartbeat period."""
-        self._view.tick(now)
-
-    def room(self) -> int:
-        """How many more items may start now."""
-        live = self._view.shares.elsewhere
-        limit = min(self._view.whole, self._view.ceiling.limit)
-        return max(0, math.floor(self.FILL * limit - live - self.LIVE_MARGIN * math.sqrt(live)) - self.out)
-
-    def beat(self) -> bytes:
-        """The heartbeat for this service: attempts out, no share and no demand."""
-        return self._view.shares.beat(self._view.ceiling.limit, self.out)
--- a/pewterring/edge/admissions.py
+++ b/pewterring/edge/admissions.py
@@ -4,6 +4,7 @@
 from collections.abc import Mapping
 
 from pewterring.admission.datagram import BATCH, GATEWAY, service_number
+from pewterring.admission.digests import Totals
 from pewterring.admission.service import ServiceAdmission
 from pewterring.distribution.tables import Tables
 from pewterring.routing.chooser import WorkerChooser
@@ -53,3 +54,9 @@
             admission.hear(now, peer, beat)
         elif kind == BATCH:
             admission.hear_batch(now, peer, beat)
+
+    def hear_totals(self, now: float, number: int, totals: Totals) -> None:
+        """Takes the totals of the fleet for one service, where relays tell them."""
+        admission = self._by_number.get(number)
+        if admission is not None:
+            admission.hear_totals(now, totals)
--- a/pewterring/edge/attempt.py
+++ b/pewterring/edge/attempt.py
@@ -1,8 +1,8 @@
 """One attempt of a request at one worker: what is sent, and what its answer means."""
 
-from dataclasses import dataclass
 from enum import Enum, auto
 
+from pewterring.routing.load_report import Load, parse_load
 from pewterring.transport.http_answer import AnswerHead
 from pewterring.transport.http_client import SendRequest
 from pewterring.transport.http_common import Headers, end_to_end_headers
@@ -28,14 +28,6 @@
     FAILURE = auto()  # the worker's own failure; it counts as run
 
 
-@dataclass(frozen=True, slots=True)
-class Load:
-    """A worker's load as an answer tells it."""
-
-    running: int
-    waiting: int
-
-
 def worker_request(
     request: ServerRequest, worker_id: str, left_s: float | None, last_event_id: int | None
 ) -> SendRequest:
@@ -77,10 +69,4 @@
 
 def read_load(head: AnswerHead) -> Load | None:
     """The load that a head tells, if any."""
-    value = head.get(LOAD)
-    if value is None:
-        return None
-    numbers = value.split(b",")
-    if len(numbers) < 2 or not all(number.strip().isdigit() for number in numbers[:2]):
-        return None
-    return Load(int(numbers[0]), int(numbers[1]))
+    return parse_load(head.get(LOAD))
--- a/pewterring/edge/live.py
+++ b/pewterring/edge/live.py
@@ -1,6 +1,7 @@
 """One live request at a gateway: attempts at workers within its time, and the answer to the client."""
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum, auto
 
@@ -8,6 +9,7 @@
 from pewterring.admission.service import ServiceAdmission
 from pewterring.configuration.model import Route
 from pewterring.edge.attempt import (
+    MISDIRECTED,
     Verdict,
     answer_headers,
     is_event_stream,
@@ -15,6 +17,7 @@
     read_load,
     worker_request,
 )
+from pewterring.edge.stalls import GAP_SHARE, StallWatch, WatchedAttempt
 from pewterring.routing.chooser import WorkerChooser
 from pewterring.routing.prompt import Prompt
 from pewterring.routing.worker_state import WorkerState
@@ -29,6 +32,8 @@
 RETRY_PAUSE_S = 0.01  # before a request goes elsewhere that no worker took
 BUFFERED_BYTES = 256 * 1024  # of an answer that is no stream: kept until it is whole
 LEAST_LEFT_S = 0.005  # with less time left nothing is begun
+PATIENCE = 1.5  # times the expected time to the first byte, before a worker's silence begins to count
+CLEAN_WAIT = 0.25  # of the expected time: with more waiting ahead a sample says little of the reading itself
 
 
 class End(Enum):
@@ -47,33 +52,42 @@
     body: bytes
 
 
+@dataclass(frozen=True, slots=True)
+class LiveContext:
+    """What all live requests of a gateway share."""
+
+    pool: WorkerPool
+    chooser: WorkerChooser
+    watch: StallWatch
+    tell_prompt: Callable[[WorkerState, int, Prompt], None]  # a worker was given so many tokens to read
+
+
 class LiveRequest:
     """Carries one request to its end. The slot of admission is held by the caller."""
 
     def __init__(
         self,
+        context: LiveContext,
         request: ServerRequest,
         responder: Responder,
         route: Route,
         service: str,
         prompt: Prompt,
         deadline: float,
-        pool: WorkerPool,
-        chooser: WorkerChooser,
         admission: ServiceAdmission,
         max_connections: int,
     ) -> None:
+        self._context = context
         self._request = request
         self._responder = responder
         self._route = route
         self._service = service
         self._prompt = prompt
         self._deadline = deadline
-        self._pool = pool
-        self._chooser = chooser
+        self._chooser = context.chooser
         self._admission = admission
         self._max_connections = max_connections
-        self._now = pool.now
+        self._now = context.pool.now
         self._tried: set[str] = set()
         self._runs = 0  # attempts that may have run
         self._events = 0  # events that the client has of this answer
@@ -124,13 +138,18 @@
         left_s = self._deadline - now if self._request.get(b"request-timeout-ms") is not None else None
         message = worker_request(self._request, worker.record.id, left_s, self._resume_id())
         tokens = worker.uncached(self._prompt)
+        times = self._chooser.times_of(self._service)
+        wait_s = self._chooser.wait_s(now, worker, times)
         try:
-            stream = AnswerStream(self._pool, worker.record.address, message, self._max_connections)
+            stream = AnswerStream(self._context.pool, worker.record.address, message, self._max_connections)
         except ExchangeError:
             return End.NOT_RUN
         worker.out += 1
         worker.pending_tokens += tokens
-        reading = _Reading(tokens, now)
+        watched = self._watched(worker, stream, now, times.expected(tokens) + wait_s)
+        reading = _Reading(tokens, now, wait_s, watched)
+        self._context.watch.add(watched)
+        self._context.tell_prompt(worker, tokens, self._prompt)
         try:
             async with asyncio.timeout_at(self._deadline):
                 return await self._read(worker, stream, reading)
@@ -142,22 +161,39 @@
         finally:
             worker.out -= 1
             worker.pending_tokens -= reading.pending_tokens
+            self._context.watch.remove(watched)
             stream.cancel()
 
+    def _watched(
+        self, worker: WorkerState, stream: AnswerStream, now: float, expected_s: float
+    ) -> WatchedAttempt:
+        patience_s = PATIENCE * expected_s + self._silence_s()
+        repeatable = self._route.repeatable and self._runs + 1 < self._route.max_attempts
+        return WatchedAttempt(worker, stream, patience_s, now, repeatable)
+
+    def _silence_s(self) -> float:
+        """The silence of a worker that is borne: past it the answer would be late."""
+        if self._route.gap_aim_ms > 0:
+            return GAP_SHARE * self._route.gap_aim_ms / 1000
+        return self._route.target_latency_ms / 1000
+
     def _resume_id(self) -> int | None:
         return self._last_event_id if self._begun else None
 
     async def _read(self, worker: WorkerState, stream: AnswerStream, reading: "_Reading") -> End:
         head = await stream.next_part()
         assert isinstance(head, AnswerHead)
+        worker.heard_at = self._now()
         load = read_load(head)
         if load is not None:
-            worker.take_report(self._now(), load.running, load.waiting)
+            worker.take_report(worker.heard_at, load.running, load.waiting)
         verdict = judge(head)
         if verdict is Verdict.SUCCESS and is_event_stream(head):
             return await self._read_events(worker, stream, head, reading)
         body = await self._read_whole(stream)
         if verdict is Verdict.NOT_RUN:
+            if head.status == MISDIRECTED:
+                worker.failed(self._now())  # another worker has the address
             return End.NOT_RUN
         if verdict is Verdict.FAILURE or self._begun:
             self._failure = Failure(head, body)
@@ -183,10 +219,11 @@
         while (part := await stream.next_part()) is not None:
             if not isinstance(part, bytes):
                 continue
+            worker.heard_at = self._now()
             events = splitter.feed(part)
             if not events:
                 continue
-            if reading.pending_tokens or not reading.done:
+            if not reading.done:
                 self._first_byte(worker, reading)
             if resumed_after is not None:
                 if events[0].id != resumed_after + 1:
@@ -215,12 +252,15 @@
         seconds = now - reading.sent_at
         worker.pending_tokens -= reading.pending_tokens
         reading.pending_tokens = 0
+        reading.watched.patience_s = self._silence_s()
         worker.keep(self._prompt)
         times = self._chooser.times_of(self._service)
         expected = times.expected(reading.tokens)
-        times.learn(reading.tokens, seconds)
+        if reading.wait_s < CLEAN_WAIT * expected:
+            times.learn(reading.tokens, seconds - reading.wait_s)
+        expected += reading.wait_s
         ratio = seconds / max(1e-4, expected)
-        worker.slowness += (min(10.0, ratio) - worker.slowness) * 0.1
+        worker.note_ratio(ratio)
         aim = self._route.target_latency_ms / 1000 / max(1e-4, expected)
         kind = i.RequestClass(self._route.name, aim, aim)
         self._admission.observe(now, kind, ratio)
@@ -229,9 +269,11 @@
 class _Reading:
     """What an attempt waits for: the first byte."""
 
-    __slots__ = ("done", "pending_tokens", "sent_at", "tokens")
+    __slots__ = ("done", "pending_tokens", "sent_at", "tokens", "wait_s", "watched")
 
-    def __init__(self, tokens: int, sent_at: float) -> None:
+    def __init__(self, tokens: int, sent_at: float, wait_s: float, watched: WatchedAttempt) -> None:
+        self.watched = watched
+        self.wait_s = wait_s  # expected wait for prompts sent before
         self.tokens = tokens
         self.pending_tokens = tokens
         self.sent_at = sent_at
--- a/pewterring/edge/program.py
+++ b/pewterring/edge/program.py
@@ -10,6 +10,7 @@
 from loguru import logger
 
 from pewterring.admission.datagram import GATEWAY
+from pewterring.admission.digests import Totals
 from pewterring.admission.shares import BEAT_S
 from pewterring.batch.messages import BATCH_MESSAGES
 from pewterring.configuration.model import ClientLimits, Route, RouteType
@@ -20,7 +21,9 @@
 from pewterring.edge.admissions import GATEWAY_PROGRAM, GatewayAdmissions
 from pewterring.edge.answers import Answer
 from pewterring.edge.batch_calls import BatchCalls, BatchRequest, is_batch_call
-from pewterring.edge.live import LiveRequest
+from pewterring.edge.live import LiveContext, LiveRequest
+from pewterring.edge.prompt_exchange import PromptExchange
+from pewterring.edge.stalls import LOOK_S, StallWatch
 from pewterring.node.settings import NodeSettings
 from pewterring.routing.chooser import WorkerChooser
 from pewterring.routing.heartbeats import AdmissionHeartbeats
@@ -36,6 +39,7 @@
 QUIET_S = 0.3  # without a request held, then the process ends
 KILL_MARGIN_S = 0.7  # before the platform kills
 DRAIN_LOOK_S = 0.05
+START_WAIT_S, START_SHARE = 1.5, 0.4  # that a request waits for the first tables; of its time at most
 IDLE_CONNECTIONS = 60  # connections to a worker where the operator gives no number
 
 
@@ -67,20 +71,27 @@
         self._pool = WorkerPool()
         self._chooser = WorkerChooser(settings.zone, self._rng)
         self._admissions = GatewayAdmissions(self._rng)
-        self._heartbeats = AdmissionHeartbeats(settings.ip, settings.internal_port, GATEWAY, self._heard)
+        self._heartbeats = AdmissionHeartbeats(
+            settings.ip, settings.internal_port, GATEWAY, self._heard, self._heard_totals
+        )
+        self._prompts = PromptExchange(settings.ip, settings.internal_port + 1, self._chooser, self._rng)
+        self._watch = StallWatch()
+        self._live = LiveContext(self._pool, self._chooser, self._watch, self._prompts.tell)
+        self._configured = asyncio.Event()
         self._front = HttpServer(self._handle, lambda: self._limits)
         self._ready = HttpServer(self._handle_ready, lambda: server_limits(ClientLimits()))
-        self._ticker: asyncio.Task[None] | None = None
+        self._tasks: list[asyncio.Task[None]] = []
 
     async def start(self) -> None:
         """Opens the ports and follows the control leader. Raises OSError."""
         settings = self._settings
         assert settings.front is not None and settings.ready is not None
         await self._heartbeats.start()
+        await self._prompts.start()
         await self._ready.start(settings.ready.ip, settings.ready.port)
         await self._front.start(settings.front.ip, settings.front.port)
         await self._feed.start()
-        self._ticker = asyncio.create_task(self._tick())
+        self._tasks = [asyncio.create_task(self._tick()), asyncio.create_task(self._look())]
         logger.info("gateway {} listens on {}", settings.node_id, settings.front)
 
     async def drain(self) -> None:
@@ -102,11 +113,12 @@
         await self._front.stop()
         await self._ready.stop()
         await self._feed.stop()
-        if self._ticker is not None:
-            self._ticker.cancel()
+        for task in self._tasks:
+            task.cancel()
             with contextlib.suppress(asyncio.CancelledError):
-                await self._ticker
+                await task
         self._heartbeats.close()
+        self._prompts.close()
         self._links.close()
         self._pool.close()
 
@@ -125,12 +137,14 @@
         if new.configuration is not old.configuration and new.configuration is not None:
             self._routes = RouteTable(new.configuration)
             self._limits = server_limits(new.configuration.limits)
+            self._configured.set()
         if new.workers is not old.workers or new.configuration is not old.configuration:
             self._chooser.update(new.workers, new.configuration)
             addresses = {worker.address for worker in new.workers.values()}
             for worker in old.workers.values():
                 if worker.address not in addresses:
                     self._pool.close_address(worker.address)
+        self._prompts.peers = tuple(node.ip for node in new.nodes if node.program == GATEWAY_PROGRAM)
         self._admissions.update(time.monotonic(), new, self._chooser)
 
     async def _tick(self) -> None:
@@ -139,9 +153,17 @@
             beats = self._admissions.tick(time.monotonic())
             self._heartbeats.send(beats, self._feed.tables.nodes)
 
+    async def _look(self) -> None:
+        while True:
+            await asyncio.sleep(LOOK_S)
+            self._watch.look(time.monotonic())
+
     def _heard(self, kind: int, peer: int, number: int, beat: bytes) -> None:
         self._admissions.hear(time.monotonic(), kind, peer, number, beat)
 
+    def _heard_totals(self, number: int, totals: Totals) -> None:
+        self._admissions.hear_totals(time.monotonic(), number, totals)
+
     # Requests.
 
     async def _handle_ready(self, request: ServerRequest, responder: Responder) -> None:
@@ -156,9 +178,10 @@
         if is_batch_call(request.method, path):
             await self._answer(responder, await self._batch.call(self._batch_request(request, None)))
             return
-        if self._routes is None:
+        if self._routes is None and not await self._wait_for_tables(request):
             await responder.respond(503, [(b"Retry-After", b"0.5")])
             return
+        assert self._routes is not None
         route = self._routes.find(request.host, path)
         if route is None:
             await responder.respond(404, [])
@@ -169,6 +192,16 @@
         else:
             await self._serve(request, responder, route)
 
+    async def _wait_for_tables(self, request: ServerRequest) -> bool:
+        """A process that has just started is told the tables within a second or two; False if not in time.
+
+        Symptom answered: all processes start at once, and clients are there before the first tables.
+        """
+        wait_s = min(START_WAIT_S, START_SHARE * self._time_s(request, None))
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(self._configured.wait(), wait_s)
+        return self._routes is not None
+
     async def _answer(self, responder: Responder, answer: Answer) -> None:
         headers = [(name.encode(), value.encode()) for name, value in answer.headers]
         await responder.respond(answer.status, headers, answer.body)
@@ -203,14 +236,13 @@
         responder.on_disconnect(lambda: _cancel(task))
         try:
             await LiveRequest(
+                self._live,
                 request,
                 responder,
                 route,
                 service,
                 read_prompt(_text(request.get(b"prompt-prefix")), _text(request.get(b"token-usage"))),
                 request.received_at + self._time_s(request, route),
-                self._pool,
-                self._chooser,
                 admission,
                 self._connections(service),
             ).run()
--- /dev/null
+++ b/pewterring/edge/stalls.py
@@ -0,0 +1,67 @@
+"""Finds workers that have gone silent in the middle of attempts, by looking at all attempts now and then.
+
+Symptom answered: a worker that is dead or cut off without a word. Its streams would only end at a deadline. A
+worker that still sends bytes of any answer is alive, however slow one stream is.
+"""
+
+import math
+from dataclasses import dataclass
+
+from pewterring.routing.worker_state import WorkerState
+from pewterring.transport.http_exchange import ExchangeError
+from pewterring.transport.http_fetch import AnswerStream
+
+LOOK_S = 0.05  # between looks
+LATE_LOOK_S = 3 * LOOK_S
+GAP_SHARE = 0.7  # of the longest pause that a route allows: silence of a worker in the middle of streams
+
+
+class WorkerSilent(ExchangeError):
+    """The worker has said nothing for longer than it should; the request may have run."""
+
+
+@dataclass(slots=True, eq=False)
+class WatchedAttempt:
+    """One attempt out. `patience_s` is the silence borne now; it changes with the first byte."""
+
+    worker: WorkerState
+    stream: AnswerStream
+    patience_s: float
+    since: float  # when it was sent, or its last byte came
+    repeatable: bool  # whether the request may go elsewhere
+
+    def silent_for(self, now: float) -> float:
+        """Seconds since the worker was heard of, or since the attempt began."""
+        return now - max(self.since, self.worker.heard_at)
+
+
+class StallWatch:
+    """All attempts out at this gateway."""
+
+    def __init__(self) -> None:
+        self._attempts: set[WatchedAttempt] = set()
+        self._looked_at = -math.inf
+
+    def add(self, attempt: WatchedAttempt) -> None:
+        """Watches an attempt."""
+        self._attempts.add(attempt)
+
+    def remove(self, attempt: WatchedAttempt) -> None:
+        """Its end."""
+        self._attempts.discard(attempt)
+
+    def look(self, now: float) -> None:
+        """Interrupts the attempts at workers that are silent for too long, where they may go elsewhere."""
+        late = now - self._looked_at > LATE_LOOK_S
+        self._looked_at = now
+        for attempt in list(self._attempts):
+            if late:
+                attempt.since = now  # this process stood still itself: what came meanwhile is not read yet
+                continue
+            if attempt.silent_for(now) <= attempt.patience_s:
+                continue
+            if not attempt.worker.suspect(now):
+                attempt.worker.failed(now)
+            if attempt.repeatable:
+                self._attempts.discard(attempt)
+                attempt.stream.interrupt(WorkerSilent("the worker is silent"))
--- a/pewterring/routing/chooser.py
+++ b/pewterring/routing/chooser.py
@@ -7,6 +7,7 @@
 from pewterring.configuration.model import Configuration
 from pewterring.distribution.messages import WorkerRecord
 from pewterring.routing.prompt import Prompt
+from pewterring.routing.prompt_hints import worker_number
 from pewterring.routing.worker_state import WorkerState
 
 READY = "ready"
@@ -49,6 +50,7 @@
         self._rng = rng
         self.workers: dict[str, WorkerState] = {}
         self._by_service: dict[str, tuple[WorkerState, ...]] = {}
+        self._by_number: dict[int, WorkerState] = {}
         self.times: dict[str, ServiceTimes] = {}
 
     def update(self, records: Mapping[str, WorkerRecord], configuration: Configuration | None) -> None:
@@ -61,6 +63,7 @@
             state.record = record
             kept[worker_id] = state
         self.workers = kept
+        self._by_number = {worker_number(worker_id): state for worker_id, state in kept.items()}
         by_service: dict[str, list[WorkerState]] = {}
         for state in kept.values():
             if state.record.state == READY:
@@ -93,7 +96,7 @@
             return None
         others = [state for state in states if state.record.id not in avoid]
         times = self.times_of(service)
-        home = self._home(states, prompt)
+        home = self._home(now, states, prompt)
         return min(
             others or states,
             key=lambda state: (
@@ -103,12 +106,27 @@
         )
 
     @staticmethod
-    def _home(states: Sequence[WorkerState], prompt: Prompt) -> WorkerState | None:
-        """Where all processes first send the prompts that share this one's parts: by rendezvous hash."""
+    def _home(now: float, states: Sequence[WorkerState], prompt: Prompt) -> WorkerState | None:
+        """Where all processes first send the prompts that share this one's parts, by rendezvous hash.
+
+        None where a worker is known that keeps the shared part: then nothing needs guessing.
+        """
         if len(prompt.parts) < 2:
             return None
         shared = prompt.parts[-2][0]
-        return max(states, key=lambda state: zlib.crc32(f"{shared}/{state.record.id}".encode()))
+        well = [state for state in states if not state.suspect(now)]
+        if any(state.keeps(shared) for state in well):
+            return None
+        return max(well or states, key=lambda state: zlib.crc32(f"{shared}/{state.record.id}".encode()))
+
+    @staticmethod
+    def wait_s(now: float, state: WorkerState, times: ServiceTimes) -> float:
+        """Seconds that a request waits there for prompts sent before it."""
+        return state.announced_s(now) + times.per_token_s * state.pending_tokens
+
+    def by_number(self, number: int) -> WorkerState | None:
+        """The worker that hints call by this number."""
+        return self._by_number.get(number)
 
     def _cost(
         self, now: float, state: WorkerState, prompt: Prompt, times: ServiceTimes, is_home: bool
@@ -117,7 +135,7 @@
         if is_home and prompt.parts:
             tokens = min(tokens, prompt.parts[-1][1])  # others will have sent the shared parts there
         load = state.load(now)
-        cost = times.base_s * (1 + load) + times.per_token_s * (tokens + state.pending_tokens)
+        cost = times.base_s * (1 + load) + times.per_token_s * tokens + self.wait_s(now, state, times)
         if load >= FULL:
             cost += times.base_s * (2 + 10 * (load - FULL))
         if state.record.zone != self._zone:
--- a/pewterring/routing/prompt.py
+++ b/pewterring/routing/prompt.py
@@ -1,5 +1,6 @@
 """What a request says of its prompt: the parts in order, and the tokens it may take."""
 
+import zlib
 from dataclasses import dataclass
 
 PREFIX_HEADER = "prompt-prefix"
@@ -8,9 +9,9 @@
 
 @dataclass(frozen=True, slots=True)
 class Prompt:
-    """Parts as (id, tokens) in order; the last belongs to the request or its session."""
+    """Parts as (number of the id, tokens) in order; the last belongs to the request or its session."""
 
-    parts: tuple[tuple[str, int], ...] = ()
+    parts: tuple[tuple[int, int], ...] = ()
     prompt_tokens: int = 0
     output_tokens: int = 0  # at most
 
@@ -37,6 +38,6 @@
     return Prompt(parts, prompt_tokens or sum(tokens for _, tokens in parts), output_tokens)
 
 
-def _part(text: str) -> tuple[str, int]:
+def _part(text: str) -> tuple[int, int]:
     name, _, tokens = text.strip().partition(":")
-    return name, int(tokens)
+    return zlib.crc32(name.encode()), int(tokens)
--- a/pewterring/routing/worker_state.py
+++ b/pewterring/routing/worker_state.py
@@ -9,6 +9,7 @@
 REPORT_LIFE_S = 0.5  # a load report fades by 1/e in this time
 SUSPECT_S = 1.0  # how long the first failure keeps requests away; doubled by each further one
 SUSPECT_MOST_S = 8.0
+MOST_RATIO, SLOWNESS_WEIGHT = 10.0, 0.1  # of one sample: what it counts at most, its weight in the mean
 KEPT_SHARE = 0.8  # of the worker's memory that is taken to hold parts of prompts
 
 
@@ -20,8 +21,10 @@
         self.out = 0  # own attempts out
         self.pending_tokens = 0  # of own attempts that have no first byte yet: tokens to be read
         self._memory_tokens = memory_tokens
-        self._kept: OrderedDict[str, int] = OrderedDict()  # parts by last use
+        self._kept: OrderedDict[int, int] = OrderedDict()  # parts by last use
         self._kept_tokens = 0
+        self._announced_until = -math.inf  # when it will have read what other gateways announced
+        self.heard_at = -math.inf  # when any byte of an answer last came from it
         self._reported = 0.0  # attempts of others by the last report
         self._reported_at = -math.inf
         self._failures = 0
@@ -50,9 +53,25 @@
             left -= tokens
         return max(0, left)
 
+    def announced_s(self, now: float) -> float:
+        """Seconds that it will still read prompts that other gateways announced."""
+        return max(0.0, self._announced_until - now)
+
+    def announce(self, now: float, seconds: float, parts: tuple[tuple[int, int], ...]) -> None:
+        """Another gateway sent it a prompt that takes `seconds` to read; it keeps the parts from now on."""
+        self._announced_until = max(now, self._announced_until) + seconds
+        self._keep_parts(parts)
+
+    def keeps(self, part: int) -> bool:
+        """Whether it is thought to keep a part."""
+        return part in self._kept
+
     def keep(self, prompt: Prompt) -> None:
         """Notes that it has read the prompt; the parts unused for longest give way."""
-        for part, tokens in prompt.parts:
+        self._keep_parts(prompt.parts)
+
+    def _keep_parts(self, parts: tuple[tuple[int, int], ...]) -> None:
+        for part, tokens in parts:
             if part in self._kept:
                 self._kept.move_to_end(part)
             else:
@@ -62,6 +81,10 @@
             _, tokens = self._kept.popitem(last=False)
             self._kept_tokens -= tokens
 
+    def note_ratio(self, ratio: float) -> None:
+        """Takes the seen over the expected time to a first byte."""
+        self.slowness += (min(MOST_RATIO, ratio) - self.slowness) * SLOWNESS_WEIGHT
+
     def failed(self, now: float) -> None:
         """An attempt could not be sent or was cut: keeps requests away for a while, longer each time."""
         pause = min(SUSPECT_MOST_S, SUSPECT_S * 2**self._failures)
--- a/pewterring/transport/http_fetch.py
+++ b/pewterring/transport/http_fetch.py
@@ -57,6 +57,11 @@
         """Closes the connection at once, if the answer has not ended."""
         self.exchange.cancel()
 
+    def interrupt(self, error: ExchangeError) -> None:
+        """Closes the connection at once; `next_part` raises the error behind what has come."""
+        self.exchange.cancel()
+        self._put(error)
+
     def on_head(self, head: AnswerHead) -> None:
         """Called by the exchange."""
         self._put(head)
--- /dev/null
+++ b/tests/edge/test_live.py
@@ -0,0 +1,294 @@
+"""Live requests through a gateway's front, at workers played on loopback."""
+
+import asyncio
+import random
+import time
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+
+import pytest
+
+from pewterring.admission.service import ServiceAdmission
+from pewterring.configuration.model import Route, RouteType, WeightedService
+from pewterring.distribution.messages import WorkerRecord
+from pewterring.edge.live import LiveContext, LiveRequest
+from pewterring.edge.stalls import StallWatch
+from pewterring.routing.chooser import WorkerChooser
+from pewterring.routing.prompt import NO_PROMPT
+from pewterring.transport.http_client import WorkerPool
+from pewterring.transport.http_exchange import ExchangeError, SendRequest
+from pewterring.transport.http_fetch import WholeAnswer, fetch
+from pewterring.transport.http_request import ServerLimits, ServerRequest
+from pewterring.transport.http_responder import Responder
+from pewterring.transport.http_server import HttpServer
+
+Behaviour = Callable[[ServerRequest, Responder], Awaitable[None]]
+LIMITS = ServerLimits(16384, 4194304, 5.0, 60.0)
+SIGNED = [(b"Response-Signature", b"stamp"), (b"Content-Type", b"text/event-stream")]
+PLAIN = [(b"Response-Signature", b"stamp")]
+PATIENCE_S = 10.0
+
+
+def route(kind: RouteType, attempts: int = 2, resumable: bool = False) -> Route:
+    services = (WeightedService("s", 1.0),)
+    return Route("r", "h", "/p/", kind, services, 5000, 200, 0, attempts, True, resumable, 250)
+
+
+def event(number: int) -> bytes:
+    return b"id: %d\ndata: token %d\n\n" % (number, number)
+
+
+@dataclass
+class Tier:
+    """One front and the workers behind it."""
+
+    route: Route
+    behaviours: list[Behaviour]
+    seen: list[tuple[int, ServerRequest]] = field(default_factory=list)
+    watch: StallWatch = field(default_factory=StallWatch)
+    pool: WorkerPool = field(default_factory=WorkerPool)
+    admission: ServiceAdmission = field(default_factory=lambda: ServiceAdmission(1))
+    servers: list[HttpServer] = field(default_factory=list)
+
+    async def start(self) -> None:
+        records = {}
+        for number, behaviour in enumerate(self.behaviours):
+            server = HttpServer(self._worker(number, behaviour), lambda: LIMITS)
+            await server.start("127.0.0.1", 0)
+            self.servers.append(server)
+            address = f"127.0.0.1:{server.port}"
+            records[f"w{number}"] = WorkerRecord(f"w{number}", "s", address, "z", 4, "ready")
+        chooser = WorkerChooser("z", random.Random(1))
+        chooser.update(records, None)
+        for number in range(len(self.behaviours)):  # the first worker is chosen first
+            chooser.workers[f"w{number}"].slowness = 1.0 + number
+        self.context = LiveContext(self.pool, chooser, self.watch, lambda worker, tokens, prompt: None)
+        self.front = HttpServer(self._front, lambda: LIMITS)
+        await self.front.start("127.0.0.1", 0)
+        self.servers.append(self.front)
+
+    def _worker(self, number: int, behaviour: Behaviour) -> Behaviour:
+        async def handle(request: ServerRequest, responder: Responder) -> None:
+            self.seen.append((number, request))
+            await behaviour(request, responder)
+
+        return handle
+
+    async def _front(self, request: ServerRequest, responder: Responder) -> None:
+        deadline = time.monotonic() + PATIENCE_S
+        await LiveRequest(
+            self.context, request, responder, self.route, "s", NO_PROMPT, deadline, self.admission, 10
+        ).run()
+
+    async def ask(self) -> WholeAnswer:
+        headers = [(b"Host", b"h"), (b"Request-Id", b"7"), (b"Request-Timeout-Ms", b"5000")]
+        request = SendRequest("POST", "/p/x?", headers, b"body", request_id=b"7")
+        return await fetch(self.pool, f"127.0.0.1:{self.front.port}", request, 10, PATIENCE_S)
+
+    async def stop(self) -> None:
+        self.pool.close()
+        for server in self.servers:
+            await server.stop()
+
+
+def play(tier: Tier, story: Callable[[], Awaitable[None]]) -> None:
+    async def run() -> None:
+        await tier.start()
+        try:
+            await asyncio.wait_for(story(), PATIENCE_S)
+        finally:
+            await tier.stop()
+
+    asyncio.run(run())
+
+
+async def whole_stream(request: ServerRequest, responder: Responder) -> None:
+    first = int(request.get(b"last-event-id") or b"0") + 1
+    responder.begin(200, [(b"Request-Id", b"7"), *SIGNED])
+    for number in range(first, 5):
+        responder.write(event(number))
+    responder.end()
+
+
+async def cut_stream(request: ServerRequest, responder: Responder) -> None:
+    responder.begin(200, [(b"Request-Id", b"7"), *SIGNED])
+    responder.write(event(1) + event(2) + event(3)[:7])
+    responder.abort()
+
+
+async def full(request: ServerRequest, responder: Responder) -> None:
+    await responder.respond(503, [(b"Not-Executed", b"1")])
+
+
+async def misdirected(request: ServerRequest, responder: Responder) -> None:
+    await responder.respond(421, [])
+
+
+async def broken(request: ServerRequest, responder: Responder) -> None:
+    responder.abort()
+
+
+async def answered(request: ServerRequest, responder: Responder) -> None:
+    await responder.respond(200, PLAIN, b"result")
+
+
+async def failed(request: ServerRequest, responder: Responder) -> None:
+    await responder.respond(500, PLAIN, b"failure")
+
+
+async def silent(request: ServerRequest, responder: Responder) -> None:
+    await responder.finished()
+
+
+def test_a_stream_passes_whole_with_what_was_asked_unchanged() -> None:
+    tier = Tier(route(RouteType.STREAMING), [whole_stream])
+
+    async def story() -> None:
+        answer = await tier.ask()
+        assert answer.body == b"".join(event(n) for n in range(1, 5))
+        assert answer.head.get(b"response-signature") == b"stamp"
+        ((_, request),) = tier.seen
+        assert (request.target, request.body) == ("/p/x?", b"body")
+        assert request.get(b"target-instance") == b"w0"
+        assert 0 < int(request.get(b"request-timeout-ms") or b"0") <= PATIENCE_S * 1000
+
+    play(tier, story)
+
+
+def test_a_resumable_stream_that_is_cut_goes_on_elsewhere_within_one_answer() -> None:
+    tier = Tier(route(RouteType.STREAMING, resumable=True), [cut_stream, whole_stream])
+
+    async def story() -> None:
+        answer = await tier.ask()
+        assert answer.body == b"".join(event(n) for n in range(1, 5))
+        assert [number for number, _ in tier.seen] == [0, 1]
+        assert tier.seen[1][1].get(b"last-event-id") == b"2"
+
+    play(tier, story)
+
+
+def test_a_stream_that_may_not_resume_ends_so_that_it_does_not_look_whole() -> None:
+    tier = Tier(route(RouteType.STREAMING), [cut_stream, whole_stream])
+
+    async def story() -> None:
+        with pytest.raises(ExchangeError):
+            await tier.ask()
+        assert len(tier.seen) == 1
+
+    play(tier, story)
+
+
+@pytest.mark.parametrize("declines", [full, misdirected])
+def test_what_a_worker_did_not_run_goes_elsewhere(declines: Behaviour) -> None:
+    tier = Tier(route(RouteType.NON_IDEMPOTENT, attempts=1), [declines, answered])
+
+    async def story() -> None:
+        answer = await tier.ask()
+        assert (answer.head.status, answer.body) == (200, b"result")
+
+    play(tier, story)
+
+
+def test_refused_with_a_time_to_come_back_where_no_worker_ran_it() -> None:
+    tier = Tier(route(RouteType.NON_IDEMPOTENT), [full, full])
+
+    async def story() -> None:
+        answer = await tier.ask()
+        assert answer.head.status == 503
+        assert float(answer.head.get(b"retry-after") or b"0") > 0
+
+    play(tier, story)
+
+
+def test_what_may_have_run_once_is_not_repeated_and_promises_nothing() -> None:
+    tier = Tier(route(RouteType.NON_IDEMPOTENT), [broken, answered])
+
+    async def story() -> None:
+        assert (await tier.ask()).head.status == 502
+        assert len(tier.seen) == 1
+
+    play(tier, story)
+
+
+def test_an_idempotent_request_is_repeated_within_its_attempts() -> None:
+    tier = Tier(route(RouteType.IDEMPOTENT), [broken, answered])
+
+    async def story() -> None:
+        assert (await tier.ask()).head.status == 200
+        assert len(tier.seen) == 2
+
+    play(tier, story)
+
+
+def test_a_workers_own_failure_is_passed_on_with_its_stamp() -> None:
+    tier = Tier(route(RouteType.NON_IDEMPOTENT), [failed])
+
+    async def story() -> None:
+        answer = await tier.ask()
+        assert (answer.head.status, answer.body) == (500, b"failure")
+        assert answer.head.get(b"response-signature") == b"stamp"
+
+    play(tier, story)
+
+
+def test_a_silent_worker_is_found_by_looking_and_the_request_goes_elsewhere() -> None:
+    tier = Tier(route(RouteType.IDEMPOTENT), [silent, answered])
+
+    async def story() -> None:
+        asking = asyncio.create_task(tier.ask())
+        while not tier.seen:
+            await asyncio.sleep(0)
+        now = time.monotonic()
+        for step in range(200):  # the clock that looks is told, not waited for
+            tier.watch.look(now + step * 0.05)
+        assert (await asking).head.status == 200
+        assert tier.context.chooser.workers["w0"].suspect(time.monotonic())
+
+    play(tier, story)
+
+
+def test_a_request_that_may_not_run_again_waits_for_a_silent_worker() -> None:
+    tier = Tier(route(RouteType.NON_IDEMPOTENT), [silent, answered])
+
+    async def story() -> None:
+        asking = asyncio.create_task(tier.ask())
+        while not tier.seen:
+            await asyncio.sleep(0)
+        now = time.monotonic()
+        for step in range(200):
+            tier.watch.look(now + step * 0.05)
+        for _ in range(20):
+            await asyncio.sleep(0)
+        assert not asking.done() and len(tier.seen) == 1
+        asking.cancel()
+
+    play(tier, story)
+
+
+def test_the_client_that_leaves_ends_the_workers_exchange() -> None:
+    gone = asyncio.Event()
+
+    async def watched(request: ServerRequest, responder: Responder) -> None:
+        responder.on_disconnect(gone.set)
+        await responder.finished()
+
+    tier = Tier(route(RouteType.NON_IDEMPOTENT), [watched])
+
+    async def story() -> None:
+        asking = asyncio.create_task(tier.ask())
+        while not tier.seen:
+            await asyncio.sleep(0)
+        asking.cancel()
+        await gone.wait()
+
+    # The front cancels the request's task as the program does.
+    serve = tier._front
+
+    async def front(request: ServerRequest, responder: Responder) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        responder.on_disconnect(lambda: task.cancel() and None)  # type: ignore[arg-type]
+        await serve(request, responder)
+
+    tier._front = front  # type: ignore[method-assign]
+    play(tier, story)
--- /dev/null
+++ b/tests/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Routing without sockets."""
--- /dev/null
+++ b/tests/routing/test_prompt_hints.py
@@ -0,0 +1,76 @@
+"""Hints of long prompts: what they carry, what they cost, and what they change in the choice of worker."""
+
+import random
+
+from pewterring.distribution.messages import WorkerRecord
+from pewterring.routing.chooser import WorkerChooser
+from pewterring.routing.prompt import read_prompt
+from pewterring.routing.prompt_hints import HintBudget, hint_of, read_hint, write_hint
+
+
+def chooser_with(workers: int) -> WorkerChooser:
+    chooser = WorkerChooser("z", random.Random(3))
+    records = {
+        f"w{n}": WorkerRecord(f"w{n}", "s", f"10.0.0.{n}:80", "z", 24, "ready") for n in range(workers)
+    }
+    chooser.update(records, None)
+    for state in chooser.workers.values():
+        state._memory_tokens = 100_000
+    return chooser
+
+
+def test_a_hint_survives_the_wire_and_leaves_the_requests_own_part_out() -> None:
+    prompt = read_prompt("aa:13000,bb:3700", "16700,100")
+    hint = hint_of("w1", 16700, prompt)
+    assert read_hint(write_hint(hint)) == hint
+    assert hint.parts == prompt.parts[:1]
+
+
+def test_bytes_that_are_no_hint_are_left_alone() -> None:
+    data = write_hint(hint_of("w1", 5, read_prompt("aa:1,bb:2", "3,1")))
+    assert read_hint(data[:-1]) is None
+    assert read_hint(b"XX1" + data[3:]) is None
+    assert read_hint(b"") is None
+
+
+def test_a_request_goes_round_a_worker_that_reads_a_long_prompt_of_another_gateway() -> None:
+    chooser = chooser_with(2)
+    small = read_prompt("cc:500", "500,100")
+    chooser.workers["w0"].announce(10.0, 0.2, ())
+    assert all(chooser.choose(10.0, "s", small) is chooser.workers["w1"] for _ in range(10))
+    assert any(chooser.choose(10.3, "s", small) is chooser.workers["w0"] for _ in range(20))
+
+
+def test_a_prompt_goes_where_another_gateway_had_its_shared_parts_read() -> None:
+    chooser = chooser_with(8)
+    prompt = read_prompt("aa:13000,bb:700", "13700,100")
+    chooser.workers["w5"].announce(0.0, 0.1, prompt.parts[:-1])
+    assert chooser.choose(1.0, "s", prompt) is chooser.workers["w5"]
+
+
+def test_without_a_known_keeper_all_gateways_choose_the_same_worker() -> None:
+    prompt = read_prompt("aa:13000,bb:700", "13700,100")
+    chosen = set()
+    for _ in range(5):
+        worker = chooser_with(8).choose(0.0, "s", prompt)
+        assert worker is not None
+        chosen.add(worker.record.id)
+    assert len(chosen) == 1
+
+
+def test_a_suspect_worker_is_no_home() -> None:
+    prompt = read_prompt("aa:13000,bb:700", "13700,100")
+    chooser = chooser_with(8)
+    home = chooser.choose(0.0, "s", prompt)
+    assert home is not None
+    home.failed(0.0)
+    assert chooser.choose(0.1, "s", prompt) is not home
+
+
+def test_the_budget_bounds_what_is_told_and_refills() -> None:
+    budget = HintBudget(0.0)
+    assert budget.take(0.0, 40, 10) == 10
+    told = sum(budget.take(0.0, 40, 400) for _ in range(10))
+    assert told < 100
+    assert budget.take(0.0, 40, 10) == 0
+    assert budget.take(1.0, 40, 10) == 10
