--- a/pewterring/admission/service.py
+++ b/pewterring/admission/service.py
@@ -13,6 +13,10 @@
 from pewterring.admission.shares import LEASE_S
 from pewterring.mail import Beat, read_beat
 
+# Of the slots that no process has out, one gateway may take so much past its share; in large fleets as much as
+# so many gateways could take together. Symptom answered: a burst at one gateway refused while workers are idle.
+IDLE_LENT, IDLE_GATEWAYS = 0.25, 4.0
+
 
 class SlotCeiling(Ceiling):
     """The ceiling in slots that workers register: it begins at all of them."""
@@ -48,8 +52,10 @@
 
     @property
     def room(self) -> float:
-        """How many attempts this process may have out."""
-        return min(self.shares.room(self.out), self.ceiling.limit)
+        """How many attempts this process may have out: its share, and a part of what lies idle."""
+        idle = max(0.0, self.shares.whole - self.shares.elsewhere - self.out)
+        lent = min(IDLE_LENT, IDLE_GATEWAYS / self.shares.fleet) * idle
+        return min(self.shares.room(self.out) + lent, self.ceiling.limit)
 
     @property
     def whole(self) -> float:
