--- a/pewterring/consensus/types.py
+++ b/pewterring/consensus/types.py
@@ -23,9 +23,9 @@
 class RaftTiming:
     """Times of the protocol in seconds. All members of a group use the same."""
 
-    heartbeat_s: float = 0.1
-    election_min_s: float = 0.6
-    election_max_s: float = 1.2
+    heartbeat_s: float = 0.08
+    election_min_s: float = 0.4
+    election_max_s: float = 0.8
 
     @property
     def lease_s(self) -> float:
