--- a/pewterring/configuration/reader.py
+++ b/pewterring/configuration/reader.py
@@ -5,7 +5,7 @@
 """
 
 import functools
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterator, Mapping
 from types import MappingProxyType
 from typing import Any
 
@@ -112,60 +112,101 @@
 
 
 @functools.cache
-def _schema() -> Schema:
+def configuration_schema() -> Schema:
     """The one schema object; making it is far dearer than using it."""
     return _ConfigurationSchema()
 
 
 def read_configuration(document: bytes) -> Configuration:
-    """Makes a configuration from the operator's JSON, or raises `InvalidConfiguration`."""
+    """Makes a configuration from the operator's JSON, or raises `InvalidConfiguration`: the first fault."""
+    loaded, faults = _load(document)
+    for fault in faults:
+        raise fault
+    return _configuration(loaded, document)
+
+
+def configuration_faults(document: bytes) -> list[InvalidConfiguration]:
+    """All faults of the operator's JSON; none where it is valid."""
+    return list(_load(document)[1])
+
+
+def _load(document: bytes) -> tuple[Mapping[str, Any], Iterator[InvalidConfiguration]]:
+    """What the schema reads, and the faults: of the JSON, else of fields, else of what they say together."""
     try:
         raw = orjson.loads(document)
     except orjson.JSONDecodeError as error:
-        raise InvalidConfiguration("", f"not JSON: {error}") from None
+        return {}, iter([InvalidConfiguration("", f"not JSON: {error}")])
     if not isinstance(raw, dict):
-        raise InvalidConfiguration("", "not an object")
+        return {}, iter([InvalidConfiguration("", "not an object")])
     try:
-        loaded = _schema().load(raw)
+        loaded = configuration_schema().load(raw)
     except ValidationError as error:
-        raise InvalidConfiguration(*_first_fault(error.messages)) from None
-    return _configuration(loaded, document)
+        return {}, _field_faults((), error.messages)
+    return loaded, _faults_together(loaded)
+
+
+def _field_faults(path: tuple[str, ...], messages: Any) -> Iterator[InvalidConfiguration]:
+    """The faults in marshmallow's nested messages."""
+    if isinstance(messages, dict):
+        for key, inner in messages.items():
+            yield from _field_faults((*path, str(key)), inner)
+        return
+    for message in messages if isinstance(messages, list) else [messages]:
+        yield InvalidConfiguration(".".join(path), str(message))
+
+
+def _faults_together(loaded: Mapping[str, Any]) -> Iterator[InvalidConfiguration]:
+    """Faults of fields that are each valid by themselves."""
+    services: set[str] = set()
+    for index, each in enumerate(loaded["backends"]):
+        if each["name"] in services:
+            yield InvalidConfiguration(f"backends.{index}.name", f"{each['name']!r} is there twice")
+        services.add(each["name"])
+    places: set[tuple[str, str]] = set()
+    for index, each in enumerate(loaded["routes"]):
+        yield from _service_faults(f"routes.{index}", each, services)
+        place = (each["hostname"].lower(), each["path_prefix"])
+        if place in places:
+            yield InvalidConfiguration(f"routes.{index}", f"another route has {''.join(place)}")
+        places.add(place)
 
 
-def _first_fault(messages: Any) -> tuple[str, str]:
-    """The path and text of the first message in marshmallow's nested ones."""
-    path: list[str] = []
-    while isinstance(messages, dict) and messages:
-        key, messages = next(iter(messages.items()))
-        path.append(str(key))
-    if isinstance(messages, list) and messages:
-        messages = messages[0]
-    return ".".join(path), str(messages)
+def _service_faults(
+    path: str, route: Mapping[str, Any], services: set[str]
+) -> Iterator[InvalidConfiguration]:
+    """Faults of the services that a route names."""
+    if "backend" in route and route["backend"] not in services:
+        yield InvalidConfiguration(f"{path}.backend", f"unknown service {route['backend']!r}")
+    if "weighted_backends" not in route:
+        if "backend" not in route:
+            yield InvalidConfiguration(f"{path}.backend", "the route names no service")
+        return
+    weighted = route["weighted_backends"]
+    for index, each in enumerate(weighted):
+        if each["backend"] not in services:
+            at = f"{path}.weighted_backends.{index}"
+            yield InvalidConfiguration(at, f"unknown service {each['backend']!r}")
+    if sum(each["weight"] for each in weighted) <= 0:
+        yield InvalidConfiguration(f"{path}.weighted_backends", "the weights sum to 0")
 
 
 def _configuration(loaded: Mapping[str, Any], document: bytes) -> Configuration:
-    services = _services(loaded["backends"])
     return Configuration(
         version=loaded["version"],
-        routes=_routes(loaded["routes"], services),
-        services=services,
+        routes=tuple(_route(each) for each in loaded["routes"]),
+        services=MappingProxyType({each["name"]: _service(each) for each in loaded["backends"]}),
         limits=ClientLimits(**loaded["limits"]) if "limits" in loaded else DEFAULT_LIMITS,
         document=document,
     )
 
 
-def _services(loaded: Sequence[Mapping[str, Any]]) -> Mapping[str, Service]:
-    services: dict[str, Service] = {}
-    for index, each in enumerate(loaded):
-        if each["name"] in services:
-            raise InvalidConfiguration(f"backends.{index}.name", f"{each['name']!r} is there twice")
-        services[each["name"]] = Service(
-            name=each["name"],
-            health_check=each["health_check"],
-            max_connections=each["max_connections"],
-            engine=_engine(each["engine"]) if "engine" in each else None,
-        )
-    return MappingProxyType(services)
+def _service(loaded: Mapping[str, Any]) -> Service:
+    return Service(
+        name=loaded["name"],
+        health_check=loaded["health_check"],
+        max_connections=loaded["max_connections"],
+        engine=_engine(loaded["engine"]) if "engine" in loaded else None,
+    )
 
 
 def _engine(loaded: Mapping[str, Any]) -> Engine:
@@ -177,28 +218,13 @@
     )
 
 
-def _routes(loaded: Sequence[Mapping[str, Any]], services: Mapping[str, Service]) -> tuple[Route, ...]:
-    routes = []
-    places: set[tuple[str, str]] = set()
-    for index, each in enumerate(loaded):
-        route = _route(f"routes.{index}", each, services)
-        place = (route.host, route.path_prefix)
-        if place in places:
-            raise InvalidConfiguration(
-                f"routes.{index}", f"another route has {route.host}{route.path_prefix}"
-            )
-        places.add(place)
-        routes.append(route)
-    return tuple(routes)
-
-
-def _route(path: str, loaded: Mapping[str, Any], services: Mapping[str, Service]) -> Route:
+def _route(loaded: Mapping[str, Any]) -> Route:
     return Route(
         name=loaded["name"],
         host=loaded["hostname"].lower(),
         path_prefix=loaded["path_prefix"],
         route_type=loaded["route_type"],
-        services=_weighted_services(path, loaded, services),
+        services=_weighted_services(loaded),
         timeout_ms=loaded["timeout_ms"],
         target_latency_ms=loaded["target_latency_ms"],
         priority=loaded["priority"],
@@ -212,22 +238,8 @@
     )
 
 
-def _weighted_services(
-    path: str, loaded: Mapping[str, Any], services: Mapping[str, Service]
-) -> tuple[WeightedService, ...]:
+def _weighted_services(loaded: Mapping[str, Any]) -> tuple[WeightedService, ...]:
     """The services of a route: `weighted_backends` where it is given, else `backend` alone."""
-    if "backend" in loaded and loaded["backend"] not in services:
-        raise InvalidConfiguration(f"{path}.backend", f"unknown service {loaded['backend']!r}")
     if "weighted_backends" not in loaded:
-        if "backend" not in loaded:
-            raise InvalidConfiguration(f"{path}.backend", "the route names no service")
         return (WeightedService(loaded["backend"], DEFAULT_WEIGHT),)
-    weighted = tuple(WeightedService(each["backend"], each["weight"]) for each in loaded["weighted_backends"])
-    for index, each in enumerate(weighted):
-        if each.service not in services:
-            raise InvalidConfiguration(
-                f"{path}.weighted_backends.{index}", f"unknown service {each.service!r}"
-            )
-    if sum(each.weight for each in weighted) <= 0:
-        raise InvalidConfiguration(f"{path}.weighted_backends", "the weights sum to 0")
-    return weighted
+    return tuple(WeightedService(each["backend"], each["weight"]) for each in loaded["weighted_backends"])
--- a/pewterring/consensus/election.py
+++ b/pewterring/consensus/election.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable
 
 from pewterring.consensus.membership import majority_value
-from pewterring.consensus.messages import VoteReply, VoteRequest
+from pewterring.consensus.messages import TimeoutNow, VoteReply, VoteRequest
 from pewterring.consensus.persistent import HardState
 from pewterring.consensus.state import MemberState
 from pewterring.consensus.types import Role
@@ -47,16 +47,23 @@
         state.outbox += self._requests(prevote=True)
         self._count(now, state.member)
 
-    def _stand(self, now: float) -> None:
+    def on_timeout_now(self, now: float, message: TimeoutNow) -> None:
+        """Stands without a poll, since the leader of the own term wishes it; later ones change nothing."""
+        state = self._state
+        if message.term == state.term and state.role is Role.FOLLOWER and self.may_stand:
+            self._stand(now, handed_over=True)
+
+    def _stand(self, now: float, handed_over: bool = False) -> None:
         state = self._state
         state.role = Role.CANDIDATE
+        state.leader = None
         state.hard_state = HardState(state.term + 1, state.member)
         state.election_at = state.retry_time(now)
         self._poll = Poll(state.term)
-        for request in self._requests(prevote=False):
+        for request in self._requests(prevote=False, handed_over=handed_over):
             state.unsaved.hold(request)
 
-    def _requests(self, prevote: bool) -> list[VoteRequest]:
+    def _requests(self, prevote: bool, handed_over: bool = False) -> list[VoteRequest]:
         state = self._state
         return [
             VoteRequest(
@@ -67,6 +74,7 @@
                 last_index=state.log.last_index,
                 last_term=state.log.last_term,
                 prevote=prevote,
+                handed_over=handed_over,
             )
             for voter in state.voters
             if voter != state.member
@@ -100,13 +108,19 @@
             return False
         return self._count(now, reply.sender)
 
-    def _is_bound(self, now: float) -> bool:
-        """Whether a leader may count on this member's not voting for another."""
+    def _is_bound(self, now: float, request: VoteRequest) -> bool:
+        """Whether a leader may count on this member's not voting for another.
+
+        A request that was handed over follows a lease given up; one that comes late, in a later term,
+        gets no vote by its term.
+        """
+        if request.handed_over:
+            return False
         return self._state.role is Role.LEADER or now < self._state.vote_free_at
 
     def on_request(self, now: float, request: VoteRequest) -> None:
         """Votes, or leaves the request unanswered while a leader was heard not long ago."""
-        if self._is_bound(now):
+        if self._is_bound(now, request):
             return
         if request.prevote:
             self._answer_prevote(request)
--- a/pewterring/consensus/errors.py
+++ b/pewterring/consensus/errors.py
@@ -31,3 +31,7 @@
 
 class StorageError(ConsensusError):
     """The storage of a group failed: what was to be saved may or may not be on disk."""
+
+
+class StorageFull(StorageError):
+    """There is no room. Nothing of the call counts as saved; the same call may succeed later."""
--- a/pewterring/consensus/group.py
+++ b/pewterring/consensus/group.py
@@ -8,7 +8,7 @@
 import random
 import time
 from collections.abc import Callable
-from concurrent.futures import Executor, ThreadPoolExecutor
+from concurrent.futures import Executor
 from typing import Protocol
 
 from pewterring.consensus.errors import GroupFailed, OutcomeUnknown
@@ -16,8 +16,9 @@
 from pewterring.consensus.messages import ConsensusMessage, Entry, Membership
 from pewterring.consensus.persistent import GroupStorage, LoadedGroup
 from pewterring.consensus.raft import Raft
+from pewterring.consensus.storage_jobs import StorageJobs
 from pewterring.consensus.types import RaftLimits, RaftTiming, Ready, Save, Snapshot
-from pewterring.consensus.waiting import WaitingCalls
+from pewterring.consensus.waiting import WaitingCalls, settle
 
 SNAPSHOT_AFTER_BYTES = 16_000_000  # of entries applied since the last snapshot
 SNAPSHOT_SPREAD = 0.25  # members take theirs at different times, so that not all disks are busy at once
@@ -71,8 +72,7 @@
         self._snapshot_after_bytes = snapshot_after_bytes
         self._on_leadership = on_leadership
         self._on_failure = on_failure
-        self._own_executor = ThreadPoolExecutor(1, f"storage-{group}") if executor is None else None
-        self._executor = executor or self._own_executor
+        self._jobs = StorageJobs(group, executor, after=self._process, fail=self._fail)
         self._raft: Raft | None = None
         self._failure: GroupFailed | None = None
         self._stopped = False
@@ -83,7 +83,7 @@
         self._scheduled = False
         self._timer: asyncio.TimerHandle | None = None
         self._timer_at = 0.0
-        self._storage_job: asyncio.Future[None] | None = None
+        self._stepped_down: asyncio.Future[object] | None = None  # while the leadership is handed over
         self._bytes_since_snapshot = 0
         self._next_snapshot_bytes = self._snapshot_size(0)
 
@@ -91,9 +91,8 @@
 
     async def start(self) -> None:
         """Reads the storage and takes part in the group; raises `GroupFailed` if that cannot be."""
-        loop = asyncio.get_running_loop()
         try:
-            loaded: LoadedGroup = await loop.run_in_executor(self._executor, self._storage.load)
+            loaded: LoadedGroup = await self._jobs.call(self._storage.load)
             if loaded.snapshot is not None:
                 self._machine.restore(loaded.snapshot)
                 self._next_snapshot_bytes = self._snapshot_size(len(loaded.snapshot))
@@ -107,17 +106,16 @@
     async def stop(self) -> None:
         """Takes part no longer. A save under way is finished; calls under way end with `OutcomeUnknown`."""
         self._halt(OutcomeUnknown(f"group {self.group} stops"))
-        if self._storage_job is not None:
-            await asyncio.wait([self._storage_job])
-        if self._own_executor is not None:
-            self._own_executor.shutdown(wait=False)
+        await self._jobs.stop()
 
     def _halt(self, error: Exception) -> None:
         self._stopped = True
+        self._jobs.halt()
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
         self._waiting.fail_all(error)
+        self._end_handover()
         self._tell_leadership(None)
 
     def _fail(self, cause: BaseException) -> None:
@@ -205,6 +203,24 @@
         self._schedule()
         await self._waiting.proposal(index, term)
 
+    async def hand_over_leadership(self) -> None:
+        """Has another voter elected; returns when this member leads no longer, at once where it doesn't.
+
+        Commands are refused from then on. It takes some messages, or the shortest election time-out where
+        no successor can be had. The only voter goes on leading.
+        """
+        if not self._running().hand_over(self._clock()):
+            return
+        if self._stepped_down is None:
+            self._stepped_down = asyncio.get_running_loop().create_future()
+        self._schedule()
+        await self._stepped_down
+
+    def _end_handover(self) -> None:
+        stepped_down, self._stepped_down = self._stepped_down, None
+        if stepped_down is not None:
+            settle(stepped_down, None)
+
     async def read_barrier(self) -> None:
         """Returns when the state machine has applied all that was committed before the call.
 
@@ -244,7 +260,7 @@
 
     def _take_ready(self, raft: Raft) -> bool:
         """Does what the core wants; True if it may want more at once."""
-        ready = raft.take_ready(self._clock(), can_save=self._storage_job is None)
+        ready = raft.take_ready(self._clock(), can_save=not self._jobs.busy)
         for message in ready.messages_first:
             self._send(message)
         for entry in ready.committed:
@@ -268,6 +284,8 @@
             self._waiting.confirmed(raft.term, ticket.number)
         self._waiting.keep_term(raft.term if raft.is_leader else None, raft.leader)
         self._tell_leadership(raft.term if raft.leads_committed else None)
+        if not raft.is_leader:
+            self._end_handover()
 
     def _tell_leadership(self, term: int | None) -> None:
         if term == self._told_term:
@@ -299,31 +317,8 @@
 
     # Storage.
 
-    def _begin_job(self, work: Callable[[], None], done: Callable[[], None]) -> None:
-        job = asyncio.get_running_loop().run_in_executor(self._executor, work)
-        self._storage_job = job
-
-        def finish(finished: asyncio.Future[None]) -> None:
-            self._storage_job = None
-            self._finish_job(finished, done)
-
-        job.add_done_callback(finish)
-
-    def _finish_job(self, job: asyncio.Future[None], done: Callable[[], None]) -> None:
-        if job.cancelled() or self._stopped:
-            return
-        error = job.exception()
-        if error is not None:
-            self._fail(error)
-            return
-        try:
-            done()
-        except Exception as failure:
-            self._fail(failure)
-        self._process()
-
     def _begin_save(self, save: Save) -> None:
-        self._begin_job(lambda: self._write(save), lambda: self._saved(save))
+        self._jobs.begin(lambda: self._write(save), lambda: self._saved(save), must_be_done=True)
 
     def _write(self, save: Save) -> None:
         """Runs in the storage's thread."""
@@ -361,8 +356,10 @@
 
     def _compact_if_due(self, raft: Raft) -> None:
         due = self._bytes_since_snapshot >= self._next_snapshot_bytes
-        if not due or self._storage_job is not None or raft.installing:
+        if not due or self._jobs.busy or raft.installing:
             return
         snapshot = raft.make_snapshot(self._machine.snapshot())
         self._start_count(len(snapshot.data))
-        self._begin_job(lambda: self._write_snapshot(snapshot), lambda: raft.compact(snapshot))
+        self._jobs.begin(
+            lambda: self._write_snapshot(snapshot), lambda: raft.compact(snapshot), must_be_done=False
+        )
--- a/pewterring/consensus/leading.py
+++ b/pewterring/consensus/leading.py
@@ -5,8 +5,9 @@
 import msgspec
 
 from pewterring.consensus.errors import MembershipRefused
+from pewterring.consensus.handover import Handover
 from pewterring.consensus.membership import MEMBERS, check_change, encode_membership, majority_value
-from pewterring.consensus.messages import AppendReply, Entry, Membership, SnapshotReply
+from pewterring.consensus.messages import AppendReply, Entry, Membership, SnapshotReply, TimeoutNow
 from pewterring.consensus.replication import Replication
 from pewterring.consensus.rounds import Rounds
 from pewterring.consensus.state import MemberState
@@ -21,6 +22,7 @@
         state.leader = state.member
         self._state = state
         self._rounds = Rounds(state.member, state.timing, now)
+        self._handover = Handover(state.timing)
         self._replication = Replication(state.group, state.member, state.term, state.log, state.limits)
         self._first_index = self.append("empty", b"null")
         self._set_members(state.members.current)
@@ -41,7 +43,7 @@
 
     def has_lease(self, now: float) -> bool:
         """Whether no other member can have been elected by `now`."""
-        return self._rounds.has_lease(self._state.voters, now)
+        return not self._handover.has_told and self._rounds.has_lease(self._state.voters, now)
 
     def match(self, member: str) -> int:
         """Up to which index `member` is known to have the log on disk."""
@@ -73,9 +75,10 @@
         state = self._state
         if now < self.due_at:
             return
-        if self._rounds.out_of_touch(state.voters, now):
+        if self._rounds.out_of_touch(state.voters, now) or self._handover.is_over(now):
             state.become_follower(now, state.term, None)
             return
+        self._handover.tell_again()
         oldest = now - state.timing.election_max_s
         for name in self._replication.peers:
             if self._rounds.last_answered_at(name) < oldest:
@@ -87,8 +90,41 @@
         number = self._rounds.begin(now)
         self._state.outbox += self._replication.heartbeats(number, self._state.commit_index)
 
+    @property
+    def hands_over(self) -> bool:
+        """Whether the leadership is being handed over, so that no more is appended."""
+        return self._handover.under_way
+
+    def hand_over(self, now: float) -> bool:
+        """Begins to hand the leadership over; False without another voter."""
+        if all(voter == self._state.member for voter in self._state.voters):
+            return False
+        self._handover.begin(now)
+        return True
+
+    def _tell_successor(self, now: float) -> None:
+        state = self._state
+        last = state.log.last_index
+        if not self.hands_over or state.commit_index < last:
+            return
+        oldest = now - state.timing.election_min_s
+        complete = [
+            voter
+            for voter in state.voters
+            if voter != state.member
+            and self.match(voter) == last
+            and self._rounds.last_answered_at(voter) > oldest
+        ]
+        complete.sort(key=self._rounds.last_answered_at, reverse=True)
+        successor = self._handover.choose(complete)
+        if successor is not None:
+            state.outbox.append(
+                TimeoutNow(group=state.group, sender=state.member, target=successor, term=state.term)
+            )
+
     def flush(self, now: float) -> None:
         """Sends what may be sent now."""
+        self._tell_successor(now)
         if self._rounds.wanted:
             self._begin_round(now)
         self._state.outbox += self._replication.flush(now, self._rounds.number, self._state.commit_index)
--- a/pewterring/consensus/messages.py
+++ b/pewterring/consensus/messages.py
@@ -33,11 +33,15 @@
 
 
 class VoteRequest(Message, frozen=True, tag=True, kw_only=True):
-    """Asks for a vote. With `prevote` it only asks whether one would be granted at `term`."""
+    """Asks for a vote. With `prevote` it only asks whether one would be granted at `term`.
+
+    With `handed_over` the leader of the term before has given up its lease and wants to be succeeded.
+    """
 
     last_index: int
     last_term: int
     prevote: bool
+    handed_over: bool = False
 
 
 class VoteReply(Message, frozen=True, tag=True, kw_only=True):
@@ -88,5 +92,19 @@
     round: int
 
 
-ConsensusMessage = VoteRequest | VoteReply | AppendRequest | AppendReply | SnapshotPart | SnapshotReply
-CONSENSUS_MESSAGES = (VoteRequest, VoteReply, AppendRequest, AppendReply, SnapshotPart, SnapshotReply)
+class TimeoutNow(Message, frozen=True, tag=True, kw_only=True):
+    """Tells a voter to stand for election at once; the leader of `term` claims no lease any more."""
+
+
+ConsensusMessage = (
+    VoteRequest | VoteReply | AppendRequest | AppendReply | SnapshotPart | SnapshotReply | TimeoutNow
+)
+CONSENSUS_MESSAGES = (
+    VoteRequest,
+    VoteReply,
+    AppendRequest,
+    AppendReply,
+    SnapshotPart,
+    SnapshotReply,
+    TimeoutNow,
+)
--- a/pewterring/consensus/raft.py
+++ b/pewterring/consensus/raft.py
@@ -21,6 +21,7 @@
     Membership,
     SnapshotPart,
     SnapshotReply,
+    TimeoutNow,
     VoteReply,
     VoteRequest,
 )
@@ -104,6 +105,12 @@
             raise NotLeader(self.leader)
         return leading
 
+    def _accepting_or_refuse(self) -> Leading:
+        leading = self._leading_or_refuse()
+        if leading.hands_over:
+            raise NotLeader(None)
+        return leading
+
     def match(self, member: str) -> int:
         """Up to which index `member` has the log on disk, as far as this leader knows; 0 elsewhere."""
         return self._leading.match(member) if self._leading is not None else 0
@@ -140,6 +147,8 @@
                 self._following.on_snapshot_part(now, message)
             case AppendReply() | SnapshotReply():
                 self._on_follower_reply(now, message)
+            case TimeoutNow():
+                self._election.on_timeout_now(now, message)
 
     def _lead_if(self, elected: bool, now: float) -> None:
         if elected:
@@ -156,11 +165,19 @@
 
     def propose(self, now: float, data: bytes) -> tuple[int, int]:
         """Appends a command, JSON on one line, and returns the entry's index and term."""
-        return self._leading_or_refuse().append("command", data), self.term
+        return self._accepting_or_refuse().append("command", data), self.term
 
     def propose_membership(self, now: float, membership: Membership) -> tuple[int, int]:
         """Appends a change of membership, in force at once, and returns the entry's index and term."""
-        return self._leading_or_refuse().append_membership(membership), self.term
+        return self._accepting_or_refuse().append_membership(membership), self.term
+
+    def hand_over(self, now: float) -> bool:
+        """Begins to hand the leadership over; False where this member does not lead, or is the only voter.
+
+        No commands are taken from then on. The leader steps down after the shortest election time-out
+        also where no successor was elected.
+        """
+        return self._leading is not None and self._leading.hand_over(now)
 
     def request_read(self, now: float) -> ReadTicket:
         """Asks to read what was committed before; the ticket is confirmed now or in a later `Ready`.
--- a/pewterring/control/calls.py
+++ b/pewterring/control/calls.py
@@ -10,6 +10,7 @@
 READ_PATH = "/v1/Config.Get"
 RETIRE_START_PATH = "/v1/Retire.Start/"
 RETIRE_GET_PATH = "/v1/Retire.Get/"
+STATUS_PATH = "/v1/Tier.Status"
 
 
 @dataclass(frozen=True, slots=True)
@@ -37,7 +38,7 @@
 
 def known_method(path: str) -> str | None:
     """The method that the path is called with, or None for an unknown path."""
-    if path in (READ_PATH,) or path.startswith(RETIRE_GET_PATH):
+    if path in (READ_PATH, STATUS_PATH) or path.startswith(RETIRE_GET_PATH):
         return "GET"
     if path == REPLACE_PATH or path.startswith((HEARTBEAT_PATH, DEREGISTER_PATH, RETIRE_START_PATH)):
         return "POST"
--- a/pewterring/control/program.py
+++ b/pewterring/control/program.py
@@ -10,6 +10,7 @@
 import msgspec
 from loguru import logger
 
+from pewterring.consensus.errors import ConsensusError
 from pewterring.consensus.group import ReplicatedGroup
 from pewterring.consensus.messages import CONSENSUS_MESSAGES, ConsensusMessage, Membership
 from pewterring.consensus.types import RaftTiming
@@ -100,6 +101,17 @@
         self._tasks = [asyncio.create_task(self._tick_forever()), asyncio.create_task(self._join_forever())]
         logger.info("control started as {}", self._member)
 
+    def reload(self, settings: NodeSettings) -> None:
+        """Takes settings that have changed: a member that is not a voter asks other seeds to be admitted."""
+        self._settings = settings
+
+    async def drain(self) -> None:
+        """Hands the leadership over before a planned stop; calls are passed on to the successor meanwhile."""
+        if self._group.is_leader:
+            logger.info("hands the leadership of control over in term {}", self._group.term)
+        with contextlib.suppress(ConsensusError):
+            await self._group.hand_over_leadership()
+
     async def stop(self) -> None:
         """Ends calls that are open, then all parts."""
         await self._http.stop()
--- a/pewterring/control/publisher.py
+++ b/pewterring/control/publisher.py
@@ -95,7 +95,7 @@
         workers = self._state.workers
         new = tuple(workers[worker_id] for worker_id in changes.workers if worker_id in workers)
         gone = tuple(worker_id for worker_id in changes.workers if worker_id not in workers)
-        nodes = self._new_nodes() if changes.retirements else None
+        nodes, nodes_gone = self._changed_nodes() if changes.retirements else ((), ())
         placements = tuple(self._state.placements.values()) if changes.placements else None
         return self._publish(
             TableChanges(
@@ -105,12 +105,14 @@
                 workers=new,
                 workers_gone=gone,
                 nodes=nodes,
+                nodes_gone=nodes_gone,
                 placements=placements,
             )
         )
 
     def node_changes(self) -> TableChanges | None:
         """Publishes what changed of nodes, leaders of partitions and control machines."""
+        nodes, nodes_gone = self._changed_nodes()
         groups = self._new_groups()
         controls, self._new_controls = self._new_controls, None
         if controls is not None:
@@ -119,7 +121,8 @@
             TableChanges(
                 base=self._versions,
                 versions=self._versions,
-                nodes=self._new_nodes(),
+                nodes=nodes,
+                nodes_gone=nodes_gone,
                 groups=groups,
                 controls=controls,
             )
@@ -128,9 +131,9 @@
     def _publish(self, changes: TableChanges) -> TableChanges | None:
         """Gives the changes their versions; None where there are none."""
         base = self._versions
-        soft = (changes.nodes, changes.placements, changes.groups, changes.controls)
+        soft = (changes.placements, changes.groups, changes.controls)
         workers_changed = bool(changes.workers or changes.workers_gone)
-        nodes_changed = any(part is not None for part in soft)
+        nodes_changed = bool(changes.nodes or changes.nodes_gone) or any(part is not None for part in soft)
         configured = changes.configuration != NO_DOCUMENT
         self._versions = TableVersions(
             epoch=base.epoch,
@@ -142,12 +145,16 @@
             return None
         return msgspec.structs.replace(changes, versions=self._versions)
 
-    def _new_nodes(self) -> tuple[NodeRecord, ...] | None:
+    def _changed_nodes(self) -> tuple[tuple[NodeRecord, ...], tuple[str, ...]]:
+        """The nodes that are new or changed since they were published, and the ids of those gone.
+
+        Symptom: with the whole table in each change, the bytes of a start of all grow as its square.
+        """
+        before = {node.node_id: node for node in self._published_nodes}
         current = self._current_nodes()
-        if current == self._published_nodes:
-            return None
         self._published_nodes = current
-        return current
+        changed = tuple(node for node in current if before.pop(node.node_id, None) != node)
+        return changed, tuple(before)
 
     def _current_nodes(self) -> tuple[NodeRecord, ...]:
         is_retiring = self._state.is_retiring
--- a/pewterring/control/service.py
+++ b/pewterring/control/service.py
@@ -14,6 +14,7 @@
     REPLACE_PATH,
     RETIRE_GET_PATH,
     RETIRE_START_PATH,
+    STATUS_PATH,
     Answer,
     Call,
     refusal,
@@ -29,6 +30,7 @@
 )
 from pewterring.control.retiring import RetirementDesk, RetirementRefused
 from pewterring.control.state import ControlState
+from pewterring.control.status import status_of
 from pewterring.registry.heartbeats import InvalidHeartbeat, read_heartbeat
 from pewterring.registry.workers import WorkerRegistry
 
@@ -81,6 +83,8 @@
             return await self._replace(call)
         if call.path == READ_PATH:
             return await self._read()
+        if call.path == STATUS_PATH:
+            return await self._status()
         return refusal(404, "no such path")
 
     async def _heartbeat(self, worker_id: str, body: bytes) -> Answer:
@@ -127,6 +131,10 @@
             return refusal(404, "no configuration yet")
         return Answer(200, bytes(self._state.document))
 
+    async def _status(self) -> Answer:
+        await self._leadership.read_barrier()
+        return Answer(200, status_of(self._state))
+
     async def _start_retirement(self, node_id: str, body: bytes) -> Answer:
         await self._leadership.read_barrier()
         try:
--- a/pewterring/distribution/follower.py
+++ b/pewterring/distribution/follower.py
@@ -6,7 +6,7 @@
 
 from pewterring.configuration.model import Configuration
 from pewterring.configuration.reader import InvalidConfiguration, read_configuration
-from pewterring.distribution.messages import Renewed, TableChanges, WholeTables
+from pewterring.distribution.messages import NodeRecord, Renewed, TableChanges, WholeTables
 from pewterring.distribution.tables import Tables
 
 NO_DOCUMENT = b"null"
@@ -53,7 +53,7 @@
             versions=message.versions,
             configuration=self._newer(message.configuration),
             workers=workers,
-            nodes=held.nodes if message.nodes is None else message.nodes,
+            nodes=_changed_nodes(held.nodes, message),
             placements=held.placements if message.placements is None else message.placements,
             groups=held.groups if message.groups is None else message.groups,
             controls=held.controls if message.controls is None else message.controls,
@@ -77,3 +77,14 @@
         except InvalidConfiguration:
             return held  # control checks before it accepts; a newer control may accept what this cannot read
         return told if held is None or told.version >= held.version else held
+
+
+def _changed_nodes(held: tuple[NodeRecord, ...], message: TableChanges) -> tuple[NodeRecord, ...]:
+    """The same object where nothing changed."""
+    if not message.nodes and not message.nodes_gone:
+        return held
+    nodes = {node.node_id: node for node in held}
+    nodes.update((node.node_id, node) for node in message.nodes)
+    for node_id in message.nodes_gone:
+        nodes.pop(node_id, None)
+    return tuple(nodes.values())
--- a/pewterring/distribution/messages.py
+++ b/pewterring/distribution/messages.py
@@ -88,7 +88,8 @@
     configuration: msgspec.Raw = msgspec.Raw(b"null")  # null: not changed
     workers: tuple[WorkerRecord, ...] = ()  # new or changed
     workers_gone: tuple[str, ...] = ()  # ids
-    nodes: tuple[NodeRecord, ...] | None = None  # the whole table of nodes
+    nodes: tuple[NodeRecord, ...] = ()  # new or changed
+    nodes_gone: tuple[str, ...] = ()  # ids
     placements: tuple[PlacementRecord, ...] | None = None
     groups: tuple[GroupStatus, ...] | None = None
     controls: tuple[str, ...] | None = None
--- a/pewterring/storage/errors.py
+++ b/pewterring/storage/errors.py
@@ -1,6 +1,6 @@
 """Errors of the storage package. All are the consensus package's `StorageError`."""
 
-from pewterring.consensus.errors import StorageError
+from pewterring.consensus.errors import StorageError, StorageFull
 
 __all__ = ["CorruptLog", "CorruptSnapshot", "StorageError", "StorageFailed", "StorageFull"]
 
@@ -9,10 +9,6 @@
     """The disk reported an error other than being full; what was being written is in an unknown state."""
 
 
-class StorageFull(StorageError):
-    """There is no room. Nothing of the call counts as saved; a later call may succeed."""
-
-
 class CorruptLog(StorageError):
     """Records that had been synced are damaged or missing; the log cannot be trusted."""
 
--- /dev/null
+++ b/tests/consensus/test_handover.py
@@ -0,0 +1,222 @@
+"""A leader hands over: soon, without a stale read, and without harm where messages are lost."""
+
+import asyncio
+import random
+
+import pytest
+
+from pewterring.consensus.errors import NotLeader
+from pewterring.consensus.leading import Leading
+from pewterring.consensus.messages import ConsensusMessage, TimeoutNow, VoteRequest
+from pewterring.consensus.raft import Raft
+from tests.consensus.parts import Violation
+from tests.consensus.simulation import Simulation
+from tests.consensus.test_group import Network, command
+from tests.consensus.virtual_time import run
+
+AT_ONCE_S = 0.15  # far below the shortest election time-out
+
+
+class HandingSimulation(Simulation):
+    """A simulated group whose leader can be told to hand over."""
+
+    def settle(self) -> str:
+        """Waits for a leader and returns its name."""
+        self.run_until(lambda: self.leader() is not None and self.leader_raft().leads_committed)
+        self.run(0.5)
+        return self.leader() or ""
+
+    def hand_over(self) -> bool:
+        """Tells the leader; False where there is none that can."""
+        member = self.members.get(self.leader() or "")
+        if member is None or member.raft is None or member.frozen:
+            return False
+        begun = member.raft.hand_over(self._clock(member))
+        self._pump(member)
+        return begun
+
+    def has_lease(self, name: str) -> bool:
+        member = self.members[name]
+        return member.raft is not None and member.raft.has_lease(self._clock(member))
+
+
+@pytest.mark.parametrize("voters", [2, 3, 5])
+def test_successor_leads_long_before_an_election_timeout(voters: int) -> None:
+    for seed in range(5):
+        simulation = HandingSimulation(seed, voters)
+        old = simulation.settle()
+        simulation.propose("before")
+        assert simulation.hand_over()
+        assert simulation.run_while(lambda s=simulation, o=old: s.leader() in (o, None), AT_ONCE_S)  # type: ignore[misc]
+        assert simulation.leader_raft().term == 2 and "before" in simulation.acknowledged
+        simulation.check_converges()
+
+
+def test_only_voter_keeps_the_leadership() -> None:
+    simulation = HandingSimulation(1, voters=1)
+    old = simulation.settle()
+    assert not simulation.hand_over()
+    assert simulation.propose("still") and simulation.leader() == old
+
+
+def test_lost_message_is_sent_again() -> None:
+    simulation = HandingSimulation(2)
+    old = simulation.settle()
+    lost: list[ConsensusMessage] = []
+
+    def drops(message: ConsensusMessage) -> bool:
+        if isinstance(message, TimeoutNow) and not lost:
+            lost.append(message)
+            return True
+        return False
+
+    simulation.drops = drops
+    simulation.hand_over()
+    assert simulation.run_while(lambda: simulation.leader() in (old, None), 0.4)
+    assert len(lost) == 1
+
+
+def test_leader_without_a_successor_steps_down_in_time() -> None:
+    simulation = HandingSimulation(3)
+    old = simulation.settle()
+    simulation.drops = lambda message: isinstance(message, TimeoutNow)
+    simulation.hand_over()
+    raft = simulation.members[old].raft
+    assert raft is not None
+    assert simulation.run_while(lambda: raft.is_leader, 0.8)
+    simulation.check_converges()
+
+
+def test_no_lease_once_a_successor_was_told() -> None:
+    simulation = HandingSimulation(4)
+    old = simulation.settle()
+    assert simulation.has_lease(old)
+    simulation.drops = lambda message: isinstance(message, VoteRequest)
+    simulation.hand_over()
+    assert not simulation.has_lease(old)
+
+
+def test_late_order_to_stand_changes_nothing_in_a_later_term() -> None:
+    simulation = HandingSimulation(5)
+    old = simulation.settle()
+    kept: list[ConsensusMessage] = []
+
+    def drops(message: ConsensusMessage) -> bool:
+        if isinstance(message, TimeoutNow):
+            kept.append(message)
+        return isinstance(message, TimeoutNow)
+
+    simulation.drops = drops
+    simulation.hand_over()
+    simulation.run_until(lambda: not simulation.members[old].raft.is_leader)  # type: ignore[union-attr]
+    simulation.drops = lambda message: False
+    simulation.settle()
+    term = simulation.leader_raft().term
+    for message in kept:
+        simulation._deliver_later(message)
+    simulation.run(3.0)
+    assert simulation.leader_raft().term == term
+
+
+class _KeepsLease(Leading):
+    def has_lease(self, now: float) -> bool:
+        return self._rounds.has_lease(self._state.voters, now)
+
+
+class KeepsLease(Raft):
+    """Answers reads by its lease although it has told a successor to stand."""
+
+    def _begin_leading(self, now: float) -> Leading:
+        return _KeepsLease(self._state, now)
+
+
+def read_at_a_leader_cut_off_while_it_hands_over(raft_class: type[Raft]) -> None:
+    """The old leader hears nothing of its successor's election, and is asked to read at once after it."""
+    simulation = HandingSimulation(6, raft_class=raft_class)
+    old = simulation.settle()
+    simulation.drops = lambda message: message.target == old
+    simulation.hand_over()
+    simulation.run_until(lambda: simulation.leader() not in (old, None))
+    simulation.run_until(lambda: simulation.leader_raft().leads_committed)
+    simulation.propose("after")
+    simulation.run_until(lambda: "after" in simulation.acknowledged, limit=0.1)
+    assert simulation.read(old)
+
+
+def test_lease_kept_after_a_successor_was_told_is_caught() -> None:
+    with pytest.raises(Violation):
+        read_at_a_leader_cut_off_while_it_hands_over(KeepsLease)
+    read_at_a_leader_cut_off_while_it_hands_over(Raft)
+
+
+def test_schedules_with_handovers() -> None:
+    """Crashes, cuts and bad weather around hand-overs: nothing is lost and no read goes back."""
+    for seed in range(25):
+        rng = random.Random(f"handover {seed}")
+        simulation = HandingSimulation(seed, rng.choice((3, 3, 5)))
+        simulation.weather.lost = simulation.weather.late = rng.choice((0.0, 0.1))
+        for step in range(80):
+            name = rng.choice(list(simulation.members))
+            action = rng.choice(("propose", "propose", "read", "hand over", "crash", "cut", "heal"))
+            if action == "propose":
+                simulation.propose(f"{step}", rng.choice((None, name)))
+            elif action == "read":
+                for reader in simulation.members:
+                    simulation.read(reader)
+            elif action == "hand over":
+                simulation.hand_over()
+            elif action == "crash":
+                simulation.crash(name)
+            elif action == "cut":
+                simulation.cut_off(name)
+            else:
+                simulation.cuts.clear()
+                for stopped in simulation.members:
+                    simulation.start(stopped)
+            simulation.run(rng.choice((0.003, 0.02, 0.3)))
+        simulation.check_converges()
+
+
+def test_driver_returns_when_another_leads_and_refuses_commands() -> None:
+    async def scenario() -> None:
+        network = Network()
+        old = await network.start()
+        await old.propose(command("before"))
+        handing = asyncio.ensure_future(old.hand_over_leadership())
+        await asyncio.sleep(0)
+        with pytest.raises(NotLeader):
+            await old.propose(command("refused"))
+        began = asyncio.get_running_loop().time()
+        await handing
+        new = await network.new_leader(old)
+        assert asyncio.get_running_loop().time() - began < AT_ONCE_S
+        assert await new.propose(command("after")) == 2
+        await old.hand_over_leadership()  # a follower has nothing to hand over
+        await network.stop()
+
+    run(scenario())
+
+
+def test_driver_returns_when_the_group_stops_meanwhile() -> None:
+    async def scenario() -> None:
+        network = Network()
+        old = await network.start()
+        network.cut.add(old.member)
+        handing = asyncio.ensure_future(old.hand_over_leadership())
+        await asyncio.sleep(0)
+        await old.stop()
+        await handing
+        await network.stop()
+
+    run(scenario())
+
+
+def test_driver_with_one_voter_returns_at_once() -> None:
+    async def scenario() -> None:
+        network = Network(("a",))
+        leader = await network.start()
+        await leader.hand_over_leadership()
+        assert leader.is_leader
+        await network.stop()
+
+    run(scenario())
--- /dev/null
+++ b/tests/control/cluster.py
@@ -0,0 +1,205 @@
+"""Three control machines in one event loop and in virtual time, with callers that ask again.
+
+Consensus messages and relayed calls take one turn of the loop. A machine that dies neither sends nor
+receives from that moment on; its disk stays. `at_point` has something happen at the n-th message from now.
+"""
+
+import asyncio
+import random
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+import msgspec
+
+from pewterring.consensus.group import ReplicatedGroup
+from pewterring.consensus.messages import ConsensusMessage
+from pewterring.control.calls import HEARTBEAT_PATH, READ_PATH, REPLACE_PATH, Answer, Call
+from pewterring.control.leadership import GroupLeadership
+from pewterring.control.messages import RelayedCall
+from pewterring.control.nodes import NodeTable
+from pewterring.control.publisher import FeedPublisher
+from pewterring.control.relay import CallRouter, RelayFailed
+from pewterring.control.retiring import RetirementDesk
+from pewterring.control.service import ControlService
+from pewterring.control.state import ControlState
+from pewterring.control.stores import address_of
+from pewterring.registry.workers import WorkerRegistry
+from tests.consensus.memory_storage import MemoryStorage
+from tests.consensus.virtual_time import InlineExecutor
+
+IPS = ("10.0.0.1", "10.0.0.2", "10.0.0.3")
+MEMBERS = tuple(f"{ip}#seed" for ip in IPS)
+CALLER_S = 1.0  # a caller goes to another machine after so long
+GIVE_UP_S = 30.0
+
+
+class ControlMachine:
+    """One process of control, without sockets."""
+
+    def __init__(self, cluster: "ControlCluster", ip: str, storage: MemoryStorage) -> None:
+        clock = asyncio.get_running_loop().time
+        self.ip = ip
+        self.storage = storage
+        self.died = asyncio.get_running_loop().create_future()
+        self.state = ControlState()
+        self.group = ReplicatedGroup(
+            "control",
+            f"{ip}#seed",
+            storage,
+            self.state,
+            cluster.send,
+            rng=random.Random(ip),
+            clock=clock,
+            on_leadership=self._on_leadership,
+            executor=InlineExecutor(),
+        )
+        self.leadership = GroupLeadership(self.group, clock)
+        self.nodes = NodeTable()
+        self.publisher = FeedPublisher(self.state, self.nodes)
+        self.registry = WorkerRegistry(self.state.workers, self.state.departed, 1.0)
+        desk = RetirementDesk(self.state, self.nodes, self.leadership.propose, 3)
+        service = ControlService(self.state, self.registry, desk, self.leadership, clock)
+        self.router = CallRouter(service.handle, self._leader_ip, cluster.request, ip)
+        self._clock = clock
+
+    def _leader_ip(self) -> str:
+        return address_of(self.group.leader or "")
+
+    def _on_leadership(self, leads: bool) -> None:
+        self.leadership.ready = leads
+        if leads:
+            self.nodes.start(self._clock(), self.state.nodes)
+            self.registry.start(self._clock())
+            self.publisher.start(self.group.term, IPS)
+
+
+class ControlCluster:
+    """The machines that are up, by IP. Made inside a running loop."""
+
+    def __init__(self) -> None:
+        self.machines = {ip: ControlMachine(self, ip, MemoryStorage(MEMBERS)) for ip in IPS}
+        self._background: list[asyncio.Task[object]] = []
+        self._points_left = 0
+        self._at_point: Callable[[], None] | None = None
+
+    async def start(self) -> ControlMachine:
+        for machine in self.machines.values():
+            await machine.group.start()
+        return await self.leader()
+
+    async def stop(self) -> None:
+        for machine in self.machines.values():
+            await machine.group.stop()
+
+    async def leader(self) -> ControlMachine:
+        """The leader, once there is one with a lease."""
+        async with asyncio.timeout(GIVE_UP_S):
+            while True:
+                for machine in self.machines.values():
+                    if machine.leadership.has_lease:
+                        return machine
+                await asyncio.sleep(0.01)
+
+    # Faults.
+
+    def at_point(self, number: int, action: Callable[[], None]) -> None:
+        """Has `action` done just before the message `number`, counted from 0, is sent."""
+        self._points_left = number
+        self._at_point = action
+
+    @property
+    def reached_point(self) -> bool:
+        return self._at_point is None
+
+    def _pass_point(self) -> None:
+        if self._at_point is None:
+            return
+        if self._points_left == 0:
+            action, self._at_point = self._at_point, None
+            action()
+        self._points_left -= 1
+
+    def kill(self, ip: str) -> None:
+        """The process dies now."""
+        machine = self.machines.pop(ip)
+        machine.died.set_result(None)
+        self.in_background(machine.group.stop())
+
+    def in_background(self, work: Coroutine[Any, Any, object]) -> asyncio.Task[object]:
+        """Runs it beside what goes on."""
+        task = asyncio.get_running_loop().create_task(work)
+        self._background.append(task)
+        return task
+
+    async def restart(self, machine: ControlMachine) -> ControlMachine:
+        """The process comes back with its disk."""
+        again = ControlMachine(self, machine.ip, machine.storage)
+        self.machines[machine.ip] = again
+        await again.group.start()
+        return again
+
+    # Messages.
+
+    def send(self, message: ConsensusMessage) -> None:
+        self._pass_point()
+        if address_of(message.sender) in self.machines:
+            asyncio.get_running_loop().call_soon(self._deliver, message)
+
+    def _deliver(self, message: ConsensusMessage) -> None:
+        machine = self.machines.get(address_of(message.target))
+        if machine is not None:
+            machine.group.receive(message)
+
+    async def request(self, ip: str, message: msgspec.Struct, timeout_s: float) -> msgspec.Struct:
+        self._pass_point()
+        machine = self.machines.get(ip)
+        if machine is None or not isinstance(message, RelayedCall):
+            raise RelayFailed
+        reply: msgspec.Struct | None = await self._unless_it_dies(
+            machine, machine.router.answer_relayed(message), timeout_s
+        )
+        self._pass_point()
+        if reply is None or ip not in self.machines:
+            raise RelayFailed
+        return reply
+
+    # Callers.
+
+    async def call(self, call: Call, first: str = IPS[0]) -> Answer:
+        """Calls one machine after the other until one gives a clear answer."""
+        order = [ip for ip in IPS if ip != first]
+        ip = first
+        async with asyncio.timeout(GIVE_UP_S):
+            while True:
+                machine = self.machines.get(ip)
+                if machine is not None:
+                    answer: Answer | None = await self._unless_it_dies(
+                        machine, machine.router.answer(call), CALLER_S
+                    )
+                    if answer is not None and answer.status < 500:
+                        return answer
+                await asyncio.sleep(0.05)
+                order.append(ip)
+                ip = order.pop(0)
+
+    async def _unless_it_dies(self, machine: ControlMachine, answer: Any, timeout_s: float) -> Any:
+        """What the machine answers, or None where it dies before or is silent for too long."""
+        task = asyncio.ensure_future(answer)
+        await asyncio.wait([task, machine.died], timeout=timeout_s, return_when=asyncio.FIRST_COMPLETED)
+        if machine.died.done() or not task.done():
+            task.cancel()
+            return None
+        return task.result()
+
+
+def put_call(base: int, document: bytes) -> Call:
+    return Call("POST", REPLACE_PATH, str(base), document)
+
+
+def read_call() -> Call:
+    return Call("GET", READ_PATH)
+
+
+def heartbeat_call(worker_id: str, state: str = "ready", sequence: int = 1) -> Call:
+    body = {"backend": "s", "address": "10.9.0.1:80", "capacity": 4, "state": state, "sequence": sequence}
+    return Call("POST", f"{HEARTBEAT_PATH}{worker_id}", body=msgspec.json.encode(body))
--- /dev/null
+++ b/tests/control/test_feed.py
@@ -0,0 +1,196 @@
+"""The leader's side of the feed: sessions that come, go, and do not read."""
+
+import asyncio
+from collections.abc import Callable
+from typing import cast
+
+import msgspec
+
+from pewterring.control.commands import PutWorker
+from pewterring.control.feed import FeedServer
+from pewterring.control.leadership import GroupLeadership
+from pewterring.control.nodes import NodeTable
+from pewterring.control.publisher import FeedPublisher
+from pewterring.control.state import ControlState
+from pewterring.distribution.follower import TableFollower
+from pewterring.distribution.messages import (
+    FEED_MESSAGES,
+    NodeRecord,
+    Redirect,
+    Renew,
+    Renewed,
+    Subscribe,
+    TableChanges,
+    WholeTables,
+)
+from pewterring.transport.lines import Channel, MessageCodec
+from tests.control.records import apply, gateway, put, status, store, worker
+
+CODEC = MessageCodec(FEED_MESSAGES)
+OTHER_LEADER = "10.0.0.2"
+
+
+class StandInLeadership:
+    """What the feed asks of the group."""
+
+    def __init__(self) -> None:
+        self.ready = True
+        self.has_lease = True
+
+
+class StandInChannel:
+    """A session's connection. A `full` one takes no more lines."""
+
+    def __init__(self) -> None:
+        self.full = False
+        self.closed = False
+        self.pushed: list[TableChanges] = []
+        self.on_close: list[Callable[[StandInChannel], None]] = []
+
+    def send_line(self, line: bytes) -> bool:
+        if self.full or self.closed:
+            return False
+        message = CODEC.decode(CODEC.decode_line(line.rstrip(b"\n")).body)
+        assert isinstance(message, TableChanges)
+        self.pushed.append(message)
+        return True
+
+    def close(self) -> None:
+        if not self.closed:
+            self.closed = True
+            for callback in self.on_close:
+                callback(self)
+
+    abort = close
+
+
+class Feed:
+    """A feed server, its state, and nodes that follow it."""
+
+    def __init__(self) -> None:
+        self.leadership = StandInLeadership()
+        self.nodes = NodeTable()
+        self.state = ControlState()
+        self.publisher = FeedPublisher(self.state, self.nodes)
+        self.publisher.start(2, ["10.0.0.1"])
+        self.server = FeedServer(
+            self.publisher,
+            self.nodes,
+            cast(GroupLeadership, self.leadership),
+            CODEC,
+            lambda: OTHER_LEADER,
+            lambda: 5.0,
+        )
+
+    def subscribe(self, channel: StandInChannel, node: NodeRecord) -> msgspec.Struct:
+        return self.server.subscribe(cast(Channel, channel), Subscribe(node))
+
+    def renew(self, channel: StandInChannel, message: Renew) -> msgspec.Struct:
+        return self.server.renew(cast(Channel, channel), message)
+
+    def session(self, number: int = 1) -> tuple[StandInChannel, TableFollower]:
+        channel = StandInChannel()
+        whole = self.subscribe(channel, gateway(number))
+        assert isinstance(whole, WholeTables)
+        follower = TableFollower()
+        follower.whole(whole, 0.0)
+        return channel, follower
+
+
+def test_a_follower_names_the_leader() -> None:
+    feed = Feed()
+    feed.leadership.ready = feed.leadership.has_lease = False
+    channel = StandInChannel()
+    assert feed.subscribe(channel, gateway(1)) == Redirect(OTHER_LEADER)
+    assert feed.renew(channel, Renew(gateway(1))) == Redirect(OTHER_LEADER)
+    assert feed.publisher.sessions == set() and feed.nodes.records == {}
+
+
+def test_a_leader_without_a_lease_names_nobody_and_confirms_nothing() -> None:
+    feed = Feed()
+    channel, _ = feed.session()
+    feed.leadership.has_lease = False
+    assert feed.renew(channel, Renew(gateway(1))) == Redirect("")
+    assert feed.subscribe(StandInChannel(), gateway(2)) == Redirect("")
+
+
+def test_what_changed_before_a_session_reaches_those_that_were_there() -> None:
+    feed = Feed()
+    early, follower = feed.session(1)
+    apply(feed.state, put(0, 5))
+    _, late = feed.session(2)
+    for change in early.pushed:
+        follower.change(change)
+    for tables in (follower.tables, late.tables):
+        assert tables.configuration is not None and tables.configuration.version == 5
+
+
+def test_a_renewal_confirms_only_what_was_pushed_before_it() -> None:
+    feed = Feed()
+    channel, follower = feed.session()
+    apply(feed.state, PutWorker(worker("i-1")))
+    answer = feed.renew(channel, Renew(gateway(1)))
+    assert isinstance(answer, Renewed) and len(channel.pushed) == 1
+    assert not follower.renewed(answer, 1.0), "the change has not been taken yet"
+    follower.change(channel.pushed[0])
+    assert follower.renewed(answer, 1.0)
+
+
+def test_a_renewal_without_a_session_asks_for_a_new_one() -> None:
+    feed = Feed()
+    assert feed.renew(StandInChannel(), Renew(gateway(1))) == Redirect(OTHER_LEADER)
+
+
+def test_a_session_that_does_not_read_is_ended_and_harms_no_other() -> None:
+    feed = Feed()
+    stuck, _ = feed.session(1)
+    good, _ = feed.session(2)
+    stuck.full = True
+    apply(feed.state, PutWorker(worker("i-1")))
+    feed.server.publish_state()
+    assert stuck.closed and len(good.pushed) == 1
+    assert feed.publisher.sessions == {good}
+
+
+def test_commands_that_are_applied_together_are_pushed_once() -> None:
+    async def scenario() -> None:
+        feed = Feed()
+        channel, follower = feed.session()
+        for number in range(5):
+            apply(feed.state, PutWorker(worker(f"i-{number}", f"10.0.0.{number}:80")))
+            feed.server.publish_soon()
+        assert channel.pushed == []
+        await asyncio.sleep(0)
+        (change,) = channel.pushed
+        assert len(follower.change(change).workers) == 5
+
+    asyncio.run(scenario())
+
+
+def test_nothing_is_pushed_after_the_leadership_was_lost() -> None:
+    async def scenario() -> None:
+        feed = Feed()
+        channel, _ = feed.session()
+        apply(feed.state, PutWorker(worker("i-1")))
+        feed.server.publish_soon()
+        feed.leadership.ready = False
+        await asyncio.sleep(0)
+        assert channel.pushed == []
+
+    asyncio.run(scenario())
+
+
+def test_sessions_end_with_the_leadership() -> None:
+    feed = Feed()
+    channels = [feed.session(number)[0] for number in (1, 2)]
+    feed.server.end_sessions()
+    assert all(channel.closed for channel in channels) and feed.publisher.sessions == set()
+
+
+def test_a_store_that_leads_a_partition_reports_it_with_its_renewal() -> None:
+    feed = Feed()
+    channel, follower = feed.session()
+    report = status([store(1), store(2), store(3)])
+    feed.renew(channel, Renew(gateway(1), report))
+    feed.server.publish_nodes()
+    assert follower.change(channel.pushed[0]).groups == (report,)
--- /dev/null
+++ b/tests/control/test_program.py
@@ -0,0 +1,227 @@
+"""Three control programs over loopback: calls by HTTP, a node on the feed, stops and a lost disk."""
+
+import asyncio
+import contextlib
+import dataclasses
+import random
+import shutil
+import socket
+from collections.abc import AsyncIterator, Callable
+from pathlib import Path
+
+import pytest
+
+from pewterring.configuration.digest import as_line
+from pewterring.control.program import ControlProgram
+from pewterring.distribution.messages import FEED_MESSAGES, NodeRecord
+from pewterring.distribution.subscriber import FeedSubscriber
+from pewterring.distribution.tables import Tables
+from pewterring.node.settings import Address, Bounds, NodeSettings, SettingsError
+from pewterring.transport.lines import MessageCodec
+from tests.configuration.documents import encoded
+
+IPS = ("127.0.0.21", "127.0.0.22", "127.0.0.23")
+NODE_IP = "127.0.0.24"
+CALL_S = 2.0  # a caller goes to another machine after so long
+TEST_S = 60.0
+
+
+def free_port() -> int:
+    with socket.socket() as probe:
+        probe.bind((IPS[0], 0))
+        port: int = probe.getsockname()[1]
+        return port
+
+
+class Machines:
+    """The programs that run, by IP, and an operator who asks one after the other."""
+
+    def __init__(self, data_dir: Path) -> None:
+        self.data_dir = data_dir
+        self.internal_port = free_port()
+        self.control_port = free_port()
+        self.programs: dict[str, ControlProgram] = {}
+
+    def settings(self, ip: str, program: str = "control", bootstrap: bool = True) -> NodeSettings:
+        is_control = program == "control"
+        return NodeSettings(
+            node_id=f"{program}-{ip}",
+            ip=ip,
+            zone="z-" + ip,
+            region="r",
+            front=None,
+            ready=None,
+            control=Address(ip, self.control_port) if is_control else None,
+            internal_port=self.internal_port,
+            seeds=tuple(Address(seed, self.control_port) for seed in IPS),
+            bootstrap=bootstrap,
+            data_dir=self.data_dir / ip if is_control else None,
+            heartbeat_s=1.0,
+            tolerated_machines=1,
+            memory_mb=256,
+            max_descriptors=1024,
+            cpu_share=1.0,
+            disk_mb=100,
+            bounds=Bounds(),
+        )
+
+    async def start(self, ip: str, bootstrap: bool = True) -> ControlProgram:
+        program = ControlProgram(self.settings(ip, bootstrap=bootstrap))
+        await program.start()
+        self.programs[ip] = program
+        return program
+
+    async def stop(self, ip: str) -> None:
+        program = self.programs.pop(ip)
+        await program.drain()
+        await program.stop()
+
+    async def leader(self) -> str:
+        """The IP of the leader, asked until there is one."""
+        while True:
+            for ip, program in self.programs.items():
+                if program._leadership.has_lease:
+                    return ip
+            await self.call("GET", "/v1/Config.Get")
+
+    async def call(self, method: str, path: str, body: bytes = b"", **headers: str) -> tuple[int, bytes]:
+        """The first clear answer of any machine."""
+        while True:
+            for ip in tuple(self.programs):
+                with contextlib.suppress(OSError, asyncio.IncompleteReadError, ValueError):
+                    async with asyncio.timeout(CALL_S):
+                        status, answer = await self._call_one(ip, method, path, body, headers)
+                    if status < 500:
+                        return status, answer
+
+    async def _call_one(
+        self, ip: str, method: str, path: str, body: bytes, headers: dict[str, str]
+    ) -> tuple[int, bytes]:
+        reader, writer = await asyncio.open_connection(ip, self.control_port)
+        try:
+            lines = [f"{method} {path} HTTP/1.1", f"Host: {ip}", f"Content-Length: {len(body)}"]
+            lines += [f"{name.replace('_', '-')}: {value}" for name, value in headers.items()]
+            writer.write("\r\n".join([*lines, "Connection: close", "", ""]).encode() + body)
+            head, _, answer = (await reader.read(-1)).partition(b"\r\n\r\n")
+            return int(head.split()[1]), answer
+        finally:
+            writer.close()
+
+    async def put(self, base: int, version: int) -> None:
+        status, answer = await self.call(
+            "POST", "/v1/Config.Replace", encoded(version=version), Base_Version=str(base)
+        )
+        assert status == 200, answer
+
+    async def read(self) -> bytes:
+        status, answer = await self.call("GET", "/v1/Config.Get")
+        assert status == 200
+        return answer
+
+
+class Node:
+    """A gateway's side of the feed."""
+
+    def __init__(self, machines: Machines) -> None:
+        self._changed = asyncio.Event()
+        self.subscriber = FeedSubscriber(
+            machines.settings(NODE_IP, program="gateway"),
+            MessageCodec(FEED_MESSAGES),
+            lambda: NodeRecord("edge-1", "gateway", NODE_IP, "z", "x"),
+            on_tables=self._on_tables,
+            rng=random.Random(1),
+        )
+
+    def _on_tables(self, old: Tables, new: Tables) -> None:
+        self._changed.set()
+
+    async def until(self, condition: Callable[[Tables], bool]) -> None:
+        while not condition(self.subscriber.tables):
+            self._changed.clear()
+            await self._changed.wait()
+
+    async def until_version(self, version: int) -> None:
+        await self.until(
+            lambda tables: tables.configuration is not None and tables.configuration.version == version
+        )
+
+
+@contextlib.asynccontextmanager
+async def running(data_dir: Path) -> AsyncIterator[tuple[Machines, Node]]:
+    machines = Machines(data_dir)
+    async with asyncio.timeout(TEST_S):
+        for ip in IPS:
+            await machines.start(ip)
+        node = Node(machines)
+        await node.subscriber.start()
+        yield machines, node
+        await node.subscriber.stop()
+        for ip in tuple(machines.programs):
+            await machines.stop(ip)
+
+
+def test_configurations_outlast_a_planned_stop_of_the_leader_and_a_stop_of_all(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        async with running(tmp_path) as (machines, node):
+            await machines.put(0, 3)
+            await node.until_version(3)
+            await machines.stop(await machines.leader())
+            await machines.put(3, 5)
+            await node.until_version(5)
+            for ip in tuple(machines.programs):
+                await machines.stop(ip)
+            for ip in IPS:
+                await machines.start(ip, bootstrap=False)
+            assert await machines.read() == as_line(encoded(version=5))
+            status, _ = await machines.call(
+                "POST", "/v1/Config.Replace", encoded(version=5), Base_Version="3"
+            )
+            assert status == 200, "the same once more"
+            status, _ = await machines.call("POST", "/v1/Config.Replace", b"{", Base_Version="5")
+            assert status == 400
+
+    asyncio.run(scenario())
+
+
+def test_a_machine_that_lost_its_disk_is_a_voter_again_under_another_name(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        async with running(tmp_path) as (machines, _):
+            await machines.put(0, 3)
+            leader = await machines.leader()
+            lost = next(ip for ip in IPS if ip != leader)
+            await machines.stop(lost)
+            shutil.rmtree(tmp_path / lost)
+            again = await machines.start(lost, bootstrap=False)
+            while not again._is_voter():
+                await machines.read()
+            assert again._member.startswith(lost) and not again._member.endswith("#seed")
+            await machines.stop(leader)
+            assert await machines.read() == as_line(encoded(version=3))
+
+    asyncio.run(scenario())
+
+
+def test_a_worker_reaches_the_node_that_follows(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        async with running(tmp_path) as (machines, node):
+            beat = b'{"backend":"s","address":"10.9.0.1:80","capacity":4,"state":"%s","sequence":%d}'
+            for sequence, state in enumerate((b"ready", b"draining"), 1):
+                status, _ = await machines.call(
+                    "POST", "/v1/Instances.Heartbeat/i-1", beat % (state, sequence)
+                )
+                assert status == 200
+                await node.until(
+                    lambda tables: "i-1" in tables.workers and tables.workers["i-1"].state == state.decode()  # noqa: B023
+                )
+            assert (await machines.call("POST", "/v1/Instances.Deregister/i-1"))[0] == 200
+            await node.until(lambda tables: "i-1" not in tables.workers)
+
+    asyncio.run(scenario())
+
+
+def test_settings_without_a_data_folder_or_an_address_are_refused(tmp_path: Path) -> None:
+    complete = Machines(tmp_path).settings(IPS[0])
+    with pytest.raises(SettingsError, match=r"listen_addrs\.control"):
+        ControlProgram(dataclasses.replace(complete, control=None))
+    with pytest.raises(SettingsError, match="data_dir"):
+        ControlProgram(dataclasses.replace(complete, data_dir=None))
--- a/tests/control/test_publisher.py
+++ b/tests/control/test_publisher.py
@@ -1,5 +1,6 @@
 """The leader's side of the feed, followed by the node's side."""
 
+import msgspec
 import pytest
 
 from pewterring.control.commands import CreateGroup, PutWorker, RemoveWorkers, SetRetiring
@@ -87,6 +88,27 @@
     assert follower.tables.nodes == (gateway(1),)
 
 
+def test_a_change_of_nodes_tells_only_of_those_that_changed() -> None:
+    feed = Feed()
+    for number in range(1, 6):
+        feed.nodes.hear(0.0, gateway(number))
+    follower = feed.open()
+    feed.nodes.hear(0.1, msgspec.structs.replace(gateway(2), life="restarted"))
+    feed.nodes.hear(0.1, gateway(6))
+    (change,) = feed.publish()
+    assert [node.node_id for node in change.nodes] == ["edge-2", "edge-6"] and not change.nodes_gone
+    for now in (0.4, 0.8, 1.2, 1.6):
+        feed.nodes.hear(now, gateway(6))
+        feed.nodes.expire(now)
+    (change,) = feed.publish()
+    assert not change.nodes and set(change.nodes_gone) == {f"edge-{number}" for number in (1, 3, 4, 5)}
+    assert {node.node_id: node.life for node in follower.tables.nodes} == {
+        "edge-2": "restarted",
+        "edge-6": gateway(6).life,
+    }
+    assert set(follower.tables.nodes) == set(feed.open().tables.nodes)
+
+
 def test_a_renewal_confirms_the_published_versions_of_open_sessions() -> None:
     feed = Feed()
     assert feed.publisher.renew("unknown") is None
--- a/tests/storage/test_group.py
+++ b/tests/storage/test_group.py
@@ -30,7 +30,11 @@
 
 
 def holds(disk: Disk, model: Model) -> bool:
-    return model.matches(DiskGroupStorage(disk, "group", SEGMENT_BYTES).load())
+    storage = DiskGroupStorage(disk, "group", SEGMENT_BYTES)
+    try:
+        return model.matches(storage.load())
+    finally:
+        storage.close()
 
 
 def schedule(seed: int) -> Iterator[tuple[Model, Call, Model]]:
@@ -58,8 +62,10 @@
     storage = opened(FolderDisk(tmp_path))
     for _, call, changed in schedule(seed):
         call(storage)
+        storage.close()
         assert holds(FolderDisk(tmp_path), changed)
         storage = opened(FolderDisk(tmp_path))
+    storage.close()
 
 
 @pytest.mark.parametrize("seed", range(12))
