Batch: items are placed by the shared admission; leadership handed over; fault points

The test of 0.6 of a worker's capacity follows the rule that replaced it, 0.9, and is as strict: exactly so many items and one more when one ends.

--- a/pewterring/batch/dispatch.py
+++ b/pewterring/batch/dispatch.py
@@ -1,20 +1,27 @@
-"""The choice of a worker for an item, and a simple one that looks only at what this process runs."""
+"""The choice of a worker for an item: within the room that admission leaves, the least expected time."""
 
-from collections import defaultdict
+import math
 from collections.abc import Callable
+from dataclasses import dataclass
 from enum import Enum, auto
 from typing import Protocol
 
+from pewterring.batch.admissions import BatchAdmissions
 from pewterring.batch.scheduler import QueuedItem
 from pewterring.batch.state import RouteKey
 from pewterring.configuration.model import Route, RouteType
 from pewterring.distribution.messages import WorkerRecord
 from pewterring.distribution.tables import Tables
+from pewterring.interface import RequestClass
+from pewterring.routing.chooser import PER_TOKEN_S, WorkerChooser
+from pewterring.routing.load_report import Load
+from pewterring.routing.prompt import PREFIX_HEADER, USAGE_HEADER, Prompt, read_prompt
+from pewterring.routing.worker_state import WorkerState
 
-CAPACITY_SHARE = 0.6  # of a worker's capacity that items may take
-PREFIX_SLACK = 3  # items that a worker may run beyond the least busy one, for the prompt parts it has read
-PREFIXES_KEPT = 10_000
-READY = "ready"
+WORKER_FILL = 0.9  # of a worker's slots that may be taken, by all that is known, when an item is placed there
+SEEMS_FULL = 0.75  # of a worker's slots taken: it may well refuse an item for want of room
+READING_S = 0.03  # what a worker may have to read of items: live requests that come wait behind it
+LEAST_EXPECTED_S = 1e-4  # keeps ratios finite
 
 
 class ExchangeOutcome(Enum):
@@ -33,8 +40,11 @@
         """A worker for the item, whose place is taken from now on; not the one with id `avoid`, if another
         will do. None where there is no place now."""
 
-    def finished(self, worker: WorkerRecord, outcome: ExchangeOutcome) -> None:
-        """An exchange at a worker that `place` gave has ended."""
+    def first_event(self, item: QueuedItem) -> None:
+        """The first event of the item's exchange came."""
+
+    def finished(self, item: QueuedItem, outcome: ExchangeOutcome) -> None:
+        """The exchange at the worker that `place` gave has ended."""
 
 
 def batch_route(tables: Tables, key: RouteKey) -> Route | None:
@@ -47,81 +57,131 @@
     return None
 
 
-def first_prompt_part(item: QueuedItem) -> str:
-    """The id of the first part of the item's prompt, or an empty string."""
-    for name, value in item.spec.headers.items():
-        if name.lower() == "prompt-prefix":
-            return value.partition(":")[0].strip()
-    return ""
+def item_prompt(item: QueuedItem) -> Prompt:
+    """What the item's headers say of its prompt."""
+    headers = {name.lower(): value for name, value in item.spec.headers.items()}
+    return read_prompt(headers.get(PREFIX_HEADER), headers.get(USAGE_HEADER))
+
+
+@dataclass(slots=True)
+class _Placement:
+    """An item at a worker."""
 
+    service: str
+    worker: WorkerState
+    prompt: Prompt
+    tokens: int  # that the worker must read before the first event
+    placed_at: float
+    reading: bool = True  # until the first event
 
-class LeastBusyDispatcher:
-    """Ready workers with the fewest items of this process, within a share of their capacity.
 
-    Services of a route get items by their weights. A worker that ran an item with the same first part of the
-    prompt is taken while it is little busier than the others.
+class AdmissionDispatcher:
+    """Places items in the room that admission leaves them, at the worker with the least expected time to the
+    first event.
+
+    Services of a route get items by their weights. A worker whose slots are nearly taken gets none, and none
+    while it has much to read of items placed before: a live request that comes would wait behind them.
     """
 
-    def __init__(self, tables: Callable[[], Tables], capacity_share: float = CAPACITY_SHARE) -> None:
+    def __init__(
+        self,
+        tables: Callable[[], Tables],
+        chooser: WorkerChooser,
+        admissions: BatchAdmissions,
+        clock: Callable[[], float],
+    ) -> None:
         self._tables = tables
-        self._capacity_share = capacity_share
-        self._running: defaultdict[str, int] = defaultdict(int)  # by worker
-        self._service_running: defaultdict[str, int] = defaultdict(int)
-        self._prefix_worker: dict[tuple[str, str], str] = {}  # service and first prompt part
+        self._chooser = chooser
+        self._admissions = admissions
+        self._clock = clock
+        self._placements: dict[QueuedItem, _Placement] = {}
 
     def place(self, item: QueuedItem, avoid: str) -> WorkerRecord | None:
         """See `Dispatcher`."""
-        tables = self._tables()
-        route = batch_route(tables, item.route)
+        route = batch_route(self._tables(), item.route)
         if route is None:
             return None
+        now = self._clock()
+        prompt = item_prompt(item)
         for service in self._services_in_turn(route):
-            worker = self._choose(tables, service, first_prompt_part(item), avoid)
+            if self._admissions.of(service).room(now) <= 0:
+                continue
+            worker = self._choose(now, service, prompt, avoid)
             if worker is not None:
-                self._running[worker.id] += 1
-                self._service_running[service] += 1
-                return worker
+                self._take(item, _Placement(service, worker, prompt, worker.uncached(prompt), now))
+                return worker.record
         return None
 
-    def finished(self, worker: WorkerRecord, outcome: ExchangeOutcome) -> None:
+    def first_event(self, item: QueuedItem) -> None:
+        """See `Dispatcher`: learns the service's times, the worker's speed and the ceiling."""
+        placement = self._placements.get(item)
+        if placement is None or not placement.reading:
+            return
+        self._end_reading(placement)
+        now = self._clock()
+        seconds = now - placement.placed_at
+        times = self._chooser.times_of(placement.service)
+        expected = times.expected(placement.tokens)
+        times.learn(placement.tokens, seconds)
+        ratio = seconds / max(LEAST_EXPECTED_S, expected)
+        placement.worker.note_ratio(ratio)
+        placement.worker.keep(placement.prompt)
+        kind = RequestClass("/".join(item.route), aim=math.inf, deadline=math.inf)
+        self._admissions.of(placement.service).observe(now, kind, ratio)
+
+    def load_reported(self, worker: WorkerRecord, load: Load) -> None:
+        """An answer told of a worker's load."""
+        state = self._chooser.workers.get(worker.id)
+        if state is not None:
+            state.take_report(self._clock(), load.running, load.waiting)
+
+    def finished(self, item: QueuedItem, outcome: ExchangeOutcome) -> None:
         """See `Dispatcher`."""
-        self._service_running[worker.service] -= 1
-        self._running[worker.id] -= 1
-        if self._running[worker.id] <= 0:
-            del self._running[worker.id]
+        placement = self._placements.pop(item, None)
+        if placement is None:
+            return
+        if placement.reading:
+            self._end_reading(placement)
+        worker = placement.worker
+        worker.out -= 1
+        self._admissions.of(placement.service).out -= 1
+        now = self._clock()
+        if outcome is ExchangeOutcome.ANSWERED:
+            worker.answered()
+        elif outcome is ExchangeOutcome.REFUSED and worker.load(now) >= SEEMS_FULL:
+            worker.take_report(now, worker.record.capacity, 0)
+        elif outcome is not ExchangeOutcome.CANCELLED and not worker.suspect(now):
+            # Answers workers that crash or leave: all their items end at once, which is one failure.
+            worker.failed(now)
+
+    def _take(self, item: QueuedItem, placement: _Placement) -> None:
+        self._placements[item] = placement
+        placement.worker.out += 1
+        placement.worker.pending_tokens += placement.tokens
+        self._admissions.of(placement.service).out += 1
+
+    @staticmethod
+    def _end_reading(placement: _Placement) -> None:
+        placement.reading = False
+        placement.worker.pending_tokens -= placement.tokens
 
     def _services_in_turn(self, route: Route) -> list[str]:
         weighted = [part for part in route.services if part.weight > 0]
-        weighted.sort(key=lambda part: self._service_running[part.service] / part.weight)
+        weighted.sort(key=lambda part: self._admissions.of(part.service).out / part.weight)
         return [part.service for part in weighted]
 
-    def _choose(self, tables: Tables, service: str, prefix: str, avoid: str) -> WorkerRecord | None:
-        free = [
-            worker
-            for worker in tables.workers.values()
-            if worker.service == service and worker.state == READY and self._has_room(worker)
-        ]
-        others = [worker for worker in free if worker.id != avoid]
-        if not (candidates := others or free):
+    def _choose(self, now: float, service: str, prompt: Prompt, avoid: str) -> WorkerState | None:
+        """The best worker with room: another than `avoid` where there is one."""
+        per_token_s = max(PER_TOKEN_S, self._chooser.times_of(service).per_token_s)
+        workers = self._chooser.ready(service)
+        busy = {worker.record.id for worker in workers if not _has_room(now, worker, per_token_s)}
+        if len(busy) == len(workers):
             return None
-        best = min(candidates, key=self._load)
-        last = self._prefix_worker.get((service, prefix), "")
-        for worker in candidates:
-            if worker.id == last and self._running[last] <= self._running[best.id] + PREFIX_SLACK:
-                return worker
-        self._remember((service, prefix), best.id)
-        return best
-
-    def _has_room(self, worker: WorkerRecord) -> bool:
-        return self._running.get(worker.id, 0) < max(1, int(worker.capacity * self._capacity_share))
-
-    def _load(self, worker: WorkerRecord) -> tuple[float, str]:
-        return self._running.get(worker.id, 0) / max(1, worker.capacity), worker.id
-
-    def _remember(self, key: tuple[str, str], worker_id: str) -> None:
-        if not key[1]:
-            return
-        self._prefix_worker.pop(key, None)
-        self._prefix_worker[key] = worker_id
-        if len(self._prefix_worker) > PREFIXES_KEPT:
-            del self._prefix_worker[next(iter(self._prefix_worker))]
+        alone = all(worker.record.id in busy or worker.record.id == avoid for worker in workers)
+        return self._chooser.choose(now, service, prompt, busy if alone else busy | {avoid})
+
+
+def _has_room(now: float, worker: WorkerState, per_token_s: float) -> bool:
+    if worker.suspect(now) or worker.pending_tokens * per_token_s > READING_S:
+        return False
+    return worker.load(now) < WORKER_FILL or worker.out == 0 == worker.others(now)
--- a/pewterring/batch/execution.py
+++ b/pewterring/batch/execution.py
@@ -61,6 +61,7 @@
         self._active = False
         self._running: dict[ItemKey, asyncio.Task[Failure | None]] = {}
         self._placed: dict[ItemKey, WorkerRecord] = {}
+        self._begun: set[QueuedItem] = set()  # running items whose exchange brought an event
         self._routeless: set[str] = set()  # jobs whose route is not in the tables
         self._gone_since: dict[RouteKey, float] = {}
         self._checked: Configuration | None = None  # all routes of items are in it
@@ -178,16 +179,24 @@
         item.last_worker = worker.id
         task = asyncio.get_running_loop().create_task(self._run(item, worker))
         self._running[item.key] = task
-        task.add_done_callback(partial(self._done, item, worker))
+        task.add_done_callback(partial(self._done, item))
 
     async def _run(self, item: QueuedItem, worker: WorkerRecord) -> Failure | None:
-        return await self._runner.run(item, worker, partial(self._scheduler.on_progress, item))
+        return await self._runner.run(item, worker, partial(self._on_event, item))
 
-    def _done(self, item: QueuedItem, worker: WorkerRecord, task: "asyncio.Task[Failure | None]") -> None:
+    def _on_event(self, item: QueuedItem, event_id: str, data: str) -> None:
+        self._scheduler.on_progress(item, event_id, data)
+        if item not in self._begun:
+            self._begun.add(item)
+            self._dispatcher.first_event(item)
+            self.wake()  # the worker may be able to read the next item now
+
+    def _done(self, item: QueuedItem, task: "asyncio.Task[Failure | None]") -> None:
+        self._begun.discard(item)
         if self._running.get(item.key) is task:
             del self._running[item.key]
         if task.cancelled():
-            self._dispatcher.finished(worker, ExchangeOutcome.CANCELLED)
+            self._dispatcher.finished(item, ExchangeOutcome.CANCELLED)
             return
         error = task.exception()
         if error is not None:
@@ -195,7 +204,7 @@
             failure: Failure | None = Failure.CUT
         else:
             failure = task.result()
-        self._dispatcher.finished(worker, _outcome(failure))
+        self._dispatcher.finished(item, _outcome(failure))
         if self._active:
             self._settle(item, failure)
             self.wake()
--- a/pewterring/batch/partition.py
+++ b/pewterring/batch/partition.py
@@ -1,5 +1,6 @@
 """One batch partition on this store: its replicated group, and the service that answers where it leads."""
 
+import asyncio
 import contextlib
 import random
 from collections.abc import Callable
@@ -27,6 +28,7 @@
 
 FRESH_PART = 0.75  # of the shorter of the bounds on configuration and draining: older tables start no items
 RESULT_BUDGET_PART = 0.15  # of the process's memory, for finished jobs that their clients did not end
+HAND_OVER_S = 1.0  # a process that stops waits so long for its successor
 BYTES_A_MEGABYTE = 1_000_000
 
 
@@ -74,7 +76,7 @@
             parts.runner,
             ResultCommitter(log),
             parts.tables,
-            self._tables_are_fresh,
+            self.may_start_items,
             parts.clock,
         )
         self.service = BatchService(
@@ -95,8 +97,11 @@
         await self.group.start()
 
     async def stop(self) -> None:
-        """Stops items, calls and the group."""
+        """Stops items, calls and the group. Where this store leads, another takes over first."""
         self.service.close()
+        with contextlib.suppress(ConsensusError, TimeoutError):
+            async with asyncio.timeout(HAND_OVER_S):
+                await self.group.hand_over_leadership()
         await self.group.stop()
         self._storage.close()
 
@@ -139,6 +144,10 @@
         self._planner.forget_absences()
         self.service.leadership_changed(leading)
 
+    def may_start_items(self, now: float) -> bool:
+        """Answers a leader that is cut off: another may lead, and may have ended jobs that are open here."""
+        return self.group.has_lease(now) and self._tables_are_fresh(now)
+
     def _tables_are_fresh(self, now: float) -> bool:
         bounds = self._parts.settings.bounds
         return self._parts.confirmed_age(now) < FRESH_PART * min(bounds.config_s, bounds.drain_s)
--- a/pewterring/batch/program.py
+++ b/pewterring/batch/program.py
@@ -10,7 +10,11 @@
 
 from loguru import logger
 
-from pewterring.batch.dispatch import Dispatcher, LeastBusyDispatcher
+from pewterring.admission.datagram import BATCH
+from pewterring.admission.digests import Totals
+from pewterring.admission.shares import BEAT_S
+from pewterring.batch.admissions import BatchAdmissions
+from pewterring.batch.dispatch import AdmissionDispatcher
 from pewterring.batch.errors import BatchError
 from pewterring.batch.messages import BATCH_MESSAGES, NotLeading
 from pewterring.batch.partition import Partition, StoreParts
@@ -22,6 +26,8 @@
 from pewterring.distribution.subscriber import FeedSubscriber
 from pewterring.distribution.tables import Tables
 from pewterring.node.settings import NodeSettings
+from pewterring.routing.chooser import WorkerChooser
+from pewterring.routing.heartbeats import AdmissionHeartbeats
 from pewterring.storage.disk import FolderDisk
 from pewterring.storage.identity import member_name
 from pewterring.storage.log import SEGMENT_SUFFIX
@@ -43,14 +49,13 @@
     """One process of the store. `start` it, then `stop` it.
 
     `on_failure` is called when a group stopped, such as when its disk failed: the process is of no more use
-    then. `dispatcher` chooses workers for items; without one, this process looks only at its own items.
+    then.
     """
 
     def __init__(
         self,
         settings: NodeSettings,
         on_failure: Callable[[Exception], None] | None = None,
-        dispatcher: Dispatcher | None = None,
         clock: Clock = time.monotonic,
         rng: random.Random | None = None,
     ) -> None:
@@ -76,7 +81,15 @@
         self.feed = FeedSubscriber(
             settings, codec, self._node_record, self._status, self._on_tables, self._rng
         )
-        self._dispatcher = dispatcher or LeastBusyDispatcher(lambda: self.feed.tables)
+        self._chooser = WorkerChooser(settings.zone, self._rng)
+        self._admissions = BatchAdmissions(self._rng)
+        self._heartbeats = AdmissionHeartbeats(
+            settings.ip, settings.internal_port, BATCH, self._heard, self._heard_totals
+        )
+        self._heartbeat_task: asyncio.Task[None] | None = None
+        self._dispatcher = AdmissionDispatcher(
+            lambda: self.feed.tables, self._chooser, self._admissions, clock
+        )
 
     async def start(self) -> None:
         """Loads the partitions on disk, listens, and follows the control leader."""
@@ -86,20 +99,24 @@
         for name in sorted(self._groups_with(SNAPSHOT_SUFFIX)):
             await self._add_partition(name, None)
         await self._server.start(self._settings.ip, self._settings.internal_port)
+        await self._heartbeats.start()
         await self.feed.start()
+        self._heartbeat_task = asyncio.create_task(self._send_heartbeats())
         self._members_task = asyncio.create_task(self._manage_members())
 
     async def stop(self) -> None:
         """Stops everything; what is on disk stays."""
-        if self._members_task is not None:
-            self._members_task.cancel()
-            with contextlib.suppress(asyncio.CancelledError):
-                await self._members_task
+        for periodic in (self._members_task, self._heartbeat_task):
+            if periodic is not None:
+                periodic.cancel()
+                with contextlib.suppress(asyncio.CancelledError):
+                    await periodic
         for task in self._starting.values():
             task.cancel()
         await self.feed.stop()
         for partition in self._partitions.values():
             await partition.stop()
+        self._heartbeats.close()
         self._workers.close()
         self._links.close()
         await self._server.stop()
@@ -166,7 +183,7 @@
             tables=lambda: self.feed.tables,
             confirmed_age=self.feed.confirmed_age,
             dispatcher=self._dispatcher,
-            runner=HttpItemRunner(self._workers),
+            runner=HttpItemRunner(self._workers, self._dispatcher.load_reported),
             send=self._send,
             clock=self._clock,
             rng=self._rng,
@@ -187,6 +204,20 @@
                 except Exception:
                     logger.exception("looking at the members of {} failed", partition.name)
 
+    # Admission heartbeats
+
+    async def _send_heartbeats(self) -> None:
+        while True:
+            await asyncio.sleep(BEAT_S)
+            beats = self._admissions.tick(self._clock())
+            self._heartbeats.send(beats, self.feed.tables.nodes)
+
+    def _heard(self, kind: int, peer: int, number: int, beat: bytes) -> None:
+        self._admissions.hear(self._clock(), kind, peer, number, beat)
+
+    def _heard_totals(self, number: int, totals: Totals) -> None:
+        self._admissions.hear_totals(self._clock(), number, totals)
+
     # The feed
 
     def _node_record(self) -> NodeRecord:
@@ -201,6 +232,9 @@
         for placement in new.placements:
             if self._member in placement.voters:
                 self._begin(placement.group, Membership(placement.voters))
+        if new.workers is not old.workers or new.configuration is not old.configuration:
+            self._chooser.update(new.workers, new.configuration)
+        self._admissions.update(self._clock(), new, self._chooser)
         gone = {worker.address for worker in old.workers.values()}
         gone -= {worker.address for worker in new.workers.values()}
         for address in gone:
--- a/pewterring/batch/runner.py
+++ b/pewterring/batch/runner.py
@@ -3,11 +3,14 @@
 import asyncio
 import base64
 import binascii
+from collections.abc import Callable
+from functools import partial
 
 from pewterring.batch.execution import EventHandler
 from pewterring.batch.scheduler import Failure, QueuedItem
 from pewterring.distribution.messages import WorkerRecord
 from pewterring.http.messages import HOP_BY_HOP
+from pewterring.routing.load_report import Load, parse_load
 from pewterring.transport.http_answer import AnswerHead
 from pewterring.transport.http_client import WorkerPool
 from pewterring.transport.http_common import Headers
@@ -17,10 +20,13 @@
 FIRST_EVENT_S = 5.0  # from sending an item to its first event; longer: the worker is taken for dead
 NEXT_EVENT_S = 3.0  # between events
 
+LOAD = b"instance-load"
 OK = 200
 UNPROCESSABLE = 422
 SERVER_ERROR = 500
 
+LoadHandler = Callable[[WorkerRecord, Load], None]
+
 # Written by this program; an item's own headers of these names do not count.
 OWN_HEADERS = HOP_BY_HOP | {b"host", b"content-length", b"request-id", b"target-instance", b"last-event-id"}
 
@@ -28,8 +34,9 @@
 class HttpItemRunner:
     """Implements `ItemRunner` on the pool of connections to workers."""
 
-    def __init__(self, pool: WorkerPool) -> None:
+    def __init__(self, pool: WorkerPool, on_load: LoadHandler | None = None) -> None:
         self._pool = pool
+        self._on_load = on_load
 
     async def run(self, item: QueuedItem, worker: WorkerRecord, on_event: EventHandler) -> Failure | None:
         """See `ItemRunner`. On cancellation the connection is closed at once."""
@@ -37,7 +44,7 @@
             request = item_request(item, worker)
         except (binascii.Error, UnicodeError):
             return Failure.REFUSED
-        answer = _ItemAnswer(item, on_event)
+        answer = _ItemAnswer(item, on_event, partial(self._take_head, worker))
         limit = max(1, worker.capacity)
         try:
             answer.exchange = self._pool.send(worker.address, request, answer, limit)
@@ -48,6 +55,11 @@
         finally:
             answer.stop()
 
+    def _take_head(self, worker: WorkerRecord, head: AnswerHead) -> None:
+        load = parse_load(head.get(LOAD))
+        if load is not None and self._on_load is not None:
+            self._on_load(worker, load)
+
 
 def item_request(item: QueuedItem, worker: WorkerRecord) -> SendRequest:
     """The request that runs an item, from where its text ends."""
@@ -68,12 +80,15 @@
 class _ItemAnswer:
     """Takes one answer; `outcome` is set at its end, or when it stalls or makes no sense."""
 
-    def __init__(self, item: QueuedItem, on_event: EventHandler) -> None:
+    def __init__(
+        self, item: QueuedItem, on_event: EventHandler, on_head: Callable[[AnswerHead], None]
+    ) -> None:
         loop = asyncio.get_running_loop()
         self.exchange: Exchange | None = None
         self.outcome: asyncio.Future[Failure | None] = loop.create_future()
         self._loop = loop
         self._on_event = on_event
+        self._on_head = on_head
         self._splitter = EventSplitter()
         self._last_id = int(item.last_event_id) if item.last_event_id else None
         self._resumed = self._last_id is not None
@@ -88,6 +103,7 @@
 
     def on_head(self, head: AnswerHead) -> None:
         """Part of `AnswerListener`."""
+        self._on_head(head)
         self._status = head.status
         self._not_executed = head.get(b"not-executed") is not None
         self._takes_events = (
--- /dev/null
+++ b/tests/batch/test_dispatch.py
@@ -0,0 +1,247 @@
+"""Placing of items: the ceiling, what live requests have out of it, and the choice of a worker decide."""
+
+import random
+from dataclasses import replace
+
+import pytest
+
+from pewterring.admission.datagram import BATCH, GATEWAY, service_number
+from pewterring.admission.shares import LEASE_S
+from pewterring.batch.admissions import BatchAdmissions
+from pewterring.batch.dispatch import READING_S, AdmissionDispatcher, ExchangeOutcome
+from pewterring.batch.scheduler import QueuedItem
+from pewterring.configuration.model import Engine, Service, WeightedService
+from pewterring.distribution.messages import NodeRecord, WorkerRecord
+from pewterring.distribution.tables import Tables
+from pewterring.mail import Beat, write_beat
+from pewterring.routing.chooser import PER_TOKEN_S, WorkerChooser
+from pewterring.routing.load_report import Load
+from tests.batch.stand_ins import ROUTE, ManualClock, item, route, tables, worker
+
+SERVICE = service_number("s")
+SLOTS = 10  # of one worker
+
+
+class Fixture:
+    """A dispatcher over tables that the test gives."""
+
+    def __init__(self, known: Tables, gateways: int = 0) -> None:
+        self.clock = ManualClock()
+        self.admissions = BatchAdmissions(random.Random(1))
+        self.chooser = WorkerChooser("z", random.Random(2))
+        nodes = tuple(NodeRecord(f"g{n}", "gateway", f"10.1.0.{n}", "z", "life") for n in range(gateways))
+        self.tables = replace(known, nodes=nodes)
+        self.chooser.update(self.tables.workers, self.tables.configuration)
+        self.admissions.update(self.clock.now, self.tables, self.chooser)
+        self.dispatcher = AdmissionDispatcher(lambda: self.tables, self.chooser, self.admissions, self.clock)
+        self.items: list[QueuedItem] = []
+
+    def place(self, headers: dict[str, str] | None = None, avoid: str = "") -> WorkerRecord | None:
+        queued = QueuedItem("j", ROUTE, item(f"i{len(self.items)}", headers=headers))
+        found = self.dispatcher.place(queued, avoid)
+        if found is not None:
+            self.items.append(queued)
+        return found
+
+    def place_all(self) -> int:
+        """Places items until no more fit; how many are out."""
+        while self.place() is not None:
+            pass
+        return len(self.items)
+
+    def beat(self, peer: int, out: int, limit: float = 2 * SLOTS, kind: int = GATEWAY) -> None:
+        data = write_beat(Beat(peer, 1, limit, out, 1.0, 1.0))
+        self.admissions.hear(self.clock.now, kind, peer, SERVICE, data)
+
+
+def two_workers(gateways: int = 1) -> Fixture:
+    return Fixture(tables(worker("w1", capacity=SLOTS), worker("w22", capacity=SLOTS)), gateways)
+
+
+def prompt(tokens: int, own: str) -> dict[str, str]:
+    return {"Prompt-Prefix": f"shared:{tokens // 2},{own}:{tokens // 2}", "Token-Usage": f"{tokens},10"}
+
+
+def test_items_take_most_of_the_ceiling_when_live_requests_take_none() -> None:
+    fixture = two_workers()
+    fixture.beat(1, out=0)
+    assert fixture.place_all() == 18
+
+
+def test_items_leave_what_live_requests_have_out_and_a_margin() -> None:
+    fixture = two_workers()
+    fixture.beat(1, out=8)
+    assert fixture.place_all() == 4  # 18 - 8 - 2 * sqrt(8)
+
+
+def test_a_place_that_an_item_leaves_is_taken_again() -> None:
+    fixture = two_workers()
+    fixture.beat(1, out=8)
+    fixture.place_all()
+    fixture.dispatcher.finished(fixture.items[0], ExchangeOutcome.ANSWERED)
+    assert fixture.place() is not None
+    assert fixture.place() is None
+
+
+def test_the_ceiling_is_the_lower_median_of_what_processes_infer() -> None:
+    fixture = two_workers(gateways=2)
+    fixture.beat(1, out=0, limit=10.0)
+    fixture.beat(2, out=0, limit=10.0)
+    assert fixture.place_all() == 9
+
+
+def test_one_low_limit_among_many_decides_nothing() -> None:
+    fixture = two_workers(gateways=2)
+    fixture.beat(1, out=0, limit=2.0)
+    fixture.beat(2, out=0)
+    assert fixture.place_all() == 18
+
+
+def test_limits_beyond_the_slots_bring_no_more_items() -> None:
+    fixture = two_workers(gateways=2)
+    fixture.beat(1, out=0, limit=40.0)
+    fixture.beat(2, out=0, limit=40.0)
+    assert fixture.place_all() <= 18
+
+
+def test_slower_first_events_lower_the_ceiling() -> None:
+    fixture = two_workers()
+    fixture.beat(1, out=0)
+    admission = fixture.admissions.of("s")
+    before = admission.room(fixture.clock.now)
+    for seconds in [0.02] * 200 + [0.5] * 200:
+        fixture.place()
+        fixture.clock.now += seconds
+        fixture.dispatcher.first_event(fixture.items[-1])
+        fixture.dispatcher.finished(fixture.items[-1], ExchangeOutcome.ANSWERED)
+        fixture.admissions.tick(fixture.clock.now)
+        fixture.beat(1, out=0, limit=0.0)
+    assert admission.out == 0
+    assert admission.room(fixture.clock.now) < before
+
+
+def test_items_keep_to_half_of_the_ceiling_while_no_gateway_is_heard() -> None:
+    fixture = two_workers()
+    assert fixture.place_all() == 10
+    fixture.beat(1, out=0)
+    assert fixture.place_all() == 18
+    fixture.clock.now += LEASE_S + 0.1
+    fixture.dispatcher.finished(fixture.items[0], ExchangeOutcome.ANSWERED)
+    assert fixture.place() is None
+
+
+def test_items_of_another_store_count_until_it_is_silent() -> None:
+    fixture = two_workers()
+    fixture.beat(1, out=0)
+    fixture.beat(9, out=15, kind=BATCH)
+    assert fixture.place_all() == 3
+    fixture.clock.now += 1.1
+    assert fixture.place_all() == 18
+
+
+def test_the_heartbeat_tells_how_many_items_are_out() -> None:
+    fixture = two_workers()
+    fixture.beat(1, out=0)
+    fixture.place()
+    other = BatchAdmissions(random.Random(3))
+    other.update(fixture.clock.now, fixture.tables, fixture.chooser)
+    room = other.of("s").room(fixture.clock.now)
+    for number, beat in fixture.admissions.tick(fixture.clock.now).items():
+        other.hear(fixture.clock.now, BATCH, 5, number, beat)
+    assert other.of("s").room(fixture.clock.now) == room - 1
+
+
+def test_a_worker_nearly_full_by_its_own_word_gets_no_item() -> None:
+    fixture = two_workers()
+    fixture.beat(1, out=0)
+    first = fixture.place()
+    assert first is not None
+    fixture.dispatcher.load_reported(first, Load(running=SLOTS, waiting=3))
+    others = {found.id for found in (fixture.place() for _ in range(5)) if found is not None}
+    assert others == {"w1", "w22"} - {first.id}
+
+
+def test_a_worker_gets_no_item_while_it_has_much_to_read() -> None:
+    fixture = Fixture(tables(worker("w1", capacity=100)), gateways=1)
+    fixture.beat(1, out=0, limit=100.0)
+    tokens = int(0.7 * READING_S / PER_TOKEN_S)
+    assert fixture.place(prompt(tokens, "a")) is not None
+    assert fixture.place(prompt(tokens, "b")) is not None
+    assert fixture.place(prompt(tokens, "c")) is None
+    fixture.dispatcher.first_event(fixture.items[0])
+    assert fixture.place(prompt(tokens, "c")) is not None
+
+
+def test_one_huge_prompt_is_placed_all_the_same() -> None:
+    fixture = Fixture(tables(worker("w1")), gateways=0)
+    assert fixture.place(prompt(1_000_000, "a")) is not None
+
+
+def test_another_worker_than_the_last_where_there_is_one() -> None:
+    fixture = two_workers()
+    first = fixture.place()
+    assert first is not None
+    second = fixture.place(avoid="w1")
+    assert second is not None and second.id == "w22"
+    alone = Fixture(tables(worker("w1")))
+    again = alone.place(avoid="w1")
+    assert again is not None and again.id == "w1"
+
+
+@pytest.mark.parametrize("outcome", [ExchangeOutcome.CUT, ExchangeOutcome.REFUSED])
+def test_a_worker_that_failed_gets_no_items_for_a_while(outcome: ExchangeOutcome) -> None:
+    fixture = Fixture(tables(worker("w1")))
+    assert fixture.place() is not None
+    fixture.dispatcher.finished(fixture.items[0], outcome)
+    assert fixture.place() is None
+    fixture.clock.now += 1.01
+    assert fixture.place() is not None
+
+
+def test_items_cut_together_are_one_failure_of_the_worker() -> None:
+    fixture = Fixture(tables(worker("w1")))
+    for _ in range(5):
+        fixture.place()
+    for queued in fixture.items:
+        fixture.dispatcher.finished(queued, ExchangeOutcome.CUT)
+    fixture.clock.now += 1.01
+    assert fixture.place() is not None
+
+
+def two_workers_with_engines() -> Tables:
+    known = tables(worker("w1", capacity=SLOTS), worker("w22", capacity=SLOTS))
+    assert known.configuration is not None
+    services = {"s": Service("s", engine=Engine(SLOTS, kv_tokens=100_000))}
+    return replace(known, configuration=replace(known.configuration, services=services))
+
+
+def test_a_prompt_goes_where_its_parts_were_read() -> None:
+    read = {"Prompt-Prefix": "only:2000", "Token-Usage": "2000,10"}
+    for last in ("w1", "w22"):
+        fixture = Fixture(two_workers_with_engines())
+        first = fixture.place(read, avoid=last)
+        assert first is not None and first.id != last
+        fixture.clock.now += 0.04  # what was expected
+        fixture.dispatcher.first_event(fixture.items[0])
+        second = fixture.place(read)
+        assert second is not None and second.id == first.id
+
+
+def test_services_of_a_route_get_items_by_weight() -> None:
+    parts = (WeightedService("s", 3.0), WeightedService("t", 1.0))
+    workers = [worker("w1", capacity=100), worker("w22", service="t", capacity=100)]
+    fixture = Fixture(tables(*workers, routes=(route(services=parts),)))
+    for name in ("s", "t"):
+        fixture.admissions.of(name).rescale(fixture.clock.now, 100, 0)
+    for _ in range(40):
+        fixture.place()
+    assert fixture.admissions.of("s").out == 30
+    assert fixture.admissions.of("t").out == 10
+
+
+def test_an_item_whose_exchange_is_unknown_changes_nothing() -> None:
+    fixture = two_workers()
+    stranger = QueuedItem("j", ROUTE, item("stranger"))
+    fixture.dispatcher.first_event(stranger)
+    fixture.dispatcher.finished(stranger, ExchangeOutcome.CUT)
+    assert fixture.admissions.of("s").out == 0
--- /dev/null
+++ b/tests/batch/test_fault_points.py
@@ -0,0 +1,151 @@
+"""A job from its first byte to its last read, with a failure at each numbered point of the way in turn."""
+
+import asyncio
+from collections.abc import Callable
+
+import pytest
+
+from pewterring.batch.messages import (
+    EndJob,
+    ItemBody,
+    ItemResult,
+    JobAccepted,
+    JobEnded,
+    ReadItem,
+    ReadResults,
+    ResultPage,
+    SubmitJob,
+)
+from tests.batch.stand_ins import ROUTE, item
+from tests.batch.virtual_cluster import Points, VirtualCluster, whole_text
+from tests.consensus.virtual_time import run
+
+ITEMS = ("a", "b", "fails-once", "impossible")
+JOB = SubmitJob("job", *ROUTE, items=tuple(item(name) for name in ITEMS))
+WAIT_MS = 300.0
+
+Fault = Callable[[VirtualCluster], None]
+
+
+async def read_to_the_end(cluster: VirtualCluster, known: list[ItemResult]) -> None:
+    """Reads on from what is known until the job is whole; `known` must stay as it was read."""
+    while len(known) < len(ITEMS):
+        page = await cluster.call(ReadResults("job", len(known), WAIT_MS))
+        assert isinstance(page, ResultPage)
+        assert page.total == len(ITEMS)
+        known += page.results
+        again = await cluster.call(ReadResults("job", 0))
+        assert isinstance(again, ResultPage)
+        assert list(again.results[: len(known)]) == known
+
+
+def check_results(results: list[ItemResult]) -> None:
+    assert sorted(result.id for result in results) == sorted(ITEMS)
+    for result in results:
+        if result.id == "impossible":
+            assert (result.state, result.text) == ("dead_letter", "")
+        else:
+            assert (result.state, result.text) == ("succeeded", whole_text(result.id))
+
+
+async def life_of_a_job(cluster: VirtualCluster) -> None:
+    """Submits a job twice, reads it while it runs, again from the start, and ends it."""
+    assert await cluster.call(JOB) == JobAccepted()
+    assert await cluster.call(JOB) == JobAccepted()
+    known: list[ItemResult] = []
+    await read_to_the_end(cluster, known)
+    check_results(known)
+    again = await cluster.call(ReadResults("job", 0))
+    assert isinstance(again, ResultPage) and list(again.results) == known
+    assert await cluster.call(EndJob("job")) == JobEnded()
+    assert await cluster.call(EndJob("job")) == JobEnded()
+    after = await cluster.call(ReadResults("job", 0))
+    assert isinstance(after, ResultPage) and list(after.results) == known
+
+
+def play(at: int, fault: Fault) -> Points:
+    """Plays the life of a job with the fault at one point; returns the points that it passed."""
+    points = Points()
+
+    async def scenario() -> None:
+        nonlocal points
+        cluster: VirtualCluster
+        points = Points(at, lambda: fault(cluster))
+        cluster = VirtualCluster(points)
+        await cluster.start()
+        try:
+            await life_of_a_job(cluster)
+            leaders = 3  # each leader may begin an item once more, and one attempt fails by design
+            assert max(cluster.workers.begun.values()) <= leaders
+        finally:
+            await cluster.stop()
+
+    run(scenario())
+    return points
+
+
+def no_fault(cluster: VirtualCluster) -> None:
+    pass
+
+
+@pytest.mark.parametrize(
+    "fault", [VirtualCluster.kill_leader, VirtualCluster.cut_leader, VirtualCluster.kill_all]
+)
+def test_a_job_is_whole_whatever_point_a_store_fails_at(fault: Fault) -> None:
+    for at in range(1, play(0, no_fault).passed + 1):
+        try:
+            play(at, fault)
+        except Exception as error:
+            raise AssertionError(f"with the fault at point {at}: {error!r}") from error
+
+
+def test_bodies_are_read_until_results_are_listed_through_a_failover() -> None:
+    async def scenario() -> None:
+        cluster = VirtualCluster(Points())
+        await cluster.start()
+        assert await cluster.call(JOB) == JobAccepted()
+        assert await cluster.call(ReadItem("job", "a")) == ItemBody("YQ==")
+        cluster.kill_leader()
+        assert await cluster.call(ReadItem("job", "b")) == ItemBody("YQ==")
+        known: list[ItemResult] = []
+        await read_to_the_end(cluster, known)
+        check_results(known)
+        await cluster.stop()
+
+    run(scenario())
+
+
+def test_an_end_holds_through_a_failover_and_nothing_starts_after() -> None:
+    async def scenario() -> None:
+        cluster = VirtualCluster(Points())
+        await cluster.start()
+        assert await cluster.call(JOB) == JobAccepted()
+        assert await cluster.call(EndJob("job")) == JobEnded()
+        begun = sum(cluster.workers.begun.values())
+        cluster.kill_leader()
+        page = await cluster.call(ReadResults("job", 0))
+        await asyncio.sleep(1.0)
+        assert isinstance(page, ResultPage)
+        assert sum(cluster.workers.begun.values()) == begun
+        assert not any(cluster.workers.running.values())
+        await cluster.stop()
+
+    run(scenario())
+
+
+def test_a_leader_that_is_cut_off_starts_nothing() -> None:
+    async def scenario() -> None:
+        cluster = VirtualCluster(Points())
+        await cluster.start()
+        assert await cluster.call(JOB) == JobAccepted()
+        cluster.cut_leader()
+        known: list[ItemResult] = []
+        await read_to_the_end(cluster, known)
+        check_results(known)
+        await asyncio.sleep(3.0)
+        assert max(cluster.workers.begun.values()) <= 3
+        page = await cluster.call(ReadResults("job", 0))
+        assert isinstance(page, ResultPage) and list(page.results) == known
+        await cluster.stop()
+
+    run(scenario())
--- /dev/null
+++ b/tests/batch/test_partition.py
@@ -0,0 +1,45 @@
+"""One partition on a store: when it may start items."""
+
+import asyncio
+import random
+from pathlib import Path
+
+from pewterring.batch.admissions import BatchAdmissions
+from pewterring.batch.dispatch import AdmissionDispatcher
+from pewterring.batch.partition import Partition, StoreParts
+from pewterring.consensus.messages import Membership
+from pewterring.routing.chooser import WorkerChooser
+from tests.batch.stand_ins import FakeRunner, ManualClock, tables
+from tests.batch.test_program import settings
+
+MEMBER = "10.0.0.1#a"
+
+
+def store_parts(data_dir: Path, clock: ManualClock) -> StoreParts:
+    """Parts of a store whose tables are always fresh."""
+    known = tables()
+    chooser = WorkerChooser("z", random.Random(1))
+    admissions = BatchAdmissions(random.Random(2))
+    return StoreParts(
+        settings=settings("10.0.0.1", 1, data_dir),
+        member=MEMBER,
+        tables=lambda: known,
+        confirmed_age=lambda now: 0.0,
+        dispatcher=AdmissionDispatcher(lambda: known, chooser, admissions, clock),
+        runner=FakeRunner(),
+        send=lambda message: None,
+        clock=clock,
+        rng=random.Random(3),
+        on_failure=lambda error: None,
+    )
+
+
+def test_a_follower_starts_no_items_however_fresh_its_tables(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        clock = ManualClock()
+        partition = Partition("batch-0", tmp_path, store_parts(tmp_path, clock))
+        await partition.start(Membership((MEMBER, "10.0.0.2#b", "10.0.0.3#c")))
+        assert not partition.may_start_items(clock.now)
+        await partition.stop()
+
+    asyncio.run(scenario())
--- a/tests/batch/test_program.py
+++ b/tests/batch/test_program.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from pewterring.admission.datagram import GATEWAY, service_number, write_heartbeat
 from pewterring.batch.messages import (
     BATCH_MESSAGES,
     JobAccepted,
@@ -33,12 +34,15 @@
     WholeTables,
     WorkerRecord,
 )
+from pewterring.mail import Beat, write_beat
 from pewterring.node.settings import Address, Bounds, NodeSettings
+from pewterring.transport.datagrams import DatagramPort
 from pewterring.transport.lines import Channel, LineServer, LinkPool, MessageCodec, TransportError
 from tests.batch.stand_ins import ROUTE, item
 
 CONTROL_IP = "127.0.0.10"
 STORE_IPS = ("127.0.0.11", "127.0.0.12", "127.0.0.13")
+GATEWAY_IP = "127.0.0.20"
 CODEC = MessageCodec((*BATCH_MESSAGES, *FEED_MESSAGES))
 EVENTS = b"id: 1\ndata: x\n\nid: 2\ndata: y\n\n"
 ANSWER = (
@@ -273,3 +277,29 @@
             assert await whole(stores, "j", 1) == first
 
     asyncio.run(run())
+
+
+def test_items_start_in_the_room_that_gateways_tell_of(tmp_path: Path) -> None:
+    async def run() -> None:
+        async with cluster(tmp_path) as stores:
+            assert await stores.call(SubmitJob("first", *ROUTE, items=(item("i"),))) == JobAccepted()
+            await whole(stores, "first", 1)
+            gateway = DatagramPort(lambda data, ip: None)
+            await gateway.start(GATEWAY_IP, stores.port)
+            tell_stores(gateway, sequence=1, out=10)
+            await stores.call(ReadResults("first", 0))
+            assert await stores.call(SubmitJob("j", *ROUTE, items=(item("i"),))) == JobAccepted()
+            page = await stores.call(ReadResults("j", 0, 200.0))
+            assert isinstance(page, ResultPage) and not page.results
+            tell_stores(gateway, sequence=2, out=0)
+            await whole(stores, "j", 1)
+            gateway.close()
+
+    asyncio.run(run())
+
+
+def tell_stores(gateway: DatagramPort, sequence: int, out: int) -> None:
+    """A gateway's heartbeat: a ceiling of ten, and so many live requests out."""
+    beat = write_beat(Beat(1, sequence, 10.0, out, 10.0, 1.0))
+    for ip in STORE_IPS:
+        gateway.send(ip, write_heartbeat(GATEWAY, {service_number("s"): beat}))
