--- a/pewterring/__main__.py
+++ b/pewterring/__main__.py
@@ -17,14 +17,23 @@
         except ConfigError as error:
             print(f"pewterring: {error}", file=sys.stderr)
             return 2
-    if given[:1] and given[0] in TIER_PROGRAMS and len(given) == 1:
+    if given[:1] and given[0] in TIER_PROGRAMS and (settings := settings_of(given[1:])) is not None:
         from pewterring.cli.tier import run_program
 
-        return run_program(given[0])
+        return run_program(given[0], settings or None)
     from pewterring.cli.main import main as command_line
 
     return command_line(given)
 
 
+def settings_of(arguments: list[str]) -> str | None:
+    """The settings file that a program is called with, "" without one; None for other arguments."""
+    if not arguments:
+        return ""
+    if len(arguments) == 2 and arguments[0] == "--settings" and not arguments[1].startswith("-"):
+        return arguments[1]
+    return None
+
+
 if __name__ == "__main__":
     sys.exit(main())
--- a/pewterring/cli/config.py
+++ b/pewterring/cli/config.py
@@ -1,263 +1,160 @@
-"""pewterring config: what a configuration comes to, what in it is unknown, and its JSON Schema.
+"""`pewterring config`: checks and shows settings and configurations, and prints their schemas."""
 
-The names, kinds and defaults are not written down a second time: the one reader of settings is run over
-fields that note what it asks for.
-"""
-
-import difflib
-import math
+import argparse
 import os
-from collections.abc import Iterator, Mapping
-from dataclasses import dataclass
+import sys
+from collections.abc import Iterable
 from pathlib import Path
-from typing import Any, TypeVar
+from typing import Any
 
-import click
 import orjson
 
-from pewterring.config import CONFIG, DISCOVERY, LISTEN, NAME, ConfigError, load
-from pewterring.settings import Fields, flatten, read_all, slips
-
-T = TypeVar("T")
-# The file's own keys: kind, the environment's variable that stands in, the default, what it is.
-TOP: dict[str, tuple[str, str, object, str]] = {
-    "name": ("string", NAME, "", "the gatekeeper's name"),
-    "listen": ("string", LISTEN, None, "HOST:PORT where clients connect"),
-    "discovery": ("string", DISCOVERY, None, "HOST:PORT of the agent that has the list of workers"),
-    "seed": ("string", "", 0, "hexadecimal, for random numbers"),
-    "limits.cores": ("number", "", 1.0, "the share of a core that the platform gives; not used"),
-    "limits.memory_mb": (
-        "integer",
-        "",
-        192,
-        "memory in MiB; an eighth each for answers and requests not whole yet",
-    ),
-    "limits.sockets": ("integer", "", 1024, "file descriptors"),
-    "peer_listen": ("string", "", None, "HOST:PORT for the peers' datagrams"),
-    "peers": ("array", "", [], "HOST:PORT of each gatekeeper of the fleet, the own one included, by number"),
-    "peers_all": ("string", "", None, "HOST:PORT that reaches every peer"),
-    "counter": ("string", "", None, "HOST:PORT of the count keeper; not used"),
-    "known": ("object", "", None, "the list of workers as last known, in discovery's form"),
-    "settings": ("object", "", {}, "classes, plans, rules and limits"),
-}
-
-
-@dataclass(frozen=True, slots=True)
-class Read:
-    """One value that the reader asked for."""
-
-    kind: str
-    value: object
-    given: bool
-    required: bool
-    words: tuple[str, ...] = ()
-
-
-class Noting(Fields):
-    """Fields that note what is read of them."""
-
-    def __init__(self, values: Mapping[str, str]) -> None:
-        super().__init__("settings", values)
-        self.seen: dict[str, Read] = {}
-
-    def note(self, name: str, kind: str, value: T, default: object, words: tuple[str, ...] = ()) -> T:
-        self.seen[name] = Read(kind, value, name in self.values, default is None, words)
-        return value
-
-    def text(self, name: str, default: str | None = None) -> str:
-        return self.note(name, "string", super().text(name, default), default)
-
-    def whole(self, name: str, default: int | None = None) -> int:
-        return self.note(name, "integer", super().whole(name, default), default)
-
-    def number(
-        self, name: str, default: float | None = None, least: float = -math.inf, most: float = math.inf
-    ) -> float:
-        return self.note(name, "number", super().number(name, default, least, most), default)
-
-    def seconds(self, name: str, default: float | None = None) -> float:
-        return self.note(name, "nanoseconds", super().seconds(name, default), default)
-
-    def flag(self, name: str, default: bool | None = None) -> bool:
-        return self.note(name, "boolean", super().flag(name, default), default)
-
-    def word(self, name: str, words: dict[str, T], default: str | None = None) -> T:
-        found = super().word(name, words, default)
-        said = self.values.get(name, default)
-        self.note(name, "word", said, default, tuple(words))
-        return found
-
-
-def noted(tree: object) -> Noting:
-    """What the reader of settings asks of them. Raises ConfigError."""
-    if not isinstance(tree, dict):
-        raise ConfigError("settings: not an object")
-    fields = Noting(dict(flatten(tree)))
+from pewterring.cli import gatekeeper_settings
+from pewterring.cli.errors import DONE, USAGE_ERROR, UsageError
+from pewterring.cli.findings import Findings
+from pewterring.cli.gatekeeper_settings import json_schema
+from pewterring.cli.parser import add_subcommands
+from pewterring.config import CONFIG
+from pewterring.node.keys import REQUIRED_BY, SETTINGS_VARIABLE
+
+__all__ = ["configure", "json_schema"]
+
+GATEKEEPER, SETTINGS, CONFIGURATION = KINDS = ("gatekeeper", "settings", "configuration")
+ABOUT = f"""\
+Three kinds of files, told apart by what is in them:
+  settings       a process of the serving tier: lines of a.b=value ({SETTINGS_VARIABLE} names it by default)
+  configuration  routes and services of the serving tier, as operators send them: JSON with "routes"
+  gatekeeper     a gatekeeper of older deployments: other JSON ({CONFIG} names it by default)
+"""
+
+
+def configure(parser: argparse.ArgumentParser) -> None:
+    """Adds the commands to the parser."""
+    parser.description = ABOUT
+    commands = add_subcommands(parser)
+    check = commands.add_parser("check", help="refuse what cannot be used, and keys that look like slips")
+    _add_path(check)
+    check.add_argument(
+        "--program", choices=sorted(REQUIRED_BY), default="", help="settings: also what it needs"
+    )
+    check.set_defaults(run=_check)
+    show = commands.add_parser("show", help="each value in force, and what gave it")
+    _add_path(show)
+    show.add_argument("--json", action="store_true", help="print JSON instead of a table")
+    show.set_defaults(run=_show)
+    schema = commands.add_parser("schema", help="print the JSON Schema of one kind of files")
+    schema.add_argument("--kind", choices=KINDS, default=GATEKEEPER, help="which files")
+    schema.set_defaults(run=_schema)
+
+
+def _add_path(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument("path", nargs="?", metavar="FILE")
+    parser.add_argument("--kind", choices=KINDS, default="", help="instead of what the content says")
+
+
+def kind_of(given: str | None) -> str:
+    """The kind of a file by its content; without a file, by the variable that names one."""
+    if given is None:
+        return SETTINGS if os.environ.get(SETTINGS_VARIABLE) and not os.environ.get(CONFIG) else GATEKEEPER
+    try:
+        content = Path(given).read_bytes()
+    except OSError:
+        return GATEKEEPER  # whose reader says what is wrong with the file
+    if not content.lstrip().startswith((b"{", b"[")):
+        return SETTINGS if b"=" in content else GATEKEEPER
     try:
-        read_all(fields)
-    except ValueError as error:
-        raise ConfigError(str(error)) from error
-    return fields
-
-
-def read_tree(path: str | None) -> tuple[str, dict[str, Any]]:
-    """The file as it is, once `load` has found that it can be used."""
-    load(path)
-    path = path or os.environ[CONFIG]
-    tree = orjson.loads(Path(path).read_bytes())
-    assert isinstance(tree, dict)
-    return path, tree
-
-
-def given_keys(tree: dict[str, Any]) -> Iterator[str]:
-    for key, value in tree.items():
-        if key == "limits" and isinstance(value, dict):
-            yield from (f"limits.{name}" for name in value)
-        else:
-            yield key
-
-
-def unknown(tree: dict[str, Any]) -> tuple[list[str], list[str]]:
-    """Keys that are refused, each with the nearest known one, and settings that are another program's."""
-    refused, unused = [], []
-    for key in given_keys(tree):
-        if key not in TOP:
-            near = difflib.get_close_matches(key, TOP, 1, 0.5)
-            refused.append(f"{key}: not known" + (f"; did you mean {near[0]}?" if near else ""))
-    fields = noted(tree.get("settings") or {})
-    wrong = slips(fields, fields.seen)
-    refused += [f"settings.{key}: not known; did you mean {meant}?" for key, meant in wrong.items()]
-    unused += [f"settings.{key}" for key in fields.values if key not in fields.seen and key not in wrong]
-    return refused, unused
-
-
-def effective(tree: dict[str, Any], env: Mapping[str, str]) -> list[tuple[str, object, str]]:
-    """Each value in force and where it came from: the file, a variable of the environment, or the default."""
-    rows: list[tuple[str, object, str]] = []
-    for key, (_, variable, default, _) in TOP.items():
-        if key in ("settings", "known"):
-            continue
-        here: Any = tree
-        for step in key.split("."):
-            here = (here or {}).get(step)
-        if here not in (None, "", []):
-            rows.append((key, here, "file"))
-        elif variable and env.get(variable):
-            rows.append((key, env[variable], variable))
-        else:
-            rows.append((key, default, "default"))
-    known = tree.get("known") or {}
-    rows.append(("known", f"{len(known.get('hosts', []))} workers", "file" if known else "default"))
-    for name, read in noted(tree.get("settings") or {}).seen.items():
-        value = (
-            f"{read.value:g} s"
-            if isinstance(read.value, float) and read.kind == "nanoseconds"
-            else read.value
-        )
-        rows.append((f"settings.{name}", value, "file" if read.given else "default"))
-    return rows
-
-
-KINDS: dict[str, dict[str, object]] = {
-    "string": {"type": "string"},
-    "integer": {"type": "integer"},
-    "number": {"type": "number"},
-    "boolean": {"type": "boolean"},
-    "nanoseconds": {"type": "integer", "minimum": 0, "description": "nanoseconds"},
-    "word": {"type": "string"},
-    "array": {"type": "array", "items": {"type": "string"}},
-    "object": {"type": "object"},
-}
-# One class and one plan, so that the reader asks for all that they may say.
-SAMPLE: dict[str, Any] = {
-    "me": 0, "fleet_size": 1,
-    "profiles": [{"name": "c", "objective": 1, "deadline": 1, "effect": "token", "repeat_window": 1}],
-    "tiers_of_service": [{"name": "p"}],
-}  # fmt: skip
-
-
-def json_schema() -> dict[str, Any]:
-    root: dict[str, Any] = {
-        "$schema": "https://json-schema.org/draft/2020-12/schema",
-        "title": "pewterring configuration",
-        "type": "object",
-        "properties": {},
-        "required": ["settings"],
-    }
-    for key, (kind, variable, _, about) in TOP.items():
-        words = f"{about}; {variable} stands in where it is missing" if variable else about
-        place(root, key.split("."), {**KINDS[kind], "description": words}, False)
-    root["properties"]["seed"] = {"type": ["string", "integer"], "description": TOP["seed"][3]}
-    settings = root["properties"]["settings"]
-    for name, read in noted(SAMPLE).seen.items():
-        if name.endswith(".count"):
-            continue
-        leaf = dict(KINDS[read.kind])
-        if read.words:
-            leaf["enum"] = list(read.words)
-        if not read.required and read.kind != "nanoseconds":
-            leaf["default"] = read.value
-        place(settings, name.split("."), leaf, read.required)
-    return root
-
-
-def place(node: dict[str, Any], steps: list[str], leaf: dict[str, Any], required: bool) -> None:
-    """Puts a leaf into a schema, with the objects and lists on its way."""
-    step, *rest = steps
-    properties = node.setdefault("properties", {})
-    if not rest:
-        properties[step] = leaf
-        if required:
-            node.setdefault("required", []).append(step)
-        return
-    if rest[0].isdigit():
-        inner = properties.setdefault(step, {"type": "array", "items": {"type": "object"}})["items"]
-        return place(inner, rest[1:], leaf, required)
-    place(properties.setdefault(step, {"type": "object"}), rest, leaf, required)
-
-
-@click.group("config")
-def config() -> None:
-    """Check a configuration, show what it comes to, print its schema."""
-
-
-argument = click.argument("path", required=False, type=click.Path())
-
-
-@config.command()
-@argument
-def check(path: str | None) -> int:
-    """Refuse what can't be used and keys that nobody reads. Exit code 2 then."""
-    where, tree = read_tree(path)
-    refused, unused = unknown(tree)
-    for line in refused:
-        click.echo(f"pewterring: {where}: {line}", err=True)
-    if refused:
-        return 2
-    more = f"; {len(unused)} settings that a gatekeeper has no use for" if unused else ""
-    click.echo(f"{where}: can be used{more}")
-    return 0
-
-
-@config.command()
-@argument
-@click.option("--json", "as_json", is_flag=True, help="Print JSON instead of a table.")
-def show(path: str | None, as_json: bool) -> int:
-    """Each value in force, and whether the file, the environment or the default gave it."""
-    _, tree = read_tree(path)
-    rows = effective(tree, os.environ)
-    if as_json:
+        tree = orjson.loads(content)
+    except orjson.JSONDecodeError:
+        return GATEKEEPER
+    return (
+        CONFIGURATION if isinstance(tree, dict) and ("routes" in tree or "backends" in tree) else GATEKEEPER
+    )
+
+
+def _check(given: argparse.Namespace) -> int:
+    findings = _findings(given)
+    for problem in findings.problems:
+        print(f"pewterring: {findings.path}: {problem}", file=sys.stderr)
+    if findings.problems:
+        return USAGE_ERROR
+    print(f"{findings.path}: can be used" + (f"; {findings.note}" if findings.note else ""))
+    return DONE
+
+
+def _findings(given: argparse.Namespace) -> Findings:
+    kind = given.kind or kind_of(given.path)
+    if kind == SETTINGS:
+        from pewterring.cli import node_settings
+        from pewterring.node.settings import SettingsError, settings_path
+
+        path = settings_path(given.path)
+        try:
+            return node_settings.check(path, given.program)
+        except SettingsError as error:
+            return Findings(str(path), error.problems)
+    if kind == CONFIGURATION:
+        from pewterring.cli import operator_configuration
+
+        return operator_configuration.check(_needed(given.path))
+    return gatekeeper_settings.check(given.path)
+
+
+def _needed(path: str | None) -> Path:
+    if path is None:
+        raise UsageError("name a file")
+    if not Path(path).is_file():
+        raise UsageError(f"{path}: no such file")
+    return Path(path)
+
+
+def _show(given: argparse.Namespace) -> int:
+    rows = _rows(given)
+    if given.json:
         said = {key: {"value": value, "from": origin} for key, value, origin in rows}
-        click.echo(orjson.dumps(said, option=orjson.OPT_INDENT_2, default=str).decode())
-        return 0
+        _print_json(said)
+        return DONE
     wide = max(len(key) for key, _, _ in rows)
     for key, value, origin in rows:
-        click.echo(f"{key:<{wide}}  {origin:<16}  {'-' if value is None else value}")
-    return 0
+        print(f"{key:<{wide}}  {origin:<16}  {'-' if value is None else value}")
+    return DONE
+
+
+def _rows(given: argparse.Namespace) -> list[tuple[str, object, str]]:
+    kind = given.kind or kind_of(given.path)
+    if kind == SETTINGS:
+        from pewterring.cli import node_settings
+        from pewterring.node.settings import SettingsError, settings_path
+
+        try:
+            return node_settings.show(settings_path(given.path))
+        except SettingsError as error:
+            raise UsageError(str(error)) from error
+    if kind == CONFIGURATION:
+        from pewterring.cli import operator_configuration
+
+        _refuse(operator_configuration.check(_needed(given.path)).problems)
+        return operator_configuration.show(_needed(given.path))
+    return gatekeeper_settings.show(given.path)
+
+
+def _refuse(problems: Iterable[str]) -> None:
+    for problem in problems:
+        raise UsageError(problem)
+
+
+def _schema(given: argparse.Namespace) -> int:
+    if given.kind == SETTINGS:
+        from pewterring.cli import node_settings
+
+        _print_json(node_settings.json_schema())
+    elif given.kind == CONFIGURATION:
+        from pewterring.cli import operator_configuration
+
+        _print_json(operator_configuration.json_schema())
+    else:
+        _print_json(json_schema())
+    return DONE
 
 
-@config.command()
-def schema() -> int:
-    """Print the JSON Schema of a configuration file."""
-    click.echo(orjson.dumps(json_schema(), option=orjson.OPT_INDENT_2).decode())
-    return 0
+def _print_json(value: Any) -> None:
+    print(orjson.dumps(value, option=orjson.OPT_INDENT_2, default=str).decode())
--- a/pewterring/cli/lab.py
+++ b/pewterring/cli/lab.py
@@ -1,40 +1,94 @@
-"""pewterring lab: emulate, sweep, compare, plot, hunt, explain."""
+"""`pewterring lab`: emulate, sweep, compare, plot, hunt, explain."""
 
+import argparse
 import json
+import os
 import sys
 from collections.abc import Callable, Sequence
 from pathlib import Path
 from typing import Any
 
-import click
 import msgspec
 from tqdm import tqdm
 
+from pewterring.cli.errors import INTERRUPTED, RULE_BROKEN, UsageError
+from pewterring.cli.parser import add_subcommands
 from pewterring.lab import experiment, schema
 from pewterring.lab.account import Result
 from pewterring.lab.policies import POLICIES
 from pewterring.lab.world import MARKS
 
-BROKEN = 3  # exit code: a rule was broken
+Handler = Callable[[argparse.Namespace], int]
 
 
-class Guarded(click.Group):
-    """What is wrong with a scenario is one line and exit code 2."""
+def configure(parser: argparse.ArgumentParser) -> None:
+    """Adds the commands to the parser."""
+    parser.description = (
+        "Emulate what gatekeepers serve: the real decision module at sizes that sockets don't reach."
+    )
+    commands = add_subcommands(parser)
 
-    def invoke(self, context: click.Context) -> Any:
+    def add(name: str, run: Handler, about: str) -> argparse.ArgumentParser:
+        added = commands.add_parser(name, help=about, description=about)
+        added.set_defaults(run=_guarded(run))
+        return added
+
+    _configure_run(add("run", run, "play a scenario once; exit status 3 where a rule breaks"))
+    _configure_sweep(add("sweep", sweep, "play a grid of scenarios; the same call again goes on"))
+    _configure_compare(
+        add("compare", compare, "two sides on the same seeds: mean difference and its interval")
+    )
+    _configure_plot(add("plot", plot, "draw a run or a sweep's folder"))
+    _configure_explain(add("explain", explain, "one request's life, through all tries and attempts"))
+    _configure_hunt(add("hunt", hunt, "random scenarios until a rule breaks; keeps the smallest one"))
+    _configure_load(add("load", load, "a scenario in real time on loopback sockets, 1 to 8 real processes"))
+    add("schema", show_schema, "print the scenario format as JSON Schema")
+
+
+def _guarded(run: Handler) -> Handler:
+    def guarded(given: argparse.Namespace) -> int:
         try:
-            return super().invoke(context)
+            return run(given)
         except schema.ScenarioError as error:
-            raise click.ClickException(str(error)) from error
+            raise UsageError(str(error)) from error
+
+    return guarded
+
+
+def _add_scenario(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument("scenario", metavar="SCENARIO", help="a TOML file")
+    _add_sets(parser)
+
+
+def _add_sets(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument(
+        "--set", dest="sets", action="append", default=[], metavar="KEY=VALUE", help="change one value"
+    )
+
+
+def _add_policy(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument("--policy", default="", help=f"who decides: {', '.join(sorted(POLICIES))}")
+
 
+def _add_seed(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument("--seed", type=int, help="instead of the scenario's own")
 
-scenario_argument = click.argument("scenario", type=click.Path(dir_okay=False))
-sets_option = click.option(
-    "--set", "sets", multiple=True, metavar="KEY=VALUE", help="Change one value of the scenario."
-)
-policy_option = click.option("--policy", default="", help=f"Who decides: {', '.join(sorted(POLICIES))}.")
-jobs_option = click.option("--jobs", default=0, help="Processes; 0: one for each core.")
-json_option = click.option("--json", "as_json", is_flag=True, help="Print JSON instead of a table.")
+
+def _add_seeds(parser: argparse.ArgumentParser, default: str) -> None:
+    parser.add_argument("--seeds", default=default, help="FIRST..LAST or N,N,...")
+
+
+def _add_jobs(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument("--jobs", type=int, default=0, help="processes; without it, one for each core")
+
+
+def _add_json(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument("--json", action="store_true", help="print JSON instead of a table")
+
+
+def _add_outputs(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument("--out", metavar="FILE", help="write the whole result as JSON")
+    parser.add_argument("--plot", metavar="FILE", help="draw the run, as .png or .svg")
 
 
 def seeds_of(text: str) -> list[int]:
@@ -46,9 +100,9 @@
         else:
             seeds = [int(n) for n in text.split(",")]
     except ValueError as error:
-        raise click.BadParameter(f"{text}: not FIRST..LAST nor N,N,...") from error
+        raise UsageError(f"{text}: not FIRST..LAST nor N,N,...") from error
     if not seeds or min(seeds) < 0:
-        raise click.BadParameter(f"{text}: no seeds in it")
+        raise UsageError(f"{text}: no seeds in it")
     return seeds
 
 
@@ -57,40 +111,34 @@
     return bar, lambda entry: bar.update(1)
 
 
-@click.group(cls=Guarded)
-def lab() -> None:
-    """Emulate what gatekeepers serve: the real decision module at sizes that sockets don't reach."""
-
-
-@lab.command()
-@scenario_argument
-@sets_option
-@policy_option
-@click.option("--seed", type=int, help="Instead of the scenario's own.")
-@click.option("--out", type=click.Path(dir_okay=False), help="Write the whole result as JSON.")
-@click.option("--plot", "plot_to", type=click.Path(dir_okay=False), help="Draw the run, as .png or .svg.")
-@click.option("--trail", is_flag=True, help="Where a rule breaks, print the life of its request.")
-@json_option
-def run(
-    scenario: str, sets: Sequence[str], policy: str, seed: int | None, out: str | None, plot_to: str | None,
-    trail: bool, as_json: bool,
-) -> int:  # fmt: skip
-    """Play a scenario once. Exit code 3 where a rule breaks."""
-    if plot_to:
+def _configure_run(parser: argparse.ArgumentParser) -> None:
+    _add_scenario(parser)
+    _add_policy(parser)
+    _add_seed(parser)
+    _add_outputs(parser)
+    parser.add_argument(
+        "--trail", action="store_true", help="where a rule breaks, print the life of its request"
+    )
+    _add_json(parser)
+
+
+def run(given: argparse.Namespace) -> int:
+    """Plays a scenario once."""
+    if given.plot:
         from pewterring.lab import plots
 
-        plots.form_of(plot_to)
-    result, world = experiment.run(scenario, sets, seed, policy)
-    hand_out(result, out, plot_to, as_json, world.scenario.faults)
+        plots.form_of(given.plot)
+    result, world = experiment.run(given.scenario, given.sets, given.seed, given.policy)
+    hand_out(result, given.out, given.plot, given.json, world.scenario.faults)
     if not result.broken:
         return 0
     assert world.broken is not None
-    click.echo(f"{result.broken}\nplay it again with --seed {result.seed}", err=True)
-    if trail and world.broken.request:
+    print(f"{result.broken}\nplay it again with --seed {result.seed}", file=sys.stderr)
+    if given.trail and world.broken.request:
         number = world.broken.request
         known = world.intent_of[number] if number < len(world.intent_of) else 0
         show_trail(experiment.trail(world, known))
-    return BROKEN
+    return RULE_BROKEN
 
 
 def hand_out(
@@ -108,9 +156,9 @@
 
         plots.plot_run(result, plot_to, faults)
     if as_json:
-        click.echo(json.dumps({"broken": result.broken, **experiment.metrics(result)}))
+        print(json.dumps({"broken": result.broken, **experiment.metrics(result)}))
     else:
-        click.echo("\n".join(report(result)))
+        print("\n".join(report(result)))
 
 
 def origin(result: Result) -> str:
@@ -142,207 +190,201 @@
 
 def show_trail(trail: Sequence[tuple[float, str]]) -> None:
     for at, text in trail:
-        click.echo(f"{at:10.4f} s  {text}")
-
-
-@lab.command()
-@scenario_argument
-@sets_option
-@policy_option
-@click.option("--grid", "axes", multiple=True, metavar="KEY=V,V,...", help="An axis; several make a grid.")
-@click.option("--seeds", default="1..3", show_default=True, help="FIRST..LAST or N,N,...")
-@click.option(
-    "--out", required=True, type=click.Path(file_okay=False), help="The folder that holds the results."
-)
-@jobs_option
-def sweep(
-    scenario: str, sets: Sequence[str], policy: str, axes: Sequence[str], seeds: str, out: str, jobs: int
-) -> int:
-    """Play a grid of scenarios on several seeds. Called again with the same folder, it goes on."""
-    points = experiment.grid(axes, seeds_of(seeds))
+        print(f"{at:10.4f} s  {text}")
+
+
+def _configure_sweep(parser: argparse.ArgumentParser) -> None:
+    _add_scenario(parser)
+    _add_policy(parser)
+    parser.add_argument(
+        "--grid", action="append", default=[], metavar="KEY=V,V,...", help="an axis; several make a grid"
+    )
+    _add_seeds(parser, "1..3")
+    parser.add_argument("--out", required=True, metavar="FOLDER", help="the folder that holds the results")
+    _add_jobs(parser)
+
+
+def sweep(given: argparse.Namespace) -> int:
+    """Plays a grid of scenarios on several seeds. Called again with the same folder, it goes on."""
+    points = experiment.grid(given.grid, seeds_of(given.seeds))
     bar, done = progress(len(points), "sweep")
+    folder = Path(given.out)
     try:
         with bar:
-            entries = experiment.sweep(scenario, points, Path(out), sets, policy, jobs, done)
+            entries = experiment.sweep(
+                given.scenario, points, folder, given.sets, given.policy, given.jobs, done
+            )
     except KeyboardInterrupt:
-        click.echo(
-            f"interrupted; what has ended is kept in {out}, the same call goes on with the rest", err=True
-        )
-        return 130
-    click.echo(f"{len(entries)} runs in {Path(out) / experiment.TABLE}")
+        said = f"interrupted; what has ended is kept in {folder}, the same call goes on with the rest"
+        print(said, file=sys.stderr)
+        return INTERRUPTED
+    print(f"{len(entries)} runs in {folder / experiment.TABLE}")
     broken = [e for e in entries if e["broken"]]
     for e in broken:
-        click.echo(f"{e['key']}: {e['broken']}", err=True)
-    return BROKEN if broken else 0
-
-
-@lab.command()
-@scenario_argument
-@sets_option
-@click.option("--a", "a_sets", multiple=True, metavar="KEY=VALUE", help="Only on side A.")
-@click.option("--b", "b_sets", multiple=True, metavar="KEY=VALUE", help="Only on side B.")
-@click.option("--a-policy", default="", help="Who decides on side A.")
-@click.option("--b-policy", default="", help="Who decides on side B.")
-@click.option("--seeds", default="1..8", show_default=True, help="FIRST..LAST or N,N,...")
-@jobs_option
-@json_option
-def compare(
-    scenario: str, sets: Sequence[str], a_sets: Sequence[str], b_sets: Sequence[str], a_policy: str,
-    b_policy: str, seeds: str, jobs: int, as_json: bool,
-) -> int:  # fmt: skip
+        print(f"{e['key']}: {e['broken']}", file=sys.stderr)
+    return RULE_BROKEN if broken else 0
+
+
+def _configure_compare(parser: argparse.ArgumentParser) -> None:
+    _add_scenario(parser)
+    for side in ("a", "b"):
+        only = f"only on side {side.upper()}"
+        parser.add_argument(f"--{side}", action="append", default=[], metavar="KEY=VALUE", help=only)
+        parser.add_argument(f"--{side}-policy", default="", help=f"who decides on side {side.upper()}")
+    _add_seeds(parser, "1..8")
+    _add_jobs(parser)
+    _add_json(parser)
+
+
+def compare(given: argparse.Namespace) -> int:
     """Two sides on the same seeds: mean difference with its 95% bootstrap interval."""
-    numbers = seeds_of(seeds)
+    numbers = seeds_of(given.seeds)
     bar, done = progress(2 * len(numbers), "compare")
+    side_a = ((*given.sets, *given.a), given.a_policy)
+    side_b = ((*given.sets, *given.b), given.b_policy)
     with bar:
-        table, broken = experiment.compare(
-            scenario, ((*sets, *a_sets), a_policy), ((*sets, *b_sets), b_policy), numbers, jobs, done
-        )
-    if as_json:
-        click.echo(msgspec.json.encode({"differences": table, "broken": broken}).decode())
+        table, broken = experiment.compare(given.scenario, side_a, side_b, numbers, given.jobs, done)
+    if given.json:
+        print(msgspec.json.encode({"differences": table, "broken": broken}).decode())
     else:
-        click.echo(f"{'metric':<28}{'A':>10}{'B':>10}{'B - A':>10}   95% of the mean, {len(numbers)} seeds")
+        print(f"{'metric':<28}{'A':>10}{'B':>10}{'B - A':>10}   95% of the mean, {len(numbers)} seeds")
         for d in table:
             bounds = f"{d.low:+.4f} to {d.high:+.4f}{' *' if d.sure else ''}"
-            click.echo(f"{d.metric:<28}{d.a:>10.4f}{d.b:>10.4f}{d.mean:>+10.4f}   {bounds}")
+            print(f"{d.metric:<28}{d.a:>10.4f}{d.b:>10.4f}{d.mean:>+10.4f}   {bounds}")
     for line in broken:
-        click.echo(line, err=True)
-    return BROKEN if broken else 0
-
-
-@lab.command()
-@click.argument("source", type=click.Path())
-@click.option("--to", "path", required=True, type=click.Path(dir_okay=False), help="The plot, .png or .svg.")
-@sets_option
-@policy_option
-@click.option("--seed", type=int, help="Instead of the scenario's own.")
-@click.option("--x", default="", help="For a sweep's folder: the axis.")
-@click.option("--y", default="g", show_default=True, help="For a sweep's folder: the metric.")
-def plot(source: str, path: str, sets: Sequence[str], policy: str, seed: int | None, x: str, y: str) -> int:
-    """Draw a run (a scenario, or a result that `run --out` wrote) or a sweep's folder."""
+        print(line, file=sys.stderr)
+    return RULE_BROKEN if broken else 0
+
+
+def _configure_plot(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument(
+        "source", metavar="SOURCE", help="a scenario, a result of `run --out`, a sweep's folder"
+    )
+    parser.add_argument("--to", required=True, metavar="FILE", help="the plot, .png or .svg")
+    _add_sets(parser)
+    _add_policy(parser)
+    _add_seed(parser)
+    parser.add_argument("--x", default="", help="for a sweep's folder: the axis")
+    parser.add_argument("--y", default="g", help="for a sweep's folder: the metric")
+
+
+def plot(given: argparse.Namespace) -> int:
+    """Draws a run (a scenario, or a result that `run --out` wrote) or a sweep's folder."""
     from pewterring.lab import plots
 
-    plots.form_of(path)
-    if Path(source).is_dir():
-        entries = list(experiment.finished(Path(source)).values())
+    plots.form_of(given.to)
+    source = Path(given.source)
+    if source.is_dir():
+        entries = list(experiment.finished(source).values())
         if not entries:
             raise schema.ScenarioError(f"{source}: no finished run of a sweep in it")
-        plots.plot_sweep(entries, x or next(iter(entries[0]["set"]), ""), y, path)
-    elif Path(source).suffix == ".json":
-        try:
-            result = msgspec.json.decode(Path(source).read_bytes(), type=Result)
-        except (OSError, msgspec.DecodeError) as error:
-            raise schema.ScenarioError(f"{source}: not a result: {error}") from error
-        plots.plot_run(result, path)
+        plots.plot_sweep(entries, given.x or next(iter(entries[0]["set"]), ""), given.y, given.to)
+    elif source.suffix == ".json":
+        plots.plot_run(_read_result(source), given.to)
     else:
-        result, world = experiment.run(source, sets, seed, policy)
-        plots.plot_run(result, path, world.scenario.faults)
-    click.echo(path)
+        result, world = experiment.run(given.source, given.sets, given.seed, given.policy)
+        plots.plot_run(result, given.to, world.scenario.faults)
+    print(given.to)
     return 0
 
 
-@lab.command()
-@scenario_argument
-@sets_option
-@policy_option
-@click.option("--seed", type=int, help="Instead of the scenario's own.")
-@click.option("--intent", type=int, help="The number of the client's request.")
-@click.option("--request", type=int, help="Or the id of one of its tries.")
-@click.option(
-    "--pick", type=click.Choice(MARKS), default="slowest", show_default=True, help="Or the first such one."
-)
-def explain(
-    scenario: str,
-    sets: Sequence[str],
-    policy: str,
-    seed: int | None,
-    intent: int | None,
-    request: int | None,
-    pick: str,
-) -> int:
+def _read_result(path: Path) -> Result:
+    try:
+        return msgspec.json.decode(path.read_bytes(), type=Result)
+    except (OSError, msgspec.DecodeError) as error:
+        raise schema.ScenarioError(f"{path}: not a result: {error}") from error
+
+
+def _configure_explain(parser: argparse.ArgumentParser) -> None:
+    _add_scenario(parser)
+    _add_policy(parser)
+    _add_seed(parser)
+    parser.add_argument("--intent", type=int, help="the number of the client's request")
+    parser.add_argument("--request", type=int, help="or the id of one of its tries")
+    parser.add_argument("--pick", choices=MARKS, default="slowest", help="or the first such one")
+
+
+def explain(given: argparse.Namespace) -> int:
     """One request's life, through all tries and attempts."""
-    result, world = experiment.run(scenario, sets, seed, policy)
-    if request is not None:
-        if not 0 < request < len(world.intent_of):
-            raise schema.ScenarioError(f"--request {request}: there were {len(world.intent_of) - 1}")
-        intent = world.intent_of[request]
+    result, world = experiment.run(given.scenario, given.sets, given.seed, given.policy)
+    intent = given.intent
+    if given.request is not None:
+        if not 0 < given.request < len(world.intent_of):
+            raise schema.ScenarioError(f"--request {given.request}: there were {len(world.intent_of) - 1}")
+        intent = world.intent_of[given.request]
     if intent is None:
-        intent = world.marks.get(pick)
+        intent = world.marks.get(given.pick)
     if not intent or intent > result.counts["intents"]:
-        raise schema.ScenarioError(f"no such request in this run: --intent {intent}, --pick {pick}")
-    click.echo(f"client's request {intent} of {scenario}, seed {result.seed}")
+        raise schema.ScenarioError(f"no such request in this run: --intent {intent}, --pick {given.pick}")
+    print(f"client's request {intent} of {given.scenario}, seed {result.seed}")
     show_trail(experiment.trail(world, intent))
     return 0
 
 
-@lab.command()
-@scenario_argument
-@policy_option
-@click.option("--first", default=1, show_default=True, help="The first seed.")
-@click.option("--count", default=100, show_default=True, help="Random scenarios at most.")
-@click.option("--out", default="found.toml", show_default=True, type=click.Path(dir_okay=False))
-@jobs_option
-def hunt(scenario: str, policy: str, first: int, count: int, out: str, jobs: int) -> int:
-    """Play random scenarios until a rule breaks; write the smallest schedule that still breaks it."""
-    import os
+def _configure_hunt(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument("scenario", metavar="SCENARIO", help="a TOML file")
+    _add_policy(parser)
+    parser.add_argument("--first", type=int, default=1, help="the first seed")
+    parser.add_argument("--count", type=int, default=100, help="random scenarios at most")
+    parser.add_argument("--out", default="found.toml", metavar="FILE", help="where the smallest is written")
+    _add_jobs(parser)
 
+
+def hunt(given: argparse.Namespace) -> int:
+    """Plays random scenarios until a rule breaks; writes the smallest schedule that still breaks it."""
     from pewterring.lab import hunt as hunting
 
-    base = schema.load(scenario)
-    bar, done = progress(count, "hunt")
+    base = schema.load(given.scenario)
+    bar, done = progress(given.count, "hunt")
     with bar:
-        found = hunting.hunt(base, first, count, policy, jobs or os.cpu_count() or 1, done)
+        jobs = given.jobs or os.cpu_count() or 1
+        found = hunting.hunt(base, given.first, given.count, given.policy, jobs, done)
     if found is None:
-        click.echo(f"{count} random scenarios from seed {first} on: no rule broken")
+        print(f"{given.count} random scenarios from seed {given.first} on: no rule broken")
         return 0
     broken, rule, how = found
-    small, runs = hunting.shrink(broken, rule, policy)
-    Path(out).write_text(hunting.to_toml(small), encoding="utf-8")
-    click.echo(f"seed {broken.seed}: {how}")
-    said = hunting.breaks(small, policy)[1]
-    click.echo(f"{len(broken.faults)} faults shrunk to {len(small.faults)} in {runs} runs: {said}")
-    click.echo(f"{out}; play it with: pewterring lab run {out} --trail")
-    return BROKEN
-
-
-@lab.command()
-@scenario_argument
-@sets_option
-@click.option("--seed", type=int, help="Instead of the scenario's own.")
-@click.option(
-    "--target", default="", metavar="HOST:PORT", help="Only clients, against what serves there (loopback)."
-)
-@click.option("--out", type=click.Path(dir_okay=False), help="Write the whole result as JSON.")
-@click.option("--plot", "plot_to", type=click.Path(dir_okay=False), help="Draw the run, as .png or .svg.")
-@click.option(
-    "--logs", default="", type=click.Path(file_okay=False), help="Keep gatekeepers' logs in this folder."
-)
-@json_option
-def load(
-    scenario: str, sets: Sequence[str], seed: int | None, target: str, out: str | None, plot_to: str | None,
-    logs: str, as_json: bool,
-) -> int:  # fmt: skip
-    """Play a scenario in real time on loopback sockets, with 1 to 8 real gatekeeper processes."""
+    small, runs = hunting.shrink(broken, rule, given.policy)
+    Path(given.out).write_text(hunting.to_toml(small), encoding="utf-8")
+    print(f"seed {broken.seed}: {how}")
+    said = hunting.breaks(small, given.policy)[1]
+    print(f"{len(broken.faults)} faults shrunk to {len(small.faults)} in {runs} runs: {said}")
+    print(f"{given.out}; play it with: pewterring lab run {given.out} --trail")
+    return RULE_BROKEN
+
+
+def _configure_load(parser: argparse.ArgumentParser) -> None:
+    _add_scenario(parser)
+    _add_seed(parser)
+    parser.add_argument(
+        "--target", default="", metavar="HOST:PORT", help="only clients, against what serves there (loopback)"
+    )
+    _add_outputs(parser)
+    parser.add_argument("--logs", default="", metavar="FOLDER", help="keep gatekeepers' logs in this folder")
+    _add_json(parser)
+
+
+def load(given: argparse.Namespace) -> int:
+    """Plays a scenario in real time on loopback sockets, with 1 to 8 real gatekeeper processes."""
     from pewterring.lab.loopback import load as loading
 
-    if plot_to:
+    if given.plot:
         from pewterring.lab import plots
 
-        plots.form_of(plot_to)
-    result = loading.load(scenario, tuple(sets), seed, target, logs)
-    hand_out(result, out, plot_to, as_json)
+        plots.form_of(given.plot)
+    result = loading.load(given.scenario, tuple(given.sets), given.seed, given.target, given.logs)
+    hand_out(result, given.out, given.plot, given.json)
     counts = result.counts
-    if not as_json:
+    if not given.json:
         names = ("wrong_bodies", "never_answered", "crashed")
         ends = ", ".join(f"{name.replace('_', ' ')} {counts[name]:.0f}" for name in names)
         late = f"loop late by {counts['latest_s'] * 1000:.0f} ms at most"
-        click.echo(f"\n{ends}, most memory {counts['memory_kb'] / 1024:.1f} MB, {late}")
+        print(f"\n{ends}, most memory {counts['memory_kb'] / 1024:.1f} MB, {late}")
     if result.broken:
-        click.echo(result.broken, err=True)
-    return BROKEN if result.broken or counts["wrong_bodies"] or counts["crashed"] else 0
+        print(result.broken, file=sys.stderr)
+    return RULE_BROKEN if result.broken or counts["wrong_bodies"] or counts["crashed"] else 0
 
 
-@lab.command("schema")
-def show_schema() -> int:
-    """Print the scenario format as JSON Schema."""
-    click.echo(json.dumps(schema.json_schema(), indent=2))
+def show_schema(given: argparse.Namespace) -> int:
+    """Prints the scenario format as JSON Schema."""
+    print(json.dumps(schema.json_schema(), indent=2))
     return 0
--- a/pewterring/cli/tally.py
+++ b/pewterring/cli/tally.py
@@ -1,13 +1,15 @@
 """`pewterring tally`: the lines of counts of many gatekeepers, summed over the fleet in windows."""
 
+import argparse
 import json
 from collections.abc import Iterable, Iterator
 from pathlib import Path
 from typing import Any
 
-import click
 import orjson
 
+from pewterring.cli.errors import CommandError, UsageError
+
 MEANS = ("limit", "whole", "demands", "elsewhere", "usual", "peers", "workers", "took_mean")  # not summed
 SUMS = ("share", "out", "demand", "customers")  # of the last line of each gatekeeper in the window
 Line = dict[str, Any]
@@ -57,26 +59,38 @@
     return rows
 
 
-@click.command()
-@click.argument("logs", nargs=-1, required=True, type=click.Path(exists=True, path_type=Path))
-@click.option("--window", default=5.0, show_default=True, help="Length of a window in seconds.")
-@click.option("--json", "as_json", is_flag=True, help="One JSON object a window instead of a table.")
-def tally(logs: tuple[Path, ...], window: float, as_json: bool) -> None:
-    """Sum the tally lines of gatekeepers' LOGS (files or folders) over the fleet, window by window.
+def configure(parser: argparse.ArgumentParser) -> None:
+    """Adds the command to its parser."""
+    parser.description = (
+        "Sum the tally lines of gatekeepers' LOGS over the fleet, window by window. Gatekeepers write such\n"
+        "lines where ROUTER_TALLY_S names a period in seconds."
+    )
+    parser.add_argument("logs", nargs="+", type=Path, metavar="LOGS", help="files, or folders of *.log")
+    parser.add_argument(
+        "--window", type=float, default=5.0, metavar="S", help="length of a window in seconds"
+    )
+    parser.add_argument("--json", action="store_true", help="one JSON object a window instead of a table")
+    parser.set_defaults(run=_tally)
+
 
-    Gatekeepers write such lines where ROUTER_TALLY_S names a period in seconds.
-    """
-    if window <= 0:
-        raise click.BadParameter("a window has to be longer than nothing", param_hint="--window")
-    files = [f for p in logs for f in (sorted(p.glob("*.log")) if p.is_dir() else [p])]
-    rows = windows([(str(f), read(f)) for f in files], window)
+def _tally(given: argparse.Namespace) -> None:
+    if given.window <= 0:
+        raise UsageError("--window: a window has to be longer than nothing")
+    rows = windows([(str(file), read(file)) for file in _files(given.logs)], given.window)
     if not rows:
-        raise click.ClickException("no tally lines in these logs: was ROUTER_TALLY_S set for them?")
-    if as_json:
+        raise CommandError("no tally lines in these logs: was ROUTER_TALLY_S set for them?")
+    if given.json:
         for row in rows:
-            click.echo(json.dumps(row))
+            print(json.dumps(row))
         return
     names = sorted({key for row in rows for key in row} - {"from_s", "gatekeepers"})
     for name in ["from_s", "gatekeepers", *names]:
         cells = "".join(f"{row.get(name, 0):>10.4g}" for row in rows)
-        click.echo(f"{name:<24}{cells}")
+        print(f"{name:<24}{cells}")
+
+
+def _files(paths: Iterable[Path]) -> Iterator[Path]:
+    for path in paths:
+        if not path.exists():
+            raise UsageError(f"{path}: no such file or folder")
+        yield from sorted(path.glob("*.log")) if path.is_dir() else [path]
--- a/pewterring/cli/tier.py
+++ b/pewterring/cli/tier.py
@@ -9,16 +9,19 @@
 
 from loguru import logger
 
-from pewterring.node.settings import NodeSettings, SettingsError, load_settings
+from pewterring.node.settings import NodeSettings, SettingsError, SettingsReport, settings_path
+from pewterring.node.settings_file import SettingsFile, SettingsReloader
+from pewterring.observability.log import configure_log
 
 USAGE_ERROR = 2
 FAILED = 1
+STOP_S = 1.0  # for a program to stop
 # Start-up makes many objects that live for ever; collections are rarer after it, and pass them over.
 COLLECTION_THRESHOLDS = (20_000, 20, 50)
 
 
 class Program(Protocol):
-    """A program of the tier."""
+    """A program of the tier. `drain` and `reload(settings)` are called where it has them."""
 
     async def start(self) -> None:
         """Starts it; raises OSError where a port cannot be had."""
@@ -27,48 +30,70 @@
         """Stops it."""
 
 
-def run_program(name: str) -> int:
-    """Runs one program; returns the exit status."""
-    logger.remove()
-    logger.add(sys.stderr, format="{time:HH:mm:ss.SSS} {level} {name} {message}", level="INFO")
+def run_program(name: str, path: str | None = None) -> int:
+    """Runs one program with the settings file at `path`; returns the exit status."""
+    # A signal that comes before there is a loop must not end the process: the file is looked at later.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    file = SettingsFile(settings_path(path), name)
     try:
-        settings = load_settings()
+        report = file.read()
     except SettingsError as error:
         print(f"pewterring: {error}", file=sys.stderr)
         return USAGE_ERROR
-    return asyncio.run(_run(name, settings))
+    configure_log({"program": name, "node": report.settings.node_id})
+    _tell_unknown(report)
+    try:
+        return asyncio.run(_run(name, file, report.settings))
+    except Exception as error:
+        logger.bind(event="program_failed").opt(exception=error).error("{} cannot go on: {}", name, error)
+        return FAILED
+
 
+def _tell_unknown(report: SettingsReport) -> None:
+    if report.unknown:
+        log = logger.bind(event="settings_unknown_keys", count=len(report.unknown))
+        log.warning("unknown keys are ignored; pewterring config check names them")
 
-async def _run(name: str, settings: NodeSettings) -> int:
+
+async def _run(name: str, file: SettingsFile, settings: NodeSettings) -> int:
     failed = asyncio.Event()
     stopped = asyncio.Event()
     program = _make(name, settings, failed)
+    reloader = _reloader(file, settings, program)
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, stopped.set)
     loop.add_signal_handler(signal.SIGINT, stopped.set)
-    loop.add_signal_handler(signal.SIGHUP, _reload, program)
+    loop.add_signal_handler(signal.SIGHUP, reloader.reload)
     await program.start()
+    watch = asyncio.create_task(reloader.watch())
     gc.collect()
     gc.freeze()
     gc.set_threshold(*COLLECTION_THRESHOLDS)
     waits = [asyncio.create_task(event.wait()) for event in (stopped, failed)]
     await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+    watch.cancel()
     drain = getattr(program, "drain", None)
     if drain is not None and not failed.is_set():
         await drain()
     with contextlib.suppress(TimeoutError):
-        await asyncio.wait_for(program.stop(), 1.0)
+        await asyncio.wait_for(program.stop(), STOP_S)
     return FAILED if failed.is_set() else 0
 
 
-def _reload(program: Program) -> None:
-    take = getattr(program, "reload", None)
-    if take is None:
-        return
-    try:
-        take(load_settings())
-    except SettingsError as error:
-        logger.warning("settings kept as they were: {}", error)
+def _reloader(file: SettingsFile, settings: NodeSettings, program: Program) -> SettingsReloader:
+    def apply(changed: NodeSettings) -> None:
+        take = getattr(program, "reload", None)
+        if take is not None:
+            take(changed)
+        logger.bind(event="settings_reloaded").info("the settings file has changed")
+
+    def refused(error: SettingsError) -> None:
+        logger.bind(event="settings_refused").warning("settings kept as they were: {}", error)
+
+    def waiting(names: tuple[str, ...]) -> None:
+        logger.bind(event="settings_need_restart", fields=names).warning("some changes wait for a new start")
+
+    return SettingsReloader(file, settings, apply, refused, waiting)
 
 
 def _make(name: str, settings: NodeSettings, failed: asyncio.Event) -> Program:
--- a/pewterring/edge/admissions.py
+++ b/pewterring/edge/admissions.py
@@ -21,6 +21,10 @@
         self._by_number: dict[int, ServiceAdmission] = {}
         self._gateways = 1
 
+    def by_service(self) -> Mapping[str, ServiceAdmission]:
+        """All admissions by the name of their service."""
+        return self._by_service
+
     def of(self, service: str) -> ServiceAdmission:
         """The admission of a service; made anew where there is none."""
         admission = self._by_service.get(service)
--- a/pewterring/edge/live.py
+++ b/pewterring/edge/live.py
@@ -17,12 +17,13 @@
     read_load,
     worker_request,
 )
+from pewterring.edge.metrics import Limit
 from pewterring.edge.stalls import GAP_SHARE, StallWatch, WatchedAttempt
 from pewterring.routing.chooser import WorkerChooser
 from pewterring.routing.prompt import Prompt
 from pewterring.routing.worker_state import WorkerState
 from pewterring.transport.http_answer import AnswerHead
-from pewterring.transport.http_client import ExchangeError, WorkerPool
+from pewterring.transport.http_client import AnswerBroken, ExchangeError, StaleConnection, WorkerPool
 from pewterring.transport.http_fetch import AnswerStream
 from pewterring.transport.http_request import ServerRequest
 from pewterring.transport.http_responder import Responder
@@ -94,6 +95,7 @@
         self._last_event_id: int | None = None
         self._begun = False
         self._failure: Failure | None = None
+        self.limit: Limit | None = None  # what kept it from a worker's answer
 
     async def run(self) -> None:
         """Answers the client, unless it goes away first."""
@@ -101,10 +103,12 @@
         while sends < MAX_SENDS and self._deadline - self._now() > LEAST_LEFT_S:
             worker = self._chooser.choose(self._now(), self._service, self._prompt, self._tried)
             if worker is None:
+                self.limit = self.limit or Limit.NO_WORKER
                 break
             sends += 1
             end = await self._attempt(worker)
             if end is End.DONE:
+                self.limit = None
                 return
             self._tried.add(worker.record.id)
             if end is End.MAY_HAVE_RUN:
@@ -122,6 +126,8 @@
 
     async def _give_up(self) -> None:
         responder = self._responder
+        if self._now() >= self._deadline - LEAST_LEFT_S:
+            self.limit = Limit.DEADLINE
         if self._begun:
             responder.abort()
         elif self._failure is not None:
@@ -143,6 +149,7 @@
         try:
             stream = AnswerStream(self._context.pool, worker.record.address, message, self._max_connections)
         except ExchangeError:
+            self.limit = Limit.CONNECTIONS
             return End.NOT_RUN
         worker.out += 1
         worker.pending_tokens += tokens
@@ -154,7 +161,7 @@
             async with asyncio.timeout_at(self._deadline):
                 return await self._read(worker, stream, reading)
         except ExchangeError as error:
-            worker.failed(self._now())
+            worker.failed(self._now(), certain=not isinstance(error, AnswerBroken | StaleConnection))
             return End.MAY_HAVE_RUN if error.sent else End.NOT_RUN
         except TimeoutError:
             return End.MAY_HAVE_RUN if stream.exchange.sent else End.NOT_RUN
--- /dev/null
+++ b/pewterring/edge/metrics.py
@@ -0,0 +1,108 @@
+"""What a gateway counts, and its metrics."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from enum import StrEnum
+
+from pewterring.admission.service import ServiceAdmission
+from pewterring.distribution.tables import Tables
+from pewterring.observability.metrics import Family, Labels, single
+
+PREFIX = "pewterring_gateway_"
+
+
+class Limit(StrEnum):
+    """What kept a live request from a worker's answer."""
+
+    SHARE = "share"  # this gateway's share of the common ceiling
+    CEILING = "ceiling"  # the gateway's own ceiling
+    CONNECTIONS = "connections"  # all connections to the chosen workers were in use
+    NO_WORKER = "no_worker"  # none was there, or none was left to try
+    DEADLINE = "deadline"  # the request's time was over
+
+
+@dataclass(frozen=True, slots=True)
+class GatewayState:
+    """What a gateway holds at the moment of a scrape."""
+
+    ready: bool
+    requests_held: int
+    client_connections: int
+    worker_connections_made: int
+    tables: Tables
+    tables_age_s: float  # since they were confirmed
+    admissions: Mapping[str, ServiceAdmission]  # by service
+
+
+class GatewayMetrics:
+    """Counts while requests are served."""
+
+    def __init__(self) -> None:
+        self.requests = 0  # live ones that a route was found for
+        self.batch_calls = 0
+        self.unrouted = 0
+        self._limits = dict.fromkeys(Limit, 0)
+
+    def refused(self, admission: ServiceAdmission) -> None:
+        """Counts a request that admission refused."""
+        by_share = admission.shares.room(admission.out) <= admission.ceiling.limit
+        self.limited(Limit.SHARE if by_share else Limit.CEILING)
+
+    def limited(self, limit: Limit | None) -> None:
+        """Counts what kept a request from a worker's answer, if anything did."""
+        if limit is not None:
+            self._limits[limit] += 1
+
+    def families(self, state: GatewayState) -> list[Family]:
+        """All metrics."""
+        return [*self._counters(state), *_gauges(state), *_admission(state.admissions)]
+
+    def _counters(self, state: GatewayState) -> list[Family]:
+        return [
+            single(PREFIX + "requests_total", "Live requests that a route was found for.", self.requests),
+            single(PREFIX + "batch_calls_total", "Calls of batch clients.", self.batch_calls),
+            single(PREFIX + "unrouted_total", "Requests that no route was found for.", self.unrouted),
+            Family(
+                PREFIX + "limited_total",
+                "Live requests that a limit kept from a worker's answer.",
+                {(limit.value,): count for limit, count in self._limits.items()},
+                ("limit",),
+            ),
+            single(
+                PREFIX + "worker_connections_total",
+                "Connections begun to workers.",
+                state.worker_connections_made,
+            ),
+        ]
+
+
+def _gauges(state: GatewayState) -> list[Family]:
+    tables = state.tables
+    return [
+        single(PREFIX + "ready", "Whether readiness is answered with 200.", float(state.ready)),
+        single(PREFIX + "requests_held", "Requests read whole and not answered.", state.requests_held),
+        single(PREFIX + "client_connections", "Open connections of clients.", state.client_connections),
+        single(
+            PREFIX + "configuration_version",
+            "Version of the configuration in force.",
+            tables.configuration.version if tables.configuration else 0,
+        ),
+        single(PREFIX + "tables_age_seconds", "Time since control confirmed the tables.", state.tables_age_s),
+        single(PREFIX + "workers", "Registered workers.", len(tables.workers)),
+    ]
+
+
+def _admission(admissions: Mapping[str, ServiceAdmission]) -> list[Family]:
+    def family(name: str, help: str, values: Mapping[str, float]) -> Family:
+        samples: dict[Labels, float] = {(service,): value for service, value in values.items()}
+        return Family(PREFIX + name, help, samples, ("service",))
+
+    return [
+        family("attempts", "Requests out at workers.", {name: a.out for name, a in admissions.items()}),
+        family("room", "Requests that may be out at once.", {name: a.room for name, a in admissions.items()}),
+        family(
+            "ceiling",
+            "The gateway's own limit of requests out over all gateways.",
+            {name: a.ceiling.limit for name, a in admissions.items()},
+        ),
+    ]
--- a/pewterring/edge/program.py
+++ b/pewterring/edge/program.py
@@ -22,9 +22,11 @@
 from pewterring.edge.answers import Answer
 from pewterring.edge.batch_calls import BatchCalls, BatchRequest, is_batch_call
 from pewterring.edge.live import LiveContext, LiveRequest
+from pewterring.edge.metrics import GatewayMetrics, GatewayState
 from pewterring.edge.prompt_exchange import PromptExchange
 from pewterring.edge.stalls import LOOK_S, StallWatch
 from pewterring.node.settings import NodeSettings
+from pewterring.observability.metrics import CONTENT_TYPE, METRICS_PATH, render
 from pewterring.routing.chooser import WorkerChooser
 from pewterring.routing.heartbeats import AdmissionHeartbeats
 from pewterring.routing.prompt import read_prompt
@@ -63,6 +65,7 @@
         self._routes: RouteTable | None = None
         self._limits = server_limits(ClientLimits())
         self._stopping = False
+        self._metrics = GatewayMetrics()
         codec = MessageCodec((*FEED_MESSAGES, *BATCH_MESSAGES))
         self._feed = FeedSubscriber(settings, codec, self._record, on_tables=self._take_tables, rng=self._rng)
         links = LinkPool(codec, settings.internal_port, rng=self._rng, source_ip=settings.ip)
@@ -167,15 +170,33 @@
     # Requests.
 
     async def _handle_ready(self, request: ServerRequest, responder: Responder) -> None:
-        if request.target.partition("?")[0] != READY_PATH:
+        path = request.target.partition("?")[0]
+        if path == METRICS_PATH:
+            text = render(self._metrics.families(self._state()))
+            await responder.respond(200, [(b"Content-Type", CONTENT_TYPE.encode())], text)
+        elif path == READY_PATH:
+            await responder.respond(200 if self._is_ready() else 503, [])
+        else:
             await responder.respond(404, [])
-            return
-        ready = self._routes is not None and not self._stopping
-        await responder.respond(200 if ready else 503, [])
+
+    def _is_ready(self) -> bool:
+        return self._routes is not None and not self._stopping
+
+    def _state(self) -> GatewayState:
+        return GatewayState(
+            ready=self._is_ready(),
+            requests_held=self._front.requests_held,
+            client_connections=self._front.open_connections,
+            worker_connections_made=self._pool.connections_made,
+            tables=self._feed.tables,
+            tables_age_s=self._feed.confirmed_age(time.monotonic()),
+            admissions=self._admissions.by_service(),
+        )
 
     async def _handle(self, request: ServerRequest, responder: Responder) -> None:
         path = request.target.partition("?")[0]
         if is_batch_call(request.method, path):
+            self._metrics.batch_calls += 1
             await self._answer(responder, await self._batch.call(self._batch_request(request, None)))
             return
         if self._routes is None and not await self._wait_for_tables(request):
@@ -184,8 +205,10 @@
         assert self._routes is not None
         route = self._routes.find(request.host, path)
         if route is None:
+            self._metrics.unrouted += 1
             await responder.respond(404, [])
         elif route.route_type is RouteType.BATCH_JOB:
+            self._metrics.batch_calls += 1
             await self._answer(
                 responder, await self._batch.submit(self._batch_request(request, route), route)
             )
@@ -227,7 +250,9 @@
     async def _serve(self, request: ServerRequest, responder: Responder, route: Route) -> None:
         service = self._choose_service(route)
         admission = self._admissions.of(service)
+        self._metrics.requests += 1
         if not admission.acquire():
+            self._metrics.refused(admission)
             after = b"%.2f" % max(0.05, min(1.0, route.target_latency_ms / 1000))
             await responder.respond(503, [(b"Retry-After", after)])
             return
@@ -235,7 +260,7 @@
         assert task is not None
         responder.on_disconnect(lambda: _cancel(task))
         try:
-            await LiveRequest(
+            live = LiveRequest(
                 self._live,
                 request,
                 responder,
@@ -245,7 +270,9 @@
                 request.received_at + self._time_s(request, route),
                 admission,
                 self._connections(service),
-            ).run()
+            )
+            await live.run()
+            self._metrics.limited(live.limit)
         finally:
             admission.release()
 
--- /dev/null
+++ b/pewterring/node/keys.py
@@ -0,0 +1,28 @@
+"""Where the settings file is, and names of its keys. Needs no library."""
+
+SETTINGS_VARIABLE = "PEWTERRING_CONFIG"  # environment variable that names the file
+DEFAULT_PATH = "/etc/pewterring/node.conf"
+LAST_PORT = 65535
+FRONT, READY, CONTROL = "listen_addrs.front", "listen_addrs.ready", "listen_addrs.control"
+REQUIRED_BY = {
+    "gateway": (FRONT, READY),
+    "control": (CONTROL, "data_dir"),
+    "store": ("data_dir",),
+}
+# Keys that the operators' pages name and no program here has a use for.
+UNUSED_PREFIXES = ("zones.", "bounds.")
+UNUSED_KEYS = frozenset(
+    {
+        "role",
+        "instance_class",
+        "serves",
+        "counts_for_quorum",
+        "limits.cpu_cores",
+        "limits.link_mbps",
+        "discovery",
+        "entry",
+        "contracts",
+        "fault_tolerance.zones",
+        "fault_tolerance.regions",
+    }
+)
--- /dev/null
+++ b/pewterring/observability/__init__.py
@@ -0,0 +1,1 @@
+"""What a process tells of itself: log lines and metrics."""
--- /dev/null
+++ b/tests/cli/test_programs.py
@@ -0,0 +1,107 @@
+"""`pewterring gateway|control|store`: settings that cannot be used end it before any port opens."""
+
+import asyncio
+import signal
+import socket
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+from pewterring.__main__ import main
+from tests.node.settings_texts import settings_text
+
+ROOT = Path(__file__).resolve().parents[2]
+PATIENCE_S = 30.0
+WATCH_SOCKETS = """
+import sys
+sys.addaudithook(lambda event, given: event == "socket.bind" and print("bind", file=sys.stdout, flush=True))
+from pewterring.__main__ import main
+sys.exit(main(sys.argv[1:]))
+"""
+
+
+def written(tmp_path: Path, text: str) -> str:
+    path = tmp_path / "node.conf"
+    path.write_text(text)
+    return str(path)
+
+
+@pytest.mark.parametrize("program", ["gateway", "control", "store"])
+def test_wrong_settings_are_one_line_and_exit_2_before_any_port_opens(program: str, tmp_path: Path) -> None:
+    path = written(tmp_path, settings_text(node_id=None, heartbeat_ms="soon"))
+    done = subprocess.run(
+        [sys.executable, "-c", WATCH_SOCKETS, program, "--settings", path],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        timeout=PATIENCE_S,
+    )
+    assert done.returncode == 2 and done.stdout == ""
+    assert done.stderr.count("\n") == 1 and "node_id is missing" in done.stderr and "soon" in done.stderr
+
+
+def test_the_variable_names_the_file(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
+) -> None:
+    monkeypatch.setenv("PEWTERRING_CONFIG", str(tmp_path / "missing.conf"))
+    previous = signal.getsignal(signal.SIGHUP)
+    try:
+        assert main(["gateway"]) == 2
+    finally:
+        signal.signal(signal.SIGHUP, previous)
+    assert "missing.conf" in capsys.readouterr().err
+
+
+def test_a_gateway_serves_takes_changes_and_ends(tmp_path: Path) -> None:
+    async def run() -> None:
+        ports = [free_port() for _ in range(3)]
+        text = settings_text(
+            ip="127.0.0.1",
+            listen_addrs__front=f"127.0.0.1:{ports[0]}",
+            listen_addrs__ready=f"127.0.0.1:{ports[1]}",
+            ephemeral_ports=f"{ports[2]},65535",
+            seed_nodes="127.0.0.1:9",
+            unheard_of="x",
+        )
+        path = Path(written(tmp_path, text))
+        child = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "pewterring", "gateway", "--settings", str(path),
+            cwd=ROOT, stderr=subprocess.PIPE,
+        )  # fmt: skip
+        try:
+            async with asyncio.timeout(PATIENCE_S):
+                assert child.stderr is not None
+                seen = await until(child.stderr, b"listens on")
+                assert b'"event":"settings_unknown_keys"' in seen and b'"count":1' in seen
+                path.write_text(path.read_text().replace("seed_nodes=", "seed_nodes=127.0.0.1:8,"))
+                child.send_signal(signal.SIGHUP)
+                await until(child.stderr, b"settings_reloaded")
+                path.write_text("node_id=\n")
+                child.send_signal(signal.SIGHUP)
+                assert b"settings kept" in await until(child.stderr, b"settings_refused")
+                child.terminate()
+                assert await child.wait() == 0
+        finally:
+            if child.returncode is None:
+                child.kill()
+                await child.wait()
+
+    asyncio.run(run())
+
+
+async def until(stream: asyncio.StreamReader, word: bytes) -> bytes:
+    """Reads lines up to one with `word`; all of them."""
+    seen = b""
+    while word not in seen:
+        line = await stream.readline()
+        assert line, seen
+        seen += line
+    return seen
+
+
+def free_port() -> int:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return int(probe.getsockname()[1])
--- /dev/null
+++ b/tests/node/test_settings.py
@@ -0,0 +1,78 @@
+"""Settings of a process: typed, all problems at once, unknown keys counted."""
+
+import pytest
+
+from pewterring.node.settings import Address, SettingsError, examine_settings, read_report, read_settings
+from tests.node.settings_texts import settings_text
+
+
+def test_values_are_typed_and_in_base_units() -> None:
+    settings = read_settings(settings_text())
+    assert settings.front == Address("10.1.0.35", 8144)
+    assert settings.seeds == (Address("10.1.0.38", 8146), Address("10.2.0.31", 8146))
+    assert settings.internal_port == 7660
+    assert settings.bootstrap is True
+    assert settings.heartbeat_s == 1.2
+    assert settings.bounds.contact_s == 3.0
+    assert settings.data_dir is None
+
+
+def test_empty_values_count_as_not_given() -> None:
+    settings = read_settings(settings_text(heartbeat_ms="", bootstrap="", data_dir=""))
+    assert (settings.heartbeat_s, settings.bootstrap, settings.data_dir) == (1.0, False, None)
+
+
+def test_all_problems_are_named_at_once() -> None:
+    text = settings_text(node_id=None, heartbeat_ms="soon", bootstrap="maybe", seed_nodes="10.1.0.38")
+    with pytest.raises(SettingsError) as raised:
+        read_settings(text)
+    assert len(raised.value.problems) == 4
+    for key in ("node_id", "heartbeat_ms", "bootstrap", "seed_nodes"):
+        assert key in str(raised.value)
+
+
+@pytest.mark.parametrize(
+    ("changes", "said"),
+    [
+        ({"ip": None}, "ip is missing"),
+        ({"ephemeral_ports": "many"}, "ephemeral_ports is not a range of ports"),
+        ({"ephemeral_ports": "0,5"}, "ephemeral_ports is not a range of ports"),
+        ({"ephemeral_ports": None}, "ephemeral_ports is missing"),
+        ({"listen_addrs__front": "10.1.0.35:99999"}, "listen_addrs.front is not an address"),
+        ({"heartbeat_ms": "0"}, "heartbeat_ms must be 1 or more"),
+        ({"heartbeat_ms": "nan"}, "heartbeat_ms must be 1 or more"),
+        ({"bounds__grace_s": "-1"}, "bounds.grace_s must be 0 or more"),
+    ],
+)
+def test_what_cannot_be_used_is_named(changes: dict[str, str | None], said: str) -> None:
+    with pytest.raises(SettingsError) as raised:
+        read_settings(settings_text(**changes))
+    assert said in str(raised.value)
+
+
+def test_text_that_is_no_settings_file() -> None:
+    with pytest.raises(SettingsError, match=r"lines of a\.b=value"):
+        read_settings("a=\\u12\n")
+
+
+def test_unknown_keys_are_ignored_and_named() -> None:
+    report = read_report(settings_text(some_new__field="x", another="y"))
+    assert report.unknown == ("another", "some_new.field")
+    assert report.settings == read_settings(settings_text())
+
+
+def test_keys_that_pages_name_are_not_unknown() -> None:
+    assert read_report(settings_text()).unknown == ()
+
+
+@pytest.mark.parametrize(
+    ("program", "missing"),
+    [
+        ("gateway", ()),
+        ("control", ("listen_addrs.control", "data_dir")),
+        ("store", ("data_dir",)),
+    ],
+)
+def test_each_program_needs_keys_of_its_own(program: str, missing: tuple[str, ...]) -> None:
+    problems = examine_settings(settings_text(), program).problems
+    assert problems == tuple(f"{key} is missing: {program} needs it" for key in missing)
--- /dev/null
+++ b/tests/node/test_settings_file.py
@@ -0,0 +1,108 @@
+"""Changes of the settings file: taken whole or not at all, with a signal or without."""
+
+import os
+from pathlib import Path
+
+import pytest
+
+from pewterring.node.settings import NodeSettings, SettingsError
+from pewterring.node.settings_file import SettingsFile, SettingsReloader
+from tests.node.settings_texts import settings_text
+
+
+class Process:
+    """A process that runs with a settings file and notes what its reloader tells it."""
+
+    def __init__(self, folder: Path) -> None:
+        self.path = folder / "node.conf"
+        self.replace(settings_text())
+        file = SettingsFile(self.path, "gateway")
+        self.applied: list[NodeSettings] = []
+        self.refused: list[SettingsError] = []
+        self.waiting: list[tuple[str, ...]] = []
+        self.reloader = SettingsReloader(
+            file, file.read().settings, self.applied.append, self.refused.append, self.waiting.append
+        )
+
+    def replace(self, text: str) -> None:
+        """Puts another file in the old one's place."""
+        new = self.path.with_suffix(".new")
+        new.write_text(text)
+        os.replace(new, self.path)
+
+    def look_twice(self) -> None:
+        self.reloader.look()
+        self.reloader.look()
+
+
+@pytest.fixture
+def process(tmp_path: Path) -> Process:
+    return Process(tmp_path)
+
+
+def test_a_signal_takes_the_new_file_at_once(process: Process) -> None:
+    process.replace(settings_text(seed_nodes="10.9.0.1:8146"))
+    process.reloader.reload()
+    assert [str(seed) for seed in process.applied[0].seeds] == ["10.9.0.1:8146"]
+    assert process.reloader.settings == process.applied[0]
+
+
+def test_a_change_without_a_signal_is_found(process: Process) -> None:
+    process.look_twice()
+    assert process.applied == []
+    process.replace(settings_text(seed_nodes="10.9.0.1:8146"))
+    process.look_twice()
+    assert len(process.applied) == 1
+    process.look_twice()
+    assert len(process.applied) == 1
+
+
+def test_a_file_that_still_changes_is_left_alone(process: Process) -> None:
+    process.path.write_text(settings_text(seed_nodes="10.9.0.1:8146")[:80])  # half of it
+    process.reloader.look()
+    assert process.applied == [] and process.refused == []
+    process.path.write_text(settings_text(seed_nodes="10.9.0.1:8146"))
+    process.look_twice()
+    assert len(process.applied) == 1 and process.refused == []
+
+
+def test_a_file_that_cannot_be_used_changes_nothing(process: Process) -> None:
+    before = process.reloader.settings
+    process.replace(settings_text(seed_nodes="10.9.0.1:8146", heartbeat_ms="soon"))
+    process.look_twice()
+    assert process.applied == [] and "heartbeat_ms" in str(process.refused[0])
+    assert process.reloader.settings == before
+    process.look_twice()
+    assert len(process.refused) == 1  # one state of the file is refused once
+
+
+def test_a_file_without_what_the_program_needs_is_refused(process: Process) -> None:
+    process.replace(settings_text(listen_addrs__front=None))
+    process.reloader.reload()
+    assert process.applied == [] and "listen_addrs.front" in str(process.refused[0])
+
+
+def test_a_file_that_is_gone_changes_nothing_until_it_is_back(process: Process) -> None:
+    process.path.unlink()
+    process.look_twice()
+    assert process.refused == []
+    process.reloader.reload()
+    assert len(process.refused) == 1
+    process.replace(settings_text(seed_nodes="10.9.0.1:8146"))
+    process.look_twice()
+    assert len(process.applied) == 1
+
+
+def test_what_a_process_was_built_on_waits_for_its_next_start(process: Process) -> None:
+    process.replace(settings_text(seed_nodes="10.9.0.1:8146", listen_addrs__front="10.1.0.35:9999"))
+    process.reloader.reload()
+    assert process.waiting == [("front",)]
+    (settings,) = process.applied
+    assert str(settings.front) == "10.1.0.35:8144"
+    assert str(settings.seeds[0]) == "10.9.0.1:8146"
+
+
+def test_the_same_content_again_is_not_applied(process: Process) -> None:
+    process.replace(settings_text())
+    process.look_twice()
+    assert process.applied == [] and process.refused == []
--- /dev/null
+++ b/tests/observability/test_metrics.py
@@ -0,0 +1,88 @@
+"""Metrics: names and units, the text format, and what a gateway counts."""
+
+import subprocess
+import sys
+from pathlib import Path
+
+from prometheus_client.parser import text_string_to_metric_families
+
+from pewterring.admission.service import ServiceAdmission
+from pewterring.distribution.tables import Tables
+from pewterring.edge.metrics import GatewayMetrics, GatewayState, Limit
+from pewterring.observability.metrics import Family, render, single
+
+ROOT = Path(__file__).resolve().parents[2]
+OTHER_UNITS = ("_ms", "_milliseconds", "_kb", "_mb", "_minutes")
+
+
+def samples(text: bytes) -> dict[tuple[str, tuple[str, ...]], float]:
+    """Every sample by its name and labels' values."""
+    return {
+        (sample.name, tuple(sample.labels.values())): sample.value
+        for family in text_string_to_metric_families(text.decode())
+        for sample in family.samples
+    }
+
+
+def state(**admissions: ServiceAdmission) -> GatewayState:
+    return GatewayState(
+        ready=True,
+        requests_held=3,
+        client_connections=4,
+        worker_connections_made=5,
+        tables=Tables(),
+        tables_age_s=0.25,
+        admissions=admissions,
+    )
+
+
+def test_counters_and_gauges_are_written_with_their_kind() -> None:
+    text = render([single("a_total", "A.", 2), Family("b", "B.", {("x",): 1.5, ("y",): 0}, ("kind",))])
+    assert b"# TYPE a_total counter" in text and b"# TYPE b gauge" in text
+    found = samples(text)
+    assert found["a_total", ()] == 2 and found["b", ("x",)] == 1.5 and found["b", ("y",)] == 0
+
+
+def test_the_process_itself_is_measured() -> None:
+    found = samples(render([]))
+    assert found["process_resident_memory_bytes", ()] > 0
+    assert ("process_cpu_seconds_total", ()) in found
+
+
+def test_a_gateway_counts_each_limit() -> None:
+    metrics = GatewayMetrics()
+    for limit in Limit:
+        metrics.limited(limit)
+    metrics.limited(Limit.DEADLINE)
+    metrics.limited(None)
+    found = samples(render(metrics.families(state())))
+    name = "pewterring_gateway_limited_total"
+    assert found[name, ("deadline",)] == 2
+    assert all(found[name, (limit.value,)] == 1 for limit in Limit if limit is not Limit.DEADLINE)
+
+
+def test_a_refusal_by_admission_names_the_tighter_limit() -> None:
+    metrics = GatewayMetrics()
+    admission = ServiceAdmission(incarnation=1)
+    admission.rescale(0.0, slots=10, processes=1)
+    admission.ceiling.limit = 0.0
+    metrics.refused(admission)
+    found = samples(render(metrics.families(state(chat=admission))))
+    assert found["pewterring_gateway_limited_total", ("ceiling",)] == 1
+    assert found["pewterring_gateway_limited_total", ("share",)] == 0
+    assert found["pewterring_gateway_ceiling", ("chat",)] == 0
+
+
+def test_names_follow_the_formats_customs() -> None:
+    metrics = GatewayMetrics()
+    for family in metrics.families(state()):
+        assert family.name.startswith("pewterring_gateway_")
+        assert not family.name.endswith(OTHER_UNITS)
+        assert not family.name.removesuffix("_total").endswith(OTHER_UNITS)
+        assert family.help.endswith(".")
+
+
+def test_the_library_is_loaded_at_the_first_scrape_only() -> None:
+    look = "import sys; import pewterring.edge.metrics; print('prometheus_client' in sys.modules)"
+    done = subprocess.run([sys.executable, "-c", look], check=True, capture_output=True, text=True, cwd=ROOT)
+    assert done.stdout.strip() == "False"
--- a/tests/test_examples.py
+++ b/tests/test_examples.py
@@ -7,7 +7,10 @@
 from pathlib import Path
 
 from pewterring.config import load
+from pewterring.local import sample
+from pewterring.local.layout import DEFAULT_NETWORK, FRONT_PORT, Layout
 from pewterring.net.connection import read_address
+from pewterring.node.settings import read_report
 from tests.stand_ins import Caller, asking, run
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -57,3 +60,21 @@
     config = load(str(ROOT / "examples" / "config.json"), {})
     assert set(config.settings.classes) == {"read", "book", "pay"} and config.known is not None
     assert config.discovery is not None and config.transport.conn_idle == 15.0
+
+
+def test_the_tiers_examples_are_what_local_uses() -> None:
+    folder = ROOT / "examples" / "tier"
+    assert json.loads((folder / "job.json").read_text()) == sample.job()
+    assert json.loads((folder / "configuration.json").read_text()) == sample.configuration()
+    for program in ("gateway", "control", "store"):
+        report = read_report((folder / f"{program}.conf").read_text(), program)
+        assert report.unknown == ()
+
+
+def test_the_readmes_curl_lines_are_those_that_local_prints() -> None:
+    readme = (ROOT / "README.md").read_text()
+    layout = Layout(DEFAULT_NETWORK, ROOT)
+    front = f"{layout.of('gateway')[0].ip}:{FRONT_PORT}"
+    assert f"    {sample.stream_line(front)}\n" in readme
+    assert f"    {sample.job_line(front, 'examples/tier/job.json')}\n" in readme
+    assert f"cluster status --control {layout.control_addresses()[0]}" in readme
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -9,9 +9,9 @@
 # From the ground up: each may import those before it, and within itself.
 LAYERS = ["membership", "interface", "mail", "state", "admission", "choice", "settings", "log", "http", "net",
           "config", "wire", "drill", "gateway", "consensus", "storage", "transport", "node",
-          "configuration", "distribution", "registry", "routing", "control", "batch", "edge", "lab", "cli",
-          "__main__"]  # fmt: skip
-RUN_TIME = {"click", "orjson"}  # beside the standard library
+          "observability", "configuration", "distribution", "registry", "routing", "control", "batch", "edge",
+          "local", "lab", "cli", "__main__"]  # fmt: skip
+RUN_TIME = {"orjson"}  # beside the standard library
 # Libraries of the serving tier, for its parts alone.
 TIER = {
     "h11",
@@ -20,6 +20,7 @@
     "loguru",
     "marshmallow",
     "msgspec",
+    "prometheus_client",
     "returns",
     "sortedcontainers",
 }
@@ -28,6 +29,7 @@
     "storage",
     "transport",
     "node",
+    "observability",
     "configuration",
     "registry",
     "distribution",
@@ -35,9 +37,13 @@
     "control",
     "batch",
     "edge",
+    "local",
 ]
 # Of a part alone, never on the way of `serve`.
-EXTRAS = {"lab": {"hdrh", "matplotlib", "msgspec", "numpy", "tqdm"}, "cli": {"loguru", "msgspec", "tqdm"}}
+EXTRAS = {
+    "lab": {"hdrh", "matplotlib", "msgspec", "numpy", "tqdm"},
+    "cli": {"loguru", "marshmallow", "msgspec", "tqdm"},
+}
 EXTRAS |= dict.fromkeys(TIER_PARTS, TIER)
 
 
@@ -57,7 +63,7 @@
 
 
 def required(name: str) -> set[str]:
-    return {line.split("==")[0] for line in (ROOT / name).read_text().split()}
+    return {line.split("==")[0].replace("-", "_") for line in (ROOT / name).read_text().split()}
 
 
 def layer(name: str) -> int:
--- a/tests/test_tally.py
+++ b/tests/test_tally.py
@@ -5,11 +5,11 @@
 
 import orjson
 import pytest
-from click.testing import CliRunner
 
 from pewterring import interface as i
+from pewterring.__main__ import main
 from pewterring.choice import Gatekeeper
-from pewterring.cli.tally import read, tally, windows
+from pewterring.cli.tally import read, windows
 from pewterring.gateway.tally import Tally
 from pewterring.log import Log
 from tests.helpers import SERVERS, settings
@@ -30,7 +30,9 @@
     assert line["out"] == line["sent"]
 
 
-def test_lines_are_summed_over_gatekeepers_and_held_figures_are_not(tmp_path: Path) -> None:
+def test_lines_are_summed_over_gatekeepers_and_held_figures_are_not(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
     one = b'0.420 {"time":10.0,"event":"tally","sent":2,"limit":8.0,"out":1}\nnot a line\n' + orjson.dumps(
         {"time": 11.0, "event": "tally", "sent": 3, "limit": 10.0, "out": 2}
     )
@@ -41,12 +43,15 @@
     assert rows == [
         {"from_s": 0.0, "gatekeepers": 2, "sent": 10, "limit": 15.0, "out": 6.0},
     ]
-    done = CliRunner().invoke(tally, [str(tmp_path)])
-    assert done.exit_code == 0 and "sent" in done.output
+    assert main(["tally", str(tmp_path)]) == 0
+    assert "sent" in capsys.readouterr().out
 
 
 @pytest.mark.parametrize("arguments", [["--window", "0"], []])
-def test_logs_without_such_lines_and_wrong_windows_are_told(tmp_path: Path, arguments: list[str]) -> None:
+def test_logs_without_such_lines_and_wrong_windows_are_told(
+    tmp_path: Path, arguments: list[str], capsys: pytest.CaptureFixture[str]
+) -> None:
     (tmp_path / "a.log").write_text('{"time":1,"event":"started"}\n')
-    done = CliRunner().invoke(tally, [str(tmp_path), *arguments])
-    assert done.exit_code != 0 and ("window" in done.output or "ROUTER_TALLY_S" in done.output)
+    assert main(["tally", str(tmp_path), *arguments]) != 0
+    said = capsys.readouterr().err
+    assert "window" in said or "ROUTER_TALLY_S" in said
