--- a/pewterring/admission/service.py
+++ b/pewterring/admission/service.py
@@ -13,8 +13,9 @@
 from pewterring.admission.shares import LEASE_S
 from pewterring.mail import Beat, read_beat
 
-# Of the slots that no process has out, one gateway may take so much past its share; in large fleets as much as
-# so many gateways could take together. Symptom answered: a burst at one gateway refused while workers are idle.
+# Of the slots that no process has out, one gateway may take so much past its share; in large fleets as much
+# as so many gateways could take together. Symptom answered: a burst at one gateway is refused while workers
+# are idle.
 IDLE_LENT, IDLE_GATEWAYS = 0.25, 4.0
 
 
--- a/pewterring/edge/prompt_exchange.py
+++ b/pewterring/edge/prompt_exchange.py
@@ -40,9 +40,12 @@
         self._port.close()
 
     def tell(self, worker: WorkerState, tokens: int, prompt: Prompt) -> None:
-        """Tells of a prompt that takes longer to read than a request else takes to its first byte."""
+        """Tells of a prompt that takes, or would take, longer to read than a request else to its first byte.
+
+        Also where the worker keeps its parts: that the others know them as used lately.
+        """
         times = self._chooser.times_of(worker.record.service)
-        if tokens * times.per_token_s < times.base_s:
+        if prompt.prompt_tokens * times.per_token_s < times.base_s:
             return
         data = write_hint(hint_of(worker.record.id, tokens, prompt))
         others = [peer for peer in self.peers if peer != self._ip]
--- a/pewterring/routing/heartbeats.py
+++ b/pewterring/routing/heartbeats.py
@@ -18,7 +18,7 @@
 RELAY_PROGRAM = "gateway"
 IP_UDP_BYTES = 28  # headers of a datagram
 ALL_TO_ALL_BYTES_A_SECOND = 3000.0  # that one process may send for heartbeats to all
-RETURN_SHARE = 0.75  # of it, below which a fleet that has relays goes back to all to all
+RETURN_SHARE = 0.75  # of both limits, below which a fleet that has relays goes back to all to all
 RELAYED_BYTES_A_SECOND = 2000.0  # that a member may send and get for heartbeats by relays
 RELAYED_FLEET = 24  # processes; smaller fleets tell all: relays would halve no more than a few datagrams
 INCARNATION_BITS = 32
@@ -34,10 +34,9 @@
 
 def needs_relays(processes: int, heartbeat_bytes: int, has_relays: bool) -> bool:
     """Whether heartbeats of that size to all would take more than a process may send."""
-    if processes < RELAYED_FLEET:
-        return False
-    limit = ALL_TO_ALL_BYTES_A_SECOND * (RETURN_SHARE if has_relays else 1.0)
-    return (processes - 1) * (heartbeat_bytes + IP_UDP_BYTES) / BEAT_S > limit
+    scale = RETURN_SHARE if has_relays else 1.0
+    sent = (processes - 1) * (heartbeat_bytes + IP_UDP_BYTES) / BEAT_S
+    return processes >= RELAYED_FLEET * scale and sent > ALL_TO_ALL_BYTES_A_SECOND * scale
 
 
 def rounds_apart(heartbeat_bytes: int, services: int) -> int:
--- a/pewterring/routing/worker_state.py
+++ b/pewterring/routing/worker_state.py
@@ -85,10 +85,16 @@
         """Takes the seen over the expected time to a first byte."""
         self.slowness += (min(MOST_RATIO, ratio) - self.slowness) * SLOWNESS_WEIGHT
 
-    def failed(self, now: float) -> None:
-        """An attempt could not be sent or was cut: keeps requests away for a while, longer each time."""
-        pause = min(SUSPECT_MOST_S, SUSPECT_S * 2**self._failures)
+    def failed(self, now: float, certain: bool = True) -> None:
+        """An attempt ended badly: keeps requests away for a while, longer each time.
+
+        Not `certain`: one answer was cut or spoilt, which a worker that is well may do; only a second one
+        without a good answer between them counts.
+        """
         self._failures += 1
+        if not certain and self._failures < 2:
+            return
+        pause = min(SUSPECT_MOST_S, SUSPECT_S * 2 ** (self._failures - 1))
         self._suspect_until = now + pause
         self._kept.clear()  # a worker that fails may have restarted
         self._kept_tokens = 0
@@ -99,5 +105,7 @@
         self._suspect_until = -math.inf
 
     def suspect(self, now: float) -> bool:
-        """Whether a failure is recent."""
-        return now < self._suspect_until
+        """Whether a failure is recent, or one attempt is out that is to show whether it answers again."""
+        if self._suspect_until == -math.inf:
+            return False
+        return now < self._suspect_until or self.out > 0
--- /dev/null
+++ b/tests/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Admission without sockets."""
--- /dev/null
+++ b/tests/admission/relayed_fleet.py
@@ -0,0 +1,90 @@
+"""A fleet whose processes exchange heartbeats by relays, on a simulated network with a simulated clock."""
+
+from collections.abc import Callable, Collection
+
+from pewterring.admission.datagram import BATCH, GATEWAY, write_heartbeat
+from pewterring.admission.digests import Totals
+from pewterring.admission.relay_exchange import RelayExchange
+from pewterring.admission.relay_plan import RelayPlan, Speaker, make_plan
+from pewterring.admission.shares import BEAT_S
+from pewterring.mail import Beat, write_beat
+
+SERVICE = 7
+DELAY_S = 0.01
+
+
+class Process:
+    """One process: its exchange, and the totals that it was told last."""
+
+    def __init__(self, ip: str, kind: int, limit: float, out: int) -> None:
+        self.ip = ip
+        self.kind = kind
+        self.beat = Beat(1, 1, limit, out, 3.0, 2.0)
+        self.totals: dict[int, Totals] = {}
+        self.told_at = -1.0
+        self.now = 0.0
+        self.sent = 0
+        self.services = [SERVICE]
+        self.exchange = RelayExchange(ip, 1, self._hear)
+
+    def _hear(self, number: int, totals: Totals) -> None:
+        self.totals[number] = totals
+        self.told_at = self.now
+
+    def heartbeat(self) -> bytes:
+        """The datagram of this process's beats."""
+        return write_heartbeat(self.kind, dict.fromkeys(self.services, write_beat(self.beat)))
+
+
+class Fleet:
+    """Gateways, and one store, in zones; `is_cut` says which datagrams are lost."""
+
+    def __init__(self, gateways: int, zones: int = 4) -> None:
+        self.now = 0.0
+        self.zones = zones
+        self.is_cut: Callable[[str, str], bool] = lambda source, target: False
+        self.processes = {
+            f"10.0.{index // 256}.{index % 256}": Process(
+                f"10.0.{index // 256}.{index % 256}", GATEWAY, 100.0 + index, index % 4
+            )
+            for index in range(gateways)
+        }
+        self.processes["10.1.0.1"] = Process("10.1.0.1", BATCH, 5.0, 11)
+        self.dead: set[str] = set()
+        self.plan_without(())
+
+    def plan_without(self, gone: Collection[str]) -> RelayPlan:
+        """Gives all the plan of a table of nodes without those that are gone."""
+        plan = make_plan(
+            Speaker(process.ip, f"zone-{index % self.zones}", process.kind == GATEWAY)
+            for index, process in enumerate(self.processes.values())
+            if process.ip not in gone
+        )
+        for process in self.processes.values():
+            process.exchange.plan = plan
+        return plan
+
+    @property
+    def plan(self) -> RelayPlan:
+        """The plan that all hold."""
+        return self.processes["10.1.0.1"].exchange.plan
+
+    def live(self) -> list[Process]:
+        """All but the dead."""
+        return [process for process in self.processes.values() if process.ip not in self.dead]
+
+    def run(self, rounds: int) -> None:
+        """So many rounds, in which all send and what they sent arrives."""
+        for _ in range(rounds):
+            self.now += BEAT_S
+            datagrams = []
+            for process in self.live():
+                process.now = self.now
+                sent = process.exchange.round(self.now, process.heartbeat(), BEAT_S)
+                process.sent += len(sent)
+                datagrams += [(process.ip, target, data) for target, data in sent]
+            for source, target, data in datagrams:
+                if target not in self.dead and not self.is_cut(source, target):
+                    receiver = self.processes[target]
+                    receiver.now = self.now + DELAY_S
+                    receiver.exchange.receive(receiver.now, source, data)
--- /dev/null
+++ b/tests/routing/test_heartbeats.py
@@ -0,0 +1,132 @@
+"""When heartbeats go to all and when by relays, and both on sockets."""
+
+import asyncio
+from collections.abc import Callable
+
+import pytest
+
+from pewterring.admission.datagram import ENTRY_BYTES, GATEWAY, HEAD
+from pewterring.admission.digests import FLEET_ENTRY, Totals
+from pewterring.admission.digests import HEAD as DIGEST_HEAD
+from pewterring.admission.shares import BEAT_S
+from pewterring.distribution.messages import NodeRecord
+from pewterring.mail import Beat, write_beat
+from pewterring.routing.heartbeats import (
+    IP_UDP_BYTES,
+    RELAYED_BYTES_A_SECOND,
+    RELAYED_FLEET,
+    AdmissionHeartbeats,
+    needs_relays,
+    rounds_apart,
+)
+
+SERVICE = 5
+MAX_ROUNDS = 30
+
+
+def heartbeat_bytes(services: int) -> int:
+    return HEAD.size + services * ENTRY_BYTES
+
+
+@pytest.mark.parametrize("services", [1, 2, 5, 19, 40])
+def test_small_fleets_tell_all_and_large_ones_have_relays(services: int) -> None:
+    size = heartbeat_bytes(services)
+    assert not any(needs_relays(fleet, size, False) for fleet in range(1, RELAYED_FLEET))
+    assert all(needs_relays(fleet, size, False) for fleet in range(66, 500))
+
+
+@pytest.mark.parametrize("services", [1, 2, 5, 19, 40])
+def test_the_line_does_not_flap(services: int) -> None:
+    size = heartbeat_bytes(services)
+    first = next(fleet for fleet in range(1, 1000) if needs_relays(fleet, size, False))
+    assert not needs_relays(first - 1, size, False)
+    assert needs_relays(first - 2, size, True)
+    assert not needs_relays(first // 2, size, True)
+
+
+@pytest.mark.parametrize("services", [1, 2, 19, 40])
+def test_a_member_stays_in_its_budget(services: int) -> None:
+    size = heartbeat_bytes(services)
+    exchanged = size + DIGEST_HEAD.size + services * FLEET_ENTRY.size + 2 * IP_UDP_BYTES
+    period = rounds_apart(size, services) * BEAT_S
+    assert exchanged / period <= RELAYED_BYTES_A_SECOND
+    assert services > 2 or period == BEAT_S
+
+
+class Peers:
+    """Some processes on loopback addresses with one port."""
+
+    def __init__(self, count: int) -> None:
+        self.ips = [f"127.0.1.{index + 1}" for index in range(count)]
+        self.nodes = [NodeRecord(ip, "gateway", ip, "zone", "life") for ip in self.ips]
+        self.beats: dict[str, set[int]] = {ip: set() for ip in self.ips}
+        self.totals: dict[str, Totals] = {}
+        self.all: list[AdmissionHeartbeats] = []
+
+    async def start(self) -> None:
+        port = 0
+        for ip in self.ips:
+            peer = AdmissionHeartbeats(ip, port, GATEWAY, self._on_beat(ip), self._on_totals(ip))
+            await peer.start()
+            port = peer.port
+            self.all.append(peer)
+
+    def send(self) -> None:
+        beat = write_beat(Beat(1, 1, 8.0, 1, 1.0, 1.0))
+        for peer in self.all:
+            peer.send({SERVICE: beat}, self.nodes)
+
+    async def send_until(self, done: Callable[[], bool]) -> None:
+        """Sends rounds; a datagram on loopback is there at once; a pass of the loop reads one a socket."""
+        for _ in range(MAX_ROUNDS):
+            if done():
+                return
+            self.send()
+            for _ in self.ips:
+                await asyncio.sleep(0)
+        raise AssertionError("not done")
+
+    def close(self) -> None:
+        for peer in self.all:
+            peer.close()
+
+    def _on_beat(self, ip: str) -> Callable[[int, int, int, bytes], None]:
+        def hear(kind: int, peer: int, number: int, beat: bytes) -> None:
+            self.beats[ip].add(peer)
+
+        return hear
+
+    def _on_totals(self, ip: str) -> Callable[[int, Totals], None]:
+        def hear(number: int, totals: Totals) -> None:
+            self.totals[ip] = totals
+
+        return hear
+
+
+def test_a_small_fleet_hears_each_other() -> None:
+    async def scenario() -> None:
+        peers = Peers(4)
+        await peers.start()
+        await peers.send_until(lambda: all(len(heard) == 3 for heard in peers.beats.values()))
+        assert peers.totals == {}
+        peers.close()
+
+    asyncio.run(scenario())
+
+
+def test_a_large_fleet_hears_totals_and_no_single_beats() -> None:
+    async def scenario() -> None:
+        count = 40
+        peers = Peers(count)
+        await peers.start()
+        await peers.send_until(
+            lambda: (
+                len(peers.totals) == count
+                and all(totals.gateways == count for totals in peers.totals.values())
+            )
+        )
+        assert not any(peers.beats.values())
+        assert all(totals.out == count for totals in peers.totals.values())
+        peers.close()
+
+    asyncio.run(scenario())
