--- a/pewterring/edge/program.py
+++ b/pewterring/edge/program.py
@@ -18,7 +18,7 @@
 from pewterring.distribution.messages import FEED_MESSAGES, NodeRecord
 from pewterring.distribution.subscriber import FeedSubscriber
 from pewterring.distribution.tables import Tables
-from pewterring.edge.admissions import GATEWAY_PROGRAM, GatewayAdmissions
+from pewterring.edge.admissions import GatewayAdmissions
 from pewterring.edge.answers import Answer
 from pewterring.edge.batch_calls import BatchCalls, BatchRequest, is_batch_call
 from pewterring.edge.live import LiveContext, LiveRequest
@@ -27,6 +27,7 @@
 from pewterring.edge.stalls import LOOK_S, StallWatch
 from pewterring.node.settings import NodeSettings
 from pewterring.observability.metrics import CONTENT_TYPE, METRICS_PATH, render
+from pewterring.routing.admissions import GATEWAY_PROGRAM
 from pewterring.routing.chooser import WorkerChooser
 from pewterring.routing.heartbeats import AdmissionHeartbeats
 from pewterring.routing.prompt import read_prompt
