--- a/pewterring/admission/service.py
+++ b/pewterring/admission/service.py
@@ -83,10 +83,6 @@
         self.out += 1
         return True
 
-    def acquire_more(self) -> None:
-        """Takes a slot for a further attempt of a request that holds one; it is not refused by the share."""
-        self.out += 1
-
     def release(self) -> None:
         """Gives a slot back."""
         self.out -= 1
--- a/pewterring/distribution/tables.py
+++ b/pewterring/distribution/tables.py
@@ -1,7 +1,7 @@
 """What a node knows, as one immutable snapshot that is swapped whole."""
 
 from collections.abc import Mapping
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from types import MappingProxyType
 
 from pewterring.configuration.model import Configuration
@@ -27,7 +27,3 @@
     placements: tuple[PlacementRecord, ...] = ()
     groups: tuple[GroupStatus, ...] = ()
     controls: tuple[str, ...] = ()  # IPs
-
-    def with_versions(self, versions: TableVersions) -> "Tables":
-        """The same tables under other versions."""
-        return replace(self, versions=versions)
--- a/pewterring/edge/live.py
+++ b/pewterring/edge/live.py
@@ -31,7 +31,6 @@
 
 MAX_SENDS = 4  # tries that certainly did not run count here only
 RETRY_PAUSE_S = 0.01  # before a request goes elsewhere that no worker took
-BUFFERED_BYTES = 256 * 1024  # of an answer that is no stream: kept until it is whole
 LEAST_LEFT_S = 0.005  # with less time left nothing is begun
 PATIENCE = 1.5  # times the expected time to the first byte, before a worker's silence begins to count
 CLEAN_WAIT = 0.25  # of the expected time: with more waiting ahead a sample says little of the reading itself
@@ -91,7 +90,6 @@
         self._now = context.pool.now
         self._tried: set[str] = set()
         self._runs = 0  # attempts that may have run
-        self._events = 0  # events that the client has of this answer
         self._last_event_id: int | None = None
         self._begun = False
         self._failure: Failure | None = None
