An order is refused whose document not all readers would understand alike

Control took a document with a key twice in one object (parsers may take either value, and its digest equals that of another document), one with a raw line end inside a string (which became a blank before it was checked) and one with a form feed after it. Nesting over 254 levels ended as a 500 instead of a 4xx. The body is now checked as it came, by configuration/acceptance.py; `pewterring config check` says the same.

--- a/pewterring/cli/operator_configuration.py
+++ b/pewterring/cli/operator_configuration.py
@@ -8,7 +8,8 @@
 from marshmallow import fields, missing, validate
 
 from pewterring.cli.findings import Findings, nearest, unknown_key
-from pewterring.configuration.reader import configuration_faults, configuration_schema
+from pewterring.configuration.acceptance import document_faults
+from pewterring.configuration.reader import configuration_schema
 
 # Fields that operators send and nothing here reads.
 UNUSED_FIELDS = frozenset({"protocol", "tls", "kv_bytes", "link_mbps", "version", "adapters"})
@@ -18,7 +19,7 @@
 def check(path: Path) -> Findings:
     """All faults of a configuration, slips of keys included. Raises OSError."""
     document = path.read_bytes()
-    problems = [str(fault) for fault in configuration_faults(document)]
+    problems = [str(fault) for fault in document_faults(document)]
     unknown = dict(_unknown(_tree(document), _known()))
     problems += [unknown_key(at, meant) for at, meant in unknown.items() if meant]
     others = sum(not meant for meant in unknown.values())
--- a/pewterring/control/service.py
+++ b/pewterring/control/service.py
@@ -5,8 +5,8 @@
 
 import msgspec
 
-from pewterring.configuration.digest import as_line, digest_of
-from pewterring.configuration.reader import InvalidConfiguration, read_configuration
+from pewterring.configuration.acceptance import candidate
+from pewterring.configuration.reader import InvalidConfiguration
 from pewterring.control.calls import (
     DEREGISTER_PATH,
     HEARTBEAT_PATH,
@@ -107,16 +107,15 @@
     async def _replace(self, call: Call) -> Answer:
         if not call.base_version.isdecimal():
             return refusal(400, "Base-Version is not a number")
-        document = as_line(call.body)
         try:
-            configuration = read_configuration(document)
+            wanted = candidate(call.body)
         except InvalidConfiguration as error:
             return refusal(400, str(error))
         command = PutConfiguration(
             base=int(call.base_version),
-            version=configuration.version,
-            digest=digest_of(document),
-            document=msgspec.Raw(document),
+            version=wanted.version,
+            digest=wanted.digest,
+            document=msgspec.Raw(wanted.document),
         )
         result = await self._leadership.propose(command)
         if isinstance(result, Conflict):
--- /dev/null
+++ b/tests/configuration/test_acceptance.py
@@ -0,0 +1,133 @@
+"""What control takes from an operator, and that whatever it takes can be read back by all."""
+
+import msgspec
+import orjson
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from pewterring.configuration.acceptance import candidate, document_faults
+from pewterring.configuration.digest import digest_of
+from pewterring.configuration.reader import InvalidConfiguration, read_configuration
+from pewterring.control.commands import Accepted, PutConfiguration
+from pewterring.control.state import ControlState, encode_command
+from tests.configuration.documents import encoded, with_route
+
+
+def with_field(value: bytes) -> bytes:
+    """A valid configuration with one more field, that nothing reads."""
+    return encoded()[:-1] + b',"new":' + value + b"}"
+
+
+def nested(depth: int) -> bytes:
+    return b"[" * depth + b"]" * depth
+
+
+def test_a_document_is_kept_on_one_line_and_otherwise_as_it_came() -> None:
+    body = encoded().replace(b",", b",\r\n ")
+    wanted = candidate(body)
+    assert wanted.version == 7
+    assert wanted.document == body.replace(b"\r\n", b"  ")
+    assert wanted.digest == digest_of(body) == candidate(wanted.document).digest
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        encoded()[:-1] + b',"version":9}',
+        with_field(b'{"a":1,"a":2}'),
+        with_field(b'[{"a":1,"\\u0061":1}]'),  # the same key, written in another way
+    ],
+)
+def test_a_key_that_stands_twice_is_refused(body: bytes) -> None:
+    with pytest.raises(InvalidConfiguration, match="twice"):
+        candidate(body)
+
+
+@pytest.mark.parametrize("depth", [300, 1000, 1022, 5000])
+def test_nesting_that_not_all_decoders_follow_is_refused(depth: int) -> None:
+    with pytest.raises(InvalidConfiguration):
+        candidate(with_field(nested(depth)))
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        with_field(b'"a\nb"'),  # a line end inside a string is no JSON, and no blank either
+        with_field(b'"a\rb"'),
+        encoded() + b"\x0c",
+        encoded() + b"\x00",
+        encoded() + b" 1",
+        b"\xef\xbb\xbf" + encoded(),
+        with_field(b'"\xff"'),
+        with_field(b'"\\ud800"'),
+        with_field(b'{"\\ud800":1}'),
+        with_field(b"NaN"),
+        with_field(b"-Infinity"),
+        with_field(b"1e400"),
+        with_field(b"1" * 5000),
+        with_field(b"01"),
+        with_field(b"1."),
+    ],
+)
+def test_what_is_no_json_as_it_came_is_refused(body: bytes) -> None:
+    with pytest.raises(InvalidConfiguration):
+        candidate(body)
+
+
+def taken_everywhere(body: bytes) -> None:
+    """Puts a candidate through the log and a snapshot, and reads it as gateways do."""
+    wanted = candidate(body)
+    command = PutConfiguration(0, wanted.version, wanted.digest, msgspec.Raw(wanted.document))
+    state, restored = ControlState(), ControlState()
+    assert state.apply(1, encode_command(command)) == Accepted()
+    restored.restore(state.snapshot())
+    assert bytes(restored.document) == wanted.document
+    assert orjson.loads(wanted.document) == orjson.loads(body)
+    assert read_configuration(wanted.document).version == wanted.version
+    assert restored.apply(2, encode_command(command)) == Accepted(repeated=True)
+
+
+@pytest.mark.parametrize(
+    "value",
+    [b"-0", b"1e-400", b"1E+5", b'"\\u0000"', b'"\x7f"', '"\u2028"'.encode(), b"1" * 300, nested(200), b'""'],
+)
+def test_unusual_json_is_taken_and_read_back(value: bytes) -> None:
+    taken_everywhere(with_field(value))
+
+
+@pytest.mark.parametrize("version", [1, 2**53 + 1, 2**63, 2**64 - 1])
+def test_large_versions_are_taken_and_read_back(version: int) -> None:
+    taken_everywhere(encoded(version=version))
+
+
+def test_all_faults_of_a_document_are_told() -> None:
+    assert document_faults(encoded()) == []
+    assert len(document_faults(with_route(0, timeout_ms=0, hostname=None))) == 2
+    assert [str(fault) for fault in document_faults(with_field(b'{"a":1,"a":2}'))] == [
+        "the key 'a' stands twice in one object"
+    ]
+
+
+JSON = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers(-(2**63), 2**64 - 1)
+    | st.floats(allow_nan=False, allow_infinity=False)
+    | st.text(st.characters(exclude_categories=["Cs"])),
+    lambda inner: st.lists(inner) | st.dictionaries(st.text(st.characters(exclude_categories=["Cs"])), inner),
+    max_leaves=12,
+)
+
+
+@settings(max_examples=60, derandomize=True, database=None, deadline=None)
+@given(JSON, st.integers(0, 2000), st.binary(max_size=3))
+def test_each_body_is_refused_or_taken_whole(value: object, at: int, noise: bytes) -> None:
+    body = with_field(orjson.dumps(value))
+    taken_everywhere(body)
+    damaged = body[:at] + noise + body[at + len(noise) :]
+    try:
+        candidate(damaged)
+    except InvalidConfiguration:
+        return
+    taken_everywhere(damaged)
--- a/tests/control/test_service.py
+++ b/tests/control/test_service.py
@@ -129,6 +129,20 @@
     assert machine.proposals == 0
 
 
+@pytest.mark.parametrize(
+    "more",
+    [
+        b',"version":9}',  # two readers could take it for two versions
+        b',"new":"a\nb"}',  # a line end inside a string
+        b',"new":' + b"[" * 300 + b"]" * 300 + b"}",
+    ],
+)
+def test_a_document_that_readers_could_understand_differently_is_refused(more: bytes) -> None:
+    machine = Machine()
+    assert machine.replace(0, encoded()[:-1] + more) == 400
+    assert machine.proposals == 0
+
+
 def test_the_base_version_must_be_given() -> None:
     assert Machine().call("POST", "/v1/Config.Replace", encoded()).status == 400
 
