A version that is not above its Base-Version is refused, whatever was taken before

The current document sent again with its own version as Base-Version was acknowledged as a repeat, though such an order can never have been taken: its version is not above the one it builds on. It is 400 now. A Base-Version of thousands of digits, or of a number over 64 bits, ended as a 500; it is read with a bound.

--- a/pewterring/control/calls.py
+++ b/pewterring/control/calls.py
@@ -1,5 +1,6 @@
 """A call of the operator or a worker, and the answer, apart from how they are carried."""
 
+import re
 from dataclasses import dataclass, field
 
 import msgspec
@@ -12,6 +13,9 @@
 RETIRE_GET_PATH = "/v1/Retire.Get/"
 STATUS_PATH = "/v1/Tier.Status"
 
+# Versions have 20 digits at most (64 bits). Python refuses to convert numbers of thousands of digits.
+_VERSION = re.compile("0*([0-9]{1,20})")
+
 
 @dataclass(frozen=True, slots=True)
 class Call:
@@ -31,6 +35,12 @@
     body: bytes = b"{}"
 
 
+def read_base_version(text: str) -> int | None:
+    """The number in a `Base-Version` header, or None where there is none."""
+    match = _VERSION.fullmatch(text)
+    return int(match[1]) if match else None
+
+
 def refusal(status: int, reason: str) -> Answer:
     """An answer that is not 2xx and says why."""
     return Answer(status, msgspec.json.encode({"error": reason}))
--- a/pewterring/control/service.py
+++ b/pewterring/control/service.py
@@ -17,6 +17,7 @@
     STATUS_PATH,
     Answer,
     Call,
+    read_base_version,
     refusal,
 )
 from pewterring.control.commands import (
@@ -105,14 +106,17 @@
         return ACKNOWLEDGED
 
     async def _replace(self, call: Call) -> Answer:
-        if not call.base_version.isdecimal():
+        base = read_base_version(call.base_version)
+        if base is None:
             return refusal(400, "Base-Version is not a number")
         try:
             wanted = candidate(call.body)
         except InvalidConfiguration as error:
             return refusal(400, str(error))
+        if wanted.version <= base:  # never taken, so this repeats no order, also where the document was taken
+            return refusal(400, f"version: not above Base-Version {base}")
         command = PutConfiguration(
-            base=int(call.base_version),
+            base=base,
             version=wanted.version,
             digest=wanted.digest,
             document=msgspec.Raw(wanted.document),
--- a/tests/control/test_service.py
+++ b/tests/control/test_service.py
@@ -143,8 +143,31 @@
     assert machine.proposals == 0
 
 
-def test_the_base_version_must_be_given() -> None:
-    assert Machine().call("POST", "/v1/Config.Replace", encoded()).status == 400
+@pytest.mark.parametrize(
+    "text", ["", "-1", "+0", "0x0", "0.0", "1e0", "0 0", "0,0", "\u00b2", "None", "1" * 21]
+)
+def test_a_base_version_is_a_number(text: str) -> None:
+    machine = Machine()
+    assert machine.call("POST", "/v1/Config.Replace", encoded()).status == 400
+    body, headers = encoded(), {"base_version": text}
+    assert machine.call("POST", "/v1/Config.Replace", body, **headers).status == 400
+    assert machine.proposals == 0
+
+
+def test_a_base_version_may_have_blanks_around_it_and_leading_zeros() -> None:
+    for text in (" 0 ", "000", "0" * 5000):
+        assert Machine().call("POST", "/v1/Config.Replace", encoded(), base_version=text).status == 200
+
+
+@pytest.mark.parametrize("base", [7, 8, 2**63, 10**19, 10**20 - 1, "9" * 5000])
+def test_a_version_that_is_not_above_its_base_is_refused(base: object) -> None:
+    machine = Machine()
+    assert machine.replace(0, encoded(version=7)) == 200
+    assert (
+        machine.call("POST", "/v1/Config.Replace", encoded(version=7), base_version=str(base)).status == 400
+    )
+    assert machine.proposals == 1
+    assert machine.replace(0, encoded(version=7)) == 200
 
 
 def test_an_unknown_path_or_method_is_refused() -> None:
