--- a/pewterring/control/commands.py
+++ b/pewterring/control/commands.py
@@ -79,4 +79,9 @@
     current: int
 
 
-Result = Accepted | Conflict | NotAbove
+@dataclass(frozen=True, slots=True)
+class Untold:
+    """The configuration is so old that whether it was taken is no longer known."""
+
+
+Result = Accepted | Conflict | NotAbove | Untold
--- a/pewterring/control/service.py
+++ b/pewterring/control/service.py
@@ -28,6 +28,7 @@
     PutWorker,
     RemoveWorkers,
     Result,
+    Untold,
 )
 from pewterring.control.retiring import RetirementDesk, RetirementRefused
 from pewterring.control.state import ControlState
@@ -126,6 +127,8 @@
             return refusal(412, f"version {result.current} is current")
         if isinstance(result, NotAbove):
             return refusal(400, f"version: not above {result.current}")
+        if isinstance(result, Untold):
+            return refusal(503, "too old to tell whether it was taken")
         return ACKNOWLEDGED
 
     async def _read(self) -> Answer:
--- a/pewterring/control/state.py
+++ b/pewterring/control/state.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Mapping, Set
 from dataclasses import dataclass, field
+from itertools import islice
 from typing import Any
 
 import msgspec
@@ -19,11 +20,14 @@
     RemoveWorkers,
     Result,
     SetRetiring,
+    Untold,
 )
 from pewterring.distribution.messages import NodeRecord, PlacementRecord, WorkerRecord
 from pewterring.registry.heartbeats import DRAINING
 
-REMEMBERED_VERSIONS = 2048  # digests kept of configurations that were taken
+REMEMBERED_VERSIONS = (
+    2048  # digests kept of configurations that were taken; an older order gets no clear answer
+)
 REMEMBERED_DEPARTURES = 8192  # ids of workers kept after they left for good
 STORE = "store"  # program of nodes that keep batch partitions
 NO_DOCUMENT = msgspec.Raw(b"null")
@@ -53,6 +57,7 @@
     stores: tuple[NodeRecord, ...]
     placements: tuple[PlacementRecord, ...]
     retirements: tuple[Retirement, ...]
+    forgotten: int = 0  # the newest version that was taken and whose digest is no longer kept
 
 
 @dataclass(slots=True)
@@ -83,6 +88,7 @@
         self.document = NO_DOCUMENT
         self._on_change = on_change
         self._taken: dict[int, str] = {}
+        self._forgotten = 0
         self._workers: dict[str, WorkerRecord] = {}
         self._by_address: dict[str, str] = {}
         self._departed: dict[str, None] = {}
@@ -164,6 +170,7 @@
                 stores=tuple(self._stores.values()),
                 placements=tuple(self._placements.values()),
                 retirements=tuple(self._retirements.values()),
+                forgotten=self._forgotten,
             )
         )
 
@@ -177,6 +184,7 @@
         self.version = snapshot.version
         self.document = snapshot.document.copy()
         self._taken = dict(snapshot.taken)
+        self._forgotten = snapshot.forgotten
         _refill(self._workers, {worker.id: worker for worker in snapshot.workers})
         self._by_address = {worker.address: worker.id for worker in snapshot.workers}
         _refill(self._departed, dict.fromkeys(snapshot.departed))
@@ -193,6 +201,8 @@
     def _put_configuration(self, command: PutConfiguration) -> Result:
         if self._taken.get(command.version) == command.digest:
             return Accepted(repeated=True)
+        if command.version <= self._forgotten:  # it may have been taken: a refusal could be wrong
+            return Untold()
         if command.base != self.version:
             return Conflict(self.version)
         if command.version <= self.version:
@@ -200,7 +210,7 @@
         self.version = command.version
         self.document = command.document.copy()
         self._taken[command.version] = command.digest
-        _drop_oldest(self._taken, REMEMBERED_VERSIONS)
+        self._forgotten = max((self._forgotten, *_drop_oldest(self._taken, REMEMBERED_VERSIONS)))
         self._changes.configuration = True
         return Accepted()
 
@@ -280,6 +290,9 @@
     target.update(content)
 
 
-def _drop_oldest(target: dict[Any, Any], limit: int) -> None:
-    while len(target) > limit:
-        del target[next(iter(target))]
+def _drop_oldest(target: dict[Any, Any], limit: int) -> list[Any]:
+    """Removes entries until the limit is kept; returns their keys."""
+    dropped = list(islice(target, max(0, len(target) - limit)))
+    for key in dropped:
+        del target[key]
+    return dropped
--- a/tests/control/test_service.py
+++ b/tests/control/test_service.py
@@ -170,6 +170,16 @@
     assert machine.replace(0, encoded(version=7)) == 200
 
 
+def test_an_order_too_old_to_be_remembered_gets_no_clear_answer(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("pewterring.control.state.REMEMBERED_VERSIONS", 2)
+    machine = Machine()
+    for version in (1, 2, 3):
+        assert machine.replace(version - 1, encoded(version=version)) == 200
+    assert machine.replace(0, encoded(version=1)) == 503
+    assert machine.replace(1, encoded(version=2)) == 200
+    assert machine.replace(0, encoded(version=2, limits={})) == 412
+
+
 def test_an_unknown_path_or_method_is_refused() -> None:
     machine = Machine()
     assert machine.call("GET", "/v1/Other").status == 404
--- a/tests/control/test_state.py
+++ b/tests/control/test_state.py
@@ -16,6 +16,7 @@
     PutWorker,
     RemoveWorkers,
     SetRetiring,
+    Untold,
 )
 from pewterring.control.state import ControlState, InvalidSnapshot
 from pewterring.distribution.messages import PlacementRecord
@@ -56,6 +57,37 @@
     assert apply(restored, first) == Accepted(repeated=True)
 
 
+def test_a_configuration_too_old_to_be_remembered_is_neither_taken_nor_refused(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr("pewterring.control.state.REMEMBERED_VERSIONS", 3)
+    state = ControlState()
+    orders = [put(base, base + 2) for base in range(0, 10, 2)]
+    for order in orders:
+        assert apply(state, order) == Accepted()
+    restored = ControlState()
+    restored.restore(state.snapshot())
+    for each in (state, restored):
+        for order in orders[:2]:
+            assert apply(each, order) == Untold()
+        for order in orders[2:]:
+            assert apply(each, order) == Accepted(repeated=True)
+        assert apply(each, put(2, 4, limits={})) == Untold()
+        assert apply(each, put(4, 5)) == Conflict(10)
+        assert apply(each, put(10, 8, limits={})) == NotAbove(10)
+        assert each.version == 10
+
+
+def test_a_snapshot_of_before_versions_were_forgotten_is_read() -> None:
+    state, restored = ControlState(), ControlState()
+    apply(state, put(0, 5))
+    older = msgspec.json.decode(state.snapshot())
+    del older["forgotten"]
+    restored.restore(msgspec.json.encode(older))
+    assert apply(restored, put(0, 5)) == Accepted(repeated=True)
+    assert restored.snapshot() == state.snapshot()
+
+
 def test_changes_are_told_once() -> None:
     state = ControlState()
     apply(state, put(0, 5))
