--- a/pewterring/control/commands.py
+++ b/pewterring/control/commands.py
@@ -1,4 +1,9 @@
-"""Commands of the control group's log, as JSON (msgspec structs tagged by class name), and their results."""
+"""Commands of the control group's log, as JSON (msgspec structs tagged by class name), and their results.
+
+A member that meets a command or a field that it doesn't know must stop: going on without it would let the
+members' states drift apart. Whoever adds a field to a record within a command therefore adds one to the
+command as well, or a new command: records, which the feed shares, are read leniently.
+"""
 
 from dataclasses import dataclass
 
@@ -7,7 +12,11 @@
 from pewterring.distribution.messages import NodeRecord, PlacementRecord, WorkerRecord
 
 
-class PutConfiguration(msgspec.Struct, frozen=True, tag=True):
+class _Command(msgspec.Struct, frozen=True, tag=True, forbid_unknown_fields=True):
+    """What all commands have in common."""
+
+
+class PutConfiguration(_Command, frozen=True):
     """Puts a checked configuration on top of version `base`. `digest` identifies the document."""
 
     base: int
@@ -16,40 +25,40 @@
     document: msgspec.Raw
 
 
-class PutWorker(msgspec.Struct, frozen=True, tag=True):
+class PutWorker(_Command, frozen=True):
     """Adds or changes a worker; others at the same address go."""
 
     worker: WorkerRecord
 
 
-class RemoveWorkers(msgspec.Struct, frozen=True, tag=True):
+class RemoveWorkers(_Command, frozen=True):
     """Removes workers. With `for_good` their ids never come back, also not by a late heartbeat."""
 
     ids: tuple[str, ...]
     for_good: bool = False
 
 
-class PutNodes(msgspec.Struct, frozen=True, tag=True):
+class PutNodes(_Command, frozen=True):
     """Adds, changes and removes processes of the tier."""
 
     nodes: tuple[NodeRecord, ...] = ()
     gone: tuple[str, ...] = ()  # node ids
 
 
-class CreateGroup(msgspec.Struct, frozen=True, tag=True):
+class CreateGroup(_Command, frozen=True):
     """Places a batch partition, unless it has been placed."""
 
     placement: PlacementRecord
 
 
-class SetRetiring(msgspec.Struct, frozen=True, tag=True):
+class SetRetiring(_Command, frozen=True):
     """Marks a store as to be emptied."""
 
     node_id: str
     member: str
 
 
-class EndRetirement(msgspec.Struct, frozen=True, tag=True):
+class EndRetirement(_Command, frozen=True):
     """Notes that a retiring store holds nothing any more."""
 
     node_id: str
--- a/pewterring/control/state.py
+++ b/pewterring/control/state.py
@@ -34,10 +34,14 @@
 
 
 class InvalidSnapshot(Exception):
-    """The bytes are not a snapshot of the control state."""
+    """The bytes are not a snapshot of the control state, or one of a later version."""
 
 
-class Retirement(msgspec.Struct, frozen=True):
+class InvalidCommand(Exception):
+    """An entry of the log is not a command, or one of a later version."""
+
+
+class Retirement(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """A store that is to be emptied."""
 
     node_id: str
@@ -45,7 +49,7 @@
     ended: bool = False
 
 
-class Snapshot(msgspec.Struct, frozen=True):
+class Snapshot(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """The whole state, as JSON."""
 
     version: int
@@ -73,6 +77,11 @@
 _commands: msgspec.json.Decoder[Command] = msgspec.json.Decoder(Command)
 _snapshots = msgspec.json.Decoder(Snapshot)
 _encoder = msgspec.json.Encoder()
+_UNDECODABLE = (
+    msgspec.MsgspecError,
+    ValueError,
+    RecursionError,
+)  # what the decoder raises, also for bad UTF-8
 
 
 def encode_command(command: Command) -> bytes:
@@ -150,8 +159,8 @@
         return changes
 
     def apply(self, index: int, data: bytes) -> Result:
-        """Applies one committed command; `index` is its place in the log."""
-        command = _commands.decode(data)
+        """Applies one committed command; `index` is its place in the log. Raises `InvalidCommand`."""
+        command = _decode_command(index, data)
         result = self._handlers[type(command)](command)
         if self._on_change is not None:
             self._on_change()
@@ -175,11 +184,8 @@
         )
 
     def restore(self, data: bytes) -> None:
-        """Takes the state from a snapshot; raises `InvalidSnapshot`."""
-        try:
-            snapshot = _snapshots.decode(data)
-        except msgspec.MsgspecError as error:
-            raise InvalidSnapshot(str(error)) from error
+        """Takes the state from a snapshot; raises `InvalidSnapshot` and keeps the state as it was."""
+        snapshot = _decode_snapshot(data)
         replaced_workers = set(self._workers)
         self.version = snapshot.version
         self.document = snapshot.document.copy()
@@ -285,6 +291,22 @@
         return Accepted()
 
 
+def _decode_command(index: int, data: bytes) -> Command:
+    try:
+        return _commands.decode(data)
+    except _UNDECODABLE as error:
+        raise InvalidCommand(
+            f"entry {index} of the log is no command that this version knows: {error}"
+        ) from error
+
+
+def _decode_snapshot(data: bytes) -> Snapshot:
+    try:
+        return _snapshots.decode(data)
+    except _UNDECODABLE as error:
+        raise InvalidSnapshot(f"the snapshot is none that this version knows: {error}") from error
+
+
 def _refill(target: dict[Any, Any], content: dict[Any, Any]) -> None:
     target.clear()
     target.update(content)
