A retirement is judged by reports of leaders that must know of it

A report counted 1.0 s after the retirement was committed, but a store's leader plans members with tables that were confirmed up to 0.75 of the shorter of config_ms and drain_ms before (1.5 s of 2.0). A report made in between could end the retirement of a spare store that the same leader then made a voter; its machine was taken away without counting as a loss. The wait is now the shorter of the two bounds, from the settings.

Test: tests/control/test_duties.py::test_a_report_of_a_leader_that_may_not_know_of_the_retirement_does_not_end_it fails with the wait of 1.0 s.

--- a/pewterring/control/duties.py
+++ b/pewterring/control/duties.py
@@ -26,7 +26,6 @@
 from pewterring.registry.workers import WorkerRegistry
 
 PLACEMENT_S = 1.0  # after the first store was seen, stores in different zones are no longer waited for
-REPORT_S = 1.0  # a retirement is judged by reports that came so long after it was committed
 
 
 class LeaderDuties:
@@ -41,7 +40,11 @@
         desk: RetirementDesk,
         planner: MembershipPlanner,
         needed_stores: int,
+        report_s: float,
     ) -> None:
+        """`report_s`: a retirement is judged by reports that came so long after it was committed. It is no
+        shorter than a store's leader plans with tables that were not confirmed; before, such a leader may
+        not know of the retirement and make a voter of the very store."""
         self._state = state
         self._nodes = nodes
         self._registry = registry
@@ -49,6 +52,7 @@
         self._desk = desk
         self._planner = planner
         self._needed = needed_stores
+        self._report_s = report_s
         self._first_store_seen: float | None = None
         self._retiring_since: dict[str, float] = {}
 
@@ -102,7 +106,7 @@
             if retirement.ended:
                 continue
             since = self._retiring_since.setdefault(node_id, now)
-            reports = self._publisher.reports_since(since + REPORT_S)
+            reports = self._publisher.reports_since(since + self._report_s)
             if is_emptied(retirement, self._state.placements.values(), reports, self._needed):
                 yield EndRetirement(node_id)
 
--- a/pewterring/control/program.py
+++ b/pewterring/control/program.py
@@ -84,7 +84,17 @@
         registry = WorkerRegistry(self._state.workers, self._state.departed, settings.heartbeat_s)
         desk = RetirementDesk(self._state, nodes, self._leadership.propose, needed)
         self._planner = MembershipPlanner(self._member, needed)
-        self._duties = LeaderDuties(self._state, nodes, registry, publisher, desk, self._planner, needed)
+        bounds = settings.bounds
+        self._duties = LeaderDuties(
+            self._state,
+            nodes,
+            registry,
+            publisher,
+            desk,
+            self._planner,
+            needed,
+            report_s=min(bounds.config_s, bounds.drain_s),
+        )
         self._runner = DutyRunner(self._duties, self._planner, self._group, self._leadership)
         self._feed = FeedServer(publisher, nodes, self._leadership, codec, self._leader_ip, self._clock)
         service = ControlService(self._state, registry, desk, self._leadership, self._clock)
--- a/tests/control/test_duties.py
+++ b/tests/control/test_duties.py
@@ -14,6 +14,7 @@
 
 MEMBERSHIP = Membership(("10.0.0.1#seed",))
 STEP_S = 0.25
+REPORT_S = 2.0
 
 
 class Leader:
@@ -28,7 +29,9 @@
         registry = WorkerRegistry(self.state.workers, self.state.departed, 1.0)
         desk = RetirementDesk(self.state, self.nodes, self.propose, 3)
         planner = MembershipPlanner(MEMBERSHIP.voters[0], 3)
-        self.duties = LeaderDuties(self.state, self.nodes, registry, self.publisher, desk, planner, 3)
+        self.duties = LeaderDuties(
+            self.state, self.nodes, registry, self.publisher, desk, planner, 3, REPORT_S
+        )
         self.duties.start(self.now, 1, MEMBERSHIP)
 
     async def propose(self, command: Command) -> Result:
@@ -102,3 +105,16 @@
     assert leader.run(1.0) == []
     leader.publisher.report(leader.now, status(stores[1:], commit=7))
     assert leader.run(1.0) == [EndRetirement("store-1")]
+
+
+def test_a_report_of_a_leader_that_may_not_know_of_the_retirement_does_not_end_it() -> None:
+    """A store that is spare is in no report. Its leader could still make a voter of it."""
+    stores = [store(number) for number in (1, 2, 3, 4)]
+    leader = Leader(*stores)
+    leader.run(1.0)
+    apply(leader.state, SetRetiring("store-4", stores[3].member))
+    leader.run(REPORT_S)
+    leader.publisher.report(leader.now - STEP_S, status(stores[:3], commit=5))
+    assert leader.run(1.0) == []
+    leader.publisher.report(leader.now, status(stores[:3], commit=5))
+    assert leader.run(1.0) == [EndRetirement("store-4")]
