A store's leader reports nobody as complete while a change of members is not committed

The report named the membership in force, which the leader takes as soon as it has appended the change. A retirement could be answered 'succeeded' by a removal that only the leader's log had. With the machine taken away and the leader lost after that, the two that remained counted themselves among four voters. The report is complete only once the change is committed, by a majority of the new voters.

Test: tests/batch/test_status.py; its first test fails without the check.

--- a/pewterring/batch/partition.py
+++ b/pewterring/batch/partition.py
@@ -107,21 +107,7 @@
 
     def status(self) -> GroupStatus | None:
         """What the leader reports of the group; None elsewhere."""
-        group = self.group
-        if not group.is_leader or not group.has_lease(self._parts.clock()):
-            return None
-        membership = group.membership
-        commit = group.commit_index
-        complete = tuple(voter for voter in membership.voters if group.match(voter) >= commit)
-        return GroupStatus(
-            group=self.name,
-            term=group.term,
-            commit=commit,
-            leader=self._parts.member,
-            voters=membership.voters,
-            learners=membership.learners,
-            complete=complete,
-        )
+        return status_of(self.group, self._parts.clock())
 
     async def manage_members(self) -> None:
         """Makes the next change of members, if one is due and this store leads."""
@@ -151,3 +137,28 @@
     def _tables_are_fresh(self, now: float) -> bool:
         bounds = self._parts.settings.bounds
         return self._parts.confirmed_age(now) < FRESH_PART * min(bounds.config_s, bounds.drain_s)
+
+
+def status_of(group: ReplicatedGroup, now: float) -> GroupStatus | None:
+    """What the leader reports of its group; None elsewhere.
+
+    While a change of members is not committed nobody counts as complete. A later leader may take the change
+    back, and a member that was to leave is needed then: a machine that was removed on the word of such a
+    report, with the loss of one more, left a group of four with two.
+    """
+    if not group.is_leader or not group.has_lease(now):
+        return None
+    membership = group.membership
+    commit = group.commit_index
+    complete: tuple[str, ...] = ()
+    if group.membership_is_committed:
+        complete = tuple(voter for voter in membership.voters if group.match(voter) >= commit)
+    return GroupStatus(
+        group=group.group,
+        term=group.term,
+        commit=commit,
+        leader=group.member,
+        voters=membership.voters,
+        learners=membership.learners,
+        complete=complete,
+    )
--- a/pewterring/consensus/group.py
+++ b/pewterring/consensus/group.py
@@ -167,6 +167,11 @@
         """The membership in force, which may not be committed yet."""
         return self._raft.membership if self._raft is not None else Membership(voters=())
 
+    @property
+    def membership_is_committed(self) -> bool:
+        """Whether the membership in force can no longer be taken back."""
+        return self._raft is not None and self._raft.membership_is_committed
+
     def match(self, member: str) -> int:
         """Up to which index `member` has the log on disk, as far as this leader knows; 0 elsewhere."""
         return self._raft.match(member) if self._raft is not None else 0
--- a/pewterring/consensus/raft.py
+++ b/pewterring/consensus/raft.py
@@ -90,6 +90,11 @@
         """The membership in force, which may not be committed yet."""
         return self._state.members.current
 
+    @property
+    def membership_is_committed(self) -> bool:
+        """Whether the membership in force can no longer be taken back."""
+        return self._state.members.last_change <= self._state.commit_index
+
     @property
     def installing(self) -> bool:
         """Whether a received snapshot is not on disk yet."""
--- /dev/null
+++ b/tests/batch/test_status.py
@@ -0,0 +1,66 @@
+"""What a partition's leader reports while its members change."""
+
+import asyncio
+
+from pewterring.batch.partition import status_of
+from pewterring.consensus.messages import Membership
+from pewterring.control.state import Retirement
+from pewterring.control.stores import is_emptied
+from pewterring.distribution.messages import GroupStatus, PlacementRecord
+from tests.batch.virtual_cluster import NAMES, Points, Store, VirtualCluster
+from tests.consensus.virtual_time import run
+
+PLACEMENT = PlacementRecord("batch-0", NAMES)
+ENOUGH = 2  # voters that are to hold all, once the third has left
+
+
+async def leader_with_lease(cluster: VirtualCluster) -> Store:
+    async with asyncio.timeout(10.0):
+        while True:
+            leader = cluster.leader()
+            if leader is not None and status_of(leader.group, asyncio.get_running_loop().time()):
+                return leader
+            await asyncio.sleep(0.01)
+
+
+def report(store: Store) -> GroupStatus | None:
+    return status_of(store.group, asyncio.get_running_loop().time())
+
+
+def test_a_store_is_not_emptied_before_its_leaving_is_committed() -> None:
+    """A later leader may take the change back, and needs the member then."""
+
+    async def scenario() -> None:
+        cluster = VirtualCluster(Points())
+        await cluster.start()
+        leader = await leader_with_lease(cluster)
+        stays, leaves = (name for name in NAMES if name != leader.name)
+        retirement = Retirement("node", leaves)
+        cluster.cut |= {stays, leaves}
+        removal = asyncio.ensure_future(leader.group.change_membership(Membership((leader.name, stays))))
+        await asyncio.sleep(0.05)
+        early = report(leader)
+        assert early is not None, "the lease still holds"
+        assert leaves not in early.voters
+        assert not is_emptied(retirement, [PLACEMENT], {"batch-0": early}, ENOUGH)
+        cluster.cut.clear()
+        await removal
+        await asyncio.sleep(0.2)
+        late = report(leader)
+        assert late is not None
+        assert set(late.complete) == {leader.name, stays}
+        assert is_emptied(retirement, [PLACEMENT], {"batch-0": late}, ENOUGH)
+        await cluster.stop()
+
+    run(scenario())
+
+
+def test_a_member_that_does_not_lead_reports_nothing() -> None:
+    async def scenario() -> None:
+        cluster = VirtualCluster(Points())
+        await cluster.start()
+        leader = await leader_with_lease(cluster)
+        assert [store.name for store in cluster.stores.values() if report(store)] == [leader.name]
+        await cluster.stop()
+
+    run(scenario())
