--- a/pewterring/consensus/following.py
+++ b/pewterring/consensus/following.py
@@ -6,6 +6,7 @@
 from pewterring.consensus.log import Log
 from pewterring.consensus.messages import AppendReply, AppendRequest, Entry, SnapshotPart, SnapshotReply
 from pewterring.consensus.state import MemberState
+from pewterring.consensus.transfer import SnapshotAssembly
 from pewterring.consensus.types import Role, Snapshot
 
 
@@ -52,31 +53,6 @@
     return Placement(fresh[-1].index, first, fresh)
 
 
-class SnapshotAssembly:
-    """Puts the parts of one snapshot together."""
-
-    def __init__(self) -> None:
-        self._of: tuple[int, int] | None = None
-        self._data = bytearray()
-
-    def add(self, part: SnapshotPart) -> int:
-        """Takes a part and returns how many bytes of its snapshot are there."""
-        of = (part.last_index, part.last_term)
-        if of != self._of or part.offset == 0:
-            self._of = of
-            self._data = bytearray()
-        if part.offset == len(self._data):
-            self._data += part.data
-        return len(self._data)
-
-    def finish(self, part: SnapshotPart) -> Snapshot:
-        """The whole snapshot, whose last part was added; starts afresh."""
-        snapshot = Snapshot(part.last_index, part.last_term, part.membership, bytes(self._data))
-        self._of = None
-        self._data = bytearray()
-        return snapshot
-
-
 class Following:
     """The part of a member that takes a leader's messages."""
 
@@ -138,12 +114,20 @@
             self._reply_snapshot(part, 0, round_number=0)
             return
         self._hear_leader(now, part)
-        received = part.total
-        if part.last_index > self._state.commit_index:
-            received = self._assembly.add(part)
-            if received >= part.total:
-                self._install(self._assembly.finish(part))
-        self._reply_snapshot(part, received, part.round)
+        self._reply_snapshot(part, self._take_part(part), part.round)
+
+    def _take_part(self, part: SnapshotPart) -> int:
+        """How many bytes of the part's snapshot are there; all where it is needed no more."""
+        if part.last_index <= self._state.commit_index:
+            return part.total
+        received = self._assembly.add(part)
+        if received < part.total:
+            return received
+        snapshot = self._assembly.take_whole(part)
+        if snapshot is None:
+            return 0
+        self._install(snapshot)
+        return part.total
 
     def _install(self, snapshot: Snapshot) -> None:
         state = self._state
--- a/pewterring/consensus/leading.py
+++ b/pewterring/consensus/leading.py
@@ -176,3 +176,7 @@
     def oldest_snapshot(self) -> int | None:
         """The index of the oldest snapshot being sent."""
         return self._replication.oldest_snapshot()
+
+    def compacted(self) -> None:
+        """The log forgot entries that a snapshot covers."""
+        self._replication.compacted()
--- a/pewterring/consensus/log.py
+++ b/pewterring/consensus/log.py
@@ -32,6 +32,16 @@
         """Term of the last entry, or the base's."""
         return self._entries[-1].term if self._entries else self.base_term
 
+    @property
+    def size_bytes(self) -> int:
+        """Bytes of the entries, about."""
+        return self.bytes_after(self.base_index)
+
+    def bytes_after(self, index: int) -> int:
+        """Bytes of the entries after `index`, about."""
+        start = max(0, index - self.base_index)
+        return sum(entry_size(entry) for entry in self._entries[start:])
+
     def term_at(self, index: int) -> int | None:
         """The term of the entry at `index`; None where it is not kept or not there yet."""
         offset = index - self.base_index
--- a/pewterring/consensus/messages.py
+++ b/pewterring/consensus/messages.py
@@ -73,13 +73,17 @@
 
 
 class SnapshotPart(Message, frozen=True, tag=True, kw_only=True):
-    """One piece of a snapshot: `data` is base64 of bytes from `offset`; `total` is its size in bytes."""
+    """One piece of a snapshot: `data` is base64 of bytes from `offset`; `total` is its size in bytes.
+
+    `checksum` is the CRC-32 of all of it.
+    """
 
     last_index: int
     last_term: int
     membership: Membership
     offset: int
     total: int
+    checksum: int
     data: bytes
     round: int
 
--- a/pewterring/consensus/raft.py
+++ b/pewterring/consensus/raft.py
@@ -248,4 +248,7 @@
         sending = self._leading.oldest_snapshot() if self._leading is not None else None
         index = snapshot.index if sending is None else min(snapshot.index, sending)
         state.log.compact(index, state.limits.kept_bytes)
+        state.log.compact(snapshot.index, state.limits.kept_for_snapshots_bytes)
         state.members.compact(state.log.base_index)
+        if self._leading is not None:
+            self._leading.compacted()
--- a/pewterring/consensus/replication.py
+++ b/pewterring/consensus/replication.py
@@ -4,11 +4,11 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from enum import Enum
-from math import inf
 
 from pewterring.consensus.errors import InvariantBroken
 from pewterring.consensus.log import Log
 from pewterring.consensus.messages import AppendReply, AppendRequest, Entry, SnapshotPart, SnapshotReply
+from pewterring.consensus.transfer import SnapshotTransfer
 from pewterring.consensus.types import RaftLimits, Snapshot
 
 
@@ -28,12 +28,10 @@
     next_index: int
     match: int = 0  # entries up to here are on its disk
     flow: Flow = Flow.PROBE
-    waiting: bool = False  # a probe or a part of the snapshot was sent and not answered
+    waiting: bool = False  # a probe was sent and not answered
     in_flight: deque[tuple[int, int]] = field(default_factory=deque)  # last index and size of messages
     in_flight_bytes: int = 0
-    snapshot: Snapshot | None = None
-    received: int = 0  # bytes of the snapshot
-    part_sent_at: float = -inf
+    transfer: SnapshotTransfer | None = None
     silent: bool = True  # nothing but heartbeats is sent to it until it answers one
 
     def probe(self, next_index: int) -> None:
@@ -43,7 +41,7 @@
         self.waiting = False
         self.in_flight.clear()
         self.in_flight_bytes = 0
-        self.snapshot = None
+        self.transfer = None
 
     def matched(self, index: int) -> bool:
         """Takes note that entries up to `index` are on the member's disk; False if that is nothing new."""
@@ -122,7 +120,6 @@
                 continue
             if peer.flow is not Flow.SNAPSHOT and peer.next_index <= self._log.base_index:
                 peer.flow = Flow.SNAPSHOT
-                peer.waiting = False
             if peer.flow is Flow.SNAPSHOT:
                 self._flush_snapshot(peer, now, round_number, outgoing)
             else:
@@ -140,14 +137,14 @@
                 peer.sent(entries[-1].index, size)
 
     def _flush_snapshot(self, peer: Peer, now: float, round_number: int, outgoing: Outgoing) -> None:
-        if peer.snapshot is None or peer.waiting:
+        if peer.transfer is None or peer.transfer.waiting:
             return
-        peer.waiting = True
-        peer.part_sent_at = now
-        outgoing.append(self._part(peer, peer.snapshot, round_number))
+        outgoing.append(self._part(peer, peer.transfer, round_number))
+        peer.transfer.sent(now)
 
-    def _part(self, peer: Peer, snapshot: Snapshot, round_number: int) -> SnapshotPart:
-        end = peer.received + self._limits.snapshot_part_bytes
+    def _part(self, peer: Peer, transfer: SnapshotTransfer, round_number: int) -> SnapshotPart:
+        snapshot = transfer.snapshot
+        end = transfer.received + self._limits.snapshot_part_bytes
         return SnapshotPart(
             group=self._group,
             sender=self._member,
@@ -156,9 +153,10 @@
             last_index=snapshot.index,
             last_term=snapshot.term,
             membership=snapshot.membership,
-            offset=peer.received,
+            offset=transfer.received,
             total=len(snapshot.data),
-            data=snapshot.data[peer.received : end],
+            checksum=transfer.checksum,
+            data=snapshot.data[transfer.received : end],
             round=round_number,
         )
 
@@ -185,12 +183,10 @@
     def on_snapshot_reply(self, reply: SnapshotReply) -> bool:
         """Takes an answer; True if more entries are known to be on the member's disk."""
         peer = self.peers.get(reply.sender)
-        if peer is None or peer.snapshot is None or peer.snapshot.index != reply.last_index:
+        if peer is None or peer.transfer is None or peer.transfer.snapshot.index != reply.last_index:
             return False
         peer.silent = False
-        peer.received = min(reply.received, len(peer.snapshot.data))
-        peer.waiting = False
-        if reply.received < len(peer.snapshot.data):
+        if not peer.transfer.acknowledge(reply.received):
             return False
         advanced = peer.matched(reply.last_index)
         peer.probe(peer.match + 1)
@@ -200,32 +196,52 @@
     def snapshot_wanted(self) -> bool:
         """Whether a member waits for a snapshot to be made."""
         return any(
-            peer.flow is Flow.SNAPSHOT and peer.snapshot is None and not peer.silent
+            peer.flow is Flow.SNAPSHOT and peer.transfer is None and not peer.silent
             for peer in self.peers.values()
         )
 
     def offer_snapshot(self, snapshot: Snapshot) -> None:
         """Starts to send `snapshot` to the members that wait for one."""
         for peer in self.peers.values():
-            if peer.flow is Flow.SNAPSHOT and peer.snapshot is None:
-                peer.snapshot = snapshot
-                peer.received = 0
-                peer.waiting = False
+            if peer.flow is Flow.SNAPSHOT and peer.transfer is None and not peer.silent:
+                peer.transfer = SnapshotTransfer.begin(snapshot)
 
     def retry_lost(self, now: float, patience_s: float) -> None:
         """Sends parts of snapshots again that were not answered in `patience_s`."""
         for peer in self.peers.values():
-            if peer.snapshot is not None and now - peer.part_sent_at > patience_s:
-                peer.waiting = False
+            if peer.transfer is not None:
+                peer.transfer.retry_after(now, patience_s)
 
     def give_up(self, name: str) -> None:
-        """The member is silent: what is on the way to it counts as lost, and its snapshot is dropped."""
+        """The member is silent: what is on the way to it counts as lost.
+
+        What it has of a snapshot is remembered. A member that stands still now and then, longer than a
+        leader waits, would else begin each time from the first byte and never have one whole.
+        """
         peer = self.peers[name]
-        if not peer.silent:
+        if peer.silent:
+            return
+        peer.silent = True
+        if peer.transfer is not None:
+            peer.transfer.waiting = False
+        else:
             peer.probe(peer.match + 1 if peer.flow is not Flow.PROBE else peer.next_index)
-            peer.silent = True
 
     def oldest_snapshot(self) -> int | None:
         """The index of the oldest snapshot being sent; the entries after it will be needed."""
-        indexes = [peer.snapshot.index for peer in self.peers.values() if peer.snapshot is not None]
+        indexes = [
+            peer.transfer.snapshot.index
+            for peer in self.peers.values()
+            if peer.transfer is not None and not peer.silent
+        ]
         return min(indexes, default=None)
+
+    def compacted(self) -> None:
+        """The log forgot entries: snapshots to silent members that cannot go on from them are dropped."""
+        for peer in self.peers.values():
+            if (
+                peer.silent
+                and peer.transfer is not None
+                and peer.transfer.snapshot.index < self._log.base_index
+            ):
+                peer.transfer = None
--- a/tests/consensus/parts.py
+++ b/tests/consensus/parts.py
@@ -9,7 +9,12 @@
 
 TIMING = RaftTiming()
 LIMITS = RaftLimits(
-    message_bytes=300, window_bytes=900, window_messages=4, snapshot_part_bytes=200, kept_bytes=500
+    message_bytes=300,
+    window_bytes=900,
+    window_messages=4,
+    snapshot_part_bytes=200,
+    kept_bytes=500,
+    kept_for_snapshots_bytes=10_000,
 )
 SNAPSHOT_AFTER = 20  # entries
 
--- a/tests/consensus/simulation.py
+++ b/tests/consensus/simulation.py
@@ -13,6 +13,11 @@
 from tests.consensus.parts import LIMITS, SNAPSHOT_AFTER, TIMING, Member, Violation, Weather
 
 
+def _encoded(member: Member) -> bytes:
+    """The member's state. As with times in real ones, no two members have the same bytes for it."""
+    return json.dumps({"by": member.name, "applied": member.applied}).encode()
+
+
 class Simulation:
     """Members by name, simulated time, and the history that all members must agree with."""
 
@@ -52,7 +57,7 @@
         member.life += 1
         member.timer_at = None
         loaded = member.disk.load()
-        member.applied = json.loads(loaded.snapshot) if loaded.snapshot is not None else []
+        member.applied = json.loads(loaded.snapshot)["applied"] if loaded.snapshot else []
         member.raft = self.raft_class(
             "g", name, TIMING, random.Random(self.rng.random()), loaded.state, self._clock(member), LIMITS
         )
@@ -145,7 +150,7 @@
             self._do(member, raft, ready)
             wanted = ready.snapshot_wanted
             if wanted:
-                raft.offer_snapshot(raft.make_snapshot(json.dumps(member.applied).encode()))
+                raft.offer_snapshot(raft.make_snapshot(_encoded(member)))
         self._check_leader(member, raft)
         self._arm_timer(member, raft)
 
@@ -176,6 +181,13 @@
         if ready.save is not None:
             self._begin_save(member, ready.save)
 
+    def _decoded(self, member: Member, snapshot: Snapshot) -> list[list[object]]:
+        try:
+            applied: list[list[object]] = json.loads(snapshot.data)["applied"]
+        except ValueError as error:
+            raise Violation(f"{member.name} got a snapshot that is none: {error}") from error
+        return applied
+
     def _begin_job(self, member: Member, work: Callable[[], None], done: Callable[[Raft], None]) -> None:
         member.job = work
 
@@ -199,7 +211,7 @@
 
         def done(raft: Raft) -> None:
             if save.snapshot is not None:
-                member.applied = json.loads(save.snapshot.data)
+                member.applied = self._decoded(member, save.snapshot)
                 self._check_restored(member, save.snapshot)
                 member.since_snapshot = 0
             raft.persisted(self._clock(member), save)
@@ -212,7 +224,7 @@
         if member.since_snapshot < SNAPSHOT_AFTER or member.job is not None or raft.installing:
             return
         member.since_snapshot = 0
-        snapshot = raft.make_snapshot(json.dumps(member.applied).encode())
+        snapshot = raft.make_snapshot(_encoded(member))
 
         def write() -> None:
             member.disk.save_snapshot(snapshot.index, snapshot.term, snapshot.membership, snapshot.data)
