Unsigned successes and encoded answers of workers end as 502, never at the client

A worker's 2xx without Response-Signature was kept as its failure and passed on with its status: a success without a stamp. So was an answer with Content-Encoding, whose body is not the worker's, and a worker's own 408, 429 or 503 without Not-Executed, which promised the client that a request had not run that may have. None of them reaches the client now: what may be repeated goes elsewhere, all else ends as 502 without a stamp.

--- a/pewterring/edge/attempt.py
+++ b/pewterring/edge/attempt.py
@@ -14,11 +14,16 @@
 TARGET = b"target-instance"
 SIGNATURE = b"response-signature"
 NOT_EXECUTED = b"not-executed"
+CONTENT_ENCODING = b"content-encoding"
 LOAD = b"instance-load"
 EVENT_STREAM = b"text/event-stream"
 FRAMING = frozenset({b"content-length", b"expect", TIMEOUT, TARGET})
 MISDIRECTED = 421
 
+# To a client these promise that its request has not run and never will. A worker that says so without
+# `Not-Executed` promises nothing.
+PROMISES = frozenset({408, 429, 503})
+
 
 class Verdict(Enum):
     """What a worker's head says of the attempt."""
@@ -26,6 +31,7 @@
     SUCCESS = auto()
     NOT_RUN = auto()  # the worker declined; the request may go elsewhere
     FAILURE = auto()  # the worker's own failure; it counts as run
+    UNUSABLE = auto()  # it counts as run, and nothing of the answer may reach the client
 
 
 def worker_request(
@@ -47,11 +53,18 @@
 
 
 def judge(head: AnswerHead) -> Verdict:
-    """What a head means."""
+    """What a head means.
+
+    Symptom answered by `UNUSABLE`: a success without the worker's stamp, or with a body that was encoded on
+    the way, reached the client as a success; and a worker's own 503 for a request that had run told the
+    client that it had not.
+    """
     if head.status == MISDIRECTED or head.get(NOT_EXECUTED) is not None:
         return Verdict.NOT_RUN
-    if 200 <= head.status < 300 and head.get(SIGNATURE) is not None:
-        return Verdict.SUCCESS
+    if head.get(CONTENT_ENCODING) is not None or head.status in PROMISES:
+        return Verdict.UNUSABLE
+    if 200 <= head.status < 300:
+        return Verdict.SUCCESS if head.get(SIGNATURE) is not None else Verdict.UNUSABLE
     return Verdict.FAILURE
 
 
--- a/pewterring/edge/live.py
+++ b/pewterring/edge/live.py
@@ -200,6 +200,8 @@
             if head.status == MISDIRECTED:
                 worker.failed(self._now())  # another worker has the address
             return End.NOT_RUN
+        if verdict is Verdict.UNUSABLE:
+            return End.MAY_HAVE_RUN
         if verdict is Verdict.FAILURE or self._begun:
             self._failure = Failure(head, body)
             return End.MAY_HAVE_RUN
--- a/tests/edge/test_live.py
+++ b/tests/edge/test_live.py
@@ -231,6 +231,60 @@
     play(tier, story)
 
 
+def answers(status: int, *headers: tuple[bytes, bytes]) -> Behaviour:
+    async def behave(request: ServerRequest, responder: Responder) -> None:
+        await responder.respond(status, list(headers), b"of a worker")
+
+    return behave
+
+
+UNUSABLE_ANSWERS = [
+    answers(200),
+    answers(204),
+    answers(206, (b"Content-Type", b"text/event-stream")),
+    answers(200, *PLAIN, (b"Content-Encoding", b"gzip")),
+    answers(500, *PLAIN, (b"Content-Encoding", b"gzip")),
+    answers(503, *PLAIN),
+    answers(429, *PLAIN),
+    answers(408, *PLAIN),
+]
+
+
+@pytest.mark.parametrize("unusable", UNUSABLE_ANSWERS)
+def test_what_is_no_answer_for_the_client_ends_as_502_without_a_stamp(unusable: Behaviour) -> None:
+    tier = Tier(route(RouteType.NON_IDEMPOTENT), [unusable, answered])
+
+    async def story() -> None:
+        answer = await tier.ask()
+        assert (answer.head.status, answer.body) == (502, b"")
+        assert answer.head.get(b"response-signature") is None
+        assert len(tier.seen) == 1  # it may have run
+
+    play(tier, story)
+
+
+@pytest.mark.parametrize("unusable", UNUSABLE_ANSWERS)
+def test_an_unusable_answer_of_what_may_be_repeated_goes_elsewhere(unusable: Behaviour) -> None:
+    tier = Tier(route(RouteType.IDEMPOTENT), [unusable, answered])
+
+    async def story() -> None:
+        answer = await tier.ask()
+        assert (answer.head.status, answer.body) == (200, b"result")
+
+    play(tier, story)
+
+
+def test_a_failure_keeps_its_own_stamp_and_status_where_a_second_worker_does_no_better() -> None:
+    tier = Tier(route(RouteType.IDEMPOTENT), [failed, answers(200)])
+
+    async def story() -> None:
+        answer = await tier.ask()
+        assert (answer.head.status, answer.body) == (500, b"failure")
+        assert answer.head.get(b"response-signature") == b"stamp"
+
+    play(tier, story)
+
+
 def test_a_silent_worker_is_found_by_looking_and_the_request_goes_elsewhere() -> None:
     tier = Tier(route(RouteType.IDEMPOTENT), [silent, answered])
 
