A stream whose worker breaks off in good order is not whole

An event stream without a length whose worker closed its connection in the middle of an event, or before the first, was ended as complete, the beginning of the event included; a resumed batch item whose worker closed at once counted as done. Such an end is now a cut at live streams and items alike: the client sees it cut, or the run goes on elsewhere behind the last whole event where the route is resumable. A reset was a cut before and stays one; a close between events ends a stream.

--- a/pewterring/batch/runner.py
+++ b/pewterring/batch/runner.py
@@ -96,6 +96,7 @@
         self._status = 0
         self._takes_events = False
         self._not_executed = False
+        self._framed = True
         self._deadline = loop.time() + FIRST_EVENT_S
         self._timer = loop.call_at(self._deadline, self._check_stall)
 
@@ -106,6 +107,7 @@
         self._on_head(head)
         self._status = head.status
         self._not_executed = head.get(b"not-executed") is not None
+        self._framed = head.framed
         self._takes_events = (
             head.status == OK
             and head.get(b"response-signature") is not None
@@ -116,16 +118,15 @@
         """Part of `AnswerListener`."""
         if not self._takes_events or self.outcome.done():
             return
-        for event in self._splitter.feed(data):
-            if not self._follows(event):
-                self._end(Failure.CUT)
-                return
-            self._take(event)
+        self._take_all(self._splitter.feed(data))
 
     def on_end(self, error: ExchangeError | None) -> None:
         """Part of `AnswerListener`."""
         self.exchange = None
+        if self.outcome.done():
+            return
         if error is None:
+            self._take_all(self._splitter.finish())
             self._end(self._whole())
         else:
             self._end(Failure.CUT if error.sent else Failure.REFUSED)
@@ -140,6 +141,13 @@
             return event.id == self._last_id + 1
         return event.id > self._last_id
 
+    def _take_all(self, events: list[StreamEvent]) -> None:
+        for event in events:
+            if not self._follows(event):
+                self._end(Failure.CUT)
+                return
+            self._take(event)
+
     def _take(self, event: StreamEvent) -> None:
         self._events += 1
         self._last_id = event.id
@@ -158,8 +166,10 @@
     def _whole(self) -> Failure | None:
         """What an answer that ended in good order means."""
         if self._takes_events:
-            whole = not self._splitter.pending.strip() and (self._events > 0 or self._resumed)
-            return None if whole else Failure.CUT
+            # Nothing behind the event that was asked for is a whole rest, but only where the head says that
+            # nothing comes: a worker that breaks off at once closes its connection too.
+            begun = self._events > 0 or (self._resumed and self._framed)
+            return None if begun and not self._splitter.amid_event else Failure.CUT
         if self._not_executed:
             return Failure.REFUSED
         if self._status == UNPROCESSABLE:
--- a/pewterring/edge/live.py
+++ b/pewterring/edge/live.py
@@ -27,7 +27,7 @@
 from pewterring.transport.http_fetch import AnswerStream
 from pewterring.transport.http_request import ServerRequest
 from pewterring.transport.http_responder import Responder
-from pewterring.transport.sse import EventSplitter
+from pewterring.transport.sse import EventSplitter, StreamEvent
 
 MAX_SENDS = 4  # tries that certainly did not run count here only
 RETRY_PAUSE_S = 0.01  # before a request goes elsewhere that no worker took
@@ -222,36 +222,42 @@
         self, worker: WorkerState, stream: AnswerStream, head: AnswerHead, reading: "_Reading"
     ) -> End:
         splitter = EventSplitter()
-        resumed_after = self._resume_id()
+        reading.resumed_after = self._resume_id()
         while (part := await stream.next_part()) is not None:
             if not isinstance(part, bytes):
                 continue
             worker.heard_at = self._now()
-            events = splitter.feed(part)
-            if not events:
-                continue
-            if not reading.done:
-                self._first_byte(worker, reading)
-            if resumed_after is not None:
-                if events[0].id != resumed_after + 1:
-                    return End.MAY_HAVE_RUN  # goes on elsewhere than asked for
-                resumed_after = None
-            if not self._begun:
-                self._begun = True
-                self._responder.begin(head.status, answer_headers(head))
-            self._responder.write(b"".join(event.raw for event in events))
-            self._last_event_id = events[-1].id
+            self._pass_on(splitter.feed(part), worker, head, reading)
             if self._responder.paused:
                 await self._responder.drain()
+        self._pass_on(splitter.finish(), worker, head, reading)
+        _check_end(head, splitter, reading)
         if not self._begun:
             self._responder.begin(head.status, answer_headers(head))
             self._begun = True
-        if splitter.pending:
-            self._responder.write(splitter.pending)
+        self._responder.write(splitter.pending)  # empty lines at most
         self._responder.end()
         worker.answered()
         return End.DONE
 
+    def _pass_on(
+        self, events: list[StreamEvent], worker: WorkerState, head: AnswerHead, reading: "_Reading"
+    ) -> None:
+        """Gives whole events to the client. Raises AnswerBroken where a resumed run begins elsewhere."""
+        if not events:
+            return
+        if not reading.done:
+            self._first_byte(worker, reading)
+        if reading.resumed_after is not None:
+            if events[0].id != reading.resumed_after + 1:
+                raise AnswerBroken("the stream does not go on behind the event that it was asked for")
+            reading.resumed_after = None
+        if not self._begun:
+            self._begun = True
+            self._responder.begin(head.status, answer_headers(head))
+        self._responder.write(b"".join(event.raw for event in events))
+        self._last_event_id = events[-1].id
+
     def _first_byte(self, worker: WorkerState, reading: "_Reading") -> None:
         """Learns from the time to the first byte: the service's times, the worker's speed, the ceiling."""
         reading.done = True
@@ -273,10 +279,22 @@
         self._admission.observe(now, kind, ratio)
 
 
+def _check_end(head: AnswerHead, splitter: EventSplitter, reading: "_Reading") -> None:
+    """Raises AnswerBroken where a stream that ended in good order is not whole.
+
+    Symptom answered: a worker that breaks off closes its connection in good order, which ends an answer
+    without a length. The middle of an event, and an end before the first one, are where no whole stream ends.
+    """
+    if splitter.amid_event:
+        raise AnswerBroken("the stream ended in the middle of an event")
+    if not head.framed and not reading.done:
+        raise AnswerBroken("the stream ended with its connection before its first event")
+
+
 class _Reading:
-    """What an attempt waits for: the first byte."""
+    """What an attempt waits for: the first byte, and on a resumed stream the event behind the last."""
 
-    __slots__ = ("done", "pending_tokens", "sent_at", "tokens", "wait_s", "watched")
+    __slots__ = ("done", "pending_tokens", "resumed_after", "sent_at", "tokens", "wait_s", "watched")
 
     def __init__(self, tokens: int, sent_at: float, wait_s: float, watched: WatchedAttempt) -> None:
         self.watched = watched
@@ -285,3 +303,4 @@
         self.pending_tokens = tokens
         self.sent_at = sent_at
         self.done = False
+        self.resumed_after: int | None = None  # the event behind which the run must go on
--- a/pewterring/transport/http_answer.py
+++ b/pewterring/transport/http_answer.py
@@ -34,6 +34,11 @@
         """The first value of the header whose name in lower case is `name`."""
         return self.fields.get(name)
 
+    @property
+    def framed(self) -> bool:
+        """Whether the head tells where the body ends; else it ends with the connection."""
+        return b"transfer-encoding" in self.fields or b"content-length" in self.fields
+
     @property
     def keep_alive_s(self) -> int | None:
         """How long the other side keeps the connection when idle, where it says so."""
--- a/pewterring/transport/sse.py
+++ b/pewterring/transport/sse.py
@@ -6,6 +6,7 @@
 # Two line ends in a row. A carriage return ends a line only if no line feed follows it.
 _EVENT_END = re.compile(rb"(?:\r\n|\n|\r(?!\n)){2}")
 _LINE_FEEDS = b"\n\n"
+_CARRIAGE_RETURNS = b"\r\r"
 _MAX_END_BYTES = 4  # of an event's end
 _MAX_ID_DIGITS = 18
 
@@ -38,6 +39,11 @@
         """The beginning of an event that has not come whole."""
         return self._pending
 
+    @property
+    def amid_event(self) -> bool:
+        """Whether a stream that ended here would have ended in the middle of an event."""
+        return bool(self._pending.strip())
+
     def feed(self, data: bytes) -> list[StreamEvent]:
         """The events that are whole with these bytes."""
         searched = max(0, len(self._pending) - _MAX_END_BYTES)
@@ -51,6 +57,17 @@
         self._pending = data[start:]
         return events
 
+    def finish(self) -> list[StreamEvent]:
+        """The event that is whole now that no byte follows: its last line end is a carriage return alone.
+
+        Where line feeds were used too, a last carriage return is half of a line end: the stream was cut.
+        """
+        pending = self._pending
+        if b"\n" in pending or not pending.endswith(_CARRIAGE_RETURNS):
+            return []
+        self._pending = b""
+        return [_event(pending)]
+
 
 def _line_feed_ends(data: bytes, searched: int) -> list[int]:
     ends = []
--- a/tests/batch/test_runner.py
+++ b/tests/batch/test_runner.py
@@ -87,6 +87,21 @@
     assert outcome is Failure.CUT
 
 
+UNFRAMED = b"HTTP/1.1 200 OK\r\nRequest-Id: i1\r\nResponse-Signature: x\r\n\r\n"
+
+
+def test_an_answer_without_a_length_is_whole_between_events_only() -> None:
+    assert run(UNFRAMED + b"id: 1\ndata: a\n\n")[0] is None
+    assert run(UNFRAMED + b"id: 1\ndata: a\n\nid: 2\nda")[0] is Failure.CUT
+    assert run(UNFRAMED + b"id: 1\rdata: a\r\r")[:2] == (None, [("1", "a")])
+    assert run(UNFRAMED)[0] is Failure.CUT
+
+
+def test_a_rest_that_is_empty_is_whole_only_where_the_head_says_that_nothing_comes() -> None:
+    assert run(HEAD + LAST_CHUNK, last_event_id="3")[0] is None
+    assert run(UNFRAMED, last_event_id="3")[0] is Failure.CUT
+
+
 def test_a_continued_run_goes_on_at_the_next_event() -> None:
     outcome, events, got = run(HEAD + event(4, "d") + LAST_CHUNK, last_event_id="3")
     assert outcome is None
--- a/tests/edge/test_live.py
+++ b/tests/edge/test_live.py
@@ -1,10 +1,14 @@
 """Live requests through a gateway's front, at workers played on loopback."""
 
 import asyncio
+import contextlib
 import random
+import socket
+import struct
 import time
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
+from functools import partial
 
 import pytest
 
@@ -18,7 +22,7 @@
 from pewterring.transport.http_client import WorkerPool
 from pewterring.transport.http_exchange import ExchangeError, SendRequest
 from pewterring.transport.http_fetch import WholeAnswer, fetch
-from pewterring.transport.http_request import ServerLimits, ServerRequest
+from pewterring.transport.http_request import RequestReader, ServerLimits, ServerRequest
 from pewterring.transport.http_responder import Responder
 from pewterring.transport.http_server import HttpServer
 
@@ -27,6 +31,8 @@
 SIGNED = [(b"Response-Signature", b"stamp"), (b"Content-Type", b"text/event-stream")]
 PLAIN = [(b"Response-Signature", b"stamp")]
 PATIENCE_S = 10.0
+UNFRAMED_HEAD = b"HTTP/1.1 200 OK\r\nRequest-Id: 7\r\nResponse-Signature: stamp\r\n"
+UNFRAMED_STREAM = UNFRAMED_HEAD + b"Content-Type: text/event-stream\r\n\r\n"
 
 
 def route(kind: RouteType, attempts: int = 2, resumable: bool = False) -> Route:
@@ -38,25 +44,46 @@
     return b"id: %d\ndata: token %d\n\n" % (number, number)
 
 
+@dataclass(frozen=True)
+class RawAnswer:
+    """Bytes that a worker answers with before it ends the connection, in good order or by a reset."""
+
+    data: bytes
+    reset: bool = False
+
+    async def serve(
+        self, saw: Callable[[ServerRequest], None], reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        parser = RequestReader(LIMITS, 0.0)
+        while (request := parser.feed(await reader.read(65536))) is None:
+            pass
+        saw(request)
+        writer.write(self.data)
+        await writer.drain()
+        if self.reset:
+            option = struct.pack("ii", 1, 0)  # closing discards what is unsent and resets the connection
+            writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, option)
+        writer.close()
+
+
 @dataclass
 class Tier:
     """One front and the workers behind it."""
 
     route: Route
-    behaviours: list[Behaviour]
+    behaviours: list[Behaviour | RawAnswer]
     seen: list[tuple[int, ServerRequest]] = field(default_factory=list)
     watch: StallWatch = field(default_factory=StallWatch)
     pool: WorkerPool = field(default_factory=WorkerPool)
     admission: ServiceAdmission = field(default_factory=lambda: ServiceAdmission(1))
     servers: list[HttpServer] = field(default_factory=list)
+    raw_servers: list[asyncio.Server] = field(default_factory=list)
 
     async def start(self) -> None:
         records = {}
         for number, behaviour in enumerate(self.behaviours):
-            server = HttpServer(self._worker(number, behaviour), lambda: LIMITS)
-            await server.start("127.0.0.1", 0)
-            self.servers.append(server)
-            address = f"127.0.0.1:{server.port}"
+            port = await self._start_worker(number, behaviour)
+            address = f"127.0.0.1:{port}"
             records[f"w{number}"] = WorkerRecord(f"w{number}", "s", address, "z", 4, "ready")
         chooser = WorkerChooser("z", random.Random(1))
         chooser.update(records, None)
@@ -67,6 +94,19 @@
         await self.front.start("127.0.0.1", 0)
         self.servers.append(self.front)
 
+    async def _start_worker(self, number: int, behaviour: Behaviour | RawAnswer) -> int:
+        if isinstance(behaviour, RawAnswer):
+            raw = await asyncio.start_server(
+                partial(behaviour.serve, lambda request: self.seen.append((number, request))), "127.0.0.1", 0
+            )
+            self.raw_servers.append(raw)
+            port: int = raw.sockets[0].getsockname()[1]
+            return port
+        server = HttpServer(self._worker(number, behaviour), lambda: LIMITS)
+        await server.start("127.0.0.1", 0)
+        self.servers.append(server)
+        return server.port
+
     def _worker(self, number: int, behaviour: Behaviour) -> Behaviour:
         async def handle(request: ServerRequest, responder: Responder) -> None:
             self.seen.append((number, request))
@@ -80,8 +120,8 @@
             self.context, request, responder, self.route, "s", NO_PROMPT, deadline, self.admission, 10
         ).run()
 
-    async def ask(self) -> WholeAnswer:
-        headers = [(b"Host", b"h"), (b"Request-Id", b"7"), (b"Request-Timeout-Ms", b"5000")]
+    async def ask(self, *more: tuple[bytes, bytes]) -> WholeAnswer:
+        headers = [(b"Host", b"h"), (b"Request-Id", b"7"), (b"Request-Timeout-Ms", b"5000"), *more]
         request = SendRequest("POST", "/p/x?", headers, b"body", request_id=b"7")
         return await fetch(self.pool, f"127.0.0.1:{self.front.port}", request, 10, PATIENCE_S)
 
@@ -89,6 +129,9 @@
         self.pool.close()
         for server in self.servers:
             await server.stop()
+        for raw in self.raw_servers:
+            raw.close()
+            await raw.wait_closed()
 
 
 def play(tier: Tier, story: Callable[[], Awaitable[None]]) -> None:
@@ -178,6 +221,115 @@
     play(tier, story)
 
 
+WHOLE = b"".join(event(number) for number in range(1, 5))
+BROKEN_OFF = [
+    RawAnswer(UNFRAMED_STREAM + event(1) + event(2) + event(3)[:-1]),  # closed amid an event
+    RawAnswer(UNFRAMED_STREAM + event(1) + event(2) + event(3)[:5]),
+    RawAnswer(UNFRAMED_STREAM),  # closed before the first event
+    RawAnswer(UNFRAMED_STREAM + event(1) + event(2), reset=True),  # reset between events
+    RawAnswer(UNFRAMED_STREAM + event(1) + event(2)[:9], reset=True),
+    RawAnswer(
+        UNFRAMED_HEAD + b"Content-Type: text/event-stream\r\nContent-Length: 9\r\n\r\n" + event(1)[:9]
+    ),  # of the length that was told, but amid an event
+]
+
+
+@pytest.mark.parametrize("broken_off", BROKEN_OFF)
+def test_a_stream_that_its_worker_broke_off_never_looks_whole(broken_off: RawAnswer) -> None:
+    tier = Tier(route(RouteType.STREAMING), [broken_off, whole_stream])
+
+    async def story() -> None:
+        with contextlib.suppress(ExchangeError):  # the client sees it cut
+            assert (await tier.ask()).head.status == 502  # nothing of it had come
+        assert len(tier.seen) == 1
+
+    play(tier, story)
+
+
+@pytest.mark.parametrize("broken_off", BROKEN_OFF)
+def test_a_resumable_stream_that_its_worker_broke_off_has_each_event_once(broken_off: RawAnswer) -> None:
+    tier = Tier(route(RouteType.STREAMING, resumable=True), [broken_off, whole_stream])
+
+    async def story() -> None:
+        assert (await tier.ask()).body == WHOLE
+        assert [number for number, _ in tier.seen] == [0, 1]
+
+    play(tier, story)
+
+
+def test_a_resumed_run_is_asked_for_behind_the_last_whole_event() -> None:
+    tier = Tier(
+        route(RouteType.STREAMING, resumable=True), [RawAnswer(UNFRAMED_STREAM + WHOLE[:-1]), whole_stream]
+    )
+
+    async def story() -> None:
+        assert (await tier.ask()).body == WHOLE
+        assert tier.seen[1][1].get(b"last-event-id") == b"3"
+
+    play(tier, story)
+
+
+def test_a_resumed_run_that_begins_at_another_event_is_not_joined() -> None:
+    early = RawAnswer(UNFRAMED_STREAM + event(2) + event(3) + event(4))
+    tier = Tier(route(RouteType.STREAMING, resumable=True), [cut_stream, early])
+
+    async def story() -> None:
+        with pytest.raises(ExchangeError):
+            await tier.ask()
+
+    play(tier, story)
+
+
+@pytest.mark.parametrize("tail", [b"", b"\n", b"\r\n"])
+def test_a_stream_without_a_length_that_closes_between_events_is_whole(tail: bytes) -> None:
+    tier = Tier(route(RouteType.STREAMING), [RawAnswer(UNFRAMED_STREAM + WHOLE + tail)])
+
+    async def story() -> None:
+        assert (await tier.ask()).body == WHOLE + tail
+
+    play(tier, story)
+
+
+def test_a_body_without_a_length_is_whole_where_its_connection_closes_in_good_order() -> None:
+    tier = Tier(route(RouteType.NON_IDEMPOTENT), [RawAnswer(UNFRAMED_HEAD + b"\r\nresult")])
+
+    async def story() -> None:
+        answer = await tier.ask()
+        assert (answer.head.status, answer.body) == (200, b"result")
+
+    play(tier, story)
+
+
+def test_a_body_without_a_length_is_not_whole_where_its_connection_is_reset() -> None:
+    tier = Tier(route(RouteType.NON_IDEMPOTENT), [RawAnswer(UNFRAMED_HEAD + b"\r\nresu", reset=True)])
+
+    async def story() -> None:
+        assert (await tier.ask()).head.status == 502
+
+    play(tier, story)
+
+
+def test_a_client_takes_its_stream_up_and_the_system_goes_on_from_there() -> None:
+    cut = RawAnswer(UNFRAMED_STREAM + event(3) + event(4)[:6])
+    tier = Tier(route(RouteType.STREAMING, resumable=True), [cut, whole_stream])
+
+    async def story() -> None:
+        assert (await tier.ask((b"Last-Event-Id", b"2"))).body == event(3) + event(4)
+        assert [request.get(b"last-event-id") for _, request in tier.seen] == [b"2", b"3"]
+
+    play(tier, story)
+
+
+def test_a_clients_own_last_event_id_goes_to_the_second_worker_where_the_first_said_nothing() -> None:
+    tier = Tier(route(RouteType.STREAMING, resumable=True), [broken, whole_stream])
+
+    async def story() -> None:
+        assert (await tier.ask((b"Last-Event-Id", b"2"))).body == event(3) + event(4)
+        assert [request.get(b"last-event-id") for _, request in tier.seen] == [b"2", b"2"]
+
+    play(tier, story)
+
+
 @pytest.mark.parametrize("declines", [full, misdirected])
 def test_what_a_worker_did_not_run_goes_elsewhere(declines: Behaviour) -> None:
     tier = Tier(route(RouteType.NON_IDEMPOTENT, attempts=1), [declines, answered])
--- a/tests/transport/test_sse.py
+++ b/tests/transport/test_sse.py
@@ -46,6 +46,24 @@
     assert splitter.feed(b"ta: x\n\n") == [StreamEvent(b"id: 8\ndata: x\n\n", 8)]
 
 
+def test_at_the_end_a_last_carriage_return_is_a_line_end_unless_line_feeds_are_used_too() -> None:
+    splitter = EventSplitter()
+    assert splitter.feed(b"id: 1\rdata: a\r\r") == []
+    assert [event.id for event in splitter.finish()] == [1]
+    assert not splitter.amid_event
+    splitter = EventSplitter()
+    assert splitter.feed(b"id: 1\r\ndata: a\r\n\r") == []
+    assert splitter.finish() == []
+    assert splitter.amid_event
+
+
+def test_empty_lines_behind_the_last_event_are_no_event() -> None:
+    splitter = EventSplitter()
+    splitter.feed(b"id: 1\ndata: a\n\n\r\n")
+    assert splitter.finish() == []
+    assert not splitter.amid_event
+
+
 def test_a_line_end_split_in_two_ends_no_event() -> None:
     splitter = EventSplitter()
     assert splitter.feed(b"data: a\r") == []
