Gateways refuse at once, after SIGTERM, what they would not live to answer

The rest get 503 with Retry-After and Connection: close, on kept connections too, and so do batch calls. What is held at the end without a first byte gets its final answer (503 not run, 504 otherwise); only streams in the middle are cut. The gateway takes its clock from outside, so that tests play a drain in virtual time.

--- a/pewterring/edge/batch_calls.py
+++ b/pewterring/edge/batch_calls.py
@@ -70,6 +70,17 @@
     return path.startswith(ITEMS) and method == "GET"
 
 
+def longest_s(request: BatchRequest) -> float:
+    """How long a call may take until it is answered."""
+    if request.method == "GET":
+        return _wait_ms(request) / 1000 + READ_BUDGET_S
+    return SUBMIT_BUDGET_S
+
+
+def _wait_ms(request: BatchRequest) -> float:
+    return min(MAX_WAIT_MS, max(0.0, request.wait_ms))
+
+
 def read_submission(body: bytes) -> tuple[ItemSpec, ...]:
     """Reads and checks the items of a job; raises `BadSubmission`."""
     try:
@@ -144,8 +155,7 @@
         after = parameters.get("after", ["0"])[0]
         if not after.isdecimal():
             return failure(400, "after is not a position")
-        wait_ms = min(MAX_WAIT_MS, max(0.0, request.wait_ms))
-        return await self._results(ReadResults(job, int(after), wait_ms))
+        return await self._results(ReadResults(job, int(after), _wait_ms(request)))
 
     async def _results(self, read: ReadResults) -> Answer:
         answer, _ = await self._call(read, read.wait_ms / 1000 + READ_BUDGET_S)
--- a/pewterring/edge/live.py
+++ b/pewterring/edge/live.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum, auto
 
 from pewterring import interface as i
@@ -17,6 +17,7 @@
     read_load,
     worker_request,
 )
+from pewterring.edge.drain import Drain
 from pewterring.edge.metrics import Limit
 from pewterring.edge.stalls import GAP_SHARE, StallWatch, WatchedAttempt
 from pewterring.routing.chooser import WorkerChooser
@@ -60,6 +61,7 @@
     chooser: WorkerChooser
     watch: StallWatch
     tell_prompt: Callable[[WorkerState, int, Prompt], None]  # a worker was given so many tokens to read
+    drain: Drain = field(default_factory=Drain)
 
 
 class LiveRequest:
@@ -98,7 +100,7 @@
     async def run(self) -> None:
         """Answers the client, unless it goes away first."""
         sends = 0
-        while sends < MAX_SENDS and self._deadline - self._now() > LEAST_LEFT_S:
+        while sends < MAX_SENDS and self._left_s() > LEAST_LEFT_S:
             worker = self._chooser.choose(self._now(), self._service, self._prompt, self._tried)
             if worker is None:
                 self.limit = self.limit or Limit.NO_WORKER
@@ -117,6 +119,10 @@
                 await asyncio.sleep(RETRY_PAUSE_S)
         await self._give_up()
 
+    def _left_s(self) -> float:
+        """Seconds until the deadline, or until this process ends."""
+        return min(self._deadline, self._context.drain.ends_at) - self._now()
+
     def _may_run_again(self) -> bool:
         if not self._route.repeatable or self._runs >= self._route.max_attempts:
             return False
@@ -124,7 +130,7 @@
 
     async def _give_up(self) -> None:
         responder = self._responder
-        if self._now() >= self._deadline - LEAST_LEFT_S:
+        if self._left_s() <= LEAST_LEFT_S:
             self.limit = Limit.DEADLINE
         if self._begun:
             responder.abort()
@@ -135,7 +141,7 @@
             after = b"%.2f" % max(0.05, min(1.0, 0.25 * self._route.target_latency_ms / 1000))
             await responder.respond(503, [(b"Retry-After", after)])
         else:
-            await responder.respond(504 if self._now() >= self._deadline - LEAST_LEFT_S else 502, [])
+            await responder.respond(504 if self._left_s() <= LEAST_LEFT_S else 502, [])
 
     async def _attempt(self, worker: WorkerState) -> End:
         now = self._now()
@@ -156,7 +162,7 @@
         self._context.watch.add(watched)
         self._context.tell_prompt(worker, tokens, self._prompt)
         try:
-            async with asyncio.timeout_at(self._deadline):
+            async with self._context.drain.timeout_at(self._deadline):
                 return await self._read(worker, stream, reading)
         except ExchangeError as error:
             worker.failed(self._now(), certain=not isinstance(error, AnswerBroken | StaleConnection))
--- a/pewterring/edge/metrics.py
+++ b/pewterring/edge/metrics.py
@@ -19,6 +19,7 @@
     CONNECTIONS = "connections"  # all connections to the chosen workers were in use
     NO_WORKER = "no_worker"  # none was there, or none was left to try
     DEADLINE = "deadline"  # the request's time was over
+    DRAIN = "drain"  # this gateway ends before the request's time would be over
 
 
 @dataclass(frozen=True, slots=True)
--- a/pewterring/edge/program.py
+++ b/pewterring/edge/program.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import contextlib
+import math
 import random
 import secrets
 import time
+from collections.abc import Callable
 from typing import Any
 
 from loguru import logger
@@ -19,10 +21,11 @@
 from pewterring.distribution.subscriber import FeedSubscriber
 from pewterring.distribution.tables import Tables
 from pewterring.edge.admissions import GatewayAdmissions
-from pewterring.edge.answers import Answer
-from pewterring.edge.batch_calls import BatchCalls, BatchRequest, is_batch_call
+from pewterring.edge.answers import Answer, failure
+from pewterring.edge.batch_calls import BatchCalls, BatchRequest, is_batch_call, longest_s
+from pewterring.edge.drain import Drain
 from pewterring.edge.live import LiveContext, LiveRequest
-from pewterring.edge.metrics import GatewayMetrics, GatewayState
+from pewterring.edge.metrics import GatewayMetrics, GatewayState, Limit
 from pewterring.edge.prompt_exchange import PromptExchange
 from pewterring.edge.stalls import LOOK_S, StallWatch
 from pewterring.node.settings import NodeSettings
@@ -40,8 +43,8 @@
 READY_PATH = "/v1/readyz"
 LEAST_DRAIN_S = 2.6  # after SIGTERM: the platform looks each second and takes two misses
 QUIET_S = 0.3  # without a request held, then the process ends
-KILL_MARGIN_S = 0.7  # before the platform kills
 DRAIN_LOOK_S = 0.05
+ELSEWHERE_S = 0.02  # until a client that this process refuses as it ends may ask another gateway
 START_WAIT_S, START_SHARE = 1.5, 0.4  # that a request waits for the first tables; of its time at most
 IDLE_CONNECTIONS = 60  # connections to a worker where the operator gives no number
 
@@ -59,8 +62,14 @@
 class GatewayProgram:
     """One gateway."""
 
-    def __init__(self, settings: NodeSettings, rng: random.Random | None = None) -> None:
+    def __init__(
+        self,
+        settings: NodeSettings,
+        rng: random.Random | None = None,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
         self._settings = settings
+        self._clock = clock
         self._rng = rng or random.Random()
         self._life = secrets.token_hex(8)
         self._routes: RouteTable | None = None
@@ -71,8 +80,8 @@
         self._feed = FeedSubscriber(settings, codec, self._record, on_tables=self._take_tables, rng=self._rng)
         links = LinkPool(codec, settings.internal_port, rng=self._rng, source_ip=settings.ip)
         self._links = links
-        self._batch = BatchCalls(links, lambda: self._feed.tables, self._rng)
-        self._pool = WorkerPool()
+        self._batch = BatchCalls(links, lambda: self._feed.tables, self._rng, clock)
+        self._pool = WorkerPool(now=clock)
         self._chooser = WorkerChooser(settings.zone, self._rng)
         self._admissions = GatewayAdmissions(self._rng)
         self._heartbeats = AdmissionHeartbeats(
@@ -80,10 +89,11 @@
         )
         self._prompts = PromptExchange(settings.ip, settings.internal_port + 1, self._chooser, self._rng)
         self._watch = StallWatch()
-        self._live = LiveContext(self._pool, self._chooser, self._watch, self._prompts.tell)
+        self._drain = Drain()
+        self._live = LiveContext(self._pool, self._chooser, self._watch, self._prompts.tell, self._drain)
         self._configured = asyncio.Event()
-        self._front = HttpServer(self._handle, lambda: self._limits)
-        self._ready = HttpServer(self._handle_ready, lambda: server_limits(ClientLimits()))
+        self._front = HttpServer(self._handle, lambda: self._limits, clock)
+        self._ready = HttpServer(self._handle_ready, lambda: server_limits(ClientLimits()), clock)
         self._tasks: list[asyncio.Task[None]] = []
 
     async def start(self) -> None:
@@ -99,13 +109,13 @@
         logger.info("gateway {} listens on {}", settings.node_id, settings.front)
 
     async def drain(self) -> None:
-        """Says that it is not ready, serves what comes, returns when nothing is held or time is over."""
+        """Is not ready any more; takes what can end in time; returns when nothing is held or time is over."""
         self._stopping = True
         self._front.begin_drain()
-        began = time.monotonic()
+        began = self._clock()
+        self._drain.begin(began, self._settings.bounds.grace_s)
         quiet_since = began
-        latest = began + max(1.0, self._settings.bounds.grace_s - KILL_MARGIN_S)
-        while (now := time.monotonic()) < latest:
+        while (now := self._clock()) < self._drain.ends_at:
             if self._front.requests_held:
                 quiet_since = now
             elif now - began >= LEAST_DRAIN_S and now - quiet_since >= QUIET_S:
@@ -149,24 +159,24 @@
                 if worker.address not in addresses:
                     self._pool.close_address(worker.address)
         self._prompts.peers = tuple(node.ip for node in new.nodes if node.program == GATEWAY_PROGRAM)
-        self._admissions.update(time.monotonic(), new, self._chooser)
+        self._admissions.update(self._clock(), new, self._chooser)
 
     async def _tick(self) -> None:
         while True:
             await asyncio.sleep(BEAT_S)
-            beats = self._admissions.tick(time.monotonic())
+            beats = self._admissions.tick(self._clock())
             self._heartbeats.send(beats, self._feed.tables.nodes)
 
     async def _look(self) -> None:
         while True:
             await asyncio.sleep(LOOK_S)
-            self._watch.look(time.monotonic())
+            self._watch.look(self._clock())
 
     def _heard(self, kind: int, peer: int, number: int, beat: bytes) -> None:
-        self._admissions.hear(time.monotonic(), kind, peer, number, beat)
+        self._admissions.hear(self._clock(), kind, peer, number, beat)
 
     def _heard_totals(self, number: int, totals: Totals) -> None:
-        self._admissions.hear_totals(time.monotonic(), number, totals)
+        self._admissions.hear_totals(self._clock(), number, totals)
 
     # Requests.
 
@@ -190,15 +200,14 @@
             client_connections=self._front.open_connections,
             worker_connections_made=self._pool.connections_made,
             tables=self._feed.tables,
-            tables_age_s=self._feed.confirmed_age(time.monotonic()),
+            tables_age_s=self._feed.confirmed_age(self._clock()),
             admissions=self._admissions.by_service(),
         )
 
     async def _handle(self, request: ServerRequest, responder: Responder) -> None:
         path = request.target.partition("?")[0]
         if is_batch_call(request.method, path):
-            self._metrics.batch_calls += 1
-            await self._answer(responder, await self._batch.call(self._batch_request(request, None)))
+            await self._serve_batch(request, responder, None)
             return
         if self._routes is None and not await self._wait_for_tables(request):
             await responder.respond(503, [(b"Retry-After", b"0.5")])
@@ -209,10 +218,7 @@
             self._metrics.unrouted += 1
             await responder.respond(404, [])
         elif route.route_type is RouteType.BATCH_JOB:
-            self._metrics.batch_calls += 1
-            await self._answer(
-                responder, await self._batch.submit(self._batch_request(request, route), route)
-            )
+            await self._serve_batch(request, responder, route)
         else:
             await self._serve(request, responder, route)
 
@@ -226,6 +232,26 @@
             await asyncio.wait_for(self._configured.wait(), wait_s)
         return self._routes is not None
 
+    async def _serve_batch(self, request: ServerRequest, responder: Responder, route: Route | None) -> None:
+        """A submission where there is a route, else a call about a job."""
+        call = self._batch_request(request, route)
+        now = self._clock()
+        if not self._drain.accepts(now, now + longest_s(call)):
+            await self._send_elsewhere(responder)
+            return
+        self._metrics.batch_calls += 1
+        try:
+            async with self._drain.timeout_at(math.inf):
+                answer = await (self._batch.submit(call, route) if route else self._batch.call(call))
+        except TimeoutError:
+            answer = failure(504, "this gateway ends before a store has answered")
+        await self._answer(responder, answer)
+
+    async def _send_elsewhere(self, responder: Responder) -> None:
+        """Refuses what this process would not live to answer."""
+        self._metrics.limited(Limit.DRAIN)
+        await responder.respond(503, [(b"Retry-After", b"%.2f" % ELSEWHERE_S)])
+
     async def _answer(self, responder: Responder, answer: Answer) -> None:
         headers = [(name.encode(), value.encode()) for name, value in answer.headers]
         await responder.respond(answer.status, headers, answer.body)
@@ -249,6 +275,10 @@
         return min(client_s, route.timeout_ms / 1000) if route and route.timeout_ms > 0 else client_s
 
     async def _serve(self, request: ServerRequest, responder: Responder, route: Route) -> None:
+        deadline = request.received_at + self._time_s(request, route)
+        if not self._drain.accepts(self._clock(), deadline):
+            await self._send_elsewhere(responder)
+            return
         service = self._choose_service(route)
         admission = self._admissions.of(service)
         self._metrics.requests += 1
@@ -268,7 +298,7 @@
                 route,
                 service,
                 read_prompt(_text(request.get(b"prompt-prefix")), _text(request.get(b"token-usage"))),
-                request.received_at + self._time_s(request, route),
+                deadline,
                 admission,
                 self._connections(service),
             )
--- /dev/null
+++ b/tests/edge/gateway.py
@@ -0,0 +1,187 @@
+"""A gateway's front and its workers on loopback, in virtual time; tables are handed over without control."""
+
+import asyncio
+import contextlib
+import random
+from collections.abc import AsyncIterator, Awaitable, Callable
+from dataclasses import dataclass, field, replace
+
+from pewterring.configuration.model import (
+    ClientLimits,
+    Configuration,
+    Route,
+    RouteType,
+    Service,
+    WeightedService,
+)
+from pewterring.distribution.messages import WorkerRecord
+from pewterring.distribution.tables import Tables
+from pewterring.edge.program import GatewayProgram
+from pewterring.node.settings import Address, Bounds, NodeSettings
+from pewterring.transport.http_client import WorkerPool
+from pewterring.transport.http_exchange import SendRequest
+from pewterring.transport.http_fetch import WholeAnswer, fetch
+from pewterring.transport.http_request import ServerLimits, ServerRequest
+from pewterring.transport.http_responder import Responder
+from pewterring.transport.http_server import HttpServer
+from tests.transport.http_stand_ins import Wire
+from tests.transport.virtual_time import now
+
+IP = "127.0.0.1"
+PATIENCE_S = 60.0
+LIMITS = ServerLimits(65536, 4194304, 60.0, 600.0)
+SIGNED = [(b"Response-Signature", b"stamp"), (b"Request-Id", b"7")]
+EVENTS = [*SIGNED, (b"Content-Type", b"text/event-stream")]
+GRACE_S = 8.0
+
+Behaviour = Callable[[ServerRequest, Responder], Awaitable[None]]
+
+
+def route(
+    kind: RouteType = RouteType.IDEMPOTENT, prefix: str = "/p/", timeout_ms: float = 5000, **changed: object
+) -> Route:
+    made = Route("r", "h", prefix, kind, (WeightedService("s", 1.0),), timeout_ms, 200, 0, 2, gap_aim_ms=250)
+    return replace(made, **changed)  # type: ignore[arg-type]
+
+
+def event(number: int) -> bytes:
+    return b"id: %d\ndata: token %d\n\n" % (number, number)
+
+
+async def answered(request: ServerRequest, responder: Responder) -> None:
+    await responder.respond(200, SIGNED, b"result")
+
+
+async def silent(request: ServerRequest, responder: Responder) -> None:
+    await responder.finished()
+
+
+async def slow_stream(request: ServerRequest, responder: Responder) -> None:
+    """An event a second, without end."""
+    responder.begin(200, EVENTS)
+    number = 0
+    while not responder.disconnected:
+        number += 1
+        responder.write(event(number))
+        await asyncio.sleep(1.0)
+
+
+@dataclass
+class Gateway:
+    """One gateway and what its workers saw."""
+
+    program: GatewayProgram
+    routes: tuple[Route, ...]
+    clients: WorkerPool = field(default_factory=lambda: WorkerPool(now=now))
+    seen: list[ServerRequest] = field(default_factory=list)
+    let_go_at: list[float] = field(default_factory=list)  # when a worker's connection closed during a request
+    servers: list[HttpServer] = field(default_factory=list)
+    wires: list[Wire] = field(default_factory=list)
+    workers: dict[str, WorkerRecord] = field(default_factory=dict)
+
+    @property
+    def port(self) -> int:
+        return self.program._front.port
+
+    async def start(self, behaviours: tuple[Behaviour, ...]) -> None:
+        for number, behaviour in enumerate(behaviours):
+            server = HttpServer(self._worker(behaviour), lambda: LIMITS, now)
+            await server.start(IP, 0)
+            self.servers.append(server)
+            address = f"{IP}:{server.port}"
+            self.workers[f"w{number}"] = WorkerRecord(f"w{number}", "s", address, "z", 4, "ready")
+        await self.program._front.start(IP, 0)
+        await self.program._ready.start(IP, 0)
+        self.servers += [self.program._front, self.program._ready]
+
+    def configure(self, limits: ClientLimits | None = None) -> None:
+        """Hands over the tables, as control does; they count as confirmed now."""
+        follower = self.program._feed._follower
+        old = follower.tables
+        configuration = Configuration(
+            1, self.routes, {"s": Service("s", max_connections=20)}, limits or ClientLimits(), b""
+        )
+        follower.tables = Tables(configuration=configuration, workers=self.workers)
+        follower.confirmed_at = now()
+        self.program._take_tables(old, follower.tables)
+
+    def _worker(self, behaviour: Behaviour) -> Behaviour:
+        async def handle(request: ServerRequest, responder: Responder) -> None:
+            self.seen.append(request)
+            responder.on_disconnect(lambda: self.let_go_at.append(now()))
+            await behaviour(request, responder)
+
+        return handle
+
+    async def ask(
+        self, path: str = "/p/x", method: str = "POST", timeout_ms: int | None = 5000, body: bytes = b"body"
+    ) -> WholeAnswer:
+        headers = [(b"Host", b"h"), (b"Request-Id", b"7")]
+        if timeout_ms is not None:
+            headers.append((b"Request-Timeout-Ms", b"%d" % timeout_ms))
+        request = SendRequest(method, path, headers, body, request_id=b"7")
+        return await fetch(self.clients, f"{IP}:{self.port}", request, 50, PATIENCE_S)
+
+    async def wire(self) -> Wire:
+        self.wires.append(Wire(*await asyncio.open_connection(IP, self.port)))
+        return self.wires[-1]
+
+    async def is_ready(self) -> bool:
+        request = SendRequest("GET", "/v1/readyz", [(b"Host", b"h")])
+        address = f"{IP}:{self.program._ready.port}"
+        return (await fetch(self.clients, address, request, 5, 5.0)).head.status == 200
+
+    async def reached(self, requests: int = 1) -> None:
+        """Waits until workers have seen so many requests."""
+        while len(self.seen) < requests:
+            await asyncio.sleep(0.001)
+
+    async def stop(self) -> None:
+        self.clients.close()
+        for wire in self.wires:
+            await wire.closed()
+        self.program._pool.close()
+        for server in self.servers:
+            await server.stop()
+
+
+def settings(grace_s: float = GRACE_S) -> NodeSettings:
+    address = Address(IP, 1)
+    return NodeSettings(
+        node_id="n",
+        ip=IP,
+        zone="z",
+        region="",
+        front=address,
+        ready=address,
+        control=None,
+        internal_port=1,
+        seeds=(),
+        bootstrap=False,
+        data_dir=None,
+        heartbeat_s=1.0,
+        tolerated_machines=1,
+        memory_mb=300,
+        max_descriptors=1000,
+        cpu_share=1.0,
+        disk_mb=0,
+        bounds=Bounds(grace_s=grace_s),
+    )
+
+
+@contextlib.asynccontextmanager
+async def gateway(
+    *behaviours: Behaviour,
+    routes: tuple[Route, ...] = (route(),),
+    configured: bool = True,
+    grace_s: float = GRACE_S,
+) -> AsyncIterator[Gateway]:
+    program = GatewayProgram(settings(grace_s), random.Random(1), now)
+    played = Gateway(program, routes)
+    await played.start(behaviours)
+    if configured:
+        played.configure()
+    try:
+        yield played
+    finally:
+        await played.stop()
