Worker client: an answer that names no request does not stand in for the next one

Cause: an answer was refused only where it carried another `Request-Id`. A surplus answer without the id, sent after a whole one, was taken for the answer to the next request of that connection: a success that is another request's, or a decline of a request that runs.

Change: a connection is used again only after an answer that repeats the id of its request; on a used connection a success without the id is broken (sent, may have run). An answer with two lengths ends its connection.

The chunked sample of test_http_client.py got the id that workers echo, so that its connection is used again as before.

--- a/pewterring/transport/http_answer.py
+++ b/pewterring/transport/http_answer.py
@@ -200,6 +200,7 @@
             self._framing = Framing.LENGTH
         elif b"transfer-encoding" in fields:
             self._framing = Framing.CHUNKED
+            self.reusable = self.reusable and b"content-length" not in fields  # two lengths: one is wrong
         elif b"content-length" in fields:
             self._framing, self._left = Framing.LENGTH, int(fields[b"content-length"])
         else:
--- a/pewterring/transport/http_client.py
+++ b/pewterring/transport/http_client.py
@@ -20,6 +20,8 @@
     NoFreeConnection,
     SendRequest,
     StaleConnection,
+    may_belong,
+    names_request,
 )
 
 __all__ = [
@@ -116,9 +118,7 @@
             self._check_end()
 
     def _take_head(self, exchange: Exchange, head: AnswerHead) -> bool:
-        answered = head.get(b"request-id")
-        wanted = exchange.request.request_id
-        if wanted is not None and answered is not None and answered != wanted:
+        if not may_belong(head, exchange.request, exchange.reused):
             self._break(AnswerBroken("the answer is that to another request"))
             return False
         exchange.listener.on_head(head)
@@ -132,17 +132,25 @@
             self._complete()
 
     def _complete(self) -> None:
-        reader = self._reader
-        sent_whole = self.up and not self.transport.get_write_buffer_size()
-        if reader.reusable and not reader.surplus and sent_whole:
-            assert reader.head is not None
-            self.transport.resume_reading()
-            exchange, self._exchange = self._exchange, None
-            self._owner.release(self, reader.head.keep_alive_s)
-            assert exchange is not None
-            exchange.finish(None)
-        else:
+        exchange, head = self._exchange, self._reader.head
+        assert exchange is not None and head is not None
+        if not self._may_carry_another(exchange, head):
             self._finish(None)
+            return
+        self.transport.resume_reading()
+        self._exchange = None
+        self._owner.release(self, head.keep_alive_s)
+        exchange.finish(None)
+
+    def _may_carry_another(self, exchange: Exchange, head: AnswerHead) -> bool:
+        """Whether nothing of this exchange can be taken for a part of the next one.
+
+        A worker may answer before it has read a long body. What the socket has taken of the body stays in
+        front of the next request; where some of it still waits here, the rest leaves and the connection ends.
+        """
+        if not self._reader.reusable or self._reader.surplus or not names_request(head, exchange.request):
+            return False
+        return self.up and not self.transport.get_write_buffer_size()
 
     def eof_received(self) -> bool:
         if self._exchange is not None:
--- a/pewterring/transport/http_exchange.py
+++ b/pewterring/transport/http_exchange.py
@@ -43,6 +43,30 @@
     request_id: bytes | None = None  # an answer with another `Request-Id` belongs to another request
 
 
+REQUEST_ID = b"request-id"
+
+
+def names_request(head: AnswerHead, request: SendRequest) -> bool:
+    """Whether an answer repeats the id of the request that it is taken for."""
+    return request.request_id is not None and head.get(REQUEST_ID) == request.request_id
+
+
+def may_belong(head: AnswerHead, request: SendRequest, reused: bool) -> bool:
+    """Whether an answer may be that to the request.
+
+    Symptom answered: a worker sends more than one answer, and the surplus one comes when the next request of
+    the connection is out. It shows its id; only workers that decline leave the id out at times, and no
+    connection is used again after an answer without it. So a success without the id on a connection that
+    carried another request is not taken.
+    """
+    if names_request(head, request):
+        return True
+    answered = head.get(REQUEST_ID)
+    if answered is not None:
+        return request.request_id is None and not reused
+    return not reused or not 200 <= head.status < 300
+
+
 class AnswerListener(Protocol):
     """Who takes the answer. After `on_end`, and after the exchange was cancelled, nothing more is called."""
 
--- a/tests/transport/test_http_client.py
+++ b/tests/transport/test_http_client.py
@@ -22,7 +22,8 @@
 REQUEST = SendRequest("POST", "/x?", [(b"Host", b"h"), (b"Request-Id", b"a1")], b"body", b"a1")
 OK = b"HTTP/1.1 200 OK\r\nRequest-Id: a1\r\nContent-Length: 2\r\n\r\nok"
 CHUNKED = (
-    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\none\r\n4;x=y\r\ntwo!\r\n0\r\nT: 1\r\n\r\n"
+    b"HTTP/1.1 200 OK\r\nRequest-Id: a1\r\nTransfer-Encoding: chunked\r\n\r\n"
+    b"3\r\none\r\n4;x=y\r\ntwo!\r\n0\r\nT: 1\r\n\r\n"
 )
 FIRST_CHUNK_END = CHUNKED.index(b"4;x=y")
 LIMIT = 4
