Tests: live requests cut at each byte are neither sent again nor refused

A gateway's live request on scripted connections in virtual time: the answer cut at each byte by a close and by a reset, on new and used connections, the request cut at each byte, a request given up while its bytes wait, workers that cannot be reached or decline, and a surplus answer of the request before. What may have run ends as 502 or 504 after one send; only a connection that never came up and a whole decline let it go elsewhere or end as 503.

--- /dev/null
+++ b/tests/edge/test_resets.py
@@ -0,0 +1,232 @@
+"""Live requests whose workers break off at each byte: what may have run is neither repeated nor refused."""
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+
+import pytest
+
+from pewterring.admission.service import ServiceAdmission
+from pewterring.configuration.model import Route, RouteType, WeightedService
+from pewterring.distribution.messages import WorkerRecord
+from pewterring.edge.live import LiveContext, LiveRequest
+from pewterring.edge.stalls import StallWatch
+from pewterring.routing.chooser import WorkerChooser
+from pewterring.routing.prompt import NO_PROMPT
+from pewterring.transport.http_client import SendRequest
+from pewterring.transport.http_request import ServerRequest
+from pewterring.transport.http_responder import Responder
+from tests.consensus import virtual_time
+from tests.transport.scripted import (
+    Ending,
+    ScriptedNetwork,
+    ScriptedTransport,
+    ScriptedWorker,
+    scripted_network,
+    settle,
+)
+
+BODY = b"0123456789"
+TIME_S = 5.0
+OK = b"HTTP/1.1 200 OK\r\nRequest-Id: a1\r\nResponse-Signature: s\r\nContent-Length: 2\r\n\r\nok"
+DECLINE = b"HTTP/1.1 503 Busy\r\nRequest-Id: a1\r\nNot-Executed: 1\r\nContent-Length: 2\r\n\r\nno"
+BEFORE = SendRequest("POST", "/p/x", [(b"Host", b"h"), (b"Request-Id", b"b2")], b"", b"b2")
+BEFORE_OK = OK.replace(b"a1", b"b2")
+PROMISES = (b"408", b"421", b"429", b"503")
+KINDS = {
+    "non-idempotent": RouteType.NON_IDEMPOTENT,
+    "stream": RouteType.STREAMING,
+}
+
+
+class Client:
+    """The connection of the client: takes what it is sent."""
+
+    unsent = False
+
+    def __init__(self) -> None:
+        self.answer = b""
+        self.aborted = False
+
+    @property
+    def status(self) -> bytes:
+        return self.answer.split(b" ", 2)[1]
+
+    def write(self, data: bytes) -> None:
+        self.answer += data
+
+    async def writable(self) -> None:
+        pass
+
+    def closes_after_answer(self) -> bool:
+        return False
+
+    def answer_ended(self) -> None:
+        pass
+
+    def abort_answer(self, reset: bool) -> None:
+        self.aborted = True
+
+
+@dataclass
+class Gateway:
+    """Requests of one route at two workers; the first is chosen first."""
+
+    network: ScriptedNetwork
+    kind: RouteType
+    client: Client = field(default_factory=Client)
+
+    def __post_init__(self) -> None:
+        services = (WeightedService("s", 1.0),)
+        self.route = Route("r", "h", "/p/", self.kind, services, 5000, 200, 0, 2, True, False, 250)
+        self.worker = ScriptedWorker(self.network)
+        chooser = WorkerChooser("z", random.Random(1))
+        addresses = {"w0": self.worker.address, "w1": "192.0.2.2:80"}
+        chooser.update(
+            {name: WorkerRecord(name, "s", address, "z", 4, "ready") for name, address in addresses.items()},
+            None,
+        )
+        chooser.workers["w0"].slowness, chooser.workers["w1"].slowness = 1.0, 2.0
+        self.context = LiveContext(
+            self.worker.pool, chooser, StallWatch(), lambda worker, tokens, prompt: None
+        )
+
+    async def ask(self) -> "asyncio.Task[None]":
+        """Begins a request, as far as the connection to its first worker takes it."""
+        now = asyncio.get_running_loop().time()
+        headers = [(b"Host", b"h"), (b"Request-Id", b"a1"), (b"Request-Timeout-Ms", b"5000")]
+        fields = {name.lower(): value for name, value in headers}
+        request = ServerRequest("POST", "/p/x", headers, fields, "h", BODY, now, True, b"1.1")
+        live = LiveRequest(
+            self.context,
+            request,
+            Responder(self.client, request),
+            self.route,
+            "s",
+            NO_PROMPT,
+            now + TIME_S,
+            ServiceAdmission(1),
+            10,
+        )
+        task = asyncio.create_task(live.run())
+        await settle()
+        return task
+
+    @property
+    def runs(self) -> list[ScriptedTransport]:
+        """The connections that carried a byte of the request."""
+        return [transport for transport in self.network.transports if b"POST /p/x" in transport.taken]
+
+
+def play(kind: RouteType, story: Callable[[Gateway], Awaitable[None]]) -> None:
+    async def run() -> None:
+        with scripted_network() as network:
+            gateway = Gateway(network, kind)
+            await story(gateway)
+            gateway.worker.pool.close()
+            await settle()
+
+    virtual_time.run(run())
+
+
+@pytest.mark.parametrize("reused", [False, True], ids=["new", "reused"])
+@pytest.mark.parametrize("ending", Ending)
+@pytest.mark.parametrize("raw", [OK, DECLINE], ids=["success", "decline"])
+@pytest.mark.parametrize("kind", KINDS)
+def test_an_answer_cut_at_any_byte_is_no_reason_to_send_again(
+    kind: str, raw: bytes, ending: Ending, reused: bool
+) -> None:
+    for cut in range(len(raw)):
+
+        async def story(gateway: Gateway, cut: int = cut) -> None:
+            if reused:
+                await gateway.worker.serve(BEFORE, BEFORE_OK)
+            task = await gateway.ask()
+            transport = gateway.network.last
+            transport.deliver(raw[:cut])
+            transport.end(ending)
+            await task
+            assert gateway.client.status == b"502"
+            assert len(gateway.network.transports) == 1
+
+        play(KINDS[kind], story)
+
+
+@pytest.mark.parametrize("ending", Ending)
+def test_a_request_cut_at_any_byte_is_not_sent_again(ending: Ending) -> None:
+    async def whole(gateway: Gateway) -> None:
+        task = await gateway.ask()
+        sizes.append(len(gateway.network.last.taken))
+        gateway.network.last.deliver(OK)
+        await task
+
+    sizes: list[int] = []
+    play(RouteType.NON_IDEMPOTENT, whole)
+    for cut in range(sizes[0] + 1):
+
+        async def story(gateway: Gateway, cut: int = cut) -> None:
+            gateway.network.room = cut
+            task = await gateway.ask()
+            gateway.network.last.end(ending)
+            await task
+            assert gateway.client.status == b"502"
+            assert len(gateway.network.transports) == 1
+
+        play(RouteType.NON_IDEMPOTENT, story)
+
+
+def test_a_request_given_up_while_it_is_half_written_promises_nothing() -> None:
+    for room in (0, 1, 50, None):
+
+        async def story(gateway: Gateway, room: int | None = room) -> None:
+            gateway.network.room = room
+            await (await gateway.ask())
+            assert gateway.client.status == b"504"
+            (transport,) = gateway.network.transports
+            assert transport.ended
+            transport.make_room()
+            assert room is None or len(transport.taken) == room  # what waited never leaves
+
+        play(RouteType.NON_IDEMPOTENT, story)
+
+
+def test_a_worker_that_cannot_be_reached_and_one_that_declines_took_nothing() -> None:
+    async def refused(gateway: Gateway) -> None:
+        gateway.network.refusing.add("192.0.2.1")
+        task = await gateway.ask()
+        gateway.network.last.deliver(OK)
+        await task
+        assert gateway.client.status == b"200"
+        assert (gateway.network.refusals, len(gateway.runs)) == (1, 1)
+
+    async def declined(gateway: Gateway) -> None:
+        task = await gateway.ask()
+        gateway.network.last.deliver(DECLINE)
+        await settle()
+        gateway.network.last.deliver(OK)
+        await task
+        assert gateway.client.status == b"200"
+        assert len(gateway.runs) == 2
+
+    async def nowhere(gateway: Gateway) -> None:
+        gateway.network.refusing |= {"192.0.2.1", "192.0.2.2"}
+        await (await gateway.ask())
+        assert gateway.client.status == b"503"
+        assert not gateway.runs
+
+    for story in (refused, declined, nowhere):
+        play(RouteType.NON_IDEMPOTENT, story)
+
+
+@pytest.mark.parametrize("surplus", [BEFORE_OK, DECLINE.replace(b"a1", b"b2")], ids=["success", "decline"])
+def test_a_surplus_answer_neither_answers_nor_declines_the_next_request(surplus: bytes) -> None:
+    async def story(gateway: Gateway) -> None:
+        await gateway.worker.serve(BEFORE, BEFORE_OK)
+        task = await gateway.ask()
+        gateway.network.last.deliver(surplus + OK)
+        await task
+        assert gateway.client.status not in (b"200", *PROMISES)
+        assert len(gateway.network.transports) == 1
+
+    play(RouteType.NON_IDEMPOTENT, story)
--- a/tests/transport/scripted.py
+++ b/tests/transport/scripted.py
@@ -138,7 +138,8 @@
 
     def __init__(self) -> None:
         self.transports: list[ScriptedTransport] = []
-        self.refusing: set[int] = set()  # ports
+        self.refusing: set[str] = set()  # IPs
+        self.refusals = 0
         self.room: int | None = None  # of the next connections
 
     @property
@@ -150,7 +151,8 @@
         self, make_protocol: Callable[[], asyncio.BaseProtocol], ip: str, port: int
     ) -> tuple[ScriptedTransport, asyncio.BaseProtocol]:
         """Stands in for the loop's `create_connection`."""
-        if port in self.refusing:
+        if ip in self.refusing:
+            self.refusals += 1
             raise ConnectionRefusedError
         protocol = make_protocol()
         transport = ScriptedTransport(protocol, self.room)
--- a/tests/transport/test_http_resets.py
+++ b/tests/transport/test_http_resets.py
@@ -121,7 +121,7 @@
 
 def test_a_connection_that_never_came_up_took_nothing() -> None:
     async def story(worker: ScriptedWorker) -> None:
-        worker.network.refusing.add(80)
+        worker.network.refusing.add("192.0.2.1")
         recorder, _ = await worker.send(REQUEST)
         assert type(recorder.error) is ConnectFailed
         assert not recorder.error.sent
