A wish to empty a store is decided only once the outcome of the one before is known

A caller that left after 0.9 s cancelled its proposal's wait and let the next wish in while the first was still uncommitted: both could be taken, each counting on the other store. The proposal is now seen through. A repeat of a wish that was taken was 404 at a leader that did not know the store yet; it is 200. A leader that had just been elected, or had not looked for 2 s, could refuse with 409 out of old notes of which stores are gone; it answers 503 until it knows. Leadership is confirmed after the wait for a turn, not before it. A repeat's answer tells the state of the retirement.

The test of a store that is away now looks at the stores in between, as the leader's duties do; its expectations are the same.

--- a/pewterring/control/program.py
+++ b/pewterring/control/program.py
@@ -82,7 +82,7 @@
         nodes = NodeTable()
         publisher = FeedPublisher(self._state, nodes)
         registry = WorkerRegistry(self._state.workers, self._state.departed, settings.heartbeat_s)
-        desk = RetirementDesk(self._state, nodes, self._leadership.propose, needed)
+        desk = RetirementDesk(self._state, nodes, self._leadership, needed)
         self._planner = MembershipPlanner(self._member, needed)
         bounds = settings.bounds
         self._duties = LeaderDuties(
--- a/pewterring/control/retiring.py
+++ b/pewterring/control/retiring.py
@@ -1,7 +1,7 @@
 """Takes the operator's wish to empty a store, and says how far that is."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from typing import Protocol
 
 from pewterring.control.commands import Command, Result, SetRetiring
 from pewterring.control.nodes import NodeTable
@@ -15,6 +15,7 @@
 RUNNING = "running"
 SUCCEEDED = "succeeded"
 SETTLED_S = 5.0  # after so long a leader knows which stores are gone and not just away for a moment
+UNWATCHED_S = 2.0  # after so long without a look at the stores it must find that out anew
 
 
 class RetirementRefused(Exception):
@@ -25,6 +26,16 @@
         self.status = status
 
 
+class Leadership(Protocol):
+    """What the desk needs of the replicated group. Both raise `NotLeading` or `OutcomeUnsure`."""
+
+    async def propose(self, command: Command) -> Result:
+        """Commits a command and gives the result of applying it."""
+
+    async def read_barrier(self) -> None:
+        """Returns once all that was committed before the call has been applied here."""
+
+
 class RetirementDesk:
     """Starts retirements one at a time, so that two cannot both count on the same remaining stores."""
 
@@ -32,26 +43,31 @@
         self,
         state: ControlState,
         nodes: NodeTable,
-        propose: Callable[[Command], Awaitable[Result]],
+        leadership: Leadership,
         needed_stores: int,
     ) -> None:
         self._state = state
         self._nodes = nodes
-        self._propose = propose
+        self._leadership = leadership
         self._needed = needed_stores
         self._lock = asyncio.Lock()
+        self._proposal: asyncio.Future[Result] | None = None
         self._missing_since: dict[str, float] = {}
+        self._watched = -UNWATCHED_S
 
     async def start(self, now: float, node_id: str) -> None:
-        """Commits the wish; raises `RetirementRefused`. Again for the same store it changes nothing."""
+        """Commits the wish; raises `RetirementRefused` or a `ControlError`.
+
+        Again for the same store it changes nothing. Nothing is decided before the outcome of the wish before
+        is known, also where its caller has left meanwhile: that store may not count as one that remains.
+        """
         async with self._lock:
-            store = self._store(node_id)
-            if store is None:
-                raise RetirementRefused(UNKNOWN, f"no store {node_id}")
-            if self._state.is_retiring(store):
-                return
-            self._check_remaining(now, store)
-            await self._propose(SetRetiring(node_id, store.member))
+            await self._outcome_of_the_last()
+            await self._leadership.read_barrier()
+            wish = self._checked_wish(now, node_id)
+            if wish is not None:
+                self._proposal = asyncio.ensure_future(self._leadership.propose(wish))
+                await asyncio.shield(self._proposal)
 
     def progress(self, node_id: str) -> str | None:
         """How far a retirement is, or None where there is none."""
@@ -62,9 +78,28 @@
 
     def watch(self, now: float) -> None:
         """Notes since when stores are missing; to be called again and again."""
+        if now - self._watched > UNWATCHED_S:  # another led meanwhile, or nobody
+            self._missing_since = {}
+        self._watched = now
         missing = [node_id for node_id in self._state.stores if node_id not in self._nodes.records]
         self._missing_since = {node_id: self._missing_since.get(node_id, now) for node_id in missing}
 
+    async def _outcome_of_the_last(self) -> None:
+        if self._proposal is not None and not self._proposal.done():
+            await asyncio.wait((self._proposal,))
+
+    def _checked_wish(self, now: float, node_id: str) -> SetRetiring | None:
+        """What is to be committed, or None where it has been before; raises `RetirementRefused`."""
+        store = self._store(node_id)
+        if store is None and node_id in self._state.retirements:
+            return None
+        if store is None:
+            raise RetirementRefused(UNKNOWN, f"no store {node_id}")
+        if self._state.is_retiring(store):
+            return None
+        self._check_remaining(now, store)
+        return SetRetiring(node_id, store.member)
+
     def _store(self, node_id: str) -> NodeRecord | None:
         live = self._nodes.records.get(node_id)
         if live is not None and live.program == STORE and live.member:
@@ -72,6 +107,7 @@
         return self._state.stores.get(node_id)
 
     def _check_remaining(self, now: float, store: NodeRecord) -> None:
+        self.watch(now)
         others = [
             other
             for other in live_stores(self._nodes.records.values())
--- a/pewterring/control/service.py
+++ b/pewterring/control/service.py
@@ -142,12 +142,11 @@
         return Answer(200, status_of(self._state))
 
     async def _start_retirement(self, node_id: str, body: bytes) -> Answer:
-        await self._leadership.read_barrier()
         try:
             await self._retirements.start(self._clock(), node_id)
         except RetirementRefused as error:
             return refusal(error.status, str(error))
-        return Answer(200, b'{"state":"running"}')
+        return Answer(200, msgspec.json.encode({"state": self._retirements.progress(node_id)}))
 
     async def _retirement(self, node_id: str, body: bytes) -> Answer:
         await self._leadership.read_barrier()
--- a/tests/control/cluster.py
+++ b/tests/control/cluster.py
@@ -57,7 +57,7 @@
         self.nodes = NodeTable()
         self.publisher = FeedPublisher(self.state, self.nodes)
         self.registry = WorkerRegistry(self.state.workers, self.state.departed, 1.0)
-        desk = RetirementDesk(self.state, self.nodes, self.leadership.propose, 3)
+        desk = RetirementDesk(self.state, self.nodes, self.leadership, 3)
         service = ControlService(self.state, self.registry, desk, self.leadership, clock)
         self.router = CallRouter(service.handle, self._leader_ip, cluster.request, ip)
         self._clock = clock
--- a/tests/control/test_duties.py
+++ b/tests/control/test_duties.py
@@ -27,7 +27,7 @@
         self.nodes = NodeTable()
         self.publisher = FeedPublisher(self.state, self.nodes)
         registry = WorkerRegistry(self.state.workers, self.state.departed, 1.0)
-        desk = RetirementDesk(self.state, self.nodes, self.propose, 3)
+        desk = RetirementDesk(self.state, self.nodes, self, 3)
         planner = MembershipPlanner(MEMBERSHIP.voters[0], 3)
         self.duties = LeaderDuties(
             self.state, self.nodes, registry, self.publisher, desk, planner, 3, REPORT_S
@@ -37,6 +37,9 @@
     async def propose(self, command: Command) -> Result:
         return apply(self.state, command)
 
+    async def read_barrier(self) -> None:
+        pass
+
     def run(self, seconds: float) -> list[Command]:
         done: list[Command] = []
         end = self.now + seconds
--- a/tests/control/test_service.py
+++ b/tests/control/test_service.py
@@ -9,7 +9,7 @@
 
 from pewterring.control.api import ControlApi
 from pewterring.control.calls import Answer, Call
-from pewterring.control.commands import Command, PutNodes, Result
+from pewterring.control.commands import Command, EndRetirement, PutNodes, Result
 from pewterring.control.errors import NotLeading, OutcomeUnsure
 from pewterring.control.messages import RelayedAnswer, RelayedCall
 from pewterring.control.nodes import NodeTable
@@ -38,7 +38,7 @@
         self.other: Machine | None = None
         self.relayed = 0
         registry = WorkerRegistry(self.state.workers, self.state.departed, 1.0)
-        desk = RetirementDesk(self.state, self.nodes, self.propose, 3)
+        desk = RetirementDesk(self.state, self.nodes, self, 3)
         self.service = ControlService(self.state, registry, desk, self, lambda: 0.0)
         self.router = CallRouter(self.service.handle, lambda: self.leader, self.request, ip)
 
@@ -196,8 +196,13 @@
     assert machine.call("GET", "/v1/Retire.Get/store-1").status == 404
     assert machine.call("POST", "/v1/Retire.Start/store-1", b'{"duration_s":10}').status == 200
     assert machine.call("GET", "/v1/Retire.Get/store-1").body == b'{"state":"running"}'
+    assert machine.call("POST", "/v1/Retire.Start/store-1").body == b'{"state":"running"}'
     assert machine.call("POST", "/v1/Retire.Start/store-9").status == 404
     assert machine.call("POST", "/v1/Retire.Start/store-2").status == 409
+    apply(machine.state, EndRetirement("store-1"))
+    again = machine.call("POST", "/v1/Retire.Start/store-1")
+    assert again == Answer(200, b'{"state":"succeeded"}')
+    assert machine.call("GET", "/v1/Retire.Get/store-1") == again
 
 
 def follower_of(leader: Machine) -> Machine:
--- a/tests/control/test_stores.py
+++ b/tests/control/test_stores.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from pewterring.control.commands import Command, PutNodes, Result, SetRetiring
+from pewterring.control.commands import Command, EndRetirement, PutNodes, Result, SetRetiring
+from pewterring.control.errors import NotLeading, OutcomeUnsure
 from pewterring.control.nodes import NodeTable
 from pewterring.control.retiring import SETTLED_S, RetirementDesk, RetirementRefused
 from pewterring.control.state import ControlState, Retirement
@@ -12,6 +13,7 @@
 from pewterring.distribution.messages import GroupStatus, NodeRecord, PlacementRecord
 from tests.control.records import apply, gateway, status, store
 
+TICK_S = 0.2
 STORES = [store(number) for number in (1, 2, 3, 4)]
 
 
@@ -51,14 +53,31 @@
         self.state = ControlState()
         self.nodes = NodeTable()
         self.nodes.start(0.0, {})
-        self.desk = RetirementDesk(self.state, self.nodes, self.propose, needed_stores=3)
+        self.desk = RetirementDesk(self.state, self.nodes, self, needed_stores=3)
+        self.commits = asyncio.Event()  # proposals wait for it
+        self.commits.set()
+        self.proposed: list[Command] = []
+        self.leads = True
         for node in live:
             self.nodes.hear(0.0, node)
         apply(self.state, PutNodes(live))
 
     async def propose(self, command: Command) -> Result:
+        self.proposed.append(command)
+        await self.commits.wait()
         return apply(self.state, command)
 
+    async def read_barrier(self) -> None:
+        if not self.leads:
+            raise NotLeading
+
+    def watch(self, begin: float, end: float) -> None:
+        """What the leader's duties do again and again."""
+        now = begin
+        while now <= end:
+            self.desk.watch(now)
+            now += TICK_S
+
     def lose(self, now: float, node: NodeRecord) -> None:
         self.nodes.start(now, {key: live for key, live in self.nodes.records.items() if live != node})
         self.desk.watch(now)
@@ -92,9 +111,105 @@
     desk = Desk(*STORES)
     desk.lose(10.0, STORES[3])
     assert desk.start("store-1", 10.5) == 503
+    desk.watch(10.5, 10.0 + SETTLED_S)
     assert desk.start("store-1", 10.0 + SETTLED_S) == 409
 
 
+def test_a_leader_that_did_not_look_for_a_while_refuses_nothing_at_first() -> None:
+    desk = Desk(*STORES)
+    desk.lose(10.0, STORES[3])
+    desk.watch(10.0, 12.0)
+    assert desk.start("store-1", 20.0) == 503  # another led meanwhile: the store may just have been here
+    desk.watch(20.0, 20.0 + SETTLED_S)
+    assert desk.start("store-1", 20.0 + SETTLED_S) == 409
+
+
+def test_a_new_leader_refuses_nothing_before_its_first_look() -> None:
+    desk = Desk(*STORES)
+    desk.nodes.start(10.0, {store.node_id: store for store in STORES[:3]})
+    assert desk.start("store-1", 10.0) == 503
+
+
+def test_a_repeat_is_acknowledged_for_a_store_that_only_its_retirement_names() -> None:
+    desk = Desk(*STORES[1:])
+    apply(desk.state, SetRetiring("store-1", STORES[0].member))
+    assert desk.start("store-1") == 200
+    apply(desk.state, EndRetirement("store-1"))
+    assert desk.start("store-1") == 200
+    assert desk.proposed == []
+
+
+def test_a_repeat_is_acknowledged_where_too_few_would_remain_now() -> None:
+    desk = Desk(*STORES)
+    assert desk.start("store-1") == 200
+    desk.lose(0.0, STORES[1])
+    desk.watch(0.0, SETTLED_S)
+    assert desk.start("store-1", SETTLED_S) == 200
+    apply(desk.state, EndRetirement("store-1"))
+    assert desk.start("store-1", SETTLED_S) == 200
+    assert len(desk.proposed) == 1
+
+
+async def turns() -> None:
+    """Lets all that can go on do so."""
+    for _ in range(20):
+        await asyncio.sleep(0)
+
+
+@pytest.mark.parametrize("leaves", [False, True])
+def test_a_wish_whose_outcome_is_unknown_is_waited_for_also_when_its_caller_left(leaves: bool) -> None:
+    desk = Desk(*STORES)
+
+    async def scenario() -> None:
+        desk.commits.clear()
+        first = asyncio.create_task(desk.desk.start(0.0, "store-1"))
+        await turns()
+        if leaves:
+            first.cancel()
+        second = asyncio.create_task(desk.desk.start(0.0, "store-2"))
+        again = asyncio.create_task(desk.desk.start(0.0, "store-1"))
+        await turns()
+        assert not second.done() and not again.done()
+        desk.commits.set()
+        with pytest.raises(RetirementRefused, match="2 stores would remain"):
+            await second
+        await again
+
+    asyncio.run(scenario())
+    assert [command for command in desk.proposed if isinstance(command, SetRetiring)] == [
+        SetRetiring("store-1", STORES[0].member)
+    ]
+
+
+def test_a_leader_that_is_deposed_while_a_wish_waits_refuses_nothing() -> None:
+    desk = Desk(*STORES)
+
+    async def scenario() -> None:
+        desk.commits.clear()
+        first = asyncio.create_task(desk.desk.start(0.0, "store-1"))
+        second = asyncio.create_task(desk.desk.start(0.0, "store-2"))
+        await turns()
+        desk.leads = False
+        desk.commits.set()
+        with pytest.raises(NotLeading):
+            await second
+        await first
+
+    asyncio.run(scenario())
+
+
+def test_a_wish_that_failed_does_not_hold_up_the_next() -> None:
+    desk = Desk(*STORES)
+
+    async def propose(command: Command) -> Result:
+        raise OutcomeUnsure
+
+    desk.propose = propose  # type: ignore[method-assign]
+    for _ in range(2):
+        with pytest.raises(OutcomeUnsure):
+            asyncio.run(desk.desk.start(0.0, "store-1"))
+
+
 def test_a_retirement_is_told_by_its_command_alone() -> None:
     desk = Desk()
     apply(desk.state, SetRetiring("store-1", "m"))
