Files of a later version are refused whole, and a state that cannot be read is never written

A log record with fields that this version does not know was read without them: half taken.

What is refused stays as it was: files of before were removed first, and are now removed after all was read.

It is read first.

--- a/pewterring/consensus/group.py
+++ b/pewterring/consensus/group.py
@@ -11,7 +11,7 @@
 from concurrent.futures import Executor
 from typing import Protocol
 
-from pewterring.consensus.errors import GroupFailed, OutcomeUnknown
+from pewterring.consensus.errors import GroupFailed, OutcomeUnknown, StorageError
 from pewterring.consensus.log import entry_size
 from pewterring.consensus.messages import ConsensusMessage, Entry, Membership
 from pewterring.consensus.persistent import GroupStorage, LoadedGroup
@@ -36,7 +36,7 @@
         ...
 
     def restore(self, data: bytes) -> None:
-        """Replaces the whole state by one that `snapshot` returned."""
+        """Replaces the whole state by one that `snapshot` returned; raises where it cannot be read."""
         ...
 
 
@@ -92,10 +92,8 @@
     async def start(self) -> None:
         """Reads the storage and takes part in the group; raises `GroupFailed` if that cannot be."""
         try:
-            loaded: LoadedGroup = await self._jobs.call(self._storage.load)
-            if loaded.snapshot is not None:
-                self._machine.restore(loaded.snapshot)
-                self._next_snapshot_bytes = self._snapshot_size(len(loaded.snapshot))
+            loaded = await self._jobs.call(self._storage.load)
+            self._restore_loaded(loaded)
         except Exception as error:
             raise GroupFailed(f"group {self.group} cannot start: {error}") from error
         self._raft = Raft(
@@ -103,6 +101,15 @@
         )
         self._process()
 
+    def _restore_loaded(self, loaded: LoadedGroup) -> None:
+        if loaded.snapshot is None:
+            return
+        try:
+            self._machine.restore(loaded.snapshot)
+        except Exception as error:
+            raise StorageError(f"{loaded.snapshot_file} cannot be read: {error}") from error
+        self._next_snapshot_bytes = self._snapshot_size(len(loaded.snapshot))
+
     async def stop(self) -> None:
         """Takes part no longer. A save under way is finished; calls under way end with `OutcomeUnknown`."""
         self._halt(OutcomeUnknown(f"group {self.group} stops"))
@@ -323,6 +330,9 @@
     # Storage.
 
     def _begin_save(self, save: Save) -> None:
+        if save.snapshot is not None:
+            # Before it is written: one that cannot be read must not be what the next start finds.
+            self._machine.restore(save.snapshot.data)
         self._jobs.begin(lambda: self._write(save), lambda: self._saved(save), must_be_done=True)
 
     def _write(self, save: Save) -> None:
@@ -342,7 +352,6 @@
     def _saved(self, save: Save) -> None:
         raft = self._running()
         if save.snapshot is not None:
-            self._machine.restore(save.snapshot.data)
             self._start_count(len(save.snapshot.data))
         raft.persisted(self._clock(), save)
         for message in save.messages_after_sync:
--- a/pewterring/consensus/persistent.py
+++ b/pewterring/consensus/persistent.py
@@ -40,6 +40,7 @@
 
     state: PersistentState
     snapshot: bytes | None = None
+    snapshot_file: str = ""  # to be named where the content cannot be read
 
 
 class GroupStorage(Protocol):
--- a/pewterring/storage/errors.py
+++ b/pewterring/storage/errors.py
@@ -2,7 +2,7 @@
 
 from pewterring.consensus.errors import StorageError, StorageFull
 
-__all__ = ["CorruptLog", "CorruptSnapshot", "StorageError", "StorageFailed", "StorageFull"]
+__all__ = ["CorruptLog", "CorruptSnapshot", "StorageError", "StorageFailed", "StorageFull", "UnknownFormat"]
 
 
 class StorageFailed(StorageError):
@@ -24,3 +24,11 @@
     def __init__(self, file: str) -> None:
         super().__init__(f"{file} is damaged")
         self.file = file
+
+
+class UnknownFormat(StorageError):
+    """A file was written by a later version of the program; nothing of it is taken."""
+
+    def __init__(self, file: str, found: int, known: int) -> None:
+        super().__init__(f"{file} has format {found}; this version of pewterring reads up to {known}")
+        self.file = file
--- a/pewterring/storage/group.py
+++ b/pewterring/storage/group.py
@@ -10,6 +10,7 @@
 from pewterring.consensus.persistent import HardState, LoadedGroup, PersistentState
 from pewterring.storage.disk import Disk
 from pewterring.storage.errors import CorruptLog, StorageError, StorageFull
+from pewterring.storage.formats import FORMAT, check_format
 from pewterring.storage.log import Position, SegmentedLog
 from pewterring.storage.snapshots import SnapshotHeader, SnapshotStore
 from pewterring.storage.terms import Terms
@@ -19,8 +20,11 @@
 
 
 class _HardStateRecord(msgspec.Struct, frozen=True, tag="state"):
+    """Each segment starts with one, so that its format is known before the rest is read."""
+
     term: int
     vote: str | None
+    format: int = FORMAT
 
 
 class _TruncateRecord(msgspec.Struct, frozen=True, tag="truncate"):
@@ -91,7 +95,9 @@
             snapshot_membership=header.membership,
             entries=entries,
         )
-        return LoadedGroup(state, snapshot.data if snapshot and header.index else None)
+        if snapshot is None or not header.index:
+            return LoadedGroup(state)
+        return LoadedGroup(state, snapshot.data, snapshot.file)
 
     def _replay(self, first_segment: int | None) -> list[Entry]:
         """Reads the log; returns the entries after the snapshot."""
@@ -106,6 +112,7 @@
         except msgspec.MsgspecError as error:
             raise CorruptLog(position.file, position.offset) from error
         if isinstance(record, _HardStateRecord):
+            check_format(position.file, record.format)
             self._hard_state = HardState(record.term, record.vote)
         elif isinstance(record, _TruncateRecord):
             del entries[max(0, record.from_index - self._snapshot_index - 1) :]
--- a/pewterring/storage/log.py
+++ b/pewterring/storage/log.py
@@ -74,7 +74,7 @@
     def open(self, first_segment: int | None) -> Iterator[tuple[Position, bytes]]:
         """Yields all records from `first_segment` on; the log can be written once they have been read.
 
-        Earlier segments are removed. None says that the log may be new and then starts with segment 1.
+        Earlier segments are removed then. None says that the log may be new and then starts with segment 1.
         """
         self._release()
         self._sizes = {}
@@ -87,18 +87,15 @@
             raise CorruptLog(self._name(first_segment or FIRST_SEGMENT), 0)
         for number in numbers:
             yield from self._read_segment(number, is_last=number == numbers[-1])
+        self._remove_present_before(numbers[0])
         self._file = self._disk.open(self._name(numbers[-1]))
         if self._disk.size(self._name(numbers[-1])) > self._sizes[numbers[-1]]:
             self._file.truncate(self._sizes[numbers[-1]])
         self._file.sync()  # the process before may have ended between a write and its sync
 
     def _present_segments(self, first: int) -> list[int]:
-        """The numbers from `first` on, without a gap; files of earlier ones are removed."""
-        found = sorted(self._numbers())
-        for number in found:
-            if number < first:
-                self._disk.remove(self._name(number))
-        present = [number for number in found if number >= first]
+        """The numbers from `first` on, without a gap."""
+        present = [number for number in sorted(self._numbers()) if number >= first]
         if not present and first == FIRST_SEGMENT:
             return []
         last = present[-1] if present else first
@@ -107,6 +104,12 @@
                 raise CorruptLog(self._name(number), 0)
         return present
 
+    def _remove_present_before(self, first: int) -> None:
+        """Removes files of segments that a loss of power brought back, or that were still to be removed."""
+        for number in sorted(self._numbers()):
+            if number < first:
+                self._disk.remove(self._name(number))
+
     def _numbers(self) -> Iterator[int]:
         for name in self._disk.names():
             if name.startswith(self._prefix) and name.endswith(SEGMENT_SUFFIX):
--- a/pewterring/storage/snapshots.py
+++ b/pewterring/storage/snapshots.py
@@ -12,6 +12,7 @@
 from pewterring.consensus.messages import Membership
 from pewterring.storage.disk import Disk
 from pewterring.storage.errors import CorruptSnapshot, StorageFull
+from pewterring.storage.formats import FORMAT, check_format
 from pewterring.storage.records import encode_record, read_record
 
 SNAPSHOT_SUFFIX = ".snapshot"
@@ -27,6 +28,7 @@
     first_segment: int
     size: int = 0
     checksum: int = 0
+    format: int = FORMAT
 
 
 @dataclass(frozen=True, slots=True)
@@ -35,6 +37,7 @@
 
     header: SnapshotHeader
     data: bytes
+    file: str
 
 
 class SnapshotStore:
@@ -47,18 +50,16 @@
         self.size_bytes = 0  # of the newest
 
     def load(self) -> Snapshot | None:
-        """The newest snapshot; what is left of others is removed.
+        """The newest snapshot; what is left of others is removed once that could be read.
 
         The folder is synced first: the process before may have ended between a rename and that.
         """
         self._disk.sync_folder()
         names = self._names()
-        for name in names[:-1]:
-            self._disk.remove(name)
+        newest = self._read(names[-1]) if names else None
+        self.remove_older()
         self._remove_temporary()
-        if not names:
-            return None
-        return self._read(names[-1])
+        return newest
 
     def write(self, header: SnapshotHeader, data: bytes) -> None:
         """Writes a snapshot; when it returns, it is the newest, and outlasts a loss of power."""
@@ -100,11 +101,12 @@
             header = msgspec.json.decode(record.payload, type=SnapshotHeader)
         except msgspec.MsgspecError as error:
             raise CorruptSnapshot(name) from error
+        check_format(name, header.format)
         data = content[record.end :]
         if len(data) != header.size or zlib.crc32(data) != header.checksum:
             raise CorruptSnapshot(name)
         self.size_bytes = len(content)
-        return Snapshot(header, data)
+        return Snapshot(header, data, name)
 
     def _names(self) -> list[str]:
         """The names of all snapshots, the newest last."""
--- /dev/null
+++ b/tests/consensus/test_bad_state.py
@@ -0,0 +1,66 @@
+"""A state that cannot be read ends the member before anything of it is taken."""
+
+import asyncio
+
+import pytest
+
+from pewterring.consensus.errors import GroupFailed
+from pewterring.consensus.group import ReplicatedGroup
+from pewterring.consensus.messages import Membership
+from pewterring.storage.group import DiskGroupStorage
+from tests.consensus.memory_storage import MemoryStorage
+from tests.consensus.test_group import NAMES, Machine, Network, command, wait_until
+from tests.consensus.virtual_time import InlineExecutor, run
+from tests.storage.model import MEMBERS
+from tests.storage.simulated_disk import SimulatedDisk
+
+
+def test_a_snapshot_on_disk_that_cannot_be_read_is_named() -> None:
+    async def scenario() -> None:
+        disk = SimulatedDisk()
+        storage = DiskGroupStorage(disk, "g")
+        storage.load()
+        storage.save_snapshot(5, 1, MEMBERS, b'{"of": "a later version"')
+        storage.close()
+        machine = Machine()
+        group = ReplicatedGroup(
+            "g",
+            "a",
+            DiskGroupStorage(disk, "g"),
+            machine,
+            lambda message: None,
+            clock=asyncio.get_running_loop().time,
+            executor=InlineExecutor(),
+        )
+        with pytest.raises(GroupFailed) as refused:
+            await group.start()
+        assert "g.00000000000000000005.snapshot" in str(refused.value)
+        assert "\n" not in str(refused.value) and machine.commands == []
+
+    run(scenario())
+
+
+class OtherMachine(Machine):
+    """Of a version whose snapshots the others cannot read."""
+
+    def snapshot(self) -> bytes:
+        return b"{" + super().snapshot()
+
+
+def test_a_snapshot_that_cannot_be_read_is_not_written() -> None:
+    async def scenario() -> None:
+        network = Network()
+        leader = await network.start()
+        for number in range(100):
+            await leader.propose(command("x" * 50_000 if number == 0 else str(number)))
+        network.machines[leader.member] = leader._machine = OtherMachine()
+        joiner = network.add("d", MemoryStorage())
+        await joiner.start()
+        await leader.change_membership(Membership(voters=NAMES, learners=("d",)))
+        await wait_until(lambda: bool(network.failures))
+        assert "JSON" in str(network.failures[0]) or "Expecting" in str(network.failures[0])
+        assert network.storages["d"].snapshot is None and network.machines["d"].commands == []
+        assert len(network.failures) == 1 and leader.is_leader
+        await network.stop()
+
+    run(scenario())
--- a/tests/consensus/test_group.py
+++ b/tests/consensus/test_group.py
@@ -9,7 +9,8 @@
 
 from pewterring.consensus.errors import GroupFailed, MembershipRefused, NotLeader, OutcomeUnknown
 from pewterring.consensus.group import ReplicatedGroup
-from pewterring.consensus.messages import ConsensusMessage, Membership
+from pewterring.consensus.messages import ConsensusMessage, Membership, SnapshotPart
+from pewterring.consensus.types import RaftLimits
 from tests.consensus.memory_storage import MemoryStorage
 from tests.consensus.virtual_time import InlineExecutor, run
 
@@ -43,6 +44,7 @@
         self.storages: dict[str, MemoryStorage] = {}
         self.told: list[tuple[str, bool]] = []
         self.failures: list[GroupFailed] = []
+        self.parts_sent = 0  # of snapshots
         self.leadership = asyncio.Event()
         for name in voters:
             self.add(name, MemoryStorage(voters))
@@ -58,6 +60,7 @@
             self._send,
             rng=random.Random(name),
             clock=asyncio.get_running_loop().time,
+            limits=RaftLimits(kept_bytes=1000),  # else no member ever needs a snapshot of states so small
             snapshot_after_bytes=2000,
             on_leadership=lambda leads: self._tell(name, leads),
             on_failure=self.failures.append,
@@ -70,6 +73,7 @@
         self.leadership.set()
 
     def _send(self, message: ConsensusMessage) -> None:
+        self.parts_sent += isinstance(message, SnapshotPart)
         if not self.cut & {message.sender, message.target} and message.target in self.groups:
             asyncio.get_running_loop().call_soon(self.groups[message.target].receive, message)
 
@@ -197,6 +201,7 @@
         await joiner.start()
         await leader.change_membership(Membership(voters=NAMES, learners=("d",)))
         await wait_until(lambda: leader.match("d") >= leader.commit_index)
+        assert network.parts_sent > 0
         await leader.change_membership(Membership(voters=(*NAMES, "d")))
         await wait_until(lambda: network.machines["d"].commands == network.machines["a"].commands)
         assert joiner.membership.voters == (*NAMES, "d")
