Workers are always told the time that is left, reckoned when the request is written

Request-Timeout-Ms went to a worker only where the client had sent one, and was reckoned before the connection came up, which takes a second at worst: a worker was handed time that had passed. Each request now carries its deadline (the client's own and the route's timeout, whichever is sooner), and the connection writes what is left of it. Without the change 6 tests fail.

--- a/pewterring/edge/attempt.py
+++ b/pewterring/edge/attempt.py
@@ -35,20 +35,21 @@
 
 
 def worker_request(
-    request: ServerRequest, worker_id: str, left_s: float | None, last_event_id: int | None
+    request: ServerRequest, worker_id: str, deadline: float, last_event_id: int | None
 ) -> SendRequest:
-    """The request as the worker gets it. `last_event_id` takes a stream up behind that event."""
+    """The request as the worker gets it. `last_event_id` takes a stream up behind that event.
+
+    The worker is always told the time that is left, also where the client named none: it ceases work then.
+    """
     dropped = FRAMING | {LAST_EVENT_ID} if last_event_id is not None else FRAMING
     headers: Headers = [
         (name, value) for name, value in end_to_end_headers(request.headers) if name.lower() not in dropped
     ]
-    if left_s is not None:
-        headers.append((b"Request-Timeout-Ms", b"%d" % max(1, int(left_s * 1000))))
     if last_event_id is not None:
         headers.append((b"Last-Event-Id", b"%d" % last_event_id))
     headers.append((b"Target-Instance", worker_id.encode("latin-1")))
     return SendRequest(
-        request.method, request.target, headers, request.body, request_id=request.get(REQUEST_ID)
+        request.method, request.target, headers, request.body, request.get(REQUEST_ID), deadline
     )
 
 
--- a/pewterring/edge/live.py
+++ b/pewterring/edge/live.py
@@ -145,8 +145,7 @@
 
     async def _attempt(self, worker: WorkerState) -> End:
         now = self._now()
-        left_s = self._deadline - now if self._request.get(b"request-timeout-ms") is not None else None
-        message = worker_request(self._request, worker.record.id, left_s, self._resume_id())
+        message = worker_request(self._request, worker.record.id, self._deadline, self._resume_id())
         tokens = worker.uncached(self._prompt)
         times = self._chooser.times_of(self._service)
         wait_s = self._chooser.wait_s(now, worker, times)
--- a/pewterring/transport/http_client.py
+++ b/pewterring/transport/http_client.py
@@ -98,7 +98,8 @@
         return True
 
     def _write(self, request: SendRequest) -> None:
-        self.transport.write(encode_request(request.method, request.target, request.headers, request.body))
+        headers = request.headers_at(self._owner.now())
+        self.transport.write(encode_request(request.method, request.target, headers, request.body))
 
     # Receiving.
 
@@ -226,6 +227,10 @@
         """All connections, those that are coming up among them."""
         return len(self.idle) + len(self.busy)
 
+    def now(self) -> float:
+        """The steady clock."""
+        return self._pool.now()
+
     def send(self, exchange: Exchange, limit: int, timeout_s: float) -> None:
         """Sends on a connection at rest or on a new one. Raises NoFreeConnection."""
         if self._send_on_idle(exchange):
--- a/pewterring/transport/http_exchange.py
+++ b/pewterring/transport/http_exchange.py
@@ -7,6 +7,10 @@
 from pewterring.transport.http_common import Headers
 from pewterring.transport.line_errors import TransportError
 
+TIMEOUT_HEADER = b"Request-Timeout-Ms"
+LEAST_TIMEOUT_MS = 1  # none at all could be read as no limit
+MILLISECONDS_A_SECOND = 1000
+
 
 class ExchangeError(TransportError):
     """No whole answer. `sent` says whether the worker may have got the request."""
@@ -41,6 +45,17 @@
     headers: Headers
     body: bytes = b""
     request_id: bytes | None = None  # an answer with another `Request-Id` belongs to another request
+    deadline: float | None = None  # steady clock; what is left then goes out as `Request-Timeout-Ms`
+
+    def headers_at(self, now: float) -> Headers:
+        """The headers of a request that is written at `now`.
+
+        Symptom answered: a connection that took long to come up handed its worker time that had passed.
+        """
+        if self.deadline is None:
+            return self.headers
+        left_ms = max(LEAST_TIMEOUT_MS, int((self.deadline - now) * MILLISECONDS_A_SECOND))
+        return [*self.headers, (TIMEOUT_HEADER, b"%d" % left_ms)]
 
 
 REQUEST_ID = b"request-id"
--- a/tests/edge/test_live.py
+++ b/tests/edge/test_live.py
@@ -76,6 +76,7 @@
     watch: StallWatch = field(default_factory=StallWatch)
     pool: WorkerPool = field(default_factory=WorkerPool)
     admission: ServiceAdmission = field(default_factory=lambda: ServiceAdmission(1))
+    time_s: float = PATIENCE_S  # that the request may take
     servers: list[HttpServer] = field(default_factory=list)
     raw_servers: list[asyncio.Server] = field(default_factory=list)
 
@@ -115,13 +116,13 @@
         return handle
 
     async def _front(self, request: ServerRequest, responder: Responder) -> None:
-        deadline = time.monotonic() + PATIENCE_S
+        deadline = self.pool.now() + self.time_s
         await LiveRequest(
             self.context, request, responder, self.route, "s", NO_PROMPT, deadline, self.admission, 10
         ).run()
 
     async def ask(self, *more: tuple[bytes, bytes]) -> WholeAnswer:
-        headers = [(b"Host", b"h"), (b"Request-Id", b"7"), (b"Request-Timeout-Ms", b"5000"), *more]
+        headers = [(b"Host", b"h"), (b"Request-Id", b"7"), *more]
         request = SendRequest("POST", "/p/x?", headers, b"body", request_id=b"7")
         return await fetch(self.pool, f"127.0.0.1:{self.front.port}", request, 10, PATIENCE_S)
 
@@ -193,7 +194,47 @@
         ((_, request),) = tier.seen
         assert (request.target, request.body) == ("/p/x?", b"body")
         assert request.get(b"target-instance") == b"w0"
-        assert 0 < int(request.get(b"request-timeout-ms") or b"0") <= PATIENCE_S * 1000
+        assert 0 < told_ms(request) <= PATIENCE_S * 1000
+
+    play(tier, story)
+
+
+def told_ms(request: ServerRequest) -> int:
+    (value,) = [value for name, value in request.headers if name.lower() == b"request-timeout-ms"]
+    return int(value)
+
+
+@pytest.mark.parametrize("headers", [(), ((b"Request-Timeout-Ms", b"900"),)])
+def test_a_worker_is_told_the_time_left_and_nothing_else(headers: tuple[tuple[bytes, bytes], ...]) -> None:
+    tier = Tier(route(RouteType.NON_IDEMPOTENT), [answered], time_s=0.9)
+
+    async def story() -> None:
+        await tier.ask(*headers)
+        assert 0 < told_ms(tier.seen[0][1]) <= 900
+
+    play(tier, story)
+
+
+def test_a_repeat_is_told_only_what_is_left_by_then() -> None:
+    offset_s = 0.0
+    tier = Tier(
+        route(RouteType.IDEMPOTENT, attempts=3),
+        [],
+        pool=WorkerPool(now=lambda: time.monotonic() + offset_s),
+        time_s=2.0,
+    )
+
+    async def breaks_late(request: ServerRequest, responder: Responder) -> None:
+        nonlocal offset_s
+        offset_s += 0.8
+        responder.abort()
+
+    tier.behaviours += [breaks_late, breaks_late, answered]
+
+    async def story() -> None:
+        assert (await tier.ask()).head.status == 200
+        first, second, third = (told_ms(request) for _, request in tier.seen)
+        assert first <= 2000 and second <= first - 800 and third <= second - 800
 
     play(tier, story)
 
--- a/tests/transport/test_http_client.py
+++ b/tests/transport/test_http_client.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 
 import pytest
 
@@ -113,6 +114,33 @@
     assert seen[0] == (b"POST /x? HTTP/1.1\r\nHost: h\r\nRequest-Id: a1\r\nContent-Length: 4\r\n\r\nbody")
 
 
+def told_ms(request: bytes) -> int:
+    return int(request.split(b"Request-Timeout-Ms: ")[1].split(b"\r\n")[0])
+
+
+@pytest.mark.parametrize(("passed_s", "expected_ms"), [(0.0, 2000), (0.75, 1250), (9.0, 1)])
+def test_the_time_left_is_reckoned_when_the_request_is_written(passed_s: float, expected_ms: int) -> None:
+    clock = SteppedClock()
+    seen: list[bytes] = []
+
+    async def script(wire: Wire) -> None:
+        seen.append(await read_request(wire))
+        wire.send(OK)
+        await wire.rest()
+
+    async def run() -> None:
+        pool = WorkerPool(now=clock)
+        async with RawWorker(script) as worker:
+            recorder = Recorder()
+            pool.send(worker.address, replace(REQUEST, deadline=clock.now + 2), recorder, LIMIT)
+            clock.now += passed_s  # until the connection is up
+            await recorder.end()
+            pool.close()
+
+    asyncio.run(run())
+    assert told_ms(seen[0]) == expected_ms
+
+
 def test_connections_are_used_again_the_latest_first() -> None:
     async def then(pool: WorkerPool, worker: RawWorker) -> None:
         first, second = Recorder(), Recorder()
