Failed attempts of batch items are counted in the partition's log

Answers of 500 were counted by the leader's memory alone: each new leader began at none, so that an item that fails at each run reached workers max_attempts times under every leader. The committer also goes on after an error that is none of the batch layer.

--- a/pewterring/batch/commands.py
+++ b/pewterring/batch/commands.py
@@ -30,6 +30,20 @@
     results: tuple[JobResult, ...]
 
 
+class ItemFailures(msgspec.Struct, frozen=True):
+    """How many runs of an item workers have answered with their own failure, all told."""
+
+    job: str
+    item: str
+    failed_attempts: int
+
+
+class CountFailures(msgspec.Struct, frozen=True, tag=True):
+    """Keeps counts of failed runs. A count is absolute, so that a command that comes twice counts once."""
+
+    failures: tuple[ItemFailures, ...]
+
+
 class CloseJob(msgspec.Struct, frozen=True, tag=True):
     """Ends a job: nothing more of it runs or is listed."""
 
@@ -42,7 +56,7 @@
     jobs: tuple[str, ...]
 
 
-Command = AcceptJob | AddResults | CloseJob | DropJobs
+Command = AcceptJob | AddResults | CountFailures | CloseJob | DropJobs
 
 _decoder = msgspec.json.Decoder(Command)
 _encoder = msgspec.json.Encoder()
@@ -80,6 +94,11 @@
     added: tuple[tuple[str, str], ...]
 
 
+@dataclass(frozen=True, slots=True)
+class Counted:
+    """`CountFailures` was applied."""
+
+
 @dataclass(frozen=True, slots=True)
 class Closed:
     """`CloseJob` was applied. `known` is false where there is no such job."""
@@ -95,4 +114,4 @@
     jobs: tuple[str, ...]
 
 
-Outcome = Accepted | Listed | Closed | Dropped
+Outcome = Accepted | Listed | Counted | Closed | Dropped
--- a/pewterring/batch/execution.py
+++ b/pewterring/batch/execution.py
@@ -7,7 +7,7 @@
 
 from loguru import logger
 
-from pewterring.batch.commands import JobResult
+from pewterring.batch.commands import ItemFailures, JobResult
 from pewterring.batch.dispatch import Dispatcher, ExchangeOutcome, batch_route
 from pewterring.batch.messages import ItemResult
 from pewterring.batch.results import ResultCommitter
@@ -112,6 +112,7 @@
             due_at=job.accepted_at + route.run_aim_ms / MILLISECONDS_A_SECOND,
             give_up_at=job.accepted_at + route.keep_s,
             max_attempts=route.max_attempts,
+            failed_attempts=job.failed_attempts,
         )
         self.wake()
 
@@ -216,6 +217,9 @@
                 self._list(item, SUCCEEDED, item.text)
         elif self._scheduler.on_failure(item, failure, now):
             self._list(item, DEAD_LETTER, "")
+        elif failure is Failure.FAILED:
+            # Answers a leader that is lost between two attempts: the next one goes on counting.
+            self._committer.count_failures(ItemFailures(item.job, item.spec.id, item.failed_attempts))
 
     def _cancel(self, key: ItemKey) -> None:
         task = self._running.pop(key, None)
--- a/pewterring/batch/group_log.py
+++ b/pewterring/batch/group_log.py
@@ -1,6 +1,6 @@
 """The partition's log on a replicated group: commands as JSON, errors of consensus as those of this layer."""
 
-from pewterring.batch.commands import Accepted, Closed, Command, Dropped, Listed, Outcome, encode_command
+from pewterring.batch.commands import Command, Outcome, encode_command
 from pewterring.batch.errors import LeadershipLost, OutcomeUnsure
 from pewterring.consensus.errors import ConsensusError, NotLeader
 from pewterring.consensus.group import ReplicatedGroup
@@ -34,7 +34,7 @@
             raise LeadershipLost(str(error)) from error
         except ConsensusError as error:
             raise OutcomeUnsure(str(error)) from error
-        assert isinstance(outcome, Accepted | Listed | Closed | Dropped)
+        assert isinstance(outcome, Outcome)
         return outcome
 
     async def read_barrier(self) -> None:
--- a/pewterring/batch/results.py
+++ b/pewterring/batch/results.py
@@ -1,10 +1,11 @@
-"""Commits results in groups: those that come while a proposal is on its way go into the next one."""
+"""Commits results and counts of failed runs in groups: those that come while a proposal is on its way go into
+the next one."""
 
 import asyncio
 
 from loguru import logger
 
-from pewterring.batch.commands import AddResults, JobResult
+from pewterring.batch.commands import AddResults, CountFailures, ItemFailures, JobResult
 from pewterring.batch.errors import BatchError
 from pewterring.batch.log import PartitionLog
 
@@ -18,34 +19,46 @@
     def __init__(self, log: PartitionLog) -> None:
         self._log = log
         self._pending: list[JobResult] = []
+        self._failures: list[ItemFailures] = []
         self._task: asyncio.Task[None] | None = None
 
     def add(self, result: JobResult) -> None:
         """Commits a result soon."""
         self._pending.append(result)
-        if self._task is None:
-            self._task = asyncio.get_running_loop().create_task(self._commit())
+        self._wake()
+
+    def count_failures(self, failures: ItemFailures) -> None:
+        """Commits an item's count of failed runs soon."""
+        self._failures.append(failures)
+        self._wake()
 
     def stop(self) -> None:
         """Drops what is not proposed yet."""
         self._pending.clear()
+        self._failures.clear()
         if self._task is not None:
             self._task.cancel()
             self._task = None
 
+    def _wake(self) -> None:
+        if self._task is None or self._task.done():
+            self._task = asyncio.get_running_loop().create_task(self._commit())
+
     async def _commit(self) -> None:
-        while self._pending:
-            group = self._next_group()
+        while self._pending or self._failures:
+            results, failures = self._next_group(), tuple(self._failures)
             try:
-                await self._log.propose(AddResults(tuple(group)))
+                if failures:
+                    await self._log.propose(CountFailures(failures))
+                    del self._failures[: len(failures)]
+                if results:
+                    await self._log.propose(AddResults(results))
+                    del self._pending[: len(results)]
             except BatchError as error:
-                logger.info("{} results were not committed, to be tried again: {}", len(group), error)
+                logger.info("{} results were not committed, to be tried again: {}", len(results), error)
                 await asyncio.sleep(RETRY_S)
-                continue
-            del self._pending[: len(group)]
-        self._task = None
 
-    def _next_group(self) -> list[JobResult]:
+    def _next_group(self) -> tuple[JobResult, ...]:
         group: list[JobResult] = []
         room = MAX_GROUP_CHARACTERS
         for entry in self._pending:
@@ -53,4 +66,4 @@
             if group and room < 0:
                 break
             group.append(entry)
-        return group
+        return tuple(group)
--- a/pewterring/batch/scheduler.py
+++ b/pewterring/batch/scheduler.py
@@ -5,7 +5,7 @@
 """
 
 import heapq
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator, Mapping
 from dataclasses import dataclass, field
 from enum import Enum, auto
 from itertools import count
@@ -98,9 +98,13 @@
         due_at: float,
         give_up_at: float,
         max_attempts: int,
+        failed_attempts: Mapping[str, int],
     ) -> None:
-        """Queues the items of a job."""
-        queued = {item.id: QueuedItem(job_id, route, item) for item in items}
+        """Queues the items of a job. `failed_attempts` are those that earlier leaders counted, by item."""
+        queued = {
+            item.id: QueuedItem(job_id, route, item, failed_attempts=failed_attempts.get(item.id, 0))
+            for item in items
+        }
         if not queued or job_id in self._jobs:
             return
         ready = sorted(queued.values(), key=_tokens)
--- a/pewterring/batch/state.py
+++ b/pewterring/batch/state.py
@@ -18,8 +18,11 @@
     Closed,
     CloseJob,
     Command,
+    Counted,
+    CountFailures,
     DropJobs,
     Dropped,
+    ItemFailures,
     JobResult,
     Listed,
     Outcome,
@@ -48,6 +51,7 @@
     items: dict[str, ItemSpec]
     results: list[ItemResult] = field(default_factory=list)
     ended: bool = False
+    failed_attempts: dict[str, int] = field(default_factory=dict)  # of items without a result that failed
 
     @property
     def finished(self) -> bool:
@@ -77,6 +81,7 @@
     items: tuple[ItemSpec, ...]
     results: tuple[ItemResult, ...]
     ended: bool
+    failed_attempts: dict[str, int] = {}
 
 
 class _Stored(msgspec.Struct, frozen=True):
@@ -124,6 +129,8 @@
                 return self._accept(command)
             case AddResults():
                 return self._add_results(command)
+            case CountFailures():
+                return self._count_failures(command)
             case CloseJob():
                 return self._close(command)
             case DropJobs():
@@ -165,16 +172,30 @@
         item = job.items.pop(entry.result.id, None)
         if item is None:
             return False
+        job.failed_attempts.pop(entry.result.id, None)
         job.results.append(entry.result)
         self._count(job.route, -item.tokens)
         return True
 
+    def _count_failures(self, command: CountFailures) -> Counted:
+        for entry in command.failures:
+            self._count_item_failures(entry)
+        return Counted()
+
+    def _count_item_failures(self, entry: ItemFailures) -> None:
+        """The higher count stays: an earlier leader's may be applied behind that of the next."""
+        job = self._jobs.get(entry.job)
+        if job is not None and entry.item in job.items:
+            known = job.failed_attempts.get(entry.item, 0)
+            job.failed_attempts[entry.item] = max(known, entry.failed_attempts)
+
     def _close(self, command: CloseJob) -> Closed:
         job = self._jobs.get(command.job)
         if job is None:
             return Closed(command.job, known=False)
         self._count(job.route, -job.waiting_tokens)
         job.items.clear()
+        job.failed_attempts.clear()
         job.ended = True
         return Closed(command.job, known=True)
 
@@ -217,6 +238,7 @@
         items=tuple(job.items.values()),
         results=tuple(job.results),
         ended=job.ended,
+        failed_attempts=job.failed_attempts,
     )
 
 
@@ -229,4 +251,5 @@
         items={item.id: item for item in stored.items},
         results=list(stored.results),
         ended=stored.ended,
+        failed_attempts=dict(stored.failed_attempts),
     )
--- /dev/null
+++ b/tests/batch/test_results.py
@@ -0,0 +1,59 @@
+"""Results and counts of failed runs reach the log in order, also where it has been of no use for a while."""
+
+import asyncio
+
+import pytest
+
+from pewterring.batch.commands import AcceptJob, Command, ItemFailures, JobResult, Outcome, encode_command
+from pewterring.batch.messages import ItemResult
+from pewterring.batch.results import RETRY_S, ResultCommitter
+from pewterring.batch.state import BatchState
+from tests.batch.stand_ins import ROUTE, FakeLog, ManualClock, item
+from tests.consensus.virtual_time import run
+
+
+@pytest.mark.parametrize("lost_for_s", [0.0, 2.5 * RETRY_S])
+def test_what_was_not_committed_is_tried_again(lost_for_s: float) -> None:
+    async def scenario() -> None:
+        state = BatchState(ManualClock())
+        log = FakeLog(state)
+        await log.propose(AcceptJob("j", *ROUTE, (item("a"), item("b"))))
+        committer = ResultCommitter(log)
+        log.lose = lost_for_s > 0
+        committer.count_failures(ItemFailures("j", "a", 1))
+        committer.add(JobResult("j", ItemResult("b", "succeeded", "x")))
+        await asyncio.sleep(lost_for_s)
+        log.lose = False
+        await asyncio.sleep(2 * RETRY_S)
+        job = state.job("j")
+        assert job is not None
+        assert job.failed_attempts == {"a": 1}
+        assert [result.id for result in job.results] == ["b"]
+
+    run(scenario())
+
+
+class FailsOnce(FakeLog):
+    """Its first proposal ends with an error that is none of the batch layer."""
+
+    failed = False
+
+    async def propose(self, command: Command) -> Outcome:
+        if not self.failed:
+            self.failed = True
+            raise ValueError("unforeseen")
+        return await super().propose(command)
+
+
+def test_an_unforeseen_error_does_not_end_committing_for_good() -> None:
+    async def scenario() -> None:
+        state = BatchState(ManualClock())
+        state.apply(1, encode_command(AcceptJob("j", *ROUTE, (item("a"), item("b")))))
+        committer = ResultCommitter(FailsOnce(state))
+        for name in ("a", "b"):
+            committer.add(JobResult("j", ItemResult(name, "succeeded", "x")))
+            await asyncio.sleep(RETRY_S)
+        job = state.job("j")
+        assert job is not None and job.finished
+
+    run(scenario())
--- a/tests/batch/test_scheduler.py
+++ b/tests/batch/test_scheduler.py
@@ -1,5 +1,7 @@
 """Order of items, retries, continuation and giving up."""
 
+from collections.abc import Mapping
+
 import pytest
 
 from pewterring.batch.messages import ItemSpec
@@ -16,8 +18,17 @@
     due_at: float = 10.0,
     give_up_at: float = 60.0,
     route: tuple[str, str] = ROUTE,
+    failed_attempts: Mapping[str, int] | None = None,
 ) -> None:
-    scheduler.add_job(job, route, items, due_at=due_at, give_up_at=give_up_at, max_attempts=2)
+    scheduler.add_job(
+        job,
+        route,
+        items,
+        due_at=due_at,
+        give_up_at=give_up_at,
+        max_attempts=2,
+        failed_attempts=failed_attempts or {},
+    )
 
 
 def names(items: list[QueuedItem]) -> list[str]:
@@ -78,6 +89,12 @@
     assert "j" not in scheduler
 
 
+def test_failed_attempts_of_earlier_leaders_count() -> None:
+    scheduler = ItemScheduler()
+    add(scheduler, "j", item("i"), failed_attempts={"i": 1})
+    assert scheduler.on_failure(start_one(scheduler, 0.0), Failure.FAILED, 0.0)
+
+
 def test_an_impossible_item_is_dead_at_once() -> None:
     scheduler = ItemScheduler()
     add(scheduler, "j", item("i"), item("k"))
--- a/tests/batch/test_service.py
+++ b/tests/batch/test_service.py
@@ -264,6 +264,23 @@
     scenario(test)
 
 
+def test_a_422_is_listed_at_once_and_never_runs_again() -> None:
+    async def test(store: Store) -> None:
+        await store.service.handle(submit("j", "a"))
+        await store.exchanges(1)
+        store.runner.exchanges[0].fail(Failure.IMPOSSIBLE)
+        page = await store.page("j", 0, LONG_MS)
+        assert [result.state for result in page.results] == ["dead_letter"]
+        store.lose()
+        await store.lead()
+        store.service.tables_changed()
+        for _ in range(5):
+            await asyncio.sleep(0)
+        assert len(store.runner.exchanges) == 1
+
+    scenario(test)
+
+
 def test_nothing_starts_while_the_tables_are_stale() -> None:
     async def test(store: Store) -> None:
         store.fresh = False
--- a/tests/batch/test_state.py
+++ b/tests/batch/test_state.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 
+import msgspec
 import pytest
 from hypothesis import settings
 from hypothesis import strategies as st
@@ -14,7 +15,10 @@
     CloseJob,
     Command,
     CommandError,
+    Counted,
+    CountFailures,
     DropJobs,
+    ItemFailures,
     JobResult,
     Listed,
     Outcome,
@@ -35,6 +39,7 @@
         self.host = host
         self.tokens = tokens
         self.listed: list[tuple[str, str]] = []
+        self.failed: dict[str, int] = {}
         self.ended = False
 
     def unlisted(self) -> set[str]:
@@ -74,6 +79,15 @@
         self.model[job].listed.append((name, text))
         return True
 
+    @rule(failures=st.lists(st.tuples(JOBS, ITEMS, st.integers(1, 5)), max_size=3))
+    def count_failures(self, failures: list[tuple[str, str, int]]) -> None:
+        command = CountFailures(tuple(ItemFailures(*entry) for entry in failures))
+        assert self.apply(command) == Counted()
+        for job, name, times in failures:
+            if job in self.model and name in self.model[job].unlisted():
+                failed = self.model[job].failed
+                failed[name] = max(times, failed.get(name, 0))
+
     @rule(job=JOBS)
     def close(self, job: str) -> None:
         self.apply(CloseJob(job))
@@ -102,6 +116,10 @@
             assert [(result.id, result.text) for result in job.results] == model.listed
             assert set(job.items) == model.unlisted()
             assert job.ended == model.ended
+            unlisted = model.unlisted()
+            assert job.failed_attempts == {
+                name: times for name, times in model.failed.items() if name in unlisted
+            }
 
     @invariant()
     def counts_waiting_tokens(self) -> None:
@@ -130,6 +148,17 @@
     assert clock.now - job.accepted_at == pytest.approx(2.5)
 
 
+def test_a_snapshot_from_before_failures_were_counted_is_read() -> None:
+    state = BatchState(ManualClock())
+    state.apply(1, encode_command(AcceptJob("j", "h", "/p/", (item("i"),))))
+    older = msgspec.json.decode(state.snapshot())
+    for job in older["jobs"]:
+        del job["failed_attempts"]
+    state.restore(msgspec.json.encode(older))
+    job = state.job("j")
+    assert job is not None and job.failed_attempts == {}
+
+
 def test_what_cannot_be_read_is_an_error_of_this_layer() -> None:
     state = BatchState(ManualClock())
     with pytest.raises(CommandError):
--- a/tests/batch/virtual_cluster.py
+++ b/tests/batch/virtual_cluster.py
@@ -52,7 +52,7 @@
 
 
 class Workers:
-    """Runs items: some cannot be done, some fail once, the others give three events."""
+    """Runs items: some cannot be done, some fail once or always, the others give three events."""
 
     def __init__(self, points: Points, event_pause_s: float) -> None:
         self._points = points
@@ -72,6 +72,8 @@
         try:
             if name.startswith("impossible"):
                 return Failure.IMPOSSIBLE
+            if name.startswith("hopeless"):
+                return Failure.FAILED
             if name.startswith("fails") and self.begun[name] == 1:
                 return Failure.FAILED
             for number in range(first, EVENTS + 1):
@@ -111,7 +113,7 @@
         self.name = name
         self.alive = True
         self.storage = storage
-        self.state = BatchState(loop.time)
+        self.state = cluster.state_type(loop.time)
         self.group = ReplicatedGroup(
             "batch-0",
             name,
@@ -148,10 +150,15 @@
     """The stores, their network, and a caller like a gateway."""
 
     def __init__(
-        self, points: Points, limited: Route | None = None, event_pause_s: float = EVENT_PAUSE_S
+        self,
+        points: Points,
+        limited: Route | None = None,
+        event_pause_s: float = EVENT_PAUSE_S,
+        state_type: type[BatchState] = BatchState,
     ) -> None:
         self.points = points
         self.route = limited or route()
+        self.state_type = state_type
         self.workers = Workers(points, event_pause_s)
         self.cut: set[str] = set()
         self.stores: dict[str, Store] = {}
