A worker may fail more than a thousand times in a row

The pause after a failure is a power of the number of failures in a row. Past 1,024 of them at one gateway the power is too large for a float, and the request that failed then ended in an exception instead of an answer.

--- a/pewterring/routing/worker_state.py
+++ b/pewterring/routing/worker_state.py
@@ -9,6 +9,7 @@
 REPORT_LIFE_S = 0.5  # a load report fades by 1/e in this time
 SUSPECT_S = 1.0  # how long the first failure keeps requests away; doubled by each further one
 SUSPECT_MOST_S = 8.0
+MOST_DOUBLINGS = 3  # they reach `SUSPECT_MOST_S`
 MOST_RATIO, SLOWNESS_WEIGHT = 10.0, 0.1  # of one sample: what it counts at most, its weight in the mean
 KEPT_SHARE = 0.8  # of the worker's memory that is taken to hold parts of prompts
 
@@ -94,7 +95,8 @@
         self._failures += 1
         if not certain and self._failures < 2:
             return
-        pause = min(SUSPECT_MOST_S, SUSPECT_S * 2 ** (self._failures - 1))
+        doublings = min(self._failures - 1, MOST_DOUBLINGS)  # a power of any size is no float
+        pause = min(SUSPECT_MOST_S, SUSPECT_S * 2**doublings)
         self._suspect_until = now + pause
         self._kept.clear()  # a worker that fails may have restarted
         self._kept_tokens = 0
