A request whose client has left before its first attempt is not sent

Cause: the client's leaving cancels the request's task, which takes effect at its next wait; an attempt on a connection at rest is sent before the first wait. A client that left while the first tables were waited for was sent on all the same (GONE).

Change: a live request looks before each attempt whether its client is still there.

Measured: tests/edge/test_gone.py, which plays each way of leaving at each wait; the one of the first tables failed before.

--- a/pewterring/edge/live.py
+++ b/pewterring/edge/live.py
@@ -100,7 +100,7 @@
     async def run(self) -> None:
         """Answers the client, unless it goes away first."""
         sends = 0
-        while sends < MAX_SENDS and self._left_s() > LEAST_LEFT_S:
+        while sends < MAX_SENDS and self._left_s() > LEAST_LEFT_S and not self._responder.disconnected:
             worker = self._chooser.choose(self._now(), self._service, self._prompt, self._tried)
             if worker is None:
                 self.limit = self.limit or Limit.NO_WORKER
--- /dev/null
+++ b/tests/edge/test_gone.py
@@ -0,0 +1,150 @@
+"""A client that has left: nothing more is sent for it, and workers are let go."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import pytest
+
+from pewterring.configuration.model import RouteType
+from pewterring.transport.http_client import WorkerConnection
+from pewterring.transport.http_request import ServerRequest
+from pewterring.transport.http_responder import Responder
+from tests.edge.gateway import Behaviour, answered, gateway, route, silent, slow_stream
+from tests.transport.http_stand_ins import Wire
+from tests.transport.virtual_time import now, run
+
+LET_GO_S = 0.5
+POST = b"POST /p/x HTTP/1.1\r\nHost: h\r\nRequest-Id: 7\r\nContent-Length: 4\r\n\r\nbody"
+STREAM = route(RouteType.STREAMING, timeout_ms=20_000)
+Leave = Callable[[Wire], None]
+
+
+def half_close(wire: Wire) -> None:
+    wire.writer.write_eof()
+
+
+def pipeline_and_close(wire: Wire) -> None:
+    wire.send(POST)
+    wire.close()
+
+
+LEAVES = [Wire.close, Wire.reset, half_close, pipeline_and_close]
+
+
+async def full(request: ServerRequest, responder: Responder) -> None:
+    await responder.respond(503, [(b"Not-Executed", b"1")])
+
+
+async def settled() -> None:
+    await asyncio.sleep(2 * LET_GO_S)
+
+
+@pytest.mark.parametrize("leave", LEAVES)
+@pytest.mark.parametrize("behaviour", [silent, slow_stream])
+def test_the_worker_is_let_go_at_once(behaviour: Behaviour, leave: Leave) -> None:
+    async def play() -> None:
+        async with gateway(behaviour, answered, routes=(STREAM,)) as tier:
+            tier.program._chooser.workers["w1"].slowness = 5.0
+            wire = await tier.wire()
+            wire.send(POST)
+            await tier.reached()
+            await asyncio.sleep(0.1)
+            left_at = now()
+            leave(wire)
+            await settled()
+            (let_go_at,) = tier.let_go_at
+            assert let_go_at - left_at < LET_GO_S
+            assert len(tier.seen) == 1
+            assert tier.program._front.requests_held == 0
+
+    run(play())
+
+
+def test_a_client_that_leaves_before_the_first_tables_reaches_no_worker() -> None:
+    async def play() -> None:
+        async with gateway(answered) as tier:
+            await tier.ask()  # a connection to the worker rests: the next request needs no wait
+            tier.program._routes = None
+            tier.program._configured.clear()
+            wire = await tier.wire()
+            wire.send(POST)
+            await asyncio.sleep(0.1)
+            wire.close()
+            await asyncio.sleep(0.1)
+            tier.configure()
+            await settled()
+            assert len(tier.seen) == 1
+
+    run(play())
+
+
+def test_a_client_that_leaves_while_a_connection_comes_up_reaches_no_worker(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The connection comes up after the client has left."""
+    connects: list[Awaitable[None]] = []
+
+    def held_back(connection: WorkerConnection, timeout_s: float) -> None:
+        connects.append(connection._connect(timeout_s))
+
+    async def play() -> None:
+        async with gateway(answered) as tier:
+            monkeypatch.setattr(WorkerConnection, "connect", held_back)
+            wire = await tier.wire()
+            wire.send(POST)
+            while not connects:
+                await asyncio.sleep(0.001)
+            wire.close()
+            await asyncio.sleep(0.1)
+            await connects[0]
+            await settled()
+            assert not tier.seen
+
+    run(play())
+
+
+def test_a_client_that_leaves_in_the_pause_before_another_worker_reaches_it_no_more() -> None:
+    async def play() -> None:
+        left = asyncio.Event()
+
+        async def declines_as_the_client_leaves(request: ServerRequest, responder: Responder) -> None:
+            wire.close()
+            left.set()
+            await full(request, responder)
+
+        routes = (route(max_attempts=4),)
+        async with gateway(*(3 * [declines_as_the_client_leaves]), routes=routes) as tier:
+            wire = await tier.wire()
+            wire.send(POST)
+            await left.wait()
+            await settled()
+            assert len(tier.seen) <= 2  # the second is sent without a pause; the close may come just after
+            assert tier.program._front.requests_held == 0
+
+    run(play())
+
+
+def test_a_client_that_leaves_while_it_reads_too_slowly_lets_its_worker_go() -> None:
+    async def endless(request: ServerRequest, responder: Responder) -> None:
+        responder.begin(200, [(b"Response-Signature", b"s"), (b"Content-Type", b"text/event-stream")])
+        number = 0
+        while not responder.disconnected:
+            number += 1
+            responder.write(b"id: %d\ndata: %s\n\n" % (number, b"x" * 20_000))
+            await responder.drain()
+            await asyncio.sleep(0)
+
+    async def play() -> None:
+        async with gateway(endless, routes=(STREAM,)) as tier:
+            wire = await tier.wire()
+            wire.writer.transport.pause_reading()  # type: ignore[attr-defined]
+            wire.send(POST)
+            await tier.reached()
+            await asyncio.sleep(1.0)
+            left_at = now()
+            wire.reset()
+            await settled()
+            (let_go_at,) = tier.let_go_at
+            assert let_go_at - left_at < LET_GO_S
+
+    run(play())
