A client's end is seen behind whatever it sent ahead

Cause: reading paused once 64 KiB of later requests waited behind the one being handled, and the client's end was not read either: the worker went on until the deadline (GONE).

Change: reading never pauses. Too much sent ahead is dropped unread, and the connection ends after the answer that is due, with Connection: close where its head is not made yet; the client may send the rest again. The reset of a connection moves to the class that client and server share.

Measured: tests/edge/test_gone.py::test_a_client_that_leaves_with_much_sent_ahead_is_noticed failed before; tests/transport/test_http_server.py::test_a_connection_with_too_much_sent_ahead_ends_with_its_answer.

--- a/pewterring/transport/http_common.py
+++ b/pewterring/transport/http_common.py
@@ -5,6 +5,8 @@
 """
 
 import asyncio
+import socket
+import struct
 from collections.abc import Iterable
 from http import HTTPStatus
 
@@ -20,6 +22,7 @@
 CHUNKED_HEADER = (b"Transfer-Encoding", b"chunked")
 BODILESS_STATUSES = (204, 304)
 WRITE_HIGH_WATER_BYTES = 64 * 1024  # above this, writers are asked to wait
+LINGER_NONE = struct.pack("ii", 1, 0)  # closing resets
 
 _STATUS_LINES = {
     status.value: f"HTTP/1.1 {status.value} {status.phrase}\r\n".encode() for status in HTTPStatus
@@ -78,6 +81,12 @@
         super().connection_made(transport)
         self.transport.set_write_buffer_limits(high=WRITE_HIGH_WATER_BYTES)
 
+    def reset(self) -> None:
+        """Closes at once; what the other side has not got yet of our bytes is dropped."""
+        connection = self.transport.get_extra_info("socket")
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_NONE)
+        self.transport.abort()
+
     def received(self, data: memoryview) -> None:
         self.data_received(bytes(data))
 
--- a/pewterring/transport/http_server.py
+++ b/pewterring/transport/http_server.py
@@ -4,8 +4,6 @@
 """
 
 import asyncio
-import socket
-import struct
 import time
 from collections.abc import Awaitable, Callable
 from enum import Enum, auto
@@ -19,9 +17,8 @@
 __all__ = ["HttpServer", "Responder", "ServerLimits", "ServerRequest"]
 
 BACKLOG = 1024  # connections that wait to be accepted
-LINGER_NONE = struct.pack("ii", 1, 0)  # closing resets
 LINGER_S = 1.0  # for the client to read the last answer of a connection
-MAX_PIPELINED_BYTES = 64 * 1024  # read ahead while a request is handled
+MAX_PIPELINED_BYTES = 64 * 1024  # of later requests, kept while one is handled
 STOP_FLUSH_S = 0.5  # for last answers to leave when the server stops
 UNREAD_RETRY_S = 0.05  # a connection is looked at again when its time-out found unread bytes
 
@@ -64,9 +61,17 @@
         if self._phase is Phase.READING:
             self._feed(data)
         elif self._phase is Phase.HANDLING:
-            self._ahead += data
-            if len(self._ahead) > MAX_PIPELINED_BYTES:
-                self.transport.pause_reading()
+            self._read_ahead(data)
+
+    def _read_ahead(self, data: bytes) -> None:
+        """Keeps the beginning of later requests. With too much of them the connection ends after this answer.
+
+        Reading never pauses: the client's end would stay unseen behind what is not read.
+        """
+        self._ahead += data
+        if len(self._ahead) > MAX_PIPELINED_BYTES:
+            self._ahead.clear()
+            self._keep_alive = False
 
     def eof_received(self) -> bool:
         """The client has closed, or has at least nothing more to say: it is taken to have gone."""
@@ -117,7 +122,6 @@
         self._phase = Phase.READING
         ahead = bytes(self._ahead)
         self._ahead.clear()
-        self.transport.resume_reading()
         self._rest()
         if ahead:
             self._feed(ahead)
@@ -125,7 +129,7 @@
     def abort_answer(self, reset: bool) -> None:
         self._detach_responder()
         if reset:
-            self._reset()
+            self.reset()
         else:
             self._linger()
 
@@ -216,15 +220,9 @@
             return
         self._phase = Phase.LINGERING
         self._ahead.clear()
-        self.transport.resume_reading()
         self.transport.write_eof()
         self._arm(self._server.now() + LINGER_S)
 
-    def _reset(self) -> None:
-        connection = self.transport.get_extra_info("socket")
-        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_NONE)
-        self.transport.abort()
-
     def _detach_responder(self) -> None:
         responder, self._responder = self._responder, None
         if responder is not None:
--- a/tests/edge/test_gone.py
+++ b/tests/edge/test_gone.py
@@ -124,6 +124,25 @@
     run(play())
 
 
+def test_a_client_that_leaves_with_much_sent_ahead_is_noticed() -> None:
+    """More than is kept of later requests: what lies behind it is read all the same, its end too."""
+
+    async def play() -> None:
+        async with gateway(silent, routes=(STREAM,)) as tier:
+            wire = await tier.wire()
+            wire.send(POST)
+            await tier.reached()
+            wire.send(b"x" * 200_000)
+            await asyncio.sleep(0.1)
+            left_at = now()
+            wire.close()
+            await settled()
+            (let_go_at,) = tier.let_go_at
+            assert let_go_at - left_at < LET_GO_S
+
+    run(play())
+
+
 def test_a_client_that_leaves_while_it_reads_too_slowly_lets_its_worker_go() -> None:
     async def endless(request: ServerRequest, responder: Responder) -> None:
         responder.begin(200, [(b"Response-Signature", b"s"), (b"Content-Type", b"text/event-stream")])
--- a/tests/transport/test_http_server.py
+++ b/tests/transport/test_http_server.py
@@ -80,6 +80,31 @@
     asyncio.run(play())
 
 
+def test_a_connection_with_too_much_sent_ahead_ends_with_its_answer() -> None:
+    """What is not read can be sent again elsewhere; the answer that is due comes whole."""
+
+    async def play() -> None:
+        go_on = asyncio.Event()
+
+        async def handler(request: ServerRequest, responder: Responder) -> None:
+            await go_on.wait()
+            await echo(request, responder)
+
+        async with serving(handler) as server:
+            wire = await server.connect()
+            wire.send(GET + 3000 * GET)
+            await wire.writer.drain()
+            connection = next(iter(server.connections))
+            while connection._keep_alive:
+                await asyncio.sleep(0)
+            go_on.set()
+            head, _, body = (await wire.rest()).partition(b"\r\n\r\n")
+            assert (status(head), body) == (200, b"/a|")
+            assert b"Connection: close" in head
+
+    asyncio.run(play())
+
+
 def test_a_request_split_at_every_byte() -> None:
     chunked = (
         b"POST /c HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"
