An exchange that is given up is reset, so that nothing of it is delivered later

Cause: a cancelled exchange closed its connection in good order, so what the sockets held of the request was still delivered to a worker that read late or sat behind a slow link, after its client had left (GONE).

--- a/pewterring/transport/http_client.py
+++ b/pewterring/transport/http_client.py
@@ -175,12 +175,16 @@
     # Ending.
 
     def cancel(self) -> None:
-        """Drops the exchange and the connection."""
+        """Drops the exchange and the connection, with what is not delivered yet of the request.
+
+        Symptom answered: a request that a slow link or a worker that reads slowly held up reaches the worker
+        long after its client has left.
+        """
         self._exchange = None
         if self._connecting is not None and not self.made:
             self._connecting.cancel()
-        if self.made:
-            self.transport.abort()
+        if self.up:
+            self.reset()
         self._owner.forget(self)
 
     def pause_reading(self) -> None:
--- a/tests/edge/test_gone.py
+++ b/tests/edge/test_gone.py
@@ -6,10 +6,11 @@
 import pytest
 
 from pewterring.configuration.model import RouteType
+from pewterring.distribution.messages import WorkerRecord
 from pewterring.transport.http_client import WorkerConnection
 from pewterring.transport.http_request import ServerRequest
 from pewterring.transport.http_responder import Responder
-from tests.edge.gateway import Behaviour, answered, gateway, route, silent, slow_stream
+from tests.edge.gateway import IP, Behaviour, answered, gateway, route, silent, slow_stream
 from tests.transport.http_stand_ins import Wire
 from tests.transport.virtual_time import now, run
 
@@ -124,6 +125,39 @@
     run(play())
 
 
+def test_a_request_half_written_to_a_worker_is_reset() -> None:
+    """A worker that reads late: what the sockets hold of the request is not delivered then."""
+
+    async def play() -> None:
+        ends: list[type[OSError] | None] = []
+
+        async def reads_late(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await asyncio.sleep(1.0)
+            try:
+                while await reader.read(1024 * 1024):
+                    pass
+                ends.append(None)
+            except OSError as error:
+                ends.append(type(error))
+            writer.close()
+
+        async with gateway() as tier:
+            worker = await asyncio.start_server(reads_late, IP, 0, limit=1)
+            address = f"{IP}:{worker.sockets[0].getsockname()[1]}"
+            tier.workers = {"w": WorkerRecord("w", "s", address, "z", 4, "ready")}
+            tier.configure()
+            wire = await tier.wire()
+            size = 4 * 1024 * 1024
+            wire.send(POST.replace(b": 4\r\n\r\nbody", b": %d\r\n\r\n" % size) + b"b" * size)
+            await asyncio.sleep(0.5)
+            wire.close()
+            await settled()
+            assert ends == [ConnectionResetError]
+            worker.close()
+
+    run(play())
+
+
 def test_a_client_that_leaves_with_much_sent_ahead_is_noticed() -> None:
     """More than is kept of later requests: what lies behind it is read all the same, its end too."""
 
