An answer given up while its client does not read is reset

Cause: a stream ended at its route's timeout closed its direction in good order; behind bytes that the client did not read, that end never left, and the connection stayed for two seconds more (CONFIG: no final answer 0.5 s after `timeout_ms`).

Change: with bytes unsent the connection is reset; the answer is incomplete in either case.

Measured: tests/edge/test_timeouts.py plays each path (silent worker, connection that does not come up, no tables, stream that goes on, client that does not read); the last one failed before.

--- a/pewterring/transport/http_server.py
+++ b/pewterring/transport/http_server.py
@@ -128,8 +128,8 @@
 
     def abort_answer(self, reset: bool) -> None:
         self._detach_responder()
-        if reset:
-            self.reset()
+        if reset or self.transport.get_write_buffer_size():
+            self.reset()  # behind bytes that the client does not read, our end would not reach it
         else:
             self._linger()
 
