A body that comes slowly is refused at its request's time

Cause: a request whose body came in pieces was waited for as long as no pause reached the idle time, past its route's `timeout_ms` (CONFIG).

Change: once the head is read, the server asks how long the request may take to come whole: the lesser of the client's time and the route's, from the first byte. Past it the answer is 408, which promises that it has not run. A `Request-Timeout-Ms` that is no finite number counts as not given.

--- a/pewterring/edge/program.py
+++ b/pewterring/edge/program.py
@@ -35,7 +35,7 @@
 from pewterring.routing.heartbeats import AdmissionHeartbeats
 from pewterring.routing.prompt import read_prompt
 from pewterring.transport.http_client import WorkerPool
-from pewterring.transport.http_request import ServerLimits, ServerRequest
+from pewterring.transport.http_request import RequestHead, ServerLimits, ServerRequest
 from pewterring.transport.http_responder import Responder
 from pewterring.transport.http_server import HttpServer
 from pewterring.transport.lines import LinkPool, MessageCodec
@@ -92,7 +92,7 @@
         self._drain = Drain()
         self._live = LiveContext(self._pool, self._chooser, self._watch, self._prompts.tell, self._drain)
         self._configured = asyncio.Event()
-        self._front = HttpServer(self._handle, lambda: self._limits, clock)
+        self._front = HttpServer(self._handle, lambda: self._limits, clock, self._time_to_come)
         self._ready = HttpServer(self._handle_ready, lambda: server_limits(ClientLimits()), clock)
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -268,8 +268,13 @@
             body=request.body,
         )
 
+    def _time_to_come(self, head: RequestHead) -> float:
+        """A body that comes slowly counts into its request's time (CONFIG)."""
+        route = self._routes.find(head.host, head.target.partition("?")[0]) if self._routes else None
+        return self._time_s(head, route)
+
     @staticmethod
-    def _time_s(request: ServerRequest, route: Route | None) -> float:
+    def _time_s(request: ServerRequest | RequestHead, route: Route | None) -> float:
         """How long the request may take, from its first byte."""
         client_s = _number(request.get(b"request-timeout-ms"), 60_000.0) / 1000
         return min(client_s, route.timeout_ms / 1000) if route and route.timeout_ms > 0 else client_s
@@ -330,6 +335,7 @@
 
 def _number(value: bytes | None, default: float) -> float:
     try:
-        return default if value is None else float(value)
+        number = default if value is None else float(value)
     except ValueError:
         return default
+    return number if math.isfinite(number) else default
--- a/pewterring/transport/http_request.py
+++ b/pewterring/transport/http_request.py
@@ -31,6 +31,19 @@
     idle_timeout_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class RequestHead:
+    """The head of a request whose body is still to come."""
+
+    target: str  # path and query as sent
+    fields: dict[bytes, bytes]  # first value by name in lower case
+    host: str  # lower case, without port
+
+    def get(self, name: bytes) -> bytes | None:
+        """The first value of the header whose name in lower case is `name`."""
+        return self.fields.get(name)
+
+
 @dataclass(slots=True)
 class ServerRequest:
     """A request that was read whole."""
@@ -63,7 +76,7 @@
 
     def __init__(self, limits: ServerLimits, received_at: float) -> None:
         self._limits = limits
-        self._received_at = received_at
+        self.received_at = received_at
         self._parser = h11.Connection(h11.SERVER, max_incomplete_event_size=PARSER_LIMIT_BYTES)
         self._head: h11.Request | None = None
         self._head_bytes = 0  # read while the head is incomplete
@@ -76,6 +89,12 @@
         """Whether the head has been read."""
         return self._head is not None
 
+    def head(self) -> RequestHead:
+        """The head, once it has been read."""
+        assert self._head is not None
+        fields = first_values(self._head.headers)
+        return RequestHead(self._head.target.decode("ascii"), fields, host_name(fields.get(b"host", b"")))
+
     @property
     def expects_continue(self) -> bool:
         """Whether the client waits for `100 Continue` before it sends the body."""
@@ -161,7 +180,7 @@
             fields=fields,
             host=host_name(fields.get(b"host", b"")),
             body=b"".join(self._body),
-            received_at=self._received_at,
+            received_at=self.received_at,
             keep_alive=head.http_version == b"1.1" and not closes,
             http_version=head.http_version,
         )
--- a/pewterring/transport/http_server.py
+++ b/pewterring/transport/http_server.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import math
 import time
 from collections.abc import Awaitable, Callable
 from enum import Enum, auto
@@ -11,7 +12,13 @@
 from loguru import logger
 
 from pewterring.transport.http_common import CLOSE_HEADER, CONTINUE, HttpConnection, encode_answer_head
-from pewterring.transport.http_request import RequestReader, RequestRejected, ServerLimits, ServerRequest
+from pewterring.transport.http_request import (
+    RequestHead,
+    RequestReader,
+    RequestRejected,
+    ServerLimits,
+    ServerRequest,
+)
 from pewterring.transport.http_responder import Responder
 
 __all__ = ["HttpServer", "Responder", "ServerLimits", "ServerRequest"]
@@ -46,6 +53,7 @@
         self._ahead = bytearray()  # read while a request is handled
         self._rested_since = 0.0
         self._deadline = 0.0
+        self._whole_by = math.inf  # the request that is read must have come by then
         self._unsent_bytes = 0  # when a time-out was last looked at
         self._timer: asyncio.TimerHandle | None = None
         self._writable: asyncio.Future[None] | None = None
@@ -153,9 +161,21 @@
         if request is not None:
             self._hand_over(request, reader.surplus)
         elif reader.has_head:
-            if not had_head and reader.expects_continue:
-                self.write(CONTINUE)
-            self._arm(self._server.now() + self._server.limits().idle_timeout_s)
+            if not had_head:
+                self._take_head(reader)
+            self._await_body()
+
+    def _take_head(self, reader: RequestReader) -> None:
+        self._whole_by = reader.received_at + self._server.time_to_come(reader.head())
+        if reader.expects_continue:
+            self.write(CONTINUE)
+
+    def _await_body(self) -> None:
+        now = self._server.now()
+        if now < self._whole_by:
+            self._arm(min(self._whole_by, now + self._server.limits().idle_timeout_s))
+        else:
+            self._reject(408)
 
     def _start_reader(self) -> None:
         now, limits = self._server.now(), self._server.limits()
@@ -243,14 +263,20 @@
     """Accepts connections at one address and hands each request to `handler` in a task of its own.
 
     `limits` is asked anew for each request. Where a handler raises or returns without an answer, the answer
-    is 500; one that it leaves unfinished is aborted.
+    is 500; one that it leaves unfinished is aborted. `time_to_come` says by its head how long a request may
+    take to come whole, in seconds from its first byte; past it the answer is 408.
     """
 
     def __init__(
-        self, handler: Handler, limits: Callable[[], ServerLimits], now: Callable[[], float] = time.monotonic
+        self,
+        handler: Handler,
+        limits: Callable[[], ServerLimits],
+        now: Callable[[], float] = time.monotonic,
+        time_to_come: Callable[[RequestHead], float] = lambda head: math.inf,
     ) -> None:
         self.limits = limits
         self.now = now  # the clock of the event loop
+        self.time_to_come = time_to_come
         self.draining = False
         self.requests_held = 0  # read whole and not answered
         self.connections: set[ServerConnection] = set()
--- a/tests/edge/test_timeouts.py
+++ b/tests/edge/test_timeouts.py
@@ -95,3 +95,38 @@
             assert len(tier.let_go_at) == 1
 
     run(play())
+
+
+@pytest.mark.parametrize("pause_s", [0.3, 30.0])
+def test_a_body_that_does_not_come_whole_in_time_is_refused(pause_s: float) -> None:
+    async def play() -> None:
+        async with gateway(answered, routes=(route(timeout_ms=TIMEOUT_MS),)) as tier:
+            wire = await tier.wire()
+            began = now()
+            wire.send(HEAD.replace(b": 4", b": 400"))
+            sending = asyncio.create_task(send_slowly(wire.send, pause_s))
+            head = await wire.until(b"\r\n\r\n")
+            assert b" 408 " in head and b"Connection: close" in head
+            assert now() - began < TIMEOUT_S + SLACK_S
+            assert not tier.seen
+            sending.cancel()
+
+    run(play())
+
+
+async def send_slowly(send: object, pause_s: float) -> None:
+    while True:
+        await asyncio.sleep(pause_s)
+        send(b"b")  # type: ignore[operator]
+
+
+def test_a_slow_body_that_comes_in_time_is_served_with_what_is_left() -> None:
+    async def play() -> None:
+        async with gateway(answered, routes=(route(timeout_ms=TIMEOUT_MS),)) as tier:
+            wire = await tier.wire()
+            wire.send(HEAD + b"bo")
+            await asyncio.sleep(1.5)
+            wire.send(b"dy")
+            assert b" 200 " in await wire.until(b"\r\n\r\n")
+
+    run(play())
