No 404 out of old tables, and no unknown limit held against a client

Change: an unknown route is 404 only where control confirmed the tables within config_ms, else 503 with Retry-After, which promises the same and sends the client elsewhere. Before the first tables the limits are as wide as memory allows.

Without configuration each path and method had 503 before as well.

--- a/pewterring/edge/program.py
+++ b/pewterring/edge/program.py
@@ -46,6 +46,9 @@
 DRAIN_LOOK_S = 0.05
 ELSEWHERE_S = 0.02  # until a client that this process refuses as it ends may ask another gateway
 START_WAIT_S, START_SHARE = 1.5, 0.4  # that a request waits for the first tables; of its time at most
+NOT_SURE_S = 0.1  # until a client whose route this process may not know yet may ask another gateway
+# Before the operator's limits are known none of them may be held against a client.
+UNKNOWN_LIMITS = ServerLimits(256 * 1024, 16 * 1024 * 1024, header_timeout_s=10.0, idle_timeout_s=60.0)
 IDLE_CONNECTIONS = 60  # connections to a worker where the operator gives no number
 
 
@@ -73,7 +76,7 @@
         self._rng = rng or random.Random()
         self._life = secrets.token_hex(8)
         self._routes: RouteTable | None = None
-        self._limits = server_limits(ClientLimits())
+        self._limits = UNKNOWN_LIMITS
         self._stopping = False
         self._metrics = GatewayMetrics()
         codec = MessageCodec((*FEED_MESSAGES, *BATCH_MESSAGES))
@@ -215,13 +218,24 @@
         assert self._routes is not None
         route = self._routes.find(request.host, path)
         if route is None:
-            self._metrics.unrouted += 1
-            await responder.respond(404, [])
+            await self._answer_unrouted(responder)
         elif route.route_type is RouteType.BATCH_JOB:
             await self._serve_batch(request, responder, route)
         else:
             await self._serve(request, responder, route)
 
+    async def _answer_unrouted(self, responder: Responder) -> None:
+        """404, unless a configuration that was acknowledged since the tables were current may have the route.
+
+        Symptom answered: a gateway cut off from control denies a route that all others serve, and clients do
+        not ask again after a 404.
+        """
+        if self._feed.confirmed_age(self._clock()) > self._settings.bounds.config_s:
+            await responder.respond(503, [(b"Retry-After", b"%.2f" % NOT_SURE_S)])
+            return
+        self._metrics.unrouted += 1
+        await responder.respond(404, [])
+
     async def _wait_for_tables(self, request: ServerRequest) -> bool:
         """A process that has just started is told the tables within a second or two; False if not in time.
 
