Lines: each side of a connection first names its protocol and its cluster

Cause: whoever could reach the internal port was taken for one of the tier. A process of another cluster, set up with a wrong seed or at an address that changed hands, could ask to join the control group, enter the table of nodes and hand in jobs; and until its first line ended it could have 32 MiB kept for it.

Change: the first line of each side is a greeting with the protocol's number and the name of the cluster (`cluster_name` of the settings, empty where it is left out). It is sent without waiting for the other's. Until the peer's has come, lines are bound to 4 KiB; another name, another protocol, or no greeting closes the connection with one log line a peer, and nothing that stands behind it is taken.

--- a/pewterring/batch/program.py
+++ b/pewterring/batch/program.py
@@ -72,7 +72,7 @@
         self._logs_on_disk: set[str] = set()
         self._starting: dict[str, asyncio.Task[None]] = {}
         self._members_task: asyncio.Task[None] | None = None
-        codec = MessageCodec((*CONSENSUS_MESSAGES, *BATCH_MESSAGES, *FEED_MESSAGES))
+        codec = MessageCodec((*CONSENSUS_MESSAGES, *BATCH_MESSAGES, *FEED_MESSAGES), settings.cluster)
         self._server = LineServer(codec, self._on_message)
         self._links = LinkPool(
             codec, settings.internal_port, self._on_message, rng=self._rng, source_ip=settings.ip
--- a/pewterring/cli/node_settings.py
+++ b/pewterring/cli/node_settings.py
@@ -27,6 +27,7 @@
     "seed_nodes": "IP:PORT,... of some control machines; at the first start of all, its first voters",
     "bootstrap": "true only at the first start of the whole tier, with empty disks",
     "data_dir": "folder for the log and snapshots; control and store need it",
+    "cluster_name": "processes of the tier talk only with those of the same name; may be left out",
     "heartbeat_ms": "period of workers' heartbeats",
     "fault_tolerance.machines": "f: how many machines with a disk may be lost at once; 2f + 1 hold each log",
     "limits.memory_mb": "memory of the process",
--- a/pewterring/control/program.py
+++ b/pewterring/control/program.py
@@ -62,7 +62,7 @@
         self._clock = time.monotonic
         needed = voters_needed(settings.tolerated_machines)
         self._member, storage = open_storage(settings, settings.data_dir)
-        codec = MessageCodec(MESSAGES)
+        codec = MessageCodec(MESSAGES, settings.cluster)
         self._links = LinkPool(codec, settings.internal_port, rng=random.Random(), source_ip=settings.ip)
         self._lines = LineServer(codec, self._on_message)
         self._state = ControlState(on_change=self._on_change)
--- a/pewterring/edge/program.py
+++ b/pewterring/edge/program.py
@@ -79,7 +79,7 @@
         self._limits = UNKNOWN_LIMITS
         self._stopping = False
         self._metrics = GatewayMetrics()
-        codec = MessageCodec((*FEED_MESSAGES, *BATCH_MESSAGES))
+        codec = MessageCodec((*FEED_MESSAGES, *BATCH_MESSAGES), settings.cluster)
         self._feed = FeedSubscriber(settings, codec, self._record, on_tables=self._take_tables, rng=self._rng)
         links = LinkPool(codec, settings.internal_port, rng=self._rng, source_ip=settings.ip)
         self._links = links
--- a/pewterring/node/settings.py
+++ b/pewterring/node/settings.py
@@ -83,6 +83,7 @@
     cpu_share: float
     disk_mb: int
     bounds: Bounds
+    cluster: str = ""  # processes talk only with those that are told the same name
 
 
 @dataclass(frozen=True, slots=True)
@@ -209,6 +210,7 @@
         cpu_share=reader.number("limits.cpu_share", 1.0),
         disk_mb=int(reader.number("limits.disk_mb", 0)),
         bounds=_bounds(reader),
+        cluster=reader.text("cluster_name", ""),
     )
 
 
--- a/pewterring/node/settings_file.py
+++ b/pewterring/node/settings_file.py
@@ -11,7 +11,9 @@
 LOOK_S = 1.0  # between looks for a change without a signal
 READ_TRIES = 3  # while the file changes as it is read
 # What a process was built on: another value counts from its next start.
-FIXED_FIELDS = ("node_id", "ip", "zone", "region", "front", "ready", "control", "internal_port", "data_dir")
+FIXED_FIELDS = (
+    "node_id", "ip", "zone", "region", "front", "ready", "control", "internal_port", "data_dir", "cluster",
+)  # fmt: skip
 
 Signature = tuple[int, int, int]  # inode, size, time of the last change in nanoseconds
 
--- a/pewterring/transport/channel.py
+++ b/pewterring/transport/channel.py
@@ -10,7 +10,7 @@
 import msgspec
 from loguru import logger
 
-from pewterring.transport.line_codec import Envelope, MessageCodec
+from pewterring.transport.line_codec import MAX_GREETING_BYTES, Envelope, MessageCodec
 from pewterring.transport.line_errors import (
     ChannelClosed,
     RequestFailed,
@@ -66,6 +66,13 @@
 
     `on_message` gets each message that is not a reply. What it returns is sent as the reply where the
     sender asked for one; awaitables run as tasks, other values are answered at once.
+
+    Each side first sends the greeting of its cluster, without waiting for the other's. Until the peer's has
+    come nothing else of it is taken.
+
+    What ties an answer to its request is the request's id together with the connection: ids rise and are
+    never given out again on one connection, and an answer that comes when its request was given up, a second
+    time, or after the connection's end meets no request.
     """
 
     def __init__(
@@ -82,6 +89,7 @@
         self._warnings = warnings or PeerWarnings()
         self._transport: asyncio.Transport | None = None
         self._partial = bytearray()  # a line whose end has not come yet
+        self._greeted = False  # whether the peer's greeting has come
         self._request_ids = itertools.count(1)
         self._pending: dict[int, asyncio.Future[Message]] = {}
         self._tasks: set[asyncio.Future[Answer]] = set()
@@ -158,6 +166,7 @@
         self._transport = transport
         self.remote_ip = transport.get_extra_info("peername", ("",))[0]
         set_liveness_options(transport.get_extra_info("socket"))
+        transport.write(self._codec.greeting)
 
     def connection_lost(self, error: Exception | None) -> None:
         """Part of `asyncio.Protocol`."""
@@ -185,15 +194,23 @@
         self._check_length()
 
     def _check_length(self) -> None:
-        if len(self._partial) > MAX_LINE_BYTES:
-            self._reject(f"a line is longer than {MAX_LINE_BYTES} bytes")
+        if len(self._partial) > self._longest:
+            self._reject(f"a line is longer than {self._longest} bytes")
+
+    @property
+    def _longest(self) -> int:
+        return MAX_LINE_BYTES if self._greeted else MAX_GREETING_BYTES
 
     # Receiving
 
     def _receive(self, line: bytes) -> None:
         try:
-            if len(line) > MAX_LINE_BYTES:
-                raise UndecodableLine(f"a line is longer than {MAX_LINE_BYTES} bytes")
+            if len(line) > self._longest:
+                raise UndecodableLine(f"a line is longer than {self._longest} bytes")
+            if not self._greeted:
+                self._codec.check_greeting(line)
+                self._greeted = True
+                return
             envelope = self._codec.decode_line(line)
             if envelope.reply_to:
                 self._settle(envelope)
--- a/pewterring/transport/line_codec.py
+++ b/pewterring/transport/line_codec.py
@@ -7,11 +7,20 @@
 
 import msgspec
 
-from pewterring.transport.line_errors import UndecodableLine
+from pewterring.transport.line_errors import ForeignPeer, UndecodableLine
 
+PROTOCOL = 1  # raised when older programs can no longer be understood
+MAX_GREETING_BYTES = 4096  # what a peer may send before it has said who it is
 FAILURE_BODY = b"null"  # body of a reply that says that the handler failed
 
 
+class Greeting(msgspec.Struct, frozen=True):
+    """The first line of each side of a connection."""
+
+    protocol: int
+    cluster: str
+
+
 class Envelope(msgspec.Struct, frozen=True, omit_defaults=True):
     """One line. `id` asks for a reply; `reply_to` is the id of the request that this line answers."""
 
@@ -28,14 +37,33 @@
 class MessageCodec:
     """Encodes and decodes the members of a union of tagged structs.
 
-    A decoded message's `msgspec.Raw` fields refer to the whole line and keep it in memory.
+    A decoded message's `msgspec.Raw` fields refer to the whole line and keep it in memory. `cluster` is the
+    name that peers must give too.
     """
 
-    def __init__(self, types: Sequence[type[msgspec.Struct]]) -> None:
+    def __init__(self, types: Sequence[type[msgspec.Struct]], cluster: str = "") -> None:
         union: Any = functools.reduce(operator.or_, types)
         self._encoder = msgspec.json.Encoder()
         self._bodies: msgspec.json.Decoder[msgspec.Struct] = msgspec.json.Decoder(union)
         self._envelopes = msgspec.json.Decoder(Envelope)
+        self._greetings = msgspec.json.Decoder(Greeting)
+        self._greeting = Greeting(PROTOCOL, cluster)
+
+    @property
+    def greeting(self) -> bytes:
+        """The first line that is sent on a connection, its line feed included."""
+        return self._encoder.encode(self._greeting) + b"\n"
+
+    def check_greeting(self, line: bytes) -> None:
+        """Raises `ForeignPeer` unless this first line of the peer is that of this cluster and protocol."""
+        try:
+            greeting = self._greetings.decode(line)
+        except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
+            raise ForeignPeer(f"no greeting: {error}") from error
+        if greeting.protocol != PROTOCOL:
+            raise ForeignPeer(f"it speaks protocol {greeting.protocol}, not {PROTOCOL}")
+        if greeting.cluster != self._greeting.cluster:
+            raise ForeignPeer(f"it is of cluster {greeting.cluster!r}, not {self._greeting.cluster!r}")
 
     def encode(self, message: msgspec.Struct) -> bytes:
         """Encodes the message alone, without an envelope."""
--- a/pewterring/transport/line_errors.py
+++ b/pewterring/transport/line_errors.py
@@ -9,6 +9,10 @@
     """A line is not an envelope, or its body is none of the codec's messages."""
 
 
+class ForeignPeer(UndecodableLine):
+    """The peer's first line is not the greeting of this cluster and this protocol."""
+
+
 class ChannelClosed(TransportError):
     """The connection closed before the answer came; the peer may or may not have handled the request."""
 
--- a/pewterring/transport/lines.py
+++ b/pewterring/transport/lines.py
@@ -10,6 +10,7 @@
 from pewterring.transport.line_codec import Envelope, MessageCodec
 from pewterring.transport.line_errors import (
     ChannelClosed,
+    ForeignPeer,
     RequestFailed,
     RequestNotSent,
     RequestTimeout,
@@ -25,6 +26,7 @@
     "Channel",
     "ChannelClosed",
     "Envelope",
+    "ForeignPeer",
     "LineServer",
     "LinkPool",
     "Message",
--- a/tests/control/test_program.py
+++ b/tests/control/test_program.py
@@ -12,12 +12,14 @@
 import pytest
 
 from pewterring.configuration.digest import as_line
-from pewterring.control.program import ControlProgram
-from pewterring.distribution.messages import FEED_MESSAGES, NodeRecord
+from pewterring.control.membership import MembershipPlanner
+from pewterring.control.messages import JoinGroup
+from pewterring.control.program import MESSAGES, ControlProgram
+from pewterring.distribution.messages import FEED_MESSAGES, NodeRecord, Redirect, Subscribe
 from pewterring.distribution.subscriber import FeedSubscriber
 from pewterring.distribution.tables import Tables
 from pewterring.node.settings import Address, Bounds, NodeSettings, SettingsError
-from pewterring.transport.lines import MessageCodec
+from pewterring.transport.lines import ChannelClosed, MessageCodec, connect
 from tests.configuration.documents import encoded
 
 IPS = ("127.0.0.21", "127.0.0.22", "127.0.0.23")
@@ -225,3 +227,34 @@
         ControlProgram(dataclasses.replace(complete, control=None))
     with pytest.raises(SettingsError, match="data_dir"):
         ControlProgram(dataclasses.replace(complete, data_dir=None))
+
+
+def test_a_peer_of_another_cluster_is_cut_off_and_nothing_of_it_is_taken(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    asked: list[str] = []
+    monkeypatch.setattr(MembershipPlanner, "ask", lambda self, now, member: asked.append(member))
+
+    async def scenario() -> None:
+        machines = Machines(tmp_path)
+        settings = dataclasses.replace(machines.settings(IPS[0]), cluster="one")
+        program = ControlProgram(settings)
+        await program.start()
+        subscribe = Subscribe(NodeRecord("store-x", "store", NODE_IP, "z", "life", f"{NODE_IP}#x"))
+        program._leadership.ready = True
+        try:
+            for cluster in ("one", "two", ""):
+                codec = MessageCodec(MESSAGES, cluster)
+                channel = await connect(codec, IPS[0], machines.internal_port, CALL_S)
+                channel.send(JoinGroup(f"{NODE_IP}#{cluster}"))
+                if cluster == "one":
+                    assert isinstance(await channel.request(subscribe, CALL_S), Redirect)
+                else:
+                    with pytest.raises(ChannelClosed):
+                        await channel.request(subscribe, CALL_S)
+                channel.close()
+            assert asked == [f"{NODE_IP}#one"]
+        finally:
+            await program.stop()
+
+    asyncio.run(scenario())
--- a/tests/node/test_settings_file.py
+++ b/tests/node/test_settings_file.py
@@ -94,10 +94,12 @@
 
 
 def test_what_a_process_was_built_on_waits_for_its_next_start(process: Process) -> None:
-    process.replace(settings_text(seed_nodes="10.9.0.1:8146", listen_addrs__front="10.1.0.35:9999"))
+    changes = {"seed_nodes": "10.9.0.1:8146", "listen_addrs__front": "10.1.0.35:9999", "cluster_name": "two"}
+    process.replace(settings_text(**changes))
     process.reloader.reload()
-    assert process.waiting == [("front",)]
+    assert process.waiting == [("front", "cluster")]
     (settings,) = process.applied
+    assert settings.cluster == ""
     assert str(settings.front) == "10.1.0.35:8144"
     assert str(settings.seeds[0]) == "10.9.0.1:8146"
 
--- a/tests/transport/test_lines.py
+++ b/tests/transport/test_lines.py
@@ -213,7 +213,7 @@
 def test_lines_are_the_same_however_the_bytes_come(seed: int) -> None:
     rng = random.Random(seed)
     texts = ["x" * rng.randrange(60) for _ in range(40)]
-    stream = b"".join(CODEC.line(Say(text)) for text in texts)
+    stream = CODEC.greeting + b"".join(CODEC.line(Say(text)) for text in texts)
     received: list[str] = []
     channel = Channel(CODEC, lambda _, message: received.append(message.text))
     while stream:
