Simulation of the control group in closed loop, against a bounded adversary

The control program, its consensus, storage, feed, relays and planner run unchanged in one virtual-time loop: sockets, disk, clocks and chance are simulated, and all chance comes from a seed. A schedule of faults stays inside the fault tolerance and goes to its edge. Checked: orders and reads are linearizable, leases exclude each other, no gateway goes back, what was told as current is current, redundancy is whole again in time.

--- /dev/null
+++ b/tests/simulation/callers.py
@@ -0,0 +1,192 @@
+"""Operators and workers, as the protocol describes them."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+import orjson
+
+from pewterring.configuration.digest import digest_of
+from pewterring.control.calls import DEREGISTER_PATH, HEARTBEAT_PATH, READ_PATH, REPLACE_PATH, Answer, Call
+from tests.simulation.history import NONE, Order, Outcome, Read, State
+
+if TYPE_CHECKING:
+    from tests.simulation.world import World
+
+PATIENCE_S = 1.0  # after so much silence a caller goes to another machine
+REFUSALS = (400, 409, 412)
+HEARTBEAT_S = 1.0
+END_S = 3.0  # a worker whose end is not acknowledged ends all the same
+
+
+def document(version: int, text: str) -> bytes:
+    """A small valid configuration."""
+    route = {"name": text, "hostname": "h", "path_prefix": "/", "route_type": "idempotent", "backend": "s"}
+    return orjson.dumps({"version": version, "routes": [route], "backends": [{"name": "s"}]})
+
+
+def state_of(body: bytes) -> State:
+    """The state that a document makes."""
+    return State(orjson.loads(body)["version"], digest_of(body))
+
+
+class Operator:
+    """Reads, builds on what it read, sends until it has a clear answer, and now and then sends again."""
+
+    def __init__(self, world: "World", name: str) -> None:
+        self._world = world
+        self._rng = random.Random(world.rng.random())
+        self._name = name
+        self._count = 0
+        self._last: tuple[Call, State, int] | None = None  # acknowledged
+        self.busy = True
+
+    async def work(self) -> None:
+        """Sends orders until the world tells it to stop."""
+        base = 0
+        while self.busy:
+            await asyncio.sleep(self._rng.uniform(0.05, 0.5))
+            if self._last is not None and self._rng.random() < 0.15:
+                await self.send(*self._last)
+                continue
+            if self._rng.random() < 0.6:
+                base = await self.read_version(base)
+            base = await self._order(base)
+
+    async def _order(self, base: int) -> int:
+        """Sends a new configuration; returns the base of the next one."""
+        self._count += 1
+        version = base + self._rng.choice((1, 1, 2, 5))
+        body = document(version, f"{self._name}-{self._count}")
+        call = Call("POST", REPLACE_PATH, str(base), body)
+        state = state_of(body)
+        for _ in range(30):
+            answer = await self.send(call, state, base)
+            if answer is not None and answer.status == 200:
+                self._last = (call, state, base)
+                return version
+            if answer is not None and answer.status in REFUSALS:
+                break
+            if not self.busy:
+                break
+            await asyncio.sleep(self._rng.uniform(0.02, 0.3))
+        return await self.read_version(base)
+
+    async def send(self, call: Call, state: State, base: int) -> Answer | None:
+        """Sends an order once, to any machine."""
+        began = self._world.loop.time()
+        answer = await self._world.http.call(self._any_ip(), call, PATIENCE_S)
+        outcome = Outcome.UNKNOWN
+        if answer is not None and answer.status == 200:
+            outcome = Outcome.DONE
+        elif answer is not None and answer.status in REFUSALS:
+            outcome = Outcome.REFUSED
+        status = answer.status if answer is not None else 0
+        if outcome is Outcome.UNKNOWN and status not in (0, 503):
+            self._world.watch.violation(f"an order was answered {status}")
+        self._world.history.orders.append(Order(state, base, began, self._world.loop.time(), outcome, status))
+        if outcome is Outcome.DONE:
+            self._world._reached("order_acked", self._world.leader() or self._world.core()[0])
+        return answer
+
+    async def read_version(self, otherwise: int) -> int:
+        """The version that is current, as one machine says."""
+        state = await self.read(self._any_ip())
+        return otherwise if state is None else state.version
+
+    async def read(self, ip: str) -> State | None:
+        """Reads at one machine."""
+        began = self._world.loop.time()
+        answer = await self._world.http.call(ip, Call("GET", READ_PATH), PATIENCE_S)
+        if answer is None or answer.status == 503:
+            return None
+        state = NONE if answer.status == 404 else state_of(answer.body)
+        self._world.history.reads.append(Read(state, began, self._world.loop.time()))
+        return state
+
+    def _any_ip(self) -> str:
+        return self._rng.choice(tuple(self._world.machines))
+
+
+class Worker:
+    """Registers, drains, says farewell; then another incarnation follows at its address."""
+
+    def __init__(self, world: "World", number: int) -> None:
+        self._world = world
+        self._rng = random.Random(world.rng.random())
+        self._number = number
+        self._sequence = 0
+        self._target = ""
+
+    async def work(self) -> None:
+        """One incarnation after the other, for ever."""
+        life = 0
+        while True:
+            life += 1
+            await self._live(f"w{self._number}-{life}")
+            await asyncio.sleep(self._rng.uniform(0.0, 2.0))
+
+    async def _live(self, name: str) -> None:
+        self._sequence = 0
+        end = self._world.loop.time() + self._rng.uniform(2.0, 12.0)
+        while self._world.loop.time() < end:
+            await self._heartbeat(name, "ready")
+            await asyncio.sleep(HEARTBEAT_S * self._rng.uniform(0.5, 1.1))
+        if self._rng.random() < 0.15:
+            return  # it crashes
+        if self._rng.random() < 0.8:
+            await self._until_acknowledged(name, self._drain_call)
+            await asyncio.sleep(self._rng.uniform(0.0, 1.0))
+            if self._rng.random() < 0.3:
+                await self._late_heartbeat(name)
+        await self._until_acknowledged(name, self._farewell_call)
+
+    async def _late_heartbeat(self, name: str) -> None:
+        """A heartbeat from before the drain that comes only now."""
+        self._sequence -= 2
+        await self._heartbeat(name, "ready")
+        self._sequence += 2
+
+    async def _until_acknowledged(self, name: str, make: Callable[[str], Call]) -> None:
+        end = self._world.loop.time() + END_S
+        while self._world.loop.time() < end:
+            call = make(name)
+            if await self._send(call):
+                self._world.watch.left.setdefault(name, self._world.loop.time())
+                self._world._reached("drain_acked", self._world.leader() or self._world.core()[0])
+                return
+            await asyncio.sleep(self._rng.uniform(0.05, 0.3))
+
+    async def _heartbeat(self, name: str, state: str) -> None:
+        for _ in range(3):
+            if await self._send(self._heartbeat_call(name, state)):
+                return
+
+    def _heartbeat_call(self, name: str, state: str) -> Call:
+        self._sequence += 1
+        body = {
+            "backend": "s",
+            "address": f"10.9.0.{self._number}:80",
+            "capacity": 4,
+            "state": state,
+            "sequence": self._sequence,
+        }
+        return Call("POST", f"{HEARTBEAT_PATH}{name}", body=orjson.dumps(body))
+
+    def _drain_call(self, name: str) -> Call:
+        return self._heartbeat_call(name, "draining")
+
+    def _farewell_call(self, name: str) -> Call:
+        return Call("POST", f"{DEREGISTER_PATH}{name}")
+
+    async def _send(self, call: Call) -> bool:
+        if not self._target:
+            self._target = self._rng.choice(tuple(self._world.machines))
+        answer = await self._world.http.call(self._target, call, PATIENCE_S)
+        if answer is not None and answer.status == 200:
+            return True
+        self._target = ""
+        if answer is not None and answer.status != 503:
+            self._world.watch.violation(f"a worker's call was answered {answer.status}")
+        return False
--- /dev/null
+++ b/tests/simulation/http.py
@@ -0,0 +1,93 @@
+"""Calls of operators and workers over simulated HTTP."""
+
+import asyncio
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Any
+
+from pewterring.control.calls import Answer, Call
+from tests.simulation.network import Outside
+from tests.simulation.virtual_loop import Process
+
+if TYPE_CHECKING:
+    from tests.simulation.world import World
+
+
+class Http:
+    """The listeners of the control programs, and how calls get there."""
+
+    def __init__(self, world: "World") -> None:
+        self._world = world
+        self._listeners: dict[str, tuple[Process, Any]] = {}
+        self.lost_answers = 0.0  # part of the answers that never arrive
+        self.on_answer: Callable[[Call, Answer], None] = lambda call, answer: None
+
+    def listen(self, ip: str, process: Process, application: Any) -> None:
+        """A program takes calls."""
+        self._listeners[ip] = (process, application)
+
+    def stop(self, ip: str) -> None:
+        """A program takes no more calls."""
+        self._listeners.pop(ip, None)
+
+    async def call(self, ip: str, call: Call, patience_s: float) -> Answer | None:
+        """The answer, or None where none came in time."""
+        loop = self._world.loop
+        network = self._world.network
+        answer: asyncio.Future[Answer | None] = loop.create_future()
+        timer = loop.call_later(patience_s, _settle, answer, None)
+        loop.call_later(network.delay_s(Outside, ip), self._arrive, ip, call, answer)
+        result = await answer
+        timer.cancel()
+        return result
+
+    def _arrive(self, ip: str, call: Call, answer: "asyncio.Future[Answer | None]") -> None:
+        world = self._world
+        if world.network.blocked(Outside, ip):
+            return
+        process, application = self._listeners.get(ip, (None, None))
+        if process is None or not process.alive:
+            _settle(answer, None)
+            return
+        process.at_death.append(lambda: None if world.network.blocked(ip, Outside) else _settle(answer, None))
+        world.loop.call_in(process, world.loop.time(), self._begin, ip, application, call, answer)
+
+    def _begin(self, *arguments: Any) -> None:
+        self._world.loop.create_task(self._handle(*arguments))
+
+    async def _handle(
+        self, ip: str, application: Any, call: Call, answer: "asyncio.Future[Answer | None]"
+    ) -> None:
+        """Runs in the server's process."""
+        parts: list[Any] = []
+        scope = {
+            "type": "http",
+            "method": call.method,
+            "path": call.path,
+            "headers": [(b"base-version", call.base_version.encode())],
+        }
+        body = {"type": "http.request", "body": call.body, "more_body": False}
+
+        async def receive() -> Any:
+            return body
+
+        async def send(message: Any) -> None:
+            parts.append(message)
+
+        await application(scope, receive, send)
+        process = self._world.process()
+        self._world.reach("answer")
+        result = Answer(parts[0]["status"], parts[1]["body"])
+        process.does(lambda: self._send_back(ip, result, answer))
+
+    def _send_back(self, ip: str, result: Answer, answer: "asyncio.Future[Answer | None]") -> None:
+        world = self._world
+        if world.network.blocked(ip, Outside) or world.rng.random() < self.lost_answers:
+            return
+        world.loop.call_outside(
+            world.loop.time() + world.network.delay_s(ip, Outside), _settle, answer, result
+        )
+
+
+def _settle(future: "asyncio.Future[Answer | None]", result: Answer | None) -> None:
+    if not future.done():
+        future.set_result(result)
--- /dev/null
+++ b/tests/simulation/machines.py
@@ -0,0 +1,130 @@
+"""Machines with a disk that programs run on: they lose power, stand still, fill up and are slow."""
+
+import contextlib
+import random
+from collections.abc import Callable
+from typing import Any
+
+from pewterring.storage.errors import StorageError
+from tests.simulation.network import Network
+from tests.simulation.virtual_loop import BlockingHost, Process, VirtualLoop
+from tests.storage.simulated_disk import PowerLoss, SimulatedDisk
+
+SAVE_S = (0.0008, 0.004)
+SLOW_SAVE_S = (0.03, 0.25)
+MOST_OPERATIONS = 8  # of the disk, after which a save that is cut short stops at the latest
+DRIFT = 0.02  # clocks run at rates of up to so much more or less
+
+Hook = Callable[[str, "Machine"], None]
+
+
+class Machine(BlockingHost):
+    """One address, one disk, and the process that runs there now."""
+
+    def __init__(self, ip: str, loop: VirtualLoop, network: Network, rng: random.Random, hook: Hook) -> None:
+        self.ip = ip
+        self.process: Process | None = None
+        self.disk = SimulatedDisk()
+        self.disk_made_s = loop.time()
+        self.slow_disk = False
+        self.stalled = False
+        self.lives = 0
+        self.gone = False  # removed for good
+        self._loop = loop
+        self._network = network
+        self._rng = random.Random(rng.random())
+        self._hook = hook
+        self._rate = 1.0 + self._rng.uniform(-DRIFT, DRIFT)
+        self._work: Callable[[], Any] | None = None
+
+    @property
+    def running(self) -> bool:
+        """Whether a process is there, frozen or not."""
+        return self.process is not None and self.process.alive
+
+    def new_process(self) -> Process:
+        """Powers the machine up and begins a life of its program."""
+        assert not self.running
+        self.lives += 1
+        self._network.dark.discard(self.ip)
+        self._network.heal()
+        name = f"{self.ip}/{self.lives}"
+        self.process = Process(name, self, self._rate, self._rng.uniform(10.0, 1000.0))
+        return self.process
+
+    # Ends of the process
+
+    def kill(self) -> None:
+        """The process ends; what it wrote stays."""
+        self._end(silent=False)
+        self.disk.kill()
+
+    def lose_power(self) -> None:
+        """What was not synced is kept, torn or lost."""
+        if self.running:
+            self._end(silent=True)
+        self._network.dark.add(self.ip)
+        self.disk.lose_power(self._rng)
+
+    def wipe(self) -> None:
+        """Loses power and the disk."""
+        if self.running:
+            self._end(silent=True)
+        self._network.dark.add(self.ip)
+        self.disk = SimulatedDisk()
+        self.disk_made_s = self._loop.time()
+
+    def _end(self, silent: bool) -> None:
+        process = self.process
+        assert process is not None
+        process.alive = False
+        process.postponed.clear()
+        work, self._work = self._work, None
+        if work is not None:
+            self.disk.lose_power_at(self._rng.randint(1, MOST_OPERATIONS))
+            with contextlib.suppress(PowerLoss, StorageError):
+                work()
+        self._network.process_ended(process, silent)
+        for action in process.at_death:
+            action()
+        process.at_death.clear()
+
+    # The disk
+
+    def run_blocking(self, loop: VirtualLoop, process: Process, work: Callable[[], Any]) -> Any:
+        """Does the work of the process's storage after a while."""
+        future = loop.create_future()
+        self._hook("before_save", self)
+        if not process.alive:
+            return future
+        self._work = work
+        loop.call_in(process, loop.time() + self._save_s(), self._finish, process, work, future)
+        return future
+
+    def _save_s(self) -> float:
+        return self._rng.uniform(*(SLOW_SAVE_S if self.slow_disk else SAVE_S))
+
+    def _finish(self, process: Process, work: Callable[[], Any], future: Any) -> None:
+        if self.stalled:
+            self._loop.call_in(process, self._loop.time() + 0.05, self._finish, process, work, future)
+            return
+        self._work = None
+        try:
+            result = work()
+        except Exception as error:
+            future.set_exception(error)
+            return
+        self._hook("after_save", self)
+        if process.alive:
+            future.set_result(result)
+
+    def fill_disk(self) -> None:
+        """No more room than a few bytes."""
+        used = sum(self.disk.size(name) for name in self.disk.names())
+        self.disk.capacity = used + self._rng.randint(0, 300)
+
+    def repair_disk(self) -> None:
+        """Room and speed as before."""
+        self.disk.capacity = None
+        self.slow_disk = False
+        self.stalled = False
--- /dev/null
+++ b/tests/simulation/patches.py
@@ -0,0 +1,152 @@
+"""What is replaced below the real programs: clocks, chance, sockets, files, and the sizes of logs."""
+
+import contextlib
+import functools
+import random
+from collections.abc import Callable, Iterator
+from typing import TYPE_CHECKING, Any
+from unittest import mock
+
+from pewterring.configuration.reader import read_configuration
+from pewterring.consensus.group import ReplicatedGroup
+from pewterring.consensus.messages import Entry, Membership
+from pewterring.consensus.types import RaftLimits
+from pewterring.control import program as control_program
+from pewterring.control import service as control_service
+from pewterring.distribution import follower, subscriber
+from pewterring.node.settings import Address
+from pewterring.storage import identity
+from pewterring.storage.group import DiskGroupStorage
+from pewterring.transport import link_pool
+from tests.simulation.machines import Machine
+from tests.storage.simulated_disk import SimulatedDisk
+
+if TYPE_CHECKING:
+    from tests.simulation.world import World
+
+LIMITS = RaftLimits(
+    message_bytes=4000, window_bytes=16_000, window_messages=8, snapshot_part_bytes=1500, kept_bytes=3000
+)
+SEGMENT_BYTES = 8000
+SNAPSHOT_AFTER_BYTES = 12_000
+
+read_once = functools.lru_cache(maxsize=4096)(read_configuration)  # it is a function of the document
+
+
+class _Clock:
+    """Stands for the module `time`."""
+
+    def __init__(self, world: "World") -> None:
+        self._world = world
+
+    def monotonic(self) -> float:
+        return self._world.process().steady(self._world.loop.time())
+
+
+class _Chance:
+    """Stands for the module `random`: each generator has a seed."""
+
+    def __init__(self, world: "World") -> None:
+        self._world = world
+
+    def Random(self) -> random.Random:
+        return random.Random(self._world.rng.random())
+
+
+class _Secrets:
+    """Stands for the module `secrets`."""
+
+    def __init__(self, world: "World") -> None:
+        self._world = world
+
+    def token_hex(self, count: int) -> str:
+        return self._world.rng.randbytes(count).hex()
+
+
+class HttpServer:
+    """Stands for the HTTP server of control: the network hands it its calls."""
+
+    def __init__(self, world: "World", application: Any, address: Address) -> None:
+        self._world = world
+        self._application = application
+        self._ip = address.ip
+
+    async def start(self) -> None:
+        """Takes calls from now on."""
+        self._world.http.listen(self._ip, self._world.process(), self._application)
+
+    async def stop(self) -> None:
+        """Takes no more."""
+        self._world.http.stop(self._ip)
+
+
+class ObservedGroup(ReplicatedGroup):
+    """The real group; it tells the world what it does."""
+
+    def __init__(self, world: "World", **arguments: Any) -> None:
+        super().__init__(**arguments, limits=LIMITS, snapshot_after_bytes=SNAPSHOT_AFTER_BYTES)
+        self.world = world
+
+    def _apply(self, entry: Entry) -> None:
+        if entry.kind == "members":
+            self.world.reach("members_applied")
+        self.world.reach("before_apply")
+        self.world.watch.applied(self.member, entry)
+        super()._apply(entry)
+
+    def _tell_leadership(self, term: int | None) -> None:
+        if term is not None and term != self._told_term:
+            self.world.watch.leads(self.member, term)
+        super()._tell_leadership(term)
+
+    async def change_membership(self, membership: Membership) -> None:
+        self.world.watch.changes_members(self, membership)
+        self.world.reach("members")
+        await super().change_membership(membership)
+
+    def _saved(self, save: Any) -> None:
+        if save.snapshot is not None and save.snapshot.index < self.applied_index:
+            self.world.watch.violation(
+                f"{self.member} goes back from {self.applied_index} to the snapshot at {save.snapshot.index}"
+            )
+        super()._saved(save)
+        if save.snapshot is not None:
+            self.world.reach("snapshot")
+
+
+def _disk_of(world: "World") -> Callable[..., SimulatedDisk]:
+    def disk(*_: Any) -> SimulatedDisk:
+        machine: Machine = world.machine_of(world.process())
+        return machine.disk
+
+    return disk
+
+
+@contextlib.contextmanager
+def installed(world: "World") -> Iterator[None]:
+    """All replacements, while a world runs."""
+    clock = _Clock(world)
+    replaced: tuple[tuple[Any, str, Any], ...] = (
+        (control_program, "time", clock),
+        (control_program, "random", _Chance(world)),
+        (control_program, "FolderDisk", _disk_of(world)),
+        (control_program, "HttpServer", functools.partial(HttpServer, world)),
+        (control_program, "ReplicatedGroup", functools.partial(ObservedGroup, world)),
+        (
+            control_program,
+            "DiskGroupStorage",
+            functools.partial(DiskGroupStorage, segment_bytes=SEGMENT_BYTES),
+        ),
+        (control_service, "read_configuration", read_once),
+        (follower, "read_configuration", read_once),
+        (identity, "secrets", _Secrets(world)),
+        (link_pool, "connect", world.network.connect),
+        (subscriber, "connect", world.network.connect),
+        (subscriber, "time", clock),
+    )
+    with contextlib.ExitStack() as stack:
+        for target, name, value in replaced:
+            stack.enter_context(mock.patch.object(target, name, value))
+        for watcher in world.watch.watchers():
+            stack.enter_context(watcher)
+        yield
--- /dev/null
+++ b/tests/simulation/play.py
@@ -0,0 +1,140 @@
+"""Plays one schedule from the first start to the end, and judges it."""
+
+import asyncio
+import gc
+import random
+from dataclasses import dataclass, field
+
+from tests.simulation.adversary import Adversary
+from tests.simulation.callers import Operator, Worker
+from tests.simulation.history import Outcome
+from tests.simulation.linearizability import NotLinearizable, check
+from tests.simulation.losses import CATCH_UP_S
+from tests.simulation.patches import installed
+from tests.simulation.schedule import Schedule
+from tests.simulation.world import World
+
+CALLERS_S = 0.5  # when operators and workers begin
+WORKERS = 5
+CONFIRMED_S = 4.0  # `ack_ms`: an order is confirmed so soon after the last fault
+LONGEST_S = 60.0  # no schedule goes on for longer
+STEP_S = 0.25
+
+
+@dataclass(slots=True)
+class Verdict:
+    """What a run showed."""
+
+    schedule: Schedule
+    violations: list[str] = field(default_factory=list)
+    log: list[str] = field(default_factory=list)
+    orders: int = 0  # acknowledged
+    ended_s: float = 0.0
+
+    @property
+    def failed(self) -> bool:
+        """Whether anything was wrong."""
+        return bool(self.violations)
+
+
+class Run:
+    """One schedule in one world."""
+
+    def __init__(self, schedule: Schedule) -> None:
+        self.schedule = schedule
+        self.world = World(schedule.seed, schedule.tolerated)
+        self.adversary = Adversary(self.world, schedule.faults, random.Random(f"faults {schedule.seed}"))
+        self.operators = [Operator(self.world, "a"), Operator(self.world, "b")]
+        self.world.loop.call_outside(CALLERS_S, self._begin_callers)
+        self._failures: list[str] = []
+
+    def _begin_callers(self) -> None:
+        workers = [Worker(self.world, number) for number in range(1, WORKERS + 1)]
+        for work in [operator.work for operator in self.operators] + [worker.work for worker in workers]:
+            self.world.loop.create_task(work())
+
+    def play(self) -> Verdict:
+        """Runs it all."""
+        world = self.world
+        with installed(world):
+            while not self.adversary.done and world.loop.time() < LONGEST_S and not world.failed:
+                world.run(world.loop.time() + STEP_S)
+            if not self.adversary.done and not world.failed:
+                self._failures.append("the faults did not come to an end")
+            if not world.failed:
+                self._judge_recovery()
+        world.loop.close()
+        violations = [*world.watch.violations, *world.loop.errors, *self._failures]
+        if not violations:
+            violations = self._judge_history()
+        acknowledged = {order.state for order in world.history.orders if order.outcome is Outcome.DONE}
+        return Verdict(self.schedule, violations, self.adversary.log, len(acknowledged), world.loop.time())
+
+    def _judge_recovery(self) -> None:
+        """After the last fault: orders go on, and as many voters as wanted hold everything."""
+        world = self.world
+        healed = max(world.loop.time(), CATCH_UP_S)
+        world.run(healed + CATCH_UP_S - STEP_S)
+        committed = world.watch.committed()
+        world.run(healed + CATCH_UP_S)
+        if world.failed:
+            return
+        confirmed = [
+            order.ended
+            for order in world.history.orders
+            if order.outcome is Outcome.DONE and order.began >= healed
+        ]
+        if min(confirmed, default=healed + CATCH_UP_S) > healed + CONFIRMED_S:
+            self._failures.append(f"no order was confirmed between {healed:.2f} and {world.loop.time():.2f}")
+        self._judge_redundancy(committed)
+        self._read_everywhere()
+
+    def _judge_redundancy(self, committed: int) -> None:
+        leader = self.world.leader()
+        wanted = 2 * self.world.tolerated + 1
+        if leader is None or leader.program is None:
+            self._failures.append("nobody leads")
+            return
+        group = leader.program._group
+        complete = [voter for voter in group.membership.voters if group.match(voter) >= committed]
+        if len(complete) < wanted:
+            self._failures.append(
+                f"{len(complete)} of {wanted} voters hold {committed}; the leader {group.member} knows "
+                f"{group.membership} at {[group.match(voter) for voter in group.membership.voters]}"
+            )
+
+    def _read_everywhere(self) -> None:
+        """Each machine is asked for what is current, once the operators have ended."""
+        world = self.world
+        for operator in self.operators:
+            operator.busy = False
+        world.run(world.loop.time() + 1.2)
+        ips = [machine.ip for machine in world.core()]
+        answers: list[object] = []
+
+        async def read_all() -> None:
+            for ip in ips:
+                answers.append(await self.operators[0].read(ip))
+
+        world.loop.call_outside(world.loop.time(), lambda: asyncio.ensure_future(read_all()))
+        world.run(world.loop.time() + 1.0)
+        if not world.failed and (len(answers) < len(ips) or None in answers):
+            self._failures.append(f"reads at the end: {answers}")
+
+    def _judge_history(self) -> list[str]:
+        try:
+            check(self.world.history)
+        except NotLinearizable as error:
+            return [str(error)]
+        return []
+
+
+def play(schedule: Schedule) -> Verdict:
+    """Plays a schedule. Collecting garbage waits until the end: it would run finalizers at any moment."""
+    collecting = gc.isenabled()
+    gc.disable()
+    try:
+        return Run(schedule).play()
+    finally:
+        if collecting:
+            gc.enable()
--- /dev/null
+++ b/tests/simulation/virtual_loop.py
@@ -0,0 +1,268 @@
+"""An event loop in virtual time that runs several processes, each of which can be frozen or killed alone.
+
+A process is told by a context variable, which tasks, timers and callbacks inherit. What a frozen process
+would run is kept for later; what a dead one would run is dropped.
+"""
+
+import asyncio
+import contextvars
+import heapq
+from collections import deque
+from collections.abc import Callable, Coroutine, Generator
+from enum import IntEnum
+from operator import itemgetter
+from typing import Any
+
+_PROCESS: contextvars.ContextVar["Process | None"] = contextvars.ContextVar("process", default=None)
+
+Callback = Callable[..., object]
+
+
+class Turn(IntEnum):
+    """In which order a process that stood still goes on: as asyncio does, input comes before timers."""
+
+    OUTPUT = 0  # what it was about to send
+    READY = 1
+    INPUT = 2
+    TIMER = 3
+
+
+class Process:
+    """One life of one program. `host` runs its blocking work; `rate` and `offset` make its steady clock."""
+
+    def __init__(self, name: str, host: "BlockingHost", rate: float = 1.0, offset: float = 0.0) -> None:
+        self.name = name
+        self.host = host
+        self.alive = True
+        self.frozen = False
+        self.postponed: list[tuple[Turn, Callable[[], object]]] = []
+        self.at_death: list[Callable[[], object]] = []
+        self.tasks: list[asyncio.Task[Any]] = []  # kept, so that none is collected in the middle of a run
+        self.rate = rate
+        self.offset = offset
+        self.context = contextvars.copy_context()
+        self.context.run(_PROCESS.set, self)
+
+    def steady(self, now: float) -> float:
+        """What its steady clock shows."""
+        return self.offset + self.rate * now
+
+    def true_time(self, steady: float) -> float:
+        """When its steady clock showed that."""
+        return (steady - self.offset) / self.rate
+
+    def does(self, output: Callable[[], object]) -> None:
+        """Lets an output leave: at once, after the freeze, or never."""
+        if not self.alive:
+            return
+        if self.frozen:
+            self.postponed.append((Turn.OUTPUT, output))
+        else:
+            output()
+
+
+class BlockingHost:
+    """Where blocking work of a process is done. This one does it at once."""
+
+    def run_blocking(self, loop: "VirtualLoop", process: Process, work: Callable[[], Any]) -> Any:
+        """A future for the result of `work`."""
+        future = loop.create_future()
+        future.set_result(work())
+        return future
+
+
+class _Handle:
+    """A callback that waits for its turn."""
+
+    __slots__ = ("args", "callback", "context", "is_cancelled", "process", "turn", "when_s")
+
+    def __init__(
+        self,
+        callback: Callback,
+        args: tuple[Any, ...],
+        context: contextvars.Context,
+        process: Process | None,
+        when_s: float = 0.0,
+        turn: Turn = Turn.READY,
+    ) -> None:
+        self.callback = callback
+        self.args = args
+        self.context = context
+        self.process = process
+        self.when_s = when_s
+        self.turn = turn
+        self.is_cancelled = False
+
+    def cancel(self) -> None:
+        self.is_cancelled = True
+
+    def cancelled(self) -> bool:
+        return self.is_cancelled
+
+    def when(self) -> float:
+        return self.when_s
+
+
+class VirtualLoop(asyncio.AbstractEventLoop):
+    """Jumps to the next timer whenever nothing is ready. It has no files, sockets or threads."""
+
+    def __init__(self) -> None:
+        self.current: Process | None = None
+        self.errors: list[str] = []  # of callbacks and tasks that nobody looked at
+        self._now = 0.0
+        self._ready: deque[_Handle] = deque()
+        self._timers: list[tuple[float, int, _Handle]] = []
+        self._sequence = 0
+        self._closed = False
+        self.create_server_at: Callable[..., Any] | None = None
+
+    # Scheduling
+
+    def time(self) -> float:
+        return self._now
+
+    def call_soon(  # type: ignore[override]  # typed more loosely
+        self, callback: Callback, *args: Any, context: contextvars.Context | None = None
+    ) -> Any:
+        if context is None:
+            context = contextvars.copy_context()
+            process = self.current
+        else:
+            process = context.get(_PROCESS)
+        handle = _Handle(callback, args, context, process)
+        if not self._closed:
+            self._ready.append(handle)
+        return handle
+
+    def call_later(  # type: ignore[override]
+        self, delay: float, callback: Callback, *args: Any, context: contextvars.Context | None = None
+    ) -> Any:
+        return self.call_at(self._now + max(0.0, delay), callback, *args, context=context)
+
+    def call_at(  # type: ignore[override]
+        self, when: float, callback: Callback, *args: Any, context: contextvars.Context | None = None
+    ) -> Any:
+        process = self.current
+        if context is None:
+            context = contextvars.copy_context()
+        else:
+            process = context.get(_PROCESS)
+        handle = _Handle(callback, args, context, process, when, Turn.TIMER)
+        self._push(handle)
+        return handle
+
+    def _push(self, handle: _Handle) -> None:
+        if not self._closed:
+            self._sequence += 1
+            heapq.heappush(self._timers, (handle.when_s, self._sequence, handle))
+
+    def call_in(self, process: Process, when: float, callback: Callback, *args: Any) -> None:
+        """Has `process` run the callback at `when`, as its kernel would."""
+        if process.alive:
+            self._push(_Handle(callback, args, process.context, process, when, Turn.INPUT))
+
+    def call_outside(self, when: float, callback: Callback, *args: Any) -> Any:
+        """Runs the callback at `when`, outside of any process."""
+        return self.call_at(when, callback, *args, context=_OUTSIDE)
+
+    def thaw(self, process: Process) -> None:
+        """The process goes on: first with what it had been about to do."""
+        process.frozen = False
+        postponed, process.postponed = process.postponed, []
+        for _, action in sorted(postponed, key=itemgetter(0)):
+            process.does(action)
+
+    # Running
+
+    def run_until(self, end: float, go_on: Callable[[], bool] = lambda: True) -> None:
+        """Runs what is due until `end`, or until `go_on` says no."""
+        asyncio._set_running_loop(self)
+        try:
+            self._run(end, go_on)
+        finally:
+            asyncio._set_running_loop(None)
+
+    def _run(self, end: float, go_on: Callable[[], bool]) -> None:
+        ready, timers = self._ready, self._timers
+        while go_on():
+            while ready:
+                self._run_handle(ready.popleft())
+            if not timers or timers[0][0] > end:
+                self._now = max(self._now, end)
+                return
+            when, _, handle = heapq.heappop(timers)
+            self._now = max(self._now, when)
+            if not handle.is_cancelled:
+                ready.append(handle)
+
+    def _run_handle(self, handle: _Handle) -> None:
+        if handle.is_cancelled:
+            return
+        process = handle.process
+        if process is not None:
+            if not process.alive:
+                return
+            if process.frozen:
+                process.postponed.append((handle.turn, lambda: self._ready.append(handle)))
+                return
+        self.current = process
+        try:
+            handle.context.run(handle.callback, *handle.args)
+        except Exception as error:
+            self.errors.append(f"{process.name if process else 'outside'}: {error!r}")
+        finally:
+            self.current = None
+
+    def is_running(self) -> bool:
+        return True
+
+    def is_closed(self) -> bool:
+        return self._closed
+
+    def close(self) -> None:
+        """Nothing is scheduled any more."""
+        self._closed = True
+        self._ready.clear()
+        self._timers.clear()
+
+    # What asyncio asks of a loop
+
+    def get_debug(self) -> bool:
+        return False
+
+    def create_future(self) -> asyncio.Future[Any]:
+        return asyncio.Future(loop=self)
+
+    def create_task(
+        self,
+        coro: Generator[Any, None, Any] | Coroutine[Any, Any, Any],
+        *,
+        name: str | None = None,
+        context: contextvars.Context | None = None,
+    ) -> asyncio.Task[Any]:
+        task: asyncio.Task[Any] = asyncio.Task(coro, loop=self, name=name, context=context)
+        if self.current is not None:
+            self.current.tasks.append(task)
+        return task
+
+    def run_in_executor(  # type: ignore[override]
+        self, executor: Any, func: Callable[..., Any], *args: Any
+    ) -> Any:
+        process = self.current
+        assert process is not None, "only processes have blocking work"
+        return process.host.run_blocking(self, process, lambda: func(*args))
+
+    async def create_server(self, *arguments: Any, **named: Any) -> Any:
+        assert self.create_server_at is not None
+        return self.create_server_at(*arguments, **named)
+
+    def call_exception_handler(self, context: dict[str, Any]) -> None:
+        error = context.get("exception")
+        if error is not None and not self._closed:
+            self.errors.append(f"{context.get('message')}: {error!r}")
+
+    def _timer_handle_cancelled(self, handle: Any) -> None:
+        """Cancelled timers are dropped when they are due."""
+
+
+_OUTSIDE = contextvars.copy_context()
--- /dev/null
+++ b/tests/simulation/watch.py
@@ -0,0 +1,119 @@
+"""What must hold at every moment, noted as the programs run. A violation ends the run."""
+
+from collections.abc import Iterator
+from typing import TYPE_CHECKING, Any
+from unittest import mock
+
+from pewterring.consensus.leading import Leading
+from pewterring.consensus.messages import Entry, Membership
+from pewterring.distribution.follower import TableFollower
+from pewterring.distribution.messages import WorkerRecord
+from pewterring.registry.heartbeats import READY
+from pewterring.registry.workers import WorkerRegistry
+
+if TYPE_CHECKING:
+    from tests.simulation.world import World
+
+
+class Watch:
+    """Compares what members do with what others did, and what gateways are told with what was promised."""
+
+    def __init__(self, world: "World") -> None:
+        self._world = world
+        self.violations: list[str] = []
+        self._leaders: dict[int, str] = {}  # by term
+        self._applied: dict[int, tuple[int, str, bytes]] = {}  # by index
+        self._newest_leader = (0, "")  # the highest term in which a member committed an entry
+        self.left: dict[str, float] = {}  # workers whose drain or end was acknowledged, and when
+
+    def violation(self, text: str) -> None:
+        """Notes what must not be."""
+        self.violations.append(f"{self._world.loop.time():.4f}: {text}")
+
+    # Members
+
+    def elected(self, member: str, term: int) -> None:
+        """A member begins to lead."""
+        other = self._leaders.setdefault(term, member)
+        if other != member:
+            self.violation(f"{member} and {other} lead in term {term}")
+
+    def leads(self, member: str, term: int) -> None:
+        """A member has committed an entry of its own term: nobody else may hold a lease."""
+        self._newest_leader = max(self._newest_leader, (term, member))
+        for machine in self._world.machines.values():
+            program, process = machine.program, machine.process
+            if program is None or process is None or not process.alive or program._member == member:
+                continue
+            if program._group.has_lease(process.steady(self._world.loop.time())):
+                self.violation(f"{member} leads in term {term} while {program._member} has a lease")
+
+    def applied(self, member: str, entry: Entry) -> None:
+        """A member applies an entry."""
+        this = (entry.term, entry.kind, bytes(entry.data))
+        known = self._applied.setdefault(entry.index, this)
+        if known != this:
+            self.violation(f"{member} applied {this} at {entry.index}, others {known}")
+
+    def changes_members(self, group: Any, membership: Membership) -> None:
+        """A leader proposes a change: whoever becomes a voter must hold all that is committed."""
+        for voter in membership.voters:
+            if voter not in group.membership.voters and group.match(voter) < group.commit_index:
+                self.violation(f"{voter} becomes a voter at {group.match(voter)} of {group.commit_index}")
+
+    def committed(self) -> int:
+        """The highest index that any member applied."""
+        return max(self._applied, default=0)
+
+    def _judges_worker(self) -> None:
+        """A leader takes a heartbeat: no other may have led after it."""
+        process = self._world.process()
+        program = self._world.machine_of(process).program
+        term = program._group._told_term if program is not None else None
+        newest, other = self._newest_leader
+        if newest > (term or 0):
+            self.violation(f"{process.name} answers a heartbeat in term {term}; {other} leads in {newest}")
+
+    # Gateways
+
+    def _confirmed(self, version: int, workers: Iterator[WorkerRecord], asked_at: float) -> None:
+        """A node was told that its tables were current at `asked_at`."""
+        process = self._world.process()
+        moment = process.true_time(asked_at)
+        promised = self._world.history.acknowledged_before(moment)
+        if version < promised:
+            self.violation(
+                f"{process.name} was told at {moment:.3f} that {version} is current; "
+                f"{promised} was acknowledged before"
+            )
+        for worker in workers:
+            if worker.state == READY and self.left.get(worker.id, moment) < moment:
+                self.violation(f"{process.name} was told that {worker.id} is ready after its end was taken")
+
+    def watchers(self) -> Iterator[Any]:
+        """Replacements of methods that tell this object."""
+        watch = self
+
+        def begin(self: Leading, state: Any, now: float, real: Any = Leading.__init__) -> None:
+            watch.elected(state.member, state.term)
+            real(self, state, now)
+
+        def observe(self: Any, *arguments: Any, real: Any = WorkerRegistry.observe) -> Any:
+            watch._judges_worker()
+            return real(self, *arguments)
+
+        def whole(self: Any, message: Any, asked_at: float, real: Any = TableFollower.whole) -> Any:
+            watch._confirmed(message.versions.configuration, iter(message.workers), asked_at)
+            return real(self, message, asked_at)
+
+        def renewed(self: Any, message: Any, sent_at: float, real: Any = TableFollower.renewed) -> Any:
+            confirmed = real(self, message, sent_at)
+            if confirmed:
+                workers = iter(self.tables.workers.values())
+                watch._confirmed(message.versions.configuration, workers, sent_at)
+            return confirmed
+
+        yield mock.patch.object(Leading, "__init__", begin)
+        yield mock.patch.object(WorkerRegistry, "observe", observe)
+        yield mock.patch.object(TableFollower, "whole", whole)
+        yield mock.patch.object(TableFollower, "renewed", renewed)
