--- a/tests/simulation/breakages.py
+++ b/tests/simulation/breakages.py
@@ -107,8 +107,9 @@
     def on_snapshot_part(self: Following, now: float, part: SnapshotPart) -> None:
         self._hear_leader(now, part)
         received = self._assembly.add(part)
-        if received >= part.total:
-            install(self, self._assembly.finish(part))
+        whole = self._assembly.take_whole(part) if received >= part.total else None
+        if whole is not None:
+            install(self, whole)
         self._reply_snapshot(part, received, part.round)
 
     def install(self: Following, snapshot: Snapshot) -> None:
