--- a/tests/simulation/patches.py
+++ b/tests/simulation/patches.py
@@ -7,12 +7,12 @@
 from typing import TYPE_CHECKING, Any
 from unittest import mock
 
+from pewterring.configuration import acceptance
 from pewterring.configuration.reader import read_configuration
 from pewterring.consensus.group import ReplicatedGroup
 from pewterring.consensus.messages import Entry, Membership
 from pewterring.consensus.types import RaftLimits
 from pewterring.control import program as control_program
-from pewterring.control import service as control_service
 from pewterring.distribution import follower, subscriber
 from pewterring.node.settings import Address
 from pewterring.storage import identity
@@ -137,7 +137,7 @@
             "DiskGroupStorage",
             functools.partial(DiskGroupStorage, segment_bytes=SEGMENT_BYTES),
         ),
-        (control_service, "read_configuration", read_once),
+        (acceptance, "read_configuration", read_once),
         (follower, "read_configuration", read_once),
         (identity, "secrets", _Secrets(world)),
         (link_pool, "connect", world.network.connect),
