Schedules of a control machine that is cut off for twenty seconds

Twelve cases in virtual time: one of three or two of five machines, with the leader or without it, cut off whole, unheard, or deaf. While the others take changes, the machines cut off are asked for reads, changes, resent changes, heartbeats, drains, deregistrations and retirements, a gateway starts beside them, and another has them first among its seeds. What a cut holds up comes when it ends.

No change of behaviour: the subscriber of the feed takes its clock and the way to open a channel.

--- a/pewterring/distribution/subscriber.py
+++ b/pewterring/distribution/subscriber.py
@@ -4,7 +4,7 @@
 import contextlib
 import random
 import time
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from loguru import logger
 
@@ -21,13 +21,15 @@
 )
 from pewterring.distribution.tables import Tables
 from pewterring.node.settings import NodeSettings
-from pewterring.transport.lines import Channel, MessageCodec, TransportError, connect
+from pewterring.transport.lines import Channel, MessageCodec, MessageHandler, TransportError, connect
 
 RENEW_S = 0.4  # between renewals
 ANSWER_S = 0.9  # an answer of the leader later than this counts as lost
 CONNECT_S = 0.5
 RETRY_S = 0.15  # between tries to find the leader, once all known machines were asked
 
+OpenChannel = Callable[[MessageCodec, str, int, float, MessageHandler], Awaitable[Channel]]
+
 
 class FeedSubscriber:
     """Follows the control leader. `on_tables(old, new)` is called after each swap of `tables`."""
@@ -40,6 +42,8 @@
         status: Callable[[], GroupStatus | None] = lambda: None,
         on_tables: Callable[[Tables, Tables], None] = lambda old, new: None,
         rng: random.Random | None = None,
+        clock: Callable[[], float] = time.monotonic,
+        open_channel: OpenChannel = connect,
     ) -> None:
         self._settings = settings
         self._codec = codec
@@ -47,6 +51,8 @@
         self._status = status
         self._on_tables = on_tables
         self._rng = rng or random.Random()
+        self._clock = clock
+        self._open_channel = open_channel
         self._follower = TableFollower()
         self._leader = ""
         self._stale = asyncio.Event()
@@ -96,8 +102,8 @@
     async def _session(self, ip: str) -> None:
         """One session with the control machine at `ip`, until it ends; sets `_leader` where it names one."""
         try:
-            channel = await connect(
-                self._codec, ip, self._settings.internal_port, CONNECT_S, on_message=self._pushed
+            channel = await self._open_channel(
+                self._codec, ip, self._settings.internal_port, CONNECT_S, self._pushed
             )
         except (TransportError, OSError):
             return
@@ -110,7 +116,7 @@
             channel.close()
 
     async def _subscribe(self, channel: Channel) -> bool:
-        asked_at = time.monotonic()
+        asked_at = self._clock()
         answer = await channel.request(Subscribe(node=self._node_record()), ANSWER_S)
         if isinstance(answer, Redirect):
             self._leader = answer.leader
@@ -128,7 +134,7 @@
                 await asyncio.wait_for(self._stale.wait(), RENEW_S)
             if self._stale.is_set():
                 raise FeedGap("a change was missed")
-            sent_at = time.monotonic()
+            sent_at = self._clock()
             answer = await channel.request(Renew(node=self._node_record(), status=self._status()), ANSWER_S)
             if isinstance(answer, Redirect):
                 self._leader = answer.leader
--- a/tests/consensus/virtual_time.py
+++ b/tests/consensus/virtual_time.py
@@ -33,6 +33,10 @@
     def time(self) -> float:
         return self._jumping.now
 
+    def stand_still(self, duration_s: float) -> None:
+        """The process stops in the midst of what it does, as when it is frozen; only the clock goes on."""
+        self._jumping.now += duration_s
+
 
 class InlineExecutor(Executor):
     """Does the work at once, in the caller's thread; its result comes with the next turn of the loop."""
--- a/tests/control/cluster.py
+++ b/tests/control/cluster.py
@@ -2,11 +2,12 @@
 
 Consensus messages and relayed calls take one turn of the loop. A machine that dies neither sends nor
 receives from that moment on; its disk stays. `at_point` has something happen at the n-th message from now.
+What is sent into a cut comes when the cut ends, as from the buffers of a connection.
 """
 
 import asyncio
 import random
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Collection, Coroutine
 from typing import Any
 
 import msgspec
@@ -14,6 +15,7 @@
 from pewterring.consensus.group import ReplicatedGroup
 from pewterring.consensus.messages import ConsensusMessage
 from pewterring.control.calls import HEARTBEAT_PATH, READ_PATH, REPLACE_PATH, Answer, Call
+from pewterring.control.feed import FeedServer
 from pewterring.control.leadership import GroupLeadership
 from pewterring.control.messages import RelayedCall
 from pewterring.control.nodes import NodeTable
@@ -23,12 +25,14 @@
 from pewterring.control.service import ControlService
 from pewterring.control.state import ControlState
 from pewterring.control.stores import address_of
+from pewterring.distribution.messages import FEED_MESSAGES
 from pewterring.registry.workers import WorkerRegistry
+from pewterring.transport.lines import MessageCodec
 from tests.consensus.memory_storage import MemoryStorage
 from tests.consensus.virtual_time import InlineExecutor
 
 IPS = ("10.0.0.1", "10.0.0.2", "10.0.0.3")
-MEMBERS = tuple(f"{ip}#seed" for ip in IPS)
+FEED_CODEC = MessageCodec(FEED_MESSAGES)
 CALLER_S = 1.0  # a caller goes to another machine after so long
 GIVE_UP_S = 30.0
 
@@ -41,7 +45,7 @@
         self.ip = ip
         self.storage = storage
         self.died = asyncio.get_running_loop().create_future()
-        self.state = ControlState()
+        self.state = ControlState(on_change=lambda: self.feed.publish_soon())
         self.group = ReplicatedGroup(
             "control",
             f"{ip}#seed",
@@ -59,25 +63,38 @@
         self.registry = WorkerRegistry(self.state.workers, self.state.departed, 1.0)
         desk = RetirementDesk(self.state, self.nodes, self.leadership, 3)
         service = ControlService(self.state, self.registry, desk, self.leadership, clock)
-        self.router = CallRouter(service.handle, self._leader_ip, cluster.request, ip)
+        self.router = CallRouter(service.handle, self._leader_ip, self._request, ip)
+        self.feed = FeedServer(
+            self.publisher, self.nodes, self.leadership, FEED_CODEC, self._leader_ip, clock
+        )
+        self._cluster = cluster
         self._clock = clock
 
     def _leader_ip(self) -> str:
         return address_of(self.group.leader or "")
 
+    async def _request(self, ip: str, message: msgspec.Struct, timeout_s: float) -> msgspec.Struct:
+        return await self._cluster.request(self.ip, ip, message, timeout_s)
+
     def _on_leadership(self, leads: bool) -> None:
         self.leadership.ready = leads
-        if leads:
-            self.nodes.start(self._clock(), self.state.nodes)
-            self.registry.start(self._clock())
-            self.publisher.start(self.group.term, IPS)
+        if not leads:
+            self.feed.end_sessions()
+            return
+        self.nodes.start(self._clock(), self.state.nodes)
+        self.registry.start(self._clock())
+        self.publisher.start(self.group.term, self._cluster.ips)
 
 
 class ControlCluster:
     """The machines that are up, by IP. Made inside a running loop."""
 
-    def __init__(self) -> None:
-        self.machines = {ip: ControlMachine(self, ip, MemoryStorage(MEMBERS)) for ip in IPS}
+    def __init__(self, ips: tuple[str, ...] = IPS) -> None:
+        self.ips = ips
+        members = tuple(f"{ip}#seed" for ip in ips)
+        self.cuts: set[tuple[str, str]] = set()  # (sender, target), by IP
+        self._held: list[Callable[[], None]] = []
+        self.machines = {ip: ControlMachine(self, ip, MemoryStorage(members)) for ip in ips}
         self._background: list[asyncio.Task[object]] = []
         self._points_left = 0
         self._at_point: Callable[[], None] | None = None
@@ -91,12 +108,12 @@
         for machine in self.machines.values():
             await machine.group.stop()
 
-    async def leader(self) -> ControlMachine:
+    async def leader(self, among: Collection[str] | None = None) -> ControlMachine:
         """The leader, once there is one with a lease."""
         async with asyncio.timeout(GIVE_UP_S):
             while True:
                 for machine in self.machines.values():
-                    if machine.leadership.has_lease:
+                    if machine.leadership.has_lease and machine.ip in (among or self.ips):
                         return machine
                 await asyncio.sleep(0.01)
 
@@ -125,6 +142,24 @@
         machine.died.set_result(None)
         self.in_background(machine.group.stop())
 
+    def cut(self, senders: Collection[str], targets: Collection[str]) -> None:
+        """Nothing passes from the ones to the others."""
+        self.cuts |= {(sender, target) for sender in senders for target in targets}
+
+    def heal(self) -> None:
+        """The cuts end, and what they held up comes."""
+        self.cuts.clear()
+        held, self._held = self._held, []
+        for action in held:
+            asyncio.get_running_loop().call_soon(action)
+
+    def carry(self, sender: str, target: str, action: Callable[[], None]) -> None:
+        """Has `action` done at the target's side, once what is sent gets there."""
+        if (sender, target) in self.cuts:
+            self._held.append(action)
+        else:
+            asyncio.get_running_loop().call_soon(action)
+
     def in_background(self, work: Coroutine[Any, Any, object]) -> asyncio.Task[object]:
         """Runs it beside what goes on."""
         task = asyncio.get_running_loop().create_task(work)
@@ -142,33 +177,44 @@
 
     def send(self, message: ConsensusMessage) -> None:
         self._pass_point()
-        if address_of(message.sender) in self.machines:
-            asyncio.get_running_loop().call_soon(self._deliver, message)
+        sender = address_of(message.sender)
+        if sender in self.machines:
+            self.carry(sender, address_of(message.target), lambda: self._deliver(message))
 
     def _deliver(self, message: ConsensusMessage) -> None:
         machine = self.machines.get(address_of(message.target))
         if machine is not None:
             machine.group.receive(message)
 
-    async def request(self, ip: str, message: msgspec.Struct, timeout_s: float) -> msgspec.Struct:
+    async def request(
+        self, origin: str, ip: str, message: msgspec.Struct, timeout_s: float
+    ) -> msgspec.Struct:
         self._pass_point()
         machine = self.machines.get(ip)
         if machine is None or not isinstance(message, RelayedCall):
             raise RelayFailed
+        if (origin, ip) in self.cuts:
+            self.carry(origin, ip, lambda: self._answer_nobody(machine, message))
+            await asyncio.sleep(timeout_s)
+            raise RelayFailed
         reply: msgspec.Struct | None = await self._unless_it_dies(
             machine, machine.router.answer_relayed(message), timeout_s
         )
         self._pass_point()
-        if reply is None or ip not in self.machines:
+        if reply is None or ip not in self.machines or (ip, origin) in self.cuts:
             raise RelayFailed
         return reply
 
+    def _answer_nobody(self, machine: ControlMachine, message: RelayedCall) -> None:
+        """A call that a cut held up is handled though nobody waits for its answer any more."""
+        self.in_background(machine.router.answer_relayed(message))
+
     # Callers.
 
-    async def call(self, call: Call, first: str = IPS[0]) -> Answer:
-        """Calls one machine after the other until one gives a clear answer."""
-        order = [ip for ip in IPS if ip != first]
-        ip = first
+    async def call(self, call: Call, first: str = IPS[0], among: Collection[str] | None = None) -> Answer:
+        """Calls `first`, then the others, until one gives a clear answer."""
+        order = [first, *(ip for ip in among or self.ips if ip != first)]
+        ip = order.pop(0)
         async with asyncio.timeout(GIVE_UP_S):
             while True:
                 machine = self.machines.get(ip)
@@ -201,5 +247,6 @@
 
 
 def heartbeat_call(worker_id: str, state: str = "ready", sequence: int = 1) -> Call:
-    body = {"backend": "s", "address": "10.9.0.1:80", "capacity": 4, "state": state, "sequence": sequence}
+    address = f"10.9.0.{worker_id.removeprefix('i-')}:80"
+    body = {"backend": "s", "address": address, "capacity": 4, "state": state, "sequence": sequence}
     return Call("POST", f"{HEARTBEAT_PATH}{worker_id}", body=msgspec.json.encode(body))
--- /dev/null
+++ b/tests/control/feed_path.py
@@ -0,0 +1,149 @@
+"""Feed sessions between nodes and the simulated control machines, without sockets."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from typing import Any, cast
+
+import msgspec
+
+from pewterring.distribution.messages import NodeRecord, Renew, Subscribe
+from pewterring.distribution.subscriber import FeedSubscriber
+from pewterring.node.settings import Address, Bounds, NodeSettings
+from pewterring.transport.lines import Channel, MessageCodec, RequestNotSent, RequestTimeout
+from tests.control.cluster import FEED_CODEC, ControlCluster, ControlMachine
+
+
+class FeedEnd:
+    """One end of a connection. What it is used for decides which of the methods matter."""
+
+    def __init__(self, cluster: ControlCluster, ip: str, remote_ip: str) -> None:
+        self.closed = False
+        self.on_close: list[Callable[[FeedEnd], None]] = []
+        self.receive: Callable[[msgspec.Struct], None] = lambda message: None
+        self.peer: FeedEnd | None = None
+        self._cluster = cluster
+        self._ip = ip
+        self._remote_ip = remote_ip
+
+    def carry(self, action: Callable[["FeedEnd"], None]) -> None:
+        """Has `action` done at the other end, if that is open then."""
+        peer = self.peer
+        assert peer is not None
+        self._cluster.carry(self._ip, self._remote_ip, lambda: None if peer.closed else action(peer))
+
+    def send_line(self, line: bytes) -> bool:
+        if self.closed:
+            return False
+        message = FEED_CODEC.decode(FEED_CODEC.decode_line(line.rstrip(b"\n")).body)
+        self.carry(lambda peer: peer.receive(message))
+        return True
+
+    def close(self) -> None:
+        if not self.closed:
+            self.closed = True
+            self.carry(lambda peer: peer.close())
+            for callback in self.on_close:
+                callback(self)
+
+    abort = close
+
+
+class NodeEnd(FeedEnd):
+    """The node's end: asks, and waits for the answer."""
+
+    machine: ControlMachine
+
+    async def request(self, message: msgspec.Struct, timeout_s: float) -> msgspec.Struct:
+        reply: asyncio.Future[msgspec.Struct] = asyncio.get_running_loop().create_future()
+
+        def settle(answer: msgspec.Struct) -> None:
+            if not reply.done():
+                reply.set_result(answer)
+
+        def at_machine(end: FeedEnd) -> None:
+            feed = self.machine.feed
+            channel = cast(Channel, end)
+            answer: msgspec.Struct
+            if isinstance(message, Subscribe):
+                answer = feed.subscribe(channel, message)
+            else:
+                assert isinstance(message, Renew)
+                answer = feed.renew(channel, message)
+            end.carry(lambda node: settle(answer))
+
+        self.carry(at_machine)
+        try:
+            return await asyncio.wait_for(reply, timeout_s)
+        except TimeoutError as error:
+            raise RequestTimeout("no answer in time") from error
+
+
+class FeedNode:
+    """A gateway that follows the control leader, its seeds in the order given."""
+
+    def __init__(self, cluster: ControlCluster, ip: str, seeds: tuple[str, ...]) -> None:
+        self.ip = ip
+        self.stood_still_s = 0.0  # by how much its clock is ahead, since it stood still
+        self._cluster = cluster
+        self._loop = asyncio.get_running_loop()
+        record = NodeRecord(f"edge-{ip}", "gateway", ip, "zone-1", "life")
+        self.subscriber = FeedSubscriber(
+            node_settings(ip, seeds),
+            FEED_CODEC,
+            lambda: record,
+            rng=random.Random(ip),
+            clock=lambda: self._loop.time() + self.stood_still_s,
+            open_channel=self._open_channel,
+        )
+
+    @property
+    def version(self) -> int:
+        """Of the configuration that it serves; 0 while it is not ready."""
+        configuration = self.subscriber.tables.configuration
+        return configuration.version if configuration is not None else 0
+
+    async def has_version(self, version: int, limit_s: float) -> bool:
+        """Waits until it serves this version."""
+        end = self._loop.time() + limit_s
+        while self.version != version:
+            if self._loop.time() >= end:
+                return False
+            await asyncio.sleep(0.01)
+        return True
+
+    async def _open_channel(
+        self, codec: MessageCodec, ip: str, port: int, timeout_s: float, on_message: Any
+    ) -> Channel:
+        machine = self._cluster.machines.get(ip)
+        if machine is None or {(self.ip, ip), (ip, self.ip)} & self._cluster.cuts:
+            await asyncio.sleep(timeout_s)
+            raise RequestNotSent(f"no connection with {ip} in time")
+        near = NodeEnd(self._cluster, self.ip, ip)
+        far = FeedEnd(self._cluster, ip, self.ip)
+        near.peer, far.peer, near.machine = far, near, machine
+        near.receive = lambda message: on_message(cast(Channel, near), message)
+        return cast(Channel, near)
+
+
+def node_settings(ip: str, seeds: tuple[str, ...]) -> NodeSettings:
+    return NodeSettings(
+        node_id=f"edge-{ip}",
+        ip=ip,
+        zone="zone-1",
+        region="r",
+        front=None,
+        ready=None,
+        control=None,
+        internal_port=1,
+        seeds=tuple(Address(seed, 1) for seed in seeds),
+        bootstrap=False,
+        data_dir=None,
+        heartbeat_s=1.0,
+        tolerated_machines=1,
+        memory_mb=256,
+        max_descriptors=1024,
+        cpu_share=1.0,
+        disk_mb=0,
+        bounds=Bounds(),
+    )
--- /dev/null
+++ b/tests/control/test_cut_off.py
@@ -0,0 +1,206 @@
+"""A control machine is cut off for twenty seconds, alone or not, on one side or both, and comes back."""
+
+import asyncio
+from dataclasses import dataclass, field
+
+import msgspec
+import pytest
+
+from pewterring.configuration.digest import as_line
+from pewterring.control.calls import DEREGISTER_PATH, RETIRE_GET_PATH, RETIRE_START_PATH, Answer, Call
+from pewterring.control.commands import PutNodes
+from tests.configuration.documents import encoded
+from tests.consensus.virtual_time import run
+from tests.control.cluster import ControlCluster, ControlMachine, heartbeat_call, put_call, read_call
+from tests.control.feed_path import FeedNode
+from tests.control.records import store
+
+CUT_S = 20.0
+THREE = tuple(f"10.0.0.{number}" for number in range(1, 4))
+FIVE = tuple(f"10.0.0.{number}" for number in range(1, 6))
+FAR, NEAR, BESIDE = "10.1.0.1", "10.1.0.2", "10.1.0.3"  # gateways
+LEASE_S = 0.4  # longer than a lease
+CONFIG_S = 2.0  # bound of a deployment: how soon a configuration is everywhere
+BELIEF_S = 2.0  # longer than a leader without a majority goes on as one
+OFTEN_S, PROBE_S = 0.05, 1.0  # between rounds of calls at the machine that is cut off, before and after that
+
+
+@dataclass
+class Probes:
+    """Calls at the machines that are cut off, with what they were told."""
+
+    cluster: ControlCluster
+    victims: tuple[str, ...]
+    newest: int = 1  # version that was acknowledged
+    cut_at: float = 0.0
+    wrong: list[str] = field(default_factory=list)
+    refused: int = 0
+
+    async def go_on(self) -> None:
+        """Calls until it is cancelled: often at first, while a leader that is cut off believes it leads."""
+        loop = asyncio.get_running_loop()
+        async with asyncio.TaskGroup() as calls:
+            while True:
+                for ip in self.victims:
+                    for name, call in self._proper_calls():
+                        calls.create_task(self._probe(ip, name, call))
+                await asyncio.sleep(PROBE_S if loop.time() - self.cut_at > BELIEF_S else OFTEN_S)
+
+    def _proper_calls(self) -> list[tuple[str, Call]]:
+        """Orders and reads that a machine which knows all would answer with 200."""
+        newest = self.newest
+        return [
+            ("read", read_call()),
+            ("change", put_call(newest, encoded(version=1000 + newest))),
+            ("resent change", put_call(newest - 1, encoded(version=newest))),
+            ("heartbeat", heartbeat_call("i-1", sequence=5)),
+            ("drain", heartbeat_call("i-2", "draining", 5)),
+            ("deregistration", Call("POST", f"{DEREGISTER_PATH}i-3")),
+            ("retirement of a store added since", Call("POST", f"{RETIRE_START_PATH}store-5", body=b"{}")),
+            ("state of a retirement", Call("GET", f"{RETIRE_GET_PATH}store-1")),
+        ]
+
+    async def _probe(self, ip: str, name: str, call: Call) -> None:
+        began, newest = asyncio.get_running_loop().time(), self.newest
+        answer = await self.cluster.machines[ip].router.answer(call)
+        if answer.status == 503:
+            self.refused += 1
+        elif began - self.cut_at >= LEASE_S or not _is_true(name, answer, newest):
+            self.wrong.append(f"{name} at {ip} {began - self.cut_at:.2f} s after the cut: {answer}")
+
+
+def _is_true(name: str, answer: Answer, newest: int) -> bool:
+    """Whether an answer under a lease that holds yet is what the newest state says."""
+    if name == "read":
+        read: int = msgspec.json.decode(answer.body)["version"]
+        return read >= newest
+    return answer.status == 200 or name == "retirement of a store added since"
+
+
+@dataclass(frozen=True)
+class Case:
+    """Who is cut off, and on which side."""
+
+    ips: tuple[str, ...]
+    size: int  # of the part that is cut off
+    has_leader: bool  # whether the leader is in it
+    hears: bool  # whether what the others send arrives there
+    is_heard: bool
+
+    def __str__(self) -> str:
+        who = "leader" if self.has_leader else "follower"
+        sides = {(False, False): "cut", (True, False): "unheard", (False, True): "deaf"}
+        return f"{self.size}-of-{len(self.ips)}-{who}-{sides[self.hears, self.is_heard]}"
+
+
+CASES = [
+    Case(ips, size, has_leader, hears, is_heard)
+    for ips, size in ((THREE, 1), (FIVE, 2))
+    for has_leader in (True, False)
+    for hears, is_heard in ((False, False), (True, False), (False, True))
+]
+
+
+async def prepared(ips: tuple[str, ...]) -> tuple[ControlCluster, ControlMachine]:
+    """A cluster with a first configuration, workers, and stores of which one is being emptied."""
+    cluster = ControlCluster(ips)
+    leader = await cluster.start()
+    assert (await cluster.call(put_call(0, encoded(version=1)))).status == 200
+    for worker in ("i-1", "i-2", "i-3"):
+        assert (await cluster.call(heartbeat_call(worker))).status == 200
+    await add_stores(leader, 1, 2, 3, 4)
+    assert (await cluster.call(Call("POST", f"{RETIRE_START_PATH}store-1", body=b"{}"))).status == 200
+    return cluster, leader
+
+
+async def add_stores(leader: ControlMachine, *numbers: int) -> None:
+    for number in numbers:
+        leader.nodes.hear(asyncio.get_running_loop().time(), store(number))
+    await leader.leadership.propose(PutNodes(tuple(store(number) for number in numbers)))
+
+
+def cut_off(cluster: ControlCluster, case: Case, victims: tuple[str, ...]) -> tuple[str, ...]:
+    """Cuts the victims from the other control machines; returns these."""
+    others = tuple(ip for ip in case.ips if ip not in victims)
+    if not case.hears:
+        cluster.cut(others, victims)
+    if not case.is_heard:
+        cluster.cut(victims, others)
+    return others
+
+
+@pytest.mark.parametrize("case", CASES, ids=str)
+def test_cut_off_for_twenty_seconds(case: Case) -> None:
+    async def scenario() -> None:
+        cluster, leader = await prepared(case.ips)
+        order = [leader.ip, *(ip for ip in case.ips if ip != leader.ip)]
+        victims = tuple(order[: case.size] if case.has_leader else order[-case.size :])
+        near = FeedNode(cluster, NEAR, victims + case.ips)  # reaches all, and asks the victims too
+        far = FeedNode(cluster, FAR, case.ips)  # does not reach the victims
+        for node in (near, far):
+            await node.subscriber.start()
+            assert await node.has_version(1, CONFIG_S)
+        others = cut_off(cluster, case, victims)
+        for part in ((victims, (FAR,)), ((FAR,), victims), (others, (BESIDE,)), ((BESIDE,), others)):
+            cluster.cut(*part)
+        probes = Probes(cluster, victims, cut_at=asyncio.get_running_loop().time())
+        probing = cluster.in_background(probes.go_on())
+        await asyncio.sleep(LEASE_S)
+        beside = FeedNode(cluster, BESIDE, victims)  # starts now, and reaches only the victims
+        await beside.subscriber.start()
+        missed = await majority_goes_on(cluster, others, probes, (near, far))
+        assert missed == [] and beside.version == 0
+        probing.cancel()
+        assert probes.wrong == [] and probes.refused >= 8 * (CUT_S / PROBE_S - 1)
+        await comes_back(cluster, others, (near, far, beside))
+        for node in (near, far, beside):
+            await node.subscriber.stop()
+        await cluster.stop()
+
+    run(scenario())
+
+
+async def majority_goes_on(
+    cluster: ControlCluster, others: tuple[str, ...], probes: Probes, nodes: tuple[FeedNode, ...]
+) -> list[str]:
+    """The other side takes changes for as long as the cut lasts; returns what its gateways miss."""
+    missed: list[str] = []
+    await add_stores(await cluster.leader(others), 5)
+    began = asyncio.get_running_loop().time()
+    while asyncio.get_running_loop().time() - began < CUT_S:
+        version = await put_next(cluster, others)
+        probes.newest = version
+        for node in nodes:
+            if not await node.has_version(version, CONFIG_S):
+                missed.append(f"{node.ip} has {node.version}, not {version}")
+        await asyncio.sleep(2.0)
+    return missed
+
+
+async def put_next(cluster: ControlCluster, others: tuple[str, ...]) -> int:
+    """Puts the next version, also where an order whose sender was told nothing came into force before."""
+    while True:
+        read = await cluster.call(read_call(), others[0], others)
+        current: int = msgspec.json.decode(read.body)["version"]
+        answer = await cluster.call(put_call(current, encoded(version=current + 1)), others[0], others)
+        if answer.status == 200:
+            return current + 1
+        assert answer.status == 412, answer
+
+
+async def comes_back(cluster: ControlCluster, others: tuple[str, ...], nodes: tuple[FeedNode, ...]) -> None:
+    """What was cut off follows at once; the leader goes on, and what was held up changes nothing."""
+    leader = await cluster.leader(others)
+    newest = await put_next(cluster, others)  # what the cut holds up builds on an older one
+    term = leader.group.term
+    cluster.heal()
+    for _ in range(50):
+        await asyncio.sleep(0.1)
+        assert leader.leadership.has_lease and leader.group.term == term
+        for machine in cluster.machines.values():
+            assert machine is leader or not machine.leadership.has_lease
+    for ip in cluster.ips:
+        answer: Answer = await cluster.machines[ip].router.answer(read_call())
+        assert answer.body == as_line(encoded(version=newest)), ip
+    for node in nodes:
+        assert await node.has_version(newest, CONFIG_S), node.ip
