Relay: no answer later than the caller waits, also by a process that stood still

Cause: a call begun under a lease or a read barrier was answered however long the process then stood still: asyncio finds the finished answer before the timer of its time-out. A leader frozen there for twenty seconds handed out the configuration of before, and 200 to a heartbeat.

Change: the clock is looked at once more behind the answer, at the machine that the caller reached and at the leader it was relayed to; what is later than ANSWER_S is 503. Test: frozen behind each kind of check, direct and relayed; three cases fail without the look at the clock.

--- a/pewterring/control/relay.py
+++ b/pewterring/control/relay.py
@@ -48,8 +48,7 @@
         if call.method != method:
             return refusal(405, f"the method is {method}")
         try:
-            async with asyncio.timeout(ANSWER_S):
-                return await self._until_answered(call)
+            return await _in_time(self._until_answered(call))
         except TimeoutError:
             return refusal(503, "no leader answered in time")
 
@@ -57,8 +56,7 @@
         """Answers a call that another machine passed on, as the leader."""
         call = Call(message.method, message.path, message.base_version, message.body)
         try:
-            async with asyncio.timeout(ANSWER_S):
-                answer = await self._handle_here(call)
+            answer = await _in_time(self._handle_here(call))
         except NotLeading:
             return RelayedAnswer(503, not_leading=True)
         except (OutcomeUnsure, TimeoutError):
@@ -84,3 +82,19 @@
         if reply.not_leading:
             raise NotLeading
         return Answer(reply.status, reply.body)
+
+
+async def _in_time(answering: Awaitable[Answer]) -> Answer:
+    """The answer, if it comes within `ANSWER_S`; raises `TimeoutError`.
+
+    A process that stood still in the midst of a call finds the answer before the timer: hence the look at the
+    clock behind it. Symptom answered: a call begun under a lease hands out, seconds later, what was current
+    then.
+    """
+    clock = asyncio.get_running_loop().time
+    began = clock()
+    async with asyncio.timeout(ANSWER_S):
+        answer = await answering
+    if clock() - began > ANSWER_S:
+        raise TimeoutError
+    return answer
--- a/tests/control/test_cut_off.py
+++ b/tests/control/test_cut_off.py
@@ -9,8 +9,9 @@
 from pewterring.configuration.digest import as_line
 from pewterring.control.calls import DEREGISTER_PATH, RETIRE_GET_PATH, RETIRE_START_PATH, Answer, Call
 from pewterring.control.commands import PutNodes
+from pewterring.control.messages import RelayedCall
 from tests.configuration.documents import encoded
-from tests.consensus.virtual_time import run
+from tests.consensus.virtual_time import VirtualTimeLoop, run
 from tests.control.cluster import ControlCluster, ControlMachine, heartbeat_call, put_call, read_call
 from tests.control.feed_path import FeedNode
 from tests.control.records import store
@@ -204,3 +205,49 @@
         assert answer.body == as_line(encoded(version=newest)), ip
     for node in nodes:
         assert await node.has_version(newest, CONFIG_S), node.ip
+
+
+# A process that stands still between a check and what follows it.
+
+
+FROZEN_CALLS = {
+    "read": read_call(),
+    "heartbeat": heartbeat_call("i-1", sequence=9),
+    "retirement": Call("GET", f"{RETIRE_GET_PATH}store-9"),
+}
+
+
+@pytest.mark.parametrize("name", FROZEN_CALLS)
+def test_a_leader_frozen_behind_its_check_says_nothing_of_what_was(name: str) -> None:
+    call = FROZEN_CALLS[name]
+
+    async def scenario(relayed: bool) -> None:
+        cluster, leader = await prepared(THREE)
+        freeze_behind_checks(leader)
+        if relayed:
+            message = RelayedCall(call.method, call.path, call.base_version, call.body)
+            status = (await leader.router.answer_relayed(message)).status
+        else:
+            status = (await leader.router.answer(call)).status
+        assert status == 503
+        await cluster.stop()
+
+    for relayed in (False, True):
+        run(scenario(relayed))
+
+
+def freeze_behind_checks(leader: ControlMachine) -> None:
+    loop = asyncio.get_running_loop()
+    assert isinstance(loop, VirtualTimeLoop)
+    check, barrier = leader.leadership.check_lease, leader.leadership.read_barrier
+
+    def check_and_freeze() -> None:
+        check()
+        loop.stand_still(CUT_S)
+
+    async def read_and_freeze() -> None:
+        await barrier()
+        loop.stand_still(CUT_S)
+
+    leader.leadership.check_lease = check_and_freeze  # type: ignore[method-assign]
+    leader.leadership.read_barrier = read_and_freeze  # type: ignore[method-assign]
