Feed: tables asked for too long ago are asked for again

Cause: a gateway that was frozen while it waited for its first tables found the answer in its socket before the timer of the question, took it, and became ready with a configuration as old as the freeze: what was added meanwhile it refused with 404.

Change: whole tables count for bounds.config_s from the question on, by the gateway's own clock; later ones are asked for again. Test: frozen for twenty seconds in which the configuration changes; without the check it serves the old one first.

--- a/pewterring/distribution/follower.py
+++ b/pewterring/distribution/follower.py
@@ -12,8 +12,16 @@
 NO_DOCUMENT = b"null"
 
 
-class FeedGap(Exception):
-    """A change does not follow on what is held; the tables must be read whole."""
+class FeedError(Exception):
+    """What a leader said is not taken; the tables must be read whole, from it or another."""
+
+
+class FeedGap(FeedError):
+    """A change does not follow on what is held."""
+
+
+class LateAnswer(FeedError):
+    """The tables were asked for too long ago to count as current."""
 
 
 class TableFollower:
--- a/pewterring/distribution/subscriber.py
+++ b/pewterring/distribution/subscriber.py
@@ -8,7 +8,7 @@
 
 from loguru import logger
 
-from pewterring.distribution.follower import FeedGap, TableFollower
+from pewterring.distribution.follower import FeedError, FeedGap, LateAnswer, TableFollower
 from pewterring.distribution.messages import (
     GroupStatus,
     NodeRecord,
@@ -110,7 +110,7 @@
         try:
             if await self._subscribe(channel):
                 await self._renew(channel)
-        except (TransportError, FeedGap) as error:
+        except (TransportError, FeedError) as error:
             logger.info("feed session with {} ended: {}", ip, error)
         finally:
             channel.close()
@@ -123,11 +123,22 @@
             return False
         if not isinstance(answer, WholeTables):
             return False
+        self._check_age(asked_at)
         old = self.tables
         self._stale.clear()
         self._swap(old, self._follower.whole(answer, asked_at))
         return True
 
+    def _check_age(self, asked_at: float) -> None:
+        """Refuses tables that were asked for longer ago than a configuration may take to be everywhere.
+
+        Symptom answered: a gateway that was frozen while it started finds the answer in its socket before the
+        timer, becomes ready, and refuses with 404 what was added in the meantime.
+        """
+        age_s = self._clock() - asked_at
+        if age_s > self._settings.bounds.config_s:
+            raise LateAnswer(f"the tables were asked for {age_s:.1f} s ago")
+
     async def _renew(self, channel: Channel) -> None:
         while not channel.closed:
             with contextlib.suppress(TimeoutError):
--- a/tests/control/test_cut_off.py
+++ b/tests/control/test_cut_off.py
@@ -10,11 +10,14 @@
 from pewterring.control.calls import DEREGISTER_PATH, RETIRE_GET_PATH, RETIRE_START_PATH, Answer, Call
 from pewterring.control.commands import PutNodes
 from pewterring.control.messages import RelayedCall
+from pewterring.control.state import encode_command
+from pewterring.distribution.messages import Redirect, Subscribe, WholeTables
+from pewterring.transport.lines import Channel
 from tests.configuration.documents import encoded
 from tests.consensus.virtual_time import VirtualTimeLoop, run
 from tests.control.cluster import ControlCluster, ControlMachine, heartbeat_call, put_call, read_call
 from tests.control.feed_path import FeedNode
-from tests.control.records import store
+from tests.control.records import put, store
 
 CUT_S = 20.0
 THREE = tuple(f"10.0.0.{number}" for number in range(1, 4))
@@ -251,3 +254,33 @@
 
     leader.leadership.check_lease = check_and_freeze  # type: ignore[method-assign]
     leader.leadership.read_barrier = read_and_freeze  # type: ignore[method-assign]
+
+
+def test_a_gateway_frozen_while_it_starts_asks_again() -> None:
+    """The answer waits in its socket for twenty seconds, in which the configuration changes."""
+
+    async def scenario() -> None:
+        cluster, leader = await prepared(THREE)
+        node = FeedNode(cluster, FAR, (leader.ip,))
+        taken: list[int] = []
+        subscribe = leader.feed.subscribe
+
+        def answer_to_a_frozen_process(channel: Channel, message: Subscribe) -> WholeTables | Redirect:
+            answer = subscribe(channel, message)
+            assert isinstance(answer, WholeTables)
+            taken.append(answer.versions.configuration)
+            if len(taken) == 1:
+                node.stood_still_s = CUT_S
+                assert leader.state.apply(0, encode_command(put(1, 2))) is not None
+            return answer
+
+        leader.feed.subscribe = answer_to_a_frozen_process  # type: ignore[method-assign]
+        seen: list[int] = []
+        node.subscriber._on_tables = lambda old, new: seen.append(node.version)
+        await node.subscriber.start()
+        assert await node.has_version(2, CONFIG_S)
+        assert taken[:2] == [1, 2] and 1 not in seen
+        await node.subscriber.stop()
+        await cluster.stop()
+
+    run(scenario())
