Feed: a change that comes with the first tables is not overlooked

Cause: a change pushed right behind the answer arrives before the waiting call goes on.

Change: the note is cleared before the question. Test: a change taken while the answer is on the way is served after one pause of the search; before, after a renewal more.

--- a/pewterring/distribution/subscriber.py
+++ b/pewterring/distribution/subscriber.py
@@ -116,6 +116,7 @@
             channel.close()
 
     async def _subscribe(self, channel: Channel) -> bool:
+        self._stale.clear()  # before the question: a change may come in the same segment as the answer
         asked_at = self._clock()
         answer = await channel.request(Subscribe(node=self._node_record()), ANSWER_S)
         if isinstance(answer, Redirect):
@@ -125,7 +126,6 @@
             return False
         self._check_age(asked_at)
         old = self.tables
-        self._stale.clear()
         self._swap(old, self._follower.whole(answer, asked_at))
         return True
 
--- a/tests/control/test_cut_off.py
+++ b/tests/control/test_cut_off.py
@@ -12,6 +12,7 @@
 from pewterring.control.messages import RelayedCall
 from pewterring.control.state import encode_command
 from pewterring.distribution.messages import Redirect, Subscribe, WholeTables
+from pewterring.distribution.subscriber import RETRY_S
 from pewterring.transport.lines import Channel
 from tests.configuration.documents import encoded
 from tests.consensus.virtual_time import VirtualTimeLoop, run
@@ -284,3 +285,26 @@
         await cluster.stop()
 
     run(scenario())
+
+
+def test_a_change_that_comes_with_the_first_tables_is_not_missed() -> None:
+    """The leader takes a change while its answer is on the way: both arrive before the gateway goes on."""
+
+    async def scenario() -> None:
+        cluster, leader = await prepared(THREE)
+        node = FeedNode(cluster, FAR, (leader.ip,))
+        subscribe = leader.feed.subscribe
+
+        def answer_and_change(channel: Channel, message: Subscribe) -> WholeTables | Redirect:
+            answer = subscribe(channel, message)
+            if leader.state.version == 1:
+                leader.state.apply(0, encode_command(put(1, 2)))
+            return answer
+
+        leader.feed.subscribe = answer_and_change  # type: ignore[method-assign]
+        await node.subscriber.start()
+        assert await node.has_version(2, RETRY_S * 1.5 + 0.05), "asked again only with the next renewal"
+        await node.subscriber.stop()
+        await cluster.stop()
+
+    run(scenario())
