Feed: tables of an older leadership are refused for life

Cause: whole tables were taken from any control machine that answered, on the strength of its lease alone. Should a clock or a lease be wrong, a leader of a term that is over brought back workers that had left.

Change: the epoch of tables, which is the leader's term, does not go back within a process's life; the gateway goes on to the next machine. Tests: the follower alone, and a gateway with a machine that answers for an old term; both fail without the check.

--- a/pewterring/distribution/follower.py
+++ b/pewterring/distribution/follower.py
@@ -20,19 +20,26 @@
     """A change does not follow on what is held."""
 
 
+class OldLeader(FeedError):
+    """The tables are of an earlier leadership than those held."""
+
+
 class LateAnswer(FeedError):
     """The tables were asked for too long ago to count as current."""
 
 
 class TableFollower:
-    """Holds the newest tables of this process. A configuration never goes back within its life."""
+    """Holds the newest tables of this process. Within its life neither a configuration goes back nor a
+    leadership: the epoch is the leader's term, which only rises.
+    """
 
     def __init__(self) -> None:
         self.tables = Tables()
         self.confirmed_at = -math.inf  # steady clock; the tables were current then
 
     def whole(self, message: WholeTables, asked_at: float) -> Tables:
-        """Takes all tables, asked for at `asked_at`."""
+        """Takes all tables, asked for at `asked_at`; raises `OldLeader`."""
+        self._check_leadership(message.versions.epoch)
         self.tables = Tables(
             versions=message.versions,
             configuration=self._newer(message.configuration),
@@ -45,6 +52,14 @@
         self.confirmed_at = max(self.confirmed_at, asked_at)
         return self.tables
 
+    def _check_leadership(self, epoch: int) -> None:
+        """Symptom answered: a leader that goes on after its time, should its clock or its lease be wrong,
+        brings back workers that have left.
+        """
+        held = self.tables.versions.epoch
+        if epoch < held:
+            raise OldLeader(f"tables of term {epoch}, held are those of term {held}")
+
     def change(self, message: TableChanges) -> Tables:
         """Takes one change; raises `FeedGap` where changes before it are missing."""
         held = self.tables
--- a/tests/control/test_cut_off.py
+++ b/tests/control/test_cut_off.py
@@ -11,7 +11,8 @@
 from pewterring.control.commands import PutNodes
 from pewterring.control.messages import RelayedCall
 from pewterring.control.state import encode_command
-from pewterring.distribution.messages import Redirect, Subscribe, WholeTables
+from pewterring.distribution.follower import OldLeader, TableFollower
+from pewterring.distribution.messages import Redirect, Subscribe, TableVersions, WholeTables
 from pewterring.distribution.subscriber import RETRY_S
 from pewterring.transport.lines import Channel
 from tests.configuration.documents import encoded
@@ -308,3 +309,52 @@
         await cluster.stop()
 
     run(scenario())
+
+
+# Leaderships that are over.
+
+
+def tables_of(epoch: int, version: int) -> WholeTables:
+    document = msgspec.Raw(encoded(version=version))
+    return WholeTables(TableVersions(epoch, version, 1, 1), document, (), (), (), (), ())
+
+
+def takes_an_old_leader(follower: TableFollower) -> bool:
+    follower.whole(tables_of(3, 5), 0.0)
+    try:
+        follower.whole(tables_of(2, 5), 1.0)
+    except OldLeader:
+        return False
+    return follower.tables.versions.epoch == 2
+
+
+def test_tables_of_an_older_term_are_refused_for_life() -> None:
+    follower = TableFollower()
+    assert not takes_an_old_leader(follower)
+    assert follower.tables.versions.epoch == 3 and follower.confirmed_at == 0.0
+    follower.whole(tables_of(3, 5), 2.0)
+    follower.whole(tables_of(4, 6), 3.0)
+    assert follower.tables.versions.epoch == 4
+
+
+def test_a_gateway_leaves_an_old_leader_for_another() -> None:
+    """One control machine hands out tables of a term that is over; the gateway goes on to the next."""
+
+    async def scenario() -> None:
+        cluster, leader = await prepared(THREE)
+        node = FeedNode(cluster, FAR, THREE)
+        await node.subscriber.start()
+        assert await node.has_version(1, CONFIG_S)
+        liar = next(machine for machine in cluster.machines.values() if machine is not leader)
+        epochs: list[int] = []
+        node.subscriber._on_tables = lambda old, new: epochs.append(new.versions.epoch)
+        liar.feed.subscribe = lambda channel, message: tables_of(0, 1)  # type: ignore[method-assign]
+        leader.feed.end_sessions()
+        assert (await cluster.call(put_call(1, encoded(version=2)), leader.ip)).status == 200
+        node.subscriber._leader = liar.ip
+        assert await node.has_version(2, CONFIG_S)
+        assert set(epochs) == {leader.group.term}
+        await node.subscriber.stop()
+        await cluster.stop()
+
+    run(scenario())
