--- /dev/null
+++ b/tests/control/test_two_operators.py
@@ -0,0 +1,442 @@
+"""Two operators against the service and the replicated state: any number of orders under one number, answers
+that are lost, changes of leader, snapshots and restarts, with few digests remembered.
+
+Only what callers were answered and what is in force is judged. An answer that was lost is an order that is
+sent again, so any order may come again at any time, whatever was answered before.
+"""
+
+import asyncio
+import itertools
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from unittest.mock import patch
+
+import msgspec
+import orjson
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    precondition,
+    rule,
+)
+
+from pewterring.control.calls import REPLACE_PATH
+from pewterring.control.commands import Accepted, Command, Conflict, PutConfiguration, Result
+from pewterring.control.errors import OutcomeUnsure
+from pewterring.control.messages import RelayedCall
+from pewterring.control.nodes import NodeTable
+from pewterring.control.relay import CallRouter
+from pewterring.control.retiring import RetirementDesk
+from pewterring.control.service import ControlService
+from pewterring.control.state import ControlState, encode_command
+from pewterring.registry.workers import WorkerRegistry
+from tests.configuration.documents import encoded
+from tests.consensus.virtual_time import VirtualTimeLoop
+
+MEMBERS = 3
+REMEMBERED = 3  # digests
+TURNS = 8  # of the loop, after which all calls that can go on have
+
+TAKEN, REFUSED, UNKNOWN = "taken", "refused", "unknown"
+ANSWERS = {200: TAKEN, 400: REFUSED, 412: REFUSED, 503: UNKNOWN}
+
+
+@dataclass(frozen=True)
+class Order:
+    """An order of one operator. No two orders have the same document: it holds the base as well."""
+
+    base: int
+    version: int
+    variant: int  # of the document under this number
+
+    def call(self) -> RelayedCall:
+        limits = {"max_header_bytes": 1000 + self.variant, "max_body_bytes": self.base}
+        return RelayedCall("POST", REPLACE_PATH, str(self.base), encoded(version=self.version, limits=limits))
+
+
+@dataclass
+class Member:
+    """The state of one member, and how much of the log it has applied."""
+
+    state: ControlState
+    applied: int = 0
+
+
+@dataclass
+class Proposal:
+    """A command in the leader's log that is not committed yet, and the call that waits for it."""
+
+    command: bytes
+    outcome: asyncio.Future[Result]
+
+
+class Group:
+    """The log of the group: what is committed, and what only the leader has."""
+
+    def __init__(self, make_state: type[ControlState]) -> None:
+        self.make_state = make_state
+        self.members = [Member(make_state()) for _ in range(MEMBERS)]
+        self.leader = 0
+        self.committed: list[bytes] = []
+        self.proposals: list[Proposal] = []
+
+    async def propose(self, command: Command) -> Result:
+        proposal = Proposal(encode_command(command), asyncio.get_running_loop().create_future())
+        self.proposals.append(proposal)
+        return await proposal.outcome
+
+    async def read_barrier(self) -> None:
+        pass
+
+    def check_lease(self) -> None:
+        pass
+
+    @property
+    def state(self) -> ControlState:
+        """The leader's state."""
+        return self.members[self.leader].state
+
+    def commit(self, count: int) -> None:
+        """The oldest proposals are committed and applied by the leader, and their callers told."""
+        for proposal in self.proposals[:count]:
+            self.committed.append(proposal.command)
+            result = self.catch_up(self.leader)
+            assert result is not None
+            proposal.outcome.set_result(result)
+        del self.proposals[:count]
+
+    def catch_up(self, number: int) -> Result | None:
+        """A member applies all that is committed; returns the last result."""
+        member = self.members[number]
+        result: Result | None = None
+        for index, command in enumerate(self.committed[member.applied :], member.applied + 1):
+            result = member.state.apply(index, command)
+        member.applied = len(self.committed)
+        return result
+
+    def elect(self, number: int, kept: int) -> None:
+        """Another leader commits some of the proposals; nobody is told of any."""
+        self.committed += [proposal.command for proposal in self.proposals[:kept]]
+        for proposal in self.proposals:
+            proposal.outcome.set_exception(OutcomeUnsure())
+        self.proposals.clear()
+        self.leader = number
+        self.catch_up(number)
+
+    def restore(self, number: int, source: int) -> None:
+        """A member begins anew with the snapshot of another, as far as that one is."""
+        snapshot = self.members[source].state.snapshot()
+        member = Member(self.make_state(), self.members[source].applied)
+        member.state.restore(snapshot)
+        self.members[number] = member
+        if number == self.leader:
+            self.catch_up(number)
+
+
+@dataclass
+class History:
+    """What callers were answered."""
+
+    taken: dict[int, Order] = field(default_factory=dict)  # by version
+    refused: set[Order] = field(default_factory=set)
+    bases: dict[int, Order] = field(default_factory=dict)  # of those taken
+
+    def answered(self, order: Order, status: int) -> None:
+        answer = ANSWERS[status]
+        if answer == TAKEN:
+            assert order not in self.refused, "a loser was acknowledged"
+            assert self.taken.setdefault(order.version, order) == order, "two documents under one number"
+            assert self.bases.setdefault(order.base, order) == order, "two changes on one version"
+        elif answer == REFUSED:
+            assert self.taken.get(order.version) != order, "an acknowledged order was refused"
+            self.refused.add(order)
+
+
+class TwoOperators(RuleBasedStateMachine):
+    """Random orders, repeats and changes of the group."""
+
+    def __init__(
+        self, make_state: type[ControlState] = ControlState, make_group: type[Group] = Group
+    ) -> None:
+        super().__init__()
+        self.patched = patch("pewterring.control.state.REMEMBERED_VERSIONS", REMEMBERED)
+        self.patched.start()
+        self.loop = VirtualTimeLoop()
+        self.group = make_group(make_state)
+        self.history = History()
+        self.sent: list[Order] = []
+        self.in_force: list[int] = [0]
+        self.follower = make_state()  # is never restored from a snapshot
+        self.versions: list[int] = [0]  # by how much of the log is applied
+        self.calls: dict[asyncio.Task[int], Order] = {}
+        self.variants = itertools.count()
+
+    def teardown(self) -> None:
+        self.patched.stop()
+        for call in self.calls:
+            call.cancel()
+        self.turn()
+        self.loop.close()
+
+    # Calls
+
+    async def _answer(self, call: RelayedCall) -> int:
+        state = self.group.state
+        registry = WorkerRegistry(state.workers, state.departed, 1.0)
+        desk = RetirementDesk(state, NodeTable(), self.group, 3)
+        service = ControlService(state, registry, desk, self.group, lambda: 0.0)
+        router = CallRouter(service.handle, str, self._no_relay, "10.0.0.1")
+        return (await router.answer_relayed(call)).status
+
+    async def _no_relay(self, ip: str, message: msgspec.Struct, timeout_s: float) -> msgspec.Struct:
+        raise AssertionError("the leader passes nothing on")
+
+    def send(self, order: Order) -> asyncio.Task[int]:
+        call = self.loop.create_task(self._answer(order.call()))
+        self.calls[call] = order
+        self.turn()
+        return call
+
+    def turn(self) -> None:
+        """Lets calls go on, and notes what was answered."""
+        for _ in range(TURNS):
+            self.loop.run_until_complete(asyncio.sleep(0))
+        for call in [call for call in self.calls if call.done()]:
+            order = self.calls.pop(call)
+            if not call.cancelled():
+                self.history.answered(order, call.result())
+
+    # Rules
+
+    @rule(back=st.integers(0, 3), steps=st.lists(st.integers(-1, 4), min_size=1, max_size=2))
+    def orders(self, back: int, steps: list[int]) -> None:
+        """One operator or two send orders on the current version or an older one."""
+        base = self.in_force[max(0, len(self.in_force) - 1 - back)]
+        self._order(base, steps)
+
+    @rule(step=st.integers(1, 2))
+    def both_order_under_one_number(self, step: int) -> None:
+        self._order(self.in_force[-1], [step, step])
+
+    def _order(self, base: int, steps: list[int]) -> None:
+        for step in steps:
+            order = Order(base, max(0, base + step), next(self.variants))
+            self.sent.append(order)
+            self.send(order)
+
+    @rule(number=st.integers(0, 1000), which=st.sampled_from(["any", "oldest taken", "newest taken"]))
+    @precondition(lambda self: self.sent)
+    def sends_again(self, number: int, which: str) -> None:
+        taken = self.history.taken
+        if which == "any" or not taken:
+            self.send(self.sent[number % len(self.sent)])
+        else:
+            self.send(taken[min(taken) if which == "oldest taken" else max(taken)])
+
+    @rule()
+    @precondition(lambda self: not self.group.proposals)
+    def a_proper_order_alone_is_taken(self) -> None:
+        base = self.in_force[-1]
+        order = Order(base, base + 1, next(self.variants))
+        self.sent.append(order)
+        call = self.send(order)
+        self.group.commit(1)
+        self.turn()
+        assert call.result() == 200
+
+    @rule(count=st.integers(1, 4))
+    def commits(self, count: int) -> None:
+        self.group.commit(count)
+        self.turn()
+
+    @rule(number=st.integers(0, MEMBERS - 1), kept=st.integers(0, 3))
+    def is_elected(self, number: int, kept: int) -> None:
+        self.group.elect(number, kept)
+        self.turn()
+
+    @rule(number=st.integers(0, MEMBERS - 1))
+    def catches_up(self, number: int) -> None:
+        self.group.catch_up(number)
+
+    @rule(number=st.integers(0, MEMBERS - 1))
+    def gets_a_snapshot(self, number: int) -> None:
+        """A member that lags, or one that restarts, begins with the leader's snapshot."""
+        self.group.restore(number, self.group.leader)
+
+    @rule(number=st.integers(0, MEMBERS - 1), kept=st.integers(0, 3))
+    def is_elected_after_a_snapshot(self, number: int, kept: int) -> None:
+        self.group.restore(number, number)
+        self.is_elected(number, kept)
+
+    # Judgement
+
+    @invariant()
+    def what_is_in_force_was_ordered_and_not_refused(self) -> None:
+        state = self.group.state
+        assert state.version >= self.in_force[-1], "the leader went back"
+        if state.version > self.in_force[-1]:
+            self.in_force.append(state.version)
+        assert state.version >= max(self.history.taken, default=0), "an acknowledged version was lost"
+        if state.version:
+            order = self._order_of(bytes(state.document))
+            assert order.version == state.version
+            assert order not in self.history.refused, "a loser is in force"
+            assert self.history.taken.get(order.version, order) == order, "other than what was acknowledged"
+
+    def _order_of(self, document: bytes) -> Order:
+        limits = orjson.loads(document)["limits"]
+        variant = limits["max_header_bytes"] - 1000
+        return next(order for order in self.sent if order.variant == variant)
+
+    @invariant()
+    def members_hold_what_was_committed_in_this_order(self) -> None:
+        for command in self.group.committed[len(self.versions) - 1 :]:
+            self.follower.apply(len(self.versions), command)
+            self.versions.append(self.follower.version)
+        for member in self.group.members:
+            assert member.state.version == self.versions[member.applied]
+
+
+TwoOperators.TestCase.settings = settings(
+    max_examples=60, stateful_step_count=40, deadline=None, derandomize=True, database=None
+)
+TestTwoOperators = TwoOperators.TestCase
+
+
+# Deliberate breakages, which a day of the machine above must notice.
+
+
+class ForgetsDigestsAtASnapshot(ControlState):
+    def restore(self, data: bytes) -> None:
+        super().restore(data)
+        self._taken.clear()
+
+
+class RefusesWhatItForgot(ControlState):
+    def _put_configuration(self, command: PutConfiguration) -> Result:
+        self._forgotten = 0
+        return super()._put_configuration(command)
+
+
+class ForgetsAtASnapshotThatItForgot(ControlState):
+    def restore(self, data: bytes) -> None:
+        super().restore(data)
+        self._forgotten = 0
+
+
+class IgnoresTheBase(ControlState):
+    def _put_configuration(self, command: PutConfiguration) -> Result:
+        return super()._put_configuration(msgspec.structs.replace(command, base=self.version))
+
+
+class KnowsOrdersByNumberAlone(ControlState):
+    def _put_configuration(self, command: PutConfiguration) -> Result:
+        if command.version in self._taken:
+            return Accepted(repeated=True)
+        return super()._put_configuration(command)
+
+
+class ForgetsTheDigestOfTheLast(ControlState):
+    def _put_configuration(self, command: PutConfiguration) -> Result:
+        result = super()._put_configuration(command)
+        if result == Accepted():
+            del self._taken[command.version]
+        return result
+
+
+class RefusesWhatItDoesNotKnow(Group):
+    async def propose(self, command: Command) -> Result:
+        try:
+            return await super().propose(command)
+        except OutcomeUnsure:
+            return Conflict(self.state.version)
+
+
+class AcknowledgesWhatItDoesNotKnow(Group):
+    async def propose(self, command: Command) -> Result:
+        try:
+            return await super().propose(command)
+        except OutcomeUnsure:
+            return Accepted()
+
+
+def a_day(day: TwoOperators) -> None:
+    """All that the rules above do, once and in a fixed order."""
+    plays: list[Callable[[], object]] = [
+        lambda: day.both_order_under_one_number(1),
+        lambda: day.commits(2),
+        lambda: day.sends_again(0, "any"),
+        lambda: day.sends_again(1, "any"),
+        lambda: day.commits(2),
+        lambda: day.orders(0, [1, 2]),  # no answer: the next leader has the first of them, not the second
+        lambda: day.is_elected(1, 1),
+        lambda: day.sends_again(2, "any"),
+        lambda: day.sends_again(3, "any"),
+        lambda: day.commits(2),
+        lambda: day.orders(1, [4]),  # on a version that is no longer current
+        lambda: day.commits(1),
+        lambda: day.sends_again(0, "oldest taken"),
+        lambda: day.commits(1),
+        lambda: day.is_elected_after_a_snapshot(2, 0),
+        lambda: day.sends_again(0, "newest taken"),
+        lambda: day.sends_again(0, "oldest taken"),
+        lambda: day.commits(2),
+        *[day.a_proper_order_alone_is_taken] * REMEMBERED,
+        lambda: day.sends_again(0, "oldest taken"),
+        lambda: day.commits(1),
+        lambda: day.gets_a_snapshot(0),
+        lambda: day.is_elected(0, 0),
+        lambda: day.sends_again(0, "newest taken"),
+        lambda: day.sends_again(0, "oldest taken"),
+        lambda: day.commits(2),
+    ]
+    for play in plays:
+        play()
+        day.what_is_in_force_was_ordered_and_not_refused()
+        day.members_hold_what_was_committed_in_this_order()
+
+
+def played(make_state: type[ControlState] = ControlState, make_group: type[Group] = Group) -> TwoOperators:
+    day = TwoOperators(make_state, make_group)
+    try:
+        a_day(day)
+    finally:
+        day.teardown()
+    return day
+
+
+def test_a_day_without_breakage() -> None:
+    day = played()
+    assert sorted(day.history.taken) == [1, 2, 3, 4, 5]
+    assert len(day.history.refused) == 3
+
+
+@pytest.mark.parametrize(
+    ("broken", "noticed"),
+    [
+        (ForgetsDigestsAtASnapshot, "an acknowledged order was refused"),
+        (RefusesWhatItForgot, "an acknowledged order was refused"),
+        (ForgetsAtASnapshotThatItForgot, "an acknowledged order was refused"),
+        (ForgetsTheDigestOfTheLast, "an acknowledged order was refused"),
+        (IgnoresTheBase, "two changes on one version"),
+        (KnowsOrdersByNumberAlone, "two documents under one number"),
+    ],
+)
+def test_a_broken_state_is_noticed(broken: type[ControlState], noticed: str) -> None:
+    with pytest.raises(AssertionError, match=noticed):
+        played(make_state=broken)
+
+
+@pytest.mark.parametrize(
+    ("broken", "noticed"),
+    [
+        (RefusesWhatItDoesNotKnow, "a loser is in force"),
+        (AcknowledgesWhatItDoesNotKnow, "two changes on one version"),
+    ],
+)
+def test_a_wrong_answer_to_an_unknown_outcome_is_noticed(broken: type[Group], noticed: str) -> None:
+    with pytest.raises(AssertionError, match=noticed):
+        played(make_group=broken)
