Items try workers again two seconds after the last failure where all seem to fail

A store keeps items from a worker for up to eight seconds after failures in a row. Where no worker is thought well, each is now tried with one item two seconds after it last failed. A live request is not risked that way; an item can wait for a try that fails. Without the change an item that was cut four times in a row no longer reaches its workers after three seconds.

--- a/pewterring/batch/dispatch.py
+++ b/pewterring/batch/dispatch.py
@@ -1,7 +1,7 @@
 """The choice of a worker for an item: within the room that admission leaves, the least expected time."""
 
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from enum import Enum, auto
 from typing import Protocol
@@ -21,6 +21,7 @@
 WORKER_FILL = 0.9  # of a worker's slots that may be taken, by all that is known, when an item is placed there
 SEEMS_FULL = 0.75  # of a worker's slots taken: it may well refuse an item for want of room
 READING_S = 0.03  # what a worker may have to read of items: live requests that come wait behind it
+PROBE_S = 2.0  # where no worker is thought well, one that failed so long ago is tried with an item
 LEAST_EXPECTED_S = 1e-4  # keeps ratios finite
 
 
@@ -72,6 +73,7 @@
     prompt: Prompt
     tokens: int  # that the worker must read before the first event
     placed_at: float
+    probe: bool  # the worker is tried although it is thought to fail
     reading: bool = True  # until the first event
 
 
@@ -108,7 +110,8 @@
                 continue
             worker = self._choose(now, service, prompt, avoid)
             if worker is not None:
-                self._take(item, _Placement(service, worker, prompt, worker.uncached(prompt), now))
+                tokens, probe = worker.uncached(prompt), worker.suspect(now)
+                self._take(item, _Placement(service, worker, prompt, tokens, now, probe))
                 return worker.record
         return None
 
@@ -150,7 +153,7 @@
             worker.answered()
         elif outcome is ExchangeOutcome.REFUSED and worker.load(now) >= SEEMS_FULL:
             worker.take_report(now, worker.record.capacity, 0)
-        elif outcome is not ExchangeOutcome.CANCELLED and not worker.suspect(now):
+        elif outcome is not ExchangeOutcome.CANCELLED and (placement.probe or not worker.suspect(now)):
             # Answers workers that crash or leave: all their items end at once, which is one failure.
             worker.failed(now)
 
@@ -176,11 +179,23 @@
         workers = self._chooser.ready(service)
         busy = {worker.record.id for worker in workers if not _has_room(now, worker, per_token_s)}
         if len(busy) == len(workers):
-            return None
+            return _probe(now, workers)
         alone = all(worker.record.id in busy or worker.record.id == avoid for worker in workers)
         return self._chooser.choose(now, service, prompt, busy if alone else busy | {avoid})
 
 
+def _probe(now: float, workers: Sequence[WorkerState]) -> WorkerState | None:
+    """The worker to try where none is thought well: the one that failed longest ago, if that is a while.
+
+    Symptom answered: after a cut between a store and all workers, items waited for up to eight seconds though
+    the workers were free. An item can wait for a try that fails; a live request could not.
+    """
+    if not all(worker.suspect(now) for worker in workers):
+        return None
+    due = [worker for worker in workers if worker.out == 0 and now - worker.failed_at >= PROBE_S]
+    return min(due, key=lambda worker: worker.failed_at, default=None)
+
+
 def _has_room(now: float, worker: WorkerState, per_token_s: float) -> bool:
     if worker.suspect(now) or worker.pending_tokens * per_token_s > READING_S:
         return False
--- a/pewterring/routing/worker_state.py
+++ b/pewterring/routing/worker_state.py
@@ -30,6 +30,7 @@
         self._reported_at = -math.inf
         self._failures = 0
         self._suspect_until = -math.inf
+        self.failed_at = -math.inf  # when it was last taken for failing
         self.slowness = 1.0  # seen over expected time to the first byte, a running mean
 
     def others(self, now: float) -> float:
@@ -98,6 +99,7 @@
         doublings = min(self._failures - 1, MOST_DOUBLINGS)  # a power of any size is no float
         pause = min(SUSPECT_MOST_S, SUSPECT_S * 2**doublings)
         self._suspect_until = now + pause
+        self.failed_at = now
         self._kept.clear()  # a worker that fails may have restarted
         self._kept_tokens = 0
 
--- a/tests/batch/test_dispatch.py
+++ b/tests/batch/test_dispatch.py
@@ -8,7 +8,7 @@
 from pewterring.admission.datagram import BATCH, GATEWAY, service_number
 from pewterring.admission.shares import LEASE_S
 from pewterring.batch.admissions import BatchAdmissions
-from pewterring.batch.dispatch import READING_S, AdmissionDispatcher, ExchangeOutcome
+from pewterring.batch.dispatch import PROBE_S, READING_S, AdmissionDispatcher, ExchangeOutcome
 from pewterring.batch.scheduler import QueuedItem
 from pewterring.configuration.model import Engine, Service, WeightedService
 from pewterring.distribution.messages import NodeRecord, WorkerRecord
@@ -208,6 +208,41 @@
     assert fixture.place() is not None
 
 
+def fail_all(fixture: Fixture, times: int) -> None:
+    """All workers refuse or cut, so often in a row; an answered item would show them to be well."""
+    for _ in range(times):
+        while fixture.place() is not None:
+            pass
+        for queued in fixture.items:
+            fixture.dispatcher.finished(queued, ExchangeOutcome.CUT)
+        fixture.items.clear()
+        fixture.clock.now += PROBE_S + 0.01
+
+
+def test_workers_that_all_fail_are_tried_again_soon_however_often_they_failed() -> None:
+    fixture = two_workers()
+    fixture.beat(1, out=0)
+    fail_all(fixture, times=8)
+    assert {found.id for found in (fixture.place(), fixture.place()) if found} == {"w1", "w22"}
+    assert fixture.place() is None  # one item each, until it is answered
+    for queued in fixture.items:
+        fixture.dispatcher.finished(queued, ExchangeOutcome.ANSWERED)
+    assert fixture.place_all() > 2
+
+
+def test_a_failing_worker_is_not_tried_while_another_is_well() -> None:
+    fixture = two_workers()
+    fixture.beat(1, out=0)
+    first = fixture.place()
+    assert first is not None
+    fixture.dispatcher.finished(fixture.items[0], ExchangeOutcome.CUT)
+    fixture.chooser.workers[first.id].failed(fixture.clock.now)
+    fixture.chooser.workers[first.id].failed(fixture.clock.now)
+    fixture.clock.now += PROBE_S + 0.01
+    placed = {found.id for found in iter(fixture.place, None)}
+    assert placed == {"w1", "w22"} - {first.id}
+
+
 def two_workers_with_engines() -> Tables:
     known = tables(worker("w1", capacity=SLOTS), worker("w22", capacity=SLOTS))
     assert known.configuration is not None
--- a/tests/batch/test_service.py
+++ b/tests/batch/test_service.py
@@ -4,6 +4,8 @@
 import random
 from collections.abc import Awaitable, Callable
 
+import pytest
+
 from pewterring.batch.admissions import BatchAdmissions
 from pewterring.batch.commands import AddResults, CloseJob
 from pewterring.batch.dispatch import AdmissionDispatcher
@@ -281,6 +283,21 @@
     scenario(test)
 
 
+@pytest.mark.parametrize("failure", [Failure.REFUSED, Failure.CUT])
+def test_nothing_but_failures_of_its_own_gives_an_item_up_early(failure: Failure) -> None:
+    async def test(store: Store) -> None:
+        await store.service.handle(submit("j", "a"))
+        for number in range(10):
+            await store.exchanges(number + 1)
+            store.runner.exchanges[number].fail(failure)
+            await until(lambda: store.execution.running == 0)
+            store.clock.now += 3
+            store.service.tables_changed()
+        assert (await store.page("j")).results == ()
+
+    scenario(test)
+
+
 def test_nothing_starts_while_the_tables_are_stale() -> None:
     async def test(store: Store) -> None:
         store.fresh = False
