A service of one slot runs batch items

Nine tenths of one slot, rounded down, is none: items of such a service never started and were given up after keep_s. While live requests take less than half of the slots, one item may always run; without the change both cases of the new test fail.

--- a/pewterring/admission/batch.py
+++ b/pewterring/admission/batch.py
@@ -17,6 +17,7 @@
 
     LIVE_MARGIN = 2.0  # of the square root of live attempts out: what they may grow by between heartbeats
     FILL = 0.9  # of the ceiling at most, live requests included
+    LONE_FILL = 0.5  # of the slots: while live requests take less, one item may run whatever the ceiling
     UNHEARD_FILL = 0.5  # of the ceiling while no gateway is heard
     # Another store's items count for so long. With a dead store its items are gone: its room is soon free.
     PEER_LIFE_S = 2 * BEAT_S
@@ -60,7 +61,11 @@
         live = self._view.shares.elsewhere
         limit = min(self._view.whole, self._view.ceiling.limit, self._slots)
         usable = self._fill(now) * limit - live - self.LIVE_MARGIN * math.sqrt(live)
-        return max(0, math.floor(usable) - self.out - self._elsewhere(now))
+        out = self.out + self._elsewhere(now)
+        if not out and live < self.LONE_FILL * self._slots:
+            # Symptom answered: a service of one slot left no room for any item, ever.
+            return max(1, math.floor(usable))
+        return max(0, math.floor(usable) - out)
 
     def beat(self) -> bytes:
         """The heartbeat for this service: attempts out, no share and no demand."""
--- a/tests/batch/test_dispatch.py
+++ b/tests/batch/test_dispatch.py
@@ -74,6 +74,15 @@
     assert fixture.place_all() == 4  # 18 - 8 - 2 * sqrt(8)
 
 
+@pytest.mark.parametrize("gateways", [0, 1])
+def test_a_service_of_one_slot_runs_one_item_while_live_requests_leave_it_free(gateways: int) -> None:
+    fixture = Fixture(tables(worker("w1", capacity=1)), gateways)
+    assert fixture.place_all() == 1
+    fixture.dispatcher.finished(fixture.items.pop(), ExchangeOutcome.ANSWERED)
+    fixture.beat(1, out=1)
+    assert fixture.place_all() == 0
+
+
 def test_a_place_that_an_item_leaves_is_taken_again() -> None:
     fixture = two_workers()
     fixture.beat(1, out=8)
