A worker of another version than the client expects is not taken for failing

A worker answers 421 for two reasons: another worker has its address, or its weights are not of the version in Expect-Version. The second said that the worker fails, so that clients of one version kept all other requests away from well workers. Without the change the new test of it fails. New tests besides: the clients' headers at each attempt, no more workers than max_attempts, a resumption asked for one event early does no harm.

--- a/pewterring/edge/attempt.py
+++ b/pewterring/edge/attempt.py
@@ -14,6 +14,7 @@
 TARGET = b"target-instance"
 SIGNATURE = b"response-signature"
 NOT_EXECUTED = b"not-executed"
+EXPECT_VERSION = b"expect-version"
 CONTENT_ENCODING = b"content-encoding"
 LOAD = b"instance-load"
 EVENT_STREAM = b"text/event-stream"
@@ -69,6 +70,14 @@
     return Verdict.FAILURE
 
 
+def is_misdirected(request: ServerRequest, head: AnswerHead) -> bool:
+    """Whether the answer says that another worker has the address.
+
+    A worker answers 421 also where it holds weights of another version than the client expects: it is well.
+    """
+    return head.status == MISDIRECTED and request.get(EXPECT_VERSION) is None
+
+
 def answer_headers(head: AnswerHead) -> Headers:
     """The headers of a worker's answer as the client gets them."""
     return [
--- a/pewterring/edge/live.py
+++ b/pewterring/edge/live.py
@@ -9,10 +9,10 @@
 from pewterring.admission.service import ServiceAdmission
 from pewterring.configuration.model import Route
 from pewterring.edge.attempt import (
-    MISDIRECTED,
     Verdict,
     answer_headers,
     is_event_stream,
+    is_misdirected,
     judge,
     read_load,
     worker_request,
@@ -202,8 +202,8 @@
             return await self._read_events(worker, stream, head, reading)
         body = await self._read_whole(stream)
         if verdict is Verdict.NOT_RUN:
-            if head.status == MISDIRECTED:
-                worker.failed(self._now())  # another worker has the address
+            if is_misdirected(self._request, head):
+                worker.failed(self._now())
             return End.NOT_RUN
         if verdict is Verdict.UNUSABLE:
             return End.MAY_HAVE_RUN
--- a/tests/edge/test_live.py
+++ b/tests/edge/test_live.py
@@ -15,6 +15,7 @@
 from pewterring.admission.service import ServiceAdmission
 from pewterring.configuration.model import Route, RouteType, WeightedService
 from pewterring.distribution.messages import WorkerRecord
+from pewterring.edge.attempt import worker_request
 from pewterring.edge.live import LiveContext, LiveRequest
 from pewterring.edge.stalls import StallWatch
 from pewterring.routing.chooser import WorkerChooser
@@ -239,6 +240,36 @@
     play(tier, story)
 
 
+OF_THE_CLIENT = (
+    (b"Model-Id", b"m;weights=2"),
+    (b"Token-Usage", b"1460,80"),
+    (b"Prompt-Prefix", b"5c1e07a2:800,91bd3f06:410,e4402b7d:250"),
+    (b"X-Repeated", b"one"),
+    (b"x-repeated", b"two"),
+    (b"X-Repeated", b"one"),
+    (b"X-Empty", b""),
+    (b"X-Latin", b"caf\xe9"),
+)
+
+
+@pytest.mark.parametrize("last_event_id", [(), ((b"Last-Event-Id", b"1"),)])
+def test_each_attempt_carries_the_clients_headers_as_they_came(
+    last_event_id: tuple[tuple[bytes, bytes], ...],
+) -> None:
+    tier = Tier(route(RouteType.STREAMING, resumable=True), [cut_stream, whole_stream])
+
+    async def story() -> None:
+        await tier.ask(*OF_THE_CLIENT, *last_event_id)
+        assert len(tier.seen) == 2
+        for _, request in tier.seen:
+            ours = (b"request-timeout-ms", b"target-instance", b"last-event-id", b"content-length")
+            passed = [header for header in request.headers if header[0].lower() not in ours]
+            assert passed == [(b"Host", b"h"), (b"Request-Id", b"7"), *OF_THE_CLIENT]
+            assert (request.method, request.target, request.body) == ("POST", "/p/x?", b"body")
+
+    play(tier, story)
+
+
 def test_a_resumable_stream_that_is_cut_goes_on_elsewhere_within_one_answer() -> None:
     tier = Tier(route(RouteType.STREAMING, resumable=True), [cut_stream, whole_stream])
 
@@ -321,6 +352,28 @@
     play(tier, story)
 
 
+def one_event_early(
+    request: ServerRequest, worker_id: str, deadline: float, last_event_id: int | None
+) -> SendRequest:
+    """A broken `worker_request`: asks for the last event that the client has once more."""
+    early = None if last_event_id is None else last_event_id - 1
+    return worker_request(request, worker_id, deadline, early)
+
+
+def test_a_resumption_asked_for_one_event_early_is_caught(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr("pewterring.edge.live.worker_request", one_event_early)
+    tier = Tier(route(RouteType.STREAMING, resumable=True), [cut_stream, whole_stream])
+
+    async def story() -> None:
+        with pytest.raises(ExchangeError):  # cut, with no event twice
+            await tier.ask()
+        assert len(tier.seen) == 2
+
+    play(tier, story)
+
+
 @pytest.mark.parametrize("tail", [b"", b"\n", b"\r\n"])
 def test_a_stream_without_a_length_that_closes_between_events_is_whole(tail: bytes) -> None:
     tier = Tier(route(RouteType.STREAMING), [RawAnswer(UNFRAMED_STREAM + WHOLE + tail)])
@@ -382,6 +435,44 @@
     play(tier, story)
 
 
+@pytest.mark.parametrize(("headers", "kept_away"), [((), True), (((b"Expect-Version", b"4"),), False)])
+def test_a_worker_of_another_version_is_not_taken_for_failing(
+    headers: tuple[tuple[bytes, bytes], ...], kept_away: bool
+) -> None:
+    tier = Tier(route(RouteType.NON_IDEMPOTENT), [misdirected, answered])
+
+    async def story() -> None:
+        assert (await tier.ask(*headers)).head.status == 200
+        first = tier.context.chooser.workers["w0"]
+        assert first.suspect(time.monotonic()) is kept_away
+        assert tier.seen[1][1].get(b"expect-version") == (None if kept_away else b"4")
+
+    play(tier, story)
+
+
+def test_where_no_worker_has_the_version_the_client_is_told_that_nothing_ran() -> None:
+    tier = Tier(route(RouteType.NON_IDEMPOTENT), [misdirected, misdirected])
+
+    async def story() -> None:
+        assert (await tier.ask((b"Expect-Version", b"4"))).head.status == 503
+
+    play(tier, story)
+
+
+@pytest.mark.parametrize("spoilt", [broken, failed, cut_stream])
+@pytest.mark.parametrize("attempts", [0, 1, 2, 3])
+def test_no_more_workers_run_a_request_than_its_route_allows(spoilt: Behaviour, attempts: int) -> None:
+    tier = Tier(route(RouteType.STREAMING, attempts, resumable=True), [full, *5 * [spoilt]])
+
+    async def story() -> None:
+        with contextlib.suppress(ExchangeError):
+            await tier.ask()
+        ran = [number for number, _ in tier.seen if number]
+        assert len(ran) == len(set(ran)) <= max(1, attempts)
+
+    play(tier, story)
+
+
 def test_refused_with_a_time_to_come_back_where_no_worker_ran_it() -> None:
     tier = Tier(route(RouteType.NON_IDEMPOTENT), [full, full])
 
