A batch job with an item that HTTP cannot carry is refused by name

Paths, ids and headers of items went into the request to the worker as they were: a line end in one of them was a second request inside the first, and a character without a byte in HTTP failed at each run until keep_s. Such a job is answered 400, which names the item, before any store hears of it. Eight new cases fail without the change. A new test holds the headers, path and body of an item at the worker against what its client sent.

--- a/pewterring/edge/batch_calls.py
+++ b/pewterring/edge/batch_calls.py
@@ -4,6 +4,7 @@
 import base64
 import binascii
 import random
+import re
 import time
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
@@ -39,6 +40,10 @@
 MAX_WAIT_MS = 10_000.0
 MAX_ID_BYTES = 200
 
+_PATH = re.compile(r"/[!-~]*")
+_FIELD_NAME = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")  # RFC 9110, 5.6.2
+_FIELD_VALUE = re.compile(r"[\t -~\x80-\xff]*")  # RFC 9110, 5.5: also obsolete text
+
 CallMessage = SubmitJob | ReadResults | ReadItem | EndJob
 
 
@@ -96,6 +101,9 @@
         if item.id in seen:
             raise BadSubmission(f"item {item.id!r} is there twice")
         seen.add(item.id)
+        fault = _unsendable(item)
+        if fault is not None:
+            raise BadSubmission(f"item {item.id!r}: {fault}")
         if item.tokens < 0:
             raise BadSubmission(f"item {item.id!r}: tokens are negative")
         try:
@@ -105,6 +113,22 @@
     return tuple(items)
 
 
+def _unsendable(item: ItemSpec) -> str | None:
+    """Why an item cannot go out as the HTTP request that it asks for, if so.
+
+    Symptom answered: a line end in a path or header is a second request inside the first at a worker, and
+    what has no bytes in HTTP would be tried in vain until the item may be given up.
+    """
+    if not _FIELD_VALUE.fullmatch(item.id):
+        return "its id cannot be sent as a header"
+    if not _PATH.fullmatch(item.path):
+        return "its path is no path of a request"
+    for name, value in item.headers.items():
+        if not _FIELD_NAME.fullmatch(name) or not _FIELD_VALUE.fullmatch(value):
+            return f"its header {name!r} cannot be sent"
+    return None
+
+
 class BatchCalls:
     """Finds the leading store and calls it until it answers or time is over."""
 
--- a/tests/batch/test_runner.py
+++ b/tests/batch/test_runner.py
@@ -4,8 +4,9 @@
 from collections.abc import Awaitable, Callable
 
 import pytest
+from msgspec.structs import replace
 
-from pewterring.batch.runner import HttpItemRunner
+from pewterring.batch.runner import HttpItemRunner, item_request
 from pewterring.batch.scheduler import Failure, QueuedItem
 from pewterring.distribution.messages import WorkerRecord
 from pewterring.transport.http_client import WorkerPool
@@ -75,6 +76,30 @@
     assert got.endswith(b"\r\n\r\na")
 
 
+def test_an_items_headers_and_body_go_out_as_its_client_sent_them() -> None:
+    headers = {
+        "Model-Id": "m",
+        "Token-Usage": "540,400",
+        "Prompt-Prefix": "9c2e41:300,5d07b8:240",
+        "X-Empty": "",
+        "X-Latin": "caf\xe9",
+    }
+    entry = QueuedItem("j", ROUTE, replace(item("i1", headers=headers), path="/jobs/1?a=%20&b"))
+    entry.last_event_id = "3"
+    request = item_request(entry, WorkerRecord("w1", "s", "127.0.0.1:1", "z", 4, "ready"))
+    own = [
+        (b"Host", b"h.example"),
+        (b"Request-Id", b"i1"),
+        (b"Last-Event-Id", b"3"),
+        (b"Target-Instance", b"w1"),
+    ]
+    sent = [header for header in request.headers if header not in own]
+    assert [(name.decode(), value.decode("latin-1")) for name, value in sent] == list(headers.items())
+    assert len(request.headers) == len(own) + len(headers)
+    assert (request.method, request.target, request.body) == ("POST", "/jobs/1?a=%20&b", b"a")
+    assert request.deadline is None  # timeout_ms does not cover items
+
+
 def test_a_cut_keeps_whole_events_only() -> None:
     half = chunk(b"id: 2\ndata: b\n")
     outcome, events, _ = run(HEAD + event(1, "a") + half)
--- a/tests/edge/test_batch_calls.py
+++ b/tests/edge/test_batch_calls.py
@@ -53,6 +53,14 @@
         (document(item("c", tokens=-1)), "'c': tokens are negative"),
         (document(item("")), "its id is empty"),
         (document(*(item(str(n)) for n in range(201))), "201 items"),
+        (document(item("a\r\nX: 1")), "its id cannot be sent"),
+        (document(item("d", path="/jobs/1 HTTP/1.1\r\n\r\nGET /x")), "'d': its path"),
+        (document(item("d", path="jobs/1")), "'d': its path"),
+        (document(item("d", path="/jobs/caf\xe9")), "'d': its path"),
+        (document(item("e", headers={"X": "1\r\nY: 2"})), "'e': its header 'X'"),
+        (document(item("e", headers={"X\n": "1"})), "'e': its header"),
+        (document(item("e", headers={"": "1"})), "'e': its header"),
+        (document(item("e", headers={"X": "\u20ac"})), "'e': its header 'X'"),
     ],
 )
 def test_bad_submissions_are_refused_by_name(body: bytes, named: str) -> None:
@@ -65,6 +73,12 @@
     assert (read.id, read.headers, read.body, read.tokens) == ("a", {"Model-Id": "m"}, "q83v", 5)
 
 
+def test_a_proper_item_of_any_header_is_taken() -> None:
+    headers = {"Prompt-Prefix": "9c2e41:300,5d07b8:240", "X-Empty": "", "X-Latin": "caf\xe9", "X.Y_z": "a\tb"}
+    (read,) = read_submission(document(item("e5b2907c14da6f38", path="/jobs/1?a=%20&b", headers=headers)))
+    assert read.headers == headers
+
+
 def test_only_calls_of_the_batch_interface_count_as_such() -> None:
     assert is_batch_call("GET", "/v1/lots/1") and is_batch_call("DELETE", "/v1/lots/1")
     assert is_batch_call("GET", "/v1/items/1")
