A position that no job can have is refused at once, instead of ending in an error

A position of many digits, or of digits that are not ASCII, went to the store or ended in an exception; three new cases fail without the change. New tests of the batch calls besides: a job that was taken is taken again whatever the quota, its end, its route and the leader; pages begin at any position; bodies are there from the 202 on.

--- a/pewterring/edge/batch_calls.py
+++ b/pewterring/edge/batch_calls.py
@@ -41,6 +41,7 @@
 MAX_ID_BYTES = 200
 
 _PATH = re.compile(r"/[!-~]*")
+_POSITION = re.compile(r"[0-9]{1,18}")
 _FIELD_NAME = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")  # RFC 9110, 5.6.2
 _FIELD_VALUE = re.compile(r"[\t -~\x80-\xff]*")  # RFC 9110, 5.5: also obsolete text
 
@@ -177,7 +178,7 @@
         if request.method == "DELETE":
             return await self._end(EndJob(job))
         after = parameters.get("after", ["0"])[0]
-        if not after.isdecimal():
+        if not _POSITION.fullmatch(after):
             return failure(400, "after is not a position")
         return await self._results(ReadResults(job, int(after), _wait_ms(request)))
 
--- a/tests/batch/test_service.py
+++ b/tests/batch/test_service.py
@@ -7,7 +7,7 @@
 import pytest
 
 from pewterring.batch.admissions import BatchAdmissions
-from pewterring.batch.commands import AddResults, CloseJob
+from pewterring.batch.commands import AcceptJob, AddResults, CloseJob
 from pewterring.batch.dispatch import AdmissionDispatcher
 from pewterring.batch.execution import ItemExecution
 from pewterring.batch.messages import (
@@ -152,6 +152,61 @@
     scenario(test, tables(routes=(route(max_queued_tokens=100),)))
 
 
+@pytest.mark.parametrize("ended", [False, True])
+@pytest.mark.parametrize("new_leader", [False, True])
+def test_a_job_that_was_taken_is_taken_again_whatever_the_quota_and_its_state(
+    ended: bool, new_leader: bool
+) -> None:
+    async def test(store: Store) -> None:
+        assert await store.service.handle(submit("j1", "a", tokens=60)) == JobAccepted()
+        if ended:
+            assert await store.service.handle(EndJob("j1")) == JobEnded()
+            assert await store.service.handle(submit("j2", "a", tokens=60)) == JobAccepted()
+        refused = await store.service.handle(submit("j3", "a", tokens=60))
+        assert isinstance(refused, JobRefused) and refused.full
+        if new_leader:
+            store.lose()
+            await store.lead()
+        store.take_tables(tables(worker("w1"), routes=()))  # the route is gone meanwhile
+        for _ in range(3):
+            assert await store.service.handle(submit("j1", "a", tokens=60)) == JobAccepted()
+        assert sum(isinstance(command, AcceptJob) for command in store.log.commands) == 1 + ended
+
+    scenario(test, tables(worker("w1"), routes=(route(max_queued_tokens=100),)))
+
+
+def test_pages_begin_at_any_position() -> None:
+    async def test(store: Store) -> None:
+        await store.service.handle(submit("j", "a", "b", "c"))
+        await store.exchanges(3)
+        for exchange in store.runner.exchanges:
+            exchange.answer(exchange.item.spec.id)
+        await store.page("j", 2, LONG_MS)
+        whole = (await store.page("j")).results
+        assert len(whole) == 3
+        for after in range(6):
+            page = await store.page("j", after, LONG_MS)
+            assert (page.total, page.results) == (3, whole[after:])
+            assert page.next_position == max(after, 3)
+
+    scenario(test)
+
+
+def test_a_body_is_there_from_the_202_on_and_at_the_next_leader() -> None:
+    async def test(store: Store) -> None:
+        await store.service.handle(submit("j", "a"))
+        for failure in (Failure.FAILED, Failure.CUT):
+            assert await store.service.handle(ReadItem("j", "a")) == ItemBody("YQ==")
+            await store.exchanges(1)
+            store.runner.exchanges.pop().fail(failure)
+            await until(lambda: store.execution.running == 0)
+            assert await store.service.handle(ReadItem("j", "a")) == ItemBody("YQ==")
+            store.lose()
+            await store.lead()
+
+    scenario(test)
+
+
 def test_an_unsure_proposal_frees_its_part_of_the_quota() -> None:
     async def test(store: Store) -> None:
         store.log.lose = True
--- a/tests/edge/test_batch_calls.py
+++ b/tests/edge/test_batch_calls.py
@@ -173,6 +173,12 @@
     assert call(lambda ip, message: Unknown(), "GET", "/v1/lots/job-1?after=x")[0].status == 400
 
 
+@pytest.mark.parametrize("after", ["x", "-1", "%D9%A3", "9" * 19, "9" * 5000])
+def test_what_is_no_position_is_refused_at_once(after: str) -> None:
+    answer, links = call(lambda ip, message: Unknown(), "GET", f"/v1/lots/job-1?after={after}")
+    assert answer.status == 400 and links.asked == []
+
+
 def test_a_submission_carries_its_route() -> None:
     seen: list[msgspec.Struct] = []
 
