A prompt of impossible size counts as not given, and no attempt stays counted for good

Tokens in Prompt-Prefix or Token-Usage that are negative or past 2^32 could not be written into a hint to other gateways: the attempt ended in an exception after it was counted at its worker, which seemed loaded by one request for ever. Such numbers now count as not given, and what an attempt counts is taken back whatever happens. The new test of the attempt fails without the change.

--- a/pewterring/edge/live.py
+++ b/pewterring/edge/live.py
@@ -159,8 +159,8 @@
         watched = self._watched(worker, stream, now, times.expected(tokens) + wait_s)
         reading = _Reading(tokens, now, wait_s, watched)
         self._context.watch.add(watched)
-        self._context.tell_prompt(worker, tokens, self._prompt)
         try:
+            self._context.tell_prompt(worker, tokens, self._prompt)
             async with self._context.drain.timeout_at(self._deadline):
                 return await self._read(worker, stream, reading)
         except ExchangeError as error:
--- a/pewterring/routing/prompt.py
+++ b/pewterring/routing/prompt.py
@@ -5,6 +5,7 @@
 
 PREFIX_HEADER = "prompt-prefix"
 USAGE_HEADER = "token-usage"
+MOST_TOKENS = 2**32 - 1  # what a hint to other gateways can carry; no worker's memory comes near
 
 
 @dataclass(frozen=True, slots=True)
@@ -30,14 +31,24 @@
         return NO_PROMPT
     try:
         parts = tuple(_part(text) for text in (prefix or "").split(",") if text.strip())
-        numbers = [int(number) for number in (usage or "0,0").split(",")]
+        numbers = [_tokens(number) for number in (usage or "0,0").split(",")]
+        prompt_tokens = numbers[0] or _bounded(sum(tokens for _, tokens in parts))
     except ValueError:
         return NO_PROMPT
-    prompt_tokens = numbers[0] if numbers else 0
     output_tokens = numbers[1] if len(numbers) > 1 else 0
-    return Prompt(parts, prompt_tokens or sum(tokens for _, tokens in parts), output_tokens)
+    return Prompt(parts, prompt_tokens, output_tokens)
 
 
 def _part(text: str) -> tuple[int, int]:
     name, _, tokens = text.strip().partition(":")
-    return zlib.crc32(name.encode()), int(tokens)
+    return zlib.crc32(name.encode()), _tokens(tokens)
+
+
+def _tokens(text: str) -> int:
+    return _bounded(int(text))
+
+
+def _bounded(tokens: int) -> int:
+    if not 0 <= tokens <= MOST_TOKENS:
+        raise ValueError(f"{tokens} is no number of tokens")
+    return tokens
--- a/tests/edge/test_live.py
+++ b/tests/edge/test_live.py
@@ -7,7 +7,7 @@
 import struct
 import time
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from functools import partial
 
 import pytest
@@ -19,7 +19,8 @@
 from pewterring.edge.live import LiveContext, LiveRequest
 from pewterring.edge.stalls import StallWatch
 from pewterring.routing.chooser import WorkerChooser
-from pewterring.routing.prompt import NO_PROMPT
+from pewterring.routing.prompt import NO_PROMPT, Prompt
+from pewterring.routing.worker_state import WorkerState
 from pewterring.transport.http_client import WorkerPool
 from pewterring.transport.http_exchange import ExchangeError, SendRequest
 from pewterring.transport.http_fetch import WholeAnswer, fetch
@@ -459,6 +460,22 @@
     play(tier, story)
 
 
+def test_an_attempt_that_ends_in_an_error_of_our_own_leaves_nothing_counted() -> None:
+    def fails(worker: WorkerState, tokens: int, prompt: Prompt) -> None:
+        raise ValueError("unforeseen")
+
+    tier = Tier(route(RouteType.IDEMPOTENT), [answered])
+
+    async def story() -> None:
+        tier.context = replace(tier.context, tell_prompt=fails)
+        with contextlib.suppress(ExchangeError):
+            await tier.ask()
+        worker = tier.context.chooser.workers["w0"]
+        assert (worker.out, worker.pending_tokens) == (0, 0)
+
+    play(tier, story)
+
+
 @pytest.mark.parametrize("spoilt", [broken, failed, cut_stream])
 @pytest.mark.parametrize("attempts", [0, 1, 2, 3])
 def test_no_more_workers_run_a_request_than_its_route_allows(spoilt: Behaviour, attempts: int) -> None:
