Live requests of a service are admitted in the order of their urgency

Cause: admission knew no priorities. Where a service has live routes of several, a burst refused all alike, and a kind that is harder to serve was served less often than a less urgent one (a price). Batch items yield to all live requests already.

Change: routes are ranked by priority among the live routes of their service; each rank leaves 0.15 of the gateway's room to the more urgent ones.

Measured: tests/admission/test_service.py: with both kinds asking for twice the room, the urgent one is served over 0.95, where it had its part of the refusals before.

--- a/pewterring/admission/service.py
+++ b/pewterring/admission/service.py
@@ -18,6 +18,10 @@
 # are idle.
 IDLE_LENT, IDLE_GATEWAYS = 0.25, 4.0
 
+# Of the room, so much is kept free of each less urgent kind of request, for the more urgent ones.
+# Symptom answered: in a burst all kinds are refused alike, and the less urgent are served as often.
+URGENT_SHARE, LEAST_SHARE = 0.15, 0.4
+
 
 class SlotCeiling(Ceiling):
     """The ceiling in slots that workers register: it begins at all of them."""
@@ -74,10 +78,13 @@
             return int(totals.batch_out)
         return sum(beat.out for heard, beat in self._batch.values() if now - heard < LEASE_S)
 
-    def acquire(self) -> bool:
-        """Takes a slot for a live request; False where it is refused."""
+    def acquire(self, rank: int = 0) -> bool:
+        """Takes a slot for a live request; False where it is refused.
+
+        `rank` is the number of kinds of request of the service that are more urgent.
+        """
         self.shares.wanted += 1
-        if self.out >= self.room:
+        if self.out >= self.room * max(LEAST_SHARE, 1 - URGENT_SHARE * rank):
             return False
         self.shares.passed += 1
         self.out += 1
--- a/pewterring/edge/program.py
+++ b/pewterring/edge/program.py
@@ -15,8 +15,9 @@
 from pewterring.admission.digests import Totals
 from pewterring.admission.shares import BEAT_S
 from pewterring.batch.messages import BATCH_MESSAGES
-from pewterring.configuration.model import ClientLimits, Route, RouteType
+from pewterring.configuration.model import ClientLimits, Configuration, Route, RouteType
 from pewterring.configuration.routes import RouteTable
+from pewterring.configuration.urgency import Urgency
 from pewterring.distribution.messages import FEED_MESSAGES, NodeRecord
 from pewterring.distribution.subscriber import FeedSubscriber
 from pewterring.distribution.tables import Tables
@@ -40,6 +41,7 @@
 from pewterring.transport.http_server import HttpServer
 from pewterring.transport.lines import LinkPool, MessageCodec
 
+NO_ROUTES = Configuration(0, (), {}, ClientLimits())
 READY_PATH = "/v1/readyz"
 LEAST_DRAIN_S = 2.6  # after SIGTERM: the platform looks each second and takes two misses
 QUIET_S = 0.3  # without a request held, then the process ends
@@ -76,6 +78,7 @@
         self._rng = rng or random.Random()
         self._life = secrets.token_hex(8)
         self._routes: RouteTable | None = None
+        self._urgency = Urgency(NO_ROUTES)
         self._limits = UNKNOWN_LIMITS
         self._stopping = False
         self._metrics = GatewayMetrics()
@@ -153,6 +156,7 @@
     def _take_tables(self, old: Tables, new: Tables) -> None:
         if new.configuration is not old.configuration and new.configuration is not None:
             self._routes = RouteTable(new.configuration)
+            self._urgency = Urgency(new.configuration)
             self._limits = server_limits(new.configuration.limits)
             self._configured.set()
         if new.workers is not old.workers or new.configuration is not old.configuration:
@@ -301,7 +305,7 @@
         service = self._choose_service(route)
         admission = self._admissions.of(service)
         self._metrics.requests += 1
-        if not admission.acquire():
+        if not admission.acquire(self._urgency.rank(service, route.priority)):
             self._metrics.refused(admission)
             after = b"%.2f" % max(0.05, min(1.0, route.target_latency_ms / 1000))
             await responder.respond(503, [(b"Retry-After", after)])
--- a/tests/admission/test_service.py
+++ b/tests/admission/test_service.py
@@ -5,7 +5,7 @@
 import pytest
 
 from pewterring import interface as i
-from pewterring.admission.service import IDLE_LENT, ServiceAdmission, SlotCeiling
+from pewterring.admission.service import IDLE_LENT, URGENT_SHARE, ServiceAdmission, SlotCeiling
 from pewterring.mail import Beat, write_beat
 
 ROUTE = i.RequestClass("r", aim=100.0, deadline=100.0)
@@ -37,6 +37,35 @@
     assert taken(made) <= 100 - 75 + 11  # the share, and what chance adds
 
 
+def test_less_urgent_requests_leave_a_part_of_the_room_to_more_urgent_ones() -> None:
+    made = admission(gateways=1)
+    room = made.room
+    while made.acquire(rank=1):
+        pass
+    assert made.out == pytest.approx((1 - URGENT_SHARE) * room, abs=1)
+    assert not made.acquire(rank=2)
+    assert taken(made) == pytest.approx(room, abs=1)
+
+
+def test_in_overload_the_more_urgent_kind_is_served_first() -> None:
+    """Both kinds ask twice as often as slots come free; the urgent one alone would fit."""
+    made, rng = admission(gateways=1), random.Random(3)
+    served, asked = [0, 0], [0, 0]
+    ends: list[int] = []
+    for step in range(4000):
+        for _ in [end for end in ends if end == step]:
+            made.release()
+        ends = [end for end in ends if end > step]
+        for rank in (0, 1):
+            for _ in range(rng.choice((1, 2))):
+                asked[rank] += 1
+                if made.acquire(rank):
+                    served[rank] += 1
+                    ends.append(step + rng.randint(30, 60))
+    assert served[0] / asked[0] > 0.95
+    assert served[1] / asked[1] < served[0] / asked[0] - 0.2
+
+
 def test_idle_slots_of_others_are_lent_in_part() -> None:
     busy, idle = admission(), admission()
     for peer in (1, 2, 3):
