A request that waits for the first tables is answered before the process ends

Cause: the wait for tables ran its 1.5 s past the end of a drain, and the request was cut unanswered.

Change: it is bounded by the drain as all other waits are.

--- a/pewterring/edge/program.py
+++ b/pewterring/edge/program.py
@@ -247,7 +247,8 @@
         """
         wait_s = min(START_WAIT_S, START_SHARE * self._time_s(request, None))
         with contextlib.suppress(TimeoutError):
-            await asyncio.wait_for(self._configured.wait(), wait_s)
+            async with self._drain.timeout_at(self._clock() + wait_s):
+                await self._configured.wait()
         return self._routes is not None
 
     async def _serve_batch(self, request: ServerRequest, responder: Responder, route: Route | None) -> None:
--- a/tests/edge/test_drain.py
+++ b/tests/edge/test_drain.py
@@ -161,6 +161,17 @@
     run(play())
 
 
+def test_a_request_that_waits_for_the_first_tables_has_its_answer_before_the_process_ends() -> None:
+    async def play() -> None:
+        async with gateway(answered, configured=False) as tier:
+            tier.program._drain.begin(now(), 1.0)
+            began = now()
+            assert (await tier.ask(timeout_ms=LONG_MS)).head.status == 503
+            assert now() - began <= 0.5
+
+    run(play())
+
+
 def test_a_stream_that_is_still_running_is_cut_at_the_end_and_not_before() -> None:
     async def play() -> None:
         async with gateway(slow_stream, routes=(STREAM,)) as tier:
