--- a/tests/simulation/adversary.py
+++ b/tests/simulation/adversary.py
@@ -141,7 +141,7 @@
                 )
             case Kind.REPLACE:
                 machine.wipe()
-                machine.gone = True
+                machine.gone_s = self._now
                 self._later(self._rng.uniform(*REPLACED_S), lambda: self._succeed(machine))
             case Kind.FREEZE:
                 self._freeze(machine, fault.lasts_s)
@@ -192,7 +192,7 @@
 
         def removed() -> None:
             machine.wipe()
-            machine.gone = True
+            machine.gone_s = self._now
             self._over(machine)
 
         self._world.stop_control(machine, removed)
--- a/tests/simulation/callers.py
+++ b/tests/simulation/callers.py
@@ -105,8 +105,14 @@
         self._world.history.reads.append(Read(state, began, self._world.loop.time()))
         return state
 
+    async def read_often(self) -> None:
+        """Reads at any machine, again and again."""
+        while self.busy:
+            await asyncio.sleep(self._rng.uniform(0.05, 0.3))
+            await self.read(self._any_ip())
+
     def _any_ip(self) -> str:
-        return self._rng.choice(tuple(self._world.machines))
+        return self._rng.choice(self._world.known_control())
 
 
 class Worker:
@@ -182,7 +188,7 @@
 
     async def _send(self, call: Call) -> bool:
         if not self._target:
-            self._target = self._rng.choice(tuple(self._world.machines))
+            self._target = self._rng.choice(self._world.known_control())
         answer = await self._world.http.call(self._target, call, PATIENCE_S)
         if answer is not None and answer.status == 200:
             return True
--- a/tests/simulation/machines.py
+++ b/tests/simulation/machines.py
@@ -29,7 +29,6 @@
         self.slow_disk = False
         self.stalled = False
         self.lives = 0
-        self.gone = False  # removed for good
         self._loop = loop
         self._network = network
         self._rng = random.Random(rng.random())
--- a/tests/simulation/play.py
+++ b/tests/simulation/play.py
@@ -45,12 +45,14 @@
         self.world = World(schedule.seed, schedule.tolerated)
         self.adversary = Adversary(self.world, schedule.faults, random.Random(f"faults {schedule.seed}"))
         self.operators = [Operator(self.world, "a"), Operator(self.world, "b")]
+        self.reader = Operator(self.world, "reader")
         self.world.loop.call_outside(CALLERS_S, self._begin_callers)
         self._failures: list[str] = []
 
     def _begin_callers(self) -> None:
         workers = [Worker(self.world, number) for number in range(1, WORKERS + 1)]
-        for work in [operator.work for operator in self.operators] + [worker.work for worker in workers]:
+        works = [operator.work for operator in self.operators] + [worker.work for worker in workers]
+        for work in (*works, self.reader.read_often):
             self.world.loop.create_task(work())
 
     def play(self) -> Verdict:
@@ -106,7 +108,7 @@
     def _read_everywhere(self) -> None:
         """Each machine is asked for what is current, once the operators have ended."""
         world = self.world
-        for operator in self.operators:
+        for operator in (*self.operators, self.reader):
             operator.busy = False
         world.run(world.loop.time() + 1.2)
         ips = [machine.ip for machine in world.core()]
--- a/tests/simulation/world.py
+++ b/tests/simulation/world.py
@@ -1,6 +1,7 @@
 """Control machines, gateways, stores, operators and workers in one virtual time."""
 
 import random
+from math import inf
 from pathlib import Path
 from typing import Any
 
@@ -22,6 +23,7 @@
 CONTROL_PORT = 8146
 INTERNAL_PORT = 7660
 FIRST_SEEDS = 3  # so many control machines a settings file names
+SEED_LAG_S = 3.0  # `seed_lag_s`: how old the operator's list is
 HEARTBEAT_S = 1.0
 GATEWAYS = 3
 CODEC = MessageCodec(FEED_MESSAGES)
@@ -31,6 +33,13 @@
     """A machine that runs the control program."""
 
     program: ControlProgram | None = None
+    added_s = 0.0  # to the operator's list
+    gone_s = inf  # for good
+
+    @property
+    def gone(self) -> bool:
+        """Whether it never comes back."""
+        return self.gone_s < inf
 
 
 class Node(Machine):
@@ -56,7 +65,7 @@
         self.hooks: list[Any] = []  # called with the name of each point and the machine that reached it
         self.last_ip = 0
         first = [self.new_control() for _ in range(2 * tolerated + 1)]
-        self.seeds = [machine.ip for machine in first[:FIRST_SEEDS]]
+        self.first_seeds = [machine.ip for machine in first[:FIRST_SEEDS]]
         for machine in first:
             self.loop.call_outside(self.rng.uniform(0.0, 0.3), self.start_control, machine, True)
         for number in range(1, GATEWAYS + 1):
@@ -100,6 +109,7 @@
         self.last_ip += 1
         ip = f"10.0.0.{self.last_ip}"
         machine = ControlMachine(ip, self.loop, self.network, self.rng, self._reached)
+        machine.added_s = self.loop.time()
         self.machines[ip] = machine
         return machine
 
@@ -154,6 +164,21 @@
             leading, key=lambda machine: machine.program._group.term if machine.program else 0, default=None
         )
 
+    def known_control(self) -> list[str]:
+        """The operator's list of control machines, which lags."""
+        moment = self.loop.time() - SEED_LAG_S
+        return [
+            machine.ip
+            for machine in self.machines.values()
+            if machine.added_s <= max(0.0, moment) and machine.gone_s > moment
+        ]
+
+    def _seeds(self) -> list[str]:
+        if self.loop.time() < SEED_LAG_S:
+            return self.first_seeds
+        known = self.known_control()
+        return self.rng.sample(known, min(FIRST_SEEDS, len(known)))
+
     def _settings(self, ip: str, bootstrap: bool) -> NodeSettings:
         return NodeSettings(
             node_id=f"node-{ip}",
@@ -164,7 +189,7 @@
             ready=None,
             control=Address(ip, CONTROL_PORT),
             internal_port=INTERNAL_PORT,
-            seeds=tuple(Address(seed, CONTROL_PORT) for seed in self.seeds),
+            seeds=tuple(Address(seed, CONTROL_PORT) for seed in self._seeds()),
             bootstrap=bootstrap,
             data_dir=Path("/nowhere"),
             heartbeat_s=HEARTBEAT_S,
