--- a/pewterring/consensus/group.py
+++ b/pewterring/consensus/group.py
@@ -107,7 +107,8 @@
         try:
             self._machine.restore(loaded.snapshot)
         except Exception as error:
-            raise StorageError(f"{loaded.snapshot_file} cannot be read: {error}") from error
+            where = loaded.snapshot_file or "the snapshot"
+            raise StorageError(f"{where} cannot be read: {error}") from error
         self._next_snapshot_bytes = self._snapshot_size(len(loaded.snapshot))
 
     async def stop(self) -> None:
--- a/tests/control/test_bad_input.py
+++ b/tests/control/test_bad_input.py
@@ -150,8 +150,7 @@
     async def scenario() -> None:
         await member(storage, ControlState(), []).start()
 
-    with pytest.raises(
-        GroupFailed, match="cannot start: the snapshot is none that this version knows"
-    ) as caught:
+    expected = "cannot start: the snapshot cannot be read: the snapshot is none that this version knows"
+    with pytest.raises(GroupFailed, match=expected) as caught:
         run(scenario())
     assert "\n" not in str(caught.value)
