Breakages of the lease: not checked after a freeze, counted too long, an old name that votes

Five more cores that break one rule, each caught by a named course of events: a lease checked before a freeze; one counted from the arrival of an answer; a read confirmed by an earlier round; a lease longer than voters hold their votes back; a wiped voter that votes under its old name. The simulation delivers what is meant for a member that is gone to whoever has its address, as the network does.

--- a/tests/consensus/breakages.py
+++ b/tests/consensus/breakages.py
@@ -3,9 +3,15 @@
 import dataclasses
 
 from pewterring.consensus.leading import Leading
-from pewterring.consensus.messages import AppendReply, ConsensusMessage, VoteReply, VoteRequest
+from pewterring.consensus.messages import (
+    AppendReply,
+    ConsensusMessage,
+    SnapshotReply,
+    VoteReply,
+    VoteRequest,
+)
 from pewterring.consensus.raft import Raft
-from pewterring.consensus.types import Ready, Save
+from pewterring.consensus.types import ReadTicket, Ready, Save
 
 
 class _SendsEarly(Raft):
@@ -105,6 +111,61 @@
         super().step(now, message)
 
 
+class ChecksLeaseBeforeFreeze(Raft):
+    """Goes by the time at which it last did something, as if nothing could come between check and answer."""
+
+    _checked_at = 0.0
+
+    def step(self, now: float, message: ConsensusMessage) -> None:
+        self._checked_at = now
+        super().step(now, message)
+
+    def request_read(self, now: float) -> ReadTicket:
+        return super().request_read(self._checked_at)
+
+
+class _CountsFromArrival(Leading):
+    def on_reply(self, now: float, reply: AppendReply | SnapshotReply) -> None:
+        super().on_reply(now, reply)
+        self._rounds._answered_at[reply.sender] = now
+
+
+class CountsFromArrival(Raft):
+    """Counts its lease from when an answer came, not from when it asked."""
+
+    def _begin_leading(self, now: float) -> Leading:
+        return _CountsFromArrival(self._state, now)
+
+
+class _ReadsByEarlierRound(Leading):
+    def new_ticket(self, at_once: bool) -> ReadTicket:
+        ticket = super().new_ticket(at_once)
+        if not at_once:
+            self._rounds._reads[-1] = (self._rounds.number, ticket)
+        return ticket
+
+
+class ReadsByEarlierRound(Raft):
+    """Confirms a read by the answers to what it sent before the read."""
+
+    def _begin_leading(self, now: float) -> Leading:
+        return _ReadsByEarlierRound(self._state, now)
+
+
+class LeaseOutlastsHoldback(Raft):
+    """Takes its lease to last for longer than voters hold their votes back."""
+
+    def has_lease(self, now: float) -> bool:
+        return super().has_lease(now - self._state.timing.election_min_s)
+
+
+class KeepsItsName(Raft):
+    """Comes back with an empty disk under the name that it had, and votes."""
+
+    def __init__(self, group: str, member: str, *arguments: object) -> None:
+        super().__init__(group, member.partition("#")[0], *arguments)  # type: ignore[arg-type]
+
+
 BREAKAGES: tuple[type[Raft], ...] = (
     VoteBeforeSync,
     AnswerBeforeSync,
@@ -114,4 +175,9 @@
     ReadsBeforeOwnEntry,
     VotesAgainAtOnce,
     VotesWhileLed,
+    ChecksLeaseBeforeFreeze,
+    CountsFromArrival,
+    ReadsByEarlierRound,
+    LeaseOutlastsHoldback,
+    KeepsItsName,
 )
--- a/tests/consensus/scenarios.py
+++ b/tests/consensus/scenarios.py
@@ -2,6 +2,7 @@
 
 from pewterring.consensus.messages import AppendRequest, ConsensusMessage
 from pewterring.consensus.raft import Raft
+from tests.consensus.parts import Weather
 from tests.consensus.simulation import Simulation
 
 NEVER_S = 1000.0
@@ -117,6 +118,41 @@
     simulation.check_converges()
 
 
+def answers_wait_out_a_freeze(seed: int, raft_class: type[Raft]) -> None:
+    """The leader freezes while answers are on their way; they wait in its sockets until others have led."""
+    simulation, leader, (other, _) = _settled(seed, 3, raft_class)
+    simulation.weather = Weather(delay_s=(0.02, 0.03))
+    simulation.run(1.0)
+    simulation.freeze(leader)
+    simulation.run_until(
+        lambda: simulation.members[other].raft is not None and _leads_anew(simulation, leader)
+    )
+    while f"after {leader}" not in simulation.acknowledged:
+        simulation.propose(f"after {leader}")
+        simulation.run(0.2)
+    simulation.thaw(leader, reading=True)
+    simulation.check_converges()
+
+
+def _leads_anew(simulation: Simulation, old: str) -> bool:
+    return simulation.leader() != old and simulation.leader_raft().leads_committed
+
+
+def wiped_voter_and_rival(seed: int, raft_class: type[Raft]) -> None:
+    """A voter loses its disk, and the one that was cut off all the while stands for election."""
+    simulation, leader, (wiped, rival) = _settled(seed, 3, raft_class)
+    simulation.cut_off(rival)
+    simulation.propose("x")
+    simulation.run(0.3)
+    simulation.crash(wiped)
+    del simulation.members[wiped]
+    simulation.join(f"{wiped}#2")
+    simulation.crash(leader)
+    simulation.cuts.clear()
+    simulation.run(5.0)
+    simulation.check_converges()
+
+
 def _read_and_write(simulation: Simulation, reader: str, duration: float) -> None:
     """Reads at `reader`, and writes at another that leads after it."""
     end = simulation.now + duration
--- a/tests/consensus/simulation.py
+++ b/tests/consensus/simulation.py
@@ -81,11 +81,14 @@
     def freeze(self, name: str) -> None:
         self.members[name].frozen = self.members[name].raft is not None
 
-    def thaw(self, name: str) -> None:
+    def thaw(self, name: str, reading: bool = False) -> None:
+        """The process goes on; `reading`: it is asked for a read before each thing that waited for it."""
         member = self.members[name]
         member.frozen = False
         postponed, member.postponed = member.postponed, []
         for action in postponed:
+            if reading:
+                self.read(name)
             action()
 
     # Time.
@@ -261,10 +264,15 @@
         self._at(self.now + delay, lambda: self._deliver(message))
 
     def _deliver(self, message: ConsensusMessage) -> None:
-        member = self.members.get(message.target)
-        if member is not None and (message.sender, message.target) not in self.cuts:
+        member = self.members.get(message.target) or self._at_address(message.target)
+        if member is not None and (message.sender, member.name) not in self.cuts:
             self._in_life(member, lambda raft: raft.step(self._clock(member), message))()
 
+    def _at_address(self, target: str) -> Member | None:
+        """Who has the address of a member that is gone: it gets what is meant for that one."""
+        address = target.partition("#")[0]
+        return next((each for each in self.members.values() if each.name.partition("#")[0] == address), None)
+
     def cut(self, name: str, other: str) -> None:
         """No message passes between the two."""
         self.cuts |= {(name, other), (other, name)}
--- a/tests/consensus/test_breakages.py
+++ b/tests/consensus/test_breakages.py
@@ -19,6 +19,11 @@
     (scenarios.old_entry_overwritten, breakages.CommitsOldTerm),
     (scenarios.rival_under_lease, breakages.VotesAgainAtOnce),
     (scenarios.rival_under_lease, breakages.VotesWhileLed),
+    (scenarios.rival_under_lease, breakages.LeaseOutlastsHoldback),
+    (scenarios.answers_wait_out_a_freeze, breakages.ChecksLeaseBeforeFreeze),
+    (scenarios.answers_wait_out_a_freeze, breakages.CountsFromArrival),
+    (scenarios.answers_wait_out_a_freeze, breakages.ReadsByEarlierRound),
+    (scenarios.wiped_voter_and_rival, breakages.KeepsItsName),
 ]
 
 
