A leader that a majority follows hands over to take in a member of a later term

Change: with a majority's answers at hand nobody leads in the later term, so the leader hands over at once; the successor's term takes the member in. Without them it steps down as before. Late refusals of votes are left to the heartbeats.

--- a/pewterring/consensus/election.py
+++ b/pewterring/consensus/election.py
@@ -100,7 +100,7 @@
         """Takes an answer; True if it makes this member the leader."""
         state = self._state
         if not reply.granted:
-            if reply.term > state.term:
+            if reply.term > state.term and state.role is not Role.LEADER:  # it learns that by its heartbeats
                 state.become_follower(now, reply.term, None)
             return False
         asked = Role.PRECANDIDATE if reply.prevote else Role.CANDIDATE
--- a/pewterring/consensus/leading.py
+++ b/pewterring/consensus/leading.py
@@ -102,6 +102,15 @@
         self._handover.begin(now)
         return True
 
+    def give_way(self, now: float) -> bool:
+        """Hands over because of a member in a later term; False where the leader must step down for it.
+
+        The member cannot follow this leader, and while a majority does, nobody leads in the later term. The
+        successor's term takes the member in. Symptom answered: a member that stood for election just before
+        it was cut off comes back, and for an election time-out nobody leads.
+        """
+        return self._rounds.has_lease(self._state.voters, now) and self.hand_over(now)
+
     def _tell_successor(self, now: float) -> None:
         state = self._state
         last = state.log.last_index
--- a/pewterring/consensus/raft.py
+++ b/pewterring/consensus/raft.py
@@ -164,7 +164,8 @@
 
     def _on_follower_reply(self, now: float, reply: AppendReply | SnapshotReply) -> None:
         if reply.term > self.term:
-            self._state.become_follower(now, reply.term, None)
+            if self._leading is None or not self._leading.give_way(now):
+                self._state.become_follower(now, reply.term, None)
         elif reply.term == self.term and self._leading is not None:
             self._leading.on_reply(now, reply)
 
--- a/tests/consensus/breakages.py
+++ b/tests/consensus/breakages.py
@@ -166,6 +166,18 @@
         super().__init__(group, member.partition("#")[0], *arguments)  # type: ignore[arg-type]
 
 
+class _StepsDownAtOnce(Leading):
+    def give_way(self, now: float) -> bool:
+        return False
+
+
+class StepsDownAtOnce(Raft):
+    """Gives up a leadership that a majority follows because of one member in a later term."""
+
+    def _begin_leading(self, now: float) -> Leading:
+        return _StepsDownAtOnce(self._state, now)
+
+
 BREAKAGES: tuple[type[Raft], ...] = (
     VoteBeforeSync,
     AnswerBeforeSync,
@@ -180,4 +192,5 @@
     ReadsByEarlierRound,
     LeaseOutlastsHoldback,
     KeepsItsName,
+    StepsDownAtOnce,
 )
--- a/tests/consensus/scenarios.py
+++ b/tests/consensus/scenarios.py
@@ -2,10 +2,12 @@
 
 from pewterring.consensus.messages import AppendRequest, ConsensusMessage
 from pewterring.consensus.raft import Raft
-from tests.consensus.parts import Weather
+from tests.consensus.parts import Violation, Weather
 from tests.consensus.simulation import Simulation
 
 NEVER_S = 1000.0
+CUT_S = 20.0
+AT_ONCE_S = 0.15  # far below the shortest election time-out
 
 
 def _settled(seed: int, voters: int, raft_class: type[Raft]) -> tuple[Simulation, str, list[str]]:
@@ -153,6 +155,25 @@
     simulation.check_converges()
 
 
+def back_in_a_later_term(seed: int, raft_class: type[Raft]) -> None:
+    """A member stands for election at the moment at which it is cut off, and comes back behind the others."""
+    simulation, leader, (away, _) = _settled(seed, 3, raft_class)
+    simulation.cut_off(away)
+    simulation.stand(away)
+    simulation.propose("meanwhile")
+    simulation.run(CUT_S)
+    assert simulation.leader() == leader
+    simulation.cuts.clear()
+    without_s = 0.0
+    step_s = 0.005
+    for _ in range(200):
+        simulation.run(step_s)
+        without_s += 0.0 if simulation.has_leader() else step_s
+    if without_s > AT_ONCE_S:
+        raise Violation(f"nobody led for {without_s:.2f} s because one member came back")
+    simulation.check_converges()
+
+
 def _read_and_write(simulation: Simulation, reader: str, duration: float) -> None:
     """Reads at `reader`, and writes at another that leads after it."""
     end = simulation.now + duration
--- a/tests/consensus/simulation.py
+++ b/tests/consensus/simulation.py
@@ -273,6 +273,20 @@
         address = target.partition("#")[0]
         return next((each for each in self.members.values() if each.name.partition("#")[0] == address), None)
 
+    def stand(self, name: str) -> None:
+        """The member stands for election now, as if the others had wished it."""
+        member = self.members[name]
+        assert member.raft is not None
+        member.raft._election._stand(self._clock(member))
+        self._pump(member)
+
+    def has_leader(self) -> bool:
+        """Whether some member leads and may answer."""
+        return any(
+            member.raft is not None and member.raft.has_lease(self._clock(member))
+            for member in self.members.values()
+        )
+
     def cut(self, name: str, other: str) -> None:
         """No message passes between the two."""
         self.cuts |= {(name, other), (other, name)}
--- a/tests/consensus/test_breakages.py
+++ b/tests/consensus/test_breakages.py
@@ -24,6 +24,7 @@
     (scenarios.answers_wait_out_a_freeze, breakages.CountsFromArrival),
     (scenarios.answers_wait_out_a_freeze, breakages.ReadsByEarlierRound),
     (scenarios.wiped_voter_and_rival, breakages.KeepsItsName),
+    (scenarios.back_in_a_later_term, breakages.StepsDownAtOnce),
 ]
 
 
