--- a/tests/control/cluster.py
+++ b/tests/control/cluster.py
@@ -12,9 +12,16 @@
 
 import msgspec
 
-from pewterring.consensus.group import ReplicatedGroup
+from pewterring.consensus.group import SNAPSHOT_AFTER_BYTES, ReplicatedGroup
 from pewterring.consensus.messages import ConsensusMessage
-from pewterring.control.calls import HEARTBEAT_PATH, READ_PATH, REPLACE_PATH, Answer, Call
+from pewterring.control.calls import (
+    HEARTBEAT_PATH,
+    READ_PATH,
+    REPLACE_PATH,
+    RETIRE_START_PATH,
+    Answer,
+    Call,
+)
 from pewterring.control.feed import FeedServer
 from pewterring.control.leadership import GroupLeadership
 from pewterring.control.messages import RelayedCall
@@ -56,6 +63,7 @@
             clock=clock,
             on_leadership=self._on_leadership,
             executor=InlineExecutor(),
+            snapshot_after_bytes=cluster.snapshot_after_bytes,
         )
         self.leadership = GroupLeadership(self.group, clock)
         self.nodes = NodeTable()
@@ -89,8 +97,9 @@
 class ControlCluster:
     """The machines that are up, by IP. Made inside a running loop."""
 
-    def __init__(self, ips: tuple[str, ...] = IPS) -> None:
+    def __init__(self, ips: tuple[str, ...] = IPS, snapshot_after_bytes: int = SNAPSHOT_AFTER_BYTES) -> None:
         self.ips = ips
+        self.snapshot_after_bytes = snapshot_after_bytes
         members = tuple(f"{ip}#seed" for ip in ips)
         self.cuts: set[tuple[str, str]] = set()  # (sender, target), by IP
         self._held: list[Callable[[], None]] = []
@@ -242,6 +251,10 @@
     return Call("POST", REPLACE_PATH, str(base), document)
 
 
+def retire_call(node_id: str) -> Call:
+    return Call("POST", f"{RETIRE_START_PATH}{node_id}")
+
+
 def read_call() -> Call:
     return Call("GET", READ_PATH)
 
--- /dev/null
+++ b/tests/control/test_repeats.py
@@ -0,0 +1,98 @@
+"""Orders that come again: at a member that lagged, after snapshots, with a machine dying at each point."""
+
+import asyncio
+
+import pytest
+
+from pewterring.control.calls import Answer
+from pewterring.control.commands import PutNodes
+from tests.configuration.documents import encoded
+from tests.consensus.virtual_time import run
+from tests.control.cluster import IPS, ControlCluster, ControlMachine, put_call, retire_call
+from tests.control.records import store
+
+ORDERS = 40
+SNAPSHOT_AFTER_BYTES = 8_000  # a few configurations
+POINTS = 10  # messages of one call and a little more
+STORES = tuple(store(number) for number in (1, 2, 3, 4))
+
+
+async def lead_with(cluster: ControlCluster, wanted: ControlMachine) -> None:
+    """Hands the leadership on until this machine has it."""
+    for _ in range(20):
+        leader = await cluster.leader()
+        if leader is wanted:
+            return
+        await leader.group.hand_over_leadership()
+    raise AssertionError("it was never elected")
+
+
+def test_every_order_is_known_to_a_member_that_was_away_and_leads_after_a_snapshot() -> None:
+    async def scenario() -> None:
+        cluster = ControlCluster(snapshot_after_bytes=SNAPSHOT_AFTER_BYTES)
+        leader = await cluster.start()
+        away = next(machine for machine in cluster.machines.values() if machine is not leader)
+        cluster.kill(away.ip)
+        winners = [encoded(version=version) for version in range(1, ORDERS + 1)]
+        losers = [encoded(version=version, limits={}) for version in range(1, ORDERS + 1)]
+        for base, (winner, loser) in enumerate(zip(winners, losers, strict=True)):
+            assert (await cluster.call(put_call(base, winner))).status == 200
+            assert (await cluster.call(put_call(base, loser))).status == 412
+        again = await cluster.restart(away)
+        await asyncio.sleep(3.0)
+        assert again.storage.snapshot is not None, "it caught up by a snapshot"
+        await lead_with(cluster, again)
+        for base, (winner, loser) in enumerate(zip(winners, losers, strict=True)):
+            first = IPS[base % len(IPS)]
+            assert (await cluster.call(put_call(base, winner), first)).status == 200
+            assert (await cluster.call(put_call(base, loser), first)).status == 412
+        assert again.state.version == ORDERS
+        await cluster.stop()
+
+    run(scenario())
+
+
+async def with_stores(cluster: ControlCluster) -> ControlMachine:
+    leader = await cluster.start()
+    await leader.leadership.propose(PutNodes(STORES))
+    for node in STORES:
+        leader.nodes.hear(asyncio.get_running_loop().time(), node)
+    return leader
+
+
+@pytest.mark.parametrize("victim", ["leader", "follower", "all"])
+def test_of_two_wishes_that_leave_too_few_stores_one_is_taken_for_ever(victim: str) -> None:
+    """A machine dies at each point in turn; both operators call again until they get a clear answer."""
+
+    async def at(point: int) -> None:
+        cluster = ControlCluster()
+        leader = await with_stores(cluster)
+        followers = [machine for machine in cluster.machines.values() if machine is not leader]
+        lost = {"leader": [leader], "follower": followers[:1], "all": [leader, *followers]}[victim]
+
+        async def come_back() -> None:
+            await asyncio.sleep(0.9)
+            for machine in lost:
+                await cluster.restart(machine)
+
+        def strike() -> None:
+            for machine in lost:
+                cluster.kill(machine.ip)
+            cluster.in_background(come_back())
+
+        cluster.at_point(point, strike)
+        names = [node.node_id for node in STORES[:2]]
+        answers: list[Answer] = await asyncio.gather(
+            *(cluster.call(retire_call(name), ip) for name, ip in zip(names, IPS[1:], strict=True))
+        )
+        statuses = [answer.status for answer in answers]
+        assert sorted(statuses) == [200, 409]
+        for first in IPS:
+            for name, status in zip(names, statuses, strict=True):
+                assert (await cluster.call(retire_call(name), first)).status == status
+        await asyncio.sleep(2.0)
+        assert len((await cluster.leader()).state.retirements) == 1
+        await cluster.stop()
+
+    for point in range(POINTS):
+        run(at(point))
