A heartbeat with an address that nobody can connect to is refused

Whatever a worker said of its address went into the log and to all gateways, a host name included, which a gateway would have looked up. A capacity over 64 bits could not be encoded as a command, which ended as a 500, and a negative one was taken. Both are 400 now.

--- a/pewterring/registry/heartbeats.py
+++ b/pewterring/registry/heartbeats.py
@@ -1,11 +1,16 @@
 """What a worker says of itself in a heartbeat."""
 
+import ipaddress
+from typing import Annotated
+
 import msgspec
 
 from pewterring.distribution.messages import WorkerRecord
 
 READY = "ready"
 DRAINING = "draining"
+MAX_CAPACITY = 1_000_000
+MAX_PORT = 65535
 
 
 class InvalidHeartbeat(Exception):
@@ -26,7 +31,7 @@
     address: str  # IP:port
     zone: str = ""
     version: str = ""
-    capacity: int = 1
+    capacity: Annotated[int, msgspec.Meta(ge=0, le=MAX_CAPACITY)] = 1
     state: str = READY
     cold_remaining_ms: float = 0.0
     stage: str = ""
@@ -50,8 +55,25 @@
 
 
 def read_heartbeat(body: bytes) -> Heartbeat:
-    """Decodes a heartbeat, or raises `InvalidHeartbeat`."""
+    """Decodes a heartbeat, or raises `InvalidHeartbeat`.
+
+    What is taken goes to all gateways, which connect to the address as it stands.
+    """
     try:
-        return _decoder.decode(body)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        heartbeat = _decoder.decode(body)
+    except (msgspec.DecodeError, ValueError, RecursionError) as error:
         raise InvalidHeartbeat(str(error)) from error
+    if not _is_address(heartbeat.address):
+        raise InvalidHeartbeat(f"address: not IP:port: {heartbeat.address!r}")
+    return heartbeat
+
+
+def _is_address(text: str) -> bool:
+    ip, _, port = text.rpartition(":")
+    try:
+        ipaddress.IPv4Address(ip)
+    except ValueError:
+        return False
+    return (
+        port.isascii() and port.isdecimal() and len(port) <= len(str(MAX_PORT)) and 0 < int(port) <= MAX_PORT
+    )
