--- a/pewterring/configuration/reader.py
+++ b/pewterring/configuration/reader.py
@@ -5,6 +5,7 @@
 """
 
 import functools
+import math
 from collections.abc import Iterator, Mapping
 from types import MappingProxyType
 from typing import Any
@@ -186,8 +187,11 @@
         if each["backend"] not in services:
             at = f"{path}.weighted_backends.{index}"
             yield InvalidConfiguration(at, f"unknown service {each['backend']!r}")
-    if sum(each["weight"] for each in weighted) <= 0:
+    total = sum(each["weight"] for each in weighted)
+    if total <= 0:
         yield InvalidConfiguration(f"{path}.weighted_backends", "the weights sum to 0")
+    if math.isinf(total):  # no part of it can be drawn
+        yield InvalidConfiguration(f"{path}.weighted_backends", "the weights have no finite sum")
 
 
 def _configuration(loaded: Mapping[str, Any], document: bytes) -> Configuration:
--- a/tests/configuration/test_reader.py
+++ b/tests/configuration/test_reader.py
@@ -55,6 +55,12 @@
         {"weighted_backends": []},
         {"weighted_backends": [{"backend": "huvo11a", "weight": 0}, {"backend": "wuno96b", "weight": 0}]},
         {"weighted_backends": [{"backend": "huvo11a", "weight": -1}, {"backend": "wuno96b", "weight": 2}]},
+        {
+            "weighted_backends": [
+                {"backend": "huvo11a", "weight": 1e308},
+                {"backend": "wuno96b", "weight": 1e308},
+            ]
+        },
         {"timeout_ms": 0},
         {"timeout_ms": -5},
         {"timeout_ms": "soon"},
