--- /dev/null
+++ b/benchmarks/history.py
@@ -0,0 +1,300 @@
+"""How long a member takes to start, and to catch up, by the number and size of changes that it missed.
+
+    python -m benchmarks.history [--states control,batch] [--changes 300,3000] [--kilobytes 8,64]
+                                 [--sync-ms 1,30] [--mb-per-s 120,4] [--folder DIR]
+
+Three members of one group share this process and hand each other encoded messages. One of them is away while
+the others take the changes; then it starts again while changes go on. Told are: bytes on its disk when it
+left and at the end, the time until it had read them (start), and the time from then until it had applied
+all that was committed at its start and had it on its disk (catch-up), with the processor time that the three
+used meanwhile. Each write and sync of the late member takes what its disk would take. Figures are printed
+one a line, with the load of the machine before and after.
+"""
+
+import argparse
+import asyncio
+import contextlib
+import itertools
+import os
+import random
+import resource
+import tempfile
+import time
+from collections.abc import Callable, Iterator
+from pathlib import Path
+
+import msgspec
+import orjson
+
+from pewterring.batch import commands as batch_commands
+from pewterring.batch.messages import ItemResult, ItemSpec
+from pewterring.batch.state import BatchState
+from pewterring.consensus.errors import ConsensusError
+from pewterring.consensus.group import ReplicatedGroup, StateMachine
+from pewterring.consensus.messages import CONSENSUS_MESSAGES, ConsensusMessage, Membership
+from pewterring.control import commands as control_commands
+from pewterring.control.state import ControlState
+from pewterring.distribution.messages import WorkerRecord
+from pewterring.storage.disk import DiskFile, FolderDisk
+from pewterring.storage.group import DiskGroupStorage
+from pewterring.transport.line_codec import MessageCodec
+
+NAMES = ("a", "b", "c")
+ROUTE_BYTES = 160  # of one route of a configuration, about
+WORKERS = 200  # that are there at once
+ITEMS = 10  # of a batch job
+JOBS_KEPT = 40  # before a finished job is dropped
+PROPOSED_AT_ONCE = 16
+PAUSE_S = 0.01  # between changes that go on while the member catches up
+PATIENCE_S = 120.0
+
+
+def control_changes(size_bytes: int) -> Iterator[bytes]:
+    """Configurations of that size; between them workers come and go."""
+    for version in itertools.count(1):
+        document = msgspec.Raw(orjson.dumps(_document(version, size_bytes)))
+        put = control_commands.PutConfiguration(version - 1, version, f"{version:064d}", document)
+        yield control_commands_encoded(put)
+        worker = WorkerRecord(
+            f"w-{version}", "s", f"10.1.{version >> 8 & 255}.{version & 255}:80", "z", 8, "ready"
+        )
+        yield control_commands_encoded(control_commands.PutWorker(worker))
+        if version > WORKERS:
+            gone = control_commands.RemoveWorkers((f"w-{version - WORKERS}",), for_good=True)
+            yield control_commands_encoded(gone)
+
+
+def control_commands_encoded(command: control_commands.Command) -> bytes:
+    return msgspec.json.encode(command)
+
+
+def _document(version: int, size_bytes: int) -> dict[str, object]:
+    routes = [
+        {
+            "name": f"r-{number}",
+            "hostname": "h.example",
+            "path_prefix": f"/p{number}/",
+            "route_type": "idempotent",
+            "timeout_ms": 1000 + version,
+            "backend": "s",
+        }
+        for number in range(max(1, size_bytes // ROUTE_BYTES))
+    ]
+    return {"version": version, "routes": routes, "backends": [{"name": "s"}]}
+
+
+def batch_changes(size_bytes: int) -> Iterator[bytes]:
+    """Jobs of that size; each is finished by the next change, and dropped after `JOBS_KEPT` more."""
+    body = "A" * (size_bytes // ITEMS)
+    for number in itertools.count():
+        job = f"j-{number}"
+        items = tuple(ItemSpec(f"i-{n}", "/p", {}, body, 100) for n in range(ITEMS))
+        yield batch_commands.encode_command(batch_commands.AcceptJob(job, "h.example", "/", items))
+        results = tuple(
+            batch_commands.JobResult(job, ItemResult(f"i-{n}", "succeeded", "r" * 500)) for n in range(ITEMS)
+        )
+        yield batch_commands.encode_command(batch_commands.AddResults(results))
+        if number >= JOBS_KEPT:
+            yield batch_commands.encode_command(batch_commands.DropJobs((f"j-{number - JOBS_KEPT}",)))
+
+
+MACHINES: dict[str, Callable[[], StateMachine]] = {
+    "control": ControlState,
+    "batch": lambda: BatchState(time.monotonic),
+}
+CHANGES: dict[str, Callable[[int], Iterator[bytes]]] = {"control": control_changes, "batch": batch_changes}
+
+
+class SlowFile:
+    """Takes as long as the disk would."""
+
+    def __init__(self, file: DiskFile, disk: "SlowDisk") -> None:
+        self._file = file
+        self._disk = disk
+        self._unsynced_bytes = 0
+
+    def write(self, data: bytes) -> None:
+        self._unsynced_bytes += len(data)
+        self._file.write(data)
+
+    def truncate(self, size: int) -> None:
+        self._file.truncate(size)
+
+    def sync(self) -> None:
+        self._file.sync()
+        time.sleep(self._disk.sync_s + self._unsynced_bytes / self._disk.bytes_per_s)
+        self._unsynced_bytes = 0
+
+    def close(self) -> None:
+        self._file.close()
+
+
+class SlowDisk(FolderDisk):
+    """A folder on a disk of that speed."""
+
+    def __init__(self, folder: Path, sync_s: float, bytes_per_s: float) -> None:
+        super().__init__(folder)
+        self.sync_s = sync_s
+        self.bytes_per_s = bytes_per_s
+
+    def create(self, name: str) -> DiskFile:
+        return SlowFile(super().create(name), self)
+
+    def open(self, name: str) -> DiskFile:
+        return SlowFile(super().open(name), self)
+
+    def sync_folder(self) -> None:
+        super().sync_folder()
+        time.sleep(self.sync_s)
+
+
+class Trio:
+    """Three members in one loop."""
+
+    def __init__(self, folder: Path, state: str) -> None:
+        self._folder = folder
+        self._state = state
+        self._codec = MessageCodec(CONSENSUS_MESSAGES)
+        self.groups: dict[str, ReplicatedGroup] = {}
+
+    async def start(self, name: str, disk: FolderDisk) -> ReplicatedGroup:
+        storage = DiskGroupStorage(disk, "group")
+        storage.load()
+        storage.initialize(Membership(NAMES))
+        storage.close()
+        group = ReplicatedGroup(
+            "group",
+            name,
+            DiskGroupStorage(disk, "group"),
+            MACHINES[self._state](),
+            self._send,
+            rng=random.Random(name),
+        )
+        await group.start()
+        self.groups[name] = group
+        return group
+
+    def _send(self, message: ConsensusMessage) -> None:
+        line = self._codec.line(message)
+        asyncio.get_running_loop().call_soon(self._receive, message.target, line)
+
+    def _receive(self, target: str, line: bytes) -> None:
+        group = self.groups.get(target)
+        if group is None:
+            return
+        message = self._codec.decode(self._codec.decode_line(line).body)
+        assert isinstance(message, ConsensusMessage)
+        group.receive(message)
+
+    async def leader(self) -> ReplicatedGroup:
+        while True:
+            for group in self.groups.values():
+                if group.is_leader:
+                    return group
+            await asyncio.sleep(PAUSE_S)
+
+    async def has_all(self, member: ReplicatedGroup, index: int) -> bool:
+        """Whether it has applied all up to `index`, and its disk is known to hold it."""
+        return member.applied_index >= index and (await self.leader()).match(member.member) >= index
+
+    async def propose(self, commands: Iterator[bytes], count: int) -> None:
+        left = count
+        while left > 0:
+            some = list(itertools.islice(commands, min(PROPOSED_AT_ONCE, left)))
+            leader = await self.leader()
+            await asyncio.gather(*(leader.propose(command) for command in some))
+            left -= len(some)
+
+
+def _bytes_in(folder: Path) -> int:
+    return sum(path.stat().st_size for path in folder.iterdir())
+
+
+async def measure(
+    folder: Path, state: str, count: int, size_bytes: int, sync_s: float, bytes_per_s: float
+) -> str:
+    """One member away during `count` changes; returns the figures as a line."""
+    trio = Trio(folder, state)
+    for name in NAMES:
+        await trio.start(name, FolderDisk(folder / name))
+    commands = CHANGES[state](size_bytes)
+    await trio.propose(commands, 30)
+    leader = await trio.leader()
+    away = next(name for name in NAMES if name != leader.member)
+    await trio.groups.pop(away).stop()
+    left_bytes = _bytes_in(folder / away)
+    await trio.propose(commands, count)
+    target = leader.commit_index
+
+    going_on = asyncio.create_task(_go_on(trio, commands))
+    began, began_cpu = time.monotonic(), time.process_time()
+    late = await trio.start(away, SlowDisk(folder / away, sync_s, bytes_per_s))
+    started = time.monotonic()
+    while not (is_there := await trio.has_all(late, target)) and time.monotonic() - started < PATIENCE_S:
+        await asyncio.sleep(PAUSE_S)
+    caught_up, used_cpu = time.monotonic(), time.process_time() - began_cpu
+    going_on.cancel()
+    await asyncio.wait([going_on])
+    await trio.groups.pop(away).stop()
+    held_bytes = _bytes_in(folder / away)
+    again_began = time.monotonic()
+    again = await trio.start(away, FolderDisk(folder / away))
+    again_s = time.monotonic() - again_began
+    await again.stop()
+    for group in trio.groups.values():
+        await group.stop()
+    catch_up = f"{caught_up - started:6.2f}" if is_there else f"over {PATIENCE_S:g}"
+    disk = f"disk {sync_s * 1000:3.0f} ms {bytes_per_s / 1e6:4.0f} MB/s"
+    return (
+        f"{state:8} {count:6} x {size_bytes // 1000:4} kB, {disk}:"
+        f" left {left_bytes / 1e6:6.1f} MB, start {started - began:5.2f} s, catch-up {catch_up} s,"
+        f" processor {used_cpu:5.2f} s; holds {held_bytes / 1e6:6.1f} MB, start again {again_s:5.2f} s"
+    )
+
+
+async def _go_on(trio: Trio, commands: Iterator[bytes]) -> None:
+    while True:
+        with contextlib.suppress(
+            ConsensusError
+        ):  # after a change of leader the next change goes to the new one
+            await trio.propose(commands, 1)
+        await asyncio.sleep(PAUSE_S)
+
+
+def _numbers(text: str) -> list[float]:
+    return [float(part) for part in text.split(",")]
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description=(__doc__ or "").splitlines()[0])
+    parser.add_argument("--states", default="control,batch")
+    parser.add_argument("--changes", default="300,3000")
+    parser.add_argument("--kilobytes", default="8,64")
+    parser.add_argument("--sync-ms", default="1,30")
+    parser.add_argument("--mb-per-s", default="120,4", help="one for each of --sync-ms")
+    parser.add_argument("--folder", default=None)
+    given = parser.parse_args()
+    print("load", *os.getloadavg(), flush=True)
+    disks = list(zip(_numbers(given.sync_ms), _numbers(given.mb_per_s), strict=True))
+    for state in given.states.split(","):
+        for count, kilobytes in itertools.product(_numbers(given.changes), _numbers(given.kilobytes)):
+            for sync_ms, mb_per_s in disks:
+                with tempfile.TemporaryDirectory(dir=given.folder) as folder:
+                    line = asyncio.run(
+                        measure(
+                            Path(folder),
+                            state,
+                            int(count),
+                            int(kilobytes * 1000),
+                            sync_ms / 1000,
+                            mb_per_s * 1e6,
+                        )
+                    )
+                print(line, flush=True)
+    peak_mb = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1000
+    print(f"peak memory of the three members: {peak_mb:.0f} MB")
+    print("load", *os.getloadavg(), flush=True)
+
+
+if __name__ == "__main__":
+    main()
--- a/pewterring/consensus/group.py
+++ b/pewterring/consensus/group.py
@@ -20,7 +20,8 @@
 from pewterring.consensus.types import RaftLimits, RaftTiming, Ready, Save, Snapshot
 from pewterring.consensus.waiting import WaitingCalls, settle
 
-SNAPSHOT_AFTER_BYTES = 16_000_000  # of entries applied since the last snapshot
+SNAPSHOT_AFTER_BYTES = 4_000_000  # of entries applied since the last snapshot
+SNAPSHOT_AFTER_MOST_BYTES = 16_000_000  # the same for large states: bounds the disk, and replay at a start
 SNAPSHOT_SPREAD = 0.25  # members take theirs at different times, so that not all disks are busy at once
 
 
@@ -362,8 +363,9 @@
 
     def _snapshot_size(self, last_bytes: int) -> int:
         """Bytes of entries after which the next snapshot is worth its while."""
-        spread = self._rng.uniform(1 - SNAPSHOT_SPREAD, 1 + SNAPSHOT_SPREAD)
-        return int(max(self._snapshot_after_bytes, last_bytes) * spread)
+        most = max(self._snapshot_after_bytes, SNAPSHOT_AFTER_MOST_BYTES)
+        wanted = min(max(self._snapshot_after_bytes, last_bytes), most)
+        return int(wanted * self._rng.uniform(1 - SNAPSHOT_SPREAD, 1 + SNAPSHOT_SPREAD))
 
     def _start_count(self, snapshot_bytes: int) -> None:
         self._bytes_since_snapshot = 0
--- a/tests/storage/simulated_disk.py
+++ b/tests/storage/simulated_disk.py
@@ -62,6 +62,7 @@
         room = self._disk.room()
         offset = len(self._content.current)
         self._content.change(offset, data[:room])
+        self._disk.bytes_written += len(data)
         self._reach(Operation.WRITE)
         if room < len(data):
             raise StorageFull(f"no room for {self._name}")
@@ -95,6 +96,8 @@
         self.durable_names: dict[str, _Content] = {}
         self.on_operation: Callable[[int, Operation, str], None] | None = None
         self.operations = 0
+        self.bytes_written = 0
+        self.most_bytes = 0  # that were in all files at the end of any operation
         self.capacity = capacity
         self.life = 0
         self._name_changes: list[Callable[[dict[str, _Content]], object]] = []
@@ -141,6 +144,7 @@
 
     def reach(self, operation: Operation, name: str) -> None:
         self.operations += 1
+        self.most_bytes = max(self.most_bytes, sum(len(content.current) for content in self.files.values()))
         if self.on_operation is not None:
             self.on_operation(self.operations, operation, name)
 
