A leader whose disk stands still lets another lead before its memory fills

With 16 MB that its disk does not hold it hands the leadership over; as a follower it gets no more than a window.

--- a/pewterring/consensus/group.py
+++ b/pewterring/consensus/group.py
@@ -22,6 +22,9 @@
 
 SNAPSHOT_AFTER_BYTES = 4_000_000  # of entries applied since the last snapshot
 SNAPSHOT_AFTER_MOST_BYTES = 16_000_000  # the same for large states: bounds the disk, and replay at a start
+# A leader whose disk stands still or is full keeps all entries in memory while the others commit them. With
+# so many that its disk does not hold, it lets another lead, who sends it no more than a window.
+MOST_UNSAVED_BYTES = 16_000_000
 SNAPSHOT_SPREAD = 0.25  # members take theirs at different times, so that not all disks are busy at once
 
 
@@ -327,8 +330,13 @@
         self._timer = None
         if self._raft is not None and not self._stopped:
             self._raft.tick(self._clock())
+            self._hand_over_if_disk_lags(self._raft)
             self._process()
 
+    def _hand_over_if_disk_lags(self, raft: Raft) -> None:
+        if raft.is_leader and self._jobs.busy and raft.unsaved_bytes > MOST_UNSAVED_BYTES:
+            raft.hand_over(self._clock())
+
     # Storage.
 
     def _begin_save(self, save: Save) -> None:
--- a/pewterring/consensus/raft.py
+++ b/pewterring/consensus/raft.py
@@ -100,6 +100,11 @@
         """Whether a received snapshot is not on disk yet."""
         return self._state.unsaved.installing
 
+    @property
+    def unsaved_bytes(self) -> int:
+        """Bytes of the entries that the own disk does not hold yet, about."""
+        return self._state.log.bytes_after(self._state.unsaved.saved_to)
+
     @property
     def _leading(self) -> Leading | None:
         return self._led if self._state.role is Role.LEADER else None
--- a/pewterring/consensus/types.py
+++ b/pewterring/consensus/types.py
@@ -42,7 +42,7 @@
     window_messages: int = 32
     snapshot_part_bytes: int = 256 * 1024
     kept_bytes: int = 4_000_000  # entries kept in memory behind a snapshot, for members that lag a little
-    kept_for_snapshots_bytes: int = 32_000_000  # the same while an older snapshot is sent, however slowly
+    kept_for_snapshots_bytes: int = 16_000_000  # the same while an older snapshot is sent, however slowly
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/consensus/test_group.py
+++ b/tests/consensus/test_group.py
@@ -4,6 +4,7 @@
 import json
 import random
 from collections.abc import Callable
+from concurrent.futures import Executor
 
 import pytest
 
@@ -37,6 +38,8 @@
 class Network:
     """Groups in one loop; messages take one turn of it. `cut` members neither send nor receive."""
 
+    machine_class = Machine
+
     def __init__(self, voters: tuple[str, ...] = NAMES) -> None:
         self.cut: set[str] = set()
         self.groups: dict[str, ReplicatedGroup] = {}
@@ -49,9 +52,9 @@
         for name in voters:
             self.add(name, MemoryStorage(voters))
 
-    def add(self, name: str, storage: MemoryStorage) -> ReplicatedGroup:
+    def add(self, name: str, storage: MemoryStorage, executor: Executor | None = None) -> ReplicatedGroup:
         self.storages[name] = storage
-        self.machines[name] = Machine()
+        self.machines[name] = self.machine_class()
         self.groups[name] = ReplicatedGroup(
             "g",
             name,
@@ -64,7 +67,7 @@
             snapshot_after_bytes=2000,
             on_leadership=lambda leads: self._tell(name, leads),
             on_failure=self.failures.append,
-            executor=InlineExecutor(),
+            executor=executor or InlineExecutor(),
         )
         return self.groups[name]
 
