--- a/tests/consensus/breakages.py
+++ b/tests/consensus/breakages.py
@@ -2,16 +2,21 @@
 
 import dataclasses
 
+import msgspec
+
+from pewterring.consensus.following import Following
 from pewterring.consensus.leading import Leading
 from pewterring.consensus.messages import (
     AppendReply,
     ConsensusMessage,
+    SnapshotPart,
     SnapshotReply,
     VoteReply,
     VoteRequest,
 )
 from pewterring.consensus.raft import Raft
-from pewterring.consensus.types import ReadTicket, Ready, Save
+from pewterring.consensus.transfer import SnapshotAssembly
+from pewterring.consensus.types import ReadTicket, Ready, Save, Snapshot
 
 
 class _SendsEarly(Raft):
@@ -178,6 +183,52 @@
         return _StepsDownAtOnce(self._state, now)
 
 
+class _TakesOlderSnapshots(Following):
+    def _take_part(self, part: SnapshotPart) -> int:
+        received = self._assembly.add(part)
+        if received < part.total:
+            return received
+        snapshot = self._assembly.take_whole(part)
+        if snapshot is not None:
+            self._install(snapshot)
+        return part.total
+
+
+class SnapshotOverNewer(Raft):
+    """Takes a snapshot in place of a state that is newer."""
+
+    def __init__(self, *arguments: object) -> None:
+        super().__init__(*arguments)  # type: ignore[arg-type]
+        self._following = _TakesOlderSnapshots(self._state)
+
+
+class _MixesParts(SnapshotAssembly):
+    def add(self, part: SnapshotPart) -> int:
+        part = msgspec.structs.replace(part, total=0, checksum=0)
+        return super().add(part)
+
+    def take_whole(self, part: SnapshotPart) -> Snapshot:
+        data, self._data = bytes(self._data), bytearray()
+        self._id = None
+        return Snapshot(part.last_index, part.last_term, part.membership, data)
+
+
+class PartsOfTwoSnapshots(Raft):
+    """Goes by index and term alone as it puts the parts of a snapshot together."""
+
+    def __init__(self, *arguments: object) -> None:
+        super().__init__(*arguments)  # type: ignore[arg-type]
+        self._following._assembly = _MixesParts()
+
+
+class CompactedIsSaved(Raft):
+    """Takes all entries for saved once a snapshot of some of them is on disk."""
+
+    def compact(self, snapshot: Snapshot) -> None:
+        super().compact(snapshot)
+        self._state.unsaved.saved_to = self._state.log.last_index
+
+
 BREAKAGES: tuple[type[Raft], ...] = (
     VoteBeforeSync,
     AnswerBeforeSync,
@@ -193,4 +244,7 @@
     LeaseOutlastsHoldback,
     KeepsItsName,
     StepsDownAtOnce,
+    SnapshotOverNewer,
+    PartsOfTwoSnapshots,
+    CompactedIsSaved,
 )
--- a/tests/consensus/memory_storage.py
+++ b/tests/consensus/memory_storage.py
@@ -7,6 +7,15 @@
 from pewterring.consensus.persistent import HardState, LoadedGroup, PersistentState
 
 
+class StorageMisused(AssertionError):
+    """The core asked its storage for what would lose or overwrite something."""
+
+
+def _require(holds: bool, rule: str) -> None:
+    if not holds:
+        raise StorageMisused(rule)
+
+
 class MemoryStorage:
     """Keeps what was saved. `failing` makes the next calls fail."""
 
@@ -48,19 +57,19 @@
         self._check()
         self.saves += 1
         if hard_state is not None:
-            assert hard_state.term >= self.hard_state.term, "terms only rise"
+            _require(hard_state.term >= self.hard_state.term, "terms only rise")
             self.hard_state = hard_state
         if truncate_from is not None:
-            assert self.snapshot_index < truncate_from <= self.last_index
+            _require(self.snapshot_index < truncate_from <= self.last_index, "only what is there is dropped")
             del self.entries[truncate_from - self.snapshot_index - 1 :]
         for entry in entries:
-            assert entry.index == self.last_index + 1, "entries follow without a gap"
+            _require(entry.index == self.last_index + 1, "entries follow without a gap")
             self.entries.append(entry)
 
     def save_snapshot(self, index: int, term: int, membership: Membership, data: bytes) -> None:
         self._check()
         self.saves += 1
-        assert index > self.snapshot_index, "snapshots only rise"
+        _require(index > self.snapshot_index, "snapshots only rise")
         offset = index - self.snapshot_index
         keeps = offset <= len(self.entries) and self.entries[offset - 1].term == term
         self.entries = self.entries[offset:] if keeps else []
--- a/tests/consensus/scenarios.py
+++ b/tests/consensus/scenarios.py
@@ -1,6 +1,6 @@
 """Courses of events in which one broken rule does harm."""
 
-from pewterring.consensus.messages import AppendRequest, ConsensusMessage
+from pewterring.consensus.messages import AppendRequest, ConsensusMessage, SnapshotPart
 from pewterring.consensus.raft import Raft
 from tests.consensus.parts import Violation, Weather
 from tests.consensus.simulation import Simulation
@@ -182,3 +182,83 @@
             simulation.propose(str(simulation.now))
         simulation.read(reader)
         simulation.run(0.005)
+
+
+def _needs_snapshot(seed: int, raft_class: type[Raft]) -> tuple[Simulation, str, str, str]:
+    """A group in which one member that is down needs a snapshot; the leader, the other, and that member."""
+    simulation, leader, (other, away) = _settled(seed, 3, raft_class)
+    simulation.crash(away)
+    for number in range(60):
+        simulation.propose(f"{number} {'x' * 30}")
+        simulation.run(0.05)
+    simulation.run(0.5)
+    return simulation, leader, other, away
+
+
+def late_snapshot(seed: int, raft_class: type[Raft]) -> None:
+    """The parts of a snapshot come once more after its member has gone on."""
+    simulation, _, _, away = _needs_snapshot(seed, raft_class)
+    parts: list[SnapshotPart] = []
+    simulation.drops = lambda message: _record(message, parts)
+    simulation.start(away)
+    simulation.run(1.0)
+    simulation.drops = lambda message: False
+    for number in range(60):
+        simulation.propose(f"after {number} {'x' * 30}")
+        simulation.run(0.05)
+    for part in parts:
+        simulation.deliver_again(part)
+        simulation.run(0.01)
+    simulation.check_converges()
+
+
+def _record(message: ConsensusMessage, parts: list[SnapshotPart]) -> bool:
+    if isinstance(message, SnapshotPart):
+        parts.append(message)
+    return False
+
+
+def leader_lost_amid_snapshot(seed: int, raft_class: type[Raft]) -> None:
+    """The leader goes when a member has the first parts of its snapshot; the next sends one of that index."""
+    simulation, leader, _, away = _needs_snapshot(seed, raft_class)
+    parts: list[SnapshotPart] = []
+    simulation.drops = lambda message: isinstance(message, SnapshotPart) and message.offset > 1000
+    simulation.start(away)
+    simulation.run(0.3)
+    simulation.drops = lambda message: _is_entry(message) or _record(message, parts)
+    simulation.crash(leader)
+    simulation.run_while(lambda: not parts, 5.0)
+    simulation.run(0.5)
+    simulation.drops = lambda message: False
+    simulation.run(2.0)
+    simulation.check_converges()
+
+
+def _is_entry(message: ConsensusMessage) -> bool:
+    return isinstance(message, AppendRequest) and bool(message.entries)
+
+
+def power_lost_after_snapshot(seed: int, raft_class: type[Raft]) -> None:
+    """A member makes a snapshot while entries come, and loses power before those are on its disk.
+
+    It is one of the two that make the majority; the other goes with it, and keeps its disk.
+    """
+    simulation, leader, (slow, cut) = _settled(seed, 3, raft_class)
+    simulation.cut_off(cut)
+    simulation.run(0.2)
+    count = 0
+    while simulation.members[slow].since_snapshot < 19:
+        simulation.propose(f"{count}")
+        count += 1
+        simulation.run(0.03)
+    simulation.members[slow].sync_s = 0.2
+    for number in range(8):
+        simulation.propose(f"meanwhile {number}")
+        simulation.run(0.06)
+    simulation.crash(slow, saves_lost=True)
+    simulation.crash(leader)
+    simulation.members[slow].sync_s = None
+    simulation.cuts.clear()
+    simulation.start(slow)
+    simulation.run(5.0)
+    simulation.check_converges()
--- a/tests/consensus/simulation.py
+++ b/tests/consensus/simulation.py
@@ -14,8 +14,8 @@
 
 
 def _encoded(member: Member) -> bytes:
-    """The member's state. As with times in real ones, no two members have the same bytes for it."""
-    return json.dumps({"by": member.name, "applied": member.applied}).encode()
+    """The member's state. As with the ages in real ones, no two members have the same bytes for it."""
+    return json.dumps({"applied": member.applied}, indent=ord(member.name[0]) % 3 or None).encode()
 
 
 class Simulation:
@@ -263,6 +263,10 @@
             delay = self.rng.uniform(0.0, 0.5)
         self._at(self.now + delay, lambda: self._deliver(message))
 
+    def deliver_again(self, message: ConsensusMessage) -> None:
+        """A message that came before comes once more."""
+        self._deliver_later(message)
+
     def _deliver(self, message: ConsensusMessage) -> None:
         member = self.members.get(message.target) or self._at_address(message.target)
         if member is not None and (message.sender, member.name) not in self.cuts:
--- a/tests/consensus/test_breakages.py
+++ b/tests/consensus/test_breakages.py
@@ -6,6 +6,7 @@
 
 from pewterring.consensus.raft import Raft
 from tests.consensus import breakages, scenarios
+from tests.consensus.memory_storage import StorageMisused
 from tests.consensus.parts import Violation
 from tests.consensus.schedules import play
 
@@ -25,12 +26,15 @@
     (scenarios.answers_wait_out_a_freeze, breakages.ReadsByEarlierRound),
     (scenarios.wiped_voter_and_rival, breakages.KeepsItsName),
     (scenarios.back_in_a_later_term, breakages.StepsDownAtOnce),
+    (scenarios.late_snapshot, breakages.SnapshotOverNewer),
+    (scenarios.leader_lost_amid_snapshot, breakages.PartsOfTwoSnapshots),
+    (scenarios.power_lost_after_snapshot, breakages.CompactedIsSaved),
 ]
 
 
 @pytest.mark.parametrize(("scenario", "broken"), PAIRS, ids=lambda value: value.__name__)
 def test_broken_rule_is_caught(scenario: Scenario, broken: type[Raft]) -> None:
-    with pytest.raises(Violation):
+    with pytest.raises((Violation, StorageMisused)):
         for seed in range(SEEDS):
             scenario(seed, broken)
 
--- /dev/null
+++ b/tests/storage/test_breakages.py
@@ -0,0 +1,85 @@
+"""Each rule of the storage is needed: broken alone, the checks against the model find it."""
+
+from collections.abc import Callable
+
+import pytest
+
+from pewterring.consensus.messages import Membership
+from pewterring.storage.errors import StorageError
+from pewterring.storage.group import _DECODER, DiskGroupStorage, _EntryRecord, _HardStateRecord
+from pewterring.storage.log import Position, SegmentedLog
+from pewterring.storage.snapshots import SnapshotStore
+from tests.storage import test_group
+
+Breakage = Callable[[pytest.MonkeyPatch], None]
+SEEDS = 12
+
+
+def replay_without_snapshot_check(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The log is replayed as if its first entry followed the snapshot."""
+
+    def replay(self: DiskGroupStorage, position: Position, payload: bytes, entries: list[object]) -> None:
+        record = _DECODER.decode(payload)
+        if isinstance(record, _HardStateRecord):
+            self._hard_state = type(self._hard_state)(record.term, record.vote)
+        elif isinstance(record, _EntryRecord):
+            self._note_index(position.segment, record.entry.index)
+            entries.append(record.entry)
+        else:
+            del entries[max(0, record.from_index - self._snapshot_index - 1) :]
+
+    monkeypatch.setattr(DiskGroupStorage, "_replay_record", replay)
+
+
+def segments_removed_too_far(monkeypatch: pytest.MonkeyPatch) -> None:
+    """All segments but the newest go with a snapshot, entries after it and all."""
+    monkeypatch.setattr(DiskGroupStorage, "_first_needed", lambda self, index: self._log.last_segment)
+
+
+def older_snapshot_over_newer(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The oldest of the snapshots in the folder counts."""
+    names = SnapshotStore._names
+    monkeypatch.setattr(SnapshotStore, "_names", lambda self: names(self)[::-1])
+
+
+def log_removed_before_snapshot(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The log is compacted before the snapshot that stands for it is on disk."""
+    save = DiskGroupStorage.save_snapshot
+
+    def save_snapshot(
+        self: DiskGroupStorage, index: int, term: int, membership: Membership, data: bytes
+    ) -> None:
+        if index > self._snapshot_index or not self._has_snapshot:
+            self._log.roll(self._segment_head())
+            self._log.remove_before(self._log.last_segment)
+        save(self, index, term, membership, data)
+
+    monkeypatch.setattr(DiskGroupStorage, "save_snapshot", save_snapshot)
+
+
+def vote_left_in_removed_segment(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A new segment does not begin with the term and the vote."""
+
+    def roll(self: SegmentedLog, payloads: list[bytes]) -> None:
+        self._check_usable()
+        self._cut_rest()
+        self._start_segment(self.last_segment + 1, ())
+
+    monkeypatch.setattr(SegmentedLog, "roll", roll)
+
+
+@pytest.mark.parametrize(
+    "breakage",
+    [
+        replay_without_snapshot_check,
+        segments_removed_too_far,
+        older_snapshot_over_newer,
+        log_removed_before_snapshot,
+        vote_left_in_removed_segment,
+    ],
+)
+def test_broken_rule_is_caught(breakage: Breakage, monkeypatch: pytest.MonkeyPatch) -> None:
+    breakage(monkeypatch)
+    with pytest.raises((AssertionError, StorageError)):
+        for seed in range(SEEDS):
+            test_group.test_power_lost_in_each_operation_keeps_what_was_acknowledged(seed)
