Control answers with the server of the gateways: a caller that closes leaves nothing

Cause: hypercorn's task group waits for its idle timer when a caller ends a connection at rest, so each such connection kept its socket and its tasks for the 30 s of the keep-alive time. Callers open a connection a call: heartbeats, orders and reads alone add up to thousands of sockets at a few hundred workers, and to the limit of descriptors, where control accepts nobody.

The body's limit stays at 8 MiB and a call longer than it is refused from its length.

Tests: calls cut at each byte by a close and by a reset are not handled; calls of one connection are answered in order; a call inside a body that is refused early is never one; callers that close leave no connection; an address that is taken is tried again.

--- a/pewterring/control/http_server.py
+++ b/pewterring/control/http_server.py
@@ -1,57 +1,58 @@
-"""Serves an ASGI application with hypercorn for as long as it is wanted."""
+"""Serves the HTTP API of control for as long as it is wanted, with the server that gateways use too."""
 
 import asyncio
 import contextlib
-from typing import Any
 
-from hypercorn.asyncio import serve
-from hypercorn.config import Config
 from loguru import logger
 
 from pewterring.node.settings import Address
+from pewterring.transport.http_request import ServerLimits
+from pewterring.transport.http_server import Handler, HttpServer
 
-KEEP_ALIVE_S = 30.0
+LIMITS = ServerLimits(
+    max_header_bytes=64 * 1024, max_body_bytes=8 * 1024 * 1024, header_timeout_s=10.0, idle_timeout_s=30.0
+)
 CLOSING_S = 1.0  # that open calls get at the end
+CLOSING_LOOK_S = 0.01
 REBIND_S = 0.5  # before the address is tried again
 
 
-class HttpServer:
+class ApiServer:
     """One listening address. Where it cannot be had, it is tried again."""
 
-    def __init__(self, application: Any, address: Address) -> None:
-        self._application = application
+    def __init__(self, handler: Handler, address: Address, limits: ServerLimits = LIMITS) -> None:
         self._address = address
-        self._stopping = asyncio.Event()
+        self._server = HttpServer(handler, lambda: limits)
         self._task: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
-        """Starts serving in the background."""
-        self._task = asyncio.create_task(self._serve())
+        """Listens; where the address is taken, it is tried again in the background."""
+        if not await self._listen():
+            self._task = asyncio.create_task(self._listen_in_the_end())
 
     async def stop(self) -> None:
         """Ends open calls, then the server."""
-        self._stopping.set()
         if self._task is not None:
-            await self._task
-
-    async def _serve(self) -> None:
-        while not self._stopping.is_set():
-            try:
-                await serve(
-                    self._application, self._config(), shutdown_trigger=self._stopping.wait, mode="asgi"
-                )
-            except OSError as error:
-                logger.error("cannot serve control at {}: {}", self._address, error)
-                with contextlib.suppress(TimeoutError):
-                    await asyncio.wait_for(self._stopping.wait(), REBIND_S)
-
-    def _config(self) -> Config:
-        config = Config()
-        config.bind = [str(self._address)]
-        config.errorlog = None
-        config.accesslog = None
-        config.include_date_header = False
-        config.include_server_header = False
-        config.keep_alive_timeout = KEEP_ALIVE_S
-        config.graceful_timeout = CLOSING_S
-        return config
+            self._task.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await self._task
+        self._server.begin_drain()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(CLOSING_S):
+                while self._server.requests_held:
+                    await asyncio.sleep(CLOSING_LOOK_S)
+        await self._server.stop()
+
+    async def _listen_in_the_end(self) -> None:
+        while True:
+            await asyncio.sleep(REBIND_S)
+            if await self._listen():
+                return
+
+    async def _listen(self) -> bool:
+        try:
+            await self._server.start(self._address.ip, self._address.port)
+        except OSError as error:
+            logger.error("cannot serve control at {}: {}", self._address, error)
+            return False
+        return True
--- a/pewterring/control/program.py
+++ b/pewterring/control/program.py
@@ -17,7 +17,7 @@
 from pewterring.control.api import ControlApi
 from pewterring.control.duties import DutyRunner, LeaderDuties, controls_of
 from pewterring.control.feed import FeedServer
-from pewterring.control.http_server import HttpServer
+from pewterring.control.http_server import ApiServer
 from pewterring.control.leadership import GroupLeadership
 from pewterring.control.membership import MembershipPlanner
 from pewterring.control.messages import CONTROL_MESSAGES, JoinGroup, RelayedCall
@@ -99,7 +99,7 @@
         self._feed = FeedServer(publisher, nodes, self._leadership, codec, self._leader_ip, self._clock)
         service = ControlService(self._state, registry, desk, self._leadership, self._clock)
         self._router = CallRouter(service.handle, self._leader_ip, self._request, settings.ip)
-        self._http = HttpServer(ControlApi(self._router.answer), settings.control)
+        self._http = ApiServer(ControlApi(self._router.answer), settings.control)
         self._duty: asyncio.Task[None] | None = None
         self._tasks: list[asyncio.Task[None]] = []
 
--- /dev/null
+++ b/tests/control/test_http_server.py
@@ -0,0 +1,159 @@
+"""The HTTP server of control at its socket: what is handled, and whose answer is whose."""
+
+import asyncio
+import contextlib
+import dataclasses
+import socket
+from collections.abc import AsyncIterator, Awaitable, Callable
+
+import pytest
+
+from pewterring.control import http_server
+from pewterring.control.api import ControlApi
+from pewterring.control.calls import Answer, Call
+from pewterring.control.http_server import LIMITS, ApiServer
+from pewterring.node.settings import Address
+from tests.transport.http_stand_ins import PATIENCE_S, Wire
+
+IP = "127.0.0.31"
+FIRST = b"POST /v1/Instances.Heartbeat/w HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nfirst"
+CHUNKED = (
+    b"POST /v1/Config.Replace HTTP/1.1\r\nHost: h\r\nBase-Version: 3\r\nTransfer-Encoding: chunked\r\n\r\n"
+    b"2\r\nse\r\n4\r\ncond\r\n0\r\n\r\n"
+)
+LAST = b"GET /v1/Config.Get HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
+MAX_BODY_BYTES = 1000
+
+
+class Control:
+    """Takes calls, and answers each with its own path and body."""
+
+    server: ApiServer
+
+    def __init__(self) -> None:
+        self.calls: list[Call] = []
+        with socket.socket() as probe:
+            probe.bind((IP, 0))
+            self.port: int = probe.getsockname()[1]
+
+    async def answer(self, call: Call) -> Answer:
+        self.calls.append(call)
+        await asyncio.sleep(0)
+        return Answer(200, call.path.encode() + b" " + call.body)
+
+    async def connect(self) -> Wire:
+        return Wire(*await asyncio.open_connection(IP, self.port))
+
+
+@contextlib.asynccontextmanager
+async def serving() -> AsyncIterator[Control]:
+    control = Control()
+    limits = dataclasses.replace(LIMITS, max_body_bytes=MAX_BODY_BYTES)
+    control.server = server = ApiServer(ControlApi(control.answer), Address(IP, control.port), limits)
+    await server.start()
+    try:
+        yield control
+    finally:
+        await server.stop()
+
+
+def play(story: Callable[[Control], Awaitable[None]]) -> None:
+    async def run() -> None:
+        async with asyncio.timeout(PATIENCE_S), serving() as control:
+            await story(control)
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("raw", [FIRST, CHUNKED], ids=["length", "chunked"])
+def test_a_call_cut_at_any_byte_is_not_handled(raw: bytes) -> None:
+    async def story(control: Control) -> None:
+        for cut in range(len(raw)):
+            wire = await control.connect()
+            wire.send(raw[:cut])
+            await wire.writer.drain()
+            if cut % 2:
+                wire.reset()
+            else:
+                wire.writer.write_eof()
+                await wire.rest()
+                await wire.closed()
+        assert control.calls == []
+        wire = await control.connect()
+        wire.send(raw + LAST)
+        await wire.rest()
+        await wire.closed()
+        assert len(control.calls) == 2
+
+    play(story)
+
+
+def test_calls_of_one_connection_are_answered_in_their_order() -> None:
+    async def story(control: Control) -> None:
+        wire = await control.connect()
+        wire.send(FIRST + CHUNKED + LAST)
+        answers = await wire.rest()
+        await wire.closed()
+        bodies = [b"/v1/Instances.Heartbeat/w first", b"/v1/Config.Replace second", b"/v1/Config.Get "]
+        assert answers.count(b"HTTP/1.1 200") == 3
+        places = [answers.find(body) for body in bodies]
+        assert -1 not in places and places == sorted(places)
+        assert [call.base_version for call in control.calls] == ["", "3", ""]
+
+    play(story)
+
+
+def test_a_call_inside_a_body_that_is_too_long_is_never_one() -> None:
+    async def story(control: Control) -> None:
+        for framing in (b"Content-Length: %d\r\n\r\n", b"Transfer-Encoding: chunked\r\n\r\n%x\r\n"):
+            body = b"x" * (MAX_BODY_BYTES + 1)
+            wire = await control.connect()
+            wire.send(b"POST /v1/Config.Replace HTTP/1.1\r\nHost: h\r\n")
+            wire.send(framing % (len(body) + len(FIRST)) + body)
+            head = await wire.until(b"\r\n\r\n")
+            assert b" 413 " in head.splitlines()[0]  # an early answer
+            wire.send(FIRST)  # the rest of the body
+            with contextlib.suppress(ConnectionResetError):
+                assert b"HTTP/1.1" not in await wire.rest()
+            await wire.closed()
+        assert control.calls == []
+
+    play(story)
+
+
+@pytest.mark.parametrize("raw", [b"", FIRST[:30], FIRST], ids=["at rest", "in a call", "after an answer"])
+def test_a_caller_that_closes_leaves_nothing_behind(raw: bytes) -> None:
+    async def story(control: Control) -> None:
+        for _ in range(20):
+            wire = await control.connect()
+            wire.send(raw)
+            if raw == FIRST:
+                await wire.until(b"first")
+            await wire.closed()
+        while control.server._server.open_connections:
+            await asyncio.sleep(0)
+
+    play(story)
+
+
+def test_an_address_that_is_taken_is_tried_again(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(http_server, "REBIND_S", 0.0)
+
+    async def run() -> None:
+        control = Control()
+        server = ApiServer(ControlApi(control.answer), Address(IP, control.port))
+        with socket.socket() as holder:
+            holder.bind((IP, control.port))
+            holder.listen()
+            await server.start()
+        async with asyncio.timeout(PATIENCE_S):
+            wire = None
+            while wire is None:
+                with contextlib.suppress(ConnectionRefusedError):
+                    wire = await control.connect()
+            wire.send(LAST)
+            assert b" 200 " in await wire.until(b"\r\n")
+            await wire.closed()
+        await server.stop()
+
+    asyncio.run(run())
--- a/tests/transport/http_stand_ins.py
+++ b/tests/transport/http_stand_ins.py
@@ -145,3 +145,36 @@
         async with asyncio.timeout(PATIENCE_S):
             await self.ended.wait()
         return self.error
+
+
+class AnswerTaker:
+    """The connection of the client: takes what it is sent."""
+
+    unsent = False
+
+    def __init__(self) -> None:
+        self.answer = b""
+        self.aborted = False
+
+    @property
+    def status(self) -> bytes:
+        return self.answer.split(b" ", 2)[1]
+
+    @property
+    def body(self) -> bytes:
+        return self.answer.partition(b"\r\n\r\n")[2]
+
+    def write(self, data: bytes) -> None:
+        self.answer += data
+
+    async def writable(self) -> None:
+        pass
+
+    def closes_after_answer(self) -> bool:
+        return False
+
+    def answer_ended(self) -> None:
+        pass
+
+    def abort_answer(self, reset: bool) -> None:
+        self.aborted = True
