--- a/tests/transport/test_line_resets.py
+++ b/tests/transport/test_line_resets.py
@@ -103,8 +103,8 @@
             asked.transport.end(ending)
             asking.transport.end(ending)
             await settle()
-            assert asked.handled == (["q"] if cut == len(line) else [])
             error = task.exception()
+            assert asked.handled == (["q"] if cut == len(line) else [])
             assert isinstance(error, ChannelClosed) and not isinstance(error, RequestNotSent)
 
         play(story)
