--- a/tests/edge/test_batch_calls.py
+++ b/tests/edge/test_batch_calls.py
@@ -29,7 +29,14 @@
     is_batch_call,
     read_submission,
 )
-from pewterring.transport.lines import LinkPool, RequestNotSent, RequestTimeout
+from pewterring.transport.lines import (
+    ChannelClosed,
+    LinkPool,
+    RequestFailed,
+    RequestNotSent,
+    RequestTimeout,
+    TransportError,
+)
 
 ROUTE = Route("r", "h", "/jobs/", RouteType.BATCH_JOB, (), 0, 400, 2, 3)
 Reply = Callable[[str, msgspec.Struct], msgspec.Struct]
@@ -190,3 +197,28 @@
     (submitted,) = seen
     assert isinstance(submitted, SubmitJob)
     assert (submitted.job, submitted.host, submitted.path_prefix) == ("job-1", "h", "/jobs/")
+
+
+@pytest.mark.parametrize("method", ["POST", "DELETE"])
+@pytest.mark.parametrize("error", [ChannelClosed, RequestTimeout, RequestFailed])
+def test_only_a_call_that_was_never_written_counts_as_not_arrived(
+    error: type[TransportError], method: str
+) -> None:
+    target = "/jobs/1" if method == "POST" else "/v1/lots/job-1"
+
+    def reply_with(*errors: type[TransportError]) -> Reply:
+        def reply(ip: str, message: msgspec.Struct) -> msgspec.Struct:
+            raise errors[min(len(asked), len(errors)) - 1]("lost")
+
+        asked: list[str] = []
+
+        def counted(ip: str, message: msgspec.Struct) -> msgspec.Struct:
+            asked.append(ip)
+            return reply(ip, message)
+
+        return counted
+
+    assert call(reply_with(RequestNotSent), method, target)[0].status == 503
+    assert call(reply_with(error), method, target)[0].status == 504
+    assert call(reply_with(error, RequestNotSent), method, target)[0].status == 504
+    assert call(reply_with(RequestNotSent, error), method, target)[0].status == 504
