Feed: a seed of another cluster is warned of once

Cause: each session opened its channel with warnings of its own, so a node whose seeds name a machine of another cluster logged a line a session, several a second.

Change: all sessions of a subscriber share them. The test counts 2 lines of five sessions, one at each side, and fails without the change.

--- a/pewterring/distribution/subscriber.py
+++ b/pewterring/distribution/subscriber.py
@@ -5,6 +5,7 @@
 import random
 import time
 from collections.abc import Awaitable, Callable
+from functools import partial
 
 from loguru import logger
 
@@ -21,6 +22,7 @@
 )
 from pewterring.distribution.tables import Tables
 from pewterring.node.settings import NodeSettings
+from pewterring.transport.channel import PeerWarnings
 from pewterring.transport.lines import Channel, MessageCodec, MessageHandler, TransportError, connect
 
 RENEW_S = 0.4  # between renewals
@@ -43,7 +45,7 @@
         on_tables: Callable[[Tables, Tables], None] = lambda old, new: None,
         rng: random.Random | None = None,
         clock: Callable[[], float] = time.monotonic,
-        open_channel: OpenChannel = connect,
+        open_channel: OpenChannel | None = None,
     ) -> None:
         self._settings = settings
         self._codec = codec
@@ -52,7 +54,8 @@
         self._on_tables = on_tables
         self._rng = rng or random.Random()
         self._clock = clock
-        self._open_channel = open_channel
+        # Warnings of all sessions are counted together: a seed of another cluster is asked again and again.
+        self._open_channel = open_channel or partial(connect, warnings=PeerWarnings())
         self._follower = TableFollower()
         self._leader = ""
         self._stale = asyncio.Event()
--- a/tests/control/test_program.py
+++ b/tests/control/test_program.py
@@ -9,18 +9,27 @@
 from collections.abc import AsyncIterator, Callable
 from pathlib import Path
 
+import msgspec
 import pytest
 
 from pewterring.configuration.digest import as_line
 from pewterring.control.membership import MembershipPlanner
 from pewterring.control.messages import JoinGroup
 from pewterring.control.program import MESSAGES, ControlProgram
-from pewterring.distribution.messages import FEED_MESSAGES, NodeRecord, Redirect, Subscribe
+from pewterring.distribution.messages import (
+    FEED_MESSAGES,
+    NodeRecord,
+    Redirect,
+    Subscribe,
+    TableVersions,
+    WholeTables,
+)
 from pewterring.distribution.subscriber import FeedSubscriber
 from pewterring.distribution.tables import Tables
 from pewterring.node.settings import Address, Bounds, NodeSettings, SettingsError
-from pewterring.transport.lines import ChannelClosed, MessageCodec, connect
+from pewterring.transport.lines import ChannelClosed, LineServer, MessageCodec, connect
 from tests.configuration.documents import encoded
+from tests.transport.scripted import warnings_logged
 
 IPS = ("127.0.0.21", "127.0.0.22", "127.0.0.23")
 NODE_IP = "127.0.0.24"
@@ -229,6 +238,23 @@
         ControlProgram(dataclasses.replace(complete, data_dir=None))
 
 
+def test_a_seed_of_another_cluster_is_logged_once_and_nothing_of_it_is_taken(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        machines = Machines(tmp_path)
+        node = Node(machines)
+        tables = WholeTables(TableVersions(1, 1), msgspec.Raw(encoded(version=1)), (), (), (), (), ())
+        stranger = LineServer(MessageCodec(FEED_MESSAGES, "two"), lambda channel, message: tables)
+        await stranger.start(IPS[0], machines.internal_port)
+        with warnings_logged() as lines:
+            for _ in range(5):
+                await node.subscriber._session(IPS[0])
+        assert len(lines) == 2 and all("cluster" in line for line in lines)  # one at each of the two
+        assert node.subscriber.tables.configuration is None
+        await stranger.stop()
+
+    asyncio.run(scenario())
+
+
 def test_a_peer_of_another_cluster_is_cut_off_and_nothing_of_it_is_taken(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
--- a/tests/transport/scripted.py
+++ b/tests/transport/scripted.py
@@ -11,6 +11,8 @@
 from typing import Any, cast
 from unittest import mock
 
+from loguru import logger
+
 from pewterring.transport.http_client import WorkerPool
 from pewterring.transport.http_exchange import Exchange, SendRequest
 from tests.transport.http_stand_ins import Recorder
@@ -173,6 +175,17 @@
             transport.abort()
 
 
+@contextlib.contextmanager
+def warnings_logged() -> Iterator[list[str]]:
+    """The warnings that are logged meanwhile."""
+    lines: list[str] = []
+    number = logger.add(lambda line: lines.append(str(line)), level="WARNING", format="{message}")
+    try:
+        yield lines
+    finally:
+        logger.remove(number)
+
+
 async def settle() -> None:
     """Lets all callbacks run that are due."""
     for _ in range(LOOP_TURNS):
--- a/tests/transport/test_line_resets.py
+++ b/tests/transport/test_line_resets.py
@@ -1,13 +1,11 @@
 """Channels of JSON lines when connections end, answers repeat and strangers call, at each byte."""
 
 import asyncio
-import contextlib
 import random
-from collections.abc import Awaitable, Callable, Iterator
+from collections.abc import Awaitable, Callable
 
 import msgspec
 import pytest
-from loguru import logger
 
 from pewterring.transport.channel import Channel, PeerWarnings
 from pewterring.transport.line_codec import MAX_GREETING_BYTES, PROTOCOL, Greeting
@@ -20,7 +18,7 @@
     RequestTimeout,
 )
 from tests.consensus import virtual_time
-from tests.transport.scripted import Ending, ScriptedTransport, settle
+from tests.transport.scripted import Ending, ScriptedTransport, settle, warnings_logged
 
 
 class Ask(msgspec.Struct, frozen=True, tag=True):
@@ -68,17 +66,6 @@
         return CODEC.decode_line(self.sent.splitlines()[-1]).id
 
 
-@contextlib.contextmanager
-def warnings_logged() -> Iterator[list[str]]:
-    """The warnings that are logged meanwhile."""
-    lines: list[str] = []
-    number = logger.add(lambda line: lines.append(str(line)), level="WARNING", format="{message}")
-    try:
-        yield lines
-    finally:
-        logger.remove(number)
-
-
 def play(story: Callable[[], Awaitable[None]]) -> None:
     async def run() -> None:
         await story()
