A worker that control does not hear keeps the requests of gateways that it answers

Change: silence marks a ready worker silent (a new command, SilenceWorkers). A gateway sends to it while it had an answer of it within 2 s, and counts its slots as long.

Measured: tests/edge/test_silent_workers.py, tests/registry.

--- a/pewterring/batch/dispatch.py
+++ b/pewterring/batch/dispatch.py
@@ -176,7 +176,7 @@
     def _choose(self, now: float, service: str, prompt: Prompt, avoid: str) -> WorkerState | None:
         """The best worker with room: another than `avoid` where there is one."""
         per_token_s = max(PER_TOKEN_S, self._chooser.times_of(service).per_token_s)
-        workers = self._chooser.ready(service)
+        workers = self._chooser.ready(now, service)
         busy = {worker.record.id for worker in workers if not _has_room(now, worker, per_token_s)}
         if len(busy) == len(workers):
             return _probe(now, workers)
--- a/pewterring/control/commands.py
+++ b/pewterring/control/commands.py
@@ -38,6 +38,12 @@
     for_good: bool = False
 
 
+class SilenceWorkers(_Command, frozen=True):
+    """Marks ready workers that control does not hear any more. A heartbeat makes them ready again."""
+
+    ids: tuple[str, ...]
+
+
 class PutNodes(_Command, frozen=True):
     """Adds, changes and removes processes of the tier."""
 
@@ -64,7 +70,16 @@
     node_id: str
 
 
-Command = PutConfiguration | PutWorker | RemoveWorkers | PutNodes | CreateGroup | SetRetiring | EndRetirement
+Command = (
+    PutConfiguration
+    | PutWorker
+    | RemoveWorkers
+    | SilenceWorkers
+    | PutNodes
+    | CreateGroup
+    | SetRetiring
+    | EndRetirement
+)
 
 
 @dataclass(frozen=True, slots=True)
--- a/pewterring/control/duties.py
+++ b/pewterring/control/duties.py
@@ -7,7 +7,7 @@
 from pewterring.consensus.errors import ConsensusError
 from pewterring.consensus.group import ReplicatedGroup
 from pewterring.consensus.messages import Membership
-from pewterring.control.commands import Command, CreateGroup, EndRetirement, RemoveWorkers
+from pewterring.control.commands import Command, CreateGroup, EndRetirement, RemoveWorkers, SilenceWorkers
 from pewterring.control.errors import ControlError
 from pewterring.control.leadership import GroupLeadership
 from pewterring.control.membership import MembershipPlanner, caught_up_members
@@ -75,8 +75,10 @@
         """What is to be committed now."""
         due: list[Command] = []
         silent = self._registry.silent(now)
-        if silent:
-            due.append(RemoveWorkers(silent))
+        if silent.fallen:
+            due.append(SilenceWorkers(silent.fallen))
+        if silent.gone:
+            due.append(RemoveWorkers(silent.gone))
         nodes = self._nodes.uncommitted(self._state.nodes)
         if nodes is not None:
             due.append(nodes)
--- a/pewterring/control/state.py
+++ b/pewterring/control/state.py
@@ -20,10 +20,11 @@
     RemoveWorkers,
     Result,
     SetRetiring,
+    SilenceWorkers,
     Untold,
 )
 from pewterring.distribution.messages import NodeRecord, PlacementRecord, WorkerRecord
-from pewterring.registry.heartbeats import DRAINING
+from pewterring.registry.heartbeats import DRAINING, READY, SILENT
 
 REMEMBERED_VERSIONS = (
     2048  # digests kept of configurations that were taken; an older order gets no clear answer
@@ -110,6 +111,7 @@
             PutConfiguration: self._put_configuration,
             PutWorker: self._put_worker,
             RemoveWorkers: self._remove_workers,
+            SilenceWorkers: self._silence_workers,
             PutNodes: self._put_nodes,
             CreateGroup: self._create_group,
             SetRetiring: self._set_retiring,
@@ -244,6 +246,14 @@
             self._remove_worker(worker_id, command.for_good)
         return Accepted()
 
+    def _silence_workers(self, command: SilenceWorkers) -> Result:
+        for worker_id in command.ids:
+            worker = self._workers.get(worker_id)
+            if worker is not None and worker.state == READY:
+                self._workers[worker_id] = msgspec.structs.replace(worker, state=SILENT)
+                self._changes.workers.add(worker_id)
+        return Accepted()
+
     def _remove_worker(self, worker_id: str, for_good: bool) -> None:
         """Removes a worker. One that was draining leaves for good: it has nothing left to come back for."""
         worker = self._workers.pop(worker_id, None)
--- a/pewterring/edge/live.py
+++ b/pewterring/edge/live.py
@@ -203,7 +203,7 @@
         body = await self._read_whole(stream)
         if verdict is Verdict.NOT_RUN:
             if is_misdirected(self._request, head):
-                worker.failed(self._now())
+                worker.misdirected(self._now())
             return End.NOT_RUN
         if verdict is Verdict.UNUSABLE:
             return End.MAY_HAVE_RUN
--- a/pewterring/edge/program.py
+++ b/pewterring/edge/program.py
@@ -171,6 +171,8 @@
     async def _tick(self) -> None:
         while True:
             await asyncio.sleep(BEAT_S)
+            if self._chooser.has_silent:  # those that answer no more take their slots with them
+                self._admissions.update(self._clock(), self._feed.tables, self._chooser)
             beats = self._admissions.tick(self._clock())
             self._heartbeats.send(beats, self._feed.tables.nodes)
 
--- a/pewterring/registry/heartbeats.py
+++ b/pewterring/registry/heartbeats.py
@@ -11,6 +11,7 @@
 DRAINING = "draining"
 MAX_CAPACITY = 1_000_000
 MAX_PORT = 65535
+SILENT = "silent"  # control does not hear it; a gateway that it answers goes on sending to it
 
 
 class InvalidHeartbeat(Exception):
--- a/pewterring/registry/workers.py
+++ b/pewterring/registry/workers.py
@@ -4,13 +4,15 @@
 starts without: when each worker was last heard, and the last sequence number.
 """
 
-from collections.abc import Iterator, Mapping, Set
+from collections.abc import Mapping, Set
 from dataclasses import dataclass
 
 from pewterring.distribution.messages import WorkerRecord
-from pewterring.registry.heartbeats import DRAINING, Heartbeat
+from pewterring.registry.heartbeats import DRAINING, READY, SILENT, Heartbeat
 
-SILENCE_PERIODS = 3.5  # heartbeat periods without a heartbeat after which a worker is removed
+SILENCE_PERIODS = 3.5  # heartbeat periods without a heartbeat after which a worker counts as silent
+# Heartbeat periods after which a silent worker is removed, though a gateway may still have answers from it.
+REMOVAL_PERIODS = 50.0
 LATE_CHECK_S = 0.5  # a longer pause between checks means that this process itself was held up
 
 
@@ -22,6 +24,14 @@
     sequence: int
 
 
+@dataclass(frozen=True, slots=True)
+class Silences:
+    """Ids of workers whose silence has consequences now."""
+
+    fallen: tuple[str, ...] = ()  # ready ones: from now on only gateways that they answer send to them
+    gone: tuple[str, ...] = ()  # to be removed
+
+
 class WorkerRegistry:
     """Compares what workers say with what is committed. `departed` holds ids that never come back."""
 
@@ -29,6 +39,7 @@
         self, committed: Mapping[str, WorkerRecord], departed: Set[str], heartbeat_period_s: float
     ) -> None:
         self.silence_s = SILENCE_PERIODS * heartbeat_period_s
+        self._removal_s = REMOVAL_PERIODS * heartbeat_period_s
         self._committed = committed
         self._departed = departed
         self._contacts: dict[str, Contact] = {}
@@ -60,7 +71,7 @@
             return None
         return None if record == known else record
 
-    def silent(self, now: float) -> tuple[str, ...]:
+    def silent(self, now: float) -> Silences:
         """The committed workers that have been silent for too long.
 
         Where this was not called for a while the process was frozen or starved and could hear nobody:
@@ -68,18 +79,16 @@
         """
         if now - self._checked > LATE_CHECK_S:
             self.start(now)
-            return ()
+            return Silences()
         self._checked = now
         self._forget_removed(now)
-        return tuple(self._silent_ids(now))
-
-    def _silent_ids(self, now: float) -> Iterator[str]:
-        for worker_id in self._committed:
-            contact = self._contacts.get(worker_id)
-            if contact is None:
-                self._contacts[worker_id] = Contact(now, 0)
-            elif now - contact.heard > self.silence_s:
-                yield worker_id
+        found: dict[str, list[str]] = {}
+        for worker in self._committed.values():
+            contact = self._contacts.setdefault(worker.id, Contact(now, 0))
+            if now - contact.heard > (self._removal_s if worker.state == SILENT else self.silence_s):
+                found.setdefault(worker.state, []).append(worker.id)
+        fallen = found.pop(READY, [])
+        return Silences(tuple(fallen), tuple(worker_id for ids in found.values() for worker_id in ids))
 
     def _forget_removed(self, now: float) -> None:
         """Drops contacts of workers that are no longer committed, once late heartbeats are over."""
--- a/pewterring/routing/admissions.py
+++ b/pewterring/routing/admissions.py
@@ -68,7 +68,7 @@
         self._gateways = sum(node.program == GATEWAY_PROGRAM for node in tables.nodes)
         services = tables.configuration.services if tables.configuration else {}
         for service in services:
-            self.of(service).rescale(now, chooser.slots(service), self._gateways)
+            self.of(service).rescale(now, chooser.slots(now, service), self._gateways)
 
     def tick(self, now: float) -> Mapping[int, bytes]:
         """Once a heartbeat period: settles demand and gives the heartbeats to send."""
--- a/pewterring/routing/chooser.py
+++ b/pewterring/routing/chooser.py
@@ -2,7 +2,7 @@
 
 import random
 import zlib
-from collections.abc import Collection, Mapping, Sequence
+from collections.abc import Collection, Iterable, Mapping, Sequence
 
 from pewterring.configuration.model import Configuration
 from pewterring.distribution.messages import WorkerRecord
@@ -10,7 +10,7 @@
 from pewterring.routing.prompt_hints import worker_number
 from pewterring.routing.worker_state import WorkerState
 
-READY = "ready"
+READY, SILENT = "ready", "silent"
 LEARN = 0.05  # weight of one sample in what is learnt
 BASE_S, PER_TOKEN_S = 0.02, 1e-5  # time to the first byte where nothing is learnt yet, without and per token
 OTHER_ZONE = 0.05  # of the base time: what another zone costs
@@ -50,6 +50,7 @@
         self._rng = rng
         self.workers: dict[str, WorkerState] = {}
         self._by_service: dict[str, tuple[WorkerState, ...]] = {}
+        self._silent: dict[str, tuple[WorkerState, ...]] = {}  # by service
         self._by_number: dict[int, WorkerState] = {}
         self.times: dict[str, ServiceTimes] = {}
 
@@ -64,24 +65,33 @@
             kept[worker_id] = state
         self.workers = kept
         self._by_number = {worker_number(worker_id): state for worker_id, state in kept.items()}
-        by_service: dict[str, list[WorkerState]] = {}
-        for state in kept.values():
-            if state.record.state == READY:
-                by_service.setdefault(state.record.service, []).append(state)
-        self._by_service = {name: tuple(states) for name, states in by_service.items()}
+        self._by_service = _by_service(kept.values(), READY)
+        self._silent = _by_service(kept.values(), SILENT)
 
     @staticmethod
     def _memory(record: WorkerRecord, configuration: Configuration | None) -> int:
         service = configuration.services.get(record.service) if configuration else None
         return service.engine.kv_tokens if service and service.engine else 0
 
-    def ready(self, service: str) -> Sequence[WorkerState]:
-        """Ready workers of a service."""
-        return self._by_service.get(service, ())
+    @property
+    def has_silent(self) -> bool:
+        """Whether control has lost sight of workers."""
+        return bool(self._silent)
 
-    def slots(self, service: str) -> int:
-        """Slots of all ready workers of a service."""
-        return sum(state.record.capacity for state in self.ready(service))
+    def ready(self, now: float, service: str) -> Sequence[WorkerState]:
+        """Workers of a service that requests may go to: ready ones, and silent ones that answer this process.
+
+        Symptom answered: a cut between control and workers that gateways still reach takes their slots away.
+        """
+        ready = self._by_service.get(service, ())
+        silent = self._silent.get(service)
+        if not silent:
+            return ready
+        return (*ready, *(state for state in silent if state.vouched(now)))
+
+    def slots(self, now: float, service: str) -> int:
+        """Slots of all such workers of a service."""
+        return sum(state.record.capacity for state in self.ready(now, service))
 
     def times_of(self, service: str) -> ServiceTimes:
         """What is learnt of a service."""
@@ -91,7 +101,7 @@
         self, now: float, service: str, prompt: Prompt, avoid: Collection[str] = ()
     ) -> WorkerState | None:
         """The worker with the least expected time to the first byte; those in `avoid` only as a last way."""
-        states = self.ready(service)
+        states = self.ready(now, service)
         if not states:
             return None
         others = [state for state in states if state.record.id not in avoid]
@@ -144,3 +154,11 @@
         if state.suspect(now):
             cost += SUSPECT_COST * times.base_s
         return cost
+
+
+def _by_service(workers: Iterable[WorkerState], state: str) -> dict[str, tuple[WorkerState, ...]]:
+    found: dict[str, list[WorkerState]] = {}
+    for worker in workers:
+        if worker.record.state == state:
+            found.setdefault(worker.record.service, []).append(worker)
+    return {service: tuple(states) for service, states in found.items()}
--- a/pewterring/routing/worker_state.py
+++ b/pewterring/routing/worker_state.py
@@ -11,6 +11,9 @@
 SUSPECT_MOST_S = 8.0
 MOST_DOUBLINGS = 3  # they reach `SUSPECT_MOST_S`
 MOST_RATIO, SLOWNESS_WEIGHT = 10.0, 0.1  # of one sample: what it counts at most, its weight in the mean
+# A worker that control does not hear is sent requests for so long after its last answer here: less than the
+# silence by which control finds a worker that crashed.
+VOUCHED_S = 2.0
 KEPT_SHARE = 0.8  # of the worker's memory that is taken to hold parts of prompts
 
 
@@ -64,6 +67,15 @@
         self._announced_until = max(now, self._announced_until) + seconds
         self._keep_parts(parts)
 
+    def vouched(self, now: float) -> bool:
+        """Whether it answers this process, whatever control hears of it."""
+        return now - self.heard_at < VOUCHED_S
+
+    def misdirected(self, now: float) -> None:
+        """Another worker has its address."""
+        self.failed(now)
+        self.heard_at = -math.inf
+
     def keeps(self, part: int) -> bool:
         """Whether it is thought to keep a part."""
         return part in self._kept
--- /dev/null
+++ b/tests/edge/test_silent_workers.py
@@ -0,0 +1,117 @@
+"""Workers that control does not hear: gateways that they answer go on sending to them, and only those."""
+
+import asyncio
+
+import msgspec
+import pytest
+
+from pewterring.distribution.tables import Tables
+from pewterring.routing.worker_state import VOUCHED_S
+from pewterring.transport.http_request import ServerRequest
+from pewterring.transport.http_responder import Responder
+from tests.edge.gateway import Behaviour, Gateway, answered, gateway
+from tests.transport.virtual_time import now, run
+
+
+def mark(tier: Gateway, state: str, *names: str) -> None:
+    """Control's word on workers comes with new tables."""
+    follower = tier.program._feed._follower
+    old = follower.tables
+    workers = dict(old.workers)
+    for name in names:
+        workers[name] = msgspec.structs.replace(workers[name], state=state)
+    follower.tables = Tables(configuration=old.configuration, workers=workers)
+    tier.program._take_tables(old, follower.tables)
+
+
+async def misdirected(request: ServerRequest, responder: Responder) -> None:
+    await responder.respond(421, [])
+
+
+def slots(tier: Gateway) -> int:
+    return tier.program._chooser.slots(now(), "s")
+
+
+def test_a_silent_worker_that_answers_keeps_its_requests_and_its_slots() -> None:
+    async def play() -> None:
+        async with gateway(answered) as tier:
+            await tier.ask()
+            mark(tier, "silent", "w0")
+            for _ in range(20):
+                assert (await tier.ask()).head.status == 200
+                await asyncio.sleep(VOUCHED_S / 2)
+            assert slots(tier) == 4
+
+    run(play())
+
+
+def test_a_silent_worker_that_has_not_answered_lately_gets_none() -> None:
+    async def play() -> None:
+        async with gateway(answered) as tier:
+            await tier.ask()
+            await asyncio.sleep(VOUCHED_S)
+            mark(tier, "silent", "w0")
+            assert (await tier.ask()).head.status == 503
+            assert slots(tier) == 0
+            mark(tier, "ready", "w0")
+            assert (await tier.ask()).head.status == 200
+
+    run(play())
+
+
+def test_a_silent_worker_that_this_process_never_asked_gets_none() -> None:
+    async def play() -> None:
+        async with gateway(answered) as tier:
+            mark(tier, "silent", "w0")
+            assert (await tier.ask()).head.status == 503
+            assert not tier.seen
+
+    run(play())
+
+
+def test_another_worker_at_its_address_ends_it_at_once() -> None:
+    behaviours: list[Behaviour] = [answered, misdirected]
+
+    async def changing(request: ServerRequest, responder: Responder) -> None:
+        await behaviours[0](request, responder)
+
+    async def play() -> None:
+        async with gateway(changing) as tier:
+            await tier.ask()
+            mark(tier, "silent", "w0")
+            behaviours.pop(0)
+            assert (await tier.ask()).head.status == 503
+            sent = len(tier.seen)
+            await asyncio.sleep(VOUCHED_S)
+            assert (await tier.ask()).head.status == 503
+            assert len(tier.seen) == sent
+
+    run(play())
+
+
+@pytest.mark.parametrize("state", ["draining", "gone"])
+def test_a_worker_that_drains_gets_none_however_well_it_answers(state: str) -> None:
+    async def play() -> None:
+        async with gateway(answered) as tier:
+            await tier.ask()
+            mark(tier, "silent", "w0")
+            assert (await tier.ask()).head.status == 200
+            mark(tier, state, "w0")
+            assert (await tier.ask()).head.status == 503
+
+    run(play())
+
+
+def test_the_slots_of_a_silent_worker_go_when_it_answers_no_more() -> None:
+    async def play() -> None:
+        async with gateway(answered, answered) as tier:
+            tier.program._chooser.workers["w0"].heard_at = now()
+            ticking = asyncio.create_task(tier.program._tick())
+            mark(tier, "silent", "w0")
+            ceiling = tier.program._admissions.of("s").ceiling
+            assert ceiling.rating == 8.0
+            await asyncio.sleep(2 * VOUCHED_S)
+            assert ceiling.rating == 4.0
+            ticking.cancel()
+
+    run(play())
