Simulation: stores with a batch partition, their clients, and stores that are emptied

The store program runs unchanged beside control. Checked: accepted jobs stay, positions and texts of results are fixed, refused jobs never run, an empty store is no member and enough voters are left.

--- /dev/null
+++ b/tests/simulation/batch.py
@@ -0,0 +1,256 @@
+"""Batch clients, the workers that run their items, and the operator who empties stores."""
+
+import asyncio
+import base64
+import random
+from collections import Counter
+from typing import TYPE_CHECKING
+
+import msgspec
+import orjson
+
+from pewterring.batch.execution import EventHandler
+from pewterring.batch.scheduler import Failure, QueuedItem
+from pewterring.control.calls import RETIRE_GET_PATH, RETIRE_START_PATH, Answer, Call
+from pewterring.distribution.messages import WorkerRecord
+from pewterring.distribution.subscriber import FeedSubscriber
+from pewterring.edge.batch_calls import BatchCalls, BatchRequest
+from tests.simulation.schedule import On
+
+if TYPE_CHECKING:
+    from tests.simulation.world import World
+
+EVENTS = 3  # of the answer to an item
+EVENT_S = 0.03
+PATIENCE_S = 2.5
+CANCEL_S = 3.0  # `cancel_ms`
+SETTLE_S = 1.0  # `settle_ms`
+FINISH_S = 10.0  # `finish_s`
+SUBMIT_TRIES = 12
+CONTROL_PATIENCE_S = 1.0
+
+
+class Items:
+    """The workers' side of items: stands for the runner of a store."""
+
+    def __init__(self, world: "World") -> None:
+        self._world = world
+        self.runs: Counter[str] = Counter()
+        self.refused: set[str] = set()  # jobs of which every try was refused
+        self.ended: dict[str, float] = {}  # jobs whose end was acknowledged, and when
+
+    async def run(self, queued: QueuedItem, worker: WorkerRecord, on_event: EventHandler) -> Failure | None:
+        """Runs one item at one worker."""
+        name = queued.spec.id
+        job = name.partition(".")[0]
+        now = self._world.loop.time()
+        if job in self.refused:
+            self._world.watch.violation(f"{name} runs, and its job was refused")
+        if now > self.ended.get(job, now) + CANCEL_S:
+            self._world.watch.violation(f"{name} runs after the end of its job was acknowledged")
+        self.runs[name] += 1
+        if "impossible" in name:
+            return Failure.IMPOSSIBLE
+        if "fails" in name and self.runs[name] == 1:
+            return Failure.FAILED
+        for number in range(int(queued.last_event_id or 0) + 1, EVENTS + 1):
+            await asyncio.sleep(EVENT_S)
+            on_event(str(number), f"{name}.{number}")
+        return None
+
+
+def whole_text(name: str) -> str:
+    """What a worker answers."""
+    return "\n".join(f"{name}.{number}" for number in range(1, EVENTS + 1))
+
+
+async def answer_batch_call(calls: BatchCalls, subscriber: FeedSubscriber, call: Call) -> Answer:
+    """A gateway's answer to a batch call; the base version stands for the id of a job."""
+    request = BatchRequest(call.method, call.path, "h", call.base_version, 0.0, PATIENCE_S, call.body)
+    if call.method != "POST":
+        answer = await calls.call(request)
+        return Answer(answer.status, answer.body)
+    configuration = subscriber.tables.configuration
+    if configuration is None:
+        return Answer(503)
+    answer = await calls.submit(request, configuration.routes[0])
+    return Answer(answer.status, answer.body)
+
+
+class _Result(msgspec.Struct, frozen=True):
+    id: str
+    state: str
+    text: str
+
+
+class _Page(msgspec.Struct, frozen=True):
+    total: int
+    next_page_token: int
+    results: tuple[_Result, ...]
+
+
+class _Job:
+    """One job as its client knows it."""
+
+    def __init__(self, name: str, items: tuple[str, ...]) -> None:
+        self.name = name
+        self.items = items
+        self.accepted_at = 0.0
+        self.ended = False
+        self.results: list[_Result] = []
+
+    @property
+    def whole(self) -> bool:
+        """Whether nothing is to come."""
+        return self.ended or len(self.results) == len(self.items)
+
+
+class BatchClient:
+    """Submits jobs, reads their results from any position, and now and then ends one."""
+
+    def __init__(self, world: "World", name: str) -> None:
+        self._world = world
+        self._rng = random.Random(world.rng.random())
+        self._name = name
+        self._jobs: list[_Job] = []
+        self._count = 0
+        self.busy = True
+
+    async def work(self) -> None:
+        """Goes on until the run ends; no new job once `busy` is false."""
+        while True:
+            await asyncio.sleep(self._rng.uniform(0.1, 0.5))
+            if self.busy and self._rng.random() < 0.5:
+                await self._submit()
+            for job in self._jobs[-6:] if self.busy else self._jobs:
+                if not job.whole or self._rng.random() < 0.1:
+                    await self._read(job)
+            if self.busy and self._jobs and self._rng.random() < 0.05:
+                await self._end(self._rng.choice(self._jobs))
+
+    def unfinished(self) -> list[str]:
+        """What was accepted and has not been seen whole."""
+        return [
+            f"job {job.name} has {len(job.results)} of {len(job.items)} results"
+            for job in self._jobs
+            if not job.whole
+        ]
+
+    async def _call(self, call: Call) -> Answer | None:
+        ip = self._rng.choice(tuple(self._world.nodes))
+        return await self._world.http.call(ip, call, PATIENCE_S)
+
+    async def _submit(self) -> None:
+        self._count += 1
+        name = f"{self._name}-{self._count}"
+        kinds = self._rng.choices(("", "fails", "impossible"), (8, 1, 1), k=self._rng.randint(1, 4))
+        job = _Job(name, tuple(f"{name}.{number}{kind}" for number, kind in enumerate(kinds)))
+        body = base64.b64encode(b"body").decode()
+        items = [
+            {"id": item, "path": "/jobs/x", "headers": {}, "body": body, "tokens": 5} for item in job.items
+        ]
+        call = Call("POST", "/jobs/", name, orjson.dumps({"requests": items}))
+        only_refusals = True
+        for _ in range(SUBMIT_TRIES):
+            answer = await self._call(call)
+            if answer is not None and answer.status == 202:
+                job.accepted_at = self._world.loop.time()
+                self._jobs.append(job)
+                self._world._reached(
+                    "job_acked", self._world.leader(On.STORE) or self._world.core(On.STORE)[0]
+                )
+                return
+            only_refusals &= answer is not None and answer.status in (429, 503)
+            await asyncio.sleep(self._rng.uniform(0.05, 0.4))
+        if only_refusals:
+            self._world.items.refused.add(name)
+
+    async def _read(self, job: _Job) -> None:
+        asked_at = self._world.loop.time()
+        after = self._rng.randint(0, len(job.results)) if self._rng.random() < 0.3 else len(job.results)
+        known = len(job.results)
+        answer = await self._call(Call("GET", f"/v1/lots/{job.name}?after={after}"))
+        if answer is None or answer.status in (502, 503, 504):
+            return
+        if answer.status != 200:
+            if asked_at > job.accepted_at + SETTLE_S:
+                self._world.watch.violation(f"{job.name} was answered {answer.status} after its 202")
+            return
+        page = msgspec.json.decode(answer.body, type=_Page)
+        if page.total != len(job.items):
+            self._world.watch.violation(f"{job.name} has {page.total} items, {len(job.items)} were sent")
+        if page.next_page_token < known:
+            self._world.watch.violation(f"{job.name} had {known} results, and now {page.next_page_token}")
+        for position, result in enumerate(page.results, after):
+            self._take(job, position, result)
+
+    def _take(self, job: _Job, position: int, result: _Result) -> None:
+        if position < len(job.results):
+            if job.results[position] != result:
+                self._world.watch.violation(
+                    f"{job.name} held {job.results[position]} at {position}, and now {result}"
+                )
+            return
+        if result.id not in job.items or any(other.id == result.id for other in job.results):
+            self._world.watch.violation(f"{job.name} lists {result.id} at {position}, as a stranger or again")
+        if result.state == "succeeded" and result.text != whole_text(result.id):
+            self._world.watch.violation(f"{result.id} succeeded with {result.text!r}")
+        if result.state != "succeeded" and "impossible" not in result.id and not job.ended:
+            self._world.watch.violation(f"{result.id} is {result.state}")
+        job.results.append(result)
+
+    async def _end(self, job: _Job) -> None:
+        job.ended = True
+        answer = await self._call(Call("DELETE", f"/v1/lots/{job.name}"))
+        if answer is not None and answer.status == 200:
+            self._world.items.ended.setdefault(job.name, self._world.loop.time())
+
+
+class Retirer:
+    """Empties a store now and then; one that is empty is removed at once, and another comes later."""
+
+    def __init__(self, world: "World") -> None:
+        self._world = world
+        self._rng = random.Random(world.rng.random())
+
+    async def work(self) -> None:
+        """Goes on until the run ends."""
+        while True:
+            await asyncio.sleep(self._rng.uniform(3.0, 10.0))
+            ip = self._rng.choice([machine.ip for machine in self._world.core(On.STORE)])
+            if await self._start(f"node-{ip}"):
+                await self._wait(ip)
+
+    async def _call(self, call: Call) -> Answer | None:
+        ip = self._rng.choice(self._world.known_control())
+        return await self._world.http.call(ip, call, CONTROL_PATIENCE_S)
+
+    async def _start(self, node_id: str) -> bool:
+        for _ in range(8):
+            answer = await self._call(
+                Call("POST", f"{RETIRE_START_PATH}{node_id}", body=b'{"duration_s":10}')
+            )
+            if answer is not None and answer.status < 500:
+                return answer.status == 200
+            await asyncio.sleep(0.2)
+        return False
+
+    async def _wait(self, ip: str) -> None:
+        while not self._world.stores[ip].gone:
+            await asyncio.sleep(0.3)
+            answer = await self._call(Call("GET", f"{RETIRE_GET_PATH}node-{ip}"))
+            if answer is not None and answer.status == 200 and b"succeeded" in answer.body:
+                self._remove(ip)
+
+    def _remove(self, ip: str) -> None:
+        machine = self._world.stores[ip]
+        if machine.gone:
+            return
+        self._world.watch.emptied(ip)
+        machine.wipe()
+        machine.gone_s = self._world.loop.time()
+        self._world._reached("retired", machine)
+        successor = self._world.new_store()
+        self._world.loop.call_outside(
+            self._world.loop.time() + self._rng.uniform(0.5, 5.0), self._world.start, successor
+        )
--- a/tests/simulation/breakages.py
+++ b/tests/simulation/breakages.py
@@ -4,16 +4,20 @@
 from typing import Any
 from unittest import mock
 
+from pewterring.configuration.reader import read_configuration
 from pewterring.consensus.following import Following
 from pewterring.consensus.leading import Leading
 from pewterring.consensus.messages import Membership, SnapshotPart
+from pewterring.consensus.raft import Raft
 from pewterring.consensus.state import MemberState
 from pewterring.consensus.types import Snapshot
 from pewterring.control import duties
 from pewterring.control import program as control_program
 from pewterring.control.errors import NotLeading
 from pewterring.control.leadership import GroupLeadership
+from pewterring.control.membership import MembershipPlanner
 from pewterring.control.state import ControlState
+from pewterring.distribution.follower import TableFollower
 from pewterring.storage.group import DiskGroupStorage
 from pewterring.storage.identity import member_name
 
@@ -153,6 +157,50 @@
     return mock.patch.object(Leading, "match", match)
 
 
+def retirement_ended_early() -> Any:
+    """A store counts as empty as soon as somebody asks."""
+    return mock.patch.object(duties, "is_emptied", lambda *_: True)
+
+
+def lost_voter_dropped_at_once() -> Any:
+    """A voter that is silent is dropped before another is ready to take its place."""
+    real = MembershipPlanner.plan
+
+    def plan(self: MembershipPlanner, now: float, membership: Membership, caught_up: Any) -> Any:
+        lost = self._lost_voter(now, membership)
+        if lost is not None and len(membership.voters) > 1:
+            return Membership(tuple(each for each in membership.voters if each != lost), membership.learners)
+        return real(self, now, membership, caught_up)
+
+    return mock.patch.object(MembershipPlanner, "plan", plan)
+
+
+def leads_before_own_entry() -> Any:
+    """A leader answers before an entry of its own term is committed."""
+    return mock.patch.object(Raft, "leads_committed", property(lambda self: self.is_leader))
+
+
+def votes_at_once_after_a_start() -> Any:
+    """A member votes at once after a start, though a leader may still count on its silence."""
+    real = MemberState.__init__
+
+    def begin(self: MemberState, *arguments: Any, **named: Any) -> None:
+        real(self, *arguments, **named)
+        self.vote_free_at = 0.0
+
+    return mock.patch.object(MemberState, "__init__", begin)
+
+
+def feed_goes_back() -> Any:
+    """A gateway takes whatever configuration it is told."""
+
+    def newer(self: TableFollower, document: Any) -> Any:
+        text = bytes(document)
+        return self.tables.configuration if text == b"null" else read_configuration(text)
+
+    return mock.patch.object(TableFollower, "_newer", newer)
+
+
 BREAKAGES: dict[str, Breakage] = {
     "lease not checked after a freeze": lease_not_checked,
     "read without barrier": read_without_barrier,
@@ -166,4 +214,9 @@
     "vote not synced": vote_not_synced,
     "told before saved": told_before_saved,
     "own unsaved counted": own_unsaved_counted,
+    "retirement ended early": retirement_ended_early,
+    "lost voter dropped at once": lost_voter_dropped_at_once,
+    "leads before its own entry": leads_before_own_entry,
+    "votes at once after a start": votes_at_once_after_a_start,
+    "feed goes back": feed_goes_back,
 }
