Simulation: named breakages, each caught by a schedule that the real code stands

Control asks to join in a fixed order of addresses, so that a schedule runs the same under every hash seed.

--- a/pewterring/control/program.py
+++ b/pewterring/control/program.py
@@ -209,7 +209,7 @@
     async def _join_forever(self) -> None:
         while True:
             if not self._is_voter():
-                for ip in self._control_ips() - {self._settings.ip}:
+                for ip in sorted(self._control_ips() - {self._settings.ip}):
                     self._links.send(ip, JoinGroup(self._member))
             await asyncio.sleep(JOIN_S)
 
--- a/tests/simulation/losses.py
+++ b/tests/simulation/losses.py
@@ -14,6 +14,7 @@
     def __init__(self, tolerated: int) -> None:
         self._tolerated = tolerated
         self._until: dict[str, float] = {}
+        self.last_back = 0.0  # when a machine came back last
 
     def begin(self, ip: str) -> None:
         """The machine is in trouble."""
@@ -22,6 +23,7 @@
     def back(self, ip: str, now: float) -> None:
         """It is back, or its successor is up."""
         self._until[ip] = now + CATCH_UP_S
+        self.last_back = now
 
     def in_trouble(self, ip: str) -> bool:
         """Whether something is wrong with it now."""
--- /dev/null
+++ b/tests/simulation/named.py
@@ -0,0 +1,74 @@
+"""Named schedules: each brings about what one guard of the real code is for."""
+
+from tests.simulation.breakages import (
+    Breakage,
+    commit_before_majority,
+    departed_forgotten,
+    digest_forgotten,
+    learner_counted,
+    lease_not_checked,
+    old_tag_votes,
+    promotion_without_catch_up,
+    read_out_of_own_state,
+    relay_id_used_again,
+    retirement_ended_early,
+    snapshot_over_newer,
+    told_before_saved,
+    vote_not_synced,
+)
+from tests.simulation.schedule import Fault, Kind, Point, Schedule, Target
+
+LEADER, OLDEST, LOST, FOLLOWER = Target.LEADER, Target.OLDEST, Target.LOST, Target.FOLLOWER
+
+
+def again(*faults: Fault, times: int = 3, apart_s: float = 5.6) -> tuple[Fault, ...]:
+    """The same faults several times."""
+    return tuple(
+        Fault(fault.at + turn * apart_s, fault.kind, fault.target, fault.point, fault.lasts_s, fault.on)
+        for turn in range(times)
+        for fault in faults
+    )
+
+
+FROZEN_LEADER = again(Fault(6.0, Kind.CUT_FREEZE, LEADER, Point.NOW, 0.7))
+CUT_LEADER = again(Fault(6.0, Kind.CUT, LEADER, Point.NOW, 2.0))
+POWER_AT_ACK = again(Fault(6.0, Kind.POWER_ALL, point=Point.ORDER_ACKED), times=8, apart_s=1.5)
+LATE_KILLS = (Fault(16.0, Kind.KILL_ALL), Fault(18.0, Kind.KILL_ALL))
+
+NAMED: dict[str, tuple[Breakage, Schedule]] = {
+    "lease not checked after a freeze": (lease_not_checked, Schedule(1, 1, FROZEN_LEADER)),
+    "lease not checked while cut off": (lease_not_checked, Schedule(1, 1, CUT_LEADER)),
+    "read answered out of own state": (read_out_of_own_state, Schedule(1, 1, CUT_LEADER)),
+    "promotion without catch-up": (
+        promotion_without_catch_up,
+        Schedule(1, 1, (Fault(8.0, Kind.WIPE, OLDEST), Fault(13.0, Kind.WIPE, OLDEST))),
+    ),
+    "learner counted": (
+        learner_counted,
+        Schedule(
+            1, 1, again(Fault(5.5, Kind.PLANNED, FOLLOWER), Fault(7.0, Kind.CUT_VOTERS, LEADER, lasts_s=2.5))
+        ),
+    ),
+    "commit before majority": (commit_before_majority, Schedule(1, 1, CUT_LEADER)),
+    "digest forgotten": (digest_forgotten, Schedule(1, 1, LATE_KILLS)),
+    "departed forgotten": (departed_forgotten, Schedule(1, 1, LATE_KILLS)),
+    "old tag allowed to vote": (
+        old_tag_votes,
+        Schedule(1, 1, again(Fault(6.0, Kind.WIPE_AND_POWER, point=Point.ORDER_ACKED))),
+    ),
+    "snapshot applied over a newer one": (
+        snapshot_over_newer,
+        Schedule(
+            1,
+            1,
+            again(
+                Fault(10.0, Kind.WIPE, OLDEST, lasts_s=0.3),
+                Fault(10.2, Kind.STALLED_DISK, LOST, Point.SNAPSHOT, 1.0),
+            ),
+        ),
+    ),
+    "vote not synced": (vote_not_synced, Schedule(1, 1, again(Fault(6.0, Kind.POWER_ALL)))),
+    "told before saved": (told_before_saved, Schedule(1, 1, POWER_AT_ACK)),
+    "relay id used again": (relay_id_used_again, Schedule(1, 1, ())),
+    "retirement ended early": (retirement_ended_early, Schedule(1, 1, (), stores=True)),
+}
--- a/tests/simulation/watch.py
+++ b/tests/simulation/watch.py
@@ -30,6 +30,7 @@
         self._leaders: dict[tuple[str, int], str] = {}  # by group and term
         self._applied: dict[tuple[str, int], tuple[int, str, bytes]] = {}  # by group and index
         self._committed: dict[str, int] = {}  # by group: the highest index that was applied
+        self._saved_terms: dict[tuple[str, str], int] = {}  # by group and member
         self._newest_leader = (0, "")  # the highest term in which a member of control committed an entry
         self.left: dict[str, float] = {}  # workers whose drain or end was acknowledged, and when
 
@@ -56,6 +57,16 @@
             if process is not None and other.has_lease(process.steady(self._world.loop.time())):
                 self.violation(f"{group.member} leads in term {term} while {other.member} has a lease")
 
+    def saved(self, group: ReplicatedGroup, term: int) -> None:
+        """A member has its term on disk."""
+        self._saved_terms[group.group, group.member] = term
+
+    def starts(self, group: ReplicatedGroup) -> None:
+        """A member has read its disk: under one name it never forgets."""
+        saved = self._saved_terms.get((group.group, group.member), 0)
+        if group.term < saved:
+            self.violation(f"{group.member} comes back with term {group.term}; it had saved {saved}")
+
     def applied(self, group: ReplicatedGroup, entry: Entry) -> None:
         """A member applies an entry."""
         this = (entry.term, entry.kind, bytes(entry.data))
--- a/tests/simulation/world.py
+++ b/tests/simulation/world.py
@@ -21,7 +21,7 @@
 from tests.simulation.batch import Items, answer_batch_call
 from tests.simulation.history import History
 from tests.simulation.http import Http
-from tests.simulation.machines import Machine
+from tests.simulation.machines import SAVE_S, Machine
 from tests.simulation.network import Network
 from tests.simulation.schedule import On
 from tests.simulation.virtual_loop import Process, VirtualLoop
@@ -34,6 +34,7 @@
 HEARTBEAT_S = 1.0
 GATEWAYS = 3
 SPARE_STORES = 1
+SNAPSHOT_PART_BYTES = (1500, 100_000)  # many parts, or one
 CODEC = MessageCodec(FEED_MESSAGES)
 BATCH_CODEC = MessageCodec(BATCH_MESSAGES)
 
@@ -103,6 +104,8 @@
         self.stores: dict[str, StoreMachine] = {}
         self.nodes: dict[str, Gateway] = {}
         self.items = Items(self)
+        self.save_s = self.rng.choice(SAVE_S)
+        self.snapshot_part_bytes = self.rng.choice(SNAPSHOT_PART_BYTES)
         self.hooks: list[Any] = []  # called with the name of each point and the machine that reached it
         self._last_ip = 0
         self._last_store_ip = 0
@@ -155,6 +158,7 @@
         ip = f"10.0.0.{self._last_ip}"
         machine = ControlMachine(ip, self.loop, self.network, self.rng, self._reached)
         machine.added_s = self.loop.time()
+        machine.save_s = self.save_s
         self.machines[ip] = machine
         return machine
 
@@ -164,6 +168,7 @@
         ip = f"10.1.0.{self._last_store_ip}"
         machine = StoreMachine(ip, self.loop, self.network, self.rng, self._reached)
         self.stores[ip] = machine
+        machine.save_s = self.save_s
         return machine
 
     def new_machine(self, on: On) -> GroupMachine:
