An answer that cannot be used is given up at its head, not at its end

A live request whose worker's success had no stamp or was encoded went elsewhere only once the body had come to its end, and a batch item after the five seconds in which it had no event. Both close the connection at the head now, at which the worker drops the request. Without the change the three new tests fail.

--- a/pewterring/batch/runner.py
+++ b/pewterring/batch/runner.py
@@ -113,6 +113,8 @@
             and head.get(b"response-signature") is not None
             and head.get(b"content-encoding") is None
         )
+        if head.status == OK and not self._takes_events:
+            self._end(Failure.CUT)  # nothing of it may become the item's text
 
     def on_data(self, data: bytes) -> None:
         """Part of `AnswerListener`."""
--- a/pewterring/edge/live.py
+++ b/pewterring/edge/live.py
@@ -198,6 +198,8 @@
         if load is not None:
             worker.take_report(worker.heard_at, load.running, load.waiting)
         verdict = judge(head)
+        if verdict is Verdict.UNUSABLE:
+            raise AnswerBroken(f"an answer of status {head.status} that may not reach the client")
         if verdict is Verdict.SUCCESS and is_event_stream(head):
             return await self._read_events(worker, stream, head, reading)
         body = await self._read_whole(stream)
@@ -205,8 +207,6 @@
             if is_misdirected(self._request, head):
                 worker.misdirected(self._now())
             return End.NOT_RUN
-        if verdict is Verdict.UNUSABLE:
-            return End.MAY_HAVE_RUN
         if verdict is Verdict.FAILURE or self._begun:
             self._failure = Failure(head, body)
             return End.MAY_HAVE_RUN
--- a/tests/batch/test_runner.py
+++ b/tests/batch/test_runner.py
@@ -1,12 +1,13 @@
 """Items at workers over sockets: what is sent, what is read, and what each end of an answer means."""
 
 import asyncio
+import contextlib
 from collections.abc import Awaitable, Callable
 
 import pytest
 from msgspec.structs import replace
 
-from pewterring.batch.runner import HttpItemRunner, item_request
+from pewterring.batch.runner import FIRST_EVENT_S, HttpItemRunner, item_request
 from pewterring.batch.scheduler import Failure, QueuedItem
 from pewterring.distribution.messages import WorkerRecord
 from pewterring.transport.http_client import WorkerPool
@@ -160,6 +161,35 @@
     assert events == []
 
 
+def test_an_answer_without_a_stamp_is_not_waited_for() -> None:
+    unsigned = b"HTTP/1.1 200 OK\r\nRequest-Id: i1\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+    async def scenario() -> None:
+        gone = asyncio.Event()
+
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(unsigned + event(1, "a"))
+            with contextlib.suppress(ConnectionError):
+                while await reader.read(100):
+                    pass
+            gone.set()
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        worker = WorkerRecord("w1", "s", f"127.0.0.1:{port}", "z", 4, "ready")
+        pool = WorkerPool()
+        entry = QueuedItem("j", ROUTE, item("i1"))
+        async with asyncio.timeout(FIRST_EVENT_S / 2):
+            assert await HttpItemRunner(pool).run(entry, worker, lambda *_: None) is Failure.CUT
+        await gone.wait()
+        pool.close()
+        server.close()
+
+    asyncio.run(scenario())
+
+
 def test_a_worker_that_cannot_be_reached_did_not_run_the_item() -> None:
     async def scenario() -> None:
         server = await asyncio.start_server(lambda r, w: None, "127.0.0.1", 0)
--- a/tests/edge/test_live.py
+++ b/tests/edge/test_live.py
@@ -564,6 +564,21 @@
     play(tier, story)
 
 
+@pytest.mark.parametrize("unusable", [(), (*PLAIN, (b"Content-Encoding", b"gzip"))])
+def test_what_cannot_be_used_is_not_waited_for(unusable: tuple[tuple[bytes, bytes], ...]) -> None:
+    async def endless(request: ServerRequest, responder: Responder) -> None:
+        responder.begin(200, [(b"Request-Id", b"7"), (b"Content-Type", b"text/event-stream"), *unusable])
+        responder.write(event(1))
+        await responder.finished()
+
+    tier = Tier(route(RouteType.STREAMING, resumable=True), [endless, whole_stream])
+
+    async def story() -> None:
+        assert (await tier.ask()).body == WHOLE
+
+    play(tier, story)
+
+
 @pytest.mark.parametrize("unusable", UNUSABLE_ANSWERS)
 def test_an_unusable_answer_of_what_may_be_repeated_goes_elsewhere(unusable: Behaviour) -> None:
     tier = Tier(route(RouteType.IDEMPOTENT), [unusable, answered])
