--- a/tests/edge/test_live.py
+++ b/tests/edge/test_live.py
@@ -342,6 +342,31 @@
     play(tier, story)
 
 
+@pytest.mark.parametrize("last", [b"data: x\n\n", b"id: two\ndata: x\n\n"])
+def test_a_stream_is_not_taken_up_behind_an_event_that_names_no_number(last: bytes) -> None:
+    cut = RawAnswer(UNFRAMED_STREAM + event(1) + last + event(3)[:4])
+    tier = Tier(route(RouteType.STREAMING, resumable=True), [cut, whole_stream])
+
+    async def story() -> None:
+        with pytest.raises(ExchangeError):
+            await tier.ask()
+        assert len(tier.seen) == 1
+
+    play(tier, story)
+
+
+def test_an_answer_of_two_workers_keeps_the_head_and_stamp_of_the_first() -> None:
+    head = UNFRAMED_STREAM.replace(b"stamp", b"first").replace(b"200 OK", b"200 OK\r\nVersions: 3")
+    tier = Tier(route(RouteType.STREAMING, resumable=True), [RawAnswer(head + WHOLE[:-1]), whole_stream])
+
+    async def story() -> None:
+        answer = await tier.ask()
+        assert answer.body == WHOLE
+        assert (answer.head.get(b"response-signature"), answer.head.get(b"versions")) == (b"first", b"3")
+
+    play(tier, story)
+
+
 def test_a_resumed_run_that_begins_at_another_event_is_not_joined() -> None:
     early = RawAnswer(UNFRAMED_STREAM + event(2) + event(3) + event(4))
     tier = Tier(route(RouteType.STREAMING, resumable=True), [cut_stream, early])
