A worker of another version than an item expects is not taken for failing

The store took a 421 to an item with Expect-Version for a worker that refuses, as the gateways did for live requests: it kept all items of the service from a well worker for a second and more. Without the change 421 was one refusal among others.

--- a/pewterring/batch/runner.py
+++ b/pewterring/batch/runner.py
@@ -21,7 +21,9 @@
 NEXT_EVENT_S = 3.0  # between events
 
 LOAD = b"instance-load"
+EXPECT_VERSION = "expect-version"
 OK = 200
+MISDIRECTED = 421
 UNPROCESSABLE = 422
 SERVER_ERROR = 500
 
@@ -97,6 +99,7 @@
         self._takes_events = False
         self._not_executed = False
         self._framed = True
+        self._expects_version = any(name.lower() == EXPECT_VERSION for name in item.spec.headers)
         self._deadline = loop.time() + FIRST_EVENT_S
         self._timer = loop.call_at(self._deadline, self._check_stall)
 
@@ -172,6 +175,8 @@
             # nothing comes: a worker that breaks off at once closes its connection too.
             begun = self._events > 0 or (self._resumed and self._framed)
             return None if begun and not self._splitter.amid_event else Failure.CUT
+        if self._status == MISDIRECTED and self._expects_version:
+            return Failure.OTHER_VERSION
         if self._not_executed:
             return Failure.REFUSED
         if self._status == UNPROCESSABLE:
--- a/pewterring/batch/scheduler.py
+++ b/pewterring/batch/scheduler.py
@@ -27,6 +27,7 @@
     """Why an exchange brought no whole answer."""
 
     REFUSED = auto()  # the worker did not run the item, or could not be reached
+    OTHER_VERSION = auto()  # 421 to an item that expects a version: not run, and the worker is well
     CUT = auto()  # the answer ended early; what came is kept
     FAILED = auto()  # 500: a failed attempt
     IMPOSSIBLE = auto()  # 422: no worker can do it
--- a/tests/batch/test_runner.py
+++ b/tests/batch/test_runner.py
@@ -190,6 +190,17 @@
     asyncio.run(scenario())
 
 
+def test_a_worker_of_another_version_than_an_item_expects_is_well() -> None:
+    outcomes: list[Failure | None] = []
+
+    async def use(runner: HttpItemRunner, worker: WorkerRecord) -> None:
+        entry = QueuedItem("j", ROUTE, item("i1", headers={"Expect-Version": "4"}))
+        outcomes.append(await runner.run(entry, worker, lambda *_: None))
+
+    asyncio.run(with_worker(answer("421 Misdirected Request"), QueuedItem("j", ROUTE, item("i1")), use))
+    assert outcomes == [Failure.OTHER_VERSION]
+
+
 def test_a_worker_that_cannot_be_reached_did_not_run_the_item() -> None:
     async def scenario() -> None:
         server = await asyncio.start_server(lambda r, w: None, "127.0.0.1", 0)
--- a/tests/batch/test_service.py
+++ b/tests/batch/test_service.py
@@ -338,7 +338,7 @@
     scenario(test)
 
 
-@pytest.mark.parametrize("failure", [Failure.REFUSED, Failure.CUT])
+@pytest.mark.parametrize("failure", [Failure.REFUSED, Failure.OTHER_VERSION, Failure.CUT])
 def test_nothing_but_failures_of_its_own_gives_an_item_up_early(failure: Failure) -> None:
     async def test(store: Store) -> None:
         await store.service.handle(submit("j", "a"))
@@ -353,6 +353,17 @@
     scenario(test)
 
 
+def test_a_worker_of_another_version_keeps_its_place_among_those_that_are_well() -> None:
+    async def test(store: Store) -> None:
+        await store.service.handle(submit("j", "a"))
+        await store.exchanges(1)
+        store.runner.exchanges[0].fail(Failure.OTHER_VERSION)
+        await until(lambda: store.execution.running == 0)
+        assert not any(state.suspect(store.clock.now) for state in store.chooser.workers.values())
+
+    scenario(test)
+
+
 def test_nothing_starts_while_the_tables_are_stale() -> None:
     async def test(store: Store) -> None:
         store.fresh = False
