--- a/tests/simulation/http.py
+++ b/tests/simulation/http.py
@@ -5,8 +5,12 @@
 from typing import TYPE_CHECKING, Any
 
 from pewterring.control.calls import Answer, Call
+from pewterring.transport.http_request import ServerRequest
+from pewterring.transport.http_responder import Responder
+from pewterring.transport.http_server import Handler
 from tests.simulation.network import Outside
 from tests.simulation.virtual_loop import Process
+from tests.transport.http_stand_ins import AnswerTaker
 
 if TYPE_CHECKING:
     from tests.simulation.world import World
@@ -15,20 +19,15 @@
 AnswerCall = Callable[[Call], Awaitable[Answer]]
 
 
-async def call_application(application: Any, call: Call) -> Answer:
-    """Hands a call to an ASGI application."""
-    parts: list[Any] = []
-    headers = [(b"base-version", call.base_version.encode())]
-    scope = {"type": "http", "method": call.method, "path": call.path, "headers": headers}
-
-    async def receive() -> Any:
-        return {"type": "http.request", "body": call.body, "more_body": False}
-
-    async def send(message: Any) -> None:
-        parts.append(message)
-
-    await application(scope, receive, send)
-    return Answer(parts[0]["status"], parts[1]["body"])
+async def call_handler(handler: Handler, call: Call) -> Answer:
+    """Hands a call to the handler of an HTTP server, as a request that was read whole."""
+    fields = {b"base-version": call.base_version.encode()}
+    request = ServerRequest(
+        call.method, call.path, list(fields.items()), fields, "h", call.body, 0.0, True, b"1.1"
+    )
+    caller = AnswerTaker()
+    await handler(request, Responder(caller, request))
+    return Answer(int(caller.status), caller.body)
 
 
 class Http:
--- a/tests/simulation/patches.py
+++ b/tests/simulation/patches.py
@@ -20,7 +20,8 @@
 from pewterring.storage import identity
 from pewterring.storage.group import DiskGroupStorage
 from pewterring.transport import link_pool
-from tests.simulation.http import call_application
+from pewterring.transport.http_server import Handler
+from tests.simulation.http import call_handler
 from tests.simulation.machines import Machine
 from tests.storage.simulated_disk import SimulatedDisk
 
@@ -63,17 +64,17 @@
         return self._world.rng.randbytes(count).hex()
 
 
-class HttpServer:
+class ApiServer:
     """Stands for the HTTP server of control: the network hands it its calls."""
 
-    def __init__(self, world: "World", application: Any, address: Address) -> None:
+    def __init__(self, world: "World", handler: Handler, address: Address) -> None:
         self._world = world
-        self._application = application
+        self._handler = handler
         self._ip = address.ip
 
     async def start(self) -> None:
         """Takes calls from now on."""
-        self._world.http.listen(self._ip, self._world.process(), partial(call_application, self._application))
+        self._world.http.listen(self._ip, self._world.process(), partial(call_handler, self._handler))
 
     async def stop(self) -> None:
         """Takes no more."""
@@ -163,7 +164,7 @@
         (control_program, "time", clock),
         (control_program, "random", _Chance(world)),
         (control_program, "FolderDisk", _disk_of(world)),
-        (control_program, "HttpServer", partial(HttpServer, world)),
+        (control_program, "ApiServer", partial(ApiServer, world)),
         (control_program, "ReplicatedGroup", partial(ObservedGroup, world)),
         (
             control_program,
