Feed of stores and gateways: their own clock, that simulations stand in for

Cause: the feed's clock was handed in by nobody, so that a store or gateway in virtual time judged the age of its tables by the machine's clock; five schedules of the simulation failed for it. Change: both programs pass theirs. Tests of the simulation, gateways and stores pass again.

--- a/pewterring/batch/program.py
+++ b/pewterring/batch/program.py
@@ -79,7 +79,7 @@
         )
         self._workers = WorkerPool()
         self.feed = FeedSubscriber(
-            settings, codec, self._node_record, self._status, self._on_tables, self._rng
+            settings, codec, self._node_record, self._status, self._on_tables, self._rng, clock
         )
         self._chooser = WorkerChooser(settings.zone, self._rng)
         self._admissions = BatchAdmissions(self._rng)
--- a/pewterring/edge/program.py
+++ b/pewterring/edge/program.py
@@ -83,7 +83,9 @@
         self._stopping = False
         self._metrics = GatewayMetrics()
         codec = MessageCodec((*FEED_MESSAGES, *BATCH_MESSAGES), settings.cluster)
-        self._feed = FeedSubscriber(settings, codec, self._record, on_tables=self._take_tables, rng=self._rng)
+        self._feed = FeedSubscriber(
+            settings, codec, self._record, on_tables=self._take_tables, rng=self._rng, clock=clock
+        )
         links = LinkPool(codec, settings.internal_port, rng=self._rng, source_ip=settings.ip)
         self._links = links
         self._batch = BatchCalls(links, lambda: self._feed.tables, self._rng, clock)
--- a/tests/simulation/patches.py
+++ b/tests/simulation/patches.py
@@ -184,7 +184,6 @@
         (identity, "secrets", _Secrets(world)),
         (link_pool, "connect", world.network.connect),
         (subscriber, "connect", world.network.connect),
-        (subscriber, "time", clock),
     )
     with contextlib.ExitStack() as stack:
         for target, name, value in replaced:
--- a/tests/simulation/world.py
+++ b/tests/simulation/world.py
@@ -303,6 +303,7 @@
             self._no_status,
             lambda old, new: self._swapped(node, new),
             random.Random(self.rng.random()),
+            lambda: process.steady(self.loop.time()),
         )
         self.loop.create_task(subscriber.start())
         links = LinkPool(BATCH_CODEC, INTERNAL_PORT, rng=random.Random(self.rng.random()))
