--- a/tests/consensus/parts.py
+++ b/tests/consensus/parts.py
@@ -41,6 +41,7 @@
     name: str
     disk: MemoryStorage
     clock_rate: float
+    clock_start: float = 1000.0
     raft: Raft | None = None
     life: int = 0
     frozen: bool = False
--- a/tests/consensus/simulation.py
+++ b/tests/consensus/simulation.py
@@ -94,7 +94,13 @@
     # Time.
 
     def _clock(self, member: Member) -> float:
-        return 1000.0 + self.now * member.clock_rate
+        return member.clock_start + self.now * member.clock_rate
+
+    def set_clock_rate(self, name: str, rate: float) -> None:
+        """From now on the member's clock runs at another rate; it does not jump."""
+        member = self.members[name]
+        member.clock_start += self.now * (member.clock_rate - rate)
+        member.clock_rate = rate
 
     def _at(self, time: float, action: Callable[[], None]) -> None:
         self._sequence += 1
@@ -161,7 +167,7 @@
         deadline = raft.next_deadline()
         if deadline is None:
             return
-        time = max(self.now, (deadline - 1000.0) / member.clock_rate + 1e-6)
+        time = max(self.now, (deadline - member.clock_start) / member.clock_rate + 1e-6)
         if member.timer_at is not None and member.timer_at <= time:
             return
         member.timer_at = time
@@ -389,9 +395,9 @@
         self._pump(member)
         return True
 
-    def change(self, membership: Membership) -> bool:
-        """Proposes a membership at the leader; False if that was refused."""
-        member = self.members.get(self.leader() or "")
+    def change(self, membership: Membership, name: str | None = None) -> bool:
+        """Proposes a membership at a member, or at the leader; False if that was refused."""
+        member = self.members.get(name or self.leader() or "")
         if member is None or member.raft is None or member.frozen:
             return False
         try:
