--- a/tests/control/cluster.py
+++ b/tests/control/cluster.py
@@ -65,7 +65,7 @@
             executor=InlineExecutor(),
             snapshot_after_bytes=cluster.snapshot_after_bytes,
         )
-        self.leadership = GroupLeadership(self.group, clock)
+        self.leadership = cluster.leadership_class(self.group, clock)
         self.nodes = NodeTable()
         self.publisher = FeedPublisher(self.state, self.nodes)
         self.registry = WorkerRegistry(self.state.workers, self.state.departed, 1.0)
@@ -97,9 +97,15 @@
 class ControlCluster:
     """The machines that are up, by IP. Made inside a running loop."""
 
-    def __init__(self, ips: tuple[str, ...] = IPS, snapshot_after_bytes: int = SNAPSHOT_AFTER_BYTES) -> None:
+    def __init__(
+        self,
+        ips: tuple[str, ...] = IPS,
+        snapshot_after_bytes: int = SNAPSHOT_AFTER_BYTES,
+        leadership_class: type[GroupLeadership] = GroupLeadership,
+    ) -> None:
         self.ips = ips
         self.snapshot_after_bytes = snapshot_after_bytes
+        self.leadership_class = leadership_class
         members = tuple(f"{ip}#seed" for ip in ips)
         self.cuts: set[tuple[str, str]] = set()  # (sender, target), by IP
         self._held: list[Callable[[], None]] = []
--- a/tests/control/test_cut_off.py
+++ b/tests/control/test_cut_off.py
@@ -9,6 +9,8 @@
 from pewterring.configuration.digest import as_line
 from pewterring.control.calls import DEREGISTER_PATH, RETIRE_GET_PATH, RETIRE_START_PATH, Answer, Call
 from pewterring.control.commands import PutNodes
+from pewterring.control.errors import NotLeading
+from pewterring.control.leadership import GroupLeadership
 from pewterring.control.messages import RelayedCall
 from pewterring.control.state import encode_command
 from pewterring.distribution.follower import OldLeader, TableFollower
@@ -107,9 +109,11 @@
 ]
 
 
-async def prepared(ips: tuple[str, ...]) -> tuple[ControlCluster, ControlMachine]:
+async def prepared(
+    ips: tuple[str, ...], leadership_class: type[GroupLeadership] = GroupLeadership
+) -> tuple[ControlCluster, ControlMachine]:
     """A cluster with a first configuration, workers, and stores of which one is being emptied."""
-    cluster = ControlCluster(ips)
+    cluster = ControlCluster(ips, leadership_class=leadership_class)
     leader = await cluster.start()
     assert (await cluster.call(put_call(0, encoded(version=1)))).status == 200
     for worker in ("i-1", "i-2", "i-3"):
@@ -135,35 +139,65 @@
     return others
 
 
+async def play(case: Case, leadership_class: type[GroupLeadership] = GroupLeadership) -> None:
+    cluster, leader = await prepared(case.ips, leadership_class)
+    order = [leader.ip, *(ip for ip in case.ips if ip != leader.ip)]
+    victims = tuple(order[: case.size] if case.has_leader else order[-case.size :])
+    near = FeedNode(cluster, NEAR, victims + case.ips)  # reaches all, and asks the victims too
+    far = FeedNode(cluster, FAR, case.ips)  # does not reach the victims
+    for node in (near, far):
+        await node.subscriber.start()
+        assert await node.has_version(1, CONFIG_S)
+    others = cut_off(cluster, case, victims)
+    for part in ((victims, (FAR,)), ((FAR,), victims), (others, (BESIDE,)), ((BESIDE,), others)):
+        cluster.cut(*part)
+    probes = Probes(cluster, victims, cut_at=asyncio.get_running_loop().time())
+    probing = cluster.in_background(probes.go_on())
+    await asyncio.sleep(LEASE_S)
+    beside = FeedNode(cluster, BESIDE, victims)  # starts now, and reaches only the victims
+    await beside.subscriber.start()
+    missed = await majority_goes_on(cluster, others, probes, (near, far))
+    assert missed == [] and beside.version == 0
+    probing.cancel()
+    assert probes.wrong == [] and probes.refused >= 8 * (CUT_S / PROBE_S - 1)
+    await comes_back(cluster, others, (near, far, beside))
+    for node in (near, far, beside):
+        await node.subscriber.stop()
+    await cluster.stop()
+
+
 @pytest.mark.parametrize("case", CASES, ids=str)
 def test_cut_off_for_twenty_seconds(case: Case) -> None:
-    async def scenario() -> None:
-        cluster, leader = await prepared(case.ips)
-        order = [leader.ip, *(ip for ip in case.ips if ip != leader.ip)]
-        victims = tuple(order[: case.size] if case.has_leader else order[-case.size :])
-        near = FeedNode(cluster, NEAR, victims + case.ips)  # reaches all, and asks the victims too
-        far = FeedNode(cluster, FAR, case.ips)  # does not reach the victims
-        for node in (near, far):
-            await node.subscriber.start()
-            assert await node.has_version(1, CONFIG_S)
-        others = cut_off(cluster, case, victims)
-        for part in ((victims, (FAR,)), ((FAR,), victims), (others, (BESIDE,)), ((BESIDE,), others)):
-            cluster.cut(*part)
-        probes = Probes(cluster, victims, cut_at=asyncio.get_running_loop().time())
-        probing = cluster.in_background(probes.go_on())
-        await asyncio.sleep(LEASE_S)
-        beside = FeedNode(cluster, BESIDE, victims)  # starts now, and reaches only the victims
-        await beside.subscriber.start()
-        missed = await majority_goes_on(cluster, others, probes, (near, far))
-        assert missed == [] and beside.version == 0
-        probing.cancel()
-        assert probes.wrong == [] and probes.refused >= 8 * (CUT_S / PROBE_S - 1)
-        await comes_back(cluster, others, (near, far, beside))
-        for node in (near, far, beside):
-            await node.subscriber.stop()
-        await cluster.stop()
+    run(play(case))
 
-    run(scenario())
+
+class NeverChecksLease(GroupLeadership):
+    """Takes itself for the leader until it is told otherwise."""
+
+    @property
+    def has_lease(self) -> bool:
+        return self.ready
+
+
+class ReadsAtOnce(GroupLeadership):
+    """Answers reads out of what it has."""
+
+    async def read_barrier(self) -> None:
+        if not self.ready:
+            raise NotLeading
+
+
+class ReadsAnywhere(GroupLeadership):
+    """Answers reads at any machine, its leadership apart."""
+
+    async def read_barrier(self) -> None:
+        return
+
+
+@pytest.mark.parametrize("broken", [NeverChecksLease, ReadsAtOnce, ReadsAnywhere])
+def test_a_leadership_without_its_check_is_caught(broken: type[GroupLeadership]) -> None:
+    with pytest.raises(AssertionError, match=r"after the cut|has 1, not 2"):
+        run(play(CASES[0], broken))
 
 
 async def majority_goes_on(
@@ -337,6 +371,17 @@
     assert follower.tables.versions.epoch == 4
 
 
+class TakesAnyLeader(TableFollower):
+    """Does not look at the epoch."""
+
+    def _check_leadership(self, epoch: int) -> None:
+        return
+
+
+def test_a_follower_that_takes_any_leader_is_caught() -> None:
+    assert takes_an_old_leader(TakesAnyLeader())
+
+
 def test_a_gateway_leaves_an_old_leader_for_another() -> None:
     """One control machine hands out tables of a term that is over; the gateway goes on to the next."""
 
