A repeat of a configuration that was taken writes nothing

Each repeat put its whole document into the log again: with answers lost, a log of many times the configurations that were taken, and with one of 8 MB three elections on a trial over loopback in which every member was sent the same. A leader that has applied it confirms that it leads and answers.

--- a/pewterring/control/service.py
+++ b/pewterring/control/service.py
@@ -116,6 +116,9 @@
             return refusal(400, str(error))
         if wanted.version <= base:  # never taken, so this repeats no order, also where the document was taken
             return refusal(400, f"version: not above Base-Version {base}")
+        if self._state.has_taken(wanted.version, wanted.digest):  # the log need not hold the document again
+            await self._leadership.read_barrier()
+            return ACKNOWLEDGED
         command = PutConfiguration(
             base=base,
             version=wanted.version,
--- a/pewterring/control/state.py
+++ b/pewterring/control/state.py
@@ -148,6 +148,10 @@
         """Stores that are to be emptied, or were, by node id."""
         return self._retirements
 
+    def has_taken(self, version: int, digest: str) -> bool:
+        """Whether exactly this configuration is or was in force, as far as that is remembered."""
+        return self._taken.get(version) == digest
+
     def is_retiring(self, node: NodeRecord) -> bool:
         """Whether a store is to be emptied. After the end only the same member still is."""
         retirement = self._retirements.get(node.node_id)
@@ -207,7 +211,7 @@
     # Configuration
 
     def _put_configuration(self, command: PutConfiguration) -> Result:
-        if self._taken.get(command.version) == command.digest:
+        if self.has_taken(command.version, command.digest):
             return Accepted(repeated=True)
         if command.version <= self._forgotten:  # it may have been taken: a refusal could be wrong
             return Untold()
--- a/tests/control/test_service.py
+++ b/tests/control/test_service.py
@@ -106,6 +106,19 @@
     assert machine.state.version == 7
 
 
+def test_a_repeat_writes_nothing_and_is_acknowledged_by_a_leader_alone() -> None:
+    machine = Machine()
+    assert machine.replace(0, encoded(version=5)) == 200
+    assert machine.replace(5, encoded(version=6)) == 200
+    for _ in range(3):
+        assert machine.replace(0, encoded(version=5)) == 200
+        assert machine.replace(5, encoded(version=6)) == 200
+    assert machine.proposals == 2
+    machine.failure = NotLeading()
+    again = RelayedCall("POST", "/v1/Config.Replace", "5", encoded(version=6))
+    assert asyncio.run(machine.router.answer_relayed(again)) == RelayedAnswer(503, not_leading=True)
+
+
 @pytest.mark.parametrize(
     "body", [b"", encoded()[:-9], with_route(0, timeout_ms=0), with_route(1, backend="nobody")]
 )
