A member that reads slowly is not sent all twice, and a failed timer ends the group

A leader took a member for silent when its last answer was to a round older than an election time-out, and sent again whatever was on the way.

An exception in the group's timer was left to the event loop: the member went on without ever ticking again. It ends the group like one in a message.

--- a/pewterring/consensus/group.py
+++ b/pewterring/consensus/group.py
@@ -328,9 +328,15 @@
 
     def _on_timer(self) -> None:
         self._timer = None
-        if self._raft is not None and not self._stopped:
-            self._raft.tick(self._clock())
-            self._hand_over_if_disk_lags(self._raft)
+        raft = self._raft
+        if raft is None or self._stopped:
+            return
+        try:
+            raft.tick(self._clock())
+            self._hand_over_if_disk_lags(raft)
+        except Exception as error:
+            self._fail(error)
+        else:
             self._process()
 
     def _hand_over_if_disk_lags(self, raft: Raft) -> None:
--- a/pewterring/consensus/leading.py
+++ b/pewterring/consensus/leading.py
@@ -1,6 +1,7 @@
 """The part of a member that exists only while it leads, in one term."""
 
 from collections.abc import Sequence
+from math import inf
 
 import msgspec
 
@@ -24,6 +25,8 @@
         self._rounds = Rounds(state.member, state.timing, now)
         self._handover = Handover(state.timing)
         self._replication = Replication(state.group, state.member, state.term, state.log, state.limits)
+        # When an answer of a member came, be it to a round of long ago: one that reads slowly is not silent.
+        self._heard_at: dict[str, float] = {}
         self._first_index = self.append("empty", b"null")
         self._set_members(state.members.current)
         self._begin_round(now)
@@ -81,7 +84,7 @@
         self._handover.tell_again()
         oldest = now - state.timing.election_max_s
         for name in self._replication.peers:
-            if self._rounds.last_answered_at(name) < oldest:
+            if self._heard_at.get(name, -inf) < oldest:
                 self._replication.give_up(name)
         self._replication.retry_lost(now, state.timing.election_min_s)
         self._begin_round(now)
@@ -140,6 +143,7 @@
 
     def on_reply(self, now: float, reply: AppendReply | SnapshotReply) -> None:
         """Takes a member's answer of the own term."""
+        self._heard_at[reply.sender] = now
         self._rounds.answered(reply.sender, reply.round)
         if isinstance(reply, AppendReply):
             advanced = self._replication.on_append_reply(reply)
--- a/pewterring/consensus/types.py
+++ b/pewterring/consensus/types.py
@@ -37,8 +37,8 @@
 class RaftLimits:
     """Bounds in bytes, and in messages to one member that were not answered yet."""
 
-    message_bytes: int = 1_000_000  # entries in one message
-    window_bytes: int = 4_000_000
+    message_bytes: int = 250_000  # entries in one message
+    window_bytes: int = 1_000_000  # heartbeats wait behind it: half a second on a link or processor of 2 MB/s
     window_messages: int = 32
     snapshot_part_bytes: int = 256 * 1024
     kept_bytes: int = 4_000_000  # entries kept in memory behind a snapshot, for members that lag a little
--- a/tests/consensus/slow_members.py
+++ b/tests/consensus/slow_members.py
@@ -123,8 +123,12 @@
             return
         self.sent_bytes[message.target] += len(line)
         sent_at = self.processors[message.sender].done_at(loop.time(), len(line))
-        read_at = self.processors[message.target].done_at(sent_at + LINK_S, len(line))
-        loop.call_at(read_at, self._receive, message.target, line)
+        loop.call_at(sent_at + LINK_S, self._arrive, message.target, line)
+
+    def _arrive(self, target: str, line: bytes) -> None:
+        loop = asyncio.get_running_loop()
+        read_at = self.processors[target].done_at(loop.time(), len(line))
+        loop.call_at(read_at, self._receive, target, line)
 
     def _receive(self, target: str, line: bytes) -> None:
         group = self.lives.get(target)
--- a/tests/consensus/test_bad_state.py
+++ b/tests/consensus/test_bad_state.py
@@ -64,3 +64,21 @@
         await network.stop()
 
     run(scenario())
+
+
+def test_a_failure_in_a_timer_ends_the_member() -> None:
+    async def scenario() -> None:
+        network = Network()
+        leader = await network.start()
+        assert leader._raft is not None
+
+        def tick(now: float) -> None:
+            raise RuntimeError("broken")
+
+        leader._raft.tick = tick  # type: ignore[method-assign]
+        await wait_until(lambda: bool(network.failures))
+        assert "broken" in str(network.failures[0]) and not leader.is_leader
+        assert await network.new_leader(leader) is not leader
+        await network.stop()
+
+    run(scenario())
--- a/tests/consensus/test_catch_up.py
+++ b/tests/consensus/test_catch_up.py
@@ -20,6 +20,7 @@
 HALF_SPEED_BYTES_PER_S = 10e6  # of messages read or written: a fifth of what is measured at full speed
 LARGE_ROUTES = 1000
 WORKERS = 100
+PAUSE_S = 0.05  # after ten changes
 # Of what a member may have to be sent: entries until the next snapshot, those kept behind it, and the state.
 # The slow disk writes the entries in half of the time that there is.
 LOG_BYTES = 5_000_000
@@ -50,6 +51,7 @@
     leader = await group.leader()
     for _ in range(0, count, 10):
         await asyncio.gather(*(leader.propose(command) for command in itertools.islice(commands, 10)))
+        await asyncio.sleep(PAUSE_S)
     return leader.commit_index
 
 
@@ -65,7 +67,7 @@
         await asyncio.sleep(0.01)
 
 
-@pytest.mark.parametrize("count", [60, 300, 450, 700, 1500])
+@pytest.mark.parametrize("count", [60, 150, 200, 300, 450, 1500])
 def test_a_slow_member_catches_up_in_time(count: int) -> None:
     """At each distance: where entries suffice, at the edge of what is kept of them, and far behind."""
 
@@ -92,6 +94,31 @@
     run(scenario())
 
 
+def test_a_slow_reader_is_sent_nothing_twice() -> None:
+    """Its answers come late for a leader's heartbeats, and come: what is on the way to it is not lost."""
+
+    async def scenario() -> None:
+        group = SlowGroup(ControlState)
+        for name in ("a", "b", "c"):
+            await group.start(name)
+        commands = changes(LARGE_ROUTES)
+        await order(group, commands, 30)
+        away = next(name for name in group.lives if name != (group.led[-1][0]))
+        held = group.lives[away].applied_index
+        await group.end(away)
+        target = await order(group, commands, 60)
+        leader = await group.leader()
+        assert leader._raft is not None
+        missed = leader._raft._state.log.bytes_after(held)
+        sent_before = group.sent_bytes[away]
+        late = await group.start(away, SLOW_SYNC_S, SLOW_DISK_BYTES_PER_S, processor=2e6)
+        await until_caught_up(group, late, target)
+        assert group.sent_bytes[away] - sent_before < 1.3 * missed
+        await group.stop()
+
+    run(scenario())
+
+
 @pytest.mark.parametrize("count", [60, 300])
 def test_a_member_that_is_behind_does_not_lead(count: int) -> None:
     """The leader is gone as the late member comes back: the one that has everything must be elected."""
