--- a/tests/consensus/parts.py
+++ b/tests/consensus/parts.py
@@ -50,6 +50,7 @@
     applied: list[list[object]] = field(default_factory=list)  # [index, term, text] of commands
     job: Callable[[], None] | None = None
     since_snapshot: int = 0
+    applied_to: int = 0  # index, in this life
     timer_at: float | None = None
     proposals: dict[tuple[int, int], str] = field(default_factory=dict)
     reads: dict[tuple[int, int], int] = field(default_factory=dict)  # (term, ticket) -> least index to see
--- a/tests/consensus/simulation.py
+++ b/tests/consensus/simulation.py
@@ -57,6 +57,7 @@
         member.life += 1
         member.timer_at = None
         loaded = member.disk.load()
+        member.applied_to = loaded.state.snapshot_index
         member.applied = json.loads(loaded.snapshot)["applied"] if loaded.snapshot else []
         member.raft = self.raft_class(
             "g", name, TIMING, random.Random(self.rng.random()), loaded.state, self._clock(member), LIMITS
@@ -222,6 +223,9 @@
             if save.snapshot is not None:
                 member.applied = self._decoded(member, save.snapshot)
                 self._check_restored(member, save.snapshot)
+                if save.snapshot.index < member.applied_to:
+                    raise Violation(f"{member.name} went back from {member.applied_to}")
+                member.applied_to = save.snapshot.index
                 member.since_snapshot = 0
             raft.persisted(self._clock(member), save)
             for message in save.messages_after_sync:
@@ -244,6 +248,9 @@
         known = self.history.setdefault(entry.index, (entry.term, bytes(entry.data)))
         if known != (entry.term, bytes(entry.data)):
             raise Violation(f"{member.name} applied {entry}, others {known}")
+        if entry.index != member.applied_to + 1:
+            raise Violation(f"{member.name} applied {entry.index} after {member.applied_to}")
+        member.applied_to = entry.index
         member.since_snapshot += 1
         if entry.kind == "command":
             text = json.loads(bytes(entry.data))
@@ -311,6 +318,8 @@
     def _check_leader(self, member: Member, raft: Raft) -> None:
         if raft.is_leader and self.leaders.setdefault(raft.term, member.name) != member.name:
             raise Violation(f"{member.name} and {self.leaders[raft.term]} lead in term {raft.term}")
+        if raft.is_leader and raft.installing:
+            raise Violation(f"{member.name} leads while it takes over a snapshot")
 
     def _check_read(self, raft: Raft, index: int, least: int) -> None:
         if index < least:
--- /dev/null
+++ b/tests/consensus/test_unsaved.py
@@ -0,0 +1,133 @@
+"""What counts as saved while snapshots, truncations and compactions meet a save under way."""
+
+import msgspec
+import pytest
+
+from pewterring.consensus.log import Log
+from pewterring.consensus.messages import Entry, Membership, SnapshotReply
+from pewterring.consensus.persistent import HardState
+from pewterring.consensus.types import Save, Snapshot
+from pewterring.consensus.unsaved import Unsaved
+
+HARD = HardState(2, "a")
+SNAPSHOT = Snapshot(20, 2, Membership(("a", "b", "c")), b"state")
+
+
+def entries(first: int, last: int, term: int = 2) -> list[Entry]:
+    return [Entry(index, term, "command", msgspec.Raw(b'"x"')) for index in range(first, last + 1)]
+
+
+def take(unsaved: Unsaved) -> Save:
+    save = unsaved.take(HARD)
+    assert save is not None
+    return save
+
+
+class Parts:
+    """A log with entries up to 10 on disk."""
+
+    def __init__(self) -> None:
+        self.log = Log(0, 0, entries(1, 10))
+        self.unsaved = Unsaved(self.log, HARD)
+
+    def append(self, last: int, term: int = 2) -> None:
+        self.log.append(entries(self.log.last_index + 1, last, term))
+
+    def truncate(self, first: int) -> None:
+        self.log.truncate(first)
+        self.unsaved.truncated(first)
+
+    def install(self, snapshot: Snapshot, commit: int) -> None:
+        self.log.reset(snapshot.index, snapshot.term)
+        self.unsaved.replaced(snapshot, commit)
+
+
+def test_a_snapshot_of_unsaved_entries_saves_just_those() -> None:
+    parts = Parts()
+    parts.append(15)
+    parts.unsaved.compacted(12)
+    assert parts.unsaved.saved_to == 12
+    save = take(parts.unsaved)
+    assert [entry.index for entry in save.entries] == [13, 14, 15] and save.truncate_from is None
+
+
+def test_an_older_own_snapshot_takes_nothing_back() -> None:
+    parts = Parts()
+    parts.unsaved.compacted(5)
+    assert parts.unsaved.saved_to == 10 and parts.unsaved.take(HARD) is None
+
+
+def test_entries_under_way_when_a_snapshot_comes_do_not_count_for_it() -> None:
+    parts = Parts()
+    parts.append(15)
+    save = take(parts.unsaved)
+    parts.install(SNAPSHOT, commit=9)
+    parts.unsaved.done(save)
+    assert parts.unsaved.saved_to == 9 and parts.unsaved.installing
+    second = take(parts.unsaved)
+    assert second.snapshot is SNAPSHOT and second.truncate_from is None
+    assert parts.unsaved.saved_to == 9
+    parts.unsaved.done(second)
+    assert parts.unsaved.saved_to == 20 and not parts.unsaved.installing
+
+
+def test_a_newer_snapshot_waits_for_the_one_that_is_being_saved() -> None:
+    parts = Parts()
+    parts.install(SNAPSHOT, commit=9)
+    first = take(parts.unsaved)
+    newer = Snapshot(30, 2, SNAPSHOT.membership, b"newer")
+    parts.install(newer, commit=20)
+    assert parts.unsaved.take(HARD) is None
+    parts.unsaved.done(first)
+    assert parts.unsaved.saved_to <= 20 and parts.unsaved.installing
+    second = take(parts.unsaved)
+    assert second.snapshot is newer
+    parts.unsaved.done(second)
+    assert parts.unsaved.saved_to == 30
+
+
+def test_an_own_snapshot_that_ends_after_a_received_one_claims_nothing_of_it() -> None:
+    parts = Parts()
+    parts.install(SNAPSHOT, commit=9)
+    parts.unsaved.compacted(9)  # was under way when the other came
+    parts.log.compact(9, 0)
+    assert parts.unsaved.saved_to == 9 and parts.log.base_index == 20
+    save = take(parts.unsaved)
+    assert save.snapshot is SNAPSHOT
+
+
+def test_entries_dropped_while_they_are_saved_are_dropped_on_disk_too() -> None:
+    parts = Parts()
+    parts.append(15)
+    save = take(parts.unsaved)
+    parts.truncate(12)
+    parts.append(13, term=3)
+    parts.unsaved.done(save)
+    assert parts.unsaved.saved_to == 11
+    again = take(parts.unsaved)
+    assert again.truncate_from == 12 and [entry.term for entry in again.entries] == [3, 3]
+
+
+def test_messages_wait_for_all_that_was_unsaved_when_they_were_held() -> None:
+    parts = Parts()
+    parts.append(12)
+    first = take(parts.unsaved)
+    parts.install(SNAPSHOT, commit=10)
+    reply = SnapshotReply(
+        group="g", sender="b", target="a", term=2, last_index=SNAPSHOT.index, received=5, round=1
+    )
+    parts.unsaved.hold(reply)
+    assert parts.unsaved.take_released() == []
+    parts.unsaved.done(first)
+    second = take(parts.unsaved)
+    assert second.snapshot is SNAPSHOT and list(second.messages_after_sync) == [reply]
+    assert first.messages_after_sync == ()
+
+
+def test_a_save_that_is_not_under_way_is_refused() -> None:
+    parts = Parts()
+    parts.append(12)
+    save = take(parts.unsaved)
+    parts.unsaved.done(save)
+    with pytest.raises(ValueError, match="under way"):
+        parts.unsaved.done(save)
