--- a/pewterring/storage/group.py
+++ b/pewterring/storage/group.py
@@ -15,7 +15,7 @@
 from pewterring.storage.snapshots import SnapshotHeader, SnapshotStore
 from pewterring.storage.terms import Terms
 
-SEGMENT_BYTES = 16 * 1024 * 1024
+SEGMENT_BYTES = 4_000_000  # what a snapshot leaves of the log, if only the last of its entries came after it
 _GROUP_NAME = re.compile(r"[A-Za-z0-9_-]+")
 
 
--- a/tests/storage/test_group.py
+++ b/tests/storage/test_group.py
@@ -162,6 +162,18 @@
     assert storage.size_bytes < 1000
 
 
+def test_entries_that_came_while_a_snapshot_was_made_keep_little_of_the_log() -> None:
+    disk = SimulatedDisk()
+    storage = DiskGroupStorage(disk, "group")
+    storage.load()
+    for index in range(1, 151):
+        storage.save(None, None, [entry(index, 1, 100_000)])
+    assert storage.size_bytes > 15_000_000
+    storage.save_snapshot(149, 1, MEMBERS, b"state")
+    assert storage.size_bytes < 4_200_000
+    assert [found.index for found in storage.load().state.entries] == [150]
+
+
 def test_the_vote_outlasts_the_segment_that_it_was_written_in() -> None:
     disk = SimulatedDisk()
     storage = opened(disk)
