--- /dev/null
+++ b/tests/batch/test_calm_after_trouble.py
@@ -0,0 +1,93 @@
+"""Whatever workers and stores went through, items are listed soon once all is calm: none waits for ever."""
+
+import asyncio
+import random
+
+import pytest
+
+from pewterring.batch.execution import EventHandler
+from pewterring.batch.messages import ItemResult, JobAccepted, ReadResults, ResultPage, SubmitJob
+from pewterring.batch.scheduler import Failure, QueuedItem
+from pewterring.distribution.messages import WorkerRecord
+from tests.batch.stand_ins import ROUTE, item
+from tests.batch.virtual_cluster import EVENT_PAUSE_S, Points, VirtualCluster, Workers, whole_text
+from tests.consensus.virtual_time import run
+
+SEEDS = 12
+ITEMS = 15
+TROUBLE_S = (8.0, 14.0)
+FAULT_GAP_S = 3.0  # between losses of a leader, on the average
+NO_FAULTS_S = 100.0  # the gap where leaders stay
+CALM_S = 5.0  # all is listed within this: the last leader's return, and the pauses after failures
+TROUBLES = (Failure.REFUSED, Failure.REFUSED, Failure.OTHER_VERSION, Failure.CUT, None)
+
+
+class TroubledWorkers(Workers):
+    """Refuses, cuts at once or midway, until the trouble is over. Nothing fails an item for good."""
+
+    def __init__(self, rng: random.Random, fails_by_turns: bool) -> None:
+        super().__init__(Points(), EVENT_PAUSE_S)
+        self._rng = rng
+        self._fails_by_turns = fails_by_turns
+        self.trouble = True
+
+    async def run(self, queued: QueuedItem, place: WorkerRecord, on_event: EventHandler) -> Failure | None:
+        if not self.trouble:
+            return await super().run(queued, place, on_event)
+        failure = self._rng.choice(TROUBLES) if self._fails_by_turns else Failure.REFUSED
+        if failure is not None:
+            return failure
+        running = asyncio.create_task(super().run(queued, place, on_event))
+        await asyncio.wait([running], timeout=self._rng.uniform(0, 4) * EVENT_PAUSE_S)
+        if running.done():
+            return await running
+        running.cancel()
+        await asyncio.wait([running])
+        return Failure.CUT
+
+
+async def trouble(
+    cluster: VirtualCluster, workers: TroubledWorkers, rng: random.Random, fault_gap_s: float
+) -> None:
+    """Takes leaders away at random for a while, with this pause between them on the average."""
+    loop = asyncio.get_running_loop()
+    ends_at = loop.time() + rng.uniform(*TROUBLE_S)
+    while (left_s := ends_at - loop.time()) > (pause_s := rng.expovariate(1 / fault_gap_s)):
+        await asyncio.sleep(pause_s)
+        rng.choice([cluster.kill_leader, cluster.cut_leader, cluster.kill_all])()
+    await asyncio.sleep(left_s)
+    workers.trouble = False
+
+
+async def results_of(cluster: VirtualCluster, job: str) -> list[ItemResult]:
+    results: list[ItemResult] = []
+    while len(results) < ITEMS:
+        page = await cluster.call(ReadResults(job, len(results), 300.0))
+        assert isinstance(page, ResultPage)
+        results += page.results
+    return results
+
+
+@pytest.mark.parametrize("fails_by_turns", [True, False])
+@pytest.mark.parametrize("fault_gap_s", [FAULT_GAP_S, NO_FAULTS_S])
+@pytest.mark.parametrize("seed", range(SEEDS))
+def test_all_items_are_listed_soon_after_the_trouble(
+    seed: int, fault_gap_s: float, fails_by_turns: bool
+) -> None:
+    async def scenario() -> None:
+        rng = random.Random(seed)
+        cluster = VirtualCluster(Points())
+        workers = cluster.workers = TroubledWorkers(rng, fails_by_turns)
+        await cluster.start()
+        try:
+            items = tuple(item(f"i{number}") for number in range(ITEMS))
+            assert await cluster.call(SubmitJob("j", *ROUTE, items=items)) == JobAccepted()
+            await trouble(cluster, workers, rng, fault_gap_s)
+            async with asyncio.timeout(CALM_S):
+                results = await results_of(cluster, "j")
+            assert sorted(result.id for result in results) == sorted(spec.id for spec in items)
+            assert all(result.text == whole_text(result.id) for result in results)
+        finally:
+            await cluster.stop()
+
+    run(scenario())
