Simulation: the log is off only while a world runs

Cause: importing the simulation turned the log of the whole process off. Where all tests run in one process, tests/observability/test_log.py::test_what_libraries_log_comes_as_lines_too and the tests that count warnings failed; alone they passed.

Change: it is turned off with the other replacements of a world, and on again behind them.

--- a/tests/simulation/patches.py
+++ b/tests/simulation/patches.py
@@ -7,6 +7,8 @@
 from typing import TYPE_CHECKING, Any
 from unittest import mock
 
+from loguru import logger
+
 from pewterring.batch import partition as batch_partition
 from pewterring.batch import program as batch_program
 from pewterring.configuration import acceptance
@@ -190,4 +192,6 @@
             stack.enter_context(mock.patch.object(target, name, value))
         for watcher in world.watch.watchers():
             stack.enter_context(watcher)
+        logger.disable("pewterring")
+        stack.callback(logger.enable, "pewterring")
         yield
--- a/tests/simulation/world.py
+++ b/tests/simulation/world.py
@@ -6,8 +6,6 @@
 from pathlib import Path
 from typing import Any
 
-from loguru import logger
-
 from pewterring.batch.messages import BATCH_MESSAGES
 from pewterring.batch.program import StoreProgram
 from pewterring.consensus.group import ReplicatedGroup
@@ -324,6 +322,3 @@
         if version < node.seen_version:
             self.watch.violation(f"{node.ip} goes back from version {node.seen_version} to {version}")
         node.seen_version = version
-
-
-logger.disable("pewterring")
--- a/tests/transport/scripted.py
+++ b/tests/transport/scripted.py
@@ -179,7 +179,6 @@
 def warnings_logged() -> Iterator[list[str]]:
     """The warnings that are logged meanwhile."""
     lines: list[str] = []
-    logger.enable("pewterring")  # simulations in the same process turn it off
     number = logger.add(lambda line: lines.append(str(line)), level="WARNING", format="{message}")
     try:
         yield lines
