One planner of members for control and the partitions, paced by the bound on catching up

Control and batch had two planners with the same rules and different gaps: - A store that was gone for good was noticed after 1.5 s (table of nodes) and 2.0 s more, and each step took a look of 0.25 s. Behind a planned replacement the next loss is allowed 3.8 s after the old machine's end. Both now go by the heartbeats that the leader's own group answers; a voter is lost after a quarter of catch_up_s (1.2 s of 4.8), and the steps follow each other without a look in between. - With two of five lost, both were removed before the first successor voted, so that for a moment two disks of three acknowledged where f + 1 = 3 must. Lost voters are replaced one after the other. - A partition's learner voted while 16 entries behind, of any size. A learner of either group now holds what was committed at the look before. - A new leader dropped the learner of the one before as not needed, and began another copy 2 s later. It is kept while any voter is silent. - A retiring voter could leave while the voters that stay did not hold all. - An old wish or table could make a voter that answers count as lost.

consensus/planner.py; control/membership.py and batch/members.py only say who may join.

--- a/pewterring/batch/partition.py
+++ b/pewterring/batch/partition.py
@@ -12,13 +12,14 @@
 from pewterring.batch.dispatch import Dispatcher
 from pewterring.batch.execution import ItemExecution, ItemRunner
 from pewterring.batch.group_log import GroupLog
-from pewterring.batch.members import MemberPlanner
+from pewterring.batch.members import store_candidates
 from pewterring.batch.results import ResultCommitter
 from pewterring.batch.service import BatchService
 from pewterring.batch.state import BatchState, Clock
 from pewterring.consensus.errors import ConsensusError
 from pewterring.consensus.group import ReplicatedGroup
 from pewterring.consensus.messages import ConsensusMessage, Membership
+from pewterring.consensus.planner import CHANGES_A_LOOK, MembershipPlanner
 from pewterring.consensus.types import RaftTiming
 from pewterring.distribution.messages import GroupStatus
 from pewterring.distribution.tables import Tables
@@ -56,7 +57,12 @@
         self._parts = parts
         self._storage = DiskGroupStorage(FolderDisk(data_dir), name)
         self._state = BatchState(parts.clock)
-        self._planner = MemberPlanner(parts.member, parts.settings.tolerated_machines)
+        self._planner = MembershipPlanner(
+            parts.member,
+            parts.settings.tolerated_machines,
+            parts.settings.bounds.catch_up_s,
+            keeps_spares=False,
+        )
         self.group = ReplicatedGroup(
             name,
             parts.member,
@@ -110,24 +116,27 @@
         return status_of(self.group, self._parts.clock())
 
     async def manage_members(self) -> None:
-        """Makes the next change of members, if one is due and this store leads."""
+        """Makes the changes of members that are due, one after the other, if this store leads."""
+        with contextlib.suppress(ConsensusError):  # refused or lost: planned again at the next look
+            for _ in range(CHANGES_A_LOOK):
+                change = self._due_change()
+                if change is None:
+                    return
+                logger.info("{} changes to {}", self.name, change)
+                await self.group.change_membership(change)
+
+    def _due_change(self) -> Membership | None:
         now = self._parts.clock()
-        if not self.group.is_leader or not self._tables_are_fresh(now):
-            self._planner.forget_absences()
-            return
-        self._planner.observe(self._parts.tables().nodes)
         group = self.group
-        change = self._planner.next_change(now, group.membership, group.match, group.commit_index)
-        if change is None:
-            return
-        logger.info("members of {}: voters {}, learners {}", self.name, change.voters, change.learners)
-        with contextlib.suppress(ConsensusError):  # refused or lost: planned again at the next look
-            await group.change_membership(change)
+        if not group.is_leader or not group.has_lease(now) or not self._tables_are_fresh(now):
+            return None
+        candidates = store_candidates(self._parts.tables().nodes, group.membership)
+        return self._planner.plan(now, group, candidates)
 
     def _leadership_changed(self, leading: bool) -> None:
         if leading:
             logger.info("leads {} in term {}", self.name, self.group.term)
-        self._planner.forget_absences()
+            self._planner.start(self._parts.clock(), self.group)
         self.service.leadership_changed(leading)
 
     def may_start_items(self, now: float) -> bool:
--- a/pewterring/batch/program.py
+++ b/pewterring/batch/program.py
@@ -21,6 +21,7 @@
 from pewterring.batch.runner import HttpItemRunner
 from pewterring.batch.service import batch_call
 from pewterring.batch.state import Clock
+from pewterring.consensus.membership import address_of
 from pewterring.consensus.messages import CONSENSUS_MESSAGES, ConsensusMessage, Membership
 from pewterring.distribution.messages import FEED_MESSAGES, GroupStatus, NodeRecord
 from pewterring.distribution.subscriber import FeedSubscriber
@@ -36,7 +37,7 @@
 from pewterring.transport.http_client import WorkerPool
 from pewterring.transport.lines import Channel, LineServer, LinkPool, Message, MessageCodec
 
-MEMBERS_PERIOD_S = 0.25  # between looks at the members of the groups
+MEMBERS_PERIOD_S = 0.1  # between looks at the members of the groups
 LIFE_BYTES = 8  # of randomness in the name of this process's life
 STORE = "store"
 
@@ -147,7 +148,7 @@
             self._begin(message.group, None)
 
     def _send(self, message: ConsensusMessage) -> None:
-        self._links.send(message.target.partition("#")[0], message)
+        self._links.send(address_of(message.target), message)
 
     # Partitions
 
--- a/pewterring/consensus/group.py
+++ b/pewterring/consensus/group.py
@@ -188,6 +188,10 @@
         """Up to which index `member` has the log on disk, as far as this leader knows; 0 elsewhere."""
         return self._raft.match(member) if self._raft is not None else 0
 
+    def silent_s(self, member: str, now: float) -> float:
+        """For how long `member` has answered no heartbeat of this leadership; 0 elsewhere."""
+        return self._raft.silent_s(member, now) if self._raft is not None else 0.0
+
     def has_lease(self, now: float) -> bool:
         """Whether this member leads, has applied what was committed before, and no other leads at `now`."""
         return self.is_leader and self._raft is not None and self._raft.has_lease(now)
--- a/pewterring/consensus/leading.py
+++ b/pewterring/consensus/leading.py
@@ -55,6 +55,10 @@
         peer = self._replication.peers.get(member)
         return peer.match if peer else 0
 
+    def silent_s(self, member: str, now: float) -> float:
+        """For how long `member` has answered no heartbeat of this leadership; never the leader itself."""
+        return 0.0 if member == self._state.member else self._rounds.silent_s(member, now)
+
     def append(self, kind: str, data: bytes) -> int:
         """Appends an entry of the own term and returns its index."""
         entry = Entry(self._state.log.last_index + 1, self._state.term, kind, msgspec.Raw(data))
--- a/pewterring/consensus/membership.py
+++ b/pewterring/consensus/membership.py
@@ -14,6 +14,11 @@
 _Value = TypeVar("_Value", int, float)
 
 
+def address_of(member: str) -> str:
+    """The IP of a member, whose name is `IP#tag`."""
+    return member.partition("#")[0]
+
+
 def encode_membership(membership: Membership) -> msgspec.Raw:
     """The data of an entry of kind "members"."""
     return msgspec.Raw(msgspec.json.encode(membership))
--- a/pewterring/consensus/raft.py
+++ b/pewterring/consensus/raft.py
@@ -125,6 +125,10 @@
         """Up to which index `member` has the log on disk, as far as this leader knows; 0 elsewhere."""
         return self._leading.match(member) if self._leading is not None else 0
 
+    def silent_s(self, member: str, now: float) -> float:
+        """For how long `member` has answered no heartbeat of this leadership; 0 elsewhere."""
+        return self._leading.silent_s(member, now) if self._leading is not None else 0.0
+
     def has_lease(self, now: float) -> bool:
         """Whether this member leads and no other can have been elected by `now`."""
         return self._leading is not None and self._leading.has_lease(now)
--- a/pewterring/consensus/rounds.py
+++ b/pewterring/consensus/rounds.py
@@ -64,6 +64,10 @@
         """When the last round that `member` answered was sent."""
         return self._answered_at.get(member, -inf)
 
+    def silent_s(self, member: str, now: float) -> float:
+        """For how long `member` has answered no round; at most the time of this leadership."""
+        return now - max(self.last_answered_at(member), self._elected_at)
+
     def new_ticket(self, index: int | None) -> ReadTicket:
         """A ticket, confirmed at once if `index` is given; else it waits for a round not begun yet."""
         ticket = ReadTicket(self._next_ticket, index)
--- a/pewterring/control/duties.py
+++ b/pewterring/control/duties.py
@@ -6,18 +6,19 @@
 
 from pewterring.consensus.errors import ConsensusError
 from pewterring.consensus.group import ReplicatedGroup
+from pewterring.consensus.membership import address_of
 from pewterring.consensus.messages import Membership
+from pewterring.consensus.planner import CHANGES_A_LOOK, MembershipPlanner
 from pewterring.control.commands import Command, CreateGroup, EndRetirement, RemoveWorkers, SilenceWorkers
 from pewterring.control.errors import ControlError
 from pewterring.control.leadership import GroupLeadership
-from pewterring.control.membership import MembershipPlanner, caught_up_members
+from pewterring.control.membership import JoinRequests
 from pewterring.control.nodes import NodeTable
 from pewterring.control.publisher import FeedPublisher
 from pewterring.control.retiring import RetirementDesk
 from pewterring.control.state import ControlState
 from pewterring.control.stores import (
     FIRST_GROUP,
-    address_of,
     first_placement,
     is_emptied,
     live_stores,
@@ -38,7 +39,6 @@
         registry: WorkerRegistry,
         publisher: FeedPublisher,
         desk: RetirementDesk,
-        planner: MembershipPlanner,
         needed_stores: int,
         report_s: float,
     ) -> None:
@@ -50,7 +50,6 @@
         self._registry = registry
         self._publisher = publisher
         self._desk = desk
-        self._planner = planner
         self._needed = needed_stores
         self._report_s = report_s
         self._first_store_seen: float | None = None
@@ -60,7 +59,6 @@
         """Begins a leadership, everything before it being applied."""
         self._nodes.start(now, self._state.nodes)
         self._registry.start(now)
-        self._planner.start(now, membership)
         self._publisher.start(epoch, controls_of(membership))
         self._first_store_seen = None
         self._retiring_since = {}
@@ -120,31 +118,39 @@
         self,
         duties: LeaderDuties,
         planner: MembershipPlanner,
+        joins: JoinRequests,
         group: ReplicatedGroup,
         leadership: GroupLeadership,
     ) -> None:
         self._duties = duties
         self._planner = planner
+        self._joins = joins
         self._group = group
         self._leadership = leadership
 
+    def start(self, now: float) -> None:
+        """Begins a leadership, everything before it being applied."""
+        self._duties.start(now, self._group.term, self._group.membership)
+        self._planner.start(now, self._group)
+        self._joins.start()
+
     async def run_once(self, now: float) -> None:
         """Does all that is due at `now`; what fails is found due again."""
         try:
             for command in self._duties.due_commands(now):
                 await self._leadership.propose(command)
-            change = self._due_membership(now)
-            if change is not None:
-                logger.info("control group changes to {}", change)
-                await self._group.change_membership(change)
+            await self._change_members(now)
         except (ControlError, ConsensusError) as error:
             logger.info("a duty of the leader was not done: {!r}", error)
 
-    def _due_membership(self, now: float) -> Membership | None:
-        group = self._group
-        membership = group.membership
-        matches = {member: group.match(member) for member in (*membership.voters, *membership.learners)}
-        return self._planner.plan(now, membership, caught_up_members(membership, matches, group.commit_index))
+    async def _change_members(self, now: float) -> None:
+        """Makes one change after the other until none is due, so that few looks make the group whole."""
+        for _ in range(CHANGES_A_LOOK):
+            change = self._planner.plan(now, self._group, self._joins.candidates(now))
+            if change is None:
+                return
+            logger.info("control group changes to {}", change)
+            await self._group.change_membership(change)
 
 
 def controls_of(membership: Membership) -> set[str]:
--- a/pewterring/control/program.py
+++ b/pewterring/control/program.py
@@ -12,14 +12,16 @@
 
 from pewterring.consensus.errors import ConsensusError
 from pewterring.consensus.group import ReplicatedGroup
+from pewterring.consensus.membership import address_of
 from pewterring.consensus.messages import CONSENSUS_MESSAGES, ConsensusMessage, Membership
+from pewterring.consensus.planner import MembershipPlanner, voters_needed
 from pewterring.consensus.types import RaftTiming
 from pewterring.control.api import ControlApi
 from pewterring.control.duties import DutyRunner, LeaderDuties, controls_of
 from pewterring.control.feed import FeedServer
 from pewterring.control.http_server import ApiServer
 from pewterring.control.leadership import GroupLeadership
-from pewterring.control.membership import MembershipPlanner
+from pewterring.control.membership import JoinRequests
 from pewterring.control.messages import CONTROL_MESSAGES, JoinGroup, RelayedCall
 from pewterring.control.nodes import NodeTable
 from pewterring.control.publisher import FeedPublisher
@@ -27,7 +29,6 @@
 from pewterring.control.retiring import RetirementDesk
 from pewterring.control.service import ControlService
 from pewterring.control.state import ControlState
-from pewterring.control.stores import address_of, voters_needed
 from pewterring.distribution.messages import FEED_MESSAGES, Renew, Subscribe
 from pewterring.node.settings import NodeSettings, SettingsError
 from pewterring.registry.workers import WorkerRegistry
@@ -83,7 +84,10 @@
         publisher = FeedPublisher(self._state, nodes)
         registry = WorkerRegistry(self._state.workers, self._state.departed, settings.heartbeat_s)
         desk = RetirementDesk(self._state, nodes, self._leadership, needed)
-        self._planner = MembershipPlanner(self._member, needed)
+        planner = MembershipPlanner(
+            self._member, settings.tolerated_machines, settings.bounds.catch_up_s, keeps_spares=True
+        )
+        self._joins = JoinRequests()
         bounds = settings.bounds
         self._duties = LeaderDuties(
             self._state,
@@ -91,11 +95,10 @@
             registry,
             publisher,
             desk,
-            self._planner,
             needed,
             report_s=min(bounds.config_s, bounds.drain_s),
         )
-        self._runner = DutyRunner(self._duties, self._planner, self._group, self._leadership)
+        self._runner = DutyRunner(self._duties, planner, self._joins, self._group, self._leadership)
         self._feed = FeedServer(publisher, nodes, self._leadership, codec, self._leader_ip, self._clock)
         service = ControlService(self._state, registry, desk, self._leadership, self._clock)
         self._router = CallRouter(service.handle, self._leader_ip, self._request, settings.ip)
@@ -153,13 +156,11 @@
         return None
 
     def _on_consensus(self, message: ConsensusMessage) -> None:
-        if self._leadership.ready:
-            self._planner.hear(self._clock(), message.sender)
         self._group.receive(message)
 
     def _on_join(self, message: JoinGroup) -> None:
         if self._leadership.ready:
-            self._planner.ask(self._clock(), message.member)
+            self._joins.ask(self._clock(), message.member)
         elif not message.forwarded and self._leader_ip() not in ("", self._settings.ip):
             self._links.send(self._leader_ip(), JoinGroup(message.member, forwarded=True))
 
@@ -185,7 +186,7 @@
         if not leads:
             self._feed.end_sessions()
             return
-        self._duties.start(self._clock(), self._group.term, self._group.membership)
+        self._runner.start(self._clock())
         logger.info("leads control in term {}", self._group.term)
 
     def _on_group_failure(self, error: Exception) -> None:
--- a/pewterring/control/stores.py
+++ b/pewterring/control/stores.py
@@ -2,17 +2,13 @@
 
 from collections.abc import Iterable, Mapping, Sequence
 
+from pewterring.consensus.membership import address_of
 from pewterring.control.state import STORE, Retirement
 from pewterring.distribution.messages import GroupStatus, NodeRecord, PlacementRecord
 
 FIRST_GROUP = "batch-0"
 
 
-def voters_needed(tolerated_machines: int) -> int:
-    """How many voters survive the loss of so many machines."""
-    return 2 * tolerated_machines + 1
-
-
 def live_stores(nodes: Iterable[NodeRecord]) -> list[NodeRecord]:
     """The stores among the nodes that can be members of a partition."""
     return [node for node in nodes if node.program == STORE and node.member]
@@ -38,11 +34,6 @@
     return PlacementRecord(FIRST_GROUP, tuple(store.member for store in chosen))
 
 
-def address_of(member: str) -> str:
-    """The IP of a member of a replicated group."""
-    return member.partition("#")[0]
-
-
 def is_emptied(
     retirement: Retirement,
     placements: Iterable[PlacementRecord],
--- a/tests/control/cluster.py
+++ b/tests/control/cluster.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from pewterring.consensus.group import SNAPSHOT_AFTER_BYTES, ReplicatedGroup
+from pewterring.consensus.membership import address_of
 from pewterring.consensus.messages import ConsensusMessage
 from pewterring.control.calls import (
     HEARTBEAT_PATH,
@@ -31,7 +32,6 @@
 from pewterring.control.retiring import RetirementDesk
 from pewterring.control.service import ControlService
 from pewterring.control.state import ControlState
-from pewterring.control.stores import address_of
 from pewterring.distribution.messages import FEED_MESSAGES
 from pewterring.registry.workers import WorkerRegistry
 from pewterring.transport.lines import MessageCodec
--- a/tests/control/test_duties.py
+++ b/tests/control/test_duties.py
@@ -3,7 +3,6 @@
 from pewterring.consensus.messages import Membership
 from pewterring.control.commands import Command, CreateGroup, EndRetirement, PutWorker, Result, SetRetiring
 from pewterring.control.duties import PLACEMENT_S, LeaderDuties
-from pewterring.control.membership import MembershipPlanner
 from pewterring.control.nodes import NodeTable
 from pewterring.control.publisher import FeedPublisher
 from pewterring.control.retiring import RetirementDesk
@@ -28,10 +27,7 @@
         self.publisher = FeedPublisher(self.state, self.nodes)
         registry = WorkerRegistry(self.state.workers, self.state.departed, 1.0)
         desk = RetirementDesk(self.state, self.nodes, self, 3)
-        planner = MembershipPlanner(MEMBERSHIP.voters[0], 3)
-        self.duties = LeaderDuties(
-            self.state, self.nodes, registry, self.publisher, desk, planner, 3, REPORT_S
-        )
+        self.duties = LeaderDuties(self.state, self.nodes, registry, self.publisher, desk, 3, REPORT_S)
         self.duties.start(self.now, 1, MEMBERSHIP)
 
     async def propose(self, command: Command) -> Result:
--- a/tests/control/test_leadership.py
+++ b/tests/control/test_leadership.py
@@ -8,11 +8,12 @@
 from pewterring.consensus.errors import GroupFailed, MembershipRefused, NotLeader, OutcomeUnknown
 from pewterring.consensus.group import ReplicatedGroup
 from pewterring.consensus.messages import Membership
+from pewterring.consensus.planner import Candidates, MembershipPlanner, PlannedGroup
 from pewterring.control.commands import Accepted, Command, PutNodes, RemoveWorkers
 from pewterring.control.duties import DutyRunner, LeaderDuties
 from pewterring.control.errors import NotLeading, OutcomeUnsure
 from pewterring.control.leadership import BARRIER_S, GroupLeadership
-from pewterring.control.membership import MembershipPlanner
+from pewterring.control.membership import JoinRequests
 from pewterring.control.state import encode_command
 from tests.consensus.virtual_time import run
 from tests.control.records import gateway
@@ -48,6 +49,7 @@
     async def change_membership(self, membership: Membership) -> None:
         self._fail()
         self.changes.append(membership)
+        self.membership = membership
 
     async def read_barrier(self) -> None:
         self._fail()
@@ -72,8 +74,8 @@
 class StandInPlanner:
     """Wants one change of membership."""
 
-    def plan(self, now: float, membership: Membership, caught_up: set[str]) -> Membership | None:
-        return JOINED if membership == FIRST else None
+    def plan(self, now: float, group: PlannedGroup, candidates: Candidates) -> Membership | None:
+        return JOINED if group.membership == FIRST else None
 
 
 def made() -> tuple[StandInGroup, GroupLeadership]:
@@ -87,6 +89,7 @@
     return DutyRunner(
         cast(LeaderDuties, StandInDuties()),
         cast(MembershipPlanner, StandInPlanner()),
+        JoinRequests(),
         cast(ReplicatedGroup, group),
         leadership,
     )
--- a/tests/control/test_program.py
+++ b/tests/control/test_program.py
@@ -13,7 +13,7 @@
 import pytest
 
 from pewterring.configuration.digest import as_line
-from pewterring.control.membership import MembershipPlanner
+from pewterring.control.membership import JoinRequests
 from pewterring.control.messages import JoinGroup
 from pewterring.control.program import MESSAGES, ControlProgram
 from pewterring.distribution.messages import (
@@ -259,7 +259,7 @@
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     asked: list[str] = []
-    monkeypatch.setattr(MembershipPlanner, "ask", lambda self, now, member: asked.append(member))
+    monkeypatch.setattr(JoinRequests, "ask", lambda self, now, member: asked.append(member))
 
     async def scenario() -> None:
         machines = Machines(tmp_path)
--- a/tests/simulation/adversary.py
+++ b/tests/simulation/adversary.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from functools import partial
 
-from pewterring.control.stores import address_of
+from pewterring.consensus.membership import address_of
 from tests.simulation.losses import CATCH_UP_S, Losses
 from tests.simulation.machines import Machine
 from tests.simulation.network import Outside
--- a/tests/simulation/breakages.py
+++ b/tests/simulation/breakages.py
@@ -1,6 +1,7 @@
 """Deliberate breakages of the real classes. The schedules named with them must catch each."""
 
 import contextlib
+import dataclasses
 import itertools
 from collections.abc import Callable, Iterator
 from typing import Any
@@ -8,7 +9,8 @@
 
 from pewterring.consensus.following import Following
 from pewterring.consensus.leading import Leading
-from pewterring.consensus.messages import Membership, SnapshotPart
+from pewterring.consensus.messages import SnapshotPart
+from pewterring.consensus.planner import Candidates, MembershipPlanner
 from pewterring.consensus.state import MemberState
 from pewterring.consensus.types import Snapshot
 from pewterring.control import duties
@@ -49,10 +51,14 @@
 def promotion_without_catch_up() -> Any:
     """A learner becomes a voter whatever it holds."""
 
-    def all_members(membership: Membership, *_: Any) -> set[str]:
-        return {*membership.voters, *membership.learners}
+    real = MembershipPlanner._look
 
-    return mock.patch.object(duties, "caught_up_members", all_members)
+    def look(self: MembershipPlanner, now: float, group: Any, candidates: Candidates) -> Any:
+        seen = real(self, now, group, candidates)
+        members = {*seen.membership.voters, *seen.membership.learners}
+        return dataclasses.replace(seen, holders=members)
+
+    return mock.patch.object(MembershipPlanner, "_look", look)
 
 
 def learner_counted() -> Any:
--- a/tests/simulation/named.py
+++ b/tests/simulation/named.py
@@ -16,7 +16,7 @@
     told_before_saved,
     vote_not_synced,
 )
-from tests.simulation.schedule import Fault, Kind, Point, Schedule, Target
+from tests.simulation.schedule import Fault, Kind, On, Point, Schedule, Target
 
 LEADER, OLDEST, LOST, FOLLOWER = Target.LEADER, Target.OLDEST, Target.LOST, Target.FOLLOWER
 
@@ -32,6 +32,7 @@
 
 FROZEN_LEADER = again(Fault(6.0, Kind.CUT_FREEZE, LEADER, Point.NOW, 0.7))
 CUT_LEADER = again(Fault(6.0, Kind.CUT, LEADER, Point.NOW, 2.0))
+CUT_STORE_LEADER = again(Fault(5.0, Kind.CUT, LEADER, lasts_s=3.0, on=On.STORE), times=6, apart_s=4.0)
 POWER_AT_ACK = again(Fault(6.0, Kind.POWER_ALL, point=Point.ORDER_ACKED), times=8, apart_s=1.5)
 LATE_KILLS = (Fault(16.0, Kind.KILL_ALL), Fault(18.0, Kind.KILL_ALL))
 
@@ -70,5 +71,5 @@
     "vote not synced": (vote_not_synced, Schedule(1, 1, again(Fault(6.0, Kind.POWER_ALL)))),
     "told before saved": (told_before_saved, Schedule(1, 1, POWER_AT_ACK)),
     "relay id used again": (relay_id_used_again, Schedule(1, 1, ())),
-    "retirement ended early": (retirement_ended_early, Schedule(1, 1, (), stores=True)),
+    "retirement ended early": (retirement_ended_early, Schedule(1, 1, CUT_STORE_LEADER, stores=True)),
 }
--- a/tests/simulation/watch.py
+++ b/tests/simulation/watch.py
@@ -1,14 +1,16 @@
 """What must hold at every moment, noted as the programs run. A violation ends the run."""
 
+import bisect
 from collections.abc import Iterator
 from typing import TYPE_CHECKING, Any
 from unittest import mock
 
 from pewterring.consensus.group import ReplicatedGroup
 from pewterring.consensus.leading import Leading
+from pewterring.consensus.membership import address_of
 from pewterring.consensus.messages import Entry, Membership
+from pewterring.consensus.planner import LATE_CHECK_S
 from pewterring.control.program import GROUP
-from pewterring.control.stores import FIRST_GROUP, address_of
 from pewterring.distribution.follower import TableFollower
 from pewterring.distribution.messages import WorkerRecord
 from pewterring.registry.heartbeats import READY
@@ -18,8 +20,6 @@
 if TYPE_CHECKING:
     from tests.simulation.world import World
 
-PROMOTED_BEHIND = {FIRST_GROUP: 16}  # entries: `CAUGHT_UP_ENTRIES` of the partition's planner
-
 
 class Watch:
     """Compares what members do with what others did, and what gateways are told with what was promised."""
@@ -27,6 +27,7 @@
     def __init__(self, world: "World") -> None:
         self._world = world
         self.violations: list[str] = []
+        self._committed_at: dict[str, list[tuple[float, int]]] = {}  # rising indices by group, with times
         self._leaders: dict[tuple[str, int], str] = {}  # by group and term
         self._applied: dict[tuple[str, int], tuple[int, str, bytes]] = {}  # by group and index
         self._committed: dict[str, int] = {}  # by group: the highest index that was applied
@@ -73,14 +74,27 @@
         known = self._applied.setdefault((group.group, entry.index), this)
         if known != this:
             self.violation(f"{group.member} applied {this} at {entry.index}, others {known}")
-        self._committed[group.group] = max(self.committed(group.group), entry.index)
+        if entry.index > self.committed(group.group):
+            self._committed[group.group] = entry.index
+            self._committed_at.setdefault(group.group, []).append((self._world.loop.time(), entry.index))
 
     def changes_members(self, group: Any, membership: Membership) -> None:
-        """A leader proposes a change: whoever becomes a voter must hold all that is committed."""
+        """A leader proposes a change: whoever becomes a voter must hold all committed before the look.
+
+        A look is `LATE_CHECK_S` old at most, else the planner begins anew.
+        """
+        wanted = self._committed_until(group.group, self._world.loop.time() - LATE_CHECK_S)
         for voter in membership.voters:
-            behind = group.commit_index - group.match(voter)
-            if voter not in group.membership.voters and behind > PROMOTED_BEHIND.get(group.group, 0):
-                self.violation(f"{voter} becomes a voter at {group.match(voter)} of {group.commit_index}")
+            if voter not in group.membership.voters and group.match(voter) < wanted:
+                self.violation(
+                    f"{voter} becomes a voter at {group.match(voter)}; {wanted} was committed before"
+                )
+
+    def _committed_until(self, group: str, time: float) -> int:
+        """The highest index that any member had applied by a virtual time."""
+        history = self._committed_at.get(group, [])
+        after = bisect.bisect_right(history, time, key=lambda moment: moment[0])
+        return history[after - 1][1] if after else 0
 
     def emptied(self, ip: str) -> None:
         """A store is said to be empty: as many others as wanted must hold all that is committed."""
