Losses at the first allowed instant, of the oldest disks, with the planner in the loop

The simulated group with the planner of members, for f = 1 and 2, as control (spares are learners) and as a partition: wipes and replacements of the oldest disks again as soon as catch_up_s is over, machines gone at the instant of an acknowledgement, planned replacements, a leader wiped at each point of a change of members, others wiped the instant that a retirement succeeds while a voter had been frozen, a removed member that returns with its old disk.

--- /dev/null
+++ b/tests/consensus/planned_simulation.py
@@ -0,0 +1,145 @@
+"""The simulated group with its planner of members: machines lose their disks, go for good, or are emptied.
+
+A wiped machine comes back at its address under another name. The surroundings of the group (the table of
+stores, the wishes to join) are exact and at once; what takes time is the group's own part.
+"""
+
+import contextlib
+
+from pewterring.consensus.errors import ConsensusError
+from pewterring.consensus.membership import address_of
+from pewterring.consensus.planner import Candidates, MembershipPlanner, voters_needed
+from pewterring.consensus.raft import Raft
+from tests.consensus.parts import Member
+from tests.consensus.simulation import Simulation
+
+CATCH_UP_S = 4.8
+LOOK_S = 0.2  # the longer of the periods of control and of partitions
+DOWN_S = 0.5  # until a machine that lost its disk is back
+
+
+class PlannedSimulation(Simulation):
+    """`tolerated` losses, 2f + 1 voters, and so many spare machines."""
+
+    def __init__(
+        self,
+        seed: int,
+        tolerated: int,
+        keeps_spares: bool,
+        spares: int = 0,
+        planner_class: type[MembershipPlanner] = MembershipPlanner,
+    ) -> None:
+        super().__init__(seed, voters_needed(tolerated))
+        self.tolerated = tolerated
+        self.retiring: set[str] = set()
+        self.written = 0
+        self._keeps_spares = keeps_spares
+        self._planner_class = planner_class
+        self._planners: dict[tuple[str, int, int], MembershipPlanner] = {}
+        self._wipes = 0
+        self._disk_since = dict.fromkeys(self.members, 0.0)
+        for number in range(spares):
+            self.join(f"spare{number}")
+        self._at(self.now + LOOK_S, self._look_again)
+
+    def join(self, name: str) -> None:
+        super().join(name)
+        self._disk_since[name] = self.now
+
+    # The planner
+
+    def _look_again(self) -> None:
+        self._look()
+        self._at(self.now + LOOK_S, self._look_again)
+
+    def _look(self) -> None:
+        for member in tuple(self.members.values()):
+            raft = member.raft
+            if raft is None or member.frozen or not raft.leads_committed:
+                continue
+            if raft.has_lease(self._clock(member)):
+                self._plan(member, raft)
+
+    def _plan(self, member: Member, raft: Raft) -> None:
+        now = self._clock(member)
+        leadership = (member.name, member.life, raft.term)
+        planner = self._planners.get(leadership)
+        if planner is None:
+            planner = self._planner_class(member.name, self.tolerated, CATCH_UP_S, self._keeps_spares)
+            planner.start(now, raft)
+            self._planners[leadership] = planner
+        change = planner.plan(now, raft, self._candidates())
+        if change is None:
+            return
+        with contextlib.suppress(ConsensusError):
+            raft.propose_membership(now, change)
+            self._pump(member)
+        self._at(self.now + 0.02, self._look)  # the change is committed then, and the next one follows
+
+    def _candidates(self) -> Candidates:
+        alive = [name for name, member in self.members.items() if member.raft is not None]
+        newest = {address_of(name): name for name in alive}
+        return Candidates(tuple(newest.values()), newest, frozenset(self.retiring))
+
+    # Losses
+
+    def oldest(self, count: int = 1) -> list[str]:
+        """The voters whose disks have lasted longest."""
+        voters = [name for name in self.leader_raft().membership.voters if name in self.members]
+        return sorted(voters, key=lambda name: (self._disk_since[name], name))[:count]
+
+    def lose_for_good(self, name: str) -> None:
+        self.crash(name, saves_lost=True)
+        del self.members[name]
+
+    def stop_for_good(self, name: str) -> None:
+        """A planned end: a leader hands over first, as both programs do on SIGTERM."""
+        member = self.members[name]
+        if member.raft is not None and member.raft.is_leader:
+            member.raft.hand_over(self._clock(member))
+            self._pump(member)
+            self.run(0.1)
+        self.lose_for_good(name)
+
+    def wipe(self, *names: str) -> None:
+        """The machines lose power and their disks, all at once, and come back empty."""
+        for name in names:
+            self.lose_for_good(name)
+        self.run(DOWN_S)
+        for name in names:
+            self._wipes += 1
+            self.join(f"{address_of(name)}#{self._wipes}")
+
+    # What must hold
+
+    def write(self, seconds: float) -> None:
+        """Commands go on at the leader."""
+        end = self.now + seconds
+        while self.now < end:
+            self.written += 1
+            self.propose(f"command {self.written}")
+            self.run(0.02)
+
+    def propose_and_wait(self, text: str) -> None:
+        """Returns at the instant of the acknowledgement."""
+        self.propose(text)
+        self.run_until(lambda: text in self.acknowledged)
+
+    def is_whole(self) -> bool:
+        """Whether 2f + 1 voters that are there and are to stay hold all that is committed."""
+        name = self.leader()
+        if name is None:
+            return False
+        raft = self.leader_raft()
+        voters = raft.membership.voters
+        if len(voters) != voters_needed(self.tolerated) or self.retiring & set(voters):
+            return False
+        return raft.membership_is_committed and all(
+            voter in self.members and raft.match(voter) >= raft.commit_index for voter in voters
+        )
+
+    def until_whole(self) -> float:
+        """Waits until the group is whole; how long that took."""
+        began = self.now
+        self.run_until(self.is_whole)
+        return self.now - began
--- /dev/null
+++ b/tests/consensus/test_losses.py
@@ -0,0 +1,138 @@
+"""Losses at the first instant that the deployment allows, always of the disks that have lasted longest.
+
+A machine counts as lost until `catch_up_s` after it is back, or after its successor's start. The group must
+be whole again in half of that, and nothing that was acknowledged may be lost.
+"""
+
+import pytest
+
+from tests.consensus.parts import Violation
+from tests.consensus.planned_simulation import CATCH_UP_S, PlannedSimulation
+
+HALF_S = CATCH_UP_S / 2
+ROUNDS = 4
+kinds = pytest.mark.parametrize("spares_kept", [False, True], ids=["batch", "control"])
+tolerated_losses = pytest.mark.parametrize("tolerated", [1, 2])
+
+
+def started(seed: int, tolerated: int, spares_kept: bool, spares: int = 0) -> PlannedSimulation:
+    simulation = PlannedSimulation(seed, tolerated, spares_kept, spares)
+    simulation.run_until(simulation.is_whole)
+    simulation.write(0.5)
+    return simulation
+
+
+@kinds
+@tolerated_losses
+def test_the_oldest_disks_are_wiped_again_and_again(tolerated: int, spares_kept: bool) -> None:
+    for seed in range(2):
+        simulation = started(seed, tolerated, spares_kept)
+        for _ in range(ROUNDS):
+            simulation.write(0.3)
+            simulation.wipe(*simulation.oldest(tolerated))
+            back_at = simulation.now
+            assert simulation.until_whole() < HALF_S
+            simulation.write(back_at + CATCH_UP_S - simulation.now)
+        simulation.check_converges()
+
+
+@kinds
+@tolerated_losses
+def test_the_oldest_machines_are_replaced_one_after_the_other(tolerated: int, spares_kept: bool) -> None:
+    """The machines go for good at the instant of an acknowledgement; empty ones start a second later."""
+    for seed in range(2):
+        simulation = started(seed, tolerated, spares_kept)
+        for number in range(ROUNDS):
+            simulation.propose_and_wait(f"last words {number}")
+            for name in simulation.oldest(tolerated):
+                simulation.lose_for_good(name)
+            simulation.run(1.0)
+            for new in range(tolerated):
+                simulation.join(f"new{number}.{new}")
+            started_at = simulation.now
+            assert simulation.until_whole() < HALF_S
+            simulation.write(started_at + CATCH_UP_S - simulation.now)
+        simulation.check_converges()
+
+
+@kinds
+def test_a_planned_replacement_leaves_the_group_whole_before_the_next_loss(spares_kept: bool) -> None:
+    """The new machine starts, a second later the old one ends, and the next loss comes as soon as it may."""
+    for seed in range(2):
+        simulation = started(seed, 1, spares_kept)
+        for number in range(ROUNDS):
+            simulation.join(f"new{number}")
+            started_at = simulation.now
+            simulation.write(1.0)
+            simulation.stop_for_good(simulation.oldest()[0])
+            assert simulation.until_whole() < HALF_S
+            simulation.write(started_at + CATCH_UP_S - simulation.now)
+        simulation.check_converges()
+
+
+@kinds
+def test_a_leader_is_wiped_at_each_point_of_a_change_of_members(spares_kept: bool) -> None:
+    """Another machine is already away for good; with two losses allowed the leader may go as well."""
+    for point in range(12):
+        simulation = started(point, 2, spares_kept, spares=1)
+        follower = next(name for name in simulation.oldest(5) if name != simulation.leader())
+        simulation.lose_for_good(follower)
+        simulation.write(1.2)
+        simulation.run(point * 0.07)
+        simulation.wipe(simulation.leader() or "")
+        back_at = simulation.now
+        assert simulation.until_whole() < HALF_S
+        simulation.write(back_at + CATCH_UP_S - simulation.now)
+        simulation.wipe(*simulation.oldest(2))
+        simulation.check_converges()
+
+
+@kinds
+@tolerated_losses
+def test_others_are_wiped_the_instant_that_a_retirement_succeeds(tolerated: int, spares_kept: bool) -> None:
+    """While another voter was frozen the one that leaves was the only one beside the leader that held all."""
+    for seed in range(3):
+        simulation = started(seed, tolerated, spares_kept, spares=1)
+        others = [name for name in simulation.oldest(5) if name != simulation.leader()]
+        simulation.freeze(others[0])
+        simulation.retiring = {others[1]}
+        simulation.write(1.0)
+        simulation.thaw(others[0])
+        while not simulation.is_whole():
+            simulation.write(0.02)
+        simulation.lose_for_good(others[1])
+        simulation.retiring = set()
+        simulation.wipe(*simulation.oldest(tolerated))
+        assert simulation.until_whole() < HALF_S
+        simulation.check_converges()
+
+
+def test_a_member_that_was_removed_and_returns_with_its_old_disk_does_not_count() -> None:
+    simulation = started(1, 1, False, spares=1)
+    gone = next(name for name in simulation.oldest(3) if name != simulation.leader())
+    simulation.crash(gone)
+    simulation.run(1.5)
+    assert simulation.until_whole() < HALF_S
+    assert gone not in simulation.leader_raft().membership.voters
+    term = simulation.leader_raft().term
+    simulation.start(gone)
+    simulation.write(3.0)
+    assert simulation.leader_raft().term == term, "it unsettles nobody"
+    assert gone not in simulation.leader_raft().membership.voters
+    other = next(name for name in simulation.oldest(3) if name != simulation.leader())
+    simulation.crash(other)
+    simulation.cut_off("spare0")
+    simulation.written += 1
+    before = len(simulation.acknowledged)
+    simulation.propose("not by the one that was removed")
+    simulation.run(0.6)
+    assert len(simulation.acknowledged) == before
+    simulation.check_converges()
+
+
+def test_two_losses_at_once_are_more_than_one_may_bear() -> None:
+    """The check itself: where the second loss comes too early, the group does not come back."""
+    simulation = started(1, 1, False)
+    simulation.wipe(*simulation.oldest(2))
+    with pytest.raises(Violation):
+        simulation.check_converges()
