An identity file of another machine ends the process with one line

The file kept the tag alone, so a data folder that came to another address gave its log and votes a second name. It now keeps the address as well; a folder that does not fit the settings is refused before anything is written, with the file's name and both addresses. Files of earlier versions have no address and are taken. Tests: tests/storage/test_identity.py, two new ones.

--- a/tests/storage/test_identity.py
+++ b/tests/storage/test_identity.py
@@ -9,6 +9,7 @@
 from pewterring.storage.disk import FolderDisk, Operation
 from pewterring.storage.errors import StorageError, StorageFailed
 from pewterring.storage.identity import member_name
+from pewterring.storage.records import encode_record
 from tests.storage.simulated_disk import PowerLoss, SimulatedDisk
 
 FOLDER = Path("unused")
@@ -53,6 +54,28 @@
         member_name(FOLDER, IP, disk)
 
 
+def test_a_folder_of_another_machine_is_refused_and_stays_as_it_is() -> None:
+    disk = SimulatedDisk()
+    name = member_name(FOLDER, IP, disk)
+    before = disk.read("identity")
+    with pytest.raises(
+        StorageError, match=r"unused/identity is of 10\.0\.0\.1; the settings say 10\.0\.0\.2"
+    ):
+        member_name(FOLDER, "10.0.0.2", disk, tag="seed")
+    assert disk.names() == ["identity"]
+    assert disk.read("identity") == before
+    assert member_name(FOLDER, IP, disk) == name
+
+
+def test_a_folder_of_an_earlier_version_is_taken() -> None:
+    disk = SimulatedDisk()
+    file = disk.create("identity")
+    file.write(encode_record(b'{"tag":"first"}\n'))
+    file.sync()
+    file.close()
+    assert member_name(FOLDER, IP, disk) == "10.0.0.1#first"
+
+
 def test_a_tag_must_fit_into_a_name() -> None:
     with pytest.raises(ValueError, match="tag"):
         member_name(FOLDER, IP, SimulatedDisk(), tag="a#b")
