--- a/tests/consensus/test_losses.py
+++ b/tests/consensus/test_losses.py
@@ -55,6 +55,29 @@
         simulation.check_converges()
 
 
+@kinds
+@tolerated_losses
+def test_all_others_lose_power_as_the_oldest_disks_are_lost_at_an_acknowledgement(
+    tolerated: int, spares_kept: bool
+) -> None:
+    for seed in range(6):
+        simulation = started(seed, tolerated, spares_kept, spares=1)
+        simulation.propose_and_wait("last words")
+        wiped = simulation.oldest(tolerated)
+        others = [name for name in simulation.members if name not in wiped]
+        for name in others:
+            simulation.crash(name, saves_lost=True)
+        for name in wiped:
+            simulation.lose_for_good(name)
+        simulation.run(0.5)
+        for name in others:
+            simulation.start(name)
+        for number in range(tolerated):
+            simulation.join(f"{wiped[number]}#new")
+        assert simulation.until_whole() < HALF_S
+        simulation.check_converges()
+
+
 @kinds
 def test_a_planned_replacement_leaves_the_group_whole_before_the_next_loss(spares_kept: bool) -> None:
     """The new machine starts, a second later the old one ends, and the next loss comes as soon as it may."""
