--- a/benchmarks/history.py
+++ b/benchmarks/history.py
@@ -1,7 +1,7 @@
 """How long a member takes to start, and to catch up, by the number and size of changes that it missed.
 
     python -m benchmarks.history [--states control,batch] [--changes 300,3000] [--kilobytes 8,64]
-                                 [--sync-ms 1,30] [--mb-per-s 120,4] [--folder DIR]
+                                 [--kept-jobs 40] [--sync-ms 1,30] [--mb-per-s 120,4] [--folder DIR]
 
 Three members of one group share this process and hand each other encoded messages. One of them is away while
 the others take the changes; then it starts again while changes go on. Told are: bytes on its disk when it
@@ -43,13 +43,13 @@
 ROUTE_BYTES = 160  # of one route of a configuration, about
 WORKERS = 200  # that are there at once
 ITEMS = 10  # of a batch job
-JOBS_KEPT = 40  # before a finished job is dropped
+RESULT_BYTES = 500
 PROPOSED_AT_ONCE = 16
 PAUSE_S = 0.01  # between changes that go on while the member catches up
 PATIENCE_S = 120.0
 
 
-def control_changes(size_bytes: int) -> Iterator[bytes]:
+def control_changes(size_bytes: int, kept: int) -> Iterator[bytes]:
     """Configurations of that size; between them workers come and go."""
     for version in itertools.count(1):
         document = msgspec.Raw(orjson.dumps(_document(version, size_bytes)))
@@ -83,26 +83,30 @@
     return {"version": version, "routes": routes, "backends": [{"name": "s"}]}
 
 
-def batch_changes(size_bytes: int) -> Iterator[bytes]:
-    """Jobs of that size; each is finished by the next change, and dropped after `JOBS_KEPT` more."""
+def batch_changes(size_bytes: int, kept: int) -> Iterator[bytes]:
+    """Jobs of that size; each is finished by the next change, and dropped after `kept` more."""
     body = "A" * (size_bytes // ITEMS)
     for number in itertools.count():
         job = f"j-{number}"
         items = tuple(ItemSpec(f"i-{n}", "/p", {}, body, 100) for n in range(ITEMS))
         yield batch_commands.encode_command(batch_commands.AcceptJob(job, "h.example", "/", items))
         results = tuple(
-            batch_commands.JobResult(job, ItemResult(f"i-{n}", "succeeded", "r" * 500)) for n in range(ITEMS)
+            batch_commands.JobResult(job, ItemResult(f"i-{n}", "succeeded", "r" * RESULT_BYTES))
+            for n in range(ITEMS)
         )
         yield batch_commands.encode_command(batch_commands.AddResults(results))
-        if number >= JOBS_KEPT:
-            yield batch_commands.encode_command(batch_commands.DropJobs((f"j-{number - JOBS_KEPT}",)))
+        if number >= kept:
+            yield batch_commands.encode_command(batch_commands.DropJobs((f"j-{number - kept}",)))
 
 
 MACHINES: dict[str, Callable[[], StateMachine]] = {
     "control": ControlState,
     "batch": lambda: BatchState(time.monotonic),
 }
-CHANGES: dict[str, Callable[[int], Iterator[bytes]]] = {"control": control_changes, "batch": batch_changes}
+CHANGES: dict[str, Callable[[int, int], Iterator[bytes]]] = {
+    "control": control_changes,
+    "batch": batch_changes,
+}
 
 
 class SlowFile:
@@ -156,17 +160,19 @@
         self._state = state
         self._codec = MessageCodec(CONSENSUS_MESSAGES)
         self.groups: dict[str, ReplicatedGroup] = {}
+        self.machines: dict[str, StateMachine] = {}
 
     async def start(self, name: str, disk: FolderDisk) -> ReplicatedGroup:
         storage = DiskGroupStorage(disk, "group")
         storage.load()
         storage.initialize(Membership(NAMES))
         storage.close()
+        self.machines[name] = MACHINES[self._state]()
         group = ReplicatedGroup(
             "group",
             name,
             DiskGroupStorage(disk, "group"),
-            MACHINES[self._state](),
+            self.machines[name],
             self._send,
             rng=random.Random(name),
         )
@@ -211,13 +217,13 @@
 
 
 async def measure(
-    folder: Path, state: str, count: int, size_bytes: int, sync_s: float, bytes_per_s: float
+    folder: Path, state: str, count: int, size_bytes: int, kept: int, sync_s: float, bytes_per_s: float
 ) -> str:
     """One member away during `count` changes; returns the figures as a line."""
     trio = Trio(folder, state)
     for name in NAMES:
         await trio.start(name, FolderDisk(folder / name))
-    commands = CHANGES[state](size_bytes)
+    commands = CHANGES[state](size_bytes, kept)
     await trio.propose(commands, 30)
     leader = await trio.leader()
     away = next(name for name in NAMES if name != leader.member)
@@ -226,6 +232,7 @@
     await trio.propose(commands, count)
     target = leader.commit_index
 
+    state_bytes = len(trio.machines[leader.member].snapshot())
     going_on = asyncio.create_task(_go_on(trio, commands))
     began, began_cpu = time.monotonic(), time.process_time()
     late = await trio.start(away, SlowDisk(folder / away, sync_s, bytes_per_s))
@@ -247,7 +254,8 @@
     disk = f"disk {sync_s * 1000:3.0f} ms {bytes_per_s / 1e6:4.0f} MB/s"
     return (
         f"{state:8} {count:6} x {size_bytes // 1000:4} kB, {disk}:"
-        f" left {left_bytes / 1e6:6.1f} MB, start {started - began:5.2f} s, catch-up {catch_up} s,"
+        f" state {state_bytes / 1e6:5.2f} MB, left {left_bytes / 1e6:6.1f} MB,"
+        f" start {started - began:5.2f} s, catch-up {catch_up} s,"
         f" processor {used_cpu:5.2f} s; holds {held_bytes / 1e6:6.1f} MB, start again {again_s:5.2f} s"
     )
 
@@ -270,6 +278,7 @@
     parser.add_argument("--states", default="control,batch")
     parser.add_argument("--changes", default="300,3000")
     parser.add_argument("--kilobytes", default="8,64")
+    parser.add_argument("--kept-jobs", type=int, default=40, help="of the batch state: 5 kB of results each")
     parser.add_argument("--sync-ms", default="1,30")
     parser.add_argument("--mb-per-s", default="120,4", help="one for each of --sync-ms")
     parser.add_argument("--folder", default=None)
@@ -280,15 +289,10 @@
         for count, kilobytes in itertools.product(_numbers(given.changes), _numbers(given.kilobytes)):
             for sync_ms, mb_per_s in disks:
                 with tempfile.TemporaryDirectory(dir=given.folder) as folder:
+                    size_bytes = int(kilobytes * 1000)
+                    disk = sync_ms / 1000, mb_per_s * 1e6
                     line = asyncio.run(
-                        measure(
-                            Path(folder),
-                            state,
-                            int(count),
-                            int(kilobytes * 1000),
-                            sync_ms / 1000,
-                            mb_per_s * 1e6,
-                        )
+                        measure(Path(folder), state, int(count), size_bytes, given.kept_jobs, *disk)
                     )
                 print(line, flush=True)
     peak_mb = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1000
