--- a/pewterring/storage/group.py
+++ b/pewterring/storage/group.py
@@ -82,6 +82,7 @@
         self._hard_state = HardState()
         self._last_indexes = {}
         entries = self._replay(header.first_segment if snapshot else None)
+        self._snapshots.remove_leftovers()
         for entry in entries:
             self._terms.append(entry)
         if not self._log.last_segment_bytes:  # new, or a crash came before its first records were synced
--- a/pewterring/storage/snapshots.py
+++ b/pewterring/storage/snapshots.py
@@ -50,16 +50,18 @@
         self.size_bytes = 0  # of the newest
 
     def load(self) -> Snapshot | None:
-        """The newest snapshot; what is left of others is removed once that could be read.
+        """The newest snapshot.
 
         The folder is synced first: the process before may have ended between a rename and that.
         """
         self._disk.sync_folder()
         names = self._names()
-        newest = self._read(names[-1]) if names else None
+        return self._read(names[-1]) if names else None
+
+    def remove_leftovers(self) -> None:
+        """Removes what is left of other snapshots, once all that counts could be read."""
         self.remove_older()
         self._remove_temporary()
-        return newest
 
     def write(self, header: SnapshotHeader, data: bytes) -> None:
         """Writes a snapshot; when it returns, it is the newest, and outlasts a loss of power."""
--- a/tests/storage/test_bad_files.py
+++ b/tests/storage/test_bad_files.py
@@ -25,6 +25,8 @@
     storage.save(None, None, [entry(3, 1)])
     storage.close()
     disk.create("group.00000001.log").write(brought_back)
+    disk.create("group.00000000000000000001.snapshot").write(b"older")
+    disk.create("group.snapshot.new").write(b"half")
     disk.kill()
     return disk
 
