--- a/tests/consensus/test_catch_up.py
+++ b/tests/consensus/test_catch_up.py
@@ -17,7 +17,7 @@
 CATCH_UP_S = 4.7  # the least that the operators give a member
 SLOW_SYNC_S = 0.03  # thirty times as slow as the disks of the small sites
 SLOW_DISK_BYTES_PER_S = 4e6
-HALF_SPEED_BYTES_PER_S = 10e6  # of messages read or written: a fifth of what is measured at full speed
+HALF_SPEED_BYTES_PER_S = 10e6  # of messages read or written: a fifth of the others
 LARGE_ROUTES = 1000
 WORKERS = 100
 PAUSE_S = 0.05  # after ten changes
