--- a/tests/consensus/test_transfer.py
+++ b/tests/consensus/test_transfer.py
@@ -1,5 +1,6 @@
 """Snapshots on their way: parts do not mix, and neither silence nor compaction sends one for ever."""
 
+import random
 import zlib
 from dataclasses import dataclass
 
@@ -7,7 +8,14 @@
 import pytest
 
 from pewterring.consensus.log import Log
-from pewterring.consensus.messages import AppendReply, Entry, Membership, SnapshotPart, SnapshotReply
+from pewterring.consensus.messages import (
+    AppendReply,
+    ConsensusMessage,
+    Entry,
+    Membership,
+    SnapshotPart,
+    SnapshotReply,
+)
 from pewterring.consensus.replication import Flow, Replication
 from pewterring.consensus.transfer import SnapshotAssembly
 from pewterring.consensus.types import RaftLimits, Snapshot
@@ -205,6 +213,32 @@
     simulation.check_converges()
 
 
+@pytest.mark.parametrize("seed", range(3))
+def test_newer_snapshots_do_not_begin_one_anew(seed: int) -> None:
+    """Half of the parts are lost; the leader makes several snapshots before the one on its way is there."""
+    simulation = Simulation(seed)
+    leader, away = _leader_and_away(simulation, 60)
+    fate = random.Random(seed)
+    sent: set[int] = set()
+
+    def loses(message: ConsensusMessage) -> bool:
+        if isinstance(message, SnapshotPart) and not simulation.members[away].disk.snapshot_index:
+            sent.add(message.last_index)
+        return isinstance(message, SnapshotPart) and fate.random() < 0.5
+
+    simulation.drops = loses
+    before = simulation.members[leader].disk.snapshot_index
+    simulation.start(away)
+    for number in range(400):
+        if simulation.members[away].disk.snapshot_index:
+            break
+        simulation.propose(f"meanwhile {number}")
+        simulation.run(0.05)
+    assert sent == {simulation.members[away].disk.snapshot_index}
+    assert simulation.members[leader].disk.snapshot_index > before + 40
+    simulation.check_converges()
+
+
 @pytest.mark.parametrize("seed", range(3))
 def test_a_snapshot_that_is_never_taken_up_does_not_keep_the_log(seed: int) -> None:
     """The member answers heartbeats, and no part of a snapshot reaches it."""
