--- a/tests/simulation/__main__.py
+++ b/tests/simulation/__main__.py
@@ -9,6 +9,8 @@
 from tests.simulation.schedule import draw
 from tests.simulation.shrink import shrink
 
+PROGRESS_EVERY = 100  # schedules
+
 
 def main() -> int:
     """Returns 1 if a schedule failed."""
@@ -27,6 +29,8 @@
         verdict = play(draw(seed))
         orders += verdict.orders
         repair_s = max(repair_s, verdict.repair_s)
+        if (seed - arguments.seed + 1) % PROGRESS_EVERY == 0:
+            print(f"seed {seed} played, {failed} failed so far", flush=True)
         if not verdict.failed:
             continue
         failed += 1
