--- a/tests/simulation/callers.py
+++ b/tests/simulation/callers.py
@@ -111,7 +111,11 @@
         answer = await self._world.http.call(ip, Call("GET", READ_PATH), PATIENCE_S)
         if answer is None or answer.status == 503:
             return None
-        state = NONE if answer.status == 404 else state_of(answer.body)
+        try:
+            state = NONE if answer.status == 404 else state_of(answer.body)
+        except (KeyError, orjson.JSONDecodeError):
+            self._world.watch.violation(f"a read was answered {answer.body!r}")
+            return None
         self._world.history.reads.append(Read(state, began, self._world.loop.time()))
         return state
 
