--- a/tests/simulation/play.py
+++ b/tests/simulation/play.py
@@ -7,6 +7,8 @@
 
 from pewterring.control.program import GROUP
 from pewterring.control.stores import FIRST_GROUP
+from pewterring.distribution.tables import Tables
+from pewterring.registry.heartbeats import READY
 from tests.simulation.adversary import Adversary
 from tests.simulation.batch import FINISH_S, BatchClient, Retirer
 from tests.simulation.callers import Operator, Worker
@@ -23,6 +25,8 @@
 BATCH_CLIENTS = 2
 CONFIRMED_S = 4.0  # `ack_ms`: an order is confirmed so soon after the last fault
 LONGEST_S = 60.0  # no schedule goes on for longer
+CONFIG_S = 1.0  # half of `config_ms`: gateways know a version so soon, where nothing is in trouble
+DRAIN_S = 1.0  # half of `drain_ms`: and so soon that a worker has left
 STEP_S = 0.25
 CHANGE_S = 1.0  # a planned change of leader is over by then
 
@@ -146,6 +150,7 @@
         world.run(world.loop.time() + 1.2)
         if self.schedule.stores:
             self._finish_jobs(world.loop.time() + FINISH_S)
+        self._judge_gateways()
         ips = [machine.ip for machine in world.core()]
         answers: list[object] = []
 
@@ -158,6 +163,19 @@
         if not world.failed and (len(answers) < len(ips) or None in answers):
             self._failures.append(f"reads at the end: {answers}")
 
+    def _judge_gateways(self) -> None:
+        """Once nothing changes any more, all gateways know the newest, and no worker that left."""
+        world = self.world
+        settled = world.loop.time() - DRAIN_S
+        promised = world.history.acknowledged_before(world.loop.time() - CONFIG_S)
+        for node in world.nodes.values():
+            tables = node.subscriber.tables if node.subscriber is not None else Tables()
+            if node.seen_version < promised:
+                self._failures.append(f"{node.ip} has version {node.seen_version}, not {promised}")
+            for worker in tables.workers.values():
+                if worker.state == READY and world.watch.left.get(worker.id, settled) < settled:
+                    self._failures.append(f"{node.ip} takes {worker.id} for ready, which has left")
+
     def _finish_jobs(self, until: float) -> None:
         """All that was accepted is finished, and seen by its client."""
         unfinished = [""]
