--- a/tests/simulation/breakages.py
+++ b/tests/simulation/breakages.py
@@ -1,5 +1,6 @@
 """Deliberate breakages of the real classes. The schedules named with them must catch each."""
 
+import asyncio
 import contextlib
 import dataclasses
 import itertools
@@ -7,6 +8,10 @@
 from typing import Any
 from unittest import mock
 
+import msgspec
+
+from pewterring.batch.messages import JobAccepted, SubmitJob
+from pewterring.batch.service import BatchService, SubmitReply
 from pewterring.consensus.following import Following
 from pewterring.consensus.leading import Leading
 from pewterring.consensus.messages import SnapshotPart
@@ -16,6 +21,8 @@
 from pewterring.control import duties
 from pewterring.control import program as control_program
 from pewterring.control.calls import READ_PATH, Answer, Call
+from pewterring.control.commands import Command, Conflict, PutConfiguration, Result
+from pewterring.control.errors import OutcomeUnsure
 from pewterring.control.leadership import GroupLeadership
 from pewterring.control.relay import CallRouter
 from pewterring.control.state import ControlState
@@ -166,3 +173,37 @@
 def relay_id_used_again() -> Any:
     """All requests on a connection have the same id, so that answers go to whoever waits."""
     return mock.patch("pewterring.transport.channel.itertools.count", lambda first: itertools.cycle((first,)))
+
+
+def base_not_checked() -> Any:
+    """A configuration is taken on whatever version it builds."""
+    real = ControlState._put_configuration
+
+    def put(self: ControlState, command: PutConfiguration) -> Result:
+        return real(self, msgspec.structs.replace(command, base=self.version))
+
+    return mock.patch.object(ControlState, "_put_configuration", put)
+
+
+def unsure_refused() -> Any:
+    """An order whose outcome is unknown is answered as if another had won."""
+    real = GroupLeadership.propose
+
+    async def propose(self: GroupLeadership, command: Command) -> Result:
+        try:
+            return await real(self, command)
+        except OutcomeUnsure:
+            return Conflict(0)
+
+    return mock.patch.object(GroupLeadership, "propose", propose)
+
+
+def job_accepted_early() -> Any:
+    """A job is acknowledged before it is committed."""
+    real = BatchService._accept
+
+    async def accept(self: BatchService, call: SubmitJob) -> SubmitReply:
+        self.early = asyncio.ensure_future(real(self, call))  # type: ignore[attr-defined]
+        return JobAccepted()
+
+    return mock.patch.object(BatchService, "_accept", accept)
