Simulation: a new voter is compared with what was committed 0.3 s before, in both groups

A planner decides by a look; entries flow between look and change. Now both must hold all that is older than 0.3 s.

--- a/tests/simulation/watch.py
+++ b/tests/simulation/watch.py
@@ -1,16 +1,16 @@
 """What must hold at every moment, noted as the programs run. A violation ends the run."""
 
-import bisect
+from bisect import bisect_right
 from collections.abc import Iterator
+from math import inf
 from typing import TYPE_CHECKING, Any
 from unittest import mock
 
 from pewterring.consensus.group import ReplicatedGroup
 from pewterring.consensus.leading import Leading
-from pewterring.consensus.membership import address_of
 from pewterring.consensus.messages import Entry, Membership
-from pewterring.consensus.planner import LATE_CHECK_S
 from pewterring.control.program import GROUP
+from pewterring.control.stores import address_of
 from pewterring.distribution.follower import TableFollower
 from pewterring.distribution.messages import WorkerRecord
 from pewterring.registry.heartbeats import READY
@@ -20,6 +20,8 @@
 if TYPE_CHECKING:
     from tests.simulation.world import World
 
+LOOK_S = 0.3  # planners compare with what was committed at their look before; entries flow meanwhile
+
 
 class Watch:
     """Compares what members do with what others did, and what gateways are told with what was promised."""
@@ -27,10 +29,9 @@
     def __init__(self, world: "World") -> None:
         self._world = world
         self.violations: list[str] = []
-        self._committed_at: dict[str, list[tuple[float, int]]] = {}  # rising indices by group, with times
         self._leaders: dict[tuple[str, int], str] = {}  # by group and term
         self._applied: dict[tuple[str, int], tuple[int, str, bytes]] = {}  # by group and index
-        self._committed: dict[str, int] = {}  # by group: the highest index that was applied
+        self._committed: dict[str, list[tuple[float, int]]] = {}  # by group: when the highest index rose
         self._saved_terms: dict[tuple[str, str], int] = {}  # by group and member
         self._newest_leader = (0, "")  # the highest term in which a member of control committed an entry
         self.left: dict[str, float] = {}  # workers whose drain or end was acknowledged, and when
@@ -75,27 +76,17 @@
         if known != this:
             self.violation(f"{group.member} applied {this} at {entry.index}, others {known}")
         if entry.index > self.committed(group.group):
-            self._committed[group.group] = entry.index
-            self._committed_at.setdefault(group.group, []).append((self._world.loop.time(), entry.index))
+            self._committed.setdefault(group.group, []).append((self._world.loop.time(), entry.index))
 
     def changes_members(self, group: Any, membership: Membership) -> None:
-        """A leader proposes a change: whoever becomes a voter must hold all committed before the look.
-
-        A look is `LATE_CHECK_S` old at most, else the planner begins anew.
-        """
-        wanted = self._committed_until(group.group, self._world.loop.time() - LATE_CHECK_S)
+        """A leader proposes a change: whoever becomes a voter must hold all that was committed a look ago."""
+        before = self._committed_at(group.group, self._world.loop.time() - LOOK_S)
         for voter in membership.voters:
-            if voter not in group.membership.voters and group.match(voter) < wanted:
+            if voter not in group.membership.voters and group.match(voter) < before:
                 self.violation(
-                    f"{voter} becomes a voter at {group.match(voter)}; {wanted} was committed before"
+                    f"{voter} becomes a voter at {group.match(voter)}; {before} was committed before"
                 )
 
-    def _committed_until(self, group: str, time: float) -> int:
-        """The highest index that any member had applied by a virtual time."""
-        history = self._committed_at.get(group, [])
-        after = bisect.bisect_right(history, time, key=lambda moment: moment[0])
-        return history[after - 1][1] if after else 0
-
     def emptied(self, ip: str) -> None:
         """A store is said to be empty: as many others as wanted must hold all that is committed."""
         leader = self._world.leader(On.STORE)
@@ -109,7 +100,13 @@
 
     def committed(self, group: str) -> int:
         """The highest index that any member applied."""
-        return self._committed.get(group, 0)
+        committed = self._committed.get(group)
+        return committed[-1][1] if committed else 0
+
+    def _committed_at(self, group: str, moment: float) -> int:
+        committed = self._committed.get(group, [])
+        place = bisect_right(committed, (moment, inf))
+        return committed[place - 1][1] if place else 0
 
     def _judges_worker(self) -> None:
         """A leader takes a heartbeat: no other may have led after it."""
