A connection that a worker forgot keeps no items from it

A worker may forget a connection at rest, earlier than usual; the next item on it is reset. The store took that for a failure of the worker, kept all items from it for a second, twice as long with each further connection, and forgot which parts of prompts it keeps. The item still pauses and is sent again, and may have run; the worker is judged by connections that are new or were just of use. Such an end was a cut like any other before.

--- a/pewterring/batch/dispatch.py
+++ b/pewterring/batch/dispatch.py
@@ -31,9 +31,13 @@
     ANSWERED = auto()
     REFUSED = auto()
     CUT = auto()
+    STALE = auto()  # says nothing of the worker: it closes or forgets connections that rest
     CANCELLED = auto()
 
 
+BAD_OUTCOMES = (ExchangeOutcome.REFUSED, ExchangeOutcome.CUT)
+
+
 class Dispatcher(Protocol):
     """Chooses workers for items and is told how their exchanges ended."""
 
@@ -153,7 +157,7 @@
             worker.answered()
         elif outcome is ExchangeOutcome.REFUSED and worker.load(now) >= SEEMS_FULL:
             worker.take_report(now, worker.record.capacity, 0)
-        elif outcome is not ExchangeOutcome.CANCELLED and (placement.probe or not worker.suspect(now)):
+        elif outcome in BAD_OUTCOMES and (placement.probe or not worker.suspect(now)):
             # Answers workers that crash or leave: all their items end at once, which is one failure.
             worker.failed(now)
 
--- a/pewterring/batch/execution.py
+++ b/pewterring/batch/execution.py
@@ -269,6 +269,8 @@
     match failure:
         case Failure.REFUSED:
             return ExchangeOutcome.REFUSED
+        case Failure.STALE:
+            return ExchangeOutcome.STALE
         case Failure.CUT:
             return ExchangeOutcome.CUT
         case _:
--- a/pewterring/batch/runner.py
+++ b/pewterring/batch/runner.py
@@ -14,7 +14,13 @@
 from pewterring.transport.http_answer import AnswerHead
 from pewterring.transport.http_client import WorkerPool
 from pewterring.transport.http_common import Headers
-from pewterring.transport.http_exchange import Exchange, ExchangeError, NoFreeConnection, SendRequest
+from pewterring.transport.http_exchange import (
+    Exchange,
+    ExchangeError,
+    NoFreeConnection,
+    SendRequest,
+    StaleConnection,
+)
 from pewterring.transport.sse import EventSplitter, StreamEvent
 
 FIRST_EVENT_S = 5.0  # from sending an item to its first event; longer: the worker is taken for dead
@@ -133,6 +139,8 @@
         if error is None:
             self._take_all(self._splitter.finish())
             self._end(self._whole())
+        elif isinstance(error, StaleConnection):
+            self._end(Failure.STALE)
         else:
             self._end(Failure.CUT if error.sent else Failure.REFUSED)
 
--- a/pewterring/batch/scheduler.py
+++ b/pewterring/batch/scheduler.py
@@ -28,6 +28,7 @@
 
     REFUSED = auto()  # the worker did not run the item, or could not be reached
     OTHER_VERSION = auto()  # 421 to an item that expects a version: not run, and the worker is well
+    STALE = auto()  # a connection that had rested turned out closed: little is said of the worker
     CUT = auto()  # the answer ended early; what came is kept
     FAILED = auto()  # 500: a failed attempt
     IMPOSSIBLE = auto()  # 422: no worker can do it
--- a/tests/batch/test_dispatch.py
+++ b/tests/batch/test_dispatch.py
@@ -207,6 +207,14 @@
     assert fixture.place() is not None
 
 
+def test_connections_that_a_worker_forgot_do_not_count_against_it() -> None:
+    fixture = Fixture(tables(worker("w1")))
+    for _ in range(5):
+        assert fixture.place() is not None
+        fixture.dispatcher.finished(fixture.items.pop(), ExchangeOutcome.STALE)
+    assert not fixture.chooser.workers["w1"].suspect(fixture.clock.now)
+
+
 def test_items_cut_together_are_one_failure_of_the_worker() -> None:
     fixture = Fixture(tables(worker("w1")))
     for _ in range(5):
--- a/tests/batch/test_runner.py
+++ b/tests/batch/test_runner.py
@@ -201,6 +201,35 @@
     assert outcomes == [Failure.OTHER_VERSION]
 
 
+def test_a_connection_that_its_worker_forgot_is_told_from_a_cut() -> None:
+    whole = HEAD + event(1, "a") + LAST_CHUNK
+
+    async def scenario() -> None:
+        answered = asyncio.Event()
+
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            if not answered.is_set():
+                await reader.readuntil(b"\r\n\r\na")
+                writer.write(whole)
+                answered.set()
+            await reader.readuntil(b"\r\n\r\na")
+            writer.transport.abort()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        worker = WorkerRecord("w1", "s", f"127.0.0.1:{port}", "z", 4, "ready")
+        pool = WorkerPool()
+        runner = HttpItemRunner(pool)
+        outcomes = [
+            await runner.run(QueuedItem("j", ROUTE, item("i1")), worker, lambda *_: None) for _ in range(3)
+        ]
+        assert outcomes == [None, Failure.STALE, Failure.CUT]
+        pool.close()
+        server.close()
+
+    asyncio.run(scenario())
+
+
 def test_a_worker_that_cannot_be_reached_did_not_run_the_item() -> None:
     async def scenario() -> None:
         server = await asyncio.start_server(lambda r, w: None, "127.0.0.1", 0)
