--- a/tests/simulation/watch.py
+++ b/tests/simulation/watch.py
@@ -8,9 +8,9 @@
 
 from pewterring.consensus.group import ReplicatedGroup
 from pewterring.consensus.leading import Leading
+from pewterring.consensus.membership import address_of
 from pewterring.consensus.messages import Entry, Membership
 from pewterring.control.program import GROUP
-from pewterring.control.stores import address_of
 from pewterring.distribution.follower import TableFollower
 from pewterring.distribution.messages import WorkerRecord
 from pewterring.registry.heartbeats import READY
