Stores refuse jobs that their disk or memory could not carry

Change: batch/capacity.py bounds the bodies and texts that are kept, by the settings of disk and memory; a job beyond it is 503 with Retry-After, those taken stay. Tests: tests/batch/test_capacity.py.

--- a/pewterring/batch/partition.py
+++ b/pewterring/batch/partition.py
@@ -9,6 +9,7 @@
 
 from loguru import logger
 
+from pewterring.batch.capacity import BYTES_A_MEGABYTE, most_state_bytes
 from pewterring.batch.dispatch import Dispatcher
 from pewterring.batch.execution import ItemExecution, ItemRunner
 from pewterring.batch.group_log import GroupLog
@@ -30,7 +31,6 @@
 FRESH_PART = 0.75  # of the shorter of the bounds on configuration and draining: older tables start no items
 RESULT_BUDGET_PART = 0.15  # of the process's memory, for finished jobs that their clients did not end
 HAND_OVER_S = 1.0  # a process that stops waits so long for its successor
-BYTES_A_MEGABYTE = 1_000_000
 
 
 @dataclass(frozen=True, slots=True)
@@ -93,6 +93,7 @@
             parts.clock,
             status_s=parts.settings.bounds.status_s,
             result_budget_bytes=int(parts.settings.memory_mb * BYTES_A_MEGABYTE * RESULT_BUDGET_PART),
+            most_state_bytes=most_state_bytes(parts.settings.disk_mb, parts.settings.memory_mb),
         )
 
     async def start(self, first_voters: Membership | None = None) -> None:
--- a/pewterring/batch/service.py
+++ b/pewterring/batch/service.py
@@ -38,6 +38,7 @@
 
 FULL_RETRY_S = 0.5  # told to a client whose job does not fit now
 NO_ROUTE_RETRY_S = 0.5
+NO_ROOM_RETRY_S = 1.0  # jobs are forgotten each few seconds
 DROP_PERIOD_S = 5.0
 TAKE_OVER_RETRY_S = 0.05
 MILLISECONDS_A_SECOND = 1000.0
@@ -56,6 +57,7 @@
         *,
         status_s: float,
         result_budget_bytes: int,
+        most_state_bytes: int,
     ) -> None:
         self._log = log
         self._state = state
@@ -64,6 +66,7 @@
         self._clock = clock
         self._status_s = status_s
         self._result_budget_bytes = result_budget_bytes
+        self._most_state_bytes = most_state_bytes
         self._quota = QuotaLedger(state.waiting_tokens)
         self._waiters = ResultWaiters()
         self._submissions: dict[str, asyncio.Task[SubmitReply]] = {}
@@ -154,6 +157,10 @@
             task.add_done_callback(lambda _: self._submissions.pop(call.job, None))
         return await asyncio.shield(task)
 
+    def _has_room(self, call: SubmitJob) -> bool:
+        bodies = sum(len(item.body) for item in call.items)
+        return self._state.size_bytes + bodies <= self._most_state_bytes
+
     async def _accept(self, call: SubmitJob) -> SubmitReply:
         key = (call.host, call.path_prefix)
         route = batch_route(self._tables(), key)
@@ -162,6 +169,9 @@
         tokens = sum(item.tokens for item in call.items)
         if not self._quota.fits(key, tokens, route.max_queued_tokens):
             return JobRefused(full=True, retry_after_s=FULL_RETRY_S)
+        if not self._has_room(call):
+            logger.warning("job {} is refused: the partition holds as much as the store can carry", call.job)
+            return JobRefused(full=False, retry_after_s=NO_ROOM_RETRY_S)
         command = AcceptJob(call.job, call.host, call.path_prefix, call.items, call.age_ms)
         self._quota.begin(key, tokens)
         try:
--- a/pewterring/batch/state.py
+++ b/pewterring/batch/state.py
@@ -107,6 +107,11 @@
         """The job of that id, if it is kept."""
         return self._jobs.get(job_id)
 
+    @property
+    def size_bytes(self) -> int:
+        """Bytes of the bodies and texts of all jobs."""
+        return sum(job.size_bytes for job in self._jobs.values())
+
     def jobs(self) -> Iterator[Job]:
         """All jobs, in the order of acceptance."""
         return iter(self._jobs.values())
--- /dev/null
+++ b/tests/batch/test_capacity.py
@@ -0,0 +1,52 @@
+"""Jobs are refused before a store's disk or memory cannot carry what must be kept of them."""
+
+import msgspec
+import pytest
+
+from pewterring.batch.capacity import LOG_BYTES, most_state_bytes
+from pewterring.batch.messages import JobAccepted, JobRefused, SubmitJob
+from tests.batch.stand_ins import ROUTE, item
+from tests.batch.test_service import MOST_STATE_BYTES, Store, scenario, submit
+
+
+def job_of(name: str, body_bytes: int) -> SubmitJob:
+    return SubmitJob(name, *ROUTE, items=(msgspec.structs.replace(item(name), body="Y" * body_bytes),))
+
+
+@pytest.mark.parametrize(("disk_mb", "memory_mb"), [(110, 320), (500, 340), (60, 1000), (10_000, 300)])
+def test_two_snapshots_and_the_log_fit_the_disk_and_the_state_the_memory(
+    disk_mb: int, memory_mb: int
+) -> None:
+    most = most_state_bytes(disk_mb, memory_mb)
+    assert most > 0
+    assert 2 * most + LOG_BYTES < disk_mb * 1_000_000
+    assert 2 * most < memory_mb * 1_000_000
+
+
+def test_a_disk_that_holds_no_log_holds_no_job_and_one_of_unknown_size_sets_no_bound() -> None:
+    assert most_state_bytes(20, 300) == 0
+    assert most_state_bytes(0, 300) == most_state_bytes(10_000, 300)
+
+
+def test_a_job_that_the_store_cannot_carry_is_refused_with_the_promise_and_those_taken_stay() -> None:
+    async def test(store: Store) -> None:
+        kept = job_of("kept", MOST_STATE_BYTES - 10)
+        assert await store.service.handle(kept) == JobAccepted()
+        refused = await store.service.handle(job_of("more", 11))
+        assert isinstance(refused, JobRefused) and not refused.full
+        assert store.state.job("more") is None
+        assert await store.service.handle(kept) == JobAccepted()
+        assert await store.service.handle(job_of("fits", 10)) == JobAccepted()
+
+    scenario(test)
+
+
+def test_results_count_too() -> None:
+    async def test(store: Store) -> None:
+        assert await store.service.handle(submit("j", "a")) == JobAccepted()
+        await store.exchanges(1)
+        store.runner.exchanges[0].answer("x" * MOST_STATE_BYTES)
+        await store.page("j", 0, 60_000)
+        assert isinstance(await store.service.handle(job_of("more", 1)), JobRefused)
+
+    scenario(test)
--- a/tests/batch/test_service.py
+++ b/tests/batch/test_service.py
@@ -34,6 +34,7 @@
 from tests.batch.stand_ins import ROUTE, FakeLog, FakeRunner, ManualClock, item, route, tables, until, worker
 
 LONG_MS = 60_000
+MOST_STATE_BYTES = 1_000
 
 
 class Store:
@@ -65,6 +66,7 @@
             self.clock,
             status_s=120,
             result_budget_bytes=0,
+            most_state_bytes=MOST_STATE_BYTES,
         )
 
     def take_tables(self, known: Tables) -> None:
--- a/tests/batch/virtual_cluster.py
+++ b/tests/batch/virtual_cluster.py
@@ -142,7 +142,14 @@
             loop.time,
         )
         self.service = BatchService(
-            log, self.state, self.execution, lambda: known, loop.time, status_s=120, result_budget_bytes=0
+            log,
+            self.state,
+            self.execution,
+            lambda: known,
+            loop.time,
+            status_s=120,
+            result_budget_bytes=0,
+            most_state_bytes=10**9,
         )
 
 
