--- a/tests/consensus/planned_simulation.py
+++ b/tests/consensus/planned_simulation.py
@@ -6,20 +6,24 @@
 
 import contextlib
 
+from pewterring.batch.program import MEMBERS_PERIOD_S
 from pewterring.consensus.errors import ConsensusError
 from pewterring.consensus.membership import address_of
 from pewterring.consensus.planner import Candidates, MembershipPlanner, voters_needed
 from pewterring.consensus.raft import Raft
+from pewterring.control.program import TICK_S
 from tests.consensus.parts import Member
 from tests.consensus.simulation import Simulation
 
 CATCH_UP_S = 4.8
-LOOK_S = 0.2  # the longer of the periods of control and of partitions
 DOWN_S = 0.5  # until a machine that lost its disk is back
 
 
 class PlannedSimulation(Simulation):
-    """`tolerated` losses, 2f + 1 voters, and so many spare machines."""
+    """`tolerated` losses, 2f + 1 voters, and so many spare machines.
+
+    The planner and its looks are control's with `keeps_spares`, else a partition's.
+    """
 
     def __init__(
         self,
@@ -34,13 +38,14 @@
         self.retiring: set[str] = set()
         self.written = 0
         self._keeps_spares = keeps_spares
+        self._look_s = TICK_S if keeps_spares else MEMBERS_PERIOD_S
         self._planner_class = planner_class
         self._planners: dict[tuple[str, int, int], MembershipPlanner] = {}
         self._wipes = 0
         self._disk_since = dict.fromkeys(self.members, 0.0)
         for number in range(spares):
             self.join(f"spare{number}")
-        self._at(self.now + LOOK_S, self._look_again)
+        self._at(self.now + self._look_s, self._look_again)
 
     def join(self, name: str) -> None:
         super().join(name)
@@ -50,7 +55,7 @@
 
     def _look_again(self) -> None:
         self._look()
-        self._at(self.now + LOOK_S, self._look_again)
+        self._at(self.now + self._look_s, self._look_again)
 
     def _look(self) -> None:
         for member in tuple(self.members.values()):
