--- a/tests/simulation/adversary.py
+++ b/tests/simulation/adversary.py
@@ -7,7 +7,7 @@
 from pewterring.consensus.membership import address_of
 from tests.simulation.losses import CATCH_UP_S, Losses
 from tests.simulation.machines import Machine
-from tests.simulation.network import Outside
+from tests.simulation.network import OUTSIDE
 from tests.simulation.schedule import GROUP_WIDE, HARMLESS, Fault, Kind, On, Point, Target
 from tests.simulation.world import Gateway, GroupMachine, World
 
@@ -254,7 +254,7 @@
         if fault.kind is Kind.CUT_VOTERS and machine.group is not None:
             others &= {address_of(voter) for voter in machine.group.membership.voters}
         if fault.kind is Kind.CUT_AWAY:
-            others |= {Outside, *self._world.nodes, *(each.ip for each in self._world.group_machines())}
+            others |= {OUTSIDE, *self._world.nodes, *(each.ip for each in self._world.group_machines())}
             others.discard(machine.ip)
         into = {(other, machine.ip) for other in others} if fault.kind is not Kind.CUT_OUT else set()
         out = {(machine.ip, other) for other in others} if fault.kind is not Kind.CUT_IN else set()
--- a/tests/simulation/batch.py
+++ b/tests/simulation/batch.py
@@ -156,7 +156,7 @@
             if answer is not None and answer.status == 202:
                 job.accepted_at = self._world.loop.time()
                 self._jobs.append(job)
-                self._world._reached(
+                self._world.reached(
                     "job_acked", self._world.leader(On.STORE) or self._world.core(On.STORE)[0]
                 )
                 return
@@ -249,7 +249,7 @@
         self._world.watch.emptied(ip)
         machine.wipe()
         machine.gone_s = self._world.loop.time()
-        self._world._reached("retired", machine)
+        self._world.reached("retired", machine)
         successor = self._world.new_store()
         self._world.loop.call_outside(
             self._world.loop.time() + self._rng.uniform(0.5, 5.0), self._world.start, successor
--- a/tests/simulation/callers.py
+++ b/tests/simulation/callers.py
@@ -97,7 +97,7 @@
             self._world.watch.violation(f"an order was answered {status}")
         self._world.history.orders.append(Order(state, base, began, self._world.loop.time(), outcome, status))
         if outcome is Outcome.DONE:
-            self._world._reached("order_acked", self._world.leader() or self._world.core()[0])
+            self._world.reached("order_acked", self._world.leader() or self._world.core()[0])
         return answer
 
     async def read_version(self, otherwise: int) -> int:
@@ -182,7 +182,7 @@
             call = make(name)
             if await self._send(call):
                 self._world.watch.left.setdefault(name, self._world.loop.time())
-                self._world._reached("drain_acked", self._world.leader() or self._world.core()[0])
+                self._world.reached("drain_acked", self._world.leader() or self._world.core()[0])
                 return
             await asyncio.sleep(self._rng.uniform(0.05, 0.3))
 
--- a/tests/simulation/http.py
+++ b/tests/simulation/http.py
@@ -8,7 +8,7 @@
 from pewterring.transport.http_request import ServerRequest
 from pewterring.transport.http_responder import Responder
 from pewterring.transport.http_server import Handler
-from tests.simulation.network import Outside
+from tests.simulation.network import OUTSIDE
 from tests.simulation.virtual_loop import Process
 from tests.transport.http_stand_ins import AnswerTaker
 
@@ -52,21 +52,21 @@
         network = self._world.network
         answer: asyncio.Future[Answer | None] = loop.create_future()
         timer = loop.call_later(patience_s, _settle, answer, None)
-        loop.call_later(network.delay_s(Outside, ip), self._arrive, ip, call, answer)
+        loop.call_later(network.delay_s(OUTSIDE, ip), self._arrive, ip, call, answer)
         result = await answer
         timer.cancel()
         return result
 
     def _arrive(self, ip: str, call: Call, answer: "asyncio.Future[Answer | None]") -> None:
         world = self._world
-        if world.network.blocked(Outside, ip):
+        if world.network.blocked(OUTSIDE, ip):
             return
         listener = self._listeners.get(ip)
         if listener is None or not listener[0].alive:
             _settle(answer, None)
             return
         process, handle = listener
-        process.at_death.append(lambda: None if world.network.blocked(ip, Outside) else _settle(answer, None))
+        process.at_death.append(lambda: None if world.network.blocked(ip, OUTSIDE) else _settle(answer, None))
         world.loop.call_in(process, world.loop.time(), self._begin, ip, handle, call, answer)
 
     def _begin(self, *arguments: Any) -> None:
@@ -83,10 +83,10 @@
 
     def _send_back(self, ip: str, result: Answer, answer: "asyncio.Future[Answer | None]") -> None:
         world = self._world
-        if world.network.blocked(ip, Outside) or world.rng.random() < self.lost_answers:
+        if world.network.blocked(ip, OUTSIDE) or world.rng.random() < self.lost_answers:
             return
         world.loop.call_outside(
-            world.loop.time() + world.network.delay_s(ip, Outside), _settle, answer, result
+            world.loop.time() + world.network.delay_s(ip, OUTSIDE), _settle, answer, result
         )
 
 
--- a/tests/simulation/network.py
+++ b/tests/simulation/network.py
@@ -21,7 +21,7 @@
 DELAY_S = (0.0005, 0.004)
 SLOW_DELAY_S = (0.02, 0.15)
 
-Outside = "outside"  # the name under which operators and workers send
+OUTSIDE = "outside"  # the name under which operators and workers send
 
 
 class _Socket:
@@ -75,7 +75,7 @@
 
 
 class Network:
-    """All connections, listeners and cuts. Places are IPs, or `Outside`."""
+    """All connections, listeners and cuts. Places are IPs, or `OUTSIDE`."""
 
     def __init__(self, loop: VirtualLoop, rng: random.Random) -> None:
         self._loop = loop
--- a/tests/simulation/world.py
+++ b/tests/simulation/world.py
@@ -133,9 +133,10 @@
 
     def reach(self, point: str) -> None:
         """The process that runs now has come to a point at which something may happen to it."""
-        self._reached(point, self.machine_of(self.process()))
+        self.reached(point, self.machine_of(self.process()))
 
-    def _reached(self, point: str, machine: Machine) -> None:
+    def reached(self, point: str, machine: Machine) -> None:
+        """A machine has come to a point, or something happened that all are to know."""
         for hook in tuple(self.hooks):
             hook(point, machine)
 
@@ -154,7 +155,7 @@
         """A control machine with an empty disk, not started."""
         self._last_ip += 1
         ip = f"10.0.0.{self._last_ip}"
-        machine = ControlMachine(ip, self.loop, self.network, self.rng, self._reached)
+        machine = ControlMachine(ip, self.loop, self.network, self.rng, self.reached)
         machine.added_s = self.loop.time()
         machine.save_s = self.save_s
         self.machines[ip] = machine
@@ -164,7 +165,7 @@
         """A store with an empty disk, not started."""
         self._last_store_ip += 1
         ip = f"10.1.0.{self._last_store_ip}"
-        machine = StoreMachine(ip, self.loop, self.network, self.rng, self._reached)
+        machine = StoreMachine(ip, self.loop, self.network, self.rng, self.reached)
         self.stores[ip] = machine
         machine.save_s = self.save_s
         return machine
@@ -281,7 +282,7 @@
     # Nodes that follow the feed
 
     def _new_node(self, ip: str) -> None:
-        self.nodes[ip] = Gateway(ip, self.loop, self.network, self.rng, self._reached)
+        self.nodes[ip] = Gateway(ip, self.loop, self.network, self.rng, self.reached)
 
     def start_gateway(self, node: Gateway) -> None:
         """Begins a life of a gateway."""
