--- a/tests/consensus/test_catch_up.py
+++ b/tests/consensus/test_catch_up.py
@@ -67,18 +67,24 @@
         await asyncio.sleep(0.01)
 
 
+async def group_with_a_member_away(commands: Iterator[bytes]) -> tuple[SlowGroup, str]:
+    """Three members that took some changes, and the name of one that has ended since."""
+    group = SlowGroup(ControlState)
+    for name in ("a", "b", "c"):
+        await group.start(name)
+    await order(group, commands, 30)
+    away = next(name for name in group.lives if name != group.led[-1][0])
+    await group.end(away)
+    return group, away
+
+
 @pytest.mark.parametrize("count", [60, 150, 200, 300, 550, 1500])
 def test_a_slow_member_catches_up_in_time(count: int) -> None:
     """At each distance: where entries suffice, at the edge of what is kept of them, and far behind."""
 
     async def scenario() -> None:
-        group = SlowGroup(ControlState)
-        for name in ("a", "b", "c"):
-            await group.start(name)
         commands = changes(LARGE_ROUTES)
-        await order(group, commands, 30)
-        away = next(name for name in group.lives if name != (group.led[-1][0]))
-        await group.end(away)
+        group, away = await group_with_a_member_away(commands)
         target = await order(group, commands, count)
         going_on = asyncio.create_task(orders_go_on(group, commands))
         led_before, sent_before = len(group.led), group.sent_bytes[away]
@@ -124,14 +130,9 @@
     """The leader is gone as the late member comes back: the one that has everything must be elected."""
 
     async def scenario() -> None:
-        group = SlowGroup(ControlState)
-        for name in ("a", "b", "c"):
-            await group.start(name)
         commands = changes(LARGE_ROUTES)
-        await order(group, commands, 30)
+        group, away = await group_with_a_member_away(commands)
         old = group.led[-1][0]
-        away = next(name for name in group.lives if name != old)
-        await group.end(away)
         target = await order(group, commands, count)
         late = await group.start(away, SLOW_SYNC_S, SLOW_DISK_BYTES_PER_S, HALF_SPEED_BYTES_PER_S)
         await asyncio.sleep(0.05)
--- /dev/null
+++ b/tests/edge/live_tier.py
@@ -0,0 +1,180 @@
+"""One gateway front for live requests, with workers that are played on loopback."""
+
+import asyncio
+import random
+import socket
+import struct
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from functools import partial
+
+from pewterring.admission.service import ServiceAdmission
+from pewterring.configuration.model import Route, RouteType, WeightedService
+from pewterring.distribution.messages import WorkerRecord
+from pewterring.edge.live import LiveContext, LiveRequest
+from pewterring.edge.stalls import StallWatch
+from pewterring.routing.chooser import WorkerChooser
+from pewterring.routing.prompt import NO_PROMPT
+from pewterring.transport.http_client import WorkerPool
+from pewterring.transport.http_exchange import SendRequest
+from pewterring.transport.http_fetch import WholeAnswer, fetch
+from pewterring.transport.http_request import RequestReader, ServerLimits, ServerRequest
+from pewterring.transport.http_responder import Responder
+from pewterring.transport.http_server import HttpServer
+
+Behaviour = Callable[[ServerRequest, Responder], Awaitable[None]]
+LIMITS = ServerLimits(16384, 4194304, 5.0, 60.0)
+SIGNED = [(b"Response-Signature", b"stamp"), (b"Content-Type", b"text/event-stream")]
+PLAIN = [(b"Response-Signature", b"stamp")]
+PATIENCE_S = 10.0
+UNFRAMED_HEAD = b"HTTP/1.1 200 OK\r\nRequest-Id: 7\r\nResponse-Signature: stamp\r\n"
+UNFRAMED_STREAM = UNFRAMED_HEAD + b"Content-Type: text/event-stream\r\n\r\n"
+
+
+def route(kind: RouteType, attempts: int = 2, resumable: bool = False) -> Route:
+    services = (WeightedService("s", 1.0),)
+    return Route("r", "h", "/p/", kind, services, 5000, 200, 0, attempts, True, resumable, 250)
+
+
+def event(number: int) -> bytes:
+    return b"id: %d\ndata: token %d\n\n" % (number, number)
+
+
+@dataclass(frozen=True)
+class RawAnswer:
+    """Bytes that a worker answers with before it ends the connection, in good order or by a reset."""
+
+    data: bytes
+    reset: bool = False
+
+    async def serve(
+        self, saw: Callable[[ServerRequest], None], reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        parser = RequestReader(LIMITS, 0.0)
+        while (request := parser.feed(await reader.read(65536))) is None:
+            pass
+        saw(request)
+        writer.write(self.data)
+        await writer.drain()
+        if self.reset:
+            option = struct.pack("ii", 1, 0)  # closing discards what is unsent and resets the connection
+            writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, option)
+        writer.close()
+
+
+@dataclass
+class Tier:
+    """One front and the workers behind it."""
+
+    route: Route
+    behaviours: list[Behaviour | RawAnswer]
+    seen: list[tuple[int, ServerRequest]] = field(default_factory=list)
+    watch: StallWatch = field(default_factory=StallWatch)
+    pool: WorkerPool = field(default_factory=WorkerPool)
+    admission: ServiceAdmission = field(default_factory=lambda: ServiceAdmission(1))
+    time_s: float = PATIENCE_S  # that the request may take
+    servers: list[HttpServer] = field(default_factory=list)
+    raw_servers: list[asyncio.Server] = field(default_factory=list)
+
+    async def start(self) -> None:
+        records = {}
+        for number, behaviour in enumerate(self.behaviours):
+            port = await self._start_worker(number, behaviour)
+            address = f"127.0.0.1:{port}"
+            records[f"w{number}"] = WorkerRecord(f"w{number}", "s", address, "z", 4, "ready")
+        chooser = WorkerChooser("z", random.Random(1))
+        chooser.update(records, None)
+        for number in range(len(self.behaviours)):  # the first worker is chosen first
+            chooser.workers[f"w{number}"].slowness = 1.0 + number
+        self.context = LiveContext(self.pool, chooser, self.watch, lambda worker, tokens, prompt: None)
+        self.front = HttpServer(self._front, lambda: LIMITS)
+        await self.front.start("127.0.0.1", 0)
+        self.servers.append(self.front)
+
+    async def _start_worker(self, number: int, behaviour: Behaviour | RawAnswer) -> int:
+        if isinstance(behaviour, RawAnswer):
+            raw = await asyncio.start_server(
+                partial(behaviour.serve, lambda request: self.seen.append((number, request))), "127.0.0.1", 0
+            )
+            self.raw_servers.append(raw)
+            port: int = raw.sockets[0].getsockname()[1]
+            return port
+        server = HttpServer(self._worker(number, behaviour), lambda: LIMITS)
+        await server.start("127.0.0.1", 0)
+        self.servers.append(server)
+        return server.port
+
+    def _worker(self, number: int, behaviour: Behaviour) -> Behaviour:
+        async def handle(request: ServerRequest, responder: Responder) -> None:
+            self.seen.append((number, request))
+            await behaviour(request, responder)
+
+        return handle
+
+    async def _front(self, request: ServerRequest, responder: Responder) -> None:
+        deadline = self.pool.now() + self.time_s
+        await LiveRequest(
+            self.context, request, responder, self.route, "s", NO_PROMPT, deadline, self.admission, 10
+        ).run()
+
+    async def ask(self, *more: tuple[bytes, bytes]) -> WholeAnswer:
+        headers = [(b"Host", b"h"), (b"Request-Id", b"7"), *more]
+        request = SendRequest("POST", "/p/x?", headers, b"body", request_id=b"7")
+        return await fetch(self.pool, f"127.0.0.1:{self.front.port}", request, 10, PATIENCE_S)
+
+    async def stop(self) -> None:
+        self.pool.close()
+        for server in self.servers:
+            await server.stop()
+        for raw in self.raw_servers:
+            raw.close()
+            await raw.wait_closed()
+
+
+def play(tier: Tier, story: Callable[[], Awaitable[None]]) -> None:
+    async def run() -> None:
+        await tier.start()
+        try:
+            await asyncio.wait_for(story(), PATIENCE_S)
+        finally:
+            await tier.stop()
+
+    asyncio.run(run())
+
+
+async def whole_stream(request: ServerRequest, responder: Responder) -> None:
+    first = int(request.get(b"last-event-id") or b"0") + 1
+    responder.begin(200, [(b"Request-Id", b"7"), *SIGNED])
+    for number in range(first, 5):
+        responder.write(event(number))
+    responder.end()
+
+
+async def cut_stream(request: ServerRequest, responder: Responder) -> None:
+    responder.begin(200, [(b"Request-Id", b"7"), *SIGNED])
+    responder.write(event(1) + event(2) + event(3)[:7])
+    responder.abort()
+
+
+async def full(request: ServerRequest, responder: Responder) -> None:
+    await responder.respond(503, [(b"Not-Executed", b"1")])
+
+
+async def misdirected(request: ServerRequest, responder: Responder) -> None:
+    await responder.respond(421, [])
+
+
+async def broken(request: ServerRequest, responder: Responder) -> None:
+    responder.abort()
+
+
+async def answered(request: ServerRequest, responder: Responder) -> None:
+    await responder.respond(200, PLAIN, b"result")
+
+
+async def failed(request: ServerRequest, responder: Responder) -> None:
+    await responder.respond(500, PLAIN, b"failure")
+
+
+async def silent(request: ServerRequest, responder: Responder) -> None:
+    await responder.finished()
