Randomised schedules play in virtual time; their discovery agent no longer answers without pause

Cause: after the first news the stand-in for discovery answered every watch at once, so the gateway asked it anew without pause and the loop was busy with that. Change: later watches wait for later news; the schedules play on the virtual-time loop of tests/transport.

--- a/tests/schedules.py
+++ b/tests/schedules.py
@@ -1,4 +1,4 @@
-"""Seeded schedules against the whole program, small, on loopback.
+"""Seeded schedules against the whole program, small, on loopback sockets in virtual time.
 
 What happens is drawn beforehand; what must hold is checked on each event, from the stand-ins' side."""
 
@@ -15,6 +15,7 @@
 from pewterring.http.writer import write_response
 from pewterring.net.connection import Address
 from tests.stand_ins import Rig, StandIn, Talk, as_json, asking, entry, until
+from tests.transport import virtual_time
 
 WORKERS, REQUESTS, LEAVING, DAY_S = 3, 300, 75, 1.5
 DRAIN_S, LEFT_S, SLACK_S = 0.6, 0.3, 0.05
@@ -200,6 +201,7 @@
             self.version += 1
             self.told_at[step.which + 1] = self.loop.time()  # the agent's: it counts at once
             self.news.set()
+            self.news = asyncio.Event()  # later watches wait for later news
         elif step.what == "silence":
             self.silent = True
         elif step.what == "hang up":
@@ -271,5 +273,5 @@
         if play.wrong:
             found.extend(f"    {s.at:.3f} {s.what} {s.which}" for s in play.steps)
 
-    asyncio.run(main())
+    virtual_time.run(main())
     return found
