Relayed calls that were held up are not begun; a process that stood still answers 503

Cause: a call that a cut or a freeze held up between control machines was carried out by the leader when it came, long after its caller was answered 503: retirements, drains and deregistrations began, and a heartbeat brought a crashed worker back. What waited in the sockets of a frozen machine was taken for new.

Change: a relayed call carries term and number of the last heartbeat round that its follower heard.

Tests changed: calls made by hand as a relay's carry a round, where before they carried none.

--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -125,6 +125,7 @@
         self._links = LinkPool(codec, ports[0], rng=random.Random(1))
         self._numbers = itertools.count(1)
         self._leader = IPS[0]
+        self._round = (0, 0)  # the leader's newest, as it said last
 
     def close(self) -> None:
         self._links.close()
@@ -133,14 +134,23 @@
         """One call, sent again until it is acknowledged."""
         for ip in itertools.islice(itertools.cycle(IPS), FIRST_TRIES):
             with contextlib.suppress(TransportError):
-                message = RelayedCall("POST", path, base, body)
-                answer = await self._links.request(self._leader, message, CALL_S)
-                if isinstance(answer, RelayedAnswer) and answer.status == 200:
+                answer = await self._dated(path, body, base)
+                if answer.status == 200:
                     return
             self._leader = ip
             await asyncio.sleep(0.02)
         raise SystemExit("no control machine acknowledges a call")
 
+    async def _dated(self, path: str, body: bytes, base: str) -> RelayedAnswer:
+        """The answer to one call that the leader does not take for too old."""
+        while True:
+            message = RelayedCall("POST", path, base, body, *self._round)
+            answer = await self._links.request(self._leader, message, CALL_S)
+            assert isinstance(answer, RelayedAnswer)
+            if not answer.too_old:
+                return answer
+            self._round = (answer.term, answer.round)
+
     async def register_by_lines(self) -> None:
         await self.by_lines(*_heartbeat(next(self._numbers)))
 
--- a/pewterring/consensus/following.py
+++ b/pewterring/consensus/following.py
@@ -67,6 +67,7 @@
                 f"{request.sender} leads in term {request.term}, in which this member leads"
             )
         state.become_follower(now, request.term, request.sender)
+        state.heard_round = request.round
         state.vote_free_at = now + state.timing.election_min_s
         state.election_at = state.election_time(now)
 
--- a/pewterring/consensus/group.py
+++ b/pewterring/consensus/group.py
@@ -196,6 +196,15 @@
         """Whether this member leads, has applied what was committed before, and no other leads at `now`."""
         return self.is_leader and self._raft is not None and self._raft.has_lease(now)
 
+    @property
+    def newest_round(self) -> tuple[int, int]:
+        """The current term, and the newest round that its leader is known to have sent in it."""
+        return (self._raft.term, self._raft.newest_round) if self._raft is not None else (0, 0)
+
+    def is_recent_round(self, term: int, number: int, now: float) -> bool:
+        """Whether this member leads in `term` and sent that round within the longest election time-out."""
+        return self.is_leader and self._raft is not None and self._raft.is_recent_round(term, number, now)
+
     # Calls.
 
     def receive(self, message: ConsensusMessage) -> None:
--- a/pewterring/consensus/leading.py
+++ b/pewterring/consensus/leading.py
@@ -39,6 +39,15 @@
         """When `tick` has something to do."""
         return self._rounds.due_at
 
+    @property
+    def round_number(self) -> int:
+        """The number of the newest round."""
+        return self._rounds.number
+
+    def is_recent_round(self, number: int, now: float) -> bool:
+        """Whether a round was sent no longer ago than the longest election time-out."""
+        return self._rounds.is_recent(number, now)
+
     @property
     def has_committed(self) -> bool:
         """Whether an entry of the own term is committed."""
--- a/pewterring/consensus/raft.py
+++ b/pewterring/consensus/raft.py
@@ -133,6 +133,16 @@
         """Whether this member leads and no other can have been elected by `now`."""
         return self._leading is not None and self._leading.has_lease(now)
 
+    @property
+    def newest_round(self) -> int:
+        """The leader's newest round in the current term, as far as this member knows."""
+        return self._leading.round_number if self._leading is not None else self._state.heard_round
+
+    def is_recent_round(self, term: int, number: int, now: float) -> bool:
+        """Whether this member leads in `term` and sent that round within the longest election time-out."""
+        leading = self._leading
+        return leading is not None and term == self.term and leading.is_recent_round(number, now)
+
     def next_deadline(self) -> float | None:
         """When `tick` has something to do; None if never without a message."""
         if self._leading is not None:
--- a/pewterring/consensus/rounds.py
+++ b/pewterring/consensus/rounds.py
@@ -46,6 +46,11 @@
         self._answered_at[member] = sent_at
         return True
 
+    def is_recent(self, number: int, now: float) -> bool:
+        """Whether a round was sent no longer ago than the longest election time-out."""
+        sent_at = self._sent_at.get(number)
+        return sent_at is not None and now - sent_at <= self._timing.election_max_s
+
     def confirmed_at(self, voters: Iterable[str]) -> float:
         """When the last round that a majority answered was sent; minus infinity if there is none."""
         return majority_value(
--- a/pewterring/consensus/state.py
+++ b/pewterring/consensus/state.py
@@ -34,6 +34,7 @@
         self.hard_state = HardState(persisted.term, persisted.vote)
         self.role = Role.FOLLOWER
         self.leader: str | None = None
+        self.heard_round = 0  # the round of the leader's last message
         self.commit_index = persisted.snapshot_index
         self.applied_index = persisted.snapshot_index
         self.log = Log(persisted.snapshot_index, persisted.snapshot_term, persisted.entries)
--- a/pewterring/control/errors.py
+++ b/pewterring/control/errors.py
@@ -9,5 +9,9 @@
     """This process does not lead the control group, or is not sure of it; nothing was done."""
 
 
+class CallTooOld(ControlError):
+    """A relayed call was on the way for too long; nothing was done."""
+
+
 class OutcomeUnsure(ControlError):
     """A command may or may not come into force."""
--- a/pewterring/control/leadership.py
+++ b/pewterring/control/leadership.py
@@ -7,7 +7,7 @@
 from pewterring.consensus.errors import ConsensusError, NotLeader
 from pewterring.consensus.group import ReplicatedGroup
 from pewterring.control.commands import Command, Result
-from pewterring.control.errors import NotLeading, OutcomeUnsure
+from pewterring.control.errors import CallTooOld, NotLeading, OutcomeUnsure
 from pewterring.control.state import encode_command
 
 BARRIER_S = 0.8  # a read that is not confirmed by then is given up
@@ -31,6 +31,18 @@
         if not self.has_lease:
             raise NotLeading
 
+    @property
+    def newest_round(self) -> tuple[int, int]:
+        """Term and number of the leader's newest heartbeat round that is known here."""
+        return self._group.newest_round
+
+    def check_round(self, term: int, number: int) -> None:
+        """Raises `CallTooOld` unless this leader sent that round a moment ago, else `NotLeading`."""
+        if not self.ready:
+            raise NotLeading
+        if not self._group.is_recent_round(term, number, self._clock()):
+            raise CallTooOld
+
     async def propose(self, command: Command) -> Result:
         """Commits a command; raises `NotLeading` or `OutcomeUnsure`."""
         if not self.ready:
--- a/pewterring/control/program.py
+++ b/pewterring/control/program.py
@@ -28,6 +28,7 @@
 from pewterring.control.relay import CallRouter, RelayFailed
 from pewterring.control.retiring import RetirementDesk
 from pewterring.control.service import ControlService
+from pewterring.control.standstill import StandstillWatch
 from pewterring.control.state import ControlState
 from pewterring.distribution.messages import FEED_MESSAGES, Renew, Subscribe
 from pewterring.node.settings import NodeSettings, SettingsError
@@ -101,7 +102,15 @@
         self._runner = DutyRunner(self._duties, planner, self._joins, self._group, self._leadership)
         self._feed = FeedServer(publisher, nodes, self._leadership, codec, self._leader_ip, self._clock)
         service = ControlService(self._state, registry, desk, self._leadership, self._clock)
-        self._router = CallRouter(service.handle, self._leader_ip, self._request, settings.ip)
+        self._standstill = StandstillWatch(self._clock)
+        self._router = CallRouter(
+            service.handle,
+            self._leader_ip,
+            self._request,
+            settings.ip,
+            self._leadership,
+            self._standstill.held_up,
+        )
         self._http = ApiServer(ControlApi(self._router.answer), settings.control)
         self._duty: asyncio.Task[None] | None = None
         self._tasks: list[asyncio.Task[None]] = []
@@ -111,7 +120,8 @@
         await self._lines.start(self._settings.ip, self._settings.internal_port)
         await self._group.start()
         await self._http.start()
-        self._tasks = [asyncio.create_task(self._tick_forever()), asyncio.create_task(self._join_forever())]
+        duties = (self._standstill.run(), self._tick_forever(), self._join_forever())
+        self._tasks = [asyncio.create_task(duty) for duty in duties]
         logger.info("control started as {}", self._member)
 
     def reload(self, settings: NodeSettings) -> None:
--- a/pewterring/control/relay.py
+++ b/pewterring/control/relay.py
@@ -3,12 +3,13 @@
 import asyncio
 import contextlib
 from collections.abc import Awaitable, Callable
+from typing import Protocol
 
 import msgspec
 from loguru import logger
 
 from pewterring.control.calls import Answer, Call, known_method, refusal
-from pewterring.control.errors import NotLeading, OutcomeUnsure
+from pewterring.control.errors import CallTooOld, NotLeading, OutcomeUnsure
 from pewterring.control.messages import RelayedAnswer, RelayedCall
 
 ANSWER_S = 0.9  # a caller goes to another machine after a second
@@ -21,11 +22,24 @@
     """The leader did not answer; the call may have been handled."""
 
 
+class HeartbeatRounds(Protocol):
+    """The rounds of the leader's heartbeats, by which relayed calls are dated."""
+
+    @property
+    def newest_round(self) -> tuple[int, int]:
+        """Term and number of the newest round that is known here."""
+
+    def check_round(self, term: int, number: int) -> None:
+        """Raises `NotLeading`, or `CallTooOld` unless this leader sent that round a moment ago."""
+
+
 class CallRouter:
     """Tries calls until one is answered or the time is over. All calls may be handled more than once.
 
     `handle_here` raises `NotLeading` where this machine does not lead. `leader_ip` is empty where no leader
     is known. `request` sends a message to a machine and waits for the reply, or raises `RelayFailed`.
+    `held_up` tells whether what is read now may have waited in the sockets of this process while it stood
+    still.
     """
 
     def __init__(
@@ -34,11 +48,15 @@
         leader_ip: Callable[[], str],
         request: Request,
         own_ip: str,
+        rounds: HeartbeatRounds,
+        held_up: Callable[[], bool],
     ) -> None:
         self._handle_here = handle_here
         self._leader_ip = leader_ip
         self._request = request
         self._own_ip = own_ip
+        self._rounds = rounds
+        self._held_up = held_up
 
     async def answer(self, call: Call) -> Answer:
         """Answers a call that came from outside, within `ANSWER_S`."""
@@ -47,18 +65,28 @@
             return refusal(404, "no such path")
         if call.method != method:
             return refusal(405, f"the method is {method}")
+        if self._held_up():
+            return refusal(503, "the call may have waited for too long")
         try:
             return await _in_time(self._until_answered(call))
         except TimeoutError:
             return refusal(503, "no leader answered in time")
 
     async def answer_relayed(self, message: RelayedCall) -> RelayedAnswer:
-        """Answers a call that another machine passed on, as the leader."""
+        """Answers a call that another machine passed on, as the leader.
+
+        One that was held up on the way is not begun. Symptom answered: a cut or a freeze ends, and orders
+        whose callers were answered 503 long ago are carried out.
+        """
         call = Call(message.method, message.path, message.base_version, message.body)
         try:
+            self._rounds.check_round(message.term, message.round)
             answer = await _in_time(self._handle_here(call))
         except NotLeading:
             return RelayedAnswer(503, not_leading=True)
+        except CallTooOld:
+            term, number = self._rounds.newest_round
+            return RelayedAnswer(503, too_old=True, term=term, round=number)
         except (OutcomeUnsure, TimeoutError):
             return RelayedAnswer(503, refusal(503, "the outcome is not known").body)
         return RelayedAnswer(answer.status, answer.body)
@@ -74,14 +102,22 @@
             await asyncio.sleep(PAUSE_S)
 
     async def _relay(self, leader: str, call: Call) -> Answer:
-        message = RelayedCall(call.method, call.path, call.base_version, call.body)
-        reply = await self._request(leader, message, ANSWER_S)
-        if not isinstance(reply, RelayedAnswer):
-            logger.error("{} answered a relayed call with {}", leader, type(reply).__name__)
-            raise RelayFailed("not an answer")
-        if reply.not_leading:
-            raise NotLeading
-        return Answer(reply.status, reply.body)
+        """Passes a call on, and again with the leader's newest round where the one known here is too old.
+
+        A member whose heartbeats wait behind a snapshot knows old rounds alone.
+        """
+        dated = self._rounds.newest_round
+        while True:
+            message = RelayedCall(call.method, call.path, call.base_version, call.body, *dated)
+            reply = await self._request(leader, message, ANSWER_S)
+            if not isinstance(reply, RelayedAnswer):
+                logger.error("{} answered a relayed call with {}", leader, type(reply).__name__)
+                raise RelayFailed("not an answer")
+            if reply.not_leading:
+                raise NotLeading
+            if not reply.too_old:
+                return Answer(reply.status, reply.body)
+            dated = (reply.term, reply.round)
 
 
 async def _in_time(answering: Awaitable[Answer]) -> Answer:
--- a/tests/control/cluster.py
+++ b/tests/control/cluster.py
@@ -31,6 +31,7 @@
 from pewterring.control.relay import CallRouter, RelayFailed
 from pewterring.control.retiring import RetirementDesk
 from pewterring.control.service import ControlService
+from pewterring.control.standstill import StandstillWatch
 from pewterring.control.state import ControlState
 from pewterring.distribution.messages import FEED_MESSAGES
 from pewterring.registry.workers import WorkerRegistry
@@ -71,7 +72,10 @@
         self.registry = WorkerRegistry(self.state.workers, self.state.departed, 1.0)
         desk = RetirementDesk(self.state, self.nodes, self.leadership, 3)
         service = ControlService(self.state, self.registry, desk, self.leadership, clock)
-        self.router = CallRouter(service.handle, self._leader_ip, self._request, ip)
+        self.standstill = StandstillWatch(clock)
+        self.router = CallRouter(
+            service.handle, self._leader_ip, self._request, ip, self.leadership, self.standstill.held_up
+        )
         self.feed = FeedServer(
             self.publisher, self.nodes, self.leadership, FEED_CODEC, self._leader_ip, clock
         )
@@ -117,6 +121,7 @@
     async def start(self) -> ControlMachine:
         for machine in self.machines.values():
             await machine.group.start()
+            self.in_background(machine.standstill.run())
         return await self.leader()
 
     async def stop(self) -> None:
@@ -186,6 +191,7 @@
         again = ControlMachine(self, machine.ip, machine.storage)
         self.machines[machine.ip] = again
         await again.group.start()
+        self.in_background(again.standstill.run())
         return again
 
     # Messages.
@@ -253,6 +259,12 @@
         return task.result()
 
 
+def relayed_call(call: Call, leader: ControlMachine) -> RelayedCall:
+    """The call as a member passes it on that has just heard the leader."""
+    dated = leader.leadership.newest_round
+    return RelayedCall(call.method, call.path, call.base_version, call.body, *dated)
+
+
 def put_call(base: int, document: bytes) -> Call:
     return Call("POST", REPLACE_PATH, str(base), document)
 
--- a/tests/control/test_cut_off.py
+++ b/tests/control/test_cut_off.py
@@ -11,7 +11,6 @@
 from pewterring.control.commands import PutNodes
 from pewterring.control.errors import NotLeading
 from pewterring.control.leadership import GroupLeadership
-from pewterring.control.messages import RelayedCall
 from pewterring.control.state import encode_command
 from pewterring.distribution.follower import OldLeader, TableFollower
 from pewterring.distribution.messages import Redirect, Subscribe, TableVersions, WholeTables
@@ -19,7 +18,14 @@
 from pewterring.transport.lines import Channel
 from tests.configuration.documents import encoded
 from tests.consensus.virtual_time import VirtualTimeLoop, run
-from tests.control.cluster import ControlCluster, ControlMachine, heartbeat_call, put_call, read_call
+from tests.control.cluster import (
+    ControlCluster,
+    ControlMachine,
+    heartbeat_call,
+    put_call,
+    read_call,
+    relayed_call,
+)
 from tests.control.feed_path import FeedNode
 from tests.control.records import put, store
 
@@ -160,7 +166,10 @@
     assert missed == [] and beside.version == 0
     probing.cancel()
     assert probes.wrong == [] and probes.refused >= 8 * (CUT_S / PROBE_S - 1)
+    await asyncio.sleep(PROBE_S)  # what was passed on just before the cut ends may be begun
     await comes_back(cluster, others, (near, far, beside))
+    if not case.is_heard:
+        check_nothing_was_begun(await cluster.leader())
     for node in (near, far, beside):
         await node.subscriber.stop()
     await cluster.stop()
@@ -246,6 +255,32 @@
         assert await node.has_version(newest, CONFIG_S), node.ip
 
 
+def check_nothing_was_begun(leader: ControlMachine) -> None:
+    """What the cut held up was answered 503 long ago."""
+    begun = []
+    if "store-5" in leader.state.retirements:
+        begun.append("retirement")
+    if "i-3" in leader.state.departed:
+        begun.append("deregistration")
+    if leader.state.workers["i-2"].state != "ready":
+        begun.append("drain")
+    assert begun == [], "begun after the cut"
+
+
+class TakesAnyRound(GroupLeadership):
+    """Begins relayed calls however long they were on the way."""
+
+    def check_round(self, term: int, number: int) -> None:
+        if not self.ready:
+            raise NotLeading
+
+
+def test_a_leader_that_begins_what_a_cut_held_up_is_caught() -> None:
+    unheard = next(case for case in CASES if not case.has_leader and case.hears)
+    with pytest.raises(AssertionError, match="begun after the cut"):
+        run(play(unheard, TakesAnyRound))
+
+
 # A process that stands still between a check and what follows it.
 
 
@@ -264,8 +299,7 @@
         cluster, leader = await prepared(THREE)
         freeze_behind_checks(leader)
         if relayed:
-            message = RelayedCall(call.method, call.path, call.base_version, call.body)
-            status = (await leader.router.answer_relayed(message)).status
+            status = (await leader.router.answer_relayed(relayed_call(call, leader))).status
         else:
             status = (await leader.router.answer(call)).status
         assert status == 503
--- a/tests/control/test_faults.py
+++ b/tests/control/test_faults.py
@@ -8,7 +8,6 @@
 
 from pewterring.configuration.digest import as_line
 from pewterring.control.calls import Answer, Call
-from pewterring.control.messages import RelayedCall
 from pewterring.distribution.follower import TableFollower
 from tests.configuration.documents import encoded
 from tests.consensus.virtual_time import run
@@ -19,6 +18,7 @@
     heartbeat_call,
     put_call,
     read_call,
+    relayed_call,
 )
 
 POINTS = 8  # messages of one call and a little more
@@ -145,7 +145,7 @@
         assert late.status == 503
         assert not leader.leadership.has_lease
         assert (await leader.router.answer(read_call())).status == 503
-        relayed = await leader.router.answer_relayed(RelayedCall("GET", read_call().path))
+        relayed = await leader.router.answer_relayed(relayed_call(read_call(), leader))
         assert relayed.not_leading
         await cluster.stop()
 
--- a/tests/control/test_service.py
+++ b/tests/control/test_service.py
@@ -9,7 +9,7 @@
 from pewterring.control.api import ControlApi
 from pewterring.control.calls import Answer, Call
 from pewterring.control.commands import Command, EndRetirement, PutNodes, Result
-from pewterring.control.errors import NotLeading, OutcomeUnsure
+from pewterring.control.errors import CallTooOld, NotLeading, OutcomeUnsure
 from pewterring.control.messages import RelayedAnswer, RelayedCall
 from pewterring.control.nodes import NodeTable
 from pewterring.control.relay import CallRouter, RelayFailed
@@ -42,7 +42,9 @@
         registry = WorkerRegistry(self.state.workers, self.state.departed, 1.0)
         desk = RetirementDesk(self.state, self.nodes, self, 3)
         self.service = ControlService(self.state, registry, desk, self, lambda: 0.0)
-        self.router = CallRouter(self.service.handle, lambda: self.leader, self.request, ip)
+        self.router = CallRouter(
+            self.service.handle, lambda: self.leader, self.request, ip, self, lambda: False
+        )
 
     async def propose(self, command: Command) -> Result:
         self.check_lease()
@@ -56,6 +58,15 @@
         if self.failure is not None:
             raise self.failure
 
+    @property
+    def newest_round(self) -> tuple[int, int]:
+        return (1, 1)
+
+    def check_round(self, term: int, number: int) -> None:
+        self.check_lease()
+        if (term, number) != (1, 1):
+            raise CallTooOld
+
     async def request(self, ip: str, message: msgspec.Struct, timeout_s: float) -> msgspec.Struct:
         self.relayed += 1
         if self.other is None or not isinstance(message, RelayedCall):
@@ -115,7 +126,7 @@
         assert machine.replace(5, encoded(version=6)) == 200
     assert machine.proposals == 2
     machine.failure = NotLeading()
-    again = RelayedCall("POST", "/v1/Config.Replace", "5", encoded(version=6))
+    again = RelayedCall("POST", "/v1/Config.Replace", "5", encoded(version=6), 1, 1)
     assert asyncio.run(machine.router.answer_relayed(again)) == RelayedAnswer(503, not_leading=True)
 
 
--- a/tests/control/test_two_operators.py
+++ b/tests/control/test_two_operators.py
@@ -94,6 +94,11 @@
     def check_lease(self) -> None:
         pass
 
+    newest_round = (1, 1)
+
+    def check_round(self, term: int, number: int) -> None:
+        pass
+
     @property
     def state(self) -> ControlState:
         """The leader's state."""
@@ -188,7 +193,7 @@
         registry = WorkerRegistry(state.workers, state.departed, 1.0)
         desk = RetirementDesk(state, NodeTable(), self.group, 3)
         service = ControlService(state, registry, desk, self.group, lambda: 0.0)
-        router = CallRouter(service.handle, str, self._no_relay, "10.0.0.1")
+        router = CallRouter(service.handle, str, self._no_relay, "10.0.0.1", self.group, bool)
         return (await router.answer_relayed(call)).status
 
     async def _no_relay(self, ip: str, message: msgspec.Struct, timeout_s: float) -> msgspec.Struct:
