Internal connections close where the peer sends no greeting in time

Cause: a peer that connects to the internal port and says nothing, or half a greeting, held its connection and descriptor for ever; keepalive does not see it, since its kernel answers.

Change: 10 s after a channel was opened (`GREETING_S`) without the peer's greeting it is closed, with one log line a peer. A channel that was greeted may be silent as before.

Measured: with the timer out of reach both cases of test_a_peer_that_does_not_greet_is_cut_off_in_time_with_one_line fail; with it tests/transport, tests/control and tests/simulation pass.

--- a/pewterring/transport/channel.py
+++ b/pewterring/transport/channel.py
@@ -21,6 +21,9 @@
 
 MAX_LINE_BYTES = 32 * 1024 * 1024
 MAX_BACKLOG_BYTES = 4 * 1024 * 1024  # written but not yet taken by the kernel
+# A greeting is sent at once: only a process that stands still, a cut or a stranger has its peer wait so long.
+# Symptom answered: whoever connects and says nothing holds a connection, and its descriptor, for ever.
+GREETING_S = 10.0
 USER_TIMEOUT_MS = 2000  # sent bytes that stay unacknowledged so long end the connection
 KEEPALIVE_IDLE_S = 5
 KEEPALIVE_INTERVAL_S = 2
@@ -68,7 +71,7 @@
     sender asked for one; awaitables run as tasks, other values are answered at once.
 
     Each side first sends the greeting of its cluster, without waiting for the other's. Until the peer's has
-    come nothing else of it is taken.
+    come nothing else of it is taken; where it does not come within `GREETING_S` the connection closes.
 
     What ties an answer to its request is the request's id together with the connection: ids rise and are
     never given out again on one connection, and an answer that comes when its request was given up, a second
@@ -90,6 +93,7 @@
         self._transport: asyncio.Transport | None = None
         self._partial = bytearray()  # a line whose end has not come yet
         self._greeted = False  # whether the peer's greeting has come
+        self._greeting_timer: asyncio.TimerHandle | None = None
         self._request_ids = itertools.count(1)
         self._pending: dict[int, asyncio.Future[Message]] = {}
         self._tasks: set[asyncio.Future[Answer]] = set()
@@ -167,6 +171,7 @@
         self.remote_ip = transport.get_extra_info("peername", ("",))[0]
         set_liveness_options(transport.get_extra_info("socket"))
         transport.write(self._codec.greeting)
+        self._greeting_timer = asyncio.get_running_loop().call_later(GREETING_S, self._miss_greeting)
 
     def connection_lost(self, error: Exception | None) -> None:
         """Part of `asyncio.Protocol`."""
@@ -210,6 +215,7 @@
             if not self._greeted:
                 self._codec.check_greeting(line)
                 self._greeted = True
+                self._stop_greeting_timer()
                 return
             envelope = self._codec.decode_line(line)
             if envelope.reply_to:
@@ -272,6 +278,14 @@
 
     # Ending
 
+    def _miss_greeting(self) -> None:
+        self._reject(f"no greeting within {GREETING_S:g} s")
+
+    def _stop_greeting_timer(self) -> None:
+        if self._greeting_timer is not None:
+            self._greeting_timer.cancel()
+            self._greeting_timer = None
+
     def _reject(self, problem: str) -> None:
         self._warnings.warn(self.remote_ip, problem)
         self.abort()
@@ -280,6 +294,7 @@
         if self.closed:
             return
         self.closed = True
+        self._stop_greeting_timer()
         self._partial.clear()
         pending, self._pending = self._pending, {}
         for reply in pending.values():
--- a/tests/transport/test_line_resets.py
+++ b/tests/transport/test_line_resets.py
@@ -7,7 +7,7 @@
 import msgspec
 import pytest
 
-from pewterring.transport.channel import Channel, PeerWarnings
+from pewterring.transport.channel import GREETING_S, Channel, PeerWarnings
 from pewterring.transport.line_codec import MAX_GREETING_BYTES, PROTOCOL, Greeting
 from pewterring.transport.lines import (
     ChannelClosed,
@@ -237,6 +237,49 @@
         play(story)
 
 
+@pytest.mark.parametrize("said", [b"", greeting()[:-1]], ids=["nothing", "half a greeting"])
+def test_a_peer_that_does_not_greet_is_cut_off_in_time_with_one_line(said: bytes) -> None:
+    async def story() -> None:
+        seen = PeerWarnings()
+        with warnings_logged() as lines:
+            for _ in range(2):
+                side = Side(warnings=seen)
+                task = asyncio.create_task(side.channel.request(Ask("q"), 2 * GREETING_S))
+                side.transport.deliver(said)
+                await asyncio.sleep(GREETING_S - 0.1)
+                assert not side.channel.closed
+                await asyncio.sleep(0.2)
+                assert side.transport.ended and side.channel.closed
+                assert isinstance(task.exception(), ChannelClosed)
+        assert len(lines) == 1 and "192.0.2.1" in lines[0] and "no greeting" in lines[0]
+
+    play(story)
+
+
+def test_a_peer_that_has_greeted_may_be_silent() -> None:
+    async def story() -> None:
+        side = Side()
+        await asyncio.sleep(GREETING_S - 0.1)
+        side.transport.deliver(greeting())
+        await asyncio.sleep(2 * GREETING_S)
+        assert not side.channel.closed and not side.transport.ended
+        side.transport.deliver(CODEC.line(Ask("q"), request_id=1))
+        assert side.handled == ["q"]
+
+    play(story)
+
+
+def test_a_connection_that_ends_before_its_greeting_is_not_warned_of() -> None:
+    async def story() -> None:
+        with warnings_logged() as lines:
+            side = Side()
+            side.transport.end(Ending.RESET)
+            await asyncio.sleep(2 * GREETING_S)
+        assert side.channel.closed and lines == []
+
+    play(story)
+
+
 def test_a_stranger_answers_nothing() -> None:
     async def story() -> None:
         side = Side()
