One definition for what stood twice: Leadership, worker states, headers, durations, test settings

Cause: two `Leadership` protocols of control, and constants of one meaning in two to four modules: worker states, `STORE`, the gateway's program name, `REQUEST_ID`, `LOAD`, `MISDIRECTED`, `IP_UDP_BYTES`, `LATE_CHECK_S`, `MILLISECONDS_A_SECOND`, exit statuses; five tests wrote whole settings, scenarios of the core their beginnings and ends.

Change: the protocol stands in control/leadership.py, worker states and programs beside the records that carry them (distribution/messages.py), headers in transport and routing, durations in durations.py, the lowest layer. No behaviour changes.

--- a/benchmarks/admission_exchange.py
+++ b/benchmarks/admission_exchange.py
@@ -25,8 +25,8 @@
 from pewterring.admission.relayed_shares import RelayedShares
 from pewterring.admission.shares import BEAT_S, LEASE_S
 from pewterring.mail import read_beat
-from pewterring.routing.heartbeats import IP_UDP_BYTES
 from pewterring.state import Peer
+from pewterring.transport.datagrams import IP_UDP_BYTES
 
 WAYS = ("all", "sampled", "relayed")
 SAMPLED_PEERS = 2  # a heartbeat period: as many bytes as the exchange with relays
--- a/pewterring/batch/execution.py
+++ b/pewterring/batch/execution.py
@@ -16,13 +16,13 @@
 from pewterring.configuration.model import Configuration
 from pewterring.distribution.messages import WorkerRecord
 from pewterring.distribution.tables import Tables
+from pewterring.durations import MILLISECONDS_A_SECOND
 
 POLL_S = 0.1  # while items could start but find no worker, or the tables are not fresh
 SHORTEST_WAIT_S = 0.01
 ROUTE_GONE_S = (
     3.0  # a route must have been missing for so long, in fresh tables, before its items are given up
 )
-MILLISECONDS_A_SECOND = 1000.0
 
 SUCCEEDED = "succeeded"
 DEAD_LETTER = "dead_letter"
--- a/pewterring/batch/members.py
+++ b/pewterring/batch/members.py
@@ -4,9 +4,7 @@
 
 from pewterring.consensus.messages import Membership
 from pewterring.consensus.planner import Candidates
-from pewterring.distribution.messages import NodeRecord
-
-STORE = "store"
+from pewterring.distribution.messages import STORE, NodeRecord
 
 
 def store_candidates(nodes: Iterable[NodeRecord], membership: Membership) -> Candidates:
--- a/pewterring/batch/program.py
+++ b/pewterring/batch/program.py
@@ -23,7 +23,7 @@
 from pewterring.batch.state import Clock
 from pewterring.consensus.membership import address_of
 from pewterring.consensus.messages import CONSENSUS_MESSAGES, ConsensusMessage, Membership
-from pewterring.distribution.messages import FEED_MESSAGES, GroupStatus, NodeRecord
+from pewterring.distribution.messages import FEED_MESSAGES, STORE, GroupStatus, NodeRecord
 from pewterring.distribution.subscriber import FeedSubscriber
 from pewterring.distribution.tables import Tables
 from pewterring.node.settings import NodeSettings
@@ -39,7 +39,6 @@
 
 MEMBERS_PERIOD_S = 0.1  # between looks at the members of the groups
 LIFE_BYTES = 8  # of randomness in the name of this process's life
-STORE = "store"
 
 
 class StoreError(BatchError):
--- a/pewterring/batch/runner.py
+++ b/pewterring/batch/runner.py
@@ -10,11 +10,12 @@
 from pewterring.batch.scheduler import Failure, QueuedItem
 from pewterring.distribution.messages import WorkerRecord
 from pewterring.http.messages import HOP_BY_HOP
-from pewterring.routing.load_report import Load, parse_load
+from pewterring.routing.load_report import LOAD, Load, parse_load
 from pewterring.transport.http_answer import AnswerHead
 from pewterring.transport.http_client import WorkerPool
-from pewterring.transport.http_common import Headers
+from pewterring.transport.http_common import MISDIRECTED, Headers
 from pewterring.transport.http_exchange import (
+    REQUEST_ID,
     Exchange,
     ExchangeError,
     NoFreeConnection,
@@ -26,17 +27,15 @@
 FIRST_EVENT_S = 5.0  # from sending an item to its first event; longer: the worker is taken for dead
 NEXT_EVENT_S = 3.0  # between events
 
-LOAD = b"instance-load"
 EXPECT_VERSION = "expect-version"
 OK = 200
-MISDIRECTED = 421
 UNPROCESSABLE = 422
 SERVER_ERROR = 500
 
 LoadHandler = Callable[[WorkerRecord, Load], None]
 
 # Written by this program; an item's own headers of these names do not count.
-OWN_HEADERS = HOP_BY_HOP | {b"host", b"content-length", b"request-id", b"target-instance", b"last-event-id"}
+OWN_HEADERS = HOP_BY_HOP | {b"host", b"content-length", REQUEST_ID, b"target-instance", b"last-event-id"}
 
 
 class HttpItemRunner:
--- a/pewterring/batch/service.py
+++ b/pewterring/batch/service.py
@@ -31,6 +31,7 @@
 from pewterring.batch.retention import jobs_to_drop
 from pewterring.batch.state import BatchState, Clock, Job
 from pewterring.distribution.tables import Tables
+from pewterring.durations import MILLISECONDS_A_SECOND
 
 BatchCall = SubmitJob | ReadResults | ReadItem | EndJob
 SubmitReply = JobAccepted | JobRefused | NotLeading | Unsure
@@ -41,7 +42,6 @@
 NO_ROOM_RETRY_S = 1.0  # jobs are forgotten each few seconds
 DROP_PERIOD_S = 5.0
 TAKE_OVER_RETRY_S = 0.05
-MILLISECONDS_A_SECOND = 1000.0
 
 
 class BatchService:
--- a/pewterring/batch/state.py
+++ b/pewterring/batch/state.py
@@ -29,12 +29,11 @@
     decode_command,
 )
 from pewterring.batch.messages import ItemResult, ItemSpec
+from pewterring.durations import MILLISECONDS_A_SECOND
 
 RouteKey = tuple[str, str]  # host and path prefix
 Clock = Callable[[], float]  # seconds of the steady clock
 
-MILLISECONDS_A_SECOND = 1000.0
-
 
 class StateError(Exception):
     """A snapshot of a batch partition cannot be read."""
--- a/pewterring/cli/tier.py
+++ b/pewterring/cli/tier.py
@@ -9,12 +9,11 @@
 
 from loguru import logger
 
+from pewterring.cli.errors import FAILED, USAGE_ERROR
 from pewterring.node.settings import NodeSettings, SettingsError, SettingsReport, settings_path
 from pewterring.node.settings_file import SettingsFile, SettingsReloader
 from pewterring.observability.log import configure_log
 
-USAGE_ERROR = 2
-FAILED = 1
 STOP_S = 1.0  # for a program to stop
 # Start-up makes many objects that live for ever; collections are rarer after it, and pass them over.
 COLLECTION_THRESHOLDS = (20_000, 20, 50)
--- a/pewterring/consensus/planner.py
+++ b/pewterring/consensus/planner.py
@@ -21,9 +21,9 @@
 
 from pewterring.consensus.membership import address_of
 from pewterring.consensus.messages import Membership
+from pewterring.durations import LATE_CHECK_S
 
 LOST_PART = 0.25  # of the bound on catching up: a quarter to notice a loss, a quarter to copy the state
-LATE_CHECK_S = 0.5  # a longer pause between plans means that this process itself was held up
 ANSWERS_S = 0.3  # a voter that answered so lately lives, whatever tables say of its address
 LEARNER_PART = 0.5  # of the same bound; a learner that takes over a large snapshot may not answer for a while
 CHANGES_A_LOOK = 4  # made one after the other before the next look: a removal and a promotion, and some more
--- a/pewterring/control/leadership.py
+++ b/pewterring/control/leadership.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
-from typing import cast
+from typing import Protocol, cast
 
 from pewterring.consensus.errors import ConsensusError, NotLeader
 from pewterring.consensus.group import ReplicatedGroup
@@ -13,6 +13,19 @@
 BARRIER_S = 0.8  # a read that is not confirmed by then is given up
 
 
+class Leadership(Protocol):
+    """What answering calls needs of the replicated group. All raise `NotLeading` or `OutcomeUnsure`."""
+
+    async def propose(self, command: Command) -> Result:
+        """Commits a command and gives the result of applying it."""
+
+    async def read_barrier(self) -> None:
+        """Returns once all that was committed before the call has been applied here."""
+
+    def check_lease(self) -> None:
+        """Raises `NotLeading` unless no other member can lead now."""
+
+
 class GroupLeadership:
     """Commits commands and confirms reads. `ready` says that this leader has applied all that came before."""
 
--- a/pewterring/control/nodes.py
+++ b/pewterring/control/nodes.py
@@ -4,9 +4,9 @@
 
 from pewterring.control.commands import PutNodes
 from pewterring.distribution.messages import NodeRecord
+from pewterring.durations import LATE_CHECK_S
 
 SILENCE_S = 1.5  # a node that was not heard for longer leaves the table
-LATE_CHECK_S = 0.5  # a longer pause between checks means that this process itself was held up
 
 
 class NodeTable:
--- a/pewterring/control/retiring.py
+++ b/pewterring/control/retiring.py
@@ -1,13 +1,13 @@
 """Takes the operator's wish to empty a store, and says how far that is."""
 
 import asyncio
-from typing import Protocol
 
-from pewterring.control.commands import Command, Result, SetRetiring
+from pewterring.control.commands import Result, SetRetiring
+from pewterring.control.leadership import Leadership
 from pewterring.control.nodes import NodeTable
-from pewterring.control.state import STORE, ControlState
+from pewterring.control.state import ControlState
 from pewterring.control.stores import live_stores
-from pewterring.distribution.messages import NodeRecord
+from pewterring.distribution.messages import STORE, NodeRecord
 
 UNKNOWN = 404
 TOO_FEW = 409
@@ -26,16 +26,6 @@
         self.status = status
 
 
-class Leadership(Protocol):
-    """What the desk needs of the replicated group. Both raise `NotLeading` or `OutcomeUnsure`."""
-
-    async def propose(self, command: Command) -> Result:
-        """Commits a command and gives the result of applying it."""
-
-    async def read_barrier(self) -> None:
-        """Returns once all that was committed before the call has been applied here."""
-
-
 class RetirementDesk:
     """Starts retirements one at a time, so that two cannot both count on the same remaining stores."""
 
--- a/pewterring/control/service.py
+++ b/pewterring/control/service.py
@@ -1,7 +1,6 @@
 """Answers calls of the operator and the workers at the leader of the control group."""
 
 from collections.abc import Awaitable, Callable
-from typing import Protocol
 
 import msgspec
 
@@ -21,15 +20,14 @@
     refusal,
 )
 from pewterring.control.commands import (
-    Command,
     Conflict,
     NotAbove,
     PutConfiguration,
     PutWorker,
     RemoveWorkers,
-    Result,
     Untold,
 )
+from pewterring.control.leadership import Leadership
 from pewterring.control.retiring import RetirementDesk, RetirementRefused
 from pewterring.control.state import ControlState
 from pewterring.control.status import status_of
@@ -39,19 +37,6 @@
 ACKNOWLEDGED = Answer(200)
 
 
-class Leadership(Protocol):
-    """What the service needs of the replicated group. All raise `NotLeading` or `OutcomeUnsure`."""
-
-    async def propose(self, command: Command) -> Result:
-        """Commits a command and gives the result of applying it."""
-
-    async def read_barrier(self) -> None:
-        """Returns once all that was committed before the call has been applied here."""
-
-    def check_lease(self) -> None:
-        """Raises `NotLeading` unless no other member can lead now."""
-
-
 class ControlService:
     """Handles calls by path. Configurations are checked here, before they go to the log."""
 
--- a/pewterring/control/state.py
+++ b/pewterring/control/state.py
@@ -23,14 +23,20 @@
     SilenceWorkers,
     Untold,
 )
-from pewterring.distribution.messages import NodeRecord, PlacementRecord, WorkerRecord
-from pewterring.registry.heartbeats import DRAINING, READY, SILENT
+from pewterring.distribution.messages import (
+    DRAINING,
+    READY,
+    SILENT,
+    STORE,
+    NodeRecord,
+    PlacementRecord,
+    WorkerRecord,
+)
 
 REMEMBERED_VERSIONS = (
     2048  # digests kept of configurations that were taken; an older order gets no clear answer
 )
 REMEMBERED_DEPARTURES = 8192  # ids of workers kept after they left for good
-STORE = "store"  # program of nodes that keep batch partitions
 NO_DOCUMENT = msgspec.Raw(b"null")
 
 
--- a/pewterring/control/stores.py
+++ b/pewterring/control/stores.py
@@ -3,8 +3,8 @@
 from collections.abc import Iterable, Mapping, Sequence
 
 from pewterring.consensus.membership import address_of
-from pewterring.control.state import STORE, Retirement
-from pewterring.distribution.messages import GroupStatus, NodeRecord, PlacementRecord
+from pewterring.control.state import Retirement
+from pewterring.distribution.messages import STORE, GroupStatus, NodeRecord, PlacementRecord
 
 FIRST_GROUP = "batch-0"
 
--- a/pewterring/distribution/messages.py
+++ b/pewterring/distribution/messages.py
@@ -2,6 +2,15 @@
 
 import msgspec
 
+# States of a worker.
+READY = "ready"
+DRAINING = "draining"
+SILENT = "silent"  # control does not hear it; a gateway that it answers goes on sending to it
+
+# Programs of nodes.
+GATEWAY_PROGRAM = "gateway"
+STORE = "store"  # keeps batch partitions
+
 
 class WorkerRecord(msgspec.Struct, frozen=True):
     """One incarnation of a worker as registered."""
@@ -11,7 +20,7 @@
     address: str  # IP:port
     zone: str
     capacity: int
-    state: str  # "ready" or "draining"
+    state: str  # `READY`, `DRAINING` or `SILENT`
     models: tuple[str, ...] = ()
 
 
@@ -19,7 +28,7 @@
     """One process of the tier that is there."""
 
     node_id: str
-    program: str  # "gateway", "store" or "control"
+    program: str  # `GATEWAY_PROGRAM`, `STORE` or "control"
     ip: str
     zone: str
     life: str  # drawn at each start of the process
--- a/pewterring/edge/attempt.py
+++ b/pewterring/edge/attempt.py
@@ -2,13 +2,13 @@
 
 from enum import Enum, auto
 
-from pewterring.routing.load_report import Load, parse_load
+from pewterring.routing.load_report import LOAD, Load, parse_load
 from pewterring.transport.http_answer import AnswerHead
 from pewterring.transport.http_client import SendRequest
-from pewterring.transport.http_common import Headers, end_to_end_headers
+from pewterring.transport.http_common import MISDIRECTED, Headers, end_to_end_headers
+from pewterring.transport.http_exchange import REQUEST_ID
 from pewterring.transport.http_request import ServerRequest
 
-REQUEST_ID = b"request-id"
 TIMEOUT = b"request-timeout-ms"
 LAST_EVENT_ID = b"last-event-id"
 TARGET = b"target-instance"
@@ -16,10 +16,8 @@
 NOT_EXECUTED = b"not-executed"
 EXPECT_VERSION = b"expect-version"
 CONTENT_ENCODING = b"content-encoding"
-LOAD = b"instance-load"
 EVENT_STREAM = b"text/event-stream"
 FRAMING = frozenset({b"content-length", b"expect", TIMEOUT, TARGET})
-MISDIRECTED = 421
 
 # To a client these promise that its request has not run and never will. A worker that says so without
 # `Not-Executed` promises nothing.
--- a/pewterring/edge/batch_calls.py
+++ b/pewterring/edge/batch_calls.py
@@ -27,6 +27,7 @@
     Unknown,
 )
 from pewterring.configuration.model import Route
+from pewterring.distribution.messages import STORE
 from pewterring.distribution.tables import Tables
 from pewterring.edge.answers import Answer, failure, success
 from pewterring.transport.lines import LinkPool, RequestNotSent, TransportError
@@ -253,6 +254,6 @@
         tables = self._tables()
         order = [self._leader] if self._leader else []
         order += [group.leader.partition("#")[0] for group in tables.groups if group.leader]
-        stores = [node.ip for node in tables.nodes if node.program == "store"]
+        stores = [node.ip for node in tables.nodes if node.program == STORE]
         self._rng.shuffle(stores)
         return iter(dict.fromkeys([*order, *stores]))
--- a/pewterring/edge/program.py
+++ b/pewterring/edge/program.py
@@ -18,7 +18,7 @@
 from pewterring.configuration.model import ClientLimits, Configuration, Route, RouteType
 from pewterring.configuration.routes import RouteTable
 from pewterring.configuration.urgency import Urgency
-from pewterring.distribution.messages import FEED_MESSAGES, NodeRecord
+from pewterring.distribution.messages import FEED_MESSAGES, GATEWAY_PROGRAM, NodeRecord
 from pewterring.distribution.subscriber import FeedSubscriber
 from pewterring.distribution.tables import Tables
 from pewterring.edge.admissions import GatewayAdmissions
@@ -31,11 +31,11 @@
 from pewterring.edge.stalls import LOOK_S, StallWatch
 from pewterring.node.settings import NodeSettings
 from pewterring.observability.metrics import CONTENT_TYPE, METRICS_PATH, render
-from pewterring.routing.admissions import GATEWAY_PROGRAM
 from pewterring.routing.chooser import WorkerChooser
 from pewterring.routing.heartbeats import AdmissionHeartbeats
 from pewterring.routing.prompt import read_prompt
 from pewterring.transport.http_client import WorkerPool
+from pewterring.transport.http_exchange import REQUEST_ID
 from pewterring.transport.http_request import RequestHead, ServerLimits, ServerRequest
 from pewterring.transport.http_responder import Responder
 from pewterring.transport.http_server import HttpServer
@@ -285,7 +285,7 @@
             method=request.method,
             target=request.target,
             host=request.host,
-            request_id=(request.get(b"request-id") or b"").decode("latin-1"),
+            request_id=(request.get(REQUEST_ID) or b"").decode("latin-1"),
             wait_ms=_number(request.get(b"wait-ms"), 0.0),
             budget_s=budget_s,
             body=request.body,
--- a/pewterring/local/engine.py
+++ b/pewterring/local/engine.py
@@ -6,9 +6,10 @@
 
 import msgspec
 
-from pewterring.registry.heartbeats import READY, Heartbeat, LoadedModel
+from pewterring.distribution.messages import READY
+from pewterring.registry.heartbeats import Heartbeat, LoadedModel
 from pewterring.transport.http_client import WorkerPool
-from pewterring.transport.http_exchange import ExchangeError, SendRequest
+from pewterring.transport.http_exchange import REQUEST_ID, ExchangeError, SendRequest
 from pewterring.transport.http_fetch import fetch
 from pewterring.transport.http_request import ServerLimits, ServerRequest
 from pewterring.transport.http_responder import Responder
@@ -85,7 +86,7 @@
             await responder.respond(200, [(b"Served-By", self.id.encode())])
             return
         target = request.get(b"target-instance")
-        request_id = request.get(b"request-id")
+        request_id = request.get(REQUEST_ID)
         if request_id is None:
             await responder.respond(400, [NOT_EXECUTED])
         elif target is not None and target != self.id.encode():
--- a/pewterring/registry/heartbeats.py
+++ b/pewterring/registry/heartbeats.py
@@ -5,13 +5,10 @@
 
 import msgspec
 
-from pewterring.distribution.messages import WorkerRecord
+from pewterring.distribution.messages import DRAINING, READY, WorkerRecord
 
-READY = "ready"
-DRAINING = "draining"
 MAX_CAPACITY = 1_000_000
 MAX_PORT = 65535
-SILENT = "silent"  # control does not hear it; a gateway that it answers goes on sending to it
 
 
 class InvalidHeartbeat(Exception):
--- a/pewterring/registry/workers.py
+++ b/pewterring/registry/workers.py
@@ -7,13 +7,13 @@
 from collections.abc import Mapping, Set
 from dataclasses import dataclass
 
-from pewterring.distribution.messages import WorkerRecord
-from pewterring.registry.heartbeats import DRAINING, READY, SILENT, Heartbeat
+from pewterring.distribution.messages import DRAINING, READY, SILENT, WorkerRecord
+from pewterring.durations import LATE_CHECK_S
+from pewterring.registry.heartbeats import Heartbeat
 
 SILENCE_PERIODS = 3.5  # heartbeat periods without a heartbeat after which a worker counts as silent
 # Heartbeat periods after which a silent worker is removed, though a gateway may still have answers from it.
 REMOVAL_PERIODS = 50.0
-LATE_CHECK_S = 0.5  # a longer pause between checks means that this process itself was held up
 
 
 @dataclass(slots=True)
--- a/pewterring/routing/admissions.py
+++ b/pewterring/routing/admissions.py
@@ -6,11 +6,10 @@
 
 from pewterring.admission.datagram import BATCH, GATEWAY, service_number
 from pewterring.admission.digests import Totals
+from pewterring.distribution.messages import GATEWAY_PROGRAM
 from pewterring.distribution.tables import Tables
 from pewterring.routing.chooser import WorkerChooser
 
-GATEWAY_PROGRAM = "gateway"
-
 
 class Admission(Protocol):
     """Admission to one service, of live requests or of batch items."""
--- a/pewterring/routing/chooser.py
+++ b/pewterring/routing/chooser.py
@@ -5,12 +5,11 @@
 from collections.abc import Collection, Iterable, Mapping, Sequence
 
 from pewterring.configuration.model import Configuration
-from pewterring.distribution.messages import WorkerRecord
+from pewterring.distribution.messages import READY, SILENT, WorkerRecord
 from pewterring.routing.prompt import Prompt
 from pewterring.routing.prompt_hints import worker_number
 from pewterring.routing.worker_state import WorkerState
 
-READY, SILENT = "ready", "silent"
 LEARN = 0.05  # weight of one sample in what is learnt
 BASE_S, PER_TOKEN_S = 0.02, 1e-5  # time to the first byte where nothing is learnt yet, without and per token
 OTHER_ZONE = 0.05  # of the base time: what another zone costs
--- a/pewterring/routing/heartbeats.py
+++ b/pewterring/routing/heartbeats.py
@@ -11,12 +11,11 @@
 from pewterring.admission.relay_exchange import RelayExchange
 from pewterring.admission.relay_plan import Speaker, make_plan
 from pewterring.admission.shares import BEAT_S
-from pewterring.distribution.messages import NodeRecord
-from pewterring.transport.datagrams import DatagramPort
+from pewterring.distribution.messages import GATEWAY_PROGRAM, STORE, NodeRecord
+from pewterring.transport.datagrams import IP_UDP_BYTES, DatagramPort
 
-SPEAKERS = ("gateway", "store")  # programs that send attempts to workers
-RELAY_PROGRAM = "gateway"
-IP_UDP_BYTES = 28  # headers of a datagram
+SPEAKERS = (GATEWAY_PROGRAM, STORE)  # programs that send attempts to workers
+RELAY_PROGRAM = GATEWAY_PROGRAM
 ALL_TO_ALL_BYTES_A_SECOND = 3000.0  # that one process may send for heartbeats to all
 RETURN_SHARE = 0.75  # of both limits, below which a fleet that has relays goes back to all to all
 RELAYED_BYTES_A_SECOND = 2000.0  # that a member may send and get for heartbeats by relays
--- a/pewterring/routing/load_report.py
+++ b/pewterring/routing/load_report.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+LOAD = b"instance-load"  # the header
+
 
 @dataclass(frozen=True, slots=True)
 class Load:
--- a/pewterring/routing/prompt_hints.py
+++ b/pewterring/routing/prompt_hints.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 
 from pewterring.routing.prompt import Prompt
+from pewterring.transport.datagrams import IP_UDP_BYTES
 
 MAGIC = b"PH1"
 HEAD = struct.Struct(">3sBII")  # magic, number of parts, worker, tokens to read
@@ -17,7 +18,6 @@
 MOST_PARTS = 16
 BYTES_A_SECOND = 3000.0  # that one process may spend on hints
 BURST_S = 2.0  # unspent bytes are kept for so long
-IP_UDP_BYTES = 28
 
 
 def worker_number(worker_id: str) -> int:
--- a/pewterring/transport/datagrams.py
+++ b/pewterring/transport/datagrams.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from typing import cast
 
+IP_UDP_BYTES = 28  # headers of a datagram
 MAX_DATAGRAM_BYTES = 1400  # fits one Ethernet packet with its headers
 
 
--- a/pewterring/transport/http_common.py
+++ b/pewterring/transport/http_common.py
@@ -20,6 +20,7 @@
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 CLOSE_HEADER = (b"Connection", b"close")
 CHUNKED_HEADER = (b"Transfer-Encoding", b"chunked")
+MISDIRECTED = 421  # another process is at the address now
 BODILESS_STATUSES = (204, 304)
 WRITE_HIGH_WATER_BYTES = 64 * 1024  # above this, writers are asked to wait
 LINGER_NONE = struct.pack("ii", 1, 0)  # closing resets
--- a/pewterring/transport/http_exchange.py
+++ b/pewterring/transport/http_exchange.py
@@ -3,13 +3,13 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+from pewterring.durations import MILLISECONDS_A_SECOND
 from pewterring.transport.http_answer import AnswerHead
 from pewterring.transport.http_common import Headers
 from pewterring.transport.line_errors import TransportError
 
 TIMEOUT_HEADER = b"Request-Timeout-Ms"
 LEAST_TIMEOUT_MS = 1  # none at all could be read as no limit
-MILLISECONDS_A_SECOND = 1000
 
 
 class ExchangeError(TransportError):
--- a/tests/batch/test_program.py
+++ b/tests/batch/test_program.py
@@ -35,10 +35,11 @@
     WorkerRecord,
 )
 from pewterring.mail import Beat, write_beat
-from pewterring.node.settings import Address, Bounds, NodeSettings
+from pewterring.node.settings import NodeSettings
 from pewterring.transport.datagrams import DatagramPort
 from pewterring.transport.lines import Channel, LineServer, LinkPool, MessageCodec, TransportError
 from tests.batch.stand_ins import ROUTE, item
+from tests.node_settings import addresses, node_settings
 
 CONTROL_IP = "127.0.0.10"
 STORE_IPS = ("127.0.0.11", "127.0.0.12", "127.0.0.13")
@@ -156,25 +157,15 @@
 
 
 def settings(ip: str, port: int, data_dir: Path) -> NodeSettings:
-    return NodeSettings(
-        node_id="store-" + ip,
-        ip=ip,
+    return node_settings(
+        "store",
+        ip,
         zone="z-" + ip,
-        region="r",
-        front=None,
-        ready=None,
-        control=None,
         internal_port=port,
-        seeds=(Address(CONTROL_IP, port),),
+        seeds=addresses([CONTROL_IP], port),
         bootstrap=True,
         data_dir=data_dir / ip,
-        heartbeat_s=1.0,
-        tolerated_machines=1,
-        memory_mb=256,
-        max_descriptors=1024,
-        cpu_share=1.0,
         disk_mb=100,
-        bounds=Bounds(),
     )
 
 
--- a/tests/consensus/scenarios.py
+++ b/tests/consensus/scenarios.py
@@ -20,6 +20,41 @@
     return simulation, leader, [name for name in simulation.members if name != leader]
 
 
+def _converges(simulation: Simulation) -> None:
+    """All that are up agree after a while."""
+    simulation.run(5.0)
+    simulation.check_converges()
+
+
+def _comes_back(simulation: Simulation, member: str) -> None:
+    """All cuts end, and a member that lost power starts again, its disk as fast as before."""
+    simulation.members[member].sync_s = None
+    simulation.cuts.clear()
+    simulation.start(member)
+    _converges(simulation)
+
+
+def _lose_power(simulation: Simulation, member: str, other: str) -> None:
+    """A member loses power and what its disk has not saved; another dies with it, and keeps its disk."""
+    simulation.crash(member, saves_lost=True)
+    simulation.crash(other)
+
+
+def _propose_unsaved(simulation: Simulation, member: str, cut: str) -> None:
+    """An entry is committed by two of three while the disk of `member` stands still."""
+    simulation.cut_off(cut)
+    simulation.members[member].sync_s = NEVER_S
+    simulation.propose("x")
+    simulation.run(0.3)
+
+
+def _propose_many(simulation: Simulation, prefix: str) -> None:
+    """More entries than are kept behind a snapshot."""
+    for number in range(60):
+        simulation.propose(f"{prefix}{number} {'x' * 30}")
+        simulation.run(0.05)
+
+
 def vote_lost_with_power(seed: int, raft_class: type[Raft]) -> None:
     """A voter loses power before its first vote is on disk, and is asked by another candidate."""
     simulation = Simulation(seed, 3, raft_class)
@@ -32,40 +67,23 @@
     simulation.cuts.clear()
     simulation.cut_off(first)
     simulation.start("b")
-    simulation.run(5.0)
-    simulation.check_converges()
+    _converges(simulation)
 
 
 def follower_loses_entry(seed: int, raft_class: type[Raft]) -> None:
     """The follower whose answer made the majority loses power before its disk has the entry."""
     simulation, leader, (slow, cut) = _settled(seed, 3, raft_class)
-    simulation.cut_off(cut)
-    simulation.members[slow].sync_s = NEVER_S
-    simulation.propose("x")
-    simulation.run(0.3)
-    simulation.crash(slow, saves_lost=True)
-    simulation.crash(leader)
-    simulation.members[slow].sync_s = None
-    simulation.cuts.clear()
-    simulation.start(slow)
-    simulation.run(5.0)
-    simulation.check_converges()
+    _propose_unsaved(simulation, slow, cut)
+    _lose_power(simulation, slow, leader)
+    _comes_back(simulation, slow)
 
 
 def leader_loses_entry(seed: int, raft_class: type[Raft]) -> None:
     """The leader loses power before its disk has an entry that one follower of two has."""
     simulation, leader, (holder, cut) = _settled(seed, 3, raft_class)
-    simulation.cut_off(cut)
-    simulation.members[leader].sync_s = NEVER_S
-    simulation.propose("x")
-    simulation.run(0.3)
-    simulation.crash(leader, saves_lost=True)
-    simulation.crash(holder)
-    simulation.members[leader].sync_s = None
-    simulation.cuts.clear()
-    simulation.start(leader)
-    simulation.run(5.0)
-    simulation.check_converges()
+    _propose_unsaved(simulation, leader, cut)
+    _lose_power(simulation, leader, holder)
+    _comes_back(simulation, leader)
 
 
 def old_entry_overwritten(seed: int, raft_class: type[Raft]) -> None:
@@ -99,8 +117,7 @@
     simulation.drops = lambda message: False
     simulation.start(later)
     simulation.start(fourth)
-    simulation.run(5.0)
-    simulation.check_converges()
+    _converges(simulation)
 
 
 def _has_entry_after(message: ConsensusMessage, index: int) -> bool:
@@ -151,8 +168,7 @@
     simulation.join(f"{wiped}#2")
     simulation.crash(leader)
     simulation.cuts.clear()
-    simulation.run(5.0)
-    simulation.check_converges()
+    _converges(simulation)
 
 
 def back_in_a_later_term(seed: int, raft_class: type[Raft]) -> None:
@@ -188,9 +204,7 @@
     """A group in which one member that is down needs a snapshot; the leader, the other, and that member."""
     simulation, leader, (other, away) = _settled(seed, 3, raft_class)
     simulation.crash(away)
-    for number in range(60):
-        simulation.propose(f"{number} {'x' * 30}")
-        simulation.run(0.05)
+    _propose_many(simulation, "")
     simulation.run(0.5)
     return simulation, leader, other, away
 
@@ -203,9 +217,7 @@
     simulation.start(away)
     simulation.run(1.0)
     simulation.drops = lambda message: False
-    for number in range(60):
-        simulation.propose(f"after {number} {'x' * 30}")
-        simulation.run(0.05)
+    _propose_many(simulation, "after ")
     for part in parts:
         simulation.deliver_again(part)
         simulation.run(0.01)
@@ -255,10 +267,5 @@
     for number in range(8):
         simulation.propose(f"meanwhile {number}")
         simulation.run(0.06)
-    simulation.crash(slow, saves_lost=True)
-    simulation.crash(leader)
-    simulation.members[slow].sync_s = None
-    simulation.cuts.clear()
-    simulation.start(slow)
-    simulation.run(5.0)
-    simulation.check_converges()
+    _lose_power(simulation, slow, leader)
+    _comes_back(simulation, slow)
--- a/tests/control/feed_path.py
+++ b/tests/control/feed_path.py
@@ -9,9 +9,9 @@
 
 from pewterring.distribution.messages import NodeRecord, Renew, Subscribe
 from pewterring.distribution.subscriber import FeedSubscriber
-from pewterring.node.settings import Address, Bounds, NodeSettings
 from pewterring.transport.lines import Channel, MessageCodec, RequestNotSent, RequestTimeout
 from tests.control.cluster import FEED_CODEC, ControlCluster, ControlMachine
+from tests.node_settings import addresses, node_settings
 
 
 class FeedEnd:
@@ -89,7 +89,7 @@
         self._loop = asyncio.get_running_loop()
         record = NodeRecord(f"edge-{ip}", "gateway", ip, "zone-1", "life")
         self.subscriber = FeedSubscriber(
-            node_settings(ip, seeds),
+            node_settings("edge", ip, seeds=addresses(seeds, 1)),
             FEED_CODEC,
             lambda: record,
             rng=random.Random(ip),
@@ -124,26 +124,3 @@
         near.peer, far.peer, near.machine = far, near, machine
         near.receive = lambda message: on_message(cast(Channel, near), message)
         return cast(Channel, near)
-
-
-def node_settings(ip: str, seeds: tuple[str, ...]) -> NodeSettings:
-    return NodeSettings(
-        node_id=f"edge-{ip}",
-        ip=ip,
-        zone="zone-1",
-        region="r",
-        front=None,
-        ready=None,
-        control=None,
-        internal_port=1,
-        seeds=tuple(Address(seed, 1) for seed in seeds),
-        bootstrap=False,
-        data_dir=None,
-        heartbeat_s=1.0,
-        tolerated_machines=1,
-        memory_mb=256,
-        max_descriptors=1024,
-        cpu_share=1.0,
-        disk_mb=0,
-        bounds=Bounds(),
-    )
--- a/tests/control/test_duties.py
+++ b/tests/control/test_duties.py
@@ -36,6 +36,9 @@
     async def read_barrier(self) -> None:
         pass
 
+    def check_lease(self) -> None:
+        pass
+
     def run(self, seconds: float) -> list[Command]:
         done: list[Command] = []
         end = self.now + seconds
--- a/tests/control/test_program.py
+++ b/tests/control/test_program.py
@@ -26,9 +26,10 @@
 )
 from pewterring.distribution.subscriber import FeedSubscriber
 from pewterring.distribution.tables import Tables
-from pewterring.node.settings import Address, Bounds, NodeSettings, SettingsError
+from pewterring.node.settings import Address, NodeSettings, SettingsError
 from pewterring.transport.lines import ChannelClosed, LineServer, MessageCodec, connect
 from tests.configuration.documents import encoded
+from tests.node_settings import addresses, node_settings
 from tests.transport.scripted import warnings_logged
 
 IPS = ("127.0.0.21", "127.0.0.22", "127.0.0.23")
@@ -55,25 +56,16 @@
 
     def settings(self, ip: str, program: str = "control", bootstrap: bool = True) -> NodeSettings:
         is_control = program == "control"
-        return NodeSettings(
-            node_id=f"{program}-{ip}",
-            ip=ip,
+        return node_settings(
+            program,
+            ip,
             zone="z-" + ip,
-            region="r",
-            front=None,
-            ready=None,
             control=Address(ip, self.control_port) if is_control else None,
             internal_port=self.internal_port,
-            seeds=tuple(Address(seed, self.control_port) for seed in IPS),
+            seeds=addresses(IPS, self.control_port),
             bootstrap=bootstrap,
             data_dir=self.data_dir / ip if is_control else None,
-            heartbeat_s=1.0,
-            tolerated_machines=1,
-            memory_mb=256,
-            max_descriptors=1024,
-            cpu_share=1.0,
             disk_mb=100,
-            bounds=Bounds(),
         )
 
     async def start(self, ip: str, bootstrap: bool = True) -> ControlProgram:
--- a/tests/control/test_stores.py
+++ b/tests/control/test_stores.py
@@ -68,6 +68,9 @@
         return apply(self.state, command)
 
     async def read_barrier(self) -> None:
+        self.check_lease()
+
+    def check_lease(self) -> None:
         if not self.leads:
             raise NotLeading
 
--- a/tests/edge/gateway.py
+++ b/tests/edge/gateway.py
@@ -24,6 +24,7 @@
 from pewterring.transport.http_request import ServerLimits, ServerRequest
 from pewterring.transport.http_responder import Responder
 from pewterring.transport.http_server import HttpServer
+from tests.node_settings import node_settings
 from tests.transport.http_stand_ins import Wire
 from tests.transport.virtual_time import now
 
@@ -147,25 +148,8 @@
 
 def settings(grace_s: float = GRACE_S) -> NodeSettings:
     address = Address(IP, 1)
-    return NodeSettings(
-        node_id="n",
-        ip=IP,
-        zone="z",
-        region="",
-        front=address,
-        ready=address,
-        control=None,
-        internal_port=1,
-        seeds=(),
-        bootstrap=False,
-        data_dir=None,
-        heartbeat_s=1.0,
-        tolerated_machines=1,
-        memory_mb=300,
-        max_descriptors=1000,
-        cpu_share=1.0,
-        disk_mb=0,
-        bounds=Bounds(grace_s=grace_s),
+    return node_settings(
+        "gateway", IP, zone="z", front=address, ready=address, memory_mb=300, bounds=Bounds(grace_s=grace_s)
     )
 
 
--- a/tests/routing/test_heartbeats.py
+++ b/tests/routing/test_heartbeats.py
@@ -12,13 +12,13 @@
 from pewterring.distribution.messages import NodeRecord
 from pewterring.mail import Beat, write_beat
 from pewterring.routing.heartbeats import (
-    IP_UDP_BYTES,
     RELAYED_BYTES_A_SECOND,
     RELAYED_FLEET,
     AdmissionHeartbeats,
     needs_relays,
     rounds_apart,
 )
+from pewterring.transport.datagrams import IP_UDP_BYTES
 
 SERVICE = 5
 MAX_ROUNDS = 30
--- a/tests/simulation/play.py
+++ b/tests/simulation/play.py
@@ -7,8 +7,8 @@
 
 from pewterring.control.program import GROUP
 from pewterring.control.stores import FIRST_GROUP
+from pewterring.distribution.messages import READY
 from pewterring.distribution.tables import Tables
-from pewterring.registry.heartbeats import READY
 from tests.simulation.adversary import Adversary
 from tests.simulation.batch import FINISH_S, BatchClient, Retirer
 from tests.simulation.callers import Operator, Worker
--- a/tests/simulation/watch.py
+++ b/tests/simulation/watch.py
@@ -12,8 +12,7 @@
 from pewterring.consensus.messages import Entry, Membership
 from pewterring.control.program import GROUP
 from pewterring.distribution.follower import TableFollower
-from pewterring.distribution.messages import WorkerRecord
-from pewterring.registry.heartbeats import READY
+from pewterring.distribution.messages import READY, WorkerRecord
 from pewterring.registry.workers import WorkerRegistry
 from tests.simulation.schedule import On
 
--- a/tests/simulation/world.py
+++ b/tests/simulation/world.py
@@ -14,8 +14,9 @@
 from pewterring.distribution.subscriber import FeedSubscriber
 from pewterring.distribution.tables import Tables
 from pewterring.edge.batch_calls import BatchCalls
-from pewterring.node.settings import Address, Bounds, NodeSettings
+from pewterring.node.settings import Address, NodeSettings
 from pewterring.transport.lines import LinkPool, MessageCodec
+from tests.node_settings import addresses, node_settings
 from tests.simulation.batch import Items, answer_batch_call
 from tests.simulation.history import History
 from tests.simulation.http import Http
@@ -258,25 +259,19 @@
         return self.rng.sample(known, min(FIRST_SEEDS, len(known)))
 
     def _settings(self, ip: str, bootstrap: bool) -> NodeSettings:
-        return NodeSettings(
-            node_id=f"node-{ip}",
-            ip=ip,
-            zone="zone-1",
-            region="region",
-            front=None,
-            ready=None,
+        return node_settings(
+            "node",
+            ip,
             control=Address(ip, CONTROL_PORT),
             internal_port=INTERNAL_PORT,
-            seeds=tuple(Address(seed, CONTROL_PORT) for seed in self._seeds()),
+            seeds=addresses(self._seeds(), CONTROL_PORT),
             bootstrap=bootstrap,
             data_dir=Path("/nowhere"),
             heartbeat_s=HEARTBEAT_S,
             tolerated_machines=self.tolerated,
             memory_mb=100,
             max_descriptors=1000,
-            cpu_share=1.0,
             disk_mb=100,
-            bounds=Bounds(),
         )
 
     # Nodes that follow the feed
