--- a/tests/simulation/test_schedules.py
+++ b/tests/simulation/test_schedules.py
@@ -16,7 +16,7 @@
     assert verdict.orders > 10
 
 
-# Schedules that showed a fault, by what it was.
+# Schedules that showed a fault, of the code or of a check, by what it was.
 FOUND = {
     "a store is emptied while another voter is gone and not known to be lost": Schedule(
         157,
@@ -29,6 +29,14 @@
         ),
         stores=True,
     ),
+    "a frozen leader goes on with a change of members that the next leader has overtaken": Schedule(
+        2000358,
+        2,
+        (
+            Fault(6.935, Kind.WIPE, Target.OLDEST, Point.AFTER_SAVE, 0.047),
+            Fault(7.326, Kind.CUT_FREEZE, Target.LEADER, Point.MEMBERS_APPLIED, 1.661),
+        ),
+    ),
 }
 
 
