--- a/pewterring/drill/__main__.py
+++ b/pewterring/simulator_adapter/__main__.py
@@ -1,4 +1,4 @@
-"""python -m pewterring.drill: hosts one Gatekeeper for each instance on the simulator's wire."""
+"""python -m pewterring.simulator_adapter: hosts one Gatekeeper for each instance on the simulator's wire."""
 
 import sys
 import traceback
@@ -40,7 +40,7 @@
     try:
         serve(iter(sys.stdin), sys.stdout)
     except (codec.WireError, UnicodeDecodeError) as error:
-        print(f"pewterring.drill: {error}", file=sys.stderr)
+        print(f"pewterring.simulator_adapter: {error}", file=sys.stderr)
         return 2
     return 0
 
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -8,7 +8,7 @@
 ROOT = Path(__file__).resolve().parent.parent
 # From the ground up: each may import those before it, and within itself.
 LAYERS = ["durations", "membership", "interface", "mail", "state", "admission", "choice", "settings", "log",
-          "http", "net", "config", "wire", "drill", "gateway", "consensus", "storage", "transport", "node",
+          "http", "net", "config", "wire", "simulator_adapter", "gateway", "consensus", "storage", "transport", "node",
           "observability", "configuration", "distribution", "registry", "routing", "control", "batch", "edge",
           "local", "lab", "cli", "__main__"]  # fmt: skip
 RUN_TIME = {"orjson"}  # beside the standard library
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -10,7 +10,7 @@
 import pytest
 
 from pewterring import interface as i
-from pewterring.drill.__main__ import serve
+from pewterring.simulator_adapter.__main__ import serve
 from pewterring.wire import codec
 from tests import limits
 
@@ -119,18 +119,18 @@
         run(text)
 
 
-def drill(text: str, seed: str = "0") -> subprocess.CompletedProcess[str]:
+def run_adapter(text: str, seed: str = "0") -> subprocess.CompletedProcess[str]:
     env = {**os.environ, "PYTHONHASHSEED": seed}
-    command = [sys.executable, "-m", "pewterring.drill"]
+    command = [sys.executable, "-m", "pewterring.simulator_adapter"]
     return subprocess.run(
         command, input=text, capture_output=True, text=True, cwd=ROOT, env=env, timeout=60, check=False
     )
 
 
 def test_the_program_ends_with_its_input_and_says_what_was_wrong() -> None:
-    good = drill(START)
+    good = run_adapter(START)
     assert good.returncode == 0 and good.stderr == "" and good.stdout.count("done\n") == 2
-    bad = drill(START + "hello\n")
+    bad = run_adapter(START + "hello\n")
     assert bad.returncode != 0 and "hello" in bad.stderr and "Traceback" not in bad.stderr
 
 
@@ -140,7 +140,7 @@
         for n in range(40)
     )
     text = START + body
-    assert drill(text, "1").stdout == drill(text, "2").stdout
+    assert run_adapter(text, "1").stdout == run_adapter(text, "2").stdout
     alone = "\n".join(x for x in text.splitlines() if "who=gatekeeper_1" not in x) + "\n"
     # the entries of the other's list go with it
     alone = alone.replace("rating=1.5\tcame_up=6100000000\nm\t", "rating=1.5\tcame_up=6100000000\nX\t")
@@ -148,8 +148,8 @@
     for x in alone.splitlines():
         keep = not x.startswith("X\t") and (keep or not x.startswith("m\t"))
         lines += [x] if keep else []
-    mine = [x for x in drill(text).stdout.splitlines() if "who=gatekeeper_0" in x]
-    assert [x for x in drill("\n".join(lines) + "\n").stdout.splitlines() if "who=" in x] == mine
+    mine = [x for x in run_adapter(text).stdout.splitlines() if "who=gatekeeper_0" in x]
+    assert [x for x in run_adapter("\n".join(lines) + "\n").stdout.splitlines() if "who=" in x] == mine
 
 
 def test_a_fault_of_the_module_is_declared(monkeypatch: pytest.MonkeyPatch) -> None:
