Rename pewterring.mail to pewterring.peer_messages

Cause: `mail` was a word of the house for the encoding of the messages between gatekeepers.

`mail_per_s`, the wire tag `mail` and `PeerMail` stay: operators, the simulator and choice.py read them.

--- a/pewterring/admission/batch.py
+++ b/pewterring/admission/batch.py
@@ -9,7 +9,7 @@
 from pewterring.admission.digests import Totals
 from pewterring.admission.service import ServiceAdmission
 from pewterring.admission.shares import BEAT_S, LEASE_S
-from pewterring.mail import read_beat
+from pewterring.peer_messages import read_beat
 
 
 class BatchAdmission:
--- a/pewterring/admission/service.py
+++ b/pewterring/admission/service.py
@@ -11,7 +11,7 @@
 from pewterring.admission.digests import Totals
 from pewterring.admission.relayed_shares import RelayedShares
 from pewterring.admission.shares import LEASE_S
-from pewterring.mail import Beat, read_beat
+from pewterring.peer_messages import Beat, read_beat
 
 # Of the slots that no process has out, one gateway may take so much past its share; in large fleets as much
 # as so many gateways could take together. Symptom answered: a burst at one gateway is refused while workers
--- a/pewterring/admission/shares.py
+++ b/pewterring/admission/shares.py
@@ -2,7 +2,7 @@
 
 import math
 
-from pewterring import mail
+from pewterring import peer_messages as mail
 from pewterring.state import Peer
 
 BEAT_S = 0.5  # heartbeat period (ours, DESIGN)
--- a/pewterring/choice.py
+++ b/pewterring/choice.py
@@ -9,10 +9,10 @@
 import random
 
 from pewterring import interface as i
-from pewterring import mail
+from pewterring import peer_messages as mail
 from pewterring.admission.ceiling import Ceiling
 from pewterring.admission.shares import BEAT_S, Shares
-from pewterring.mail import Ask, Back, Grant
+from pewterring.peer_messages import Ask, Back, Grant
 from pewterring.state import Account, Health, Held, Node, Use
 
 TICK, LOOK, ASK, WAIT = 1, 2, 3, 4  # labels of the timers
--- a/pewterring/mail.py
+++ b/pewterring/peer_messages.py
@@ -1,4 +1,8 @@
-"""The bytes that gatekeepers tell each other: heartbeats and news of quotas. Nothing decides here."""
+"""Encoding and decoding of the messages that gatekeepers send each other.
+
+Heartbeats, with the use of quotas behind them, and the questions to the keeper of an account: the member of a
+customer's set that holds the account's state for all of them. Nothing decides here.
+"""
 
 import math
 import struct
@@ -13,13 +17,16 @@
 # How a message begins: a heartbeat, a question to the keeper of an account, its answer, the end of what it
 # granted.
 BEAT, ASK, GRANT, BACK = b"B", b"A", b"G", b"R"
-MAIL_BYTES, NEWS_SCALE = 256, 1000  # demand and spending travel in thousandths of the plan's quota and burst
+MESSAGE_BYTES, NEWS_SCALE = (
+    256,
+    1000,
+)  # demand and spending travel in thousandths of the plan's quota and burst
 NEWS_MOST = 32767  # what fits; below nothing is what a true size gave back of a guessed one
-NEWS_ROOM = (MAIL_BYTES - BEAT_FORM.size) // NEWS_FORM.size  # news that fit behind a heartbeat
+NEWS_ROOM = (MESSAGE_BYTES - BEAT_FORM.size) // NEWS_FORM.size  # news that fit behind a heartbeat
 
 
 def number(plan: str) -> int:
-    """What a plan is called: by its name, not its place, as settings may change while gatekeepers run."""
+    """The number of a plan on the wire: a hash of its name, as its place in the settings may change."""
     return zlib.crc32(plan.encode()) & 0xFFFF
 
 
@@ -60,6 +67,8 @@
 
 
 class Grant(NamedTuple):
+    """The keeper's answer to an `Ask`."""
+
     token: int
     granted: bool
     pooled: bool  # its units of the hard ceiling came from the keeper's half
@@ -84,16 +93,18 @@
 
 
 def halves(said: tuple[float, ...]) -> tuple[float, ...]:
+    """The fields with each float clamped to the range of a half-precision number."""
     return tuple(max(-HALF_MOST, min(HALF_MOST, x)) if isinstance(x, float) else x for x in said)
 
 
 def write_ask(said: Ask | Grant | Back) -> bytes:
+    """Encodes a question to a keeper, its answer, or the end of what it granted."""
     first = KINDS[type(said)]
     return FORMS[first][0].pack(first, *halves(said))
 
 
 def read_ask(data: bytes) -> Ask | Grant | Back | None:
-    """None where the bytes are none of these."""
+    """Decodes what `write_ask` encodes; None where the bytes are none of these."""
     form, kind = FORMS.get(data[:1], (None, None))
     if form is None or kind is None or len(data) != form.size:
         return None
@@ -104,11 +115,12 @@
 
 
 def write_beat(beat: Beat) -> bytes:
+    """Encodes a heartbeat."""
     return BEAT_FORM.pack(BEAT, *beat)
 
 
 def read_beat(data: bytes) -> Beat | None:
-    """None where the bytes are no heartbeat."""
+    """Decodes the heartbeat at the beginning of a message; None where the bytes are no heartbeat."""
     if data[:1] != BEAT or len(data) < BEAT_FORM.size:
         return None
     beat = Beat(*BEAT_FORM.unpack_from(data)[1:])
@@ -116,6 +128,7 @@
 
 
 def write_news(news: Sequence[News]) -> bytes:
+    """Encodes the use of quotas, to be put behind a heartbeat."""
     scaled = (
         (*n[:4], *(max(-NEWS_MOST, min(NEWS_MOST, round(x * NEWS_SCALE))) for x in n[4:])) for n in news
     )
@@ -123,7 +136,7 @@
 
 
 def read_news(data: bytes) -> Iterator[News]:
-    """The news behind a heartbeat; none where they are cut."""
+    """Decodes the news behind a heartbeat; yields none where they are cut."""
     behind = data[BEAT_FORM.size :]
     if len(behind) % NEWS_FORM.size == 0:
         for customer, plan, size, first, demand, spent in NEWS_FORM.iter_unpack(behind):
--- a/pewterring/state.py
+++ b/pewterring/state.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 
 from pewterring import interface as i
-from pewterring.mail import Ask, Beat
+from pewterring.peer_messages import Ask, Beat
 
 
 @dataclass(slots=True)
--- a/tests/admission/test_service.py
+++ b/tests/admission/test_service.py
@@ -6,7 +6,7 @@
 
 from pewterring import interface as i
 from pewterring.admission.service import IDLE_LENT, URGENT_SHARE, ServiceAdmission, SlotCeiling
-from pewterring.mail import Beat, write_beat
+from pewterring.peer_messages import Beat, write_beat
 
 ROUTE = i.RequestClass("r", aim=100.0, deadline=100.0)
 
--- a/tests/batch/test_program.py
+++ b/tests/batch/test_program.py
@@ -34,8 +34,8 @@
     WholeTables,
     WorkerRecord,
 )
-from pewterring.mail import Beat, write_beat
 from pewterring.node.settings import NodeSettings
+from pewterring.peer_messages import Beat, write_beat
 from pewterring.transport.datagrams import DatagramPort
 from pewterring.transport.lines import Channel, LineServer, LinkPool, MessageCodec, TransportError
 from tests.batch.stand_ins import ROUTE, item
--- a/tests/routing/test_heartbeats.py
+++ b/tests/routing/test_heartbeats.py
@@ -10,7 +10,7 @@
 from pewterring.admission.digests import HEAD as DIGEST_HEAD
 from pewterring.admission.shares import BEAT_S
 from pewterring.distribution.messages import NodeRecord
-from pewterring.mail import Beat, write_beat
+from pewterring.peer_messages import Beat, write_beat
 from pewterring.routing.heartbeats import (
     RELAYED_BYTES_A_SECOND,
     RELAYED_FLEET,
--- a/tests/test_accounts.py
+++ b/tests/test_accounts.py
@@ -8,7 +8,7 @@
 
 from pewterring import interface as i
 from pewterring.choice import TICK, WAIT
-from pewterring.mail import Ask, Back, Grant, read_ask
+from pewterring.peer_messages import Ask, Back, Grant, read_ask
 from tests.helpers import DEADLINE, PLANS, Drive, finals, settings
 
 FLEET, SIZE = 40, 30  # of gatekeepers; of the customer's set, from number 0 on
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -7,10 +7,10 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 # From the ground up: each may import those before it, and within itself.
-LAYERS = ["durations", "membership", "interface", "mail", "state", "admission", "choice", "settings", "log",
-          "http", "net", "config", "wire", "simulator_adapter", "gateway", "consensus", "storage", "transport", "node",
-          "observability", "configuration", "distribution", "registry", "routing", "control", "batch", "edge",
-          "local", "lab", "cli", "__main__"]  # fmt: skip
+LAYERS = ["durations", "membership", "interface", "peer_messages", "state", "admission", "choice", "settings",
+          "log", "http", "net", "config", "wire", "simulator_adapter", "gateway", "consensus",
+          "storage", "transport", "node", "observability", "configuration", "distribution",
+          "registry", "routing", "control", "batch", "edge", "local", "lab", "cli", "__main__"]  # fmt: skip
 RUN_TIME = {"orjson"}  # beside the standard library
 # Libraries of the serving tier, for its parts alone.
 TIER = {
@@ -88,7 +88,7 @@
 
 def test_the_core_stands_without_sockets() -> None:
     found = modules()
-    for name in ("interface", "mail", "state", "choice", "settings"):
+    for name in ("interface", "peer_messages", "state", "choice", "settings"):
         roots = {x.split(".")[0] for x in found[f"pewterring.{name}"]}
         assert not roots & {"asyncio", "socket", "time", "os", "orjson"}, name
 
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -8,7 +8,7 @@
 
 from pewterring import interface as i
 from pewterring.choice import Quota
-from pewterring.mail import BEAT_FORM, NEWS_FORM, number
+from pewterring.peer_messages import BEAT_FORM, NEWS_FORM, number
 from tests.helpers import LIMITS, PLANS, Drive, sends, settings
 
 SMALL = PLANS["small"]
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -7,7 +7,7 @@
 
 from pewterring import interface as i
 from pewterring.admission.shares import LEASE_S, Shares
-from pewterring.mail import BEAT_FORM
+from pewterring.peer_messages import BEAT_FORM
 from tests.helpers import Drive, settings
 
 
--- a/tests/test_sparse.py
+++ b/tests/test_sparse.py
@@ -7,7 +7,7 @@
 from pewterring.admission.ceiling import Ceiling
 from pewterring.admission.shares import BEAT_S, Shares
 from pewterring.choice import Fleet
-from pewterring.mail import BEAT, Beat, write_beat
+from pewterring.peer_messages import BEAT, Beat, write_beat
 from tests.helpers import CLASSES, SERVERS, Drive, sends, server, settings
 
 FLEET = 300
--- a/tests/test_switch.py
+++ b/tests/test_switch.py
@@ -15,7 +15,7 @@
 from pewterring.gateway.service import Service
 from pewterring.gateway.switch import FOLLOWS, renew
 from pewterring.http.messages import Request
-from pewterring.mail import number
+from pewterring.peer_messages import number
 from tests.helpers import CLASSES, PLANS, Drive, sends, settings
 from tests.stand_ins import OK, Caller, Quiet, StandIn, Talk, asking, entry, listing, run, until
 from tests.test_service import SETTINGS, configured
