Lab: name the emulated counter service by what it is

Cause: `keeper` stood for three things: the counter service, the owner of an account and, in the lab, the number of a gatekeeper.

Change: lab/keeper.py is lab/counter.py, CountKeeper is CounterService, the fault and policy classes and the docs follow. Keys that scenarios use (`[keeper]`, `keeper_silent`, `keeper-exact`) stay; names of types in `lab schema` output change.

--- a/pewterring/cli/gatekeeper_settings.py
+++ b/pewterring/cli/gatekeeper_settings.py
@@ -36,7 +36,7 @@
     "peer_listen": ("string", "", None, "HOST:PORT for the peers' datagrams"),
     "peers": ("array", "", [], "HOST:PORT of each gatekeeper of the fleet, the own one included, by number"),
     "peers_all": ("string", "", None, "HOST:PORT that reaches every peer"),
-    "counter": ("string", "", None, "HOST:PORT of the count keeper; not used"),
+    "counter": ("string", "", None, "HOST:PORT of the counter service; not used"),
     "known": ("object", "", None, "the list of workers as last known, in discovery's form"),
     "settings": ("object", "", {}, "classes, plans, rules and limits"),
 }
--- a/pewterring/lab/keeper.py
+++ b/pewterring/lab/counter.py
@@ -1,16 +1,18 @@
-"""The count keeper of the emulator: numbers by name on parts of fixed capacity, that may forget them."""
+"""The counter service of the emulator: numbers by name on parts of fixed capacity, that may forget them."""
 
 from collections.abc import Callable
 
 from pewterring import interface as i
 from pewterring.lab.engine import Engine
-from pewterring.lab.schema import Keeper
+from pewterring.lab.schema import Counters
 
 MOST_LIFE = 60.0  # seconds; a name is forgotten when the life given in its first call is up
 
 
-class CountKeeper:
-    def __init__(self, engine: Engine, setup: Keeper) -> None:
+class CounterService:
+    """Adds to numbers by name, one call at a time in each part; answers late, or not at all, under faults."""
+
+    def __init__(self, engine: Engine, setup: Counters) -> None:
         self.engine, self.setup = engine, setup
         self.silent = self.split = 0  # faults that make it so just now
         self.times = 1.0
@@ -18,15 +20,17 @@
         self.free_at = [[0.0] * setup.parts, [0.0] * setup.parts]
 
     def forget(self) -> None:
+        """Loses all numbers."""
         self.numbers = [{}, {}]
 
-    def part_ways(self) -> None:
-        """Two keepers from now on: the second begins with what the first has."""
+    def begin_split(self) -> None:
+        """Two instances from now on: the second begins with a copy of the first one's numbers."""
         self.split += 1
         if self.split == 1:
             self.numbers[1] = dict(self.numbers[0])
 
-    def heal(self) -> None:
+    def end_split(self) -> None:
+        """One instance again once no fault splits it: the second one's numbers are lost."""
         self.split -= 1
         if not self.split:
             self.numbers[1] = {}
@@ -34,8 +38,7 @@
     def add(
         self, side: int, name: int, amount: float, life: float, answer: Callable[[i.Code, float, float], None]
     ) -> None:
-        """Calls answer(code, seconds it took, total) when the call has had its turn, or has waited too
-        long."""
+        """Calls answer(code, seconds it took, total) when the call was served, turned away or timed out."""
         now, setup = self.engine.now, self.setup
         side = side if self.split else 0
         if self.silent:
@@ -72,5 +75,6 @@
             self.engine.after(limit - took + self.setup.delay_s, answer, i.Code.DEADLINE_EXCEEDED, limit, 0.0)
 
     def sweep(self) -> None:
+        """Drops the numbers whose life is over."""
         for side, numbers in enumerate(self.numbers):
             self.numbers[side] = {k: v for k, v in numbers.items() if v[1] > self.engine.now}
--- a/pewterring/lab/faults.py
+++ b/pewterring/lab/faults.py
@@ -253,41 +253,41 @@
     return end
 
 
-@begin.register(schema.KeeperSilent)
-def _(fault: schema.KeeperSilent, world: World, stream: Stream) -> End:
-    world.keeper.silent += 1
+@begin.register(schema.CounterSilent)
+def _(fault: schema.CounterSilent, world: World, stream: Stream) -> End:
+    world.counter.silent += 1
 
     def end() -> None:
-        world.keeper.silent -= 1
+        world.counter.silent -= 1
 
     return end
 
 
-@begin.register(schema.KeeperSlow)
-def _(fault: schema.KeeperSlow, world: World, stream: Stream) -> End:
-    world.keeper.times *= fault.times
+@begin.register(schema.CounterSlow)
+def _(fault: schema.CounterSlow, world: World, stream: Stream) -> End:
+    world.counter.times *= fault.times
 
     def end() -> None:
-        world.keeper.times /= fault.times
+        world.counter.times /= fault.times
 
     return end
 
 
-@begin.register(schema.KeeperEmpty)
-def _(fault: schema.KeeperEmpty, world: World, stream: Stream) -> End:
-    world.keeper.silent += 1
+@begin.register(schema.CounterEmpty)
+def _(fault: schema.CounterEmpty, world: World, stream: Stream) -> End:
+    world.counter.silent += 1
 
     def end() -> None:
-        world.keeper.silent -= 1
-        world.keeper.forget()
+        world.counter.silent -= 1
+        world.counter.forget()
 
     return end
 
 
-@begin.register(schema.KeeperSplit)
-def _(fault: schema.KeeperSplit, world: World, stream: Stream) -> End:
-    world.keeper.part_ways()
-    return world.keeper.heal
+@begin.register(schema.CounterSplit)
+def _(fault: schema.CounterSplit, world: World, stream: Stream) -> End:
+    world.counter.begin_split()
+    return world.counter.end_split
 
 
 @begin.register(schema.ListLate)
--- a/pewterring/lab/policies.py
+++ b/pewterring/lab/policies.py
@@ -18,7 +18,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Count:
-    """Asks the count keeper to add an amount to a number; `Counted` comes back. The lab's alone, so far."""
+    """Asks the counter service to add to a number, which `Counted` answers. Used in the lab alone."""
 
     name: int
     amount: float
@@ -183,10 +183,12 @@
         return max(1.0, self.law.limit / self.s.fleet_size)
 
 
-class KeeperExact(Baseline):
-    """Asks the count keeper before it sends: exact while it answers, and every request waits for it. Without
-    an answer it lets in. Use is counted in windows of the time that a burst lasts, burst and refill
-    together."""
+class CounterExact(Baseline):
+    """Asks the counter service before it sends: exact while it answers, and every request waits for it.
+
+    Without an answer it lets in. Use is counted in windows of the time that a burst lasts, burst and refill
+    together.
+    """
 
     def __init__(self, settings: i.Settings, seed: int) -> None:
         super().__init__(settings, seed)
@@ -221,5 +223,5 @@
     "even-split": EvenSplit,
     "static-ceiling": StaticCeiling,
     "gradient-alone": GradientAlone,
-    "keeper-exact": KeeperExact,
+    "keeper-exact": CounterExact,
 }
--- a/pewterring/lab/schema.py
+++ b/pewterring/lab/schema.py
@@ -159,8 +159,8 @@
     customer_rate: Positive = 1.0  # requests a second of a customer without a quota
 
 
-class Keeper(_Part, frozen=True):
-    """The count keeper: numbers by name, on parts of fixed capacity."""
+class Counters(_Part, frozen=True):
+    """The counter service: numbers by name, on parts of fixed capacity."""
 
     parts: Annotated[int, Meta(ge=1, le=64)] = 1
     per_s: Positive = 600.0
@@ -258,20 +258,20 @@
     late_s: Seconds = 0.0
 
 
-class KeeperSilent(_Fault, frozen=True, tag="keeper_silent"):
+class CounterSilent(_Fault, frozen=True, tag="keeper_silent"):
     pass
 
 
-class KeeperSlow(_Fault, frozen=True, tag="keeper_slow"):
+class CounterSlow(_Fault, frozen=True, tag="keeper_slow"):
     times: Annotated[float, Meta(ge=1, le=1000)] = 5.0
 
 
-class KeeperEmpty(_Fault, frozen=True, tag="keeper_empty"):
+class CounterEmpty(_Fault, frozen=True, tag="keeper_empty"):
     """It forgets all; `for_s` it is silent before."""
 
 
-class KeeperSplit(_Fault, frozen=True, tag="keeper_split"):
-    """Two keepers for a time, each with half of the gatekeepers; the first one's numbers stay."""
+class CounterSplit(_Fault, frozen=True, tag="keeper_split"):
+    """Two instances for a time, each with half of the gatekeepers; the first one's numbers stay."""
 
 
 class ListLate(_Fault, frozen=True, tag="list_late"):
@@ -299,7 +299,7 @@
 
 Fault = (
     Kill | Restart | Freeze | Slow | Silent | Release | Errors | SpoiltAnswers | LostAnswers | ZoneCut |
-    MessageLoss | KeeperSilent | KeeperSlow | KeeperEmpty | KeeperSplit | ListLate | TrafficShift |
+    MessageLoss | CounterSilent | CounterSlow | CounterEmpty | CounterSplit | ListLate | TrafficShift |
     HotCustomer | RetryStorm
 )  # fmt: skip
 FAULTS: tuple[type[_Fault], ...] = typing.get_args(Fault)
@@ -322,7 +322,7 @@
     customers: Customers = Customers()
     classes: tuple[RequestClass, ...] = (RequestClass(name="read"),)
     plans: tuple[Plan, ...] = (Plan(name="standard", refill=1.0, depth=4.0),)
-    keeper: Keeper = Keeper()
+    keeper: Counters = Counters()  # the counter service, under the key that scenarios use
     prices: Prices = Prices()
     faults: tuple[Fault, ...] = ()
     random_faults: Annotated[int, Meta(ge=0, le=1000)] = 0  # drawn beside these, from the run's seed
--- a/pewterring/lab/world.py
+++ b/pewterring/lab/world.py
@@ -1,4 +1,4 @@
-"""One run: clients, the front, gatekeepers, workers, discovery, the count keeper and what lies between them.
+"""One run: clients, the front, gatekeepers, workers, discovery, the counter service and the network.
 
 Gatekeepers are policies behind the module's own interface: the world plays the part of the gateway, event
 by event, and checks the five rules at each (rules.py). All random numbers come from streams of the actor
@@ -14,10 +14,10 @@
 from pewterring.lab import schema
 from pewterring.lab.account import Account, Result
 from pewterring.lab.calls import Attempt, Call, Intent
+from pewterring.lab.counter import CounterService
 from pewterring.lab.customers import Customer
 from pewterring.lab.demand import Demand, Front
 from pewterring.lab.engine import START, Engine
-from pewterring.lab.keeper import CountKeeper
 from pewterring.lab.policies import POLICIES, Count, Policy
 from pewterring.lab.rules import Broken, Rules
 from pewterring.lab.streams import Stream
@@ -102,7 +102,7 @@
         self.front = Front(scenario.front, g.count, seed)
         self.front.closed_at = [START] * g.count
         self.demand = Demand(scenario, self.engine, seed, self.ask)
-        self.keeper = CountKeeper(self.engine, scenario.keeper)
+        self.counter = CounterService(self.engine, scenario.keeper)
         self.ids = 0
         self.storm: list[int] = []  # retries of each client, by each storm that is on
         self.cut = Counter[str]()  # zones that nothing enters or leaves, and by how many faults
@@ -229,7 +229,7 @@
         ceilings = sorted(x for p in policies if (x := p.ceiling()) == x)
         into.ceiling = round(ceilings[len(ceilings) // 2], 3) if ceilings else 0.0
         into.shares = round(sum(x for p in policies if (x := p.share()) == x), 3)
-        self.keeper.sweep()
+        self.counter.sweep()
 
     @property
     def retries(self) -> int:
@@ -708,7 +708,7 @@
         host.subscribed = True
         self.take_list(host, len(self.log))
 
-    # Probes, peers, the count keeper
+    # Probes, peers, the counter service
 
     def probe(self, host: Host, server: int) -> None:
         self.account.counts["probes"] += 1
@@ -760,4 +760,4 @@
             self.turn(host, born, self.tell, i.Counted(name, code, took, total))
 
         born = host.life
-        self.keeper.add(host.number % 2, name, amount, life, answer)
+        self.counter.add(host.number % 2, name, amount, life, answer)
--- a/tests/lab/test_world.py
+++ b/tests/lab/test_world.py
@@ -10,11 +10,11 @@
 
 from pewterring import interface as i
 from pewterring.lab.calls import Attempt
+from pewterring.lab.counter import CounterService
 from pewterring.lab.engine import START, Engine
 from pewterring.lab.faults import prepare
-from pewterring.lab.keeper import CountKeeper
 from pewterring.lab.policies import POLICIES
-from pewterring.lab.schema import Keeper, Workers
+from pewterring.lab.schema import Counters, Workers
 from pewterring.lab.stores import Store
 from pewterring.lab.streams import Stream
 from pewterring.lab.workers import Worker
@@ -197,39 +197,39 @@
     assert Store(0.0, 0.0, 0.0).take(1.0, 99.0)
 
 
-def test_the_count_keeper_counts_turns_away_forgets_and_splits() -> None:
+def test_the_counter_service_counts_turns_away_forgets_and_splits() -> None:
     engine, heard = Engine(), []
-    keeper = CountKeeper(engine, Keeper(parts=1, per_s=100.0, line=5, timeout_s=0.03))
+    counter = CounterService(engine, Counters(parts=1, per_s=100.0, line=5, timeout_s=0.03))
 
     def add(side: int = 0, amount: float = 1.0) -> None:
-        keeper.add(side, 7, amount, 10.0, lambda code, took, total: heard.append((code, total)))
+        counter.add(side, 7, amount, 10.0, lambda code, took, total: heard.append((code, total)))
 
     for _ in range(8):
         add()
     engine.run(START + 1)
     assert heard.count((i.Code.RESOURCE_EXHAUSTED, 0.0)) == 3
     assert (i.Code.OK, 2.0) in heard and (i.Code.DEADLINE_EXCEEDED, 0.0) in heard
-    total = keeper.numbers[0][7][0]
+    total = counter.numbers[0][7][0]
     assert total == 5.0  # also those whose answers came too late
-    keeper.part_ways()
+    counter.begin_split()
     add(side=1)
     engine.run(START + 2)
-    assert keeper.numbers[1][7][0] == 6.0 and keeper.numbers[0][7][0] == 5.0
-    keeper.heal()
-    keeper.forget()
+    assert counter.numbers[1][7][0] == 6.0 and counter.numbers[0][7][0] == 5.0
+    counter.end_split()
+    counter.forget()
     add()
     engine.run(START + 3)
     assert heard[-1] == (i.Code.OK, 1.0)
     engine.run(START + 20)
-    keeper.sweep()
-    assert keeper.numbers[0] == {}
+    counter.sweep()
+    assert counter.numbers[0] == {}
 
 
 TWICE: dict[str, Any] = {
     "zone_cut": lambda w: (dict(w.cut), dict(w.clients_cut)),
-    "keeper_silent": lambda w: bool(w.keeper.silent),
-    "keeper_empty": lambda w: bool(w.keeper.silent),
-    "keeper_split": lambda w: bool(w.keeper.split),
+    "keeper_silent": lambda w: bool(w.counter.silent),
+    "keeper_empty": lambda w: bool(w.counter.silent),
+    "keeper_split": lambda w: bool(w.counter.split),
     "retry_storm": lambda w: (w.retries, bool(w.storm)),
     "traffic_shift": lambda w: dict(w.front.damped),
     "freeze": lambda w: [bool(h.frozen) for h in w.hosts],
