Lab: a gatekeeper's number is `gatekeeper`, not `keeper`

Cause: `keeper` is the member of a set that holds an account; the emulator used the word for the number of any gatekeeper.

Change: the attribute of Call and Attempt, parameters and locals. A pure rename.

--- a/pewterring/lab/calls.py
+++ b/pewterring/lab/calls.py
@@ -28,14 +28,15 @@
     """One try: a request with an id of its own, that a gatekeeper owes a final answer."""
 
     __slots__ = (
-        "answered", "attempts", "cls", "excused", "first_sent", "gone", "id", "intent", "keeper", "life",
+        "answered", "attempts", "cls", "excused", "first_sent", "gatekeeper", "gone", "id", "intent", "life",
         "not_after", "request", "within",
     )  # fmt: skip
 
     def __init__(
-        self, request: i.Request, intent: Intent, cls: i.RequestClass, keeper: int, life: int
+        self, request: i.Request, intent: Intent, cls: i.RequestClass, gatekeeper: int, life: int
     ) -> None:
-        self.request, self.intent, self.cls, self.keeper, self.life = request, intent, cls, keeper, life
+        self.request, self.intent, self.cls = request, intent, cls
+        self.gatekeeper, self.life = gatekeeper, life
         self.id, self.not_after = request.id, request.not_after
         self.attempts: list[Attempt] = []
         self.answered = False  # its final answer is given
@@ -51,13 +52,13 @@
 
 class Attempt:
     __slots__ = (
-        "arrived", "call", "conn_life", "ended", "keeper", "life", "number", "queued", "ran", "sent_at",
+        "arrived", "call", "conn_life", "ended", "gatekeeper", "life", "number", "queued", "ran", "sent_at",
         "stopped", "told_start", "work", "worker",
     )  # fmt: skip
 
     def __init__(self, call: Call, number: int, worker: int, now: float, work: float) -> None:
         self.call, self.number, self.worker, self.sent_at, self.work = call, number, worker, now, work
-        self.keeper = call.keeper
+        self.gatekeeper = call.gatekeeper
         self.life = 0  # of the worker's process that has it
         self.conn_life = -1  # of the worker's process that its connection leads to; -1: none
         self.arrived = self.queued = self.ran = self.stopped = False
--- a/pewterring/lab/demand.py
+++ b/pewterring/lab/demand.py
@@ -26,22 +26,22 @@
         self.dampers: dict[int, list[float]] = {}  # by gatekeeper: what each fault leaves of its traffic
         self.damped: dict[int, float] = {}  # and all of them together
 
-    def gone(self, keeper: int, now: float, notice: float) -> None:
-        self.closed_at[keeper] = min(self.closed_at[keeper], now + notice)
+    def gone(self, gatekeeper: int, now: float, notice: float) -> None:
+        self.closed_at[gatekeeper] = min(self.closed_at[gatekeeper], now + notice)
 
-    def back(self, keeper: int) -> None:
-        self.closed_at[keeper] = math.inf
+    def back(self, gatekeeper: int) -> None:
+        self.closed_at[gatekeeper] = math.inf
 
-    def damp(self, keeper: int, to: float) -> None:
+    def damp(self, gatekeeper: int, to: float) -> None:
         """Traffic that comes through it falls to that part; `free` takes this back."""
-        self.dampers.setdefault(keeper, []).append(to)
-        self.damped[keeper] = math.prod(self.dampers[keeper])
+        self.dampers.setdefault(gatekeeper, []).append(to)
+        self.damped[gatekeeper] = math.prod(self.dampers[gatekeeper])
 
-    def free(self, keeper: int, to: float) -> None:
-        self.dampers[keeper].remove(to)
-        self.damped[keeper] = math.prod(self.dampers[keeper])
-        if not self.dampers[keeper]:
-            del self.dampers[keeper], self.damped[keeper]
+    def free(self, gatekeeper: int, to: float) -> None:
+        self.dampers[gatekeeper].remove(to)
+        self.damped[gatekeeper] = math.prod(self.dampers[gatekeeper])
+        if not self.dampers[gatekeeper]:
+            del self.dampers[gatekeeper], self.damped[gatekeeper]
 
     def pick(self, customer: Customer, now: float, stream: Stream) -> int | None:
         """A gatekeeper for one request; None where it knows of none in the set that serves."""
@@ -51,16 +51,16 @@
         total, last = sums[-1], customer.set_size - 1
         for _ in range(12):
             at = min(last, bisect.bisect_right(sums, stream.uniform() * total))
-            keeper = (customer.first + at) % self.fleet
-            if now >= self.closed_at[keeper]:
+            gatekeeper = (customer.first + at) % self.fleet
+            if now >= self.closed_at[gatekeeper]:
                 continue
-            if self.damped and stream.uniform() >= self.damped.get(keeper, 1.0):
+            if self.damped and stream.uniform() >= self.damped.get(gatekeeper, 1.0):
                 continue
-            if self.balance is not None and stream.uniform() * 4 >= min(4.0, float(self.balance[keeper])):
+            if self.balance is not None and stream.uniform() * 4 >= min(4.0, float(self.balance[gatekeeper])):
                 continue
-            return keeper
+            return gatekeeper
         here = [(customer.first + n) % self.fleet for n in range(customer.set_size)]
-        serving = [k for k in here if now < self.closed_at[k]]
+        serving = [g for g in here if now < self.closed_at[g]]
         return serving[stream.below(len(serving))] if serving else None
 
 
--- a/pewterring/lab/loopback/load.py
+++ b/pewterring/lab/loopback/load.py
@@ -274,7 +274,7 @@
         if known is None:  # its client has gone long since
             return link.port.answer(link, i.Code.RESOURCE_EXHAUSTED, b"")
         call, customer = known
-        host = self.hosts[call.keeper]
+        host = self.hosts[call.gatekeeper]
         if not self.reaches(host.zone, worker.zone):
             return
         noise = call.intent.cls.attempt_noise
@@ -304,7 +304,7 @@
 
     def worker_done(self, attempt: Attempt, code: i.Code) -> None:
         link, worker = self.link_of.pop(attempt, None), self.workers[attempt.worker]
-        host = self.hosts[attempt.keeper]
+        host = self.hosts[attempt.gatekeeper]
         if link is None:
             return
         attempt.ended = code
--- a/pewterring/lab/rules.py
+++ b/pewterring/lab/rules.py
@@ -60,7 +60,7 @@
             self.broken(
                 1,
                 now,
-                f"gatekeeper {call.keeper} has not answered by {self.slack:g} s past the deadline",
+                f"gatekeeper {call.gatekeeper} has not answered by {self.slack:g} s past the deadline",
                 call.id,
             )
 
--- a/pewterring/lab/workers.py
+++ b/pewterring/lab/workers.py
@@ -196,7 +196,7 @@
         """Books what a cold worker is sent, and lets it fall over where it is too much."""
         rules, sends = self.setup, self.sends
         expected = attempt.call.intent.cls.work_s
-        sends.append((now, attempt.work, attempt.keeper, attempt.told_start, expected))
+        sends.append((now, attempt.work, attempt.gatekeeper, attempt.told_start, expected))
         self.sent_sum += attempt.work
         while sends[0][0] < now - rules.tip_after_s:
             self.sent_sum -= sends.popleft()[1]
@@ -231,9 +231,9 @@
 
     # Connections
 
-    def connect(self, keeper: int, now: float) -> bool | None:
+    def connect(self, gatekeeper: int, now: float) -> bool | None:
         """True: an idle connection is used; False: a new one; None: it holds no more."""
-        held = self.idle.get(keeper)
+        held = self.idle.get(gatekeeper)
         keep = self.setup.idle_s / 2  # gatekeepers let go of them at half of their life
         while held and held[0] < now - keep:
             held.popleft()
@@ -256,9 +256,9 @@
                 held.popleft()
                 self.open -= 1
 
-    def release(self, keeper: int, now: float, usable: bool) -> None:
+    def release(self, gatekeeper: int, now: float, usable: bool) -> None:
         """The exchange on a connection is over."""
         if usable:
-            self.idle.setdefault(keeper, deque()).append(now)
+            self.idle.setdefault(gatekeeper, deque()).append(now)
         else:
             self.open = max(0, self.open - 1)
--- a/pewterring/lab/world.py
+++ b/pewterring/lab/world.py
@@ -257,12 +257,12 @@
         intent.tries += 1
         self.account.counts["tries"] += 1
         self.account.second(now).tries += 1
-        keeper = self.front.pick(customer, now, stream)
+        gatekeeper = self.front.pick(customer, now, stream)
         wait = self.delay(self.scenario.network.client_s, stream)
-        if keeper is None:
+        if gatekeeper is None:
             self.engine.after(REACH_S, self.answered, intent, "unreachable", 0.0)
         else:
-            self.engine.after(wait, self.arrive, intent, customer, self.hosts[keeper])
+            self.engine.after(wait, self.arrive, intent, customer, self.hosts[gatekeeper])
 
     def arrive(self, intent: Intent, customer: Customer, host: Host) -> None:
         client_s = self.scenario.network.client_s
@@ -551,7 +551,7 @@
     def at_worker(self, attempt: Attempt, worker: Worker) -> None:
         if attempt.ended is not None:
             return
-        host = self.hosts[attempt.keeper]
+        host = self.hosts[attempt.gatekeeper]
         if worker.state == "silent" or not self.reaches(host.zone, worker.zone):
             return
         if worker.state == "down" or worker.life != attempt.conn_life:
@@ -566,7 +566,7 @@
         worker.take(attempt)
 
     def worker_done(self, attempt: Attempt, code: i.Code) -> None:
-        host, worker = self.hosts[attempt.keeper], self.workers[attempt.worker]
+        host, worker = self.hosts[attempt.gatekeeper], self.workers[attempt.worker]
         if worker.state == "silent" or not self.reaches(host.zone, worker.zone):
             return
         way = self.way(host, worker.zone)
@@ -647,7 +647,7 @@
         worker.mode = i.Mode.DELETED
         worker.state = "down"
         for attempt in worker.lose_all():
-            host = self.hosts[attempt.keeper]
+            host = self.hosts[attempt.gatekeeper]
             way = self.way(host, worker.zone)
             self.ends_in(way, host, attempt, i.Code.ABORTED)
         self.publish(self.entry(worker))
--- a/tests/lab/test_world.py
+++ b/tests/lab/test_world.py
@@ -112,7 +112,7 @@
         cls = type("R", (), {"work_s": 0.1})
         intent = type("I", (), {"begun": 0, "ran_at": [], "cls": cls})()
         call = type("C", (), {"intent": intent, "not_after": not_after})()
-        attempt = Attempt(cast(Any, type("K", (), {"keeper": 0})()), number, 0, self.engine.now, work)
+        attempt = Attempt(cast(Any, type("K", (), {"gatekeeper": 0})()), number, 0, self.engine.now, work)
         attempt.call, attempt.arrived, attempt.life, attempt.told_start = call, True, self.worker.life, True
         self.worker.take(attempt)
         return attempt
