Lab: messages between gatekeepers are called messages

Cause: `mail` was a word of the house for them.

Change: World.send_message and receive_message, message_loss, message_delay, the check of rule 6. The name that seeds the load tool's random stream stays, as it decides what is drawn.

--- a/pewterring/lab/faults.py
+++ b/pewterring/lab/faults.py
@@ -243,12 +243,12 @@
 @begin.register(schema.MessageLoss)
 def _(fault: schema.MessageLoss, world: World, stream: Stream) -> End:
     kept = 1 - min(fault.share, 0.999999)
-    world.mail_loss = 1 - (1 - world.mail_loss) * kept
-    world.mail_late += fault.late_s
+    world.message_loss = 1 - (1 - world.message_loss) * kept
+    world.message_delay += fault.late_s
 
     def end() -> None:
-        world.mail_loss = max(0.0, 1 - (1 - world.mail_loss) / kept)
-        world.mail_late = max(0.0, world.mail_late - fault.late_s)
+        world.message_loss = max(0.0, 1 - (1 - world.message_loss) / kept)
+        world.message_delay = max(0.0, world.message_delay - fault.late_s)
 
     return end
 
--- a/pewterring/lab/loopback/load.py
+++ b/pewterring/lab/loopback/load.py
@@ -89,7 +89,7 @@
         self.ports: list[WorkerPort] = []
         self.discoveries = [DiscoveryPort() for _ in self.hosts]
         self.relay = Relay(self.passes)
-        self.mail_streams = [Stream(seed, "mail", host.number) for host in self.hosts]
+        self.message_streams = [Stream(seed, "mail", host.number) for host in self.hosts]
         self.tasks: set[asyncio.Task[Any]] = set()
         self.wrong_bodies = 0
         self.memory_kb = 0
@@ -361,12 +361,12 @@
             self.take_list(host, upto)  # the agent lives beside its gatekeeper, and longer
 
     def passes(self, a: int, b: int) -> float | None:
-        stream, network = self.mail_streams[a], self.scenario.network
+        stream, network = self.message_streams[a], self.scenario.network
         if not self.reaches(self.hosts[a].zone, self.hosts[b].zone):
             return None
-        if self.mail_loss and stream.uniform() < self.mail_loss:
+        if self.message_loss and stream.uniform() < self.message_loss:
             return None
-        return stream.uniform(*network.peer_s) + self.mail_late
+        return stream.uniform(*network.peer_s) + self.message_delay
 
     # What faults do to gatekeepers
 
--- a/pewterring/lab/rules.py
+++ b/pewterring/lab/rules.py
@@ -20,7 +20,7 @@
     5: "ceilings kept",
     6: "messages of the stated size",
 }
-MOST_MAIL = 256
+MOST_MESSAGE_BYTES = 256
 TOLD_PART = 2 / 3  # of the work sent to a cold worker from gatekeepers that knew of its start
 
 
@@ -152,6 +152,7 @@
 
     # 6
 
-    def mail(self, now: float, sender: int, data: bytes) -> None:
-        if len(data) > MOST_MAIL:
-            self.broken(6, now, f"gatekeeper {sender} sent {len(data)} bytes, {MOST_MAIL} at most")
+    def message(self, now: float, sender: int, data: bytes) -> None:
+        """Rule 6: a message between gatekeepers is no longer than MOST_MESSAGE_BYTES."""
+        if len(data) > MOST_MESSAGE_BYTES:
+            self.broken(6, now, f"gatekeeper {sender} sent {len(data)} bytes, {MOST_MESSAGE_BYTES} at most")
--- a/pewterring/lab/world.py
+++ b/pewterring/lab/world.py
@@ -107,11 +107,11 @@
         self.storm: list[int] = []  # retries of each client, by each storm that is on
         self.cut = Counter[str]()  # zones that nothing enters or leaves, and by how many faults
         self.clients_cut = Counter[str]()
-        self.mail_loss, self.mail_late = scenario.network.peer_loss, 0.0
+        self.message_loss, self.message_delay = scenario.network.peer_loss, 0.0
         self.broken: Broken | None = None
         self.doers: dict[type[Any], Callable[[Host, Any], None]] = {
             i.SetTimer: self.set_timer,
-            i.Tell: self.mail,
+            i.Tell: self.send_message,
             i.Send: self.send,
             i.Refuse: lambda host, a: self.final(host, a.id, "refused", a.retry_after),
             i.Fail: lambda host, a: self.final(host, a.id, "failed", 0.0),
@@ -423,7 +423,7 @@
             what(host, *given)
 
     def tell(self, host: Host, event: i.Event) -> None:
-        # By type, not by match: a run carries out a million actions, nearly all of them timers and mail.
+        # By type, not by match: a run carries out a million actions, nearly all of them timers and messages.
         doers = self.doers
         for action in host.policy.handle(self.engine.now, event):  # type: ignore[union-attr]
             if (do := doers.get(type(action))) is not None:
@@ -723,11 +723,11 @@
         code = i.Code.OK if answers else i.Code.UNAVAILABLE
         self.engine.after(wait, self.turn, host, host.life, self.tell, i.ProbeResult(server, code, wait))
 
-    def mail(self, host: Host, action: i.Tell) -> None:
-        self.rules.mail(self.engine.now, host.number, action.data)
-        loss, late, stream, after = self.mail_loss, self.mail_late, host.stream, self.engine.after
+    def send_message(self, host: Host, action: i.Tell) -> None:
+        self.rules.message(self.engine.now, host.number, action.data)
+        loss, late, stream, after = self.message_loss, self.message_delay, host.stream, self.engine.after
         low, high = self.scenario.network.peer_s
-        mail = i.PeerMail(host.number, action.data)
+        message = i.PeerMail(host.number, action.data)
         others = (
             [h for h in self.hosts if h is not host] if action.peer is None else [self.hosts[action.peer]]
         )
@@ -735,9 +735,9 @@
         for other in others:
             if loss and stream.uniform() < loss:
                 continue
-            after(stream.uniform(low, high) + late, self.mail_in, host.zone, other, mail)
+            after(stream.uniform(low, high) + late, self.receive_message, host.zone, other, message)
 
-    def mail_in(self, zone: str, host: Host, mail: i.PeerMail) -> None:
+    def receive_message(self, zone: str, host: Host, message: i.PeerMail) -> None:
         if not host.up or (self.cut and not self.reaches(zone, host.zone)):
             return
         intake, now = self.scenario.gatekeepers.mail_per_s, self.engine.now
@@ -748,8 +748,8 @@
             self.account.counts["messages_dropped"] += 1
             return
         host.tokens = tokens - 1.0
-        self.account.counts["message_bytes"] += len(mail.data)
-        self.turn(host, host.life, self.tell, mail)
+        self.account.counts["message_bytes"] += len(message.data)
+        self.turn(host, host.life, self.tell, message)
 
     def count(self, host: Host, name: int, amount: float, life: float) -> None:
         self.account.counts["counter_calls"] += 1
