Tests: the gatekeeper under test is `gatekeeper`, not `keeper`

Cause: `keeper` is the member of a set that holds an account; tests used the word for any gatekeeper.

Change: Drive.gatekeeper, gatekeeper_of and locals in tests/. Names alone: no expectation changes.

--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -52,13 +52,13 @@
     def __init__(
         self, setup: i.Settings | None = None, servers: tuple[i.Server, ...] = SERVERS, seed: int = 7
     ) -> None:
-        self.keeper = Gatekeeper(setup or settings(), seed)
+        self.gatekeeper = Gatekeeper(setup or settings(), seed)
         self.now = 100.0
         self.ids = 0
         self.first = self.do(i.ServerList(i.ListForm.REMEMBERED, servers))
 
     def do(self, event: i.Event) -> list[i.Action]:
-        return self.keeper.handle(self.now, event)
+        return self.gatekeeper.handle(self.now, event)
 
     def ask(self, cls: str = "pure", plan: str = "free", customer: int = 1, size: int = 3) -> list[i.Action]:
         self.ids += 1
--- a/tests/test_accounts.py
+++ b/tests/test_accounts.py
@@ -124,7 +124,7 @@
     id = net.ask(1, "narrow", left=left)
     net.wait(min(left, 1.0) - 1e-4)
     assert [s.id for _, s in net.sent] == [id]
-    assert net.all[1].keeper.asking == {}
+    assert net.all[1].gatekeeper.asking == {}
 
 
 def test_a_grant_that_comes_too_late_sends_nothing() -> None:
@@ -161,7 +161,7 @@
         if n == 200:
             questions = 0
     assert questions < 0.4 * 200
-    account = net.all[KEEPER].keeper.quota.customers[7]
+    account = net.all[KEEPER].gatekeeper.quota.customers[7]
     assert account.demand() > 60.0  # and all of it was told
 
 
@@ -210,7 +210,7 @@
 def test_true_sizes_reach_the_account() -> None:
     net = Net()
     assert net.asked(1, "steady", 4.0)
-    account = net.all[KEEPER].keeper.quota.customers[7]
+    account = net.all[KEEPER].gatekeeper.quota.customers[7]
     spent = account.spent()
     net.end(*net.sent[0], actual=9.0)
     assert account.spent() == pytest.approx(spent + 5.0)
@@ -225,16 +225,16 @@
     assert net.asked(1, "steady", 4.0)
     net.end(*net.sent[-1], actual=1.0)
     net.now += 0.001
-    net.all[1].keeper.quota.customers[7].own.spent = -3.0
+    net.all[1].gatekeeper.quota.customers[7].own.spent = -3.0
     net.do(1, i.TimerDue(TICK))
     net.deliver()
 
 
 def test_units_granted_and_not_sent_are_given_back() -> None:
     net = Net()
-    net.all[1].keeper.fleet.serving = []  # no worker takes it
+    net.all[1].gatekeeper.fleet.serving = []  # no worker takes it
     assert not net.asked(1, "steady", 5.0)
-    assert net.all[KEEPER].keeper.quota.customers[7].spent() == pytest.approx(0.0)
+    assert net.all[KEEPER].gatekeeper.quota.customers[7].spent() == pytest.approx(0.0)
 
 
 def test_a_new_keeper_hears_what_is_spent() -> None:
@@ -257,7 +257,7 @@
         if step % 400 == 399:
             n = rng.randrange(6)
             net.all[n] = net.started(n, step)
-            net.all[n].keeper.quota.began = net.now
+            net.all[n].gatekeeper.quota.began = net.now
         net.ask(0 if rng.random() < 0.8 else rng.randrange(6), "capped")
         rng.shuffle(net.mail)
         net.mail += [m for m in net.mail if rng.random() < 0.2]
@@ -343,7 +343,7 @@
 def test_a_keeper_whose_answers_are_slow_is_waited_for_though_not_asked_again() -> None:
     """Given up on after a third of the wait, slow answers came for nobody (calm+mass, a price of 0.16)."""
     net = Net()
-    net.all[1].keeper.echo = 0.1
+    net.all[1].gatekeeper.echo = 0.1
     net.ask(1, "narrow")
     net.all[1].now = net.now = net.now + 0.15  # two thirds of a fifth of the aim
     for _ in range(2):
--- a/tests/test_belief.py
+++ b/tests/test_belief.py
@@ -42,7 +42,7 @@
     talk.write(b"\x00\x01noise\r\n\r\n")
 
 
-def keeper_of(rig: Rig) -> Gatekeeper:
+def gatekeeper_of(rig: Rig) -> Gatekeeper:
     assert isinstance(rig.gateway.module, Gatekeeper)
     return rig.gateway.module
 
@@ -57,20 +57,20 @@
 
 def believed(rig: Rig) -> dict[int, int]:
     """Attempts out at each worker by its number, as the module counts them."""
-    return {id: node.out for id, node in keeper_of(rig).fleet.nodes.items()}
+    return {id: node.out for id, node in gatekeeper_of(rig).fleet.nodes.items()}
 
 
 def test_attempts_out_are_those_on_the_sockets_whatever_ends_them() -> None:
     async def test() -> None:
         async with Worker() as one, Worker() as two, alone(one.address, two.address) as rig:
-            keeper = keeper_of(rig)
-            await until(lambda: keeper.fleet.nodes)
-            keeper.ceiling.limit = 300.0
-            await until(lambda: keeper.shares.share > 50)
+            gatekeeper = gatekeeper_of(rig)
+            await until(lambda: gatekeeper.fleet.nodes)
+            gatekeeper.ceiling.limit = 300.0
+            await until(lambda: gatekeeper.shares.share > 50)
 
             def agree() -> bool:
                 out = {1: one.out(), 2: two.out()}
-                return believed(rig) == out and len(keeper.flying) == sum(out.values())
+                return believed(rig) == out and len(gatekeeper.flying) == sum(out.values())
 
             callers = [await rig.caller() for _ in range(12)]
             for caller in callers:
@@ -104,11 +104,11 @@
             await until(lambda: one.out() == 1 and believed(rig)[3] == 1)
             for worker in (one, two):
                 worker.end(answer, worker.out())
-            await until(lambda: not keeper.flying and not keeper.held)
+            await until(lambda: not gatekeeper.flying and not gatekeeper.held)
             await until(lambda: not rig.gateway.calls and not rig.gateway.by_client)
             rig.gateway.listed(listing(entry("s-3", one.address), entry("s-2", two.address), version=4))
             await until(lambda: believed(rig) == {2: 0, 3: 0})
-            assert all(c.open == 0 for c in keeper.quota.customers.values())
+            assert all(c.open == 0 for c in gatekeeper.quota.customers.values())
             used = len(rig.listener.clients) + sum(map(len, rig.service.pool.idle.values()))
             await until(lambda: rig.service.descriptors.used == used)
 
@@ -118,11 +118,11 @@
 def test_a_worker_left_out_for_silence_comes_back_with_its_first_answer() -> None:
     async def test() -> None:
         async with Worker() as one, Rig(None, one.address) as rig:
-            keeper = keeper_of(rig)
+            gatekeeper = gatekeeper_of(rig)
             caller = await rig.caller()
             caller.write(asking())
             await until(lambda: one.out() == 1)
-            (node,) = keeper.fleet.nodes.values()
+            (node,) = gatekeeper.fleet.nodes.values()
             node.of("pure").silent_since = rig.gateway.loop.time()
             one.end(answer)
             assert (await caller.answer()).status == 200
@@ -135,11 +135,11 @@
 def test_the_age_of_a_start_is_the_same_in_module_and_list() -> None:
     async def test() -> None:
         async with Worker() as one, Rig(None, one.address) as rig:
-            keeper = keeper_of(rig)
+            gatekeeper = gatekeeper_of(rig)
             born = rig.gateway.directory.unix() * 1000 - 5000
             rig.gateway.listed(listing(entry("s-1", one.address, born_ms=born), version=2))
-            await until(lambda: any(n.came_up for n in keeper.fleet.nodes.values()))
-            (node,) = keeper.fleet.nodes.values()
+            await until(lambda: any(n.came_up for n in gatekeeper.fleet.nodes.values()))
+            (node,) = gatekeeper.fleet.nodes.values()
             assert abs(rig.gateway.loop.time() - node.came_up - 5.0) < 2.0
             assert isinstance(node.entry, i.Server) and node.entry.came_up == node.came_up
 
--- a/tests/test_examples.py
+++ b/tests/test_examples.py
@@ -34,7 +34,7 @@
         tree.update(listen="127.0.0.1:0", discovery=said["discovery"])
         path = tmp_path / "config.json"
         path.write_text(json.dumps(tree))
-        keeper, line = await started("-m", "pewterring", "serve", str(path))
+        gatekeeper, line = await started("-m", "pewterring", "serve", str(path))
         try:
             caller = await Caller.to(read_address(str(line["listen"])))
             while (await caller.ask(b"GET /healthz HTTP/1.1\r\n\r\n")).status != 200:
@@ -48,9 +48,9 @@
             statuses = [(await caller.ask(asked)).status for asked in basic]
             assert statuses[0] == 200 and statuses[-1] == 429 and set(statuses) == {200, 429}
         finally:
-            keeper.terminate()
+            gatekeeper.terminate()
             toy.terminate()
-            await keeper.wait()
+            await gatekeeper.wait()
             await toy.wait()
 
     run(test)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -148,17 +148,17 @@
     d = Drive()
     first, _ = silence(d)
     d.do(i.ProbeResult(first.server, i.Code.OK, 0.01))
-    node = d.keeper.fleet.nodes[first.server]
-    assert not node.silent and d.keeper.fleet.warmth(node, d.now) < 0.5
+    node = d.gatekeeper.fleet.nodes[first.server]
+    assert not node.silent and d.gatekeeper.fleet.warmth(node, d.now) < 0.5
 
 
 def test_brief_standstill_is_not_a_restart() -> None:
     d = Drive()
     first, _ = silence(d)
-    node = d.keeper.fleet.nodes[first.server]
+    node = d.gatekeeper.fleet.nodes[first.server]
     node.of("pure").silent_since = d.now - RULES.tip_after / 2
     d.end(first, i.Code.OK)
-    assert d.keeper.fleet.warmth(node, d.now) == 1.0
+    assert d.gatekeeper.fleet.warmth(node, d.now) == 1.0
 
 
 def test_all_silent_are_still_used() -> None:
@@ -189,10 +189,10 @@
     first = d.sent()
     rest = tuple(s for s in SERVERS if s.id != first.server)
     d.do(i.ServerList(i.ListForm.WHOLE, rest))
-    assert first.server in d.keeper.fleet.nodes
+    assert first.server in d.gatekeeper.fleet.nodes
     d.end(first, i.Code.OK)
     d.do(i.ServerList(i.ListForm.WHOLE, rest))
-    assert first.server not in d.keeper.fleet.nodes
+    assert first.server not in d.gatekeeper.fleet.nodes
 
 
 def test_same_zone_first_where_crossing_costs_and_all_else_is_equal() -> None:
@@ -202,7 +202,7 @@
     )
     d = Drive(costly)
     d.serve(50)
-    used = {id for id, node in d.keeper.fleet.nodes.items() if node.answered > 0}
+    used = {id for id, node in d.gatekeeper.fleet.nodes.items() if node.answered > 0}
     assert used == {0, 2, 4, 6}
 
 
@@ -213,7 +213,7 @@
     d.do(i.StreamStarted(first.id, 0, first.server, 0.1))
     d.now += 100.0
     d.do(i.TimerDue(2))
-    assert not d.keeper.fleet.nodes[first.server].silent
+    assert not d.gatekeeper.fleet.nodes[first.server].silent
     assert d.end(first, i.Code.OK) == []
 
 
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -124,8 +124,8 @@
                 assert await caller.ended()
             assert len(worker.requests) == int(stays)
             # Nor is there a mark on the customer that it names.
-            keeper = rig.gateway.module
-            assert isinstance(keeper, Gatekeeper) and len(keeper.quota.customers) == int(stays)
+            gatekeeper = rig.gateway.module
+            assert isinstance(gatekeeper, Gatekeeper) and len(gatekeeper.quota.customers) == int(stays)
 
     run(test)
 
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -95,5 +95,5 @@
         d.now += 0.01
         send = d.sent("pure")
         d.end(send, i.Code.INTERNAL if send.server == 1 else i.Code.OK, last=True)
-    node = d.keeper.fleet.nodes[1]
-    assert d.keeper.fleet.symptoms(node.of("once"), d.now)[1] > 0.05
+    node = d.gatekeeper.fleet.nodes[1]
+    assert d.gatekeeper.fleet.symptoms(node.of("once"), d.now)[1] > 0.05
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -27,8 +27,8 @@
             tells = d.tick(past)
             for t in tells if not self.cut else ():
                 assert t.peer is not None
-                other = self.all[t.peer].keeper
-                other.handle(d.now, i.PeerMail(d.keeper.s.me, t.data))
+                other = self.all[t.peer].gatekeeper
+                other.handle(d.now, i.PeerMail(d.gatekeeper.s.me, t.data))
 
     def admitted(self, tries: dict[int, int], seconds: float, size: int = 3, unevenly: bool = False) -> float:
         """Units a second sent on of so many tries a second at each gatekeeper."""
@@ -90,13 +90,13 @@
     fleet = Fleet()
     fleet.admitted({0: 20}, 10.0)
     fleet.pass_time(5 * 0.1)
-    knows = fleet.all[0].keeper
+    knows = fleet.all[0].gatekeeper
     assert not knows.quota.fresh
     fleet.all[1] = Drive(settings(me=1), seed=99)
     fleet.all[1].now = fleet.all[0].now
     for _ in range(12):
         fleet.pass_time(0.1)
-    (customer,) = fleet.all[1].keeper.quota.customers.values()
+    (customer,) = fleet.all[1].gatekeeper.quota.customers.values()
     (told,) = customer.told.values()
     assert told.spent == pytest.approx(knows.quota.customers[1].own.spent, abs=0.2) and told.spent > 1.0
 
@@ -109,7 +109,7 @@
         fleet.admitted({1: 20}, 2.0)
         fleet.pass_time(8.0)
     fleet.admitted({0: 1, 1: 20}, 1.0)
-    assert len(fleet.all[0].keeper.quota.customers[1].told) <= 2
+    assert len(fleet.all[0].gatekeeper.quota.customers[1].told) <= 2
 
 
 def test_lost_mail_costs_no_more_than_a_share_each() -> None:
@@ -153,7 +153,7 @@
     beat = BEAT_FORM.pack(b"B", 9, 1, 30.0, 0, 1.0, 1.0)
     d.do(i.PeerMail(1, beat + NEWS_FORM.pack(5, 200, 3, 0, 1, 1)))
     d.do(i.PeerMail(2, beat + NEWS_FORM.pack(5, number("small"), 77, 0, 1, 1) + b"x"))
-    assert d.keeper.quota.customers == {}
+    assert d.gatekeeper.quota.customers == {}
 
 
 def test_memory_is_bounded_by_what_is_in_use() -> None:
@@ -161,16 +161,16 @@
     for customer in range(300):
         d.ask(plan="small", customer=customer)
     d.tick(1000.0)
-    assert d.keeper.quota.customers == {}
+    assert d.gatekeeper.quota.customers == {}
 
 
 def test_several_units_and_settled_ones() -> None:
     d = Drive(settings(me=0, fleet=1))
     r = i.Request(900, "pure", "small", 1, d.now + 4, 3.0, 1, 0)
     (send,) = sends(d.do(r))
-    spent = d.keeper.quota.customers[1].spent()
+    spent = d.gatekeeper.quota.customers[1].spent()
     d.do(i.Outcome(900, 0, send.server, i.Code.OK, 0.1, True, actual=4.0))
-    assert d.keeper.quota.customers[1].spent() == pytest.approx(spent + 1.0)
+    assert d.gatekeeper.quota.customers[1].spent() == pytest.approx(spent + 1.0)
 
 
 @pytest.mark.parametrize("restarts", [False, True])
@@ -188,7 +188,7 @@
         d = all_[n]
         d.now = now
         if restarts and step % 250 == 0:
-            d.keeper.quota.began = now
+            d.gatekeeper.quota.began = now
         for send in sends(d.ask(plan="capped")):
             store -= 1.0
             used += 1
@@ -243,7 +243,7 @@
             admitted[idle] += len(sent)
             for send in sent:
                 d.end(send, i.Code.OK)
-            d.keeper.shares.share = 100.0 if idle else 1.5
+            d.gatekeeper.shares.share = 100.0 if idle else 1.5
     assert (admitted[True] == 40) == served
     assert admitted[False] < 10
 
@@ -253,4 +253,4 @@
     d.ask(plan="capped", size=0)
     d.now += 1.0
     assert sends(d.ask(plan="capped", size=0))
-    assert d.keeper.quota.customers[1].size == 1
+    assert d.gatekeeper.quota.customers[1].size == 1
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -19,7 +19,7 @@
     def __init__(self, seed: int, limits: i.Limits) -> None:
         self.rng, self.now = random.Random(seed), 50.0
         self.limits = limits
-        self.keeper = Gatekeeper(settings(limits=limits, ask=seed % 2 == 1), seed)
+        self.gatekeeper = Gatekeeper(settings(limits=limits, ask=seed % 2 == 1), seed)
         self.requests: dict[int, i.Request] = {}
         self.owed: set[int] = set()
         self.sent: dict[int, list[tuple[float, int]]] = {}
@@ -30,7 +30,7 @@
         self.trace: list[str] = []
 
     def do(self, event: i.Event) -> None:
-        for action in self.keeper.handle(self.now, event):
+        for action in self.gatekeeper.handle(self.now, event):
             self.trace.append(repr(action))
             self.check(action)
 
@@ -169,8 +169,8 @@
         id, n = min(w.out, key=lambda out: (w.requests[out[0]].not_after, out))
         w.now = max(w.now, w.requests[id].not_after)
         w.outcome(id, n, i.Code.DEADLINE_EXCEEDED)
-    assert not w.owed and not w.keeper.held and w.keeper.out == 0
-    assert not any(n.out for n in w.keeper.fleet.nodes.values())
+    assert not w.owed and not w.gatekeeper.held and w.gatekeeper.out == 0
+    assert not any(n.out for n in w.gatekeeper.fleet.nodes.values())
 
 
 def test_equal_events_give_equal_actions() -> None:
--- a/tests/test_sparse.py
+++ b/tests/test_sparse.py
@@ -34,7 +34,7 @@
         for n in range(10, 30):
             d.do(i.PeerMail(n, beat(out, n)))
         d.tick(BEAT_S)
-        d.keeper.shares.share = 1.0
+        d.gatekeeper.shares.share = 1.0
         count = sum(len(sends(d.ask())) for _ in range(10))
         assert count >= 3 if out == 0 else count == served
 
@@ -95,8 +95,8 @@
         servers = tuple(
             dataclasses.replace(server(id), common=names[n], zone=str(n)) for id, n in enumerate(order, 1)
         )
-        keeper = Drive(settings(me=me, fleet=40), servers, seed=me).keeper
-        for id in keeper.fleet.near:
+        gatekeeper = Drive(settings(me=me, fleet=40), servers, seed=me).gatekeeper
+        for id in gatekeeper.fleet.near:
             counts[order[id - 1]] += 1
     assert min(counts) >= 7 and max(counts) <= 9
 
@@ -109,7 +109,7 @@
         near = []
         for listed in (names, new):
             servers = tuple(dataclasses.replace(server(n), common=n) for n in listed)
-            near.append(Drive(settings(me=me, fleet=40), servers).keeper.fleet.near)
+            near.append(Drive(settings(me=me, fleet=40), servers).gatekeeper.fleet.near)
         moved += len(near[1] - near[0] - set(new[-18:]))
     assert moved <= 40 * 12 / 4  # of those that stay, so many of what is near came near anew
 
@@ -120,4 +120,4 @@
     for intake, most in ((100.0, 13), (200.0, 25)):
         for fleet in (2, 4, most, most + 1, 41, 42, 200):
             setup = dataclasses.replace(settings(fleet=fleet), mail_per_s=intake)
-            assert Drive(setup).keeper.sparse == (fleet > most)
+            assert Drive(setup).gatekeeper.sparse == (fleet > most)
--- a/tests/test_switch.py
+++ b/tests/test_switch.py
@@ -41,9 +41,9 @@
     return None
 
 
-def settled(keeper: Gatekeeper) -> dict[str, object]:
+def settled(gatekeeper: Gatekeeper) -> dict[str, object]:
     return {
-        f"{part}.{name}": getattr(getattr(keeper, part) if part else keeper, name)
+        f"{part}.{name}": getattr(getattr(gatekeeper, part) if part else gatekeeper, name)
         for part, names in FOLLOWS.items()
         for name in names
     }
@@ -52,10 +52,10 @@
 def test_what_follows_from_the_settings_is_all_that_a_new_one_would_reckon() -> None:
     small, large = settings(fleet=3), settings(fleet=60)
     for old, new in ((small, large), (large, small)):
-        keeper = Drive(old).keeper
-        renew(keeper, 101.0, new)
-        assert settled(keeper) == settled(Drive(new).keeper)
-        assert keeper.fleet.near == Drive(new).keeper.fleet.near
+        gatekeeper = Drive(old).gatekeeper
+        renew(gatekeeper, 101.0, new)
+        assert settled(gatekeeper) == settled(Drive(new).gatekeeper)
+        assert gatekeeper.fleet.near == Drive(new).gatekeeper.fleet.near
 
 
 def test_use_attempts_and_health_live_on_and_no_ceiling_is_granted_anew() -> None:
@@ -64,15 +64,23 @@
     d.ask(plan="small")
     out = d.sent("once")
     capped = sends(d.ask(plan="capped", customer=9))
-    keeper = d.keeper
-    spent, mean, nodes = keeper.quota.customers[1].own.spent, keeper.ceiling.mean["pure"], keeper.fleet.nodes
+    gatekeeper = d.gatekeeper
+    spent, mean, nodes = (
+        gatekeeper.quota.customers[1].own.spent,
+        gatekeeper.ceiling.mean["pure"],
+        gatekeeper.fleet.nodes,
+    )
     for fleet in (60, 3, 60, 3):
-        renew(keeper, d.now, settings(fleet=fleet))
-        assert keeper.quota.customers[1].own.spent == spent and keeper.ceiling.mean["pure"] == mean
-        assert keeper.fleet.nodes is nodes and (out.id, 0) in keeper.flying and keeper.out == 2 + len(capped)
-        for c in keeper.quota.customers.values():
+        renew(gatekeeper, d.now, settings(fleet=fleet))
+        assert gatekeeper.quota.customers[1].own.spent == spent and gatekeeper.ceiling.mean["pure"] == mean
+        assert (
+            gatekeeper.fleet.nodes is nodes
+            and (out.id, 0) in gatekeeper.flying
+            and gatekeeper.out == 2 + len(capped)
+        )
+        for c in gatekeeper.quota.customers.values():
             assert c.cap <= c.plan.cap_depth / 2 / c.size and c.pool <= c.plan.cap_depth / 2
-    assert keeper.quota.customer(d.now, 77, PLANS["capped"], 3, 0).cap == 0.0
+    assert gatekeeper.quota.customer(d.now, 77, PLANS["capped"], 3, 0).cap == 0.0
     assert d.end(out, i.Code.OK) == [] and d.tick(1.0)
 
 
@@ -80,7 +88,7 @@
     d = Drive()
     send = d.sent("once")
     bare = i.Settings(0, 3, "a", {"pure": CLASSES["pure"]}, {}, mail_per_s=60.0)
-    renew(d.keeper, d.now, bare)
+    renew(d.gatekeeper, d.now, bare)
     assert d.end(send, i.Code.ABORTED, last=False) == [i.Fail(send.id)]  # never sent twice
     d.do(i.TimerDue(TICK))
 
@@ -130,10 +138,10 @@
             service.gateway.remembered(listing(entry("s-1", worker.address)))
             await service.start()
             assert service.listener is not None and isinstance(service.module, Gatekeeper)
-            keeper, total = service.module, 0
+            gatekeeper, total = service.module, 0
             await until(lambda: service.gateway.ready and not service.gateway.inbox)
-            keeper.ceiling.limit = 4000.0  # quotas alone are to decide here
-            keeper.shares.divide(service.loop.time(), 4000.0)
+            gatekeeper.ceiling.limit = 4000.0  # quotas alone are to decide here
+            gatekeeper.shares.divide(service.loop.time(), 4000.0)
             # Of a burst of four three are sent on, a tenth is kept back; of six then two more.
             for tree, sent in ((NEW, 3), (OLD, 2), (NEW, 0), (OLD, 0)):
                 callers = [await Caller.to(service.listener.address) for _ in range(4)]
@@ -143,14 +151,14 @@
                     caller.write(asking(method, X_Class=cls, Plan=b"small", Quota_Info=quota))
                 total += sent
                 await until(lambda want=total: len(worker.requests) == want)  # type: ignore[misc]
-                await until(lambda: len(keeper.flying) == len(keeper.held))
+                await until(lambda: len(gatekeeper.flying) == len(gatekeeper.held))
                 configured(tmp_path, settings=tree)
                 service.reload()
                 service.reload()  # two in a row
                 done, nothing = log.lines[-2:]
                 assert (done["event"], nothing["changed"]) == ("reloaded", []), done
                 assert "plans" in str(done["settings"]) and "limits" in str(done["settings"])
-                assert keeper.s.limits.may_duplicate == (tree is OLD)
+                assert gatekeeper.s.limits.may_duplicate == (tree is OLD)
                 path.write_text("{")
                 service.reload()
                 assert [line["event"] for line in log.lines[-1:]] == ["reload_failed"]
@@ -162,7 +170,7 @@
                 assert statuses.count(200) == sent and statuses.count(429) == 4 - sent
                 for caller in callers:
                     caller.close()
-                assert keeper.quota.customers[0xB4D65521].own.spent == pytest.approx(total, abs=0.1)
+                assert gatekeeper.quota.customers[0xB4D65521].own.spent == pytest.approx(total, abs=0.1)
             ids = [dict(r.headers)[b"x-request-id"] for r in worker.requests]
             assert len(ids) == len(set(ids)) == 5
             assert service.gateway.faults == 0 and not service.gateway.by_client
@@ -224,6 +232,6 @@
     other = Drive(settings(me=0))
     for t in told:
         other.do(i.PeerMail(1, t.data))
-    assert other.keeper.quota.customers[1].plan.name == "busy"
-    assert other.keeper.quota.customers[1].spent() == pytest.approx(1.0, abs=0.1)  # two are refilled
+    assert other.gatekeeper.quota.customers[1].plan.name == "busy"
+    assert other.gatekeeper.quota.customers[1].spent() == pytest.approx(1.0, abs=0.1)  # two are refilled
     assert len({number(name) for name in more}) == len(more)
--- a/tests/test_trace.py
+++ b/tests/test_trace.py
@@ -22,7 +22,7 @@
 def trace(size: int, seconds: float) -> tuple[list[str], Counter[str]]:
     """What `size` gatekeepers do in that time of drawn requests, answers, drains and lost mail."""
     rng, lines, kinds = random.Random(11), list[str](), Counter[str]()
-    keepers = [Gatekeeper(settings(me=n, fleet=size), n) for n in range(size)]
+    gatekeepers = [Gatekeeper(settings(me=n, fleet=size), n) for n in range(size)]
     due: list[tuple[float, int, int, i.Event]] = []
     serial, attempts = itertools.count(), Counter[tuple[int, int]]()
 
@@ -41,7 +41,7 @@
         at(now, rng.randrange(size), r)
     while due and due[0][0] < 100.0 + seconds:
         now, _, n, event = heapq.heappop(due)
-        for action in keepers[n].handle(now, event):
+        for action in gatekeepers[n].handle(now, event):
             kinds[type(action).__name__] += 1
             match action:
                 case i.Send(id, server):
