--- a/pewterring/lab/customers.py
+++ b/pewterring/lab/customers.py
@@ -66,7 +66,7 @@
 
     def has_room(self, now: float) -> bool:
         """Whether half of its burst or more is unused."""
-        return not self.quota.rate or self.quota.look(now) >= self.quota.depth / 2
+        return not self.quota.rate or self.quota.refill(now) >= self.quota.depth / 2
 
     def weights(self, now: float, front: schema.Front) -> Sequence[float]:
         """The running sums of its gatekeepers' weights, drawn anew from time to time."""
--- a/pewterring/lab/loopback/load.py
+++ b/pewterring/lab/loopback/load.py
@@ -152,7 +152,7 @@
             process.move()
             self.pools[host.number].address = process.listen
             self.relay.listens[host.number] = process.peer_listen
-        process.look()
+        process.check_exit()
         self.account.counts["never_ready"] += 1
 
     def config(self, host: Host) -> dict[str, Any]:
@@ -173,7 +173,7 @@
     async def close(self) -> None:
         self.memory_kb = max([self.memory_kb, *(p.memory_kb() for p in self.processes)])
         for process in self.processes:
-            process.look()
+            process.check_exit()
             process.signal(signal.SIGCONT)
             process.signal(signal.SIGTERM)
         try:
@@ -201,7 +201,7 @@
     def sample(self, second: int) -> None:
         self.account.seconds[second].out = len(self.link_of)
         for process in self.processes:
-            process.look()
+            process.check_exit()
 
     # Clients
 
--- a/pewterring/lab/loopback/processes.py
+++ b/pewterring/lab/loopback/processes.py
@@ -119,7 +119,8 @@
             if not self.expected:
                 self.crashed.append(code)
 
-    def look(self) -> None:
+    def check_exit(self) -> None:
+        """Counts an exit that nobody asked for, once."""
         if self.child is not None and self.child.returncode is not None and not self.expected:
             self.crashed.append(self.child.returncode)
             self.expected = True
--- a/pewterring/lab/stores.py
+++ b/pewterring/lab/stores.py
@@ -9,19 +9,21 @@
     def __init__(self, rate: float, depth: float, now: float) -> None:
         self.rate, self.depth, self.level, self.at = rate, depth, depth, now
 
-    def look(self, now: float) -> float:
+    def refill(self, now: float) -> float:
+        """Refills up to `now` and returns the level."""
         self.level = min(self.depth, self.level + (now - self.at) * self.rate)
         self.at = now
         return self.level
 
     def has(self, now: float, units: float) -> bool:
-        return not self.rate or self.look(now) >= units - 1e-9
+        """Whether it holds the units; always so without a rate."""
+        return not self.rate or self.refill(now) >= units - 1e-9
 
     def take(self, now: float, units: float) -> bool:
         """Takes the units if it holds them: a try within the quota. Else it takes nothing."""
         if not self.rate:
             return True
-        if self.look(now) < units - 1e-9:
+        if self.refill(now) < units - 1e-9:
             return False
         self.level -= units
         return True
--- a/pewterring/lab/workers.py
+++ b/pewterring/lab/workers.py
@@ -16,7 +16,7 @@
 from pewterring.lab.schema import Workers
 from pewterring.lab.streams import Stream
 
-COLD_STEP = 0.25  # seconds between two looks at a warming worker's speed
+COLD_STEP = 0.25  # seconds between two updates of a warming worker's speed
 SLACK_JOBS = 3.0  # mean requests that a cold worker may get past its budget by chance
 
 
@@ -98,7 +98,7 @@
         self.told_at = now
 
     def plan(self) -> None:
-        """Looks again when the next request ends, or when a warming worker has got faster."""
+        """Schedules `finish_due` for when the next request ends or a warming worker has got faster."""
         self.planned += 1
         while self.serving and self.serving[0][2].stopped:
             heapq.heappop(self.serving)
@@ -108,9 +108,10 @@
         wait = max(0.0, self.serving[0][0] - self.progress) / max(self.pace(now), 1e-12)
         if self.came_up and now - self.came_up < self.setup.cold_s:
             wait = min(wait, COLD_STEP)
-        self.engine.after(wait, self.look, self.life, self.planned)
+        self.engine.after(wait, self.finish_due, self.life, self.planned)
 
-    def look(self, life: int, planned: int) -> None:
+    def finish_due(self, life: int, planned: int) -> None:
+        """Ends what is done by now, unless the plan it was scheduled by is out of date."""
         if life != self.life or planned != self.planned:
             return
         self.advance()
--- a/pewterring/lab/world.py
+++ b/pewterring/lab/world.py
@@ -286,7 +286,7 @@
             self.note(
                 f"try {intent.tries} comes as request {request.id} ({request.cls}, plan {request.plan}, "
                 f"customer {customer.id}, {customer.units:g} units) to gatekeeper {host.number}; "
-                f"the customer's store holds {customer.quota.look(now):.2f}",
+                f"the customer's store holds {customer.quota.refill(now):.2f}",
             )
         self.tell(host, request)
 
@@ -541,7 +541,7 @@
         if not call.within:
             self.marks.setdefault("beyond", call.intent.number)
         if plan.cap_rate:
-            customer.ceiling.look(now)
+            customer.ceiling.refill(now)
             customer.ceiling.level -= units
             self.rules.ceiling(now, call, customer.ceiling.level, plan.cap_slack)
         self.account.sent_first(now, call, plan)
--- a/tests/lab/test_world.py
+++ b/tests/lab/test_world.py
@@ -193,7 +193,7 @@
 def test_true_stores_fill_and_hold() -> None:
     store = Store(2.0, 4.0, 0.0)
     assert [store.take(0.0, 2.0) for _ in range(3)] == [True, True, False]
-    assert store.take(0.5, 1.0) and not store.has(0.5, 0.1) and store.look(100.0) == 4.0
+    assert store.take(0.5, 1.0) and not store.has(0.5, 0.1) and store.refill(100.0) == 4.0
     assert Store(0.0, 0.0, 0.0).take(1.0, 99.0)
 
 
@@ -239,7 +239,7 @@
 @pytest.mark.parametrize("kind", sorted(TWICE))
 def test_a_fault_ends_only_what_it_began(kind: str) -> None:
     """Of two that overlap the end of the first ended the second as well, or left its mark for good."""
-    look = TWICE[kind]
+    active = TWICE[kind]
     fault: dict[str, Any] = {"kind": kind, "at_s": 1.0, "for_s": 2.0}
     fault |= {"zone": "b"} if kind in ("zone_cut", "traffic_shift") else {}
     fault |= {"clients": True} if kind == "zone_cut" else {"to": 0.0} if kind == "traffic_shift" else {}
@@ -248,7 +248,7 @@
     world = prepare(small(faults=[fault, second], load={"rate": 5.0}), 1)
     seen: list[Any] = []
     for at in (0.9, 2.5, 3.5, 4.5):
-        world.engine.at(START + at, lambda: seen.append(look(world)))
+        world.engine.at(START + at, lambda: seen.append(active(world)))
     assert not world.run().broken
     before, both, last, after = seen
     assert before == after and before not in (both, last)
