--- a/pewterring/node/settings_file.py
+++ b/pewterring/node/settings_file.py
@@ -1,4 +1,4 @@
-"""The settings file of a running process: read whole or not at all, and looked at for silent changes."""
+"""The settings file of a running process: read whole or not at all, and polled for changes."""
 
 import asyncio
 import os
@@ -8,7 +8,7 @@
 
 from pewterring.node.settings import NodeSettings, SettingsError, SettingsReport, read_report, read_text
 
-LOOK_S = 1.0  # between looks for a change without a signal
+POLL_INTERVAL_S = 1.0  # between checks for a change without a signal
 READ_TRIES = 3  # while the file changes as it is read
 # What a process was built on: another value counts from its next start.
 FIXED_FIELDS = (
@@ -19,7 +19,7 @@
 
 
 def signature(path: Path) -> Signature | None:
-    """What tells one state of a file from another; None where it cannot be looked at."""
+    """What tells one state of a file from another; None where it cannot be read."""
     try:
         status = os.stat(path)
     except OSError:
@@ -34,7 +34,7 @@
         self.path = path
         self._program = program
         self._taken: Signature | None = None  # of the content read last
-        self._seen: Signature | None = None  # at the last look
+        self._seen: Signature | None = None  # at the last check
 
     def read(self) -> SettingsReport:
         """Reads the file as one state of it. Raises `SettingsError`."""
@@ -47,7 +47,7 @@
         raise SettingsError(f"{self.path} changes while it is read")
 
     def has_changed(self) -> bool:
-        """Whether two looks in a row found a state that was not read yet: one look may find half a file."""
+        """Whether two checks in a row found a state that was not read yet: one check may find half a file."""
         now = signature(self.path)
         settled = now == self._seen
         self._seen = now
@@ -96,13 +96,13 @@
             self.settings = settings
             self._apply(settings)
 
-    def look(self) -> None:
+    def poll(self) -> None:
         """Reads the file where it has changed."""
         if self._file.has_changed():
             self.reload()
 
     async def watch(self) -> None:
-        """Looks for changes until it is cancelled."""
+        """Polls for changes until it is cancelled."""
         while True:
-            await asyncio.sleep(LOOK_S)
-            self.look()
+            await asyncio.sleep(POLL_INTERVAL_S)
+            self.poll()
--- a/tests/node/test_settings_file.py
+++ b/tests/node/test_settings_file.py
@@ -30,9 +30,9 @@
         new.write_text(text)
         os.replace(new, self.path)
 
-    def look_twice(self) -> None:
-        self.reloader.look()
-        self.reloader.look()
+    def poll_twice(self) -> None:
+        self.reloader.poll()
+        self.reloader.poll()
 
 
 @pytest.fixture
@@ -48,31 +48,31 @@
 
 
 def test_a_change_without_a_signal_is_found(process: Process) -> None:
-    process.look_twice()
+    process.poll_twice()
     assert process.applied == []
     process.replace(settings_text(seed_nodes="10.9.0.1:8146"))
-    process.look_twice()
+    process.poll_twice()
     assert len(process.applied) == 1
-    process.look_twice()
+    process.poll_twice()
     assert len(process.applied) == 1
 
 
 def test_a_file_that_still_changes_is_left_alone(process: Process) -> None:
     process.path.write_text(settings_text(seed_nodes="10.9.0.1:8146")[:80])  # half of it
-    process.reloader.look()
+    process.reloader.poll()
     assert process.applied == [] and process.refused == []
     process.path.write_text(settings_text(seed_nodes="10.9.0.1:8146"))
-    process.look_twice()
+    process.poll_twice()
     assert len(process.applied) == 1 and process.refused == []
 
 
 def test_a_file_that_cannot_be_used_changes_nothing(process: Process) -> None:
     before = process.reloader.settings
     process.replace(settings_text(seed_nodes="10.9.0.1:8146", heartbeat_ms="soon"))
-    process.look_twice()
+    process.poll_twice()
     assert process.applied == [] and "heartbeat_ms" in str(process.refused[0])
     assert process.reloader.settings == before
-    process.look_twice()
+    process.poll_twice()
     assert len(process.refused) == 1  # one state of the file is refused once
 
 
@@ -84,12 +84,12 @@
 
 def test_a_file_that_is_gone_changes_nothing_until_it_is_back(process: Process) -> None:
     process.path.unlink()
-    process.look_twice()
+    process.poll_twice()
     assert process.refused == []
     process.reloader.reload()
     assert len(process.refused) == 1
     process.replace(settings_text(seed_nodes="10.9.0.1:8146"))
-    process.look_twice()
+    process.poll_twice()
     assert len(process.applied) == 1
 
 
@@ -106,5 +106,5 @@
 
 def test_the_same_content_again_is_not_applied(process: Process) -> None:
     process.replace(settings_text())
-    process.look_twice()
+    process.poll_twice()
     assert process.applied == [] and process.refused == []
