Lab: Host and the conversions of scenario parts in modules of their own

Change: a move: Host to lab/host.py, the conversions of classes, plans and workers to the interface's types to lab/conversions.py. The event loop of a run stays one class.

--- a/pewterring/lab/faults.py
+++ b/pewterring/lab/faults.py
@@ -11,10 +11,12 @@
 import msgspec
 
 from pewterring.lab import schema
+from pewterring.lab.conversions import to_server
 from pewterring.lab.engine import START
+from pewterring.lab.host import Host
 from pewterring.lab.streams import Stream
 from pewterring.lab.workers import Worker
-from pewterring.lab.world import Host, World
+from pewterring.lab.world import World
 
 End = Callable[[], None] | None
 KINDS: list[tuple[str, type[Any]]] = [(str(f.__struct_config__.tag), f) for f in schema.FAULTS]
@@ -189,7 +191,7 @@
     struck = struck_workers(world, fault, stream)
 
     def replace(worker: Worker) -> None:
-        world.publish(world.entry(world.add_worker(worker.zone, worker.cell, world.engine.now)))
+        world.publish(to_server(world.add_worker(worker.zone, worker.cell, world.engine.now)))
         world.drain(worker, fault.drain_s)
 
     for n, worker in enumerate(struck):
--- a/pewterring/lab/loopback/load.py
+++ b/pewterring/lab/loopback/load.py
@@ -19,16 +19,18 @@
 from pewterring.lab import schema
 from pewterring.lab.account import Result
 from pewterring.lab.calls import Attempt, Call, Intent
+from pewterring.lab.conversions import to_server
 from pewterring.lab.customers import Customer
 from pewterring.lab.engine import START
 from pewterring.lab.faults import put_in
+from pewterring.lab.host import Host
 from pewterring.lab.loopback.clients import ClientPool, Exchange
 from pewterring.lab.loopback.clock import RealEngine
 from pewterring.lab.loopback.ports import DiscoveryPort, Relay, WorkerLink, WorkerPort
 from pewterring.lab.loopback.processes import Process, settings_tree
 from pewterring.lab.streams import Stream
 from pewterring.lab.workers import Worker
-from pewterring.lab.world import GIVES_UP_S, Host, World
+from pewterring.lab.world import GIVES_UP_S, World
 from pewterring.net.connection import Address, read_address
 
 MOST_GATEKEEPERS, MOST_WORKERS, MOST_SECONDS, MOST_REQUESTS = 8, 64, 600.0, 300_000
@@ -132,7 +134,7 @@
         for discovery in self.discoveries:
             await discovery.open()
             for worker in self.workers:
-                discovery.tell(self.json_entry(self.entry(worker)))
+                discovery.tell(self.json_entry(to_server(worker)))
         await asyncio.gather(*(self.begin(host) for host in self.hosts))
         if self.account.counts["never_ready"]:
             raise LoadError(f"a gatekeeper did not become ready; its log is in {self.folder}")
--- a/pewterring/lab/world.py
+++ b/pewterring/lab/world.py
@@ -14,16 +14,17 @@
 from pewterring.lab import schema
 from pewterring.lab.account import Account, Result
 from pewterring.lab.calls import Attempt, Call, Intent
+from pewterring.lab.conversions import to_plan, to_request_class, to_server
 from pewterring.lab.counter import CounterService
 from pewterring.lab.customers import Customer
 from pewterring.lab.demand import Demand, Front
 from pewterring.lab.engine import START, Engine
-from pewterring.lab.policies import POLICIES, Count, Policy
+from pewterring.lab.host import Host
+from pewterring.lab.policies import POLICIES, Count
 from pewterring.lab.rules import Broken, Rules
 from pewterring.lab.streams import Stream
 from pewterring.lab.workers import Worker
 
-EFFECTS = {"safe": i.Effect.PURE, "keyed": i.Effect.TOKEN, "unsafe": i.Effect.SIDE_EFFECT}
 READY_S = 0.1  # until the front takes in a gatekeeper that has started
 LEAVES_S, AT_LEAST_S, KILL_S = (
     0.3,
@@ -42,24 +43,6 @@
 )  # the first of each kind, the slowest of all
 
 
-class Host:
-    """One gatekeeper's machine."""
-
-    def __init__(self, number: int, zone: str, seed: int) -> None:
-        self.number, self.zone, self.stream = number, zone, Stream(seed, "gatekeeper", number)
-        self.policy: Policy | None = None
-        self.life, self.up, self.leaving = 0, False, False
-        self.frozen = 0  # faults under which it stands still
-        self.backlog: list[tuple[Callable[..., None], tuple[Any, ...]]] = []
-        self.calls: dict[int, Call] = {}  # not answered yet
-        self.out: dict[tuple[int, int], Attempt] = {}
-        self.entries: dict[int, i.Server] = {}  # the list, as it was told last
-        self.seen, self.list_due, self.subscribed = 0, 0.0, False
-        self.told_end: dict[int, float] = {}  # by worker: when it was told that nothing new goes there
-        self.told_start: dict[int, float] = {}  # by worker: the last start that it was told of
-        self.tokens, self.token_at = 0.0, START
-
-
 class World:
     def __init__(
         self,
@@ -81,8 +64,8 @@
         self.account = Account(scenario)
         self.zones = scenario.zones
         g, w = scenario.gatekeepers, scenario.workers
-        self.classes = {c.name: self.request_class(c) for c in scenario.classes}
-        self.plans = {p.name: self.plan(p) for p in scenario.plans}
+        self.classes = {c.name: to_request_class(c) for c in scenario.classes}
+        self.plans = {p.name: to_plan(p) for p in scenario.plans}
         self.limits = i.Limits(
             max_attempts=g.max_attempts, may_duplicate=g.may_duplicate, cancel=w.cancel != "none",
             probing=g.probing, peers=g.peers, retry_after=True,
@@ -95,7 +78,7 @@
         self.list_late = 0.0
         for n in range(w.count):
             self.add_worker(self.zones[n % len(self.zones)], n // w.cell_size)
-        self.log = [self.entry(worker) for worker in self.workers]  # what discovery has to tell, in order
+        self.log = [to_server(worker) for worker in self.workers]  # what discovery has to tell, in order
         self.first_list = len(self.log)
         self.discovery_stream = Stream(seed, "discovery")
         self.list_calls: list[float] = []
@@ -126,34 +109,6 @@
 
     # Putting together
 
-    @staticmethod
-    def request_class(c: schema.RequestClass) -> i.RequestClass:
-        return i.RequestClass(
-            c.name,
-            c.aim_s,
-            c.deadline_s,
-            EFFECTS[c.effect],
-            i.Group(c.group),
-            c.repeat_window_s,
-            c.worth,
-            c.late_worth,
-        )
-
-    @staticmethod
-    def plan(p: schema.Plan) -> i.Plan:
-        return i.Plan(
-            p.name,
-            p.refill,
-            p.depth,
-            p.parallel,
-            p.cap_rate,
-            p.cap_depth,
-            p.cap_slack,
-            p.price,
-            p.over_worth,
-            p.over_cost,
-        )
-
     def settings(self, host: Host) -> i.Settings:
         s, w = self.scenario, self.scenario.workers
         return i.Settings(
@@ -178,13 +133,6 @@
         self.workers.append(worker)
         return worker
 
-    @staticmethod
-    def entry(worker: Worker, mode: i.Mode | None = None) -> i.Server:
-        rating = worker.setup.speed * worker.setup.cores
-        return i.Server(
-            worker.number + 1, worker.zone, worker.cell, mode or worker.mode, rating, worker.came_up
-        )
-
     # The run
 
     def run(self) -> Result:
@@ -626,7 +574,7 @@
 
     def miss(self, worker: Worker, life: int) -> None:
         if worker.state == "silent" and worker.life == life and worker.mode == i.Mode.SERVING:
-            self.publish(self.entry(worker, i.Mode.DELETED))
+            self.publish(to_server(worker, i.Mode.DELETED))
 
     def speak(self, worker: Worker, cold: bool) -> None:
         if worker.state != "silent":
@@ -635,12 +583,12 @@
         if cold:
             worker.lose_all()
             worker.came_up = self.engine.now
-        self.publish(self.entry(worker))
+        self.publish(to_server(worker))
 
     def drain(self, worker: Worker, drain_s: float) -> None:
         if worker.mode == i.Mode.SERVING:
             worker.mode = i.Mode.DRAINING
-            self.publish(self.entry(worker))
+            self.publish(to_server(worker))
             self.engine.after(drain_s, self.remove, worker)
 
     def remove(self, worker: Worker) -> None:
@@ -650,7 +598,7 @@
             host = self.hosts[attempt.gatekeeper]
             way = self.way(host, worker.zone)
             self.ends_in(way, host, attempt, i.Code.ABORTED)
-        self.publish(self.entry(worker))
+        self.publish(to_server(worker))
 
     # Discovery
 
