--- a/pewterring/lab/loopback/clients.py
+++ b/pewterring/lab/loopback/clients.py
@@ -7,7 +7,7 @@
 from pewterring.http.reader import ResponseReader
 
 MOST_IDLE = 256  # connections that stand by, to one gatekeeper
-CROSSING_S = 0.02  # a close so soon after the request was written has crossed it: it was not read
+RACE_WINDOW_S = 0.02  # a close that comes so soon after a request was sent before that was read
 
 
 class Exchange:
@@ -67,7 +67,7 @@
         if self.exchange:
             exchange, self.exchange = self.exchange, None
             # A close may cross a request on a connection that was kept: it comes once more on a new one.
-            crossed = asyncio.get_running_loop().time() - exchange.sent_at < CROSSING_S
+            crossed = asyncio.get_running_loop().time() - exchange.sent_at < RACE_WINDOW_S
             if self.used and crossed and not exchange.over and not exchange.resent:
                 exchange.resent = True
                 self.pool.connect(exchange)
