Lab: reading of scenario files in a module of its own

Change: a move: load, read, put, explain and fields_at to lab/scenario_file.py; the parts, their bounds and what must hold between them stay in lab/schema.py. The base of the faults is BaseFault, as two modules name it.

--- a/benchmarks/lab_speed.py
+++ b/benchmarks/lab_speed.py
@@ -13,7 +13,7 @@
 from pathlib import Path
 
 from pewterring import interface as i
-from pewterring.lab import schema
+from pewterring.lab import scenario_file
 from pewterring.lab.faults import prepare
 from pewterring.lab.policies import POLICIES, LabAction, Policy
 
@@ -58,7 +58,7 @@
     rests = []
     for count in (int(n) for n in given.gatekeepers.split(",")):
         sets = [f"gatekeepers.count={count}", f"workers.count={given.workers}", f"duration_s={given.seconds}"]
-        scenario = schema.load(CALM, [*sets, f"load={{rate = {given.rate}}}"])
+        scenario = scenario_file.load(CALM, [*sets, f"load={{rate = {given.rate}}}"])
         Timed.spent = 0.0
         world = prepare(scenario, 1, "timed")
         began = time.perf_counter()
--- a/pewterring/cli/lab.py
+++ b/pewterring/cli/lab.py
@@ -13,7 +13,7 @@
 
 from pewterring.cli.errors import INTERRUPTED, RULE_BROKEN, UsageError
 from pewterring.cli.parser import add_subcommands
-from pewterring.lab import experiment, schema
+from pewterring.lab import experiment, scenario_file, schema
 from pewterring.lab.account import Result
 from pewterring.lab.policies import POLICIES
 from pewterring.lab.world import MARKS
@@ -334,7 +334,7 @@
     """Plays random scenarios until a rule breaks; writes the smallest schedule that still breaks it."""
     from pewterring.lab import hunt as hunting
 
-    base = schema.load(given.scenario)
+    base = scenario_file.load(given.scenario)
     bar, done = progress(given.count, "hunt")
     with bar:
         jobs = given.jobs or os.cpu_count() or 1
--- a/pewterring/lab/experiment.py
+++ b/pewterring/lab/experiment.py
@@ -15,7 +15,7 @@
 import msgspec
 import numpy as np
 
-from pewterring.lab import schema
+from pewterring.lab import scenario_file, schema
 from pewterring.lab.account import Result
 from pewterring.lab.faults import prepare
 from pewterring.lab.world import World
@@ -28,7 +28,7 @@
     path: str | Path, sets: Sequence[str] = (), seed: int | None = None, policy: str = ""
 ) -> tuple[Result, World]:
     """Plays a scenario file. Raises ScenarioError."""
-    scenario = schema.load(path, sets)
+    scenario = scenario_file.load(path, sets)
     world = prepare(scenario, scenario.seed if seed is None else seed, policy)
     return world.run(), world
 
@@ -132,7 +132,7 @@
     points' order, and writes them as one table. Raises ScenarioError before anything is played.
     """
     for point in points:
-        schema.load(path, (*base, *point.sets))
+        scenario_file.load(path, (*base, *point.sets))
     folder.mkdir(parents=True, exist_ok=True)
     head = {"scenario": Path(path).read_text(encoding="utf-8"), "base": list(base), "policy": policy}
     kept = folder / "sweep.json"
@@ -230,7 +230,7 @@
     sides: list[dict[int, dict[str, float]]] = []
     broken = []
     for sets, policy in (a, b):
-        schema.load(path, sets)
+        scenario_file.load(path, sets)
         found: dict[int, dict[str, float]] = {}
         for entry in play_all(path, [Point((), seed) for seed in seeds], sets, policy, jobs):
             found[entry["seed"]] = entry["metrics"]
--- a/pewterring/lab/loopback/load.py
+++ b/pewterring/lab/loopback/load.py
@@ -16,7 +16,7 @@
 from pewterring import interface as i
 from pewterring.http.messages import Request, Response
 from pewterring.http.writer import write_request
-from pewterring.lab import schema
+from pewterring.lab import scenario_file, schema
 from pewterring.lab.account import Result
 from pewterring.lab.calls import Attempt, Call, Intent
 from pewterring.lab.conversions import to_server
@@ -413,7 +413,7 @@
     path: str | Path, sets: tuple[str, ...] = (), seed: int | None = None, target: str = "", logs: str = ""
 ) -> Result:
     """Plays a scenario on sockets. Figures are measured on loopback. Raises ScenarioError."""
-    scenario = schema.load(path, sets)
+    scenario = scenario_file.load(path, sets)
     address = read_target(target) if target else None
     fits(scenario)
 
--- a/pewterring/lab/schema.py
+++ b/pewterring/lab/schema.py
@@ -1,13 +1,9 @@
-"""The scenario format, version 1: what a TOML file may say, checked, with errors that name file and key.
+"""The scenario format, version 1: its parts, their bounds and what must hold between them.
 
 All times are seconds, shares lie between 0 and 1. docs/lab.md explains each field.
 """
 
-import difflib
-import re
-import tomllib
 import typing
-from pathlib import Path
 from typing import Annotated, Any, Literal
 
 import msgspec
@@ -183,12 +179,14 @@
 # by number, or a `part` drawn by chance.
 
 
-class _Fault(Struct, tag_field="kind", forbid_unknown_fields=True, frozen=True, kw_only=True):
+class BaseFault(Struct, tag_field="kind", forbid_unknown_fields=True, frozen=True, kw_only=True):
+    """What all faults have: when one begins and how long it lasts."""
+
     at_s: Seconds
     for_s: Seconds = 5.0
 
 
-class _Struck(_Fault, frozen=True):
+class _Struck(BaseFault, frozen=True):
     part: Share = 0.25
     zone: str = ""
     targets: tuple[Annotated[int, Meta(ge=0)], ...] = ()
@@ -244,54 +242,54 @@
     share: Share = 0.3
 
 
-class ZoneCut(_Fault, frozen=True, tag="zone_cut"):
+class ZoneCut(BaseFault, frozen=True, tag="zone_cut"):
     """Nothing passes between `zone` and the others; `clients` also cuts it from its clients."""
 
     zone: str
     clients: bool = False
 
 
-class MessageLoss(_Fault, frozen=True, tag="message_loss"):
+class MessageLoss(BaseFault, frozen=True, tag="message_loss"):
     """A share of the peers' messages is lost, and the rest comes `late_s` later."""
 
     share: Share = 1.0
     late_s: Seconds = 0.0
 
 
-class CounterSilent(_Fault, frozen=True, tag="keeper_silent"):
+class CounterSilent(BaseFault, frozen=True, tag="keeper_silent"):
     pass
 
 
-class CounterSlow(_Fault, frozen=True, tag="keeper_slow"):
+class CounterSlow(BaseFault, frozen=True, tag="keeper_slow"):
     times: Annotated[float, Meta(ge=1, le=1000)] = 5.0
 
 
-class CounterEmpty(_Fault, frozen=True, tag="keeper_empty"):
+class CounterEmpty(BaseFault, frozen=True, tag="keeper_empty"):
     """It forgets all; `for_s` it is silent before."""
 
 
-class CounterSplit(_Fault, frozen=True, tag="keeper_split"):
+class CounterSplit(BaseFault, frozen=True, tag="keeper_split"):
     """Two instances for a time, each with half of the gatekeepers; the first one's numbers stay."""
 
 
-class ListLate(_Fault, frozen=True, tag="list_late"):
+class ListLate(BaseFault, frozen=True, tag="list_late"):
     by_s: Seconds = 5.0
 
 
-class TrafficShift(_Fault, frozen=True, tag="traffic_shift"):
+class TrafficShift(BaseFault, frozen=True, tag="traffic_shift"):
     """Traffic that comes through the other gatekeepers falls to `to` of it; the sets stay."""
 
     zone: str = ""
     to: Share = 0.2
 
 
-class HotCustomer(_Fault, frozen=True, tag="hot_customer"):
+class HotCustomer(BaseFault, frozen=True, tag="hot_customer"):
     """One customer asks for this share of the whole load beside its own."""
 
     share: Share = 0.15
 
 
-class RetryStorm(_Fault, frozen=True, tag="retry_storm"):
+class RetryStorm(BaseFault, frozen=True, tag="retry_storm"):
     """Clients ask again so often, without a pause and without heeding advice."""
 
     retries: Annotated[int, Meta(ge=1, le=20)] = 6
@@ -302,7 +300,7 @@
     MessageLoss | CounterSilent | CounterSlow | CounterEmpty | CounterSplit | ListLate | TrafficShift |
     HotCustomer | RetryStorm
 )  # fmt: skip
-FAULTS: tuple[type[_Fault], ...] = typing.get_args(Fault)
+FAULTS: tuple[type[BaseFault], ...] = typing.get_args(Fault)
 
 
 class Scenario(_Part, frozen=True):
@@ -346,36 +344,6 @@
     return (scenario.load.part or 0.0) * done / mean_work(scenario)
 
 
-def load(path: str | Path, sets: typing.Sequence[str] = ()) -> Scenario:
-    """Reads a scenario; `sets` are changes to it, KEY=VALUE with a dotted key and a TOML value.
-
-    Raises ScenarioError.
-    """
-    try:
-        tree = tomllib.loads(Path(path).read_text(encoding="utf-8"))
-    except OSError as error:
-        raise ScenarioError(f"{path}: {error.strerror}") from error
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
-        raise ScenarioError(f"{path}: not TOML: {error}") from error
-    for change in sets:
-        put(tree, change)
-    return read(tree, str(path))
-
-
-def read(tree: dict[str, Any], where: str = "scenario") -> Scenario:
-    version = tree.get("version")
-    if version != VERSION:
-        said = "is missing" if version is None else f"cannot be {version!r}"
-        raise ScenarioError(f"{where}: version {said}; this program reads version {VERSION}")
-    try:
-        scenario = msgspec.convert(tree, Scenario)
-    except msgspec.ValidationError as error:
-        raise ScenarioError(f"{where}: {explain(str(error), tree)}") from error
-    if fault := inconsistency(scenario):
-        raise ScenarioError(f"{where}: {fault}")
-    return scenario
-
-
 def inconsistency(s: Scenario) -> str:
     """What each field alone could not show; empty where there is nothing."""
     if (s.load.part is None) == (s.load.rate is None):
@@ -416,62 +384,5 @@
     return ""
 
 
-AT = re.compile(r"(.*?)(?: - at `\$\.?(.*)`)?$", re.DOTALL)
-
-
-def explain(message: str, tree: dict[str, Any]) -> str:
-    """msgspec's word on what is wrong, with the key first and what is allowed there."""
-    found = AT.match(message)
-    what, path = (found.group(1), found.group(2) or "") if found else (message, "")
-    path = re.sub(r"\[(\d+)\]", r".\1", path).strip(".")
-    if unknown := re.search(r"unknown field `(.*)`", what):
-        name = unknown.group(1)
-        allowed = fields_at(path, tree)
-        near = difflib.get_close_matches(name, allowed, 1)
-        hint = f"; did you mean {near[0]}?" if near else f"; there are {', '.join(allowed)}"
-        return f"{path + '.' if path else ''}{name}: not known{hint}"
-    if path.startswith("faults.") and (path.endswith(".kind") or "`kind`" in what):
-        kinds = sorted(str(f.__struct_config__.tag) for f in FAULTS)
-        return f"{path}: {what}; there are {', '.join(kinds)}"
-    return f"{path or 'scenario'}: {what}"
-
-
-def fields_at(path: str, tree: dict[str, Any]) -> list[str]:
-    kind: Any = Scenario
-    here: Any = tree
-    for step in path.split(".") if path else ():
-        if step.isdigit():
-            here = here[int(step)] if isinstance(here, list) and int(step) < len(here) else {}
-            if kind is Fault:
-                tags = {f.__struct_config__.tag: f for f in FAULTS}
-                kind = tags.get(here.get("kind") if isinstance(here, dict) else None, _Fault)
-            continue
-        hints = typing.get_type_hints(kind)
-        kind = hints.get(step, Scenario)
-        if typing.get_origin(kind) is tuple:
-            kind = typing.get_args(kind)[0]
-        here = here.get(step, {}) if isinstance(here, dict) else {}
-    names = list(getattr(kind, "__struct_fields__", ()))
-    return sorted(names + (["kind"] if isinstance(kind, type) and issubclass(kind, _Fault) else []))
-
-
-def put(tree: dict[str, Any], change: str) -> None:
-    """One KEY=VALUE: the key dotted, with numbers into lists; the value as TOML, or else a text."""
-    key, equals, text = change.partition("=")
-    if not equals or not key:
-        raise ScenarioError(f"--set {change}: not KEY=VALUE")
-    try:
-        value = tomllib.loads(f"v = {text}")["v"]
-    except tomllib.TOMLDecodeError:
-        value = text
-    steps, here = key.strip().split("."), tree
-    try:
-        for step in steps[:-1]:
-            here = here[int(step)] if isinstance(here, list) else here.setdefault(step, {})
-        here[int(steps[-1]) if isinstance(here, list) else steps[-1]] = value
-    except (ValueError, IndexError, TypeError, AttributeError) as error:
-        raise ScenarioError(f"--set {key}: there is no such place") from error
-
-
 def json_schema() -> dict[str, Any]:
     return msgspec.json.schema(Scenario)
--- a/tests/lab/scenarios.py
+++ b/tests/lab/scenarios.py
@@ -2,7 +2,7 @@
 
 from typing import Any
 
-from pewterring.lab import schema
+from pewterring.lab import scenario_file, schema
 from pewterring.lab.account import Result
 from pewterring.lab.faults import prepare
 from pewterring.lab.world import World
@@ -41,7 +41,7 @@
             tree[key] |= value
         else:
             tree[key] = value
-    return schema.read(tree)
+    return scenario_file.read(tree)
 
 
 def play(scenario: schema.Scenario, seed: int = 1, policy: str = "") -> tuple[Result, World]:
--- a/tests/lab/test_schema.py
+++ b/tests/lab/test_schema.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from pewterring.lab import schema
+from pewterring.lab import scenario_file, schema
 
 EXAMPLES = sorted((Path(__file__).resolve().parents[2] / "examples" / "lab").glob("*.toml"))
 HEAD = 'version = 1\n[[classes]]\nname = "c"\n[[plans]]\nname = "p"\n'
@@ -12,7 +12,7 @@
 
 @pytest.mark.parametrize("path", EXAMPLES, ids=lambda p: p.stem)
 def test_examples_can_be_read(path: Path) -> None:
-    assert schema.load(path).name == path.stem
+    assert scenario_file.load(path).name == path.stem
 
 
 WRONG = {
@@ -42,7 +42,7 @@
     path = tmp_path / "s.toml"
     path.write_text(text)
     with pytest.raises(schema.ScenarioError) as error:
-        schema.load(path)
+        scenario_file.load(path)
     assert str(error.value).startswith(str(path)) and WRONG[text] in str(error.value)
     assert "\n" not in str(error.value)
 
@@ -50,10 +50,10 @@
 def test_sets_change_a_scenario(tmp_path: Path) -> None:
     path = tmp_path / "s.toml"
     path.write_text(HEAD + '[[faults]]\nkind = "kill"\nat_s = 1')
-    s = schema.load(path, ["workers.count=9", "faults.0.at_s=2.5", "name=other", "load.part=0.7"])
+    s = scenario_file.load(path, ["workers.count=9", "faults.0.at_s=2.5", "name=other", "load.part=0.7"])
     assert (s.workers.count, s.faults[0].at_s, s.name, s.load.part) == (9, 2.5, "other", 0.7)
     for wrong in ("workers.count", "faults.7.at_s=1", "workers.count=many"):
         with pytest.raises(schema.ScenarioError):
-            schema.load(path, [wrong])
+            scenario_file.load(path, [wrong])
     with pytest.raises(schema.ScenarioError, match="No such file"):
-        schema.load(tmp_path / "none.toml")
+        scenario_file.load(tmp_path / "none.toml")
--- a/tests/lab/test_tools.py
+++ b/tests/lab/test_tools.py
@@ -8,7 +8,7 @@
 import pytest
 
 from pewterring.__main__ import main
-from pewterring.lab import experiment, hunt, schema
+from pewterring.lab import experiment, hunt, scenario_file, schema
 from pewterring.lab.policies import POLICIES
 from tests.lab.scenarios import small
 from tests.lab.test_rules import Glib
@@ -29,7 +29,7 @@
         drawn = hunt.draw(small(), seed)
         path = tmp_path / f"{seed}.toml"
         path.write_text(hunt.to_toml(drawn))
-        assert schema.load(path) == drawn
+        assert scenario_file.load(path) == drawn
 
 
 def test_a_sweep_goes_on_where_it_was_interrupted(scenario: str, tmp_path: Path) -> None:
@@ -90,7 +90,7 @@
 
 
 def test_a_few_random_scenarios_break_nothing() -> None:
-    base = schema.load(EXAMPLES / "calm.toml")
+    base = scenario_file.load(EXAMPLES / "calm.toml")
     for seed in range(100, 108):
         assert hunt.breaks(hunt.draw(base, seed)) == (0, "")
 
