--- a/pewterring/choice.py
+++ b/pewterring/choice.py
@@ -1,5 +1,5 @@
 """Every decision of a gatekeeper. The types, events and actions are in pewterring/interface.py, what is
-remembered in pewterring/state.py, the bytes told to peers in pewterring/mail.py.
+remembered in pewterring/state.py, the bytes told to peers in pewterring/peer_messages.py.
 
 The ordinary path is docs/design.md's: a customer's quota (Quota), a slot below min(share, local limit) of the
 inferred ceiling (Ceiling, Shares), then the server with the least expected wait (Fleet). Nothing queues here.
