--- a/pewterring/consensus/replication.py
+++ b/pewterring/consensus/replication.py
@@ -137,14 +137,16 @@
                 peer.sent(entries[-1].index, size)
 
     def _flush_snapshot(self, peer: Peer, now: float, round_number: int, outgoing: Outgoing) -> None:
-        if peer.transfer is None or peer.transfer.waiting:
-            return
-        outgoing.append(self._part(peer, peer.transfer, round_number))
-        peer.transfer.sent(now)
-
-    def _part(self, peer: Peer, transfer: SnapshotTransfer, round_number: int) -> SnapshotPart:
+        transfer = peer.transfer
+        while transfer is not None and (part := transfer.next_part(self._limits)) is not None:
+            offset, data = part
+            outgoing.append(self._part(peer, transfer, offset, data, round_number))
+            transfer.sent_part(len(data), now, round_number)
+
+    def _part(
+        self, peer: Peer, transfer: SnapshotTransfer, offset: int, data: bytes, round_number: int
+    ) -> SnapshotPart:
         snapshot = transfer.snapshot
-        end = transfer.received + self._limits.snapshot_part_bytes
         return SnapshotPart(
             group=self._group,
             sender=self._member,
@@ -153,10 +155,10 @@
             last_index=snapshot.index,
             last_term=snapshot.term,
             membership=snapshot.membership,
-            offset=transfer.received,
+            offset=offset,
             total=len(snapshot.data),
             checksum=transfer.checksum,
-            data=snapshot.data[transfer.received : end],
+            data=data,
             round=round_number,
         )
 
@@ -166,6 +168,8 @@
         if peer is None:
             return False
         peer.silent = False
+        if peer.transfer is not None:
+            peer.transfer.heard(reply.round)
         if not reply.accepted:
             if peer.flow is not Flow.SNAPSHOT:
                 peer.probe(min(reply.match + 1, peer.next_index))
@@ -210,7 +214,7 @@
         """Sends parts of snapshots again that were not answered in `patience_s`."""
         for peer in self.peers.values():
             if peer.transfer is not None:
-                peer.transfer.retry_after(now, patience_s)
+                peer.transfer.retry_after(now, patience_s, self._limits)
 
     def give_up(self, name: str) -> None:
         """The member is silent: what is on the way to it counts as lost.
@@ -223,7 +227,7 @@
             return
         peer.silent = True
         if peer.transfer is not None:
-            peer.transfer.waiting = False
+            peer.transfer.go_back()
         else:
             peer.probe(peer.match + 1 if peer.flow is not Flow.PROBE else peer.next_index)
 
--- a/pewterring/consensus/transfer.py
+++ b/pewterring/consensus/transfer.py
@@ -5,44 +5,96 @@
 from math import inf
 
 from pewterring.consensus.messages import SnapshotPart
-from pewterring.consensus.types import Snapshot
+from pewterring.consensus.types import RaftLimits, Snapshot
+
+MOST_AHEAD_BYTES = 4_000_000  # how far behind a missing part others are kept; a leader's window is smaller
 
 
 @dataclass(slots=True)
 class SnapshotTransfer:
-    """The leader's side: one part at a time is under way, from `received` on."""
+    """The leader's side: some parts are on the way at a time, from `received` on.
+
+    After a loss it goes back to what the member has (go-back-N). What the member has kept of the parts
+    behind a lost one it tells as soon as that one came.
+    """
 
     snapshot: Snapshot
     checksum: int
     received: int = 0  # bytes that the member said it has
+    sent: int = 0  # bytes up to which parts were sent
     waiting: bool = False  # a part was sent and not answered
-    part_sent_at: float = -inf
+    idle_since: float = -inf  # when a part was sent last, or an answer told something new
+    round: int = 0  # in which the last part was sent
+    overtaken: bool = False  # a heartbeat was answered that was sent after the last part
+    _advanced: bool = False  # since `idle_since`
+    _told: int = 0  # bytes by the answer that came last, which may be an old one
 
     @classmethod
     def begin(cls, snapshot: Snapshot) -> "SnapshotTransfer":
         """A transfer of which nothing was sent."""
         return cls(snapshot, zlib.crc32(snapshot.data))
 
-    def sent(self, now: float) -> None:
-        """Takes note that the part from `received` on was sent."""
+    def next_part(self, limits: RaftLimits) -> tuple[int, bytes] | None:
+        """Offset and bytes of the next part; None where no part may be sent now."""
+        if self.waiting and not self._may_follow(limits):
+            return None
+        return self.sent, self.snapshot.data[self.sent : self.sent + limits.snapshot_part_bytes]
+
+    def _may_follow(self, limits: RaftLimits) -> bool:
+        """Whether a part may be sent behind others; the first goes alone, as it begins the assembly."""
+        window_bytes = limits.snapshot_parts_in_flight * limits.snapshot_part_bytes
+        in_flight = self.sent - self.received
+        return self.received > 0 and self.sent < len(self.snapshot.data) and in_flight < window_bytes
+
+    def sent_part(self, size: int, now: float, round_number: int) -> None:
+        """Takes note that the next part, of `size` bytes, was sent."""
+        self.sent += size
         self.waiting = True
-        self.part_sent_at = now
+        self.idle_since = now
+        self._advanced = False
+        self.round = round_number
+        self.overtaken = False
+
+    def heard(self, round_number: int) -> None:
+        """The member answered a heartbeat of that round."""
+        self.overtaken = self.overtaken or round_number > self.round
 
-    def retry_after(self, now: float, patience_s: float) -> None:
-        """Has a part sent again that was not answered in `patience_s`."""
-        if now - self.part_sent_at > patience_s:
-            self.waiting = False
+    def retry_after(self, now: float, patience_s: float, limits: RaftLimits) -> None:
+        """Goes back where parts were not answered in `patience_s`, each in its own.
+
+        Messages keep their order on a link, so an answer to a later heartbeat shows at once that the parts
+        are not merely waiting in it. A member that is only slow is sent nothing twice.
+        """
+        if self._advanced:
+            self._advanced = False
+            self.idle_since = now
+        patience_s *= 1 if self.overtaken else limits.snapshot_parts_in_flight
+        if self.waiting and now - self.idle_since > patience_s:
+            self.go_back()
+
+    def go_back(self) -> None:
+        """What is on the way counts as lost: goes on from what the member said last."""
+        self.received = self.sent = self._told
+        self.waiting = False
 
     def acknowledge(self, received: int) -> bool:
         """Takes an answer; True if the member has all.
 
-        An answer that tells nothing new does not send the part once more: a part that was sent twice is
-        answered twice, and each answer would double all parts after it.
+        An answer that tells nothing new does not send parts once more: a part that was sent twice is
+        answered twice, and each answer would double all parts after it. What a member has becomes less
+        only by beginning anew, at nothing; an answer with less, but something, is one that came late.
         """
-        if received != self.received:
-            self.received = min(received, len(self.snapshot.data))
-            self.waiting = False
-        return received >= len(self.snapshot.data)
+        self._told = min(received, len(self.snapshot.data))
+        if received >= len(self.snapshot.data):
+            return True
+        if received > self.received:
+            self.received = received
+            self.sent = max(self.sent, received)
+            self.waiting = self.sent > received
+            self._advanced = True
+        elif not received and self.received:
+            self.go_back()
+        return False
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,6 +114,7 @@
         self._id: _SnapshotId | None = None
         self._sent_in = 0  # the term of the leader that sends it
         self._data = bytearray()
+        self._ahead: dict[int, bytes] = {}  # by offset: parts that came before one that they follow
 
     def add(self, part: SnapshotPart) -> int:
         """Takes a part and returns how many bytes of its snapshot are there.
@@ -74,15 +127,21 @@
             if part.offset or self._is_older(part):
                 return 0
             self._begin(snapshot_id, part.term)
-        if part.offset == len(self._data):
-            self._data += part.data
+        if 0 <= part.offset - len(self._data) <= MOST_AHEAD_BYTES:
+            self._ahead[part.offset] = part.data
+            self._join()
         return len(self._data)
 
+    def _join(self) -> None:
+        while data := self._ahead.pop(len(self._data), b""):
+            self._data += data
+        self._ahead = {offset: data for offset, data in self._ahead.items() if offset > len(self._data)}
+
     def take_whole(self, part: SnapshotPart) -> Snapshot | None:
         """The snapshot whose last part was added, or None where its bytes are not as sent; starts afresh."""
         data = bytes(self._data)
         self._id = None
-        self._data = bytearray()
+        self._forget()
         if zlib.crc32(data) != part.checksum:
             return None
         return Snapshot(part.last_index, part.last_term, part.membership, data)
@@ -93,4 +152,8 @@
     def _begin(self, snapshot_id: _SnapshotId, sent_in: int) -> None:
         self._id = snapshot_id
         self._sent_in = sent_in
+        self._forget()
+
+    def _forget(self) -> None:
         self._data = bytearray()
+        self._ahead = {}
--- a/pewterring/consensus/types.py
+++ b/pewterring/consensus/types.py
@@ -40,7 +40,8 @@
     message_bytes: int = 250_000  # entries in one message
     window_bytes: int = 1_000_000  # heartbeats wait behind it: half a second on a link or processor of 2 MB/s
     window_messages: int = 32
-    snapshot_part_bytes: int = 256 * 1024
+    snapshot_part_bytes: int = 256 * 1024  # small, so that a heartbeat gets in between
+    snapshot_parts_in_flight: int = 4  # together about as many bytes as the window has
     kept_bytes: int = 4_000_000  # entries kept in memory behind a snapshot, for members that lag a little
     kept_for_snapshots_bytes: int = 16_000_000  # the same while an older snapshot is sent, however slowly
 
--- a/tests/consensus/breakages.py
+++ b/tests/consensus/breakages.py
@@ -15,6 +15,8 @@
     VoteRequest,
 )
 from pewterring.consensus.raft import Raft
+from pewterring.consensus.replication import Replication
+from pewterring.consensus.state import MemberState
 from pewterring.consensus.transfer import SnapshotAssembly
 from pewterring.consensus.types import ReadTicket, Ready, Save, Snapshot
 
@@ -221,6 +223,38 @@
         self._following._assembly = _MixesParts()
 
 
+class _IgnoresGaps(SnapshotAssembly):
+    def add(self, part: SnapshotPart) -> int:
+        following = msgspec.structs.replace(part, offset=len(self._data) if part.offset else 0)
+        return super().add(following)
+
+
+class PartsWithGaps(Raft):
+    """Appends each part of a snapshot to those before, whether or not one between them was lost."""
+
+    def __init__(self, *arguments: object) -> None:
+        super().__init__(*arguments)  # type: ignore[arg-type]
+        self._following._assembly = _IgnoresGaps()
+
+
+class _NeverGoesBack(Replication):
+    def retry_lost(self, now: float, patience_s: float) -> None:
+        pass
+
+
+class _GoesOnBehindLosses(Leading):
+    def __init__(self, state: MemberState, now: float) -> None:
+        super().__init__(state, now)
+        self._replication.__class__ = _NeverGoesBack
+
+
+class GoesOnBehindLosses(Raft):
+    """Takes each part of a snapshot that was sent to a member that lives for one that will arrive."""
+
+    def _begin_leading(self, now: float) -> Leading:
+        return _GoesOnBehindLosses(self._state, now)
+
+
 class CompactedIsSaved(Raft):
     """Takes all entries for saved once a snapshot of some of them is on disk."""
 
@@ -246,5 +280,7 @@
     StepsDownAtOnce,
     SnapshotOverNewer,
     PartsOfTwoSnapshots,
+    PartsWithGaps,
+    GoesOnBehindLosses,
     CompactedIsSaved,
 )
--- a/tests/consensus/scenarios.py
+++ b/tests/consensus/scenarios.py
@@ -7,6 +7,8 @@
 
 NEVER_S = 1000.0
 CUT_S = 20.0
+WHOLE_S = 5.0  # for a snapshot of which one part is lost
+SNAPSHOT_PARTS = 8  # at least, of those that members need here
 AT_ONCE_S = 0.15  # far below the shortest election time-out
 
 
@@ -246,6 +248,21 @@
     simulation.check_converges()
 
 
+def part_lost_amid_window(seed: int, raft_class: type[Raft]) -> None:
+    """One part of a snapshot is lost, while others are on the way behind it; each in its turn."""
+    for lost in range(SNAPSHOT_PARTS):
+        simulation, _, _, away = _needs_snapshot(seed, raft_class)
+        parts: list[SnapshotPart] = []
+        simulation.drops = lambda message, parts=parts, lost=lost: (  # type: ignore[misc]
+            _record(message, parts) or (isinstance(message, SnapshotPart) and len(parts) == lost + 1)
+        )
+        simulation.start(away)
+        disk = simulation.members[away].disk
+        if not simulation.run_while(lambda disk=disk: disk.snapshot_index == 0, WHOLE_S):  # type: ignore[misc]
+            raise Violation(f"{away} has no snapshot {WHOLE_S} s after one part was lost")
+        simulation.check_converges()
+
+
 def _is_entry(message: ConsensusMessage) -> bool:
     return isinstance(message, AppendRequest) and bool(message.entries)
 
--- a/tests/consensus/test_breakages.py
+++ b/tests/consensus/test_breakages.py
@@ -28,6 +28,8 @@
     (scenarios.back_in_a_later_term, breakages.StepsDownAtOnce),
     (scenarios.late_snapshot, breakages.SnapshotOverNewer),
     (scenarios.leader_lost_amid_snapshot, breakages.PartsOfTwoSnapshots),
+    (scenarios.part_lost_amid_window, breakages.PartsWithGaps),
+    (scenarios.part_lost_amid_window, breakages.GoesOnBehindLosses),
     (scenarios.power_lost_after_snapshot, breakages.CompactedIsSaved),
 ]
 
--- a/tests/consensus/test_transfer.py
+++ b/tests/consensus/test_transfer.py
@@ -1,11 +1,16 @@
 """Snapshots on their way: parts do not mix, and neither silence nor compaction sends one for ever."""
 
+import dataclasses
+import itertools
 import random
 import zlib
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import msgspec
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from pewterring.consensus.log import Log
 from pewterring.consensus.messages import (
@@ -17,13 +22,15 @@
     SnapshotReply,
 )
 from pewterring.consensus.replication import Flow, Replication
-from pewterring.consensus.transfer import SnapshotAssembly
+from pewterring.consensus.transfer import MOST_AHEAD_BYTES, SnapshotAssembly
 from pewterring.consensus.types import RaftLimits, Snapshot
-from tests.consensus.parts import LIMITS
+from tests.consensus.parts import LIMITS, Weather
 from tests.consensus.simulation import Simulation
 
 MEMBERS = Membership(voters=("a", "b", "c"))
 PART_BYTES = 10
+WINDOW = RaftLimits().snapshot_parts_in_flight
+PATIENCE_S = 0.4
 
 
 def part(data: bytes, offset: int, index: int = 7, sent_in: int = 3) -> SnapshotPart:
@@ -110,9 +117,9 @@
     now: float = 0.0
 
     @classmethod
-    def begin(cls) -> "Sending":
+    def begin(cls, parts_in_flight: int = 1) -> "Sending":
         log = Log(100, 1)
-        limits = RaftLimits(snapshot_part_bytes=PART_BYTES)
+        limits = RaftLimits(snapshot_part_bytes=PART_BYTES, snapshot_parts_in_flight=parts_in_flight)
         replication = Replication("g", "a", 1, log, limits)
         replication.set_members(("a", "b"))
         sending = cls(replication, log, NEW * 3)
@@ -121,10 +128,12 @@
         replication.offer_snapshot(Snapshot(100, 1, MEMBERS, sending.data))
         return sending
 
-    def hear(self, accepted: bool = True) -> None:
+    def hear(self, accepted: bool = True, round_number: int = 1) -> None:
         """The member answers a heartbeat, having nothing."""
         self.replication.on_append_reply(
-            AppendReply(group="g", sender="b", target="a", term=1, accepted=accepted, match=0, round=1)
+            AppendReply(
+                group="g", sender="b", target="a", term=1, accepted=accepted, match=0, round=round_number
+            )
         )
 
     def answer(self, received: int) -> None:
@@ -136,8 +145,17 @@
 
     def parts(self) -> list[int]:
         """Offsets of the parts that are sent now."""
+        return [message.offset for message in self.messages()]
+
+    def messages(self) -> list[SnapshotPart]:
+        """The parts that are sent now."""
         outgoing = self.replication.flush(self.now, 1, 100)
-        return [message.offset for message in outgoing if isinstance(message, SnapshotPart)]
+        return [message for message in outgoing if isinstance(message, SnapshotPart)]
+
+    @property
+    def is_over(self) -> bool:
+        """Whether the leader knows that the member has all."""
+        return self.replication.peers["b"].match == 100
 
 
 def test_an_answer_that_comes_twice_sends_one_part() -> None:
@@ -185,6 +203,250 @@
     assert sending.replication.peers["b"].flow is Flow.SNAPSHOT
 
 
+def offsets(*parts: int) -> list[int]:
+    return [number * PART_BYTES for number in parts]
+
+
+def _with_a_window() -> tuple[Sending, SnapshotAssembly, list[SnapshotPart]]:
+    """A member that has the first part, and the window of parts that is on the way to it."""
+    sending = Sending.begin(WINDOW)
+    assembly = SnapshotAssembly()
+    (first,) = sending.messages()
+    sending.answer(assembly.add(first))
+    window = sending.messages()
+    assert [part.offset for part in window] == offsets(1, 2, 3, 4)
+    return sending, assembly, window
+
+
+def _finish(sending: Sending, assembly: SnapshotAssembly) -> None:
+    """All further parts come in order, and their answers."""
+    for _ in range(100):
+        for message in sending.messages():
+            received = assembly.add(message)
+            if received == message.total:
+                snapshot = assembly.take_whole(message)
+                assert snapshot is not None and snapshot.data == sending.data
+            sending.answer(received)
+        if sending.is_over:
+            return
+    raise AssertionError("the snapshot never came")
+
+
+def test_a_window_of_parts_is_on_the_way() -> None:
+    sending, assembly, window = _with_a_window()
+    assert sending.parts() == []
+    for number, message in enumerate(window):
+        sending.answer(assembly.add(message))
+        assert sending.parts() == offsets(5 + number)
+
+
+def test_a_member_that_is_only_slow_is_sent_nothing_twice() -> None:
+    """Each part takes longer than a leader waits for one, and heartbeats wait behind the parts."""
+    sending, _, _ = _with_a_window()
+    sent = offsets(0, 1, 2, 3, 4)
+    for received in range(2, len(sending.data) // PART_BYTES + 1):
+        sending.now += 3 * PATIENCE_S
+        sending.replication.retry_lost(sending.now, PATIENCE_S)
+        sending.hear(round_number=1)
+        sending.answer(received * PART_BYTES)
+        sent += sending.parts()
+    assert sent == offsets(*range(-(-len(sending.data) // PART_BYTES)))
+
+
+def test_parts_that_a_later_heartbeat_overtook_are_lost() -> None:
+    sending, _, window = _with_a_window()
+    sending.hear(round_number=2)
+    sending.replication.retry_lost(sending.now, PATIENCE_S)
+    assert sending.parts() == []
+    sending.now += 1.1 * PATIENCE_S
+    sending.replication.retry_lost(sending.now, PATIENCE_S)
+    assert sending.parts() == [part.offset for part in window]
+
+
+def test_parts_of_which_nothing_is_heard_are_lost_after_the_time_of_all() -> None:
+    sending, _, window = _with_a_window()
+    sending.now += 0.9 * WINDOW * PATIENCE_S
+    sending.replication.retry_lost(sending.now, PATIENCE_S)
+    assert sending.parts() == []
+    sending.now += 0.2 * WINDOW * PATIENCE_S
+    sending.replication.retry_lost(sending.now, PATIENCE_S)
+    assert sending.parts() == [part.offset for part in window]
+
+
+@pytest.mark.parametrize("lost", range(WINDOW))
+def test_a_part_that_is_lost_comes_again(lost: int) -> None:
+    """The parts behind it are kept, so the next answer tells all of the window."""
+    sending, assembly, window = _with_a_window()
+    for number, message in enumerate(window):
+        if number != lost:
+            sending.answer(assembly.add(message))
+    following = sending.messages()
+    assert len(following) == lost
+    sending.hear(round_number=2)
+    sending.now += 1.1 * PATIENCE_S
+    sending.replication.retry_lost(sending.now, PATIENCE_S)
+    again = sending.messages()
+    assert again[0].offset == window[lost].offset
+    assert assembly.add(again[0]) == window[-1].offset + PART_BYTES
+    for message in (*again, *following):
+        sending.answer(assembly.add(message))
+    _finish(sending, assembly)
+
+
+@pytest.mark.parametrize("order", list(itertools.permutations(range(WINDOW))))
+def test_parts_and_answers_in_any_order_send_nothing_twice(order: tuple[int, ...]) -> None:
+    sending, assembly, window = _with_a_window()
+    answers = [assembly.add(window[number]) for number in order]
+    sent = [part.offset for part in window]
+    for number in order:
+        sending.answer(answers[number])
+        sending.answer(answers[number])
+        sent += sending.parts()
+    assert sent == offsets(*range(1, 9))
+
+
+def test_a_member_that_begins_anew_amid_the_window_is_sent_the_first_part_once() -> None:
+    """All parts that are on the way are answered with nothing."""
+    sending, _, window = _with_a_window()
+    anew = SnapshotAssembly()
+    sent = []
+    for message in window:
+        sending.answer(anew.add(message))
+        sent += sending.parts()
+    assert sent == [0]
+    sending.now += 2 * PATIENCE_S
+    sending.hear(round_number=2)
+    sending.replication.retry_lost(sending.now, PATIENCE_S)
+    _finish(sending, anew)
+
+
+def test_an_answer_of_before_the_member_began_anew_is_overcome() -> None:
+    """It tells more than the member has, and the answers that tell less look late."""
+    sending, assembly, window = _with_a_window()
+    old = [assembly.add(message) for message in window]
+    anew = SnapshotAssembly()
+    sending.answer(anew.add(window[0]))
+    (first,) = sending.messages()
+    sending.answer(anew.add(first))
+    sending.messages()
+    sending.answer(old[-1])
+    for round_number in range(2, 6):
+        for message in sending.messages():
+            sending.answer(anew.add(message))
+        sending.now += 2 * PATIENCE_S
+        sending.hear(round_number=round_number)
+        sending.replication.retry_lost(sending.now, PATIENCE_S)
+    _finish(sending, anew)
+
+
+def test_parts_far_ahead_are_not_kept() -> None:
+    assembly = SnapshotAssembly()
+    data = bytes(MOST_AHEAD_BYTES + 10 * PART_BYTES)
+    assembly.add(part(data, 0))
+    for offset in range(2 * PART_BYTES, len(data), PART_BYTES * 1000):
+        assembly.add(part(data, offset))
+    assembly.add(part(data, MOST_AHEAD_BYTES + 2 * PART_BYTES))
+    assert max(assembly._ahead) <= MOST_AHEAD_BYTES + PART_BYTES
+
+
+@dataclass
+class Lossy:
+    """A leader and a member; parts and answers on the way are lost, doubled and come in any order."""
+
+    sending: Sending
+    assembly: SnapshotAssembly = dataclasses.field(default_factory=SnapshotAssembly)
+    parts: list[SnapshotPart] = dataclasses.field(default_factory=list)
+    answers: list[int] = dataclasses.field(default_factory=list)
+    snapshot: Snapshot | None = None
+    round_number: int = 1
+
+    def send(self) -> None:
+        sent = self.sending.messages()
+        assert len(sent) <= WINDOW
+        self.parts += sent
+
+    def part_comes(self, position: int, is_doubled: bool) -> None:
+        if not self.parts:
+            return
+        message = self.parts[position % len(self.parts)]
+        if not is_doubled:
+            self.parts.remove(message)
+        self.answers.append(message.total if self.snapshot is not None else self._take(message))
+
+    def _take(self, message: SnapshotPart) -> int:
+        received = self.assembly.add(message)
+        if received < message.total:
+            return received
+        self.snapshot = self.assembly.take_whole(message)
+        return message.total if self.snapshot is not None else 0
+
+    def answer_comes(self, position: int, is_doubled: bool) -> None:
+        if not self.answers:
+            return
+        answer = self.answers[position % len(self.answers)]
+        if not is_doubled:
+            self.answers.remove(answer)
+        self.sending.answer(answer)
+
+    def part_is_lost(self, position: int, _: bool) -> None:
+        if self.parts:
+            del self.parts[position % len(self.parts)]
+
+    def answer_is_lost(self, position: int, _: bool) -> None:
+        if self.answers:
+            del self.answers[position % len(self.answers)]
+
+    def time_passes(self, position: int, is_heard: bool) -> None:
+        self.sending.now += position / 4
+        self.round_number += 1
+        if is_heard:
+            self.sending.hear(round_number=self.round_number)
+        self.sending.replication.retry_lost(self.sending.now, PATIENCE_S)
+
+    def falls_silent(self, _: int, is_heard: bool) -> None:
+        self.sending.replication.give_up("b")
+        if is_heard:
+            self.sending.hear(round_number=self.round_number)
+
+    def begins_anew(self, _: int, __: bool) -> None:
+        if self.snapshot is None:
+            self.assembly = SnapshotAssembly()
+
+
+EVENTS = (
+    Lossy.part_comes,
+    Lossy.part_comes,
+    Lossy.answer_comes,
+    Lossy.answer_comes,
+    Lossy.part_is_lost,
+    Lossy.answer_is_lost,
+    Lossy.time_passes,
+    Lossy.falls_silent,
+    Lossy.begins_anew,
+)
+
+
+@settings(derandomize=True, deadline=None)
+@given(st.lists(st.tuples(st.sampled_from(EVENTS), st.integers(0, 8), st.booleans()), max_size=60))
+def test_a_snapshot_comes_whole_whatever_became_of_parts_and_answers(
+    events: list[tuple[Callable[[Lossy, int, bool], None], int, bool]],
+) -> None:
+    lossy = Lossy(Sending.begin(WINDOW))
+    for event, position, flag in events:
+        lossy.send()
+        event(lossy, position, flag)
+        assert not lossy.sending.is_over or lossy.snapshot is not None
+    for _ in range(30):
+        lossy.send()
+        while lossy.parts or lossy.answers:
+            lossy.part_comes(0, False)
+            lossy.answer_comes(0, False)
+            lossy.send()
+        lossy.time_passes(8, True)
+    assert lossy.sending.is_over
+    assert lossy.snapshot is not None and lossy.snapshot.data == lossy.sending.data
+
+
 def _leader_and_away(simulation: Simulation, changes: int) -> tuple[str, str]:
     """A leader, and a member that was away during so many changes."""
     simulation.run_until(lambda: simulation.leader() is not None and simulation.leader_raft().leads_committed)
@@ -256,3 +518,47 @@
     bound = LIMITS.kept_for_snapshots_bytes + 40 * 150  # and what comes until the next snapshot
     assert longest < bound
     simulation.check_converges()
+
+
+@pytest.mark.parametrize("count", range(1, 10))
+def test_a_leader_that_goes_amid_the_window_mixes_nothing(count: int) -> None:
+    """With so many parts sent; those of the old leader come as late as those of the next."""
+    simulation = Simulation(count)
+    leader, away = _leader_and_away(simulation, 60)
+    parts: list[SnapshotPart] = []
+
+    def is_kept_back(message: ConsensusMessage) -> bool:
+        if isinstance(message, SnapshotPart) and message.sender == leader:
+            parts.append(message)
+        return False
+
+    simulation.drops = is_kept_back
+    simulation.start(away)
+    simulation.run_until(lambda: len(parts) >= count)
+    simulation.crash(leader)
+    simulation.run_until(lambda: simulation.leader() not in (None, leader))
+    for late in parts:
+        simulation.deliver_again(late)
+        simulation.run(0.002)
+    simulation.run(2.0)
+    assert simulation.members[away].disk.snapshot_index > 0
+    simulation.check_converges()
+
+
+def test_a_snapshot_takes_fewer_journeys_than_it_has_parts() -> None:
+    simulation = Simulation(1)
+    _, away = _leader_and_away(simulation, 300)
+    journey_s = 0.2
+    simulation.weather = Weather(delay_s=(journey_s / 2, journey_s / 2))
+    parts: list[int] = []
+
+    def is_lost(message: ConsensusMessage) -> bool:
+        if isinstance(message, SnapshotPart):
+            parts.append(message.offset)
+        return False
+
+    simulation.drops = is_lost
+    simulation.start(away)
+    began = simulation.now
+    simulation.run_until(lambda: simulation.members[away].disk.snapshot_index > 0)
+    assert simulation.now - began < len(parts) * journey_s / 2
