Batch: jobs taken up to a state that is copied within half of catch_up_s

Cause: nothing bounded a partition's state by the time that a new member needs to copy it. A store of 500 MB and 340 MB of memory took 102 MB, whose copy takes longer than half of catch_up_s.

Change: `limits.copy_mb_per_s`, optional: jobs are taken up to what is copied at that rate in three eighths of catch_up_s, and refused as where disk or memory are short. Without it nothing changes, and a disk of 110 MB keeps its 40 MB with 23 MB/s or more.

In tests/batch/test_capacity.py calls take the limits as one value; what is asserted is unchanged, and two tests of the rate are new.

--- a/benchmarks/redundancy.py
+++ b/benchmarks/redundancy.py
@@ -2,14 +2,16 @@
 
     python -m benchmarks.redundancy [--kinds batch,control] [--tolerated 1,2] [--catch-up 4.8,6]
                                     [--cases wiped,wiped-leader,follower,leader] [--seeds 3]
-                                    [--disk-mb 110] [--memory-mb 320] [--share 0.645] [--link-mbit 600]
-                                    [--sync-ms 1] [--mb-per-s 120] [--rates 307,342,449,520]
+                                    [--disk-mb 110] [--memory-mb 320] [--copy-mb-per-s 0]
+                                    [--share 0.645] [--link-mbit 600] [--sync-ms 1]
+                                    [--mb-per-s 120] [--rates 307,342,449,520]
 
 Members run in virtual time on their real storage, over a disk in memory, and hand each other encoded
 messages; the planner of members looks at the group as the programs do. The clock counts what a disk, a link
 and a processor of the given speed would take: each message is encoded, sent, received and decoded, and the
 state is written and read, at the rates that this machine has (measured first, and printed), times `share`.
-Commands of 1 MB/s go on. A batch state is as large as a store of `disk-mb` and `memory-mb` takes. As many
+Commands of 1 MB/s go on. A batch state is as large as a store of `disk-mb` and `memory-mb` takes, and with
+`copy-mb-per-s` one that is told that rate and the shortest `catch-up`. As many
 machines as may be lost are lost at once, with `leader` the leader and followers, else followers. The `wiped`
 ones come back empty after half a second, and count from then; the others are gone for good, where there are
 as many spare machines, and count from the loss. `rates` are those that another run printed, in MB/s: what is
@@ -30,7 +32,7 @@
 import msgspec
 
 from pewterring.batch import commands as batch_commands
-from pewterring.batch.capacity import most_state_bytes
+from pewterring.batch.capacity import StoreLimits, most_state_bytes
 from pewterring.batch.messages import ItemSpec
 from pewterring.batch.program import MEMBERS_PERIOD_S
 from pewterring.batch.state import BatchState
@@ -498,7 +500,9 @@
 
 def _measure_kind(name: str, given: argparse.Namespace) -> None:
     kind = KINDS[name]
-    most_bytes = most_state_bytes(given.disk_mb, given.memory_mb)
+    shortest_s = min(float(bound) for bound in given.catch_up.split(","))
+    limits = StoreLimits(given.memory_mb, given.disk_mb, given.copy_mb_per_s, shortest_s)
+    most_bytes = most_state_bytes(limits)
     state = STATES[name](most_bytes - KEPT_JOBS * JOB_BYTES)
     speeds = speeds_here(kind, state, given)
     print(
@@ -536,6 +540,7 @@
     parser.add_argument("--seeds", type=int, default=3)
     parser.add_argument("--disk-mb", type=int, default=110)
     parser.add_argument("--memory-mb", type=int, default=320)
+    parser.add_argument("--copy-mb-per-s", type=float, default=0)
     parser.add_argument("--share", type=float, default=0.645, help="of this machine's processor")
     parser.add_argument("--link-mbit", type=float, default=600)
     parser.add_argument("--sync-ms", type=float, default=1)
--- a/pewterring/batch/capacity.py
+++ b/pewterring/batch/capacity.py
@@ -1,4 +1,6 @@
-"""How much a store's partition may hold before its disk or its memory cannot carry it."""
+"""How much a store's partition may hold: what its disk and memory carry, and what can be copied in time."""
+
+from dataclasses import dataclass
 
 from pewterring.consensus.group import SNAPSHOT_AFTER_MOST_BYTES, SNAPSHOT_SPREAD
 from pewterring.storage.group import SEGMENT_BYTES
@@ -9,16 +11,33 @@
 MEMORY_PART = 0.3  # the state; a snapshot of it being encoded or sent takes as much again
 # The log between two snapshots, with the segment that is being written.
 LOG_BYTES = int(SNAPSHOT_AFTER_MOST_BYTES * (1 + SNAPSHOT_SPREAD)) + SEGMENT_BYTES
+# Of the bound on catching up: a new member is to hold the state after half of it, and an eighth goes by until
+# tables tell of the new member and its copy begins, and from the last byte to its vote.
+COPY_PART = 0.375
+
+
+@dataclass(frozen=True, slots=True)
+class StoreLimits:
+    """What a store has, as its settings tell it. 0 is not told and sets no bound, but for the memory."""
+
+    memory_mb: int
+    disk_mb: int = 0
+    copy_mb_per_s: float = 0.0  # of state, to each of as many new members as losses are borne, all at once
+    catch_up_s: float = 0.0  # bound on the time that a new member takes to hold everything
 
 
-def most_state_bytes(disk_mb: int, memory_mb: int) -> int:
-    """Bytes of bodies and texts up to which jobs are taken. A `disk_mb` of 0 sets no bound.
+def most_state_bytes(limits: StoreLimits) -> int:
+    """Bytes of bodies and texts up to which jobs are taken.
 
-    Symptom answered: jobs must be kept for their clients however many come, and a member whose disk holds
-    neither its log nor the next snapshot can never make room again.
+    Symptoms answered: jobs must be kept for their clients however many come, and a member whose disk holds
+    neither its log nor the next snapshot can never make room again; a state that takes longer to copy than
+    the next loss takes to come is lost with it.
     """
-    by_memory = int(MEMORY_PART * memory_mb * BYTES_A_MEGABYTE)
-    if not disk_mb:
-        return by_memory
-    usable = int(USABLE_DISK_PART * disk_mb * BYTES_A_MEGABYTE) - LOG_BYTES
-    return max(0, min(by_memory, usable // SNAPSHOTS_ON_DISK))
+    bounds = [int(MEMORY_PART * limits.memory_mb * BYTES_A_MEGABYTE)]
+    if limits.disk_mb:
+        usable = int(USABLE_DISK_PART * limits.disk_mb * BYTES_A_MEGABYTE) - LOG_BYTES
+        bounds.append(usable // SNAPSHOTS_ON_DISK)
+    if limits.copy_mb_per_s:
+        copy_s = COPY_PART * limits.catch_up_s
+        bounds.append(int(copy_s * limits.copy_mb_per_s * BYTES_A_MEGABYTE))
+    return max(0, min(bounds))
--- a/pewterring/batch/partition.py
+++ b/pewterring/batch/partition.py
@@ -9,7 +9,7 @@
 
 from loguru import logger
 
-from pewterring.batch.capacity import BYTES_A_MEGABYTE, most_state_bytes
+from pewterring.batch.capacity import BYTES_A_MEGABYTE, StoreLimits, most_state_bytes
 from pewterring.batch.dispatch import Dispatcher
 from pewterring.batch.execution import ItemExecution, ItemRunner
 from pewterring.batch.group_log import GroupLog
@@ -93,7 +93,7 @@
             parts.clock,
             status_s=parts.settings.bounds.status_s,
             result_budget_bytes=int(parts.settings.memory_mb * BYTES_A_MEGABYTE * RESULT_BUDGET_PART),
-            most_state_bytes=most_state_bytes(parts.settings.disk_mb, parts.settings.memory_mb),
+            most_state_bytes=most_state_bytes(_limits(parts.settings)),
         )
 
     async def start(self, first_voters: Membership | None = None) -> None:
@@ -149,6 +149,12 @@
         return self._parts.confirmed_age(now) < FRESH_PART * min(bounds.config_s, bounds.drain_s)
 
 
+def _limits(settings: NodeSettings) -> StoreLimits:
+    return StoreLimits(
+        settings.memory_mb, settings.disk_mb, settings.copy_mb_per_s, settings.bounds.catch_up_s
+    )
+
+
 def status_of(group: ReplicatedGroup, now: float) -> GroupStatus | None:
     """What the leader reports of its group; None elsewhere.
 
--- a/pewterring/cli/node_settings.py
+++ b/pewterring/cli/node_settings.py
@@ -34,6 +34,7 @@
     "limits.max_fds": "file descriptors of the process",
     "limits.cpu_share": "processor time of the process",
     "limits.disk_mb": "room in data_dir; 0: not given",
+    "limits.copy_mb_per_s": "MB of state a second that a store copies to each of f new ones; 0: not given",
     "bounds.quota_overshoot": "part by which waiting tokens may pass a quota",
 }
 TYPES: Mapping[str, Mapping[str, object]] = {
--- a/pewterring/node/settings.py
+++ b/pewterring/node/settings.py
@@ -84,6 +84,7 @@
     disk_mb: int
     bounds: Bounds
     cluster: str = ""  # processes talk only with those that are told the same name
+    copy_mb_per_s: float = 0.0  # of a store's state, to each of f new members at once; 0: not told
 
 
 @dataclass(frozen=True, slots=True)
@@ -211,6 +212,7 @@
         disk_mb=int(reader.number("limits.disk_mb", 0)),
         bounds=_bounds(reader),
         cluster=reader.text("cluster_name", ""),
+        copy_mb_per_s=reader.number("limits.copy_mb_per_s", 0.0),
     )
 
 
--- a/tests/batch/test_capacity.py
+++ b/tests/batch/test_capacity.py
@@ -3,7 +3,7 @@
 import msgspec
 import pytest
 
-from pewterring.batch.capacity import LOG_BYTES, most_state_bytes
+from pewterring.batch.capacity import LOG_BYTES, StoreLimits, most_state_bytes
 from pewterring.batch.messages import JobAccepted, JobRefused, SubmitJob
 from tests.batch.stand_ins import ROUTE, item
 from tests.batch.test_service import MOST_STATE_BYTES, Store, scenario, submit
@@ -17,15 +17,31 @@
 def test_two_snapshots_and_the_log_fit_the_disk_and_the_state_the_memory(
     disk_mb: int, memory_mb: int
 ) -> None:
-    most = most_state_bytes(disk_mb, memory_mb)
+    most = most_state_bytes(StoreLimits(memory_mb, disk_mb))
     assert most > 0
     assert 2 * most + LOG_BYTES < disk_mb * 1_000_000
     assert 2 * most < memory_mb * 1_000_000
 
 
 def test_a_disk_that_holds_no_log_holds_no_job_and_one_of_unknown_size_sets_no_bound() -> None:
-    assert most_state_bytes(20, 300) == 0
-    assert most_state_bytes(0, 300) == most_state_bytes(10_000, 300)
+    assert most_state_bytes(StoreLimits(300, 20)) == 0
+    assert most_state_bytes(StoreLimits(300)) == most_state_bytes(StoreLimits(300, 10_000))
+
+
+@pytest.mark.parametrize("catch_up_s", [4.7, 6.0])
+@pytest.mark.parametrize("rate", [1.0, 20.0, 35.0])
+def test_a_state_can_be_copied_at_the_rate_that_is_told_well_within_half_of_the_bound(
+    catch_up_s: float, rate: float
+) -> None:
+    most = most_state_bytes(StoreLimits(10_000, 10_000, rate, catch_up_s))
+    assert most > 0
+    assert most / (rate * 1_000_000) <= 0.75 * catch_up_s / 2
+
+
+def test_a_rate_takes_nothing_from_what_a_smaller_disk_or_memory_bounds_already() -> None:
+    """40 MB, as a disk of 110 MB allows, at 25 MB/s; and without a rate told nothing changes."""
+    assert most_state_bytes(StoreLimits(320, 110, 25.0, 4.7)) == most_state_bytes(StoreLimits(320, 110))
+    assert most_state_bytes(StoreLimits(320, 110, 0.0, 4.7)) == most_state_bytes(StoreLimits(320, 110))
 
 
 def test_a_job_that_the_store_cannot_carry_is_refused_with_the_promise_and_those_taken_stay() -> None:
