Batch: the size of a partition's state is counted as jobs come and go

Cause: each submission summed the bodies and texts of all jobs kept.

Change: a running count beside that of waiting tokens.

--- a/pewterring/batch/state.py
+++ b/pewterring/batch/state.py
@@ -99,6 +99,7 @@
         self._clock = clock
         self._jobs: dict[str, Job] = {}
         self._waiting: defaultdict[RouteKey, int] = defaultdict(int)
+        self._size_bytes = 0
         self.applied_index = 0
         self.on_applied: Callable[[Outcome], None] | None = None
 
@@ -108,8 +109,8 @@
 
     @property
     def size_bytes(self) -> int:
-        """Bytes of the bodies and texts of all jobs."""
-        return sum(job.size_bytes for job in self._jobs.values())
+        """Bytes of the bodies and texts of all jobs. Counted as they come and go: each submission asks."""
+        return self._size_bytes
 
     def jobs(self) -> Iterator[Job]:
         """All jobs, in the order of acceptance."""
@@ -158,6 +159,7 @@
 
     def _keep(self, job: Job) -> None:
         self._jobs[job.id] = job
+        self._size_bytes += job.size_bytes
         self._count(job.route, job.waiting_tokens)
 
     def _count(self, route: RouteKey, tokens: int) -> None:
@@ -178,6 +180,7 @@
             return False
         job.failed_attempts.pop(entry.result.id, None)
         job.results.append(entry.result)
+        self._size_bytes += len(entry.result.text) - len(item.body)
         self._count(job.route, -item.tokens)
         return True
 
@@ -198,7 +201,9 @@
         if job is None:
             return Closed(command.job, known=False)
         self._count(job.route, -job.waiting_tokens)
+        self._size_bytes -= job.size_bytes
         job.items.clear()
+        self._size_bytes += job.size_bytes
         job.failed_attempts.clear()
         job.ended = True
         return Closed(command.job, known=True)
@@ -212,6 +217,7 @@
         if job is None:
             return False
         self._count(job.route, -job.waiting_tokens)
+        self._size_bytes -= job.size_bytes
         return True
 
     def snapshot(self) -> bytes:
@@ -228,6 +234,7 @@
         now = self._clock()
         self._jobs.clear()
         self._waiting.clear()
+        self._size_bytes = 0
         for entry in stored.jobs:
             self._keep(_load(entry, now))
 
--- a/tests/batch/test_state.py
+++ b/tests/batch/test_state.py
@@ -62,7 +62,9 @@
 
     @rule(job=JOBS, host=HOSTS, items=st.dictionaries(ITEMS, TOKENS, min_size=1))
     def accept(self, job: str, host: str, items: dict[str, int]) -> None:
-        specs = tuple(item(name, tokens) for name, tokens in items.items())
+        specs = tuple(
+            msgspec.structs.replace(item(name, tokens), body="Y" * tokens) for name, tokens in items.items()
+        )
         outcome = self.apply(AcceptJob(job, host, "/p/", specs))
         assert outcome == Accepted(job, new=job not in self.model)
         self.model.setdefault(job, ModelJob(host, items))
@@ -106,6 +108,10 @@
         restored.restore(self.state.snapshot())
         self.state = restored
 
+    @rule()
+    def replaced_by_a_snapshot(self) -> None:
+        self.state.restore(self.state.snapshot())
+
     @invariant()
     def agrees(self) -> None:
         assert {job.id for job in self.state.jobs()} == set(self.model)
@@ -126,6 +132,14 @@
         for host in ("a.example", "b.example"):
             assert self.state.waiting_tokens((host, "/p/")) == self.expected_tokens(host)
 
+    @invariant()
+    def counts_bytes(self) -> None:
+        """A body has as many bytes here as its item has tokens."""
+        bodies = sum(self.expected_tokens(host) for host in ("a.example", "b.example"))
+        texts = sum(len(text) for job in self.model.values() for _, text in job.listed)
+        assert self.state.size_bytes == bodies + texts
+        assert self.state.size_bytes == sum(job.size_bytes for job in self.state.jobs())
+
     def expected_tokens(self, host: str) -> int:
         jobs: Iterable[ModelJob] = (job for job in self.model.values() if job.host == host)
         return sum(job.tokens[name] for job in jobs for name in job.unlisted())
@@ -135,6 +149,25 @@
 TestStateAgainstModel.settings = settings(max_examples=50, stateful_step_count=25, deadline=None)
 
 
+def test_the_size_is_that_of_bodies_without_a_result_and_of_texts() -> None:
+    state = BatchState(ManualClock())
+    bodies = {"a": "Y" * 100, "b": "Y" * 20}
+    specs = tuple(msgspec.structs.replace(item(name), body=body) for name, body in bodies.items())
+    result = JobResult("j", ItemResult("a", "succeeded", "x" * 7))
+    commands: tuple[Command, ...] = (
+        AcceptJob("j", "h", "/p/", specs),
+        AddResults((result,)),
+        CloseJob("j"),
+        DropJobs(("j",)),
+    )
+    sizes = []
+    for index, command in enumerate(commands, 1):
+        for _ in range(2):  # a command that comes twice counts once
+            state.apply(index, encode_command(command))
+        sizes.append(state.size_bytes)
+    assert sizes == [120, 27, 7, 0]
+
+
 def test_age_counts_on_through_a_snapshot() -> None:
     clock = ManualClock()
     state = BatchState(clock)
