Consensus: a voter says farewell at SIGTERM, and a learner takes its vote before it ends

Cause: a planned replacement read to the letter. The successor has had catch_up_s beside the old machine, which does not count as lost when it gets SIGTERM, so another disk may go as it ends; the successor was a learner until the old voter had been silent for a quarter of catch_up_s.

Change: Leave, said to all voters at SIGTERM and each heartbeat until Left answers it, and a mark in every answer to the leader while the process lives. The planner takes a leaving voter's place like a retiring one's: a learner that holds everything votes first, then the leaving one goes; without such a learner nothing changes. A leader hands over first. Rounds tell lives apart: answers of a later life take the farewell back, and a late one does not touch it.

--- a/pewterring/batch/partition.py
+++ b/pewterring/batch/partition.py
@@ -18,6 +18,7 @@
 from pewterring.batch.service import BatchService
 from pewterring.batch.state import BatchState, Clock
 from pewterring.consensus.errors import ConsensusError
+from pewterring.consensus.farewell import LEAVE_PART
 from pewterring.consensus.group import ReplicatedGroup
 from pewterring.consensus.messages import ConsensusMessage, Membership
 from pewterring.consensus.planner import CHANGES_A_LOOK, MembershipPlanner
@@ -63,6 +64,8 @@
             parts.settings.bounds.catch_up_s,
             keeps_spares=False,
         )
+        self._changing = False
+        self._changes_of_farewell: asyncio.Task[None] | None = None
         self.group = ReplicatedGroup(
             name,
             parts.member,
@@ -73,6 +76,7 @@
             parts.rng,
             parts.clock,
             on_leadership=self._leadership_changed,
+            on_farewell=self._farewell_heard,
             on_failure=parts.on_failure,
         )
         log = GroupLog(self.group)
@@ -103,6 +107,20 @@
             self._storage.initialize(first_voters)
         await self.group.start()
 
+    async def drain(self) -> None:
+        """Gives leadership and vote to others before a planned stop, where a store is there to take it.
+
+        Symptom answered: the disk of another store is lost as this one ends, and its successor, which has
+        had its time, has no vote yet.
+        """
+        group = self.group
+        members = {*group.membership.voters, *group.membership.learners}
+        candidates = store_candidates(self._parts.tables().nodes, group.membership)
+        if not group.membership.learners and not set(candidates.joining) - members:
+            return
+        with contextlib.suppress(ConsensusError):
+            await group.leave(LEAVE_PART * self._parts.settings.bounds.grace_s)
+
     async def stop(self) -> None:
         """Stops items, calls and the group. Where this store leads, another takes over first."""
         self.service.close()
@@ -118,6 +136,20 @@
 
     async def manage_members(self) -> None:
         """Makes the changes of members that are due, one after the other, if this store leads."""
+        if self._changing:
+            return
+        self._changing = True
+        try:
+            await self._change_members()
+        finally:
+            self._changing = False
+
+    def _farewell_heard(self) -> None:
+        """A voter leaves: its place is filled now, not at the next look."""
+        if not self._changing:
+            self._changes_of_farewell = asyncio.create_task(self.manage_members())
+
+    async def _change_members(self) -> None:
         with contextlib.suppress(ConsensusError):  # refused or lost: planned again at the next look
             for _ in range(CHANGES_A_LOOK):
                 change = self._due_change()
--- a/pewterring/batch/program.py
+++ b/pewterring/batch/program.py
@@ -104,6 +104,10 @@
         self._heartbeat_task = asyncio.create_task(self._send_heartbeats())
         self._members_task = asyncio.create_task(self._manage_members())
 
+    async def drain(self) -> None:
+        """Gives up the votes of this store before a planned stop; it serves as a member meanwhile."""
+        await asyncio.gather(*(partition.drain() for partition in self._partitions.values()))
+
     async def stop(self) -> None:
         """Stops everything; what is on disk stays."""
         for periodic in (self._members_task, self._heartbeat_task):
--- a/pewterring/consensus/election.py
+++ b/pewterring/consensus/election.py
@@ -58,6 +58,7 @@
         state.role = Role.CANDIDATE
         state.leader = None
         state.hard_state = HardState(state.term + 1, state.member)
+        state.heard_round = 0
         state.election_at = state.retry_time(now)
         self._poll = Poll(state.term)
         for request in self._requests(prevote=False, handed_over=handed_over):
--- a/pewterring/consensus/following.py
+++ b/pewterring/consensus/following.py
@@ -67,7 +67,7 @@
                 f"{request.sender} leads in term {request.term}, in which this member leads"
             )
         state.become_follower(now, request.term, request.sender)
-        state.heard_round = request.round
+        state.heard_round = max(state.heard_round, request.round)
         state.vote_free_at = now + state.timing.election_min_s
         state.election_at = state.election_time(now)
 
@@ -106,6 +106,7 @@
             accepted=accepted,
             match=match,
             round=round_number,
+            leaving=state.leaving,
         )
         state.send_when_saved(reply, match if accepted else 0)
 
--- a/pewterring/consensus/group.py
+++ b/pewterring/consensus/group.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import contextlib
 import random
 import time
 from collections.abc import Callable
@@ -13,7 +14,7 @@
 
 from pewterring.consensus.errors import GroupFailed, OutcomeUnknown, StorageError
 from pewterring.consensus.log import entry_size
-from pewterring.consensus.messages import ConsensusMessage, Entry, Membership
+from pewterring.consensus.messages import ConsensusMessage, Entry, Leave, Left, Membership
 from pewterring.consensus.persistent import GroupStorage, LoadedGroup
 from pewterring.consensus.raft import Raft
 from pewterring.consensus.storage_jobs import StorageJobs
@@ -61,6 +62,7 @@
         limits: RaftLimits | None = None,
         snapshot_after_bytes: int = SNAPSHOT_AFTER_BYTES,
         on_leadership: Callable[[bool], None] | None = None,
+        on_farewell: Callable[[], None] | None = None,
         on_failure: Callable[[GroupFailed], None] | None = None,
         executor: Executor | None = None,
     ) -> None:
@@ -75,6 +77,7 @@
         self._limits = limits
         self._snapshot_after_bytes = snapshot_after_bytes
         self._on_leadership = on_leadership
+        self._on_farewell = on_farewell
         self._on_failure = on_failure
         self._jobs = StorageJobs(group, executor, after=self._process, fail=self._fail)
         self._raft: Raft | None = None
@@ -88,6 +91,7 @@
         self._timer: asyncio.TimerHandle | None = None
         self._timer_at = 0.0
         self._stepped_down: asyncio.Future[object] | None = None  # while the leadership is handed over
+        self._farewell_answered = asyncio.Event()
         self._bytes_since_snapshot = 0
         self._next_snapshot_bytes = self._snapshot_size(0)
 
@@ -192,6 +196,10 @@
         """For how long `member` has answered no heartbeat of this leadership; 0 elsewhere."""
         return self._raft.silent_s(member, now) if self._raft is not None else 0.0
 
+    def is_leaving(self, member: str) -> bool:
+        """Whether `member` has told this leader that its process is about to end; False elsewhere."""
+        return self._raft is not None and self._raft.is_leaving(member)
+
     def has_lease(self, now: float) -> bool:
         """Whether this member leads, has applied what was committed before, and no other leads at `now`."""
         return self.is_leader and self._raft is not None and self._raft.has_lease(now)
@@ -217,6 +225,10 @@
             self._fail(error)
         else:
             self._schedule()
+            if isinstance(message, Left):
+                self._farewell_answered.set()
+            if isinstance(message, Leave) and self.is_leader and self._on_farewell is not None:
+                self._on_farewell()
 
     async def propose(self, command: bytes) -> object:
         """Replicates a command, JSON on one line, and returns what applying it here returned.
@@ -246,6 +258,27 @@
         self._schedule()
         await self._stepped_down
 
+    async def leave(self, patience_s: float) -> None:
+        """Ends the membership of a process that is about to end, as far as another can take its place.
+
+        Hands the leadership over, and says its farewell until the leader has taken the vote away, for
+        `patience_s` at most. The member answers and counts like any other meanwhile.
+        """
+        ends_at = self._clock() + patience_s
+        while not self._running().has_left and (left_s := ends_at - self._clock()) > 0.0:
+            await self.hand_over_leadership()
+            if self.is_leader:
+                return  # nobody else votes
+            self._running().say_farewell()
+            self._schedule()
+            await self._wait_for_answer(min(self._timing.heartbeat_s, left_s))
+
+    async def _wait_for_answer(self, patience_s: float) -> None:
+        self._farewell_answered.clear()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(patience_s):
+                await self._farewell_answered.wait()
+
     def _end_handover(self) -> None:
         stepped_down, self._stepped_down = self._stepped_down, None
         if stepped_down is not None:
--- a/pewterring/consensus/leading.py
+++ b/pewterring/consensus/leading.py
@@ -6,9 +6,18 @@
 import msgspec
 
 from pewterring.consensus.errors import MembershipRefused
+from pewterring.consensus.farewell import Farewells
 from pewterring.consensus.handover import Handover
 from pewterring.consensus.membership import MEMBERS, check_change, encode_membership, majority_value
-from pewterring.consensus.messages import AppendReply, Entry, Membership, SnapshotReply, TimeoutNow
+from pewterring.consensus.messages import (
+    AppendReply,
+    Entry,
+    Leave,
+    Left,
+    Membership,
+    SnapshotReply,
+    TimeoutNow,
+)
 from pewterring.consensus.replication import Replication
 from pewterring.consensus.rounds import Rounds
 from pewterring.consensus.state import MemberState
@@ -24,6 +33,7 @@
         self._state = state
         self._rounds = Rounds(state.member, state.timing, now)
         self._handover = Handover(state.timing)
+        self._farewells = Farewells()
         self._replication = Replication(state.group, state.member, state.term, state.log, state.limits)
         # When an answer of a member came, be it to a round of long ago: one that reads slowly is not silent.
         self._heard_at: dict[str, float] = {}
@@ -68,6 +78,31 @@
         """For how long `member` has answered no heartbeat of this leadership; never the leader itself."""
         return 0.0 if member == self._state.member else self._rounds.silent_s(member, now)
 
+    def is_leaving(self, member: str) -> bool:
+        """Whether the process of `member` said that it is about to end, and no later one answered."""
+        return self._farewells.is_leaving(member)
+
+    def on_leave(self, message: Leave) -> None:
+        """Takes a farewell, and answers that of a member which is no voter any more."""
+        state = self._state
+        if message.sender in state.voters:
+            if message.term == state.term:
+                self._farewells.on_leave(message.sender, message.round)
+        elif state.members.last_change <= state.commit_index:
+            self._answer_farewell(message.sender, message.round)
+
+    def _answer_farewell(self, member: str, number: int) -> None:
+        state = self._state
+        state.outbox.append(
+            Left(group=state.group, sender=state.member, target=member, term=state.term, round=number)
+        )
+
+    def _answer_farewells(self) -> None:
+        """A change was committed: who waits for it need not say its farewell again."""
+        for member, number in self._farewells.leaving().items():
+            if member not in self._state.voters:
+                self._answer_farewell(member, number)
+
     def append(self, kind: str, data: bytes) -> int:
         """Appends an entry of the own term and returns its index."""
         entry = Entry(self._state.log.last_index + 1, self._state.term, kind, msgspec.Raw(data))
@@ -140,7 +175,9 @@
             and self.match(voter) == last
             and self._rounds.last_answered_at(voter) > oldest
         ]
-        complete.sort(key=self._rounds.last_answered_at, reverse=True)
+        complete.sort(
+            key=lambda voter: (not self.is_leaving(voter), self._rounds.last_answered_at(voter)), reverse=True
+        )
         successor = self._handover.choose(complete)
         if successor is not None:
             state.outbox.append(
@@ -159,6 +196,7 @@
         self._heard_at[reply.sender] = now
         self._rounds.answered(reply.sender, reply.round)
         if isinstance(reply, AppendReply):
+            self._farewells.on_reply(reply.sender, reply.round, reply.leaving)
             advanced = self._replication.on_append_reply(reply)
         else:
             advanced = self._replication.on_snapshot_reply(reply)
@@ -171,7 +209,10 @@
         index = majority_value([self.match(voter) for voter in state.voters])
         if index <= state.commit_index or not self.may_commit(index):
             return
+        changed = state.commit_index < state.members.last_change <= index
         state.commit_index = index
+        if changed:
+            self._answer_farewells()
         if state.member not in state.voters and state.members.last_change <= index:
             self._begin_round(now)  # tells the others what is committed
             state.become_follower(now, state.term, None)
--- a/pewterring/consensus/messages.py
+++ b/pewterring/consensus/messages.py
@@ -64,12 +64,16 @@
     entries: tuple[Entry, ...] = ()
 
 
-class AppendReply(Message, frozen=True, tag=True, kw_only=True):
-    """Answers `AppendRequest`. `match` is the last index known to agree, or a hint where to try next."""
+class AppendReply(Message, frozen=True, tag=True, kw_only=True, omit_defaults=True):
+    """Answers `AppendRequest`. `match` is the last index known to agree, or a hint where to try next.
+
+    `leaving` says that the member's process is about to end.
+    """
 
     accepted: bool
     match: int
     round: int
+    leaving: bool = False
 
 
 class SnapshotPart(Message, frozen=True, tag=True, kw_only=True):
@@ -100,8 +104,32 @@
     """Tells a voter to stand for election at once; the leader of `term` claims no lease any more."""
 
 
+class Leave(Message, frozen=True, tag=True, kw_only=True):
+    """A voter's farewell: its process is about to end, and a learner that is ready may take its place.
+
+    `round` is the last one of the leader of `term` that this life of the member has heard: what a later life
+    answers outweighs it.
+    """
+
+    round: int
+
+
+class Left(Message, frozen=True, tag=True, kw_only=True):
+    """Answers `Leave`, whose round it returns: its sender is no voter any more, by a committed change."""
+
+    round: int
+
+
 ConsensusMessage = (
-    VoteRequest | VoteReply | AppendRequest | AppendReply | SnapshotPart | SnapshotReply | TimeoutNow
+    VoteRequest
+    | VoteReply
+    | AppendRequest
+    | AppendReply
+    | SnapshotPart
+    | SnapshotReply
+    | TimeoutNow
+    | Leave
+    | Left
 )
 CONSENSUS_MESSAGES = (
     VoteRequest,
@@ -111,4 +139,6 @@
     SnapshotPart,
     SnapshotReply,
     TimeoutNow,
+    Leave,
+    Left,
 )
--- a/pewterring/consensus/planner.py
+++ b/pewterring/consensus/planner.py
@@ -13,6 +13,8 @@
 - A learner that is not needed is kept while a voter is silent, or may be: a new leader goes on with the copy
   that the one before began.
 - A retiring voter goes last, once the wanted number of good voters holds all that was committed.
+- A voter that said its farewell goes the same way while it lives. It comes back, as a rule: where no learner
+  is ready to take its place it stays, and is lost as soon as it is silent.
 """
 
 from collections.abc import Mapping, Sequence, Set
@@ -51,6 +53,10 @@
         """For how long the member has answered no heartbeat of this leadership."""
         ...
 
+    def is_leaving(self, member: str) -> bool:
+        """Whether the member's process has said that it is about to end."""
+        ...
+
 
 @dataclass(frozen=True, slots=True)
 class Candidates:
@@ -108,13 +114,16 @@
         }
         silent_s[self._own_member] = 0.0
         renamed = {member for member in members if self._is_renamed(member, silent_s[member], candidates)}
-        lost = renamed | {member for member in members if silent_s[member] >= self._lost_s}
+        leaving = {member for member in members if group.is_leaving(member)}
+        ended = {member for member in leaving if silent_s[member] >= ANSWERS_S}
+        lost = renamed | ended | {member for member in members if silent_s[member] >= self._lost_s}
         gone = renamed | {member for member in members if silent_s[member] >= self._learner_lost_s}
         holders = {member for member in members if group.match(member) >= self._committed_before}
         all_answer = now - self._started_at >= ANSWERS_S and all(
             silent_s[voter] < ANSWERS_S for voter in group.membership.voters
         )
-        return _Look(group.membership, silent_s, lost, gone, holders, candidates.retiring, all_answer)
+        retiring = candidates.retiring
+        return _Look(group.membership, silent_s, lost, gone, holders, retiring, leaving, all_answer)
 
     def _is_renamed(self, member: str, silent_s: float, candidates: Candidates) -> bool:
         """Whether the member's address is in use under another name: its disk was lost."""
@@ -138,6 +147,9 @@
         surplus = len(membership.voters) - self._wanted_voters
         if look.lost_voters and (surplus > 0 or (surplus == 0 and ready)):
             return _without(membership, look.lost_voters[0])
+        leaving = look.replaced_voters(self._wanted_voters)
+        if leaving:
+            return _without(membership, leaving[0])
         if ready:
             return _promoted(membership, ready[0])
         return None
@@ -148,7 +160,7 @@
         if look.lost_voters:
             return _without(membership, look.lost_voters[0])
         good = look.good_voters
-        retiring = [voter for voter in membership.voters if voter in look.retiring]
+        retiring = [voter for voter in membership.voters if voter in look.retiring | look.leaving]
         if retiring:
             enough = len([voter for voter in good if voter in look.holders]) >= self._wanted_voters
             retiring.sort(key=lambda voter: voter == self._own_member)
@@ -193,6 +205,7 @@
     gone: Set[str]  # so long that a learner is given up
     holders: Set[str]  # hold all that was committed at the look before
     retiring: Set[str]
+    leaving: Set[str]  # said their farewell
     all_answer: bool  # every voter was heard just now, in this leadership
 
     @property
@@ -204,13 +217,27 @@
     @property
     def good_voters(self) -> list[str]:
         """Voters that are there and may stay."""
-        away = self.lost | self.retiring
+        away = self.lost | self.retiring | self.leaving
         return [voter for voter in self.membership.voters if voter not in away]
 
+    def replaced_voters(self, wanted: int) -> list[str]:
+        """Leaving voters without which the wanted number of others, leaving or not, holds everything.
+
+        Symptom answered: two leave at once and one learner is there. The first makes room for it at once,
+        else the group would stay with a voter more than it can spare when the second ends as well.
+        """
+        holders = [voter for voter in self.membership.voters if voter in self.holders - self.lost]
+        return [
+            voter
+            for voter in self.membership.voters
+            if voter in self.leaving and len([other for other in holders if other != voter]) >= wanted
+        ]
+
     @property
     def live_learners(self) -> list[str]:
-        """Learners that answer."""
-        return [learner for learner in self.membership.learners if learner not in self.lost]
+        """Learners that answer, and do not leave themselves."""
+        away = self.lost | self.leaving
+        return [learner for learner in self.membership.learners if learner not in away]
 
     @property
     def ready_learners(self) -> list[str]:
--- a/pewterring/consensus/raft.py
+++ b/pewterring/consensus/raft.py
@@ -11,6 +11,7 @@
 
 from pewterring.consensus.election import Election
 from pewterring.consensus.errors import NotLeader
+from pewterring.consensus.farewell import Farewell
 from pewterring.consensus.following import Following
 from pewterring.consensus.leading import Leading
 from pewterring.consensus.messages import (
@@ -18,6 +19,8 @@
     AppendRequest,
     ConsensusMessage,
     Entry,
+    Leave,
+    Left,
     Membership,
     SnapshotPart,
     SnapshotReply,
@@ -48,6 +51,7 @@
         self._state = MemberState(group, member, timing, limits or RaftLimits(), rng, persisted, now)
         self._election = Election(self._state)
         self._following = Following(self._state)
+        self._farewell = Farewell(self._state)
         self._led: Leading | None = None
 
     @property
@@ -129,6 +133,20 @@
         """For how long `member` has answered no heartbeat of this leadership; 0 elsewhere."""
         return self._leading.silent_s(member, now) if self._leading is not None else 0.0
 
+    def is_leaving(self, member: str) -> bool:
+        """Whether `member` has said its farewell to this leader; False elsewhere."""
+        return self._leading is not None and self._leading.is_leaving(member)
+
+    def say_farewell(self) -> None:
+        """Tells the others that this process is about to end; again and again, until `has_left`."""
+        self._farewell.say()
+
+    @property
+    def has_left(self) -> bool:
+        """Whether this member said its farewell and has no vote any more, or never had one."""
+        is_voter = self.member in self.membership.voters or not self.membership_is_committed
+        return self._farewell.is_answered or not is_voter
+
     def has_lease(self, now: float) -> bool:
         """Whether this member leads and no other can have been elected by `now`."""
         return self._leading is not None and self._leading.has_lease(now)
@@ -173,6 +191,11 @@
                 self._on_follower_reply(now, message)
             case TimeoutNow():
                 self._election.on_timeout_now(now, message)
+            case Leave():
+                if self._leading is not None:
+                    self._leading.on_leave(message)
+            case Left():
+                self._farewell.on_left(message)
 
     def _lead_if(self, elected: bool, now: float) -> None:
         if elected:
--- a/pewterring/consensus/state.py
+++ b/pewterring/consensus/state.py
@@ -34,13 +34,14 @@
         self.hard_state = HardState(persisted.term, persisted.vote)
         self.role = Role.FOLLOWER
         self.leader: str | None = None
-        self.heard_round = 0  # the round of the leader's last message
         self.commit_index = persisted.snapshot_index
         self.applied_index = persisted.snapshot_index
         self.log = Log(persisted.snapshot_index, persisted.snapshot_term, persisted.entries)
         self.members = MembershipHistory(persisted.snapshot_membership, persisted.entries)
         self.unsaved = Unsaved(self.log, self.hard_state)
         self.outbox: list[ConsensusMessage] = []
+        self.heard_round = 0  # the newest one of this term's leader
+        self.leaving = False  # the process is about to end
         is_new = persisted.term == 0  # it cannot have answered a leader in an earlier life
         self.vote_free_at = now if is_new else now + timing.election_min_s
         self.election_at = self.retry_time(now) if is_new else self.election_time(now)
@@ -68,6 +69,7 @@
         """Gives up what it was and follows `leader`, or nobody yet."""
         if term > self.term:
             self.hard_state = HardState(term)
+            self.heard_round = 0
         if self.role is not Role.FOLLOWER:
             self.election_at = self.election_time(now)
         self.role = Role.FOLLOWER
--- a/pewterring/control/duties.py
+++ b/pewterring/control/duties.py
@@ -139,18 +139,22 @@
         try:
             for command in self._duties.due_commands(now):
                 await self._leadership.propose(command)
-            await self._change_members(now)
         except (ControlError, ConsensusError) as error:
             logger.info("a duty of the leader was not done: {!r}", error)
+        else:
+            await self.change_members(now)
 
-    async def _change_members(self, now: float) -> None:
+    async def change_members(self, now: float) -> None:
         """Makes one change after the other until none is due, so that few looks make the group whole."""
-        for _ in range(CHANGES_A_LOOK):
-            change = self._planner.plan(now, self._group, self._joins.candidates(now))
-            if change is None:
-                return
-            logger.info("control group changes to {}", change)
-            await self._group.change_membership(change)
+        try:
+            for _ in range(CHANGES_A_LOOK):
+                change = self._planner.plan(now, self._group, self._joins.candidates(now))
+                if change is None:
+                    return
+                logger.info("control group changes to {}", change)
+                await self._group.change_membership(change)
+        except ConsensusError as error:
+            logger.info("a change of the control group was not made: {!r}", error)
 
 
 def controls_of(membership: Membership) -> set[str]:
--- a/pewterring/control/program.py
+++ b/pewterring/control/program.py
@@ -11,6 +11,7 @@
 from loguru import logger
 
 from pewterring.consensus.errors import ConsensusError
+from pewterring.consensus.farewell import LEAVE_PART
 from pewterring.consensus.group import ReplicatedGroup
 from pewterring.consensus.membership import address_of
 from pewterring.consensus.messages import CONSENSUS_MESSAGES, ConsensusMessage, Membership
@@ -78,6 +79,7 @@
             rng=random.Random(),
             clock=self._clock,
             on_leadership=self._on_leadership,
+            on_farewell=self._on_farewell,
             on_failure=self._on_group_failure,
         )
         self._leadership = GroupLeadership(self._group, self._clock)
@@ -129,11 +131,16 @@
         self._settings = settings
 
     async def drain(self) -> None:
-        """Hands the leadership over before a planned stop; calls are passed on to the successor meanwhile."""
+        """Hands the leadership over before a planned stop, and the vote where a learner is there to take it.
+
+        Calls are passed on to the leader meanwhile.
+        """
         if self._group.is_leader:
             logger.info("hands the leadership of control over in term {}", self._group.term)
         with contextlib.suppress(ConsensusError):
             await self._group.hand_over_leadership()
+            if self._group.membership.learners:
+                await self._group.leave(LEAVE_PART * self._settings.bounds.grace_s)
 
     async def stop(self) -> None:
         """Ends calls that are open, then all parts."""
@@ -199,6 +206,11 @@
         self._runner.start(self._clock())
         logger.info("leads control in term {}", self._group.term)
 
+    def _on_farewell(self) -> None:
+        """A voter leaves: its place is filled now, not at the next tick."""
+        if self._leadership.has_lease and (self._duty is None or self._duty.done()):
+            self._duty = asyncio.create_task(self._runner.change_members(self._clock()))
+
     def _on_group_failure(self, error: Exception) -> None:
         logger.error("the control group stopped here: {}", error)
         if self._on_failure is not None:
--- a/tests/consensus/breakages.py
+++ b/tests/consensus/breakages.py
@@ -9,6 +9,7 @@
 from pewterring.consensus.messages import (
     AppendReply,
     ConsensusMessage,
+    Leave,
     SnapshotPart,
     SnapshotReply,
     VoteReply,
@@ -43,6 +44,30 @@
         super().persisted(now, self._real_save)
 
 
+class _IgnoresFarewells(Leading):
+    def is_leaving(self, member: str) -> bool:
+        return False
+
+
+class IgnoresFarewells(Raft):
+    """Leads as if no voter had said its farewell."""
+
+    def _begin_leading(self, now: float) -> Leading:
+        return _IgnoresFarewells(self._state, now)
+
+
+class _TakesLateFarewells(Leading):
+    def on_leave(self, message: Leave) -> None:
+        self._farewells.on_leave(message.sender, self._rounds.number)
+
+
+class TakesLateFarewells(Raft):
+    """Takes a farewell of an earlier life of the member for one of the life that runs now."""
+
+    def _begin_leading(self, now: float) -> Leading:
+        return _TakesLateFarewells(self._state, now)
+
+
 class VoteBeforeSync(_SendsEarly):
     """Tells its vote before it is on disk."""
 
--- a/tests/consensus/planned_group.py
+++ b/tests/consensus/planned_group.py
@@ -29,6 +29,7 @@
         self.behind: set[str] = set()
         self.joining: list[str] = []
         self.retiring: set[str] = set()
+        self.leaving: set[str] = set()
         self.commit_index = 100
         self.changes: list[Membership] = []
         self._heard: dict[str, float] = {}
@@ -43,6 +44,9 @@
     def silent_s(self, member: str, now: float) -> float:
         return 0.0 if member in self.alive else now - self._heard.get(member, 0.0)
 
+    def is_leaving(self, member: str) -> bool:
+        return member in self.leaving
+
     def candidates(self) -> Candidates:
         joining = tuple(member for member in self.joining if member in self.alive)
         newest = {address_of(member): member for member in joining}
--- a/tests/consensus/planned_simulation.py
+++ b/tests/consensus/planned_simulation.py
@@ -5,18 +5,23 @@
 """
 
 import contextlib
+from collections.abc import Callable
 
 from pewterring.batch.program import MEMBERS_PERIOD_S
 from pewterring.consensus.errors import ConsensusError
+from pewterring.consensus.farewell import LEAVE_PART
 from pewterring.consensus.membership import address_of
+from pewterring.consensus.messages import ConsensusMessage, Leave
 from pewterring.consensus.planner import Candidates, MembershipPlanner, voters_needed
 from pewterring.consensus.raft import Raft
 from pewterring.control.program import TICK_S
-from tests.consensus.parts import Member
+from tests.consensus.parts import TIMING, Member
 from tests.consensus.simulation import Simulation
 
 CATCH_UP_S = 4.8
+STEP_S = 0.002  # between looks whether a process may end
 DOWN_S = 0.5  # until a machine that lost its disk is back
+PATIENCE_S = LEAVE_PART * 8.0  # of a process that leaves; `grace_s` is 8
 
 
 class PlannedSimulation(Simulation):
@@ -32,8 +37,9 @@
         keeps_spares: bool,
         spares: int = 0,
         planner_class: type[MembershipPlanner] = MembershipPlanner,
+        raft_class: type[Raft] = Raft,
     ) -> None:
-        super().__init__(seed, voters_needed(tolerated))
+        super().__init__(seed, voters_needed(tolerated), raft_class)
         self.tolerated = tolerated
         self.retiring: set[str] = set()
         self.written = 0
@@ -106,6 +112,45 @@
             self.run(0.1)
         self.lose_for_good(name)
 
+    # Farewells
+
+    def _deliver(self, message: ConsensusMessage) -> None:
+        super()._deliver(message)
+        if isinstance(message, Leave):
+            self._look()  # as both programs do
+
+    def leave(self, name: str) -> Callable[[], bool]:
+        """SIGTERM comes: says its farewell as `ReplicatedGroup.leave` does. Says whether it may end."""
+        member = self.members[name]
+        life = member.life
+        ends_at = self.now + PATIENCE_S
+
+        def may_end() -> bool:
+            return self.now >= ends_at or member.raft is None or member.raft.has_left
+
+        def say() -> None:
+            if member.raft is None or member.life != life or may_end():
+                return
+            if member.raft.is_leader:
+                member.raft.hand_over(self._clock(member))
+                self._at(self.now + STEP_S, say)
+            else:
+                member.raft.say_farewell()
+                self._at(self.now + TIMING.heartbeat_s, say)
+            self._pump(member)
+
+        say()
+        return may_end
+
+    def leave_for_good(self, name: str) -> float:
+        """SIGTERM comes, the process ends once it may, and its disk is gone; how long that took."""
+        began = self.now
+        may_end = self.leave(name)
+        while not may_end():
+            self.run(STEP_S)
+        self.lose_for_good(name)
+        return self.now - began
+
     def wipe(self, *names: str) -> None:
         """The machines lose power and their disks, all at once, and come back empty."""
         for name in names:
--- /dev/null
+++ b/tests/consensus/test_farewells.py
@@ -0,0 +1,417 @@
+"""Voters that stop by plan: their place is filled before their process ends, and a restart costs nothing.
+
+A planned replacement is read to the letter: the successor has had its time beside the old machine, which does
+not count as lost when it ends, so as many disks as may be lost go at that instant, or a little later.
+"""
+
+import random
+from collections.abc import Callable
+
+import pytest
+
+from pewterring.consensus.messages import AppendReply, ConsensusMessage, Leave, Left, Membership
+from pewterring.consensus.raft import Raft
+from tests.consensus.breakages import IgnoresFarewells, TakesLateFarewells
+from tests.consensus.parts import Violation
+from tests.consensus.planned_group import PlannedGroupStandIn
+from tests.consensus.planned_simulation import CATCH_UP_S, PATIENCE_S, PlannedSimulation
+from tests.consensus.test_losses import HALF_S, kinds, tolerated_losses
+
+ROUNDS = 3
+LATEST_S = 1.5  # of the other losses, after the end of the old machine
+AT_ONCE_S = 0.05  # until all have the last change on disk
+SWAPPED_S = 0.5  # from SIGTERM on, with little state, nothing lost and a leader that stays
+TURNS = 4  # of the planner
+
+
+def started(
+    seed: int, tolerated: int, spares_kept: bool, spares: int = 0, raft_class: type[Raft] = Raft
+) -> PlannedSimulation:
+    simulation = PlannedSimulation(seed, tolerated, spares_kept, spares, raft_class=raft_class)
+    simulation.run_until(simulation.is_whole)
+    simulation.write(1.0)
+    return simulation
+
+
+def voters(simulation: PlannedSimulation) -> tuple[str, ...]:
+    return simulation.leader_raft().membership.voters
+
+
+def follower(simulation: PlannedSimulation, number: int = 0) -> str:
+    return [name for name in voters(simulation) if name != simulation.leader()][number]
+
+
+# A planned replacement to the letter
+
+
+def planned_replacement(
+    seed: int, tolerated: int, spares_kept: bool, after_s: float, raft_class: type[Raft] = Raft
+) -> None:
+    """As the old machine ends, or `after_s` later, the oldest of the other disks are lost."""
+    simulation = started(seed, tolerated, spares_kept, raft_class=raft_class)
+    for number in range(ROUNDS):
+        simulation.join(f"new{number}")
+        simulation.write(0.3)  # the copies of these small parts take time for each command
+        simulation.run(CATCH_UP_S)
+        simulation.propose_and_wait(f"last words {number}")
+        simulation.leave_for_good(simulation.oldest()[0])
+        simulation.run(after_s)
+        simulation.wipe(*simulation.oldest(tolerated))
+        back_at = simulation.now
+        assert simulation.until_whole() < HALF_S
+        simulation.run(back_at + CATCH_UP_S - simulation.now)
+    simulation.check_converges()
+
+
+@kinds
+@tolerated_losses
+def test_other_disks_are_lost_as_the_old_machine_ends(tolerated: int, spares_kept: bool) -> None:
+    for seed in range(3):
+        planned_replacement(seed, tolerated, spares_kept, 0.0)
+
+
+@kinds
+@tolerated_losses
+def test_other_disks_are_lost_soon_after_the_old_machine_ended(tolerated: int, spares_kept: bool) -> None:
+    rng = random.Random("soon after")
+    for seed in range(5):
+        planned_replacement(seed, tolerated, spares_kept, rng.uniform(0.0, LATEST_S))
+
+
+@kinds
+@tolerated_losses
+def test_a_farewell_that_is_ignored_is_caught(tolerated: int, spares_kept: bool) -> None:
+    with pytest.raises((Violation, AssertionError)):
+        planned_replacement(0, tolerated, spares_kept, 0.0, IgnoresFarewells)
+
+
+@kinds
+@tolerated_losses
+def test_other_disks_are_lost_while_the_old_machine_waits_for_its_swap(
+    tolerated: int, spares_kept: bool
+) -> None:
+    """It serves as a voter until it has no vote, and waits longer where others are lost meanwhile."""
+    rng = random.Random("amid")
+    for seed in range(6):
+        simulation = started(seed, tolerated, spares_kept)
+        simulation.join("new")
+        simulation.run(CATCH_UP_S)
+        old, *others = simulation.oldest(tolerated + 1)
+        may_end = simulation.leave(old)
+        simulation.run(rng.uniform(0.0, 0.06))
+        simulation.wipe(*others)
+        while not may_end():
+            simulation.run(0.002)
+        simulation.lose_for_good(old)
+        assert simulation.until_whole() < HALF_S
+        simulation.check_converges()
+
+
+# How long it takes
+
+
+@kinds
+@tolerated_losses
+def test_a_voter_is_swapped_soon_after_sigterm(tolerated: int, spares_kept: bool) -> None:
+    for seed in range(5):
+        simulation = started(seed, tolerated, spares_kept, spares=1)
+        old = follower(simulation)
+        assert simulation.leave_for_good(old) < SWAPPED_S
+        assert simulation.until_whole() < AT_ONCE_S
+
+
+@kinds
+@tolerated_losses
+def test_a_leader_that_leaves_hands_over_and_its_successor_swaps_it(
+    tolerated: int, spares_kept: bool
+) -> None:
+    for seed in range(5):
+        simulation = started(seed, tolerated, spares_kept, spares=1)
+        old = simulation.leader() or ""
+        assert simulation.leave_for_good(old) < SWAPPED_S
+        assert old not in voters(simulation)
+        assert simulation.until_whole() < AT_ONCE_S
+
+
+@kinds
+def test_a_leader_is_lost_amid_a_swap(spares_kept: bool) -> None:
+    """The next leader hears of the farewell with the first answer, and goes on."""
+    for point in range(10):
+        simulation = started(point, 2, spares_kept, spares=2)
+        old = follower(simulation)
+        may_end = simulation.leave(old)
+        simulation.run(0.003 * point)
+        simulation.crash(simulation.leader() or "")
+        while not may_end():
+            simulation.run(0.002)
+        assert old not in voters(simulation), "it was told so"
+        simulation.lose_for_good(old)
+        simulation.check_converges()
+
+
+# Messages that are lost, doubled or late
+
+
+@kinds
+def test_a_lost_farewell_is_said_again(spares_kept: bool) -> None:
+    simulation = started(1, 1, spares_kept, spares=1)
+    lost: list[ConsensusMessage] = []
+
+    def drops(message: ConsensusMessage) -> bool:
+        is_farewell = isinstance(message, Leave) or (isinstance(message, AppendReply) and message.leaving)
+        if is_farewell and len(lost) < 10:
+            lost.append(message)
+            return True
+        return False
+
+    simulation.drops = drops
+    assert simulation.leave_for_good(follower(simulation)) < 2 * SWAPPED_S
+    assert len(lost) == 10 and simulation.is_whole()
+
+
+@kinds
+def test_a_farewell_counts_also_where_it_only_stands_in_answers(spares_kept: bool) -> None:
+    simulation = started(2, 1, spares_kept, spares=1)
+    simulation.drops = lambda message: isinstance(message, Leave)
+    assert simulation.leave_for_good(follower(simulation)) < SWAPPED_S
+    assert simulation.is_whole()
+
+
+@kinds
+def test_an_answer_that_is_lost_is_given_again(spares_kept: bool) -> None:
+    simulation = started(3, 1, spares_kept, spares=1)
+    lost: list[ConsensusMessage] = []
+
+    def drops(message: ConsensusMessage) -> bool:
+        if isinstance(message, Left) and len(lost) < 3:
+            lost.append(message)
+            return True
+        return False
+
+    simulation.drops = drops
+    assert simulation.leave_for_good(follower(simulation)) < 2 * SWAPPED_S
+    assert len(lost) == 3
+
+
+@kinds
+def test_a_process_waits_no_longer_than_its_patience(spares_kept: bool) -> None:
+    simulation = started(4, 1, spares_kept, spares=1)
+    old = follower(simulation)
+    simulation.cut_off(old)
+    assert PATIENCE_S <= simulation.leave_for_good(old) < PATIENCE_S + 0.1
+
+
+def restart_and_late_farewells(spares_kept: bool, raft_class: type[Raft] = Raft) -> None:
+    """Farewells of an earlier life come, twice each, when the member runs again and a learner is there."""
+    simulation = started(5, 1, spares_kept, raft_class=raft_class)
+    kept: list[ConsensusMessage] = []
+
+    def drops(message: ConsensusMessage) -> bool:
+        if isinstance(message, Leave):
+            kept.append(message)
+        return False
+
+    simulation.drops = drops
+    old = follower(simulation)
+    usual = voters(simulation)
+    simulation.leave(old)
+    simulation.run(0.3)
+    simulation.crash(old)
+    simulation.run(0.2)
+    simulation.start(old)
+    simulation.run(0.5)
+    simulation.join("spare")
+    simulation.write(0.5)
+    assert voters(simulation) == usual
+    assert len(kept) > 3
+    for message in kept * 2:
+        simulation.deliver_again(message)
+    simulation.write(3.0)
+    assert voters(simulation) == usual, "the life that runs now has said no farewell"
+    simulation.check_converges()
+
+
+@kinds
+def test_a_late_farewell_does_not_touch_a_later_life(spares_kept: bool) -> None:
+    restart_and_late_farewells(spares_kept)
+
+
+def test_a_leader_that_takes_late_farewells_is_caught() -> None:
+    with pytest.raises(AssertionError):
+        restart_and_late_farewells(True, TakesLateFarewells)
+
+
+def test_a_late_answer_does_not_end_a_later_farewell() -> None:
+    simulation = started(6, 1, True, spares=1)
+    kept: list[ConsensusMessage] = []
+
+    def drops(message: ConsensusMessage) -> bool:
+        if isinstance(message, Left):
+            kept.append(message)
+        return False
+
+    simulation.drops = drops
+    old = follower(simulation)
+    simulation.run_until(simulation.leave(old))
+    simulation.crash(old)
+    simulation.start(old)
+    simulation.join("other")
+    simulation.lose_for_good("spare0")
+    simulation.run_until(lambda: old in voters(simulation))
+    simulation.write(1.0)
+    simulation.cut_off(old)
+    may_end = simulation.leave(old)
+    simulation.cuts.clear()
+    simulation.drops = lambda message: isinstance(message, Leave | AppendReply) and message.sender == old
+    assert kept
+    for message in kept:
+        simulation.deliver_again(message)
+    simulation.run(0.1)
+    assert not may_end()
+
+
+# Restarts
+
+
+@kinds
+@tolerated_losses
+def test_a_restart_without_a_spare_changes_nothing(tolerated: int, spares_kept: bool) -> None:
+    for seed in range(3):
+        simulation = started(seed, tolerated, spares_kept)
+        usual = simulation.leader_raft().membership
+        for name in usual.voters:
+            simulation.leave(name)
+            simulation.run(0.2)
+            simulation.crash(name)
+            simulation.run(0.4)
+            simulation.start(name)
+            simulation.write(1.0)
+            assert simulation.leader_raft().membership == usual
+        assert simulation.is_whole()
+        simulation.check_converges()
+
+
+@kinds
+@tolerated_losses
+def test_rolling_restarts_with_a_spare_keep_the_group_whole(tolerated: int, spares_kept: bool) -> None:
+    """Who was swapped out comes back with its disk, and is the spare for the next one."""
+    for seed in range(3):
+        simulation = started(seed, tolerated, spares_kept, spares=1)
+        everybody = sorted(simulation.members)
+        for name in everybody:
+            simulation.run_until(simulation.leave(name))
+            simulation.crash(name)
+            assert simulation.until_whole() < SWAPPED_S
+            simulation.write(1.0)
+            assert simulation.is_whole()
+            simulation.start(name)
+            simulation.write(1.0)
+            assert simulation.is_whole()
+        assert sorted(simulation.members) == everybody
+        simulation.check_converges()
+
+
+@kinds
+def test_a_member_that_was_swapped_out_may_be_promoted_again(spares_kept: bool) -> None:
+    simulation = started(7, 1, spares_kept, spares=1)
+    old = follower(simulation)
+    simulation.run_until(simulation.leave(old))
+    simulation.crash(old)
+    simulation.run(0.5)
+    simulation.start(old)
+    simulation.write(1.0)
+    simulation.lose_for_good("spare0")
+    assert simulation.until_whole() < HALF_S
+    assert old in voters(simulation)
+    simulation.check_converges()
+
+
+# Two at once
+
+
+@kinds
+def test_two_leave_and_two_learners_take_their_places(spares_kept: bool) -> None:
+    for seed in range(4):
+        simulation = started(seed, 2, spares_kept, spares=2)
+        leaving = [follower(simulation, number) for number in range(2)]
+        ends = [simulation.leave(name) for name in leaving]
+        simulation.run_until(lambda ends=ends: all(may_end() for may_end in ends))  # type: ignore[misc]
+        for name in leaving:
+            simulation.lose_for_good(name)
+        simulation.wipe(*simulation.oldest(2))
+        assert simulation.until_whole() < HALF_S
+        simulation.check_converges()
+
+
+@kinds
+@tolerated_losses
+def test_two_leave_and_one_learner_takes_a_place(tolerated: int, spares_kept: bool) -> None:
+    """The other one keeps its vote, and the group has no voter too many."""
+    for seed in range(4):
+        simulation = started(seed, tolerated, spares_kept, spares=1)
+        leaving = [follower(simulation, number) for number in range(2)]
+        ends = [simulation.leave(name) for name in leaving]
+        simulation.run_until(lambda ends=ends: any(may_end() for may_end in ends))  # type: ignore[misc]
+        simulation.write(0.5)
+        assert len(voters(simulation)) == 2 * tolerated + 1
+        assert [may_end() for may_end in ends].count(True) == 1
+        assert len(set(leaving) & set(voters(simulation))) == 1
+        assert simulation.is_whole()
+
+
+# The planner alone
+
+A, B, C, D, E = (f"10.0.0.{number}#seed" for number in range(1, 6))
+F, G = "10.0.0.6#x", "10.0.0.7#x"
+USUAL = Membership((A, B, C))
+Group = Callable[..., PlannedGroupStandIn]
+
+
+@pytest.mark.parametrize("spares_kept", [False, True])
+def test_a_learner_that_is_ready_takes_the_place_first(spares_kept: bool) -> None:
+    group = PlannedGroupStandIn(USUAL.voters, (A, B, C, D), learners=(D,), keeps_spares=spares_kept)
+    group.leaving = {C}
+    assert group.run(1.0, joining=(D,)) == [Membership((A, B, C, D)), Membership((A, B, D))]
+
+
+@pytest.mark.parametrize("spares_kept", [False, True])
+def test_a_learner_that_lags_takes_no_place(spares_kept: bool) -> None:
+    group = PlannedGroupStandIn(USUAL.voters, (A, B, C, D), learners=(D,), keeps_spares=spares_kept)
+    group.leaving = {C}
+    group.behind = {D}
+    assert group.run(5.0, joining=(D,)) == []
+
+
+@pytest.mark.parametrize("spares_kept", [False, True])
+def test_a_learner_that_leaves_itself_takes_no_place(spares_kept: bool) -> None:
+    group = PlannedGroupStandIn(USUAL.voters, (A, B, C, D, F), learners=(D,), keeps_spares=spares_kept)
+    group.leaving = {C, D}
+    group.run(2.0, joining=(F,))
+    assert set(group.membership.voters) == {A, B, F}
+
+
+def test_a_voter_that_left_without_a_swap_is_lost_at_once() -> None:
+    group = PlannedGroupStandIn(USUAL.voters, (A, B, C, D), learners=(D,), keeps_spares=True)
+    group.behind = {D}
+    group.leaving = {C}
+    group.run(0.5)
+    group.alive.discard(C)
+    group.behind = set()
+    group.run(1.0)
+    assert group.membership == Membership((A, B, D))
+
+
+def test_a_lost_voter_is_replaced_before_one_that_leaves() -> None:
+    group = PlannedGroupStandIn(USUAL.voters, (A, C, D), learners=(D,), keeps_spares=True)
+    group.leaving = {C}
+    group.run(5.0)
+    assert set(group.membership.voters) == {A, C, D}
+    assert all(set(change.voters) >= {A, C} for change in group.changes)
+
+
+def test_a_retiring_voter_stays_until_the_others_hold_all_without_one_that_leaves() -> None:
+    group = PlannedGroupStandIn((A, B, C, D), (A, B, C, D))
+    group.retiring = {C}
+    group.leaving = {D}
+    group.run(5.0)
+    assert len(group.membership.voters) == 3
--- a/tests/consensus/test_planner_breakages.py
+++ b/tests/consensus/test_planner_breakages.py
@@ -21,6 +21,9 @@
     def silent_s(self, member: str, now: float) -> float:
         return self._group.silent_s(member, now)
 
+    def is_leaving(self, member: str) -> bool:
+        return self._group.is_leaving(member)
+
 
 class PromotesWithoutCatchUp(MembershipPlanner):
     """A learner votes before it holds what is committed."""
