Simulation: planned replacements read to the letter, with the next losses as the old machine ends

Cause: the adversary counted a machine that is replaced by plan as lost from its stop on, though its successor had had its time.

Change: it is no loss; a new instant, as the old machine ends, at which as many of the oldest disks as may be lost go. Stores are drained at a planned stop as control machines are. Three breakages: the leader ignores farewells, a control machine or a store ends without one.

--- a/tests/simulation/adversary.py
+++ b/tests/simulation/adversary.py
@@ -18,6 +18,7 @@
     Point.DRAIN_ACKED,
     Point.JOB_ACKED,
     Point.RETIRED,
+    Point.REPLACED,
     Point.MEMBERS,
     Point.MEMBERS_APPLIED,
 }
@@ -40,6 +41,7 @@
         self.ended_s = 0.0
         self.log: list[str] = []
         self._armed: list[tuple[Fault, float]] = []
+        self._ending: set[str] = set()  # machines that were told to end, for good
         world.hooks.append(self._reached)
         for fault in faults:
             world.loop.call_outside(fault.at, self._arm, fault)
@@ -91,7 +93,7 @@
         running = [
             machine
             for machine in self._world.core(on)
-            if machine.running and not self.losses.in_trouble(machine.ip)
+            if machine.running and not self.losses.in_trouble(machine.ip) and machine.ip not in self._ending
         ]
         if target is Target.LOST:
             running = [each for each in running if self.losses.is_catching_up(each.ip, self._now)]
@@ -194,25 +196,35 @@
         self._over(machine)
 
     def _plan_replacement(self, machine: GroupMachine) -> None:
-        """The successor comes first; the old machine counts as lost from its stop on."""
-        self._world.start(self._world.new_machine(machine.on))
-        self._later(CATCH_UP_S, lambda: self._remove(machine))
+        """The successor comes first; it has had its time when the old machine ends, which is no loss then."""
+        successor = self._world.new_machine(machine.on)
+        self._world.start(successor)
+        self._later(CATCH_UP_S, lambda: self._remove(machine, successor))
 
-    def _remove(self, machine: GroupMachine) -> None:
-        if machine.gone:
+    def _remove(self, machine: GroupMachine, successor: GroupMachine) -> None:
+        if machine.gone or successor.gone:  # without a successor it stays
             self._ended()
             return
-        if not machine.running or not self.losses.allows(machine.ip, self._now):
-            self._later(RETRY_S, lambda: self._remove(machine))
+        lost = self.losses.in_trouble(machine.ip) or self.losses.counts(successor.ip, self._now)
+        if not machine.running or lost:
+            self._later(RETRY_S, lambda: self._remove(machine, successor))
             return
-        self.losses.begin(machine.ip)
+        process = machine.process
+        assert process is not None
+        self._ending.add(machine.ip)
+        self.log.append(f"{self._now:.4f} {machine.on.value} {machine.ip} is told to end")
 
         def removed() -> None:
-            machine.wipe()
-            machine.gone_s = self._now
-            self._over(machine)
+            if not machine.gone:
+                machine.wipe()
+                machine.gone_s = self._now
+            self.log.append(f"{self._now:.4f} {machine.on.value} {machine.ip} is gone")
+            self._ended()
+            self._reached(Point.REPLACED.value, machine)
 
-        self._world.stop(machine, removed)
+        # However it ends: a loss of power of the whole group may come meanwhile.
+        process.at_death.append(lambda: self._later(0.0, removed))
+        self._world.stop(machine, lambda: None)
 
     def _freeze(self, machine: GroupMachine, lasts_s: float) -> None:
         process = machine.process
--- a/tests/simulation/breakages.py
+++ b/tests/simulation/breakages.py
@@ -13,6 +13,7 @@
 from pewterring.batch.messages import JobAccepted, SubmitJob
 from pewterring.batch.service import BatchService, SubmitReply
 from pewterring.consensus.following import Following
+from pewterring.consensus.group import ReplicatedGroup
 from pewterring.consensus.leading import Leading
 from pewterring.consensus.messages import SnapshotPart
 from pewterring.consensus.planner import Candidates, MembershipPlanner
@@ -82,6 +83,20 @@
     return mock.patch.object(Leading, "advance_commit", advance_commit)
 
 
+def farewell_ignored() -> Any:
+    """A leader goes on as if no voter had told it that its process is about to end."""
+    return mock.patch.object(Leading, "is_leaving", lambda self, member: False)
+
+
+def ends_without_farewell() -> Any:
+    """A process that is told to end hands the leadership over, and keeps its vote until it is gone."""
+
+    async def leave(self: ReplicatedGroup, patience_s: float) -> None:
+        await self.hand_over_leadership()
+
+    return mock.patch.object(ReplicatedGroup, "leave", leave)
+
+
 def commit_before_majority() -> Any:
     """An entry counts as committed once one other member has it on disk, or the leader alone."""
 
--- a/tests/simulation/losses.py
+++ b/tests/simulation/losses.py
@@ -8,7 +8,8 @@
 class Losses:
     """A machine is lost while it is in trouble, and for `CATCH_UP_S` after it is back.
 
-    One that is removed for good is lost until its successor has had that time.
+    One that is removed for good is lost until its successor has had that time: not at all, where the
+    successor has had it before the machine ends.
     """
 
     def __init__(self, tolerated: int) -> None:
@@ -39,6 +40,10 @@
         others = sum(until > now for other, until in self._until.items() if other != ip)
         return others < self._tolerated and not self.in_trouble(ip)
 
+    def counts(self, ip: str, now: float) -> bool:
+        """Whether the machine is lost."""
+        return self._until.get(ip, 0.0) > now
+
     def is_catching_up(self, ip: str, now: float) -> bool:
         """Whether the machine is back, and still counts as lost."""
         return now < self._until.get(ip, 0.0) < inf
--- a/tests/simulation/named.py
+++ b/tests/simulation/named.py
@@ -6,6 +6,8 @@
     commit_before_majority,
     departed_forgotten,
     digest_forgotten,
+    ends_without_farewell,
+    farewell_ignored,
     job_accepted_early,
     learner_counted,
     lease_not_checked,
@@ -19,9 +21,12 @@
     unsure_refused,
     vote_not_synced,
 )
+from tests.simulation.losses import CATCH_UP_S
 from tests.simulation.schedule import Fault, Kind, On, Point, Schedule, Target
 
 LEADER, OLDEST, LOST, FOLLOWER = Target.LEADER, Target.OLDEST, Target.LOST, Target.FOLLOWER
+PLANNED_AT_S, PATIENCE_S = 6.0, 4.0  # a process that leaves waits half of its grace
+STOPPED_AT_S = PLANNED_AT_S + CATCH_UP_S
 
 
 def again(*faults: Fault, times: int = 3, apart_s: float = 5.6) -> tuple[Fault, ...]:
@@ -33,6 +38,13 @@
     )
 
 
+def replaced_to_the_letter(seed: int, tolerated: int, on: On, ended_at: float) -> Schedule:
+    """A machine ends by plan, and as many of the oldest disks as may be lost go at that instant."""
+    wipe = Fault(ended_at - 0.5, Kind.WIPE, OLDEST, Point.REPLACED, 0.6, on)
+    faults = (Fault(PLANNED_AT_S, Kind.PLANNED, OLDEST, on=on), *(wipe,) * tolerated)
+    return Schedule(seed, tolerated, faults, stores=on is On.STORE)
+
+
 FROZEN_LEADER = again(Fault(6.0, Kind.CUT_FREEZE, LEADER, Point.NOW, 0.7))
 CUT_LEADER = again(Fault(6.0, Kind.CUT, LEADER, Point.NOW, 2.0))
 CUT_STORE_LEADER = again(Fault(6.0, Kind.CUT, LEADER, Point.JOB_ACKED, 2.0, On.STORE))
@@ -54,6 +66,18 @@
             2, 1, again(Fault(5.5, Kind.PLANNED, FOLLOWER), Fault(7.0, Kind.CUT_VOTERS, LEADER, lasts_s=2.5))
         ),
     ),
+    "farewell ignored": (
+        farewell_ignored,
+        replaced_to_the_letter(1, 1, On.CONTROL, STOPPED_AT_S + PATIENCE_S),
+    ),
+    "a process ends without its farewell": (
+        ends_without_farewell,
+        replaced_to_the_letter(1, 1, On.CONTROL, STOPPED_AT_S),
+    ),
+    "a store ends without its farewell": (
+        ends_without_farewell,
+        replaced_to_the_letter(1, 1, On.STORE, STOPPED_AT_S),
+    ),
     "commit before majority": (commit_before_majority, Schedule(1, 1, CUT_LEADER)),
     "digest forgotten": (digest_forgotten, Schedule(1, 1, LATE_KILLS)),
     "departed forgotten": (departed_forgotten, Schedule(3, 1, LATE_KILLS)),
--- a/tests/simulation/schedule.py
+++ b/tests/simulation/schedule.py
@@ -63,6 +63,7 @@
     DRAIN_ACKED = "drain_acked"
     JOB_ACKED = "job_acked"  # a client has just got its 202
     RETIRED = "retired"  # a store was told to be empty, and is gone
+    REPLACED = "replaced"  # a machine whose successor has had its time has just ended, and is gone
 
 
 class On(StrEnum):
@@ -152,6 +153,7 @@
     Point.DRAIN_ACKED: 2,
     Point.JOB_ACKED: 2,
     Point.RETIRED: 1,
+    Point.REPLACED: 2,
 }
 
 
--- a/tests/simulation/world.py
+++ b/tests/simulation/world.py
@@ -212,19 +212,16 @@
         self.loop.create_task(machine.program.start())
 
     def stop(self, machine: GroupMachine, then: Any) -> None:
-        """A planned stop: the program hands over and ends; `then` is called outside."""
+        """A planned stop: the program gives up leadership and vote and ends; `then` is called outside."""
         process = machine.process
         assert process is not None
 
         async def end() -> None:
             group = machine.group
-            if isinstance(machine, ControlMachine) and group is not None and group._raft is not None:
+            if isinstance(machine, ControlMachine | StoreMachine) and group is not None and group._raft:
                 assert machine.program is not None
                 await machine.program.drain()
                 await machine.program.stop()
-            elif isinstance(machine, StoreMachine) and group is not None and group._raft is not None:
-                assert machine.program is not None
-                await machine.program.stop()
             self.loop.call_outside(self.loop.time(), done)
 
         def done() -> None:
