--- a/benchmarks/redundancy.py
+++ b/benchmarks/redundancy.py
@@ -1,8 +1,8 @@
 """How long after a loss 2f + 1 voters hold all again, with the largest state that a group may have.
 
     python -m benchmarks.redundancy [--kinds batch,control] [--tolerated 1,2] [--catch-up 4.8,6]
-                                    [--cases wiped,wiped-leader,follower,leader] [--seeds 3]
-                                    [--disk-mb 110] [--memory-mb 320] [--copy-mb-per-s 0]
+                                    [--cases wiped,wiped-leader,follower,leader,leaving,leaving-leader]
+                                    [--seeds 3] [--disk-mb 110] [--memory-mb 320] [--copy-mb-per-s 0]
                                     [--share 0.645] [--link-mbit 600] [--sync-ms 1]
                                     [--mb-per-s 120] [--rates 307,342,449,520]
 
@@ -14,8 +14,10 @@
 `copy-mb-per-s` one that is told that rate and the shortest `catch-up`. As many
 machines as may be lost are lost at once, with `leader` the leader and followers, else followers. The `wiped`
 ones come back empty after half a second, and count from then; the others are gone for good, where there are
-as many spare machines, and count from the loss. `rates` are those that another run printed, in MB/s: what is
-measured depends on who else uses this machine. Printed are the shortest and the longest of so many seeds.
+as many spare machines, and count from the loss. A `leaving` one, alone and with one spare machine, stops by
+plan: counted is from SIGTERM until it has no vote any more, or has waited as long as it may. `rates` are
+those that another run printed, in MB/s: what is measured depends on who else uses this machine. Printed are
+the shortest and the longest of so many seeds.
 """
 
 import argparse
@@ -37,6 +39,7 @@
 from pewterring.batch.program import MEMBERS_PERIOD_S
 from pewterring.batch.state import BatchState
 from pewterring.consensus.errors import ConsensusError
+from pewterring.consensus.farewell import LEAVE_PART
 from pewterring.consensus.group import ReplicatedGroup, StateMachine
 from pewterring.consensus.membership import address_of
 from pewterring.consensus.messages import CONSENSUS_MESSAGES, ConsensusMessage, Membership, SnapshotPart
@@ -69,6 +72,7 @@
 PATIENCE_S = 30.0
 JOB_BYTES = 50_000
 JOBS_A_SECOND = 20
+GRACE_S = 8.0  # after SIGTERM
 ITEMS = 10
 KEPT_JOBS = 20  # of those that come during a run; the first state leaves room for them
 ROUTES = 300
@@ -235,6 +239,7 @@
         self.group: ReplicatedGroup | None = None
         self.planner: MembershipPlanner | None = None
         self.looks: asyncio.Task[None] | None = None
+        self.farewell_look: asyncio.Task[None] | None = None
         self.known_at = 0.0
 
 
@@ -272,6 +277,7 @@
             clock=asyncio.get_running_loop().time,
             limits=RaftLimits(),
             on_leadership=lambda leads: self._on_leadership(node, leads),
+            on_farewell=lambda: self._on_farewell(node),
             executor=DiskTimer(node.disk, self._speeds.sync_s, self._speeds.disk_bytes),
         )
         node.group = group
@@ -332,11 +338,18 @@
         if leads and node.planner is not None and node.group is not None:
             node.planner.start(now(), node.group)
 
+    def _on_farewell(self, node: Node) -> None:
+        if node.farewell_look is None or node.farewell_look.done():
+            node.farewell_look = asyncio.create_task(self._look_once(node))
+
+    async def _look_once(self, node: Node) -> None:
+        with contextlib.suppress(ConsensusError):
+            await self._look(node)
+
     async def _look_forever(self, node: Node) -> None:
         while True:
             await asyncio.sleep(self._kind.look_s)
-            with contextlib.suppress(ConsensusError):
-                await self._look(node)
+            await self._look_once(node)
 
     async def _look(self, node: Node) -> None:
         group, planner = node.group, node.planner
@@ -411,7 +424,8 @@
     for name in cluster.first:
         await cluster.start(name, with_state=True)
     is_wiped = case.startswith("wiped")
-    spares = 0 if is_wiped else tolerated
+    is_leaving = case.startswith("leaving")
+    spares = 0 if is_wiped else 1 if is_leaving else tolerated
     for number in range(spares):
         await cluster.start(f"10.0.1.{number}#spare")
     writes = asyncio.create_task(cluster.write_forever())
@@ -423,20 +437,26 @@
     lost = lost[:tolerated]
     began = now()
     cluster.joined_at = None
-    for name in lost:
-        await cluster.lose(name)
+    if is_leaving:
+        leaving = cluster.nodes[lost[0]].group
+        assert leaving is not None
+        await leaving.leave(LEAVE_PART * GRACE_S)
+    else:
+        for name in lost:
+            await cluster.lose(name)
     if is_wiped:
         await asyncio.sleep(DOWN_S)
         for name in lost:
             await cluster.start(f"{address_of(name)}#new")
         began = now()
-    whole = await cluster.until_whole()
+    whole = None if is_leaving else await cluster.until_whole()
     ended = now()
     writes.cancel()
     for name in list(cluster.nodes):
         await cluster.lose(name)
     joined_at = ended if cluster.joined_at is None else cluster.joined_at
-    return Times(joined_at - began, float("inf") if whole is None else ended - began)
+    came = is_leaving or whole is not None
+    return Times(joined_at - began, ended - began if came else float("inf"))
 
 
 def _rate(work: Callable[[], object], size_bytes: int, times: int) -> float:
@@ -536,7 +556,7 @@
     parser.add_argument("--kinds", default="batch,control")
     parser.add_argument("--tolerated", default="1,2")
     parser.add_argument("--catch-up", default="4.8,6")
-    parser.add_argument("--cases", default="wiped,wiped-leader,follower,leader")
+    parser.add_argument("--cases", default="wiped,wiped-leader,follower,leader,leaving,leaving-leader")
     parser.add_argument("--seeds", type=int, default=3)
     parser.add_argument("--disk-mb", type=int, default=110)
     parser.add_argument("--memory-mb", type=int, default=320)
--- a/tests/consensus/test_farewells.py
+++ b/tests/consensus/test_farewells.py
@@ -4,24 +4,28 @@
 not count as lost when it ends, so as many disks as may be lost go at that instant, or a little later.
 """
 
+import asyncio
 import random
-from collections.abc import Callable
 
 import pytest
 
+from pewterring.consensus.errors import GroupFailed
+from pewterring.consensus.group import ReplicatedGroup
 from pewterring.consensus.messages import AppendReply, ConsensusMessage, Leave, Left, Membership
 from pewterring.consensus.raft import Raft
 from tests.consensus.breakages import IgnoresFarewells, TakesLateFarewells
+from tests.consensus.memory_storage import MemoryStorage
 from tests.consensus.parts import Violation
 from tests.consensus.planned_group import PlannedGroupStandIn
 from tests.consensus.planned_simulation import CATCH_UP_S, PATIENCE_S, PlannedSimulation
+from tests.consensus.test_group import NAMES, Network, wait_until
 from tests.consensus.test_losses import HALF_S, kinds, tolerated_losses
+from tests.consensus.virtual_time import run
 
 ROUNDS = 3
 LATEST_S = 1.5  # of the other losses, after the end of the old machine
 AT_ONCE_S = 0.05  # until all have the last change on disk
 SWAPPED_S = 0.5  # from SIGTERM on, with little state, nothing lost and a leader that stays
-TURNS = 4  # of the planner
 
 
 def started(
@@ -364,7 +368,6 @@
 A, B, C, D, E = (f"10.0.0.{number}#seed" for number in range(1, 6))
 F, G = "10.0.0.6#x", "10.0.0.7#x"
 USUAL = Membership((A, B, C))
-Group = Callable[..., PlannedGroupStandIn]
 
 
 @pytest.mark.parametrize("spares_kept", [False, True])
@@ -415,3 +418,81 @@
     group.leaving = {D}
     group.run(5.0)
     assert len(group.membership.voters) == 3
+
+
+# The driver
+
+
+def swap(group: ReplicatedGroup, voter: str, learner: str) -> list[Membership]:
+    """The changes that give the learner the vote."""
+    others = tuple(each for each in group.membership.voters if each != voter)
+    return [Membership((*group.membership.voters, learner)), Membership((*others, learner))]
+
+
+def test_driver_leaves_once_another_has_its_vote() -> None:
+    async def scenario() -> None:
+        network = Network()
+        leader = await network.start()
+        await network.add("d", MemoryStorage()).start()
+        await leader.change_membership(Membership(NAMES, ("d",)))
+        leaving = next(group for group in network.groups.values() if group is not leader)
+        heard = 0
+
+        def on_farewell() -> None:
+            nonlocal heard
+            heard += 1
+
+        leader._on_farewell = on_farewell
+        told = asyncio.ensure_future(leaving.leave(5.0))
+        await wait_until(lambda: heard > 1)
+        assert leader.is_leaving(leaving.member) and not told.done()
+        for change in swap(leader, leaving.member, "d"):
+            await leader.change_membership(change)
+        began = asyncio.get_running_loop().time()
+        await told
+        assert asyncio.get_running_loop().time() - began < AT_ONCE_S
+        await leaving.leave(5.0)
+        assert asyncio.get_running_loop().time() - began < AT_ONCE_S, "it has no vote to give"
+        await network.stop()
+
+    run(scenario())
+
+
+def test_driver_that_leads_hands_over_and_leaves_in_its_patience() -> None:
+    async def scenario() -> None:
+        network = Network()
+        old = await network.start()
+        began = asyncio.get_running_loop().time()
+        await old.leave(1.0)
+        assert 1.0 <= asyncio.get_running_loop().time() - began < 1.0 + AT_ONCE_S
+        assert not old.is_leader
+        assert (await network.new_leader(old)).is_leaving(old.member)
+        await network.stop()
+
+    run(scenario())
+
+
+def test_driver_with_one_voter_has_nobody_to_leave_to() -> None:
+    async def scenario() -> None:
+        network = Network(("a",))
+        only = await network.start()
+        await only.leave(1.0)
+        assert only.is_leader
+        await network.stop()
+
+    run(scenario())
+
+
+def test_driver_that_stops_meanwhile_fails() -> None:
+    async def scenario() -> None:
+        network = Network()
+        leader = await network.start()
+        leaving = next(group for group in network.groups.values() if group is not leader)
+        told = asyncio.ensure_future(leaving.leave(1.0))
+        await asyncio.sleep(0.1)
+        await leaving.stop()
+        with pytest.raises(GroupFailed):
+            await told
+        await network.stop()
+
+    run(scenario())
--- a/tests/simulation/adversary.py
+++ b/tests/simulation/adversary.py
@@ -148,7 +148,7 @@
                 machine.wipe()
                 self._later(fault.lasts_s, lambda: self._restart(machine))
             case Kind.STOP:
-                self._world.stop(machine, lambda: self._later(fault.lasts_s, lambda: self._restart(machine)))
+                self._stop_for(machine, fault.lasts_s)
             case Kind.REPLACE:
                 machine.wipe()
                 machine.gone_s = self._now
@@ -195,6 +195,15 @@
         self._world.start(self._world.new_machine(machine.on))
         self._over(machine)
 
+    def _stop_for(self, machine: GroupMachine, lasts_s: float) -> None:
+        self.log.append(f"{self._now:.4f} {machine.on.value} {machine.ip} is told to end")
+
+        def ended() -> None:
+            self.log.append(f"{self._now:.4f} {machine.on.value} {machine.ip} has ended")
+            self._later(lasts_s, lambda: self._restart(machine))
+
+        self._world.stop(machine, ended)
+
     def _plan_replacement(self, machine: GroupMachine) -> None:
         """The successor comes first; it has had its time when the old machine ends, which is no loss then."""
         successor = self._world.new_machine(machine.on)
