--- a/tests/consensus/test_farewells.py
+++ b/tests/consensus/test_farewells.py
@@ -20,6 +20,7 @@
 from tests.consensus.planned_simulation import CATCH_UP_S, PATIENCE_S, PlannedSimulation
 from tests.consensus.test_group import NAMES, Network, wait_until
 from tests.consensus.test_losses import HALF_S, kinds, tolerated_losses
+from tests.consensus.test_planner import breaks_a_rule, every_group
 from tests.consensus.virtual_time import run
 
 ROUNDS = 3
@@ -385,6 +386,21 @@
     assert group.run(5.0, joining=(D,)) == []
 
 
+@pytest.mark.parametrize(("tolerated", "states"), [(1, ("good", "lost", "retiring")), (2, ("good", "lost"))])
+def test_no_farewell_lowers_how_many_losses_are_borne(tolerated: int, states: tuple[str, ...]) -> None:
+    """Any number of voters leave; those that were not swapped out go on afterwards."""
+    groups = every_group(tolerated, kinds=(*states, "leaving"))
+    assert len(groups) > 60
+    for group in groups:
+        leaving = set(group.leaving)
+        assert breaks_a_rule(group, tolerated) == ""
+        ready = [spare for spare in (F, G)[:tolerated] if group.match(spare)]
+        taken = leaving - set(group.membership.voters)
+        assert len(taken) <= len(ready), "nobody goes without a learner that takes the place"
+        group.leaving = set()
+        assert breaks_a_rule(group, tolerated) == ""
+
+
 @pytest.mark.parametrize("spares_kept", [False, True])
 def test_a_learner_that_leaves_itself_takes_no_place(spares_kept: bool) -> None:
     group = PlannedGroupStandIn(USUAL.voters, (A, B, C, D, F), learners=(D,), keeps_spares=spares_kept)
--- a/tests/consensus/test_planner.py
+++ b/tests/consensus/test_planner.py
@@ -237,14 +237,21 @@
 
 
 def every_group(
-    tolerated: int, planner_class: type[MembershipPlanner] = MembershipPlanner
+    tolerated: int,
+    planner_class: type[MembershipPlanner] = MembershipPlanner,
+    kinds: tuple[str, ...] = ("good", "lost", "retiring"),
 ) -> list[PlannedGroupStandIn]:
-    """Each choice of up to f voters that are lost or retiring, with learners that are ready, lag or die."""
+    """Each choice of up to f voters that are lost, one that retires, and any number of `kinds` besides that,
+    with learners that are ready, lag or die."""
     voters = [A, B, C, D, E][: 2 * tolerated + 1]
     spares = [F, G][:tolerated]
     groups = []
-    for states in itertools.product(("good", "lost", "retiring"), repeat=len(voters)):
-        if states[0] == "lost" or states.count("lost") > tolerated or states.count("retiring") > 1:
+    for states in itertools.product(kinds, repeat=len(voters)):
+        if (
+            states[0] in ("lost", "leaving")
+            or states.count("lost") > tolerated
+            or states.count("retiring") > 1
+        ):
             continue
         for learners in itertools.product(("ready", "lags", "silent"), repeat=len(spares)):
             group = PlannedGroupStandIn(voters, tolerated=tolerated, planner_class=planner_class)
@@ -252,6 +259,7 @@
             group.alive = {member for member, state in pairs if state not in ("lost", "silent")}
             group.behind = {member for member, state in pairs if state == "lags"}
             group.retiring = {member for member, state in pairs if state == "retiring"}
+            group.leaving = {member for member, state in pairs if state == "leaving"}
             group.joining = spares
             groups.append(group)
     return groups
