Gateways that hear of free room at the same moment do not all take the whole of it

Cause: a gateway's share was at most what the others leave of the ceiling. Where heartbeats go out together, each of n gateways claimed all that had come free, in the next period all saw too much out and refused everything.

Change: on direct heartbeats a gateway gives way for its part of the excess, as it already does by totals of relays. The decision module keeps its own rule.

Test: eight gateways in virtual time, asked for 1.2 times what 144 slots bear, have 126 to 167 out (39 to 182 before), asked for twice as much 103 to 209 (77 to 199); at twice as much the swing is not gone: what is lent past shares is left as it was.

--- a/pewterring/admission/relayed_shares.py
+++ b/pewterring/admission/relayed_shares.py
@@ -69,6 +69,14 @@
             self.elsewhere = self.whole
             self.share = max(1.0, target)
 
+    def _unreserved(self, target: float, reserved: float) -> float:
+        """Gives way in proportion, as with totals.
+
+        Symptom answered: gateways whose heartbeats go out together all take what one of them could have, then
+        all refuse; what is out swings between half of the ceiling and twice.
+        """
+        return target * min(1.0, self.whole / max(target + reserved, 1.0))
+
     def _demands(self, now: float, totals: Totals) -> float:
         """The demand of the fleet. That of gateways unheard counts on for a while, as it does in `Shares`."""
         remembered = self.total * math.exp((self.at - now) / GHOST_S)
--- a/pewterring/admission/shares.py
+++ b/pewterring/admission/shares.py
@@ -56,7 +56,11 @@
         # New here, it takes its part all the same: peers reserve as before, and will make room.
         new = not self.sparse and now - self.began < LEASE_S
         part = self.demand / demands if demands > 0 and (self.demand > 0 or not new) else 1 / self.fleet
-        self.share = max(1.0, whole * part if new else min(whole * part, whole - reserved))
+        self.share = max(1.0, whole * part if new else self._unreserved(whole * part, reserved))
+
+    def _unreserved(self, target: float, reserved: float) -> float:
+        """What is left of a target where others reserve so much of the ceiling."""
+        return min(target, self.whole - reserved)
 
     def settle(self, now: float, past: float, limit: float) -> None:
         weight = max(1 - math.exp(-past / self.lease), past / max(past, now - self.began))  # first a mean
