--- a/tests/simulation/adversary.py
+++ b/tests/simulation/adversary.py
@@ -218,8 +218,6 @@
         if not machine.running or lost:
             self._later(RETRY_S, lambda: self._remove(machine, successor))
             return
-        process = machine.process
-        assert process is not None
         self._ending.add(machine.ip)
         self.log.append(f"{self._now:.4f} {machine.on.value} {machine.ip} is told to end")
 
@@ -231,9 +229,7 @@
             self._ended()
             self._reached(Point.REPLACED.value, machine)
 
-        # However it ends: a loss of power of the whole group may come meanwhile.
-        process.at_death.append(lambda: self._later(0.0, removed))
-        self._world.stop(machine, lambda: None)
+        self._world.stop(machine, removed)
 
     def _freeze(self, machine: GroupMachine, lasts_s: float) -> None:
         process = machine.process
--- a/tests/simulation/world.py
+++ b/tests/simulation/world.py
@@ -212,9 +212,13 @@
         self.loop.create_task(machine.program.start())
 
     def stop(self, machine: GroupMachine, then: Any) -> None:
-        """A planned stop: the program gives up leadership and vote and ends; `then` is called outside."""
+        """A planned stop: the program gives up leadership and vote and ends; `then` is called outside.
+
+        It is called however the process ends: a loss of power of the whole group may come meanwhile.
+        """
         process = machine.process
         assert process is not None
+        process.at_death.append(lambda: self.loop.call_outside(self.loop.time(), then))
 
         async def end() -> None:
             group = machine.group
@@ -227,7 +231,6 @@
         def done() -> None:
             if process.alive:
                 machine.kill()
-                then()
 
         self.loop.call_in(process, self.loop.time(), lambda: self.loop.create_task(end()))
 
