--- a/pewterring/batch/partition.py
+++ b/pewterring/batch/partition.py
@@ -22,6 +22,7 @@
 from pewterring.consensus.group import ReplicatedGroup
 from pewterring.consensus.messages import ConsensusMessage, Membership
 from pewterring.consensus.planner import CHANGES_A_LOOK, MembershipPlanner
+from pewterring.consensus.room import retry_while_full
 from pewterring.consensus.types import RaftTiming
 from pewterring.distribution.messages import GroupStatus
 from pewterring.distribution.tables import Tables
@@ -103,10 +104,13 @@
     async def start(self, first_voters: Membership | None = None) -> None:
         """Loads what is on disk. A new group starts with these voters; without them it waits to be joined."""
         if first_voters is not None:
-            self._storage.load()
-            self._storage.initialize(first_voters)
+            await retry_while_full(f"group {self.group.group}", lambda: self._initialize(first_voters))
         await self.group.start()
 
+    async def _initialize(self, first_voters: Membership) -> None:
+        self._storage.load()
+        self._storage.initialize(first_voters)
+
     async def drain(self) -> None:
         """Gives leadership and vote to others before a planned stop, where a store is there to take it.
 
--- a/pewterring/batch/program.py
+++ b/pewterring/batch/program.py
@@ -23,6 +23,7 @@
 from pewterring.batch.state import Clock
 from pewterring.consensus.membership import address_of
 from pewterring.consensus.messages import CONSENSUS_MESSAGES, ConsensusMessage, Membership
+from pewterring.consensus.room import retry_while_full
 from pewterring.distribution.messages import FEED_MESSAGES, STORE, GroupStatus, NodeRecord
 from pewterring.distribution.subscriber import FeedSubscriber
 from pewterring.distribution.tables import Tables
@@ -93,7 +94,7 @@
 
     async def start(self) -> None:
         """Loads the partitions on disk, listens, and follows the control leader."""
-        self._member = member_name(self._data_dir, self._settings.ip)
+        self._member = await retry_while_full("the store", self._read_name)
         logger.info("store {} starts as {}", self._settings.node_id, self._member)
         self._logs_on_disk = self._groups_with(SEGMENT_SUFFIX)
         for name in sorted(self._groups_with(SNAPSHOT_SUFFIX)):
@@ -104,6 +105,9 @@
         self._heartbeat_task = asyncio.create_task(self._send_heartbeats())
         self._members_task = asyncio.create_task(self._manage_members())
 
+    async def _read_name(self) -> str:
+        return member_name(self._data_dir, self._settings.ip)
+
     async def drain(self) -> None:
         """Gives up the votes of this store before a planned stop; it serves as a member meanwhile."""
         await asyncio.gather(*(partition.drain() for partition in self._partitions.values()))
--- a/pewterring/cli/tier.py
+++ b/pewterring/cli/tier.py
@@ -57,13 +57,14 @@
 async def _run(name: str, file: SettingsFile, settings: NodeSettings) -> int:
     failed = asyncio.Event()
     stopped = asyncio.Event()
-    program = _make(name, settings, failed)
+    program = await _make_with_room(name, settings, failed)
     reloader = _reloader(file, settings, program)
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, stopped.set)
     loop.add_signal_handler(signal.SIGINT, stopped.set)
     loop.add_signal_handler(signal.SIGHUP, reloader.reload)
-    await program.start()
+    if not await _started(program, stopped):
+        return 0
     watch = asyncio.create_task(reloader.watch())
     gc.collect()
     gc.freeze()
@@ -79,6 +80,30 @@
     return FAILED if failed.is_set() else 0
 
 
+async def _make_with_room(name: str, settings: NodeSettings, failed: asyncio.Event) -> Program:
+    from pewterring.consensus.room import retry_while_full
+
+    async def make() -> Program:
+        return _make(name, settings, failed)
+
+    return await retry_while_full(name, make)
+
+
+async def _started(program: Program, stopped: asyncio.Event) -> bool:
+    """Starts the program; False if a signal ends it while its start waits, for room on a full disk, say."""
+    start = asyncio.ensure_future(program.start())
+    signalled = asyncio.ensure_future(stopped.wait())
+    await asyncio.wait((start, signalled), return_when=asyncio.FIRST_COMPLETED)
+    if not start.done():
+        await asyncio.wait((start,), timeout=STOP_S)
+    signalled.cancel()
+    if start.done():
+        await start
+        return True
+    start.cancel()
+    return False
+
+
 def _reloader(file: SettingsFile, settings: NodeSettings, program: Program) -> SettingsReloader:
     def apply(changed: NodeSettings) -> None:
         take = getattr(program, "reload", None)
--- a/pewterring/consensus/storage_jobs.py
+++ b/pewterring/consensus/storage_jobs.py
@@ -8,8 +8,7 @@
 from loguru import logger
 
 from pewterring.consensus.errors import StorageFull
-
-FULL_RETRY_S = 0.2  # before what found no room on the disk is saved again
+from pewterring.consensus.room import FULL_RETRY_S, retry_while_full
 
 _Result = TypeVar("_Result")
 
@@ -43,7 +42,10 @@
         return self._job is not None
 
     async def call(self, work: Callable[[], _Result]) -> _Result:
-        """Does the work in the thread, beside the jobs."""
+        """Does the work in the thread, beside the jobs. On a full disk it waits for room."""
+        return await retry_while_full(f"group {self._group}", lambda: self._run(work))
+
+    async def _run(self, work: Callable[[], _Result]) -> _Result:
         return await asyncio.get_running_loop().run_in_executor(self._executor, work)
 
     def begin(self, work: Callable[[], None], done: Callable[[], None], must_be_done: bool) -> None:
--- a/tests/consensus/test_full_disk.py
+++ b/tests/consensus/test_full_disk.py
@@ -6,7 +6,7 @@
 from pewterring.consensus.errors import StorageFull
 from pewterring.consensus.group import ReplicatedGroup
 from pewterring.consensus.messages import Entry, Membership
-from pewterring.consensus.persistent import HardState
+from pewterring.consensus.persistent import HardState, LoadedGroup
 from tests.consensus.memory_storage import MemoryStorage
 from tests.consensus.test_group import NAMES, Network, command, wait_until
 from tests.consensus.virtual_time import run
@@ -21,6 +21,10 @@
         self.snapshots_full = False
         self.refused = 0
 
+    def load(self) -> LoadedGroup:
+        self._check_room(self.full)  # a new log begins with its first records
+        return super().load()
+
     def save(self, hard_state: HardState | None, truncate_from: int | None, entries: Sequence[Entry]) -> None:
         self._check_room(self.full)
         super().save(hard_state, truncate_from, entries)
@@ -110,3 +114,35 @@
         assert disks["a"].refused == refused and proposal.exception() is not None
 
     run(scenario())
+
+
+def test_a_member_that_starts_without_room_takes_part_once_there_is_some() -> None:
+    async def scenario() -> None:
+        network, disks = limited_network()
+        late = network.groups["c"]
+        disks["c"].full = True
+        starts = [asyncio.ensure_future(group.start()) for group in network.groups.values()]
+        await wait_until(lambda: any(group.is_leader for group in network.groups.values()))
+        leader = next(group for group in network.groups.values() if group.is_leader)
+        await propose_many(leader, 10)
+        assert disks["c"].refused > 0 and not starts[2].done()
+        disks["c"].full = False
+        await wait_until(lambda: late.applied_index == leader.commit_index)
+        assert starts[2].done() and network.failures == []
+        await network.stop()
+
+    run(scenario())
+
+
+def test_a_start_that_waits_for_room_can_be_given_up() -> None:
+    async def scenario() -> None:
+        network, disks = limited_network(("a",))
+        disks["a"].full = True
+        start = asyncio.ensure_future(network.groups["a"].start())
+        await asyncio.wait([start], timeout=1.0)
+        start.cancel()
+        refused = disks["a"].refused
+        await asyncio.sleep(2.0)
+        assert start.cancelled() and 1 < refused == disks["a"].refused
+
+    run(scenario())
--- a/tests/simulation/test_schedules.py
+++ b/tests/simulation/test_schedules.py
@@ -29,6 +29,26 @@
         ),
         stores=True,
     ),
+    "a store that begins a group finds no room on its disk": Schedule(
+        1001116,
+        1,
+        (
+            Fault(9.453, Kind.CUT_OUT, Target.NEWEST, Point.MEMBERS, 0.259, On.STORE),
+            Fault(14.11, Kind.FULL_DISK, Target.LOST, Point.BEFORE_SAVE, 4.171, On.STORE),
+        ),
+    ),
+    "a process is killed while it ends by plan, with all others": Schedule(
+        3000965,
+        2,
+        (
+            Fault(6.252, Kind.CUT_AWAY, Target.NEWEST, Point.NOW, 4.362),
+            Fault(7.897, Kind.KILL, Target.LEADER, Point.ANSWER, 0.989),
+            Fault(12.804, Kind.PLANNED, Target.LEADER, Point.NOW, 0.352),
+            Fault(17.587, Kind.CUT_ALL, Target.OLDEST, Point.JOB_ACKED, 3.257),
+            Fault(20.965, Kind.WIPE_AND_POWER, Target.FOLLOWER, Point.MEMBERS_APPLIED, 0.057),
+        ),
+        stores=True,
+    ),
     "a frozen leader goes on with a change of members that the next leader has overtaken": Schedule(
         2000358,
         2,
--- a/tests/storage/test_group.py
+++ b/tests/storage/test_group.py
@@ -149,6 +149,25 @@
     assert holds(disk, changed)
 
 
+def test_a_new_group_that_found_no_room_is_loaded_and_begun_once_there_is_some() -> None:
+    voters = Membership(("a", "b", "c"))
+    for room in range(400):
+        disk = SimulatedDisk(capacity=room)
+        storage = DiskGroupStorage(disk, "group", SEGMENT_BYTES)
+        try:
+            storage.load()
+            storage.initialize(voters)
+        except StorageFull:
+            disk.capacity = None
+            storage.load()
+            storage.initialize(voters)
+        storage.close()
+        disk.capacity = None
+        disk.lose_power(random.Random(room))
+        assert DiskGroupStorage(disk, "group", SEGMENT_BYTES).load().state.snapshot_membership == voters
+    assert room > disk.most_bytes, "the last ones found room"
+
+
 def test_segments_that_a_snapshot_covers_are_removed() -> None:
     disk = SimulatedDisk()
     storage = opened(disk)
--- a/tests/storage/test_identity.py
+++ b/tests/storage/test_identity.py
@@ -7,7 +7,7 @@
 import pytest
 
 from pewterring.storage.disk import FolderDisk, Operation
-from pewterring.storage.errors import StorageError, StorageFailed
+from pewterring.storage.errors import StorageError, StorageFailed, StorageFull
 from pewterring.storage.identity import member_name
 from pewterring.storage.records import encode_record
 from tests.storage.simulated_disk import PowerLoss, SimulatedDisk
@@ -46,6 +46,17 @@
         assert member_name(FOLDER, IP, disk) == told
 
 
+def test_a_name_that_found_no_room_is_drawn_once_there_is_some() -> None:
+    for room in range(60):
+        disk = SimulatedDisk(capacity=room)
+        with contextlib.suppress(StorageFull):
+            member_name(FOLDER, IP, disk)
+        disk.capacity = None
+        told = member_name(FOLDER, IP, disk)
+        disk.lose_power(random.Random(room))
+        assert member_name(FOLDER, IP, disk) == told
+
+
 def test_a_damaged_tag_is_reported() -> None:
     disk = SimulatedDisk()
     member_name(FOLDER, IP, disk)
