--- a/pewterring/consensus/group.py
+++ b/pewterring/consensus/group.py
@@ -12,6 +12,8 @@
 from concurrent.futures import Executor
 from typing import Protocol
 
+from loguru import logger
+
 from pewterring.consensus.errors import GroupFailed, OutcomeUnknown, StorageError
 from pewterring.consensus.log import entry_size
 from pewterring.consensus.messages import ConsensusMessage, Entry, Leave, Left, Membership
@@ -428,6 +430,7 @@
         return int(wanted * self._rng.uniform(1 - SNAPSHOT_SPREAD, 1 + SNAPSHOT_SPREAD))
 
     def _start_count(self, snapshot_bytes: int) -> None:
+        logger.info("group {} has a snapshot of {} bytes", self.group, snapshot_bytes)
         self._bytes_since_snapshot = 0
         self._next_snapshot_bytes = self._snapshot_size(snapshot_bytes)
 
