Consensus: a leader takes 32 MB of entries that are not committed, no more

Cause: while no majority can save, what callers proposed and gave up stayed in the memory of the leader and of those it was sent to; only the callers' time-outs bounded it.

Change: `RaftLimits.uncommitted_bytes`. Above it `propose` raises `TooManyUncommitted` and does nothing, so the outcome is known: control answers as where it does not lead (503), a store refuses a job with 503 and `Retry-After`. One larger command goes alone; the leader's own entries, changes of members among them, go on. Counted per leadership.

Tests: consensus/test_uncommitted.py in virtual time: memory of all members bounded over 500 proposals while two of three disks are full, all that was taken is applied, nothing of what was refused.

--- a/pewterring/batch/group_log.py
+++ b/pewterring/batch/group_log.py
@@ -1,8 +1,8 @@
 """The partition's log on a replicated group: commands as JSON, errors of consensus as those of this layer."""
 
 from pewterring.batch.commands import Command, Outcome, encode_command
-from pewterring.batch.errors import LeadershipLost, OutcomeUnsure
-from pewterring.consensus.errors import ConsensusError, NotLeader
+from pewterring.batch.errors import LeadershipLost, NotTaken, OutcomeUnsure
+from pewterring.consensus.errors import ConsensusError, NotLeader, TooManyUncommitted
 from pewterring.consensus.group import ReplicatedGroup
 
 
@@ -32,6 +32,8 @@
             outcome = await self._group.propose(encode_command(command))
         except NotLeader as error:
             raise LeadershipLost(str(error)) from error
+        except TooManyUncommitted as error:
+            raise NotTaken(str(error)) from error
         except ConsensusError as error:
             raise OutcomeUnsure(str(error)) from error
         assert isinstance(outcome, Outcome)
--- a/pewterring/batch/log.py
+++ b/pewterring/batch/log.py
@@ -20,7 +20,7 @@
         """Whether no other store can lead at `now`."""
 
     async def propose(self, command: Command) -> Outcome:
-        """Commits and applies a command. Raises `LeadershipLost` or `OutcomeUnsure`."""
+        """Commits and applies a command. Raises `LeadershipLost`, `NotTaken` or `OutcomeUnsure`."""
 
     async def read_barrier(self) -> None:
         """Returns once all that was committed before the call is applied. Raises `LeadershipLost`."""
--- a/pewterring/batch/service.py
+++ b/pewterring/batch/service.py
@@ -9,7 +9,7 @@
 
 from pewterring.batch.commands import Accepted, AcceptJob, Closed, CloseJob, DropJobs, Listed, Outcome
 from pewterring.batch.dispatch import batch_route
-from pewterring.batch.errors import BatchError, LeadershipLost, OutcomeUnsure
+from pewterring.batch.errors import BatchError, LeadershipLost, NotTaken, OutcomeUnsure
 from pewterring.batch.execution import ItemExecution
 from pewterring.batch.log import PartitionLog
 from pewterring.batch.messages import (
@@ -141,7 +141,7 @@
                     return await self._read_item(call)
                 case EndJob():
                     return await self._end(call)
-        except LeadershipLost:
+        except (LeadershipLost, NotTaken):
             return NotLeading(leader=self._log.leader)
         except OutcomeUnsure:
             return Unsure()
@@ -176,6 +176,8 @@
         self._quota.begin(key, tokens)
         try:
             await self._log.propose(command)
+        except NotTaken:
+            return JobRefused(full=False, retry_after_s=NO_ROOM_RETRY_S)
         except LeadershipLost:
             return NotLeading(leader=self._log.leader)
         except OutcomeUnsure:
--- a/pewterring/consensus/errors.py
+++ b/pewterring/consensus/errors.py
@@ -13,6 +13,13 @@
         self.leader = leader
 
 
+class TooManyUncommitted(ConsensusError):
+    """The leader waits for so many bytes of entries to be committed that it takes no more; it did nothing."""
+
+    def __init__(self, size_bytes: int) -> None:
+        super().__init__(f"not taken: {size_bytes} bytes before it are not committed yet")
+
+
 class OutcomeUnknown(ConsensusError):
     """Leadership was lost after the command had been appended: it may still be committed, or never."""
 
--- a/pewterring/consensus/group.py
+++ b/pewterring/consensus/group.py
@@ -235,7 +235,8 @@
     async def propose(self, command: bytes) -> object:
         """Replicates a command, JSON on one line, and returns what applying it here returned.
 
-        Raises `NotLeader` if nothing was done, `OutcomeUnknown` if leadership was lost meanwhile.
+        Raises `NotLeader` or `TooManyUncommitted` if nothing was done, `OutcomeUnknown` if leadership was
+        lost meanwhile.
         """
         index, term = self._running().propose(self._clock(), command)
         self._schedule()
--- a/pewterring/consensus/leading.py
+++ b/pewterring/consensus/leading.py
@@ -22,6 +22,7 @@
 from pewterring.consensus.rounds import Rounds
 from pewterring.consensus.state import MemberState
 from pewterring.consensus.types import ReadTicket, Role, Snapshot
+from pewterring.consensus.uncommitted import Uncommitted
 
 
 class Leading:
@@ -37,6 +38,7 @@
         self._replication = Replication(state.group, state.member, state.term, state.log, state.limits)
         # When an answer of a member came, be it to a round of long ago: one that reads slowly is not silent.
         self._heard_at: dict[str, float] = {}
+        self._uncommitted = Uncommitted(state.limits.uncommitted_bytes)
         self._first_index = self.append("empty", b"null")
         self._set_members(state.members.current)
         self._begin_round(now)
@@ -107,8 +109,15 @@
         """Appends an entry of the own term and returns its index."""
         entry = Entry(self._state.log.last_index + 1, self._state.term, kind, msgspec.Raw(data))
         self._state.append((entry,))
+        self._uncommitted.appended(entry)
         return entry.index
 
+    def append_command(self, data: bytes) -> int:
+        """Appends a command and returns its index; raises `TooManyUncommitted`."""
+        self._uncommitted.committed(self._state.commit_index)
+        self._uncommitted.check_room(len(data))
+        return self.append("command", data)
+
     def append_membership(self, membership: Membership) -> int:
         """Appends a change of membership and returns its index."""
         state = self._state
--- a/pewterring/consensus/raft.py
+++ b/pewterring/consensus/raft.py
@@ -212,8 +212,11 @@
             self._leading.on_reply(now, reply)
 
     def propose(self, now: float, data: bytes) -> tuple[int, int]:
-        """Appends a command, JSON on one line, and returns the entry's index and term."""
-        return self._accepting_or_refuse().append("command", data), self.term
+        """Appends a command, JSON on one line, and returns the entry's index and term.
+
+        Raises `NotLeader` or `TooManyUncommitted` where nothing was done.
+        """
+        return self._accepting_or_refuse().append_command(data), self.term
 
     def propose_membership(self, now: float, membership: Membership) -> tuple[int, int]:
         """Appends a change of membership, in force at once, and returns the entry's index and term."""
--- a/pewterring/consensus/types.py
+++ b/pewterring/consensus/types.py
@@ -42,6 +42,7 @@
     window_messages: int = 32
     snapshot_part_bytes: int = 256 * 1024  # small, so that a heartbeat gets in between
     snapshot_parts_in_flight: int = 4  # together about as many bytes as the window has
+    uncommitted_bytes: int = 32_000_000  # of entries that a leader takes; one larger than that goes alone
     kept_bytes: int = 4_000_000  # entries kept in memory behind a snapshot, for members that lag a little
     kept_for_snapshots_bytes: int = 16_000_000  # the same while an older snapshot is sent, however slowly
 
--- a/pewterring/control/errors.py
+++ b/pewterring/control/errors.py
@@ -6,7 +6,10 @@
 
 
 class NotLeading(ControlError):
-    """This process does not lead the control group, or is not sure of it; nothing was done."""
+    """This process does not lead the control group, is not sure of it, or can take nothing now.
+
+    Nothing was done.
+    """
 
 
 class CallTooOld(ControlError):
--- a/tests/batch/stand_ins.py
+++ b/tests/batch/stand_ins.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 
 from pewterring.batch.commands import Command, Outcome, encode_command
-from pewterring.batch.errors import LeadershipLost, OutcomeUnsure
+from pewterring.batch.errors import LeadershipLost, NotTaken, OutcomeUnsure
 from pewterring.batch.execution import EventHandler
 from pewterring.batch.messages import ItemSpec
 from pewterring.batch.scheduler import Failure, QueuedItem
@@ -75,6 +75,7 @@
     lease: bool = True
     held: bool = False  # proposals wait for `release`
     lose: bool = False  # proposals end without a known outcome
+    takes: bool = True  # else proposals are refused
     barriers: int = 0
     commands: list[Command] = field(default_factory=list)
     _gate: asyncio.Event = field(default_factory=asyncio.Event)
@@ -85,6 +86,8 @@
     async def propose(self, command: Command) -> Outcome:
         if not self.is_leader:
             raise LeadershipLost("not the leader")
+        if not self.takes:
+            raise NotTaken("too much waits")
         while self.held:
             await self._gate.wait()
         if self.lose:
--- a/tests/batch/test_service.py
+++ b/tests/batch/test_service.py
@@ -3,13 +3,16 @@
 import asyncio
 import random
 from collections.abc import Awaitable, Callable
+from typing import cast
 
 import pytest
 
 from pewterring.batch.admissions import BatchAdmissions
 from pewterring.batch.commands import AcceptJob, AddResults, CloseJob
 from pewterring.batch.dispatch import AdmissionDispatcher
+from pewterring.batch.errors import LeadershipLost, NotTaken, OutcomeUnsure
 from pewterring.batch.execution import ItemExecution
+from pewterring.batch.group_log import GroupLog
 from pewterring.batch.messages import (
     EndJob,
     ItemBody,
@@ -29,6 +32,8 @@
 from pewterring.batch.scheduler import Failure
 from pewterring.batch.service import BatchService
 from pewterring.batch.state import BatchState
+from pewterring.consensus.errors import GroupFailed, NotLeader, OutcomeUnknown, TooManyUncommitted
+from pewterring.consensus.group import ReplicatedGroup
 from pewterring.distribution.tables import Tables
 from pewterring.routing.chooser import WorkerChooser
 from tests.batch.stand_ins import ROUTE, FakeLog, FakeRunner, ManualClock, item, route, tables, until, worker
@@ -219,6 +224,56 @@
     scenario(test, tables(routes=(route(max_queued_tokens=100),)))
 
 
+def test_where_the_log_takes_nothing_a_job_is_refused_and_its_quota_free() -> None:
+    async def test(store: Store) -> None:
+        store.log.takes = False
+        reply = await store.service.handle(submit("j1", "a", tokens=60))
+        assert isinstance(reply, JobRefused) and not reply.full and reply.retry_after_s > 0
+        assert store.state.job("j1") is None
+        store.log.takes = True
+        assert await store.service.handle(submit("j2", "a", tokens=60)) == JobAccepted()
+
+    scenario(test, tables(routes=(route(max_queued_tokens=100),)))
+
+
+def test_where_the_log_takes_nothing_a_job_does_not_end_and_its_results_wait() -> None:
+    async def test(store: Store) -> None:
+        assert await store.service.handle(submit("j", "a", "b")) == JobAccepted()
+        await store.exchanges(2)
+        store.log.takes = False
+        store.runner.exchanges[0].answer("x")
+        await asyncio.sleep(0)
+        assert (await store.page("j", 0, 0)).results == ()
+        store.log.takes = True
+        assert len((await store.page("j", 0, LONG_MS)).results) == 1
+        store.log.takes = False
+        assert isinstance(await store.service.handle(EndJob("j")), NotLeading)
+        job = store.state.job("j")
+        assert job is not None and not job.ended
+
+    scenario(test)
+
+
+def test_errors_of_the_group_say_whether_the_command_may_be_applied() -> None:
+    class Group:
+        async def propose(self, command: bytes) -> object:
+            raise self.error
+
+        error: Exception
+
+    group = Group()
+    log = GroupLog(cast(ReplicatedGroup, group))
+    for error, expected in (
+        (NotLeader("b"), LeadershipLost),
+        (TooManyUncommitted(1), NotTaken),
+        (OutcomeUnknown("lost"), OutcomeUnsure),
+        (GroupFailed("disk"), OutcomeUnsure),
+    ):
+        group.error = error
+        with pytest.raises(expected):
+            asyncio.run(log.propose(CloseJob("j")))
+
+
 def test_a_job_without_a_route_is_refused() -> None:
     async def test(store: Store) -> None:
         reply = await store.service.handle(submit("j", "a"))
--- /dev/null
+++ b/tests/consensus/test_uncommitted.py
@@ -0,0 +1,120 @@
+"""What a leader takes while nothing is committed: so many bytes, whatever its callers' patience is."""
+
+import asyncio
+import contextlib
+
+import pytest
+
+from pewterring.consensus.errors import TooManyUncommitted
+from pewterring.consensus.group import ReplicatedGroup
+from pewterring.consensus.log import ENTRY_OVERHEAD_BYTES
+from pewterring.consensus.types import RaftLimits
+from tests.consensus.test_full_disk import LimitedStorage, limited_network
+from tests.consensus.test_group import NAMES, Network, command, wait_until
+from tests.consensus.virtual_time import run
+
+MOST_BYTES = 10_000
+KEPT_BYTES = 1000
+COMMAND = "x" * 500
+
+
+async def started() -> tuple[Network, dict[str, LimitedStorage], ReplicatedGroup]:
+    """A group whose leader takes `MOST_BYTES`."""
+    network, disks = limited_network()
+    for group in network.groups.values():
+        group._limits = RaftLimits(kept_bytes=KEPT_BYTES, uncommitted_bytes=MOST_BYTES)
+    leader = await network.start()
+    await leader.propose(command("first"))
+    await asyncio.sleep(1.0)
+    return network, disks, leader
+
+
+def set_full(disks: dict[str, LimitedStorage], is_full: bool) -> None:
+    for name in NAMES[:2]:
+        disks[name].full = is_full
+
+
+def log_bytes(group: ReplicatedGroup) -> int:
+    assert group._raft is not None
+    return group._raft._state.log.size_bytes
+
+
+async def propose_with_patience(leader: ReplicatedGroup, text: str, refused: list[str]) -> None:
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(0.5):
+            try:
+                await leader.propose(command(text))
+            except TooManyUncommitted:
+                refused.append(text)
+
+
+def test_memory_is_bounded_while_no_majority_can_save_and_what_is_refused_never_comes() -> None:
+    async def scenario() -> None:
+        network, disks, leader = await started()
+        set_full(disks, True)
+        calls: list[asyncio.Task[None]] = []
+        refused: list[str] = []
+        texts = [f"{number} {COMMAND}" for number in range(500)]
+        most = 0
+        for text in texts:
+            calls.append(asyncio.create_task(propose_with_patience(leader, text, refused)))
+            await asyncio.sleep(0.01)
+            most = max(most, *(log_bytes(group) for group in network.groups.values()))
+        await asyncio.gather(*calls)
+        assert leader.is_leader and 400 < len(refused) < 500
+        assert MOST_BYTES / 2 < most < MOST_BYTES + KEPT_BYTES
+        set_full(disks, False)
+        await leader.propose(command("last"))
+        await wait_until(lambda: len({len(machine.commands) for machine in network.machines.values()}) == 1)
+        taken = [text for text in texts if text not in refused]
+        for machine in network.machines.values():
+            assert machine.commands == ["first", *taken, "last"]
+        await network.stop()
+
+    run(scenario())
+
+
+def test_room_comes_back_as_entries_are_committed() -> None:
+    async def scenario() -> None:
+        network, _, leader = await started()
+        for number in range(10 * MOST_BYTES // len(COMMAND)):
+            await leader.propose(command(f"{number} {COMMAND}"))
+        await network.stop()
+
+    run(scenario())
+
+
+def test_a_command_over_the_bound_is_taken_alone() -> None:
+    async def scenario() -> None:
+        network, disks, leader = await started()
+        large = "y" * (2 * MOST_BYTES)
+        assert await leader.propose(command(large)) == 2
+        set_full(disks, True)
+        held = asyncio.ensure_future(leader.propose(command(large)))
+        await asyncio.sleep(0.1)
+        with pytest.raises(TooManyUncommitted):
+            await asyncio.wait_for(leader.propose(command("z")), 1.0)
+        set_full(disks, False)
+        assert await held == 3
+        assert await leader.propose(command("z")) == 4
+        await network.stop()
+
+    run(scenario())
+
+
+def test_entries_of_the_leaders_own_go_on_above_the_bound() -> None:
+    """A change of members is how a group comes by disks that can save."""
+
+    async def scenario() -> None:
+        network, disks, leader = await started()
+        set_full(disks, True)
+        held = asyncio.ensure_future(leader.propose(command("y" * (MOST_BYTES + ENTRY_OVERHEAD_BYTES))))
+        await asyncio.sleep(0.1)
+        assert leader._raft is not None
+        membership = type(leader.membership)(leader.membership.voters, ("d",))
+        leader._raft.propose_membership(asyncio.get_running_loop().time(), membership)
+        assert leader.membership == membership
+        held.cancel()
+        await network.stop()
+
+    run(scenario())
--- a/tests/control/test_leadership.py
+++ b/tests/control/test_leadership.py
@@ -5,7 +5,13 @@
 
 import pytest
 
-from pewterring.consensus.errors import GroupFailed, MembershipRefused, NotLeader, OutcomeUnknown
+from pewterring.consensus.errors import (
+    GroupFailed,
+    MembershipRefused,
+    NotLeader,
+    OutcomeUnknown,
+    TooManyUncommitted,
+)
 from pewterring.consensus.group import ReplicatedGroup
 from pewterring.consensus.messages import Membership
 from pewterring.consensus.planner import Candidates, MembershipPlanner, PlannedGroup
@@ -117,6 +123,7 @@
     ("error", "expected"),
     [
         (NotLeader("b"), NotLeading),  # nothing was done
+        (TooManyUncommitted(1), NotLeading),  # nothing either
         (OutcomeUnknown("lost"), OutcomeUnsure),  # may come into force yet
         (GroupFailed("disk"), OutcomeUnsure),
     ],
