Checks of members, workers and clocks are called checks; their names say what they do

Cause: 'look' stood for a check of the group, of workers and of the clock. The decision module keeps its names.

--- a/benchmarks/batch.py
+++ b/benchmarks/batch.py
@@ -28,7 +28,7 @@
 GROUP = "batch-0"
 MEMBERS = ("10.0.0.1#a", "10.0.0.2#b", "10.0.0.3#c")
 RESULTS_A_COMMAND = 16
-LOOK_S = 0.01
+CHECK_INTERVAL_S = 0.01
 HOST, PREFIX = "h.example", "/jobs/"
 
 
@@ -54,7 +54,7 @@
         for group in self._groups.values():
             await group.start()
         while (leader := next((g for g in self._groups.values() if g.is_leader), None)) is None:
-            await asyncio.sleep(LOOK_S)
+            await asyncio.sleep(CHECK_INTERVAL_S)
         return GroupLog(leader)
 
     def _send(self, message: ConsensusMessage) -> None:
--- a/benchmarks/membership.py
+++ b/benchmarks/membership.py
@@ -12,7 +12,7 @@
 
 from pewterring.lab.gossip import Fleet
 
-START_S, WATCH_S, LOOK_S, MOST_S = 60.0, 120.0, 5.0, 120.0
+START_S, WATCH_S, CHECK_INTERVAL_S, MOST_S = 60.0, 120.0, 5.0, 120.0
 
 
 def play(kind: str, size: int, loss: float, seed: int) -> tuple[float, ...]:
@@ -21,7 +21,7 @@
     sent, octets = fleet.sent, fleet.octets
     missed = looks = 0
     while fleet.engine.now < 1000.0 + START_S + WATCH_S:
-        fleet.run(LOOK_S)
+        fleet.run(CHECK_INTERVAL_S)
         missed += fleet.wrong()[0]
         looks += size * (size - 1)
     rate, flow = ((x / WATCH_S / size) for x in (fleet.sent - sent, fleet.octets - octets))
--- a/benchmarks/redundancy.py
+++ b/benchmarks/redundancy.py
@@ -44,7 +44,7 @@
 from pewterring.consensus.membership import address_of
 from pewterring.consensus.messages import CONSENSUS_MESSAGES, ConsensusMessage, Membership, SnapshotPart
 from pewterring.consensus.persistent import HardState
-from pewterring.consensus.planner import CHANGES_A_LOOK, Candidates, MembershipPlanner, voters_needed
+from pewterring.consensus.planner import CHANGES_A_CHECK, Candidates, MembershipPlanner, voters_needed
 from pewterring.consensus.types import RaftLimits
 from pewterring.control.commands import PutConfiguration, PutWorker, RemoveWorkers
 from pewterring.control.program import TICK_S
@@ -112,7 +112,7 @@
     machine: Callable[[], StateMachine]
     commands: Callable[[], Iterator[bytes]]
     keeps_spares: bool
-    look_s: float
+    interval_s: float
     known_after_s: float  # until the leader knows of a machine that started
 
 
@@ -344,17 +344,17 @@
 
     async def _look_once(self, node: Node) -> None:
         with contextlib.suppress(ConsensusError):
-            await self._look(node)
+            await self._plan_members(node)
 
     async def _look_forever(self, node: Node) -> None:
         while True:
-            await asyncio.sleep(self._kind.look_s)
+            await asyncio.sleep(self._kind.interval_s)
             await self._look_once(node)
 
-    async def _look(self, node: Node) -> None:
+    async def _plan_members(self, node: Node) -> None:
         group, planner = node.group, node.planner
         assert group is not None and planner is not None
-        for _ in range(CHANGES_A_LOOK):
+        for _ in range(CHANGES_A_CHECK):
             if not group.has_lease(now()):
                 return
             change = planner.plan(now(), group, self._candidates())
--- a/pewterring/batch/partition.py
+++ b/pewterring/batch/partition.py
@@ -21,7 +21,7 @@
 from pewterring.consensus.farewell import LEAVE_PART
 from pewterring.consensus.group import ReplicatedGroup
 from pewterring.consensus.messages import ConsensusMessage, Membership
-from pewterring.consensus.planner import CHANGES_A_LOOK, MembershipPlanner
+from pewterring.consensus.planner import CHANGES_A_CHECK, MembershipPlanner
 from pewterring.consensus.room import retry_while_full
 from pewterring.consensus.types import RaftTiming
 from pewterring.distribution.messages import GroupStatus
@@ -149,13 +149,13 @@
             self._changing = False
 
     def _farewell_heard(self) -> None:
-        """A voter leaves: its place is filled now, not at the next look."""
+        """A voter leaves: its place is filled now, not at the next check."""
         if not self._changing:
             self._changes_of_farewell = asyncio.create_task(self.manage_members())
 
     async def _change_members(self) -> None:
-        with contextlib.suppress(ConsensusError):  # refused or lost: planned again at the next look
-            for _ in range(CHANGES_A_LOOK):
+        with contextlib.suppress(ConsensusError):  # refused or lost: planned again at the next check
+            for _ in range(CHANGES_A_CHECK):
                 change = self._due_change()
                 if change is None:
                     return
--- a/pewterring/batch/program.py
+++ b/pewterring/batch/program.py
@@ -38,7 +38,7 @@
 from pewterring.transport.http_client import WorkerPool
 from pewterring.transport.lines import Channel, LineServer, LinkPool, Message, MessageCodec
 
-MEMBERS_PERIOD_S = 0.1  # between looks at the members of the groups
+MEMBERS_PERIOD_S = 0.1  # between checks of the members of the groups
 LIFE_BYTES = 8  # of randomness in the name of this process's life
 
 
--- a/pewterring/consensus/planner.py
+++ b/pewterring/consensus/planner.py
@@ -9,7 +9,7 @@
 
 - A lost voter goes only when a learner is ready to take its place, or when it is one too many. Lost voters
   are replaced one after the other, so that a majority never is fewer than f + 1 disks.
-- A learner votes once it holds all that was committed at the look before.
+- A learner votes once it holds all that was committed at the check before.
 - A learner that is not needed is kept while a voter is silent, or may be: a new leader goes on with the copy
   that the one before began.
 - A retiring voter goes last, once the wanted number of good voters holds all that was committed.
@@ -28,7 +28,7 @@
 LOST_PART = 0.25  # of the bound on catching up: a quarter to notice a loss, a quarter to copy the state
 ANSWERS_S = 0.3  # a voter that answered so lately lives, whatever tables say of its address
 LEARNER_PART = 0.5  # of the same bound; a learner that takes over a large snapshot may not answer for a while
-CHANGES_A_LOOK = 4  # made one after the other before the next look: a removal and a promotion, and some more
+CHANGES_A_CHECK = 4  # made one after the other before the next view: a removal and a promotion, and some more
 RETRY_LEARNER_S = 10.0  # a learner that was dropped for its silence is the last choice for so long
 
 
@@ -101,11 +101,11 @@
             self.start(now, group)
             return None
         self._planned_at = now
-        look = self._look(now, group, candidates)
+        view = self._observe(now, group, candidates)
         self._committed_before = group.commit_index
-        return self._next_change(now, look, candidates)
+        return self._next_change(now, view, candidates)
 
-    def _look(self, now: float, group: PlannedGroup, candidates: Candidates) -> "_Look":
+    def _observe(self, now: float, group: PlannedGroup, candidates: Candidates) -> "_View":
         members = _members(group.membership)
         self._watched_since = {member: self._watched_since.get(member, now) for member in members}
         silent_s = {
@@ -123,64 +123,64 @@
             silent_s[voter] < ANSWERS_S for voter in group.membership.voters
         )
         retiring = candidates.retiring
-        return _Look(group.membership, silent_s, lost, gone, holders, retiring, leaving, all_answer)
+        return _View(group.membership, silent_s, lost, gone, holders, retiring, leaving, all_answer)
 
     def _is_renamed(self, member: str, silent_s: float, candidates: Candidates) -> bool:
         """Whether the member's address is in use under another name: its disk was lost."""
         newest = candidates.newest.get(address_of(member), member)
         return newest != member and member != self._own_member and silent_s >= ANSWERS_S
 
-    def _next_change(self, now: float, look: "_Look", candidates: Candidates) -> Membership | None:
-        useless = look.useless_learners
+    def _next_change(self, now: float, view: "_View", candidates: Candidates) -> Membership | None:
+        useless = view.useless_learners
         if useless:
             self._dropped_at[useless[0]] = now
-            return _without(look.membership, useless[0])
-        missing = self._wanted_voters - len(look.good_voters)
+            return _without(view.membership, useless[0])
+        missing = self._wanted_voters - len(view.good_voters)
         if missing <= 0:
-            return self._reduce(look) or self._with_spare(now, look, candidates)
-        return self._replace(look) or self._with_learner(now, look, candidates, missing)
+            return self._reduce(view) or self._with_spare(now, view, candidates)
+        return self._replace(view) or self._with_learner(now, view, candidates, missing)
 
-    def _replace(self, look: "_Look") -> Membership | None:
+    def _replace(self, view: "_View") -> Membership | None:
         """Good voters are missing: takes lost ones away, and makes voters of learners that are ready."""
-        membership = look.membership
-        ready = look.ready_learners
+        membership = view.membership
+        ready = view.ready_learners
         surplus = len(membership.voters) - self._wanted_voters
-        if look.lost_voters and (surplus > 0 or (surplus == 0 and ready)):
-            return _without(membership, look.lost_voters[0])
-        leaving = look.replaced_voters(self._wanted_voters)
+        if view.lost_voters and (surplus > 0 or (surplus == 0 and ready)):
+            return _without(membership, view.lost_voters[0])
+        leaving = view.replaced_voters(self._wanted_voters)
         if leaving:
             return _without(membership, leaving[0])
         if ready:
             return _promoted(membership, ready[0])
         return None
 
-    def _reduce(self, look: "_Look") -> Membership | None:
+    def _reduce(self, view: "_View") -> Membership | None:
         """There are enough good voters: takes away what is left over, this leader last."""
-        membership = look.membership
-        if look.lost_voters:
-            return _without(membership, look.lost_voters[0])
-        good = look.good_voters
-        retiring = [voter for voter in membership.voters if voter in look.retiring | look.leaving]
+        membership = view.membership
+        if view.lost_voters:
+            return _without(membership, view.lost_voters[0])
+        good = view.good_voters
+        retiring = [voter for voter in membership.voters if voter in view.retiring | view.leaving]
         if retiring:
-            enough = len([voter for voter in good if voter in look.holders]) >= self._wanted_voters
+            enough = len([voter for voter in good if voter in view.holders]) >= self._wanted_voters
             retiring.sort(key=lambda voter: voter == self._own_member)
             return _without(membership, retiring[0]) if enough else None
-        if membership.learners and look.all_answer and not self._keeps_spares:
+        if membership.learners and view.all_answer and not self._keeps_spares:
             return _without(membership, membership.learners[-1])
         if len(good) > self._wanted_voters:
             surplus = [voter for voter in good if voter != self._own_member]
             return _without(membership, surplus[-1])
         return None
 
-    def _with_spare(self, now: float, look: "_Look", candidates: Candidates) -> Membership | None:
-        return self._with_learner(now, look, candidates, 0) if self._keeps_spares else None
+    def _with_spare(self, now: float, view: "_View", candidates: Candidates) -> Membership | None:
+        return self._with_learner(now, view, candidates, 0) if self._keeps_spares else None
 
     def _with_learner(
-        self, now: float, look: "_Look", candidates: Candidates, missing: int
+        self, now: float, view: "_View", candidates: Candidates, missing: int
     ) -> Membership | None:
         """Lets another learner join, where fewer than the missing ones are there or spares are kept."""
-        membership = look.membership
-        if not self._keeps_spares and len(look.live_learners) >= missing:
+        membership = view.membership
+        if not self._keeps_spares and len(view.live_learners) >= missing:
             return None
         away = {*_members(membership), *candidates.retiring}
         joining = [member for member in candidates.joining if member not in away]
@@ -196,14 +196,14 @@
 
 
 @dataclass(frozen=True, slots=True)
-class _Look:
-    """What one look at the group showed."""
+class _View:
+    """What one check of the group showed."""
 
     membership: Membership
     silent_s: Mapping[str, float]
     lost: Set[str]
     gone: Set[str]  # so long that a learner is given up
-    holders: Set[str]  # hold all that was committed at the look before
+    holders: Set[str]  # hold all that was committed at the check before
     retiring: Set[str]
     leaving: Set[str]  # said their farewell
     all_answer: bool  # every voter was heard just now, in this leadership
--- a/pewterring/control/duties.py
+++ b/pewterring/control/duties.py
@@ -8,7 +8,7 @@
 from pewterring.consensus.group import ReplicatedGroup
 from pewterring.consensus.membership import address_of
 from pewterring.consensus.messages import Membership
-from pewterring.consensus.planner import CHANGES_A_LOOK, MembershipPlanner
+from pewterring.consensus.planner import CHANGES_A_CHECK, MembershipPlanner
 from pewterring.control.commands import Command, CreateGroup, EndRetirement, RemoveWorkers, SilenceWorkers
 from pewterring.control.errors import ControlError
 from pewterring.control.leadership import GroupLeadership
@@ -145,9 +145,9 @@
             await self.change_members(now)
 
     async def change_members(self, now: float) -> None:
-        """Makes one change after the other until none is due, so that few looks make the group whole."""
+        """Makes one change after the other until none is due, so that few checks make the group whole."""
         try:
-            for _ in range(CHANGES_A_LOOK):
+            for _ in range(CHANGES_A_CHECK):
                 change = self._planner.plan(now, self._group, self._joins.candidates(now))
                 if change is None:
                     return
--- a/pewterring/control/http_server.py
+++ b/pewterring/control/http_server.py
@@ -13,7 +13,7 @@
     max_header_bytes=64 * 1024, max_body_bytes=8 * 1024 * 1024, header_timeout_s=10.0, idle_timeout_s=30.0
 )
 CLOSING_S = 1.0  # that open calls get at the end
-CLOSING_LOOK_S = 0.01
+CLOSING_CHECK_INTERVAL_S = 0.01
 REBIND_S = 0.5  # before the address is tried again
 
 
@@ -40,7 +40,7 @@
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(CLOSING_S):
                 while self._server.requests_held:
-                    await asyncio.sleep(CLOSING_LOOK_S)
+                    await asyncio.sleep(CLOSING_CHECK_INTERVAL_S)
         await self._server.stop()
 
     async def _listen_in_the_end(self) -> None:
--- a/pewterring/control/program.py
+++ b/pewterring/control/program.py
@@ -42,7 +42,7 @@
 
 GROUP = "control"
 FIRST_TAG = "seed"  # of the first voters, whose names all must know
-TICK_S = 0.2  # between looks at what the leader has to do
+TICK_S = 0.2  # between checks of what the leader has to do
 JOIN_S = 0.5  # between wishes to join
 
 MESSAGES = (*CONSENSUS_MESSAGES, *FEED_MESSAGES, *CONTROL_MESSAGES)
--- a/pewterring/edge/program.py
+++ b/pewterring/edge/program.py
@@ -28,7 +28,7 @@
 from pewterring.edge.live import LiveContext, LiveRequest
 from pewterring.edge.metrics import GatewayMetrics, GatewayState, Limit
 from pewterring.edge.prompt_exchange import PromptExchange
-from pewterring.edge.stalls import LOOK_S, StallWatch
+from pewterring.edge.stalls import CHECK_INTERVAL_S, StallWatch
 from pewterring.node.settings import NodeSettings
 from pewterring.observability.metrics import CONTENT_TYPE, METRICS_PATH, render
 from pewterring.routing.chooser import WorkerChooser
@@ -45,7 +45,7 @@
 READY_PATH = "/v1/readyz"
 LEAST_DRAIN_S = 2.6  # after SIGTERM: the platform looks each second and takes two misses
 QUIET_S = 0.3  # without a request held, then the process ends
-DRAIN_LOOK_S = 0.05
+DRAIN_CHECK_INTERVAL_S = 0.05
 ELSEWHERE_S = 0.02  # until a client that this process refuses as it ends may ask another gateway
 START_WAIT_S, START_SHARE = 1.5, 0.4  # that a request waits for the first tables; of its time at most
 NOT_SURE_S = 0.1  # until a client whose route this process may not know yet may ask another gateway
@@ -113,7 +113,7 @@
         await self._ready.start(settings.ready.ip, settings.ready.port)
         await self._front.start(settings.front.ip, settings.front.port)
         await self._feed.start()
-        self._tasks = [asyncio.create_task(self._tick()), asyncio.create_task(self._look())]
+        self._tasks = [asyncio.create_task(self._tick()), asyncio.create_task(self._check_workers())]
         logger.info("gateway {} listens on {}", settings.node_id, settings.front)
 
     async def drain(self) -> None:
@@ -128,7 +128,7 @@
                 quiet_since = now
             elif now - began >= LEAST_DRAIN_S and now - quiet_since >= QUIET_S:
                 break
-            await asyncio.sleep(DRAIN_LOOK_S)
+            await asyncio.sleep(DRAIN_CHECK_INTERVAL_S)
 
     async def stop(self) -> None:
         """Closes everything."""
@@ -178,10 +178,10 @@
             beats = self._admissions.tick(self._clock())
             self._heartbeats.send(beats, self._feed.tables.nodes)
 
-    async def _look(self) -> None:
+    async def _check_workers(self) -> None:
         while True:
-            await asyncio.sleep(LOOK_S)
-            self._watch.look(self._clock())
+            await asyncio.sleep(CHECK_INTERVAL_S)
+            self._watch.check(self._clock())
 
     def _heard(self, kind: int, peer: int, number: int, beat: bytes) -> None:
         self._admissions.hear(self._clock(), kind, peer, number, beat)
--- a/pewterring/edge/stalls.py
+++ b/pewterring/edge/stalls.py
@@ -11,8 +11,8 @@
 from pewterring.transport.http_exchange import ExchangeError
 from pewterring.transport.http_fetch import AnswerStream
 
-LOOK_S = 0.05  # between looks
-LATE_LOOK_S = 3 * LOOK_S
+CHECK_INTERVAL_S = 0.05  # between checks
+OVERDUE_S = 3 * CHECK_INTERVAL_S
 GAP_SHARE = 0.7  # of the longest pause that a route allows: silence of a worker in the middle of streams
 
 
@@ -40,7 +40,7 @@
 
     def __init__(self) -> None:
         self._attempts: set[WatchedAttempt] = set()
-        self._looked_at = -math.inf
+        self._checked_at = -math.inf
 
     def add(self, attempt: WatchedAttempt) -> None:
         """Watches an attempt."""
@@ -50,10 +50,10 @@
         """Its end."""
         self._attempts.discard(attempt)
 
-    def look(self, now: float) -> None:
+    def check(self, now: float) -> None:
         """Interrupts the attempts at workers that are silent for too long, where they may go elsewhere."""
-        late = now - self._looked_at > LATE_LOOK_S
-        self._looked_at = now
+        late = now - self._checked_at > OVERDUE_S
+        self._checked_at = now
         for attempt in list(self._attempts):
             if late:
                 attempt.since = now  # this process stood still itself: what came meanwhile is not read yet
--- a/tests/batch/test_failed_attempts.py
+++ b/tests/batch/test_failed_attempts.py
@@ -14,7 +14,7 @@
 ITEM = "hopeless"
 JOB = SubmitJob("job", *ROUTE, items=(item(ITEM),))
 COMMIT_S = 0.05  # after a failure: its count is committed, and the pause before the next run is not over
-LOOK_S = 0.005
+CHECK_INTERVAL_S = 0.005
 MOST_LEADERS = 6
 
 
@@ -29,7 +29,7 @@
     """Takes the leader away after each failed run, before it can begin the next."""
     killed_for = 0
     while killed_for < MOST_LEADERS:
-        await asyncio.sleep(LOOK_S)
+        await asyncio.sleep(CHECK_INTERVAL_S)
         if cluster.workers.begun[ITEM] > killed_for:
             killed_for = cluster.workers.begun[ITEM]
             await asyncio.sleep(COMMIT_S)
--- a/tests/consensus/planned_group.py
+++ b/tests/consensus/planned_group.py
@@ -60,11 +60,11 @@
         before = len(self.changes)
         end = self.now + seconds
         while self.now < end - 1e-9:
-            self._look()
+            self._plan_members()
             self.now += STEP_S
         return self.changes[before:]
 
-    def _look(self) -> None:
+    def _plan_members(self) -> None:
         self._heard |= dict.fromkeys(self.alive, self.now)
         while (change := self.planner.plan(self.now, self, self.candidates())) is not None:
             check_change(self.membership, change)
--- a/tests/consensus/planned_simulation.py
+++ b/tests/consensus/planned_simulation.py
@@ -44,14 +44,14 @@
         self.retiring: set[str] = set()
         self.written = 0
         self._keeps_spares = keeps_spares
-        self._look_s = TICK_S if keeps_spares else MEMBERS_PERIOD_S
+        self._interval_s = TICK_S if keeps_spares else MEMBERS_PERIOD_S
         self._planner_class = planner_class
         self._planners: dict[tuple[str, int, int], MembershipPlanner] = {}
         self._wipes = 0
         self._disk_since = dict.fromkeys(self.members, 0.0)
         for number in range(spares):
             self.join(f"spare{number}")
-        self._at(self.now + self._look_s, self._look_again)
+        self._at(self.now + self._interval_s, self._look_again)
 
     def join(self, name: str) -> None:
         super().join(name)
@@ -60,10 +60,10 @@
     # The planner
 
     def _look_again(self) -> None:
-        self._look()
-        self._at(self.now + self._look_s, self._look_again)
+        self._plan_members()
+        self._at(self.now + self._interval_s, self._look_again)
 
-    def _look(self) -> None:
+    def _plan_members(self) -> None:
         for member in tuple(self.members.values()):
             raft = member.raft
             if raft is None or member.frozen or not raft.leads_committed:
@@ -85,7 +85,7 @@
         with contextlib.suppress(ConsensusError):
             raft.propose_membership(now, change)
             self._pump(member)
-        self._at(self.now + 0.02, self._look)  # the change is committed then, and the next one follows
+        self._at(self.now + 0.02, self._plan_members)  # it is committed then, and the next one follows
 
     def _candidates(self) -> Candidates:
         alive = [name for name, member in self.members.items() if member.raft is not None]
@@ -117,7 +117,7 @@
     def _deliver(self, message: ConsensusMessage) -> None:
         super()._deliver(message)
         if isinstance(message, Leave):
-            self._look()  # as both programs do
+            self._plan_members()  # as both programs do
 
     def leave(self, name: str) -> Callable[[], bool]:
         """SIGTERM comes: says its farewell as `ReplicatedGroup.leave` does. Says whether it may end."""
--- a/tests/edge/test_live.py
+++ b/tests/edge/test_live.py
@@ -486,7 +486,7 @@
             await asyncio.sleep(0)
         now = time.monotonic()
         for step in range(200):  # the clock that looks is told, not waited for
-            tier.watch.look(now + step * 0.05)
+            tier.watch.check(now + step * 0.05)
         assert (await asking).head.status == 200
         assert tier.context.chooser.workers["w0"].suspect(time.monotonic())
 
@@ -502,7 +502,7 @@
             await asyncio.sleep(0)
         now = time.monotonic()
         for step in range(200):
-            tier.watch.look(now + step * 0.05)
+            tier.watch.check(now + step * 0.05)
         for _ in range(20):
             await asyncio.sleep(0)
         assert not asking.done() and len(tier.seen) == 1
--- a/tests/simulation/breakages.py
+++ b/tests/simulation/breakages.py
@@ -59,14 +59,14 @@
 def promotion_without_catch_up() -> Any:
     """A learner becomes a voter whatever it holds."""
 
-    real = MembershipPlanner._look
+    real = MembershipPlanner._observe
 
-    def look(self: MembershipPlanner, now: float, group: Any, candidates: Candidates) -> Any:
+    def observe(self: MembershipPlanner, now: float, group: Any, candidates: Candidates) -> Any:
         seen = real(self, now, group, candidates)
         members = {*seen.membership.voters, *seen.membership.learners}
         return dataclasses.replace(seen, holders=members)
 
-    return mock.patch.object(MembershipPlanner, "_look", look)
+    return mock.patch.object(MembershipPlanner, "_observe", observe)
 
 
 def learner_counted() -> Any:
--- a/tests/simulation/redundancy.py
+++ b/tests/simulation/redundancy.py
@@ -8,7 +8,7 @@
 if TYPE_CHECKING:
     from tests.simulation.world import World
 
-LOOK_S = 0.1
+CHECK_INTERVAL_S = 0.1
 GRACE_S = 1.0  # from a moment without losses on: connections that were reset are up again by then
 
 
@@ -27,14 +27,14 @@
 
     def begin(self) -> None:
         """Looks from now on."""
-        self._look()
+        self._check()
 
-    def _look(self) -> None:
+    def _check(self) -> None:
         world = self._world
         now = world.loop.time()
         if world.failed:
             return
-        world.loop.call_outside(now + LOOK_S, self._look)
+        world.loop.call_outside(now + CHECK_INTERVAL_S, self._check)
         if self._is_whole():
             self._note_repair(now)
             self._whole_at = now
@@ -51,7 +51,7 @@
 
     def _note_repair(self, now: float) -> None:
         back = self._losses.last_back
-        if self._whole_at < back < now and now - self._whole_at > 2 * LOOK_S:
+        if self._whole_at < back < now and now - self._whole_at > 2 * CHECK_INTERVAL_S:
             self.longest_s = max(self.longest_s, now - back)
 
     def _is_whole(self) -> bool:
--- a/tests/simulation/watch.py
+++ b/tests/simulation/watch.py
@@ -19,7 +19,9 @@
 if TYPE_CHECKING:
     from tests.simulation.world import World
 
-LOOK_S = 0.3  # planners compare with what was committed at their look before; entries flow meanwhile
+CHECK_INTERVAL_S = (
+    0.3  # planners compare with what was committed at their look before; entries flow meanwhile
+)
 
 
 class Watch:
@@ -88,7 +90,7 @@
         A leader that was deposed without knowing it does not know what was committed since: its change does
         no harm unless it is committed.
         """
-        before = self._committed_at(group.group, self._world.loop.time() - LOOK_S)
+        before = self._committed_at(group.group, self._world.loop.time() - CHECK_INTERVAL_S)
         for voter in membership.voters:
             if voter in group.membership.voters or group.match(voter) >= before:
                 continue
