--- a/tests/simulation/test_schedules.py
+++ b/tests/simulation/test_schedules.py
@@ -49,6 +49,19 @@
         ),
         stores=True,
     ),
+    "all processes are killed while one ends by plan and another disk is lost": Schedule(
+        33000027,
+        1,
+        (
+            Fault(6.041, Kind.PLANNED, Target.OLDEST, Point.AFTER_SAVE, 0.241),
+            Fault(6.904, Kind.KILL_ALL, Target.LEADER, Point.NOW, 1.16),
+            Fault(8.586, Kind.POWER_ALL, Target.OLDEST, Point.MEMBERS, 0.791),
+            Fault(12.404, Kind.KILL_ALL, Target.ANY, Point.MEMBERS, 0.042),
+            Fault(14.334, Kind.GATEWAY_CUT, Target.OLDEST, Point.ORDER_ACKED, 0.439),
+            Fault(18.73, Kind.WIPE, Target.LEADER, Point.NOW, 0.783),
+            Fault(19.562, Kind.KILL_ALL, Target.NEWEST, Point.MEMBERS_APPLIED, 1.641),
+        ),
+    ),
     "a frozen leader goes on with a change of members that the next leader has overtaken": Schedule(
         2000358,
         2,
