Benchmarks: the routes that three of them send stand once

Cause: benchmarks/control, history and redundancy each had the same list of routes. Change: tests/configuration/documents.py has numbered_routes; the documents are the same as before.

--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -42,6 +42,7 @@
 from pewterring.storage.disk import FolderDisk
 from pewterring.storage.group import DiskGroupStorage
 from pewterring.transport.lines import LinkPool, MessageCodec, TransportError
+from tests.configuration.documents import numbered_routes
 
 IPS = ("127.0.0.31", "127.0.0.32", "127.0.0.33")
 GATEWAY_IP = "127.0.0.34"
@@ -96,17 +97,7 @@
 
 
 def _configuration(version: int) -> bytes:
-    routes = [
-        {
-            "name": f"r-{number}",
-            "hostname": "h.example",
-            "path_prefix": f"/p{number}/",
-            "route_type": "idempotent",
-            "timeout_ms": 1000 + version,
-            "backend": "s",
-        }
-        for number in range(ROUTES)
-    ]
+    routes = numbered_routes(version, ROUTES)
     return orjson.dumps({"version": version, "routes": routes, "backends": [{"name": "s"}]})
 
 
--- a/benchmarks/history.py
+++ b/benchmarks/history.py
@@ -38,6 +38,7 @@
 from pewterring.storage.disk import DiskFile, FolderDisk
 from pewterring.storage.group import DiskGroupStorage
 from pewterring.transport.line_codec import MessageCodec
+from tests.configuration.documents import numbered_routes
 
 NAMES = ("a", "b", "c")
 ROUTE_BYTES = 160  # of one route of a configuration, about
@@ -69,17 +70,7 @@
 
 
 def _document(version: int, size_bytes: int) -> dict[str, object]:
-    routes = [
-        {
-            "name": f"r-{number}",
-            "hostname": "h.example",
-            "path_prefix": f"/p{number}/",
-            "route_type": "idempotent",
-            "timeout_ms": 1000 + version,
-            "backend": "s",
-        }
-        for number in range(max(1, size_bytes // ROUTE_BYTES))
-    ]
+    routes = numbered_routes(version, max(1, size_bytes // ROUTE_BYTES))
     return {"version": version, "routes": routes, "backends": [{"name": "s"}]}
 
 
--- a/benchmarks/redundancy.py
+++ b/benchmarks/redundancy.py
@@ -57,6 +57,7 @@
 from pewterring.distribution.messages import WorkerRecord
 from pewterring.storage.group import DiskGroupStorage
 from pewterring.transport.line_codec import MessageCodec
+from tests.configuration.documents import numbered_routes
 from tests.consensus.slow_members import DiskTimer
 from tests.consensus.virtual_time import run
 from tests.storage.simulated_disk import SimulatedDisk
@@ -139,17 +140,7 @@
 
 
 def _configuration(version: int) -> bytes:
-    routes = [
-        {
-            "name": f"r-{number}",
-            "hostname": "h.example",
-            "path_prefix": f"/p{number}/",
-            "route_type": "idempotent",
-            "timeout_ms": 1000 + version,
-            "backend": "s",
-        }
-        for number in range(ROUTES)
-    ]
+    routes = numbered_routes(version, ROUTES)
     document = msgspec.Raw(msgspec.json.encode({"version": version, "routes": routes}))
     return encode_command(PutConfiguration(version - 1, version, f"{version:064d}", document))
 
--- a/tests/configuration/documents.py
+++ b/tests/configuration/documents.py
@@ -73,3 +73,18 @@
     changed = document()
     changed["routes"][index] |= changes
     return orjson.dumps(changed)
+
+
+def numbered_routes(version: int, count: int) -> list[dict[str, object]]:
+    """`count` routes to the backend `s`, each with a path of its own, different in each version."""
+    return [
+        {
+            "name": f"r-{number}",
+            "hostname": "h.example",
+            "path_prefix": f"/p{number}/",
+            "route_type": "idempotent",
+            "timeout_ms": 1000 + version,
+            "backend": "s",
+        }
+        for number in range(count)
+    ]
