--- a/pewterring/consensus/planner.py
+++ b/pewterring/consensus/planner.py
@@ -28,7 +28,7 @@
 LOST_PART = 0.25  # of the bound on catching up: a quarter to notice a loss, a quarter to copy the state
 ANSWERS_S = 0.3  # a voter that answered so lately lives, whatever tables say of its address
 LEARNER_PART = 0.5  # of the same bound; a learner that takes over a large snapshot may not answer for a while
-CHANGES_A_CHECK = 4  # made one after the other before the next view: a removal and a promotion, and some more
+CHANGES_A_CHECK = 4  # made one after the other before the next check: a removal, a promotion, and some more
 RETRY_LEARNER_S = 10.0  # a learner that was dropped for its silence is the last choice for so long
 
 
