Config.Update: patches of named items, judged where they are applied

A patch is one entry of the log, applied to the base that is current there; its identity is the order as sent, apart from whole documents under the same number; items stay as they came. Random orders of two operators send both forms; four breakages more are caught. cluster configure sends either form, config check reads both.

--- a/pewterring/cli/cluster.py
+++ b/pewterring/cli/cluster.py
@@ -1,17 +1,21 @@
-"""`pewterring cluster`: asks a running tier how it is."""
+"""`pewterring cluster`: asks a running tier how it is, and sends it configurations and patches."""
 
 import argparse
 import json
 import urllib.error
 import urllib.request
 from collections import Counter
+from pathlib import Path
 from typing import Any
 
 import msgspec
+import orjson
 
 from pewterring.cli.errors import CommandError, UsageError
 from pewterring.cli.parser import add_subcommands
-from pewterring.control.calls import READ_PATH, STATUS_PATH
+from pewterring.configuration.acceptance import document_faults
+from pewterring.configuration.patch import is_patch
+from pewterring.control.calls import READ_PATH, REPLACE_PATH, STATUS_PATH, UPDATE_PATH
 from pewterring.control.status import TierStatus
 from pewterring.node.settings import SettingsError, parse_address
 
@@ -24,19 +28,52 @@
     commands = add_subcommands(parser)
     about = "configuration, processes, workers and batch partitions, as the control group has them committed"
     status = commands.add_parser("status", help=about, description=about)
-    status.add_argument(
-        "--control", required=True, metavar="IP:PORT", help="listen_addrs.control of any control machine"
-    )
-    status.add_argument("--timeout-s", type=float, default=TIMEOUT_S, metavar="S", help="seconds to wait")
+    _add_control(status)
     status.add_argument("--json", action="store_true", help="print JSON instead of a table")
     status.set_defaults(run=_status)
+    about = "sends a whole configuration, or a patch of named items, on top of the version that is in force"
+    configure = commands.add_parser("configure", help=about, description=about)
+    configure.add_argument("file", metavar="FILE", help="JSON as operators send it")
+    configure.add_argument(
+        "--base-version", type=int, required=True, metavar="N", help="the version it builds on; 0: the first"
+    )
+    _add_control(configure)
+    configure.set_defaults(run=_configure)
 
 
-def _status(given: argparse.Namespace) -> None:
+def _add_control(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument(
+        "--control", required=True, metavar="IP:PORT", help="listen_addrs.control of any control machine"
+    )
+    parser.add_argument("--timeout-s", type=float, default=TIMEOUT_S, metavar="S", help="seconds to wait")
+
+
+def _address(given: argparse.Namespace) -> str:
     try:
-        address = str(parse_address("--control", given.control))
+        return str(parse_address("--control", given.control))
     except SettingsError as error:
         raise UsageError(str(error)) from error
+
+
+def _configure(given: argparse.Namespace) -> None:
+    """Sends an order once: after no clear answer the same command may be given again, to any machine."""
+    try:
+        body = Path(given.file).read_bytes()
+    except OSError as error:
+        raise UsageError(f"{given.file}: {error.strerror}") from error
+    for fault in document_faults(body):
+        raise UsageError(f"{given.file}: {fault}")
+    path = UPDATE_PATH if is_patch(orjson.loads(body)) else REPLACE_PATH
+    headers = {"Base-Version": str(given.base_version), "Content-Type": "application/json"}
+    order = urllib.request.Request(f"http://{_address(given)}{path}", body, headers)
+    code, answer = _send(order, given.timeout_s)
+    if code != 200:
+        raise CommandError(f"{given.control} answered {code}: {answer.decode('utf-8', 'replace')}")
+    print("taken")
+
+
+def _status(given: argparse.Namespace) -> None:
+    address = _address(given)
     code, body = _get(address, STATUS_PATH, given.timeout_s)
     if code == NOT_FOUND:  # a control of an earlier version
         print(_configuration_line(address, given.timeout_s))
@@ -81,10 +118,14 @@
 
 
 def _get(address: str, path: str, timeout_s: float) -> tuple[int, bytes]:
+    return _send(urllib.request.Request(f"http://{address}{path}"), timeout_s)
+
+
+def _send(request: urllib.request.Request, timeout_s: float) -> tuple[int, bytes]:
     try:
-        with urllib.request.urlopen(f"http://{address}{path}", timeout=timeout_s) as answer:
+        with urllib.request.urlopen(request, timeout=timeout_s) as answer:
             return answer.status, answer.read()
     except urllib.error.HTTPError as error:
         return error.code, error.read()
     except OSError as error:
-        raise CommandError(f"{address} does not answer: {error}") from error
+        raise CommandError(f"{request.host} does not answer: {error}") from error
--- a/pewterring/cli/config.py
+++ b/pewterring/cli/config.py
@@ -23,7 +23,8 @@
 ABOUT = f"""\
 Three kinds of files, told apart by what is in them:
   settings       a process of the serving tier: lines of a.b=value ({SETTINGS_VARIABLE} names it by default)
-  configuration  routes and services of the serving tier, as operators send them: JSON with "routes"
+  configuration  routes and services of the serving tier, as operators send them: JSON with "routes",
+                 or a patch of them: JSON with "upsert" or "delete"
   gatekeeper     a gatekeeper of older deployments: other JSON ({CONFIG} names it by default)
 """
 
@@ -66,9 +67,9 @@
         tree = orjson.loads(content)
     except orjson.JSONDecodeError:
         return GATEKEEPER
-    return (
-        CONFIGURATION if isinstance(tree, dict) and ("routes" in tree or "backends" in tree) else GATEKEEPER
-    )
+    if isinstance(tree, dict) and {"routes", "backends", "upsert", "delete"} & tree.keys():
+        return CONFIGURATION
+    return GATEKEEPER
 
 
 def _check(given: argparse.Namespace) -> int:
--- a/pewterring/cli/operator_configuration.py
+++ b/pewterring/cli/operator_configuration.py
@@ -9,6 +9,7 @@
 
 from pewterring.cli.findings import Findings, nearest, unknown_key
 from pewterring.configuration.acceptance import document_faults
+from pewterring.configuration.patch import PATCH_FIELDS, is_patch
 from pewterring.configuration.reader import configuration_schema
 
 # Fields that operators send and nothing here reads.
@@ -20,12 +21,21 @@
     """All faults of a configuration, slips of keys included. Raises OSError."""
     document = path.read_bytes()
     problems = [str(fault) for fault in document_faults(document)]
-    unknown = dict(_unknown(_tree(document), _known()))
+    unknown = dict(_unknown_fields(_tree(document)))
     problems += [unknown_key(at, meant) for at, meant in unknown.items() if meant]
     others = sum(not meant for meant in unknown.values())
     return Findings(str(path), problems, f"{others} fields that nothing here knows" if others else "")
 
 
+def _unknown_fields(tree: Any) -> Iterator[tuple[str, str]]:
+    """Unknown fields of a configuration, or of the items that a patch adds."""
+    if not is_patch(tree):
+        yield from _unknown(tree, _known())
+        return
+    yield from _unknown({key: value for key, value in tree.items() if key not in PATCH_FIELDS}, {})
+    yield from _unknown(tree.get("upsert"), _known(), "upsert")
+
+
 def show(path: Path) -> list[tuple[str, object, str]]:
     """Each value in force and its origin."""
     return list(_values(_tree(path.read_bytes()), _known()))
--- a/pewterring/configuration/reader.py
+++ b/pewterring/configuration/reader.py
@@ -5,8 +5,9 @@
 """
 
 import functools
+import itertools
 import math
-from collections.abc import Iterator, Mapping
+from collections.abc import Iterator, Mapping, Sequence
 from types import MappingProxyType
 from typing import Any
 
@@ -112,6 +113,16 @@
     limits = fields.Nested(_LimitsSchema)
 
 
+class _ItemsSchema(_LenientSchema):
+    routes = fields.List(fields.Nested(_RouteSchema), load_default=list)
+    backends = fields.List(fields.Nested(_ServiceSchema), load_default=list)
+
+
+@functools.cache
+def _items_schema() -> Schema:
+    return _ItemsSchema()
+
+
 @functools.cache
 def configuration_schema() -> Schema:
     """The one schema object; making it is far dearer than using it."""
@@ -142,22 +153,42 @@
     try:
         loaded = configuration_schema().load(raw)
     except ValidationError as error:
-        return {}, _field_faults((), error.messages)
-    return loaded, _faults_together(loaded)
+        return {}, field_faults((), error.messages)
+    return loaded, itertools.chain(reference_faults(loaded), item_faults(loaded))
+
 
+def load_items(raw: Mapping[str, Any]) -> tuple[Mapping[str, Any], Any]:
+    """Reads lists of routes and services apart from a configuration; gives them, or what is wrong as
+    marshmallow says it.
+    """
+    try:
+        return _items_schema().load(raw), {}
+    except ValidationError as error:
+        return {}, error.messages
 
-def _field_faults(path: tuple[str, ...], messages: Any) -> Iterator[InvalidConfiguration]:
+
+def field_faults(path: tuple[str, ...], messages: Any) -> Iterator[InvalidConfiguration]:
     """The faults in marshmallow's nested messages."""
     if isinstance(messages, dict):
         for key, inner in messages.items():
-            yield from _field_faults((*path, str(key)), inner)
+            yield from field_faults((*path, str(key)), inner)
         return
     for message in messages if isinstance(messages, list) else [messages]:
         yield InvalidConfiguration(".".join(path), str(message))
 
 
-def _faults_together(loaded: Mapping[str, Any]) -> Iterator[InvalidConfiguration]:
-    """Faults of fields that are each valid by themselves."""
+def item_faults(loaded: Mapping[str, Any], path: str = "") -> Iterator[InvalidConfiguration]:
+    """Faults of fields of one item that are each valid by themselves."""
+    for index, each in enumerate(loaded["routes"]):
+        at = f"{path}routes.{index}"
+        if "weighted_backends" in each:
+            yield from _weight_faults(at, each["weighted_backends"])
+        elif "backend" not in each:
+            yield InvalidConfiguration(f"{at}.backend", "the route names no service")
+
+
+def reference_faults(loaded: Mapping[str, Any]) -> Iterator[InvalidConfiguration]:
+    """Faults of items that are each valid by themselves: names or places twice, unknown services."""
     services: set[str] = set()
     for index, each in enumerate(loaded["backends"]):
         if each["name"] in services:
@@ -175,18 +206,16 @@
 def _service_faults(
     path: str, route: Mapping[str, Any], services: set[str]
 ) -> Iterator[InvalidConfiguration]:
-    """Faults of the services that a route names."""
+    """Names of services in a route that are unknown."""
     if "backend" in route and route["backend"] not in services:
         yield InvalidConfiguration(f"{path}.backend", f"unknown service {route['backend']!r}")
-    if "weighted_backends" not in route:
-        if "backend" not in route:
-            yield InvalidConfiguration(f"{path}.backend", "the route names no service")
-        return
-    weighted = route["weighted_backends"]
-    for index, each in enumerate(weighted):
+    for index, each in enumerate(route.get("weighted_backends", ())):
         if each["backend"] not in services:
             at = f"{path}.weighted_backends.{index}"
             yield InvalidConfiguration(at, f"unknown service {each['backend']!r}")
+
+
+def _weight_faults(path: str, weighted: Sequence[Mapping[str, Any]]) -> Iterator[InvalidConfiguration]:
     total = sum(each["weight"] for each in weighted)
     if total <= 0:
         yield InvalidConfiguration(f"{path}.weighted_backends", "the weights sum to 0")
--- a/pewterring/control/calls.py
+++ b/pewterring/control/calls.py
@@ -8,6 +8,7 @@
 HEARTBEAT_PATH = "/v1/Instances.Heartbeat/"
 DEREGISTER_PATH = "/v1/Instances.Deregister/"
 REPLACE_PATH = "/v1/Config.Replace"
+UPDATE_PATH = "/v1/Config.Update"
 READ_PATH = "/v1/Config.Get"
 RETIRE_START_PATH = "/v1/Retire.Start/"
 RETIRE_GET_PATH = "/v1/Retire.Get/"
@@ -50,6 +51,8 @@
     """The method that the path is called with, or None for an unknown path."""
     if path in (READ_PATH, STATUS_PATH) or path.startswith(RETIRE_GET_PATH):
         return "GET"
-    if path == REPLACE_PATH or path.startswith((HEARTBEAT_PATH, DEREGISTER_PATH, RETIRE_START_PATH)):
+    if path in (REPLACE_PATH, UPDATE_PATH) or path.startswith(
+        (HEARTBEAT_PATH, DEREGISTER_PATH, RETIRE_START_PATH)
+    ):
         return "POST"
     return None
--- a/pewterring/control/commands.py
+++ b/pewterring/control/commands.py
@@ -25,6 +25,15 @@
     document: msgspec.Raw
 
 
+class PatchConfiguration(_Command, frozen=True):
+    """Changes items of version `base`. `digest` identifies the patch as it was sent."""
+
+    base: int
+    version: int
+    digest: str
+    patch: msgspec.Raw
+
+
 class PutWorker(_Command, frozen=True):
     """Adds or changes a worker; others at the same address go."""
 
@@ -72,6 +81,7 @@
 
 Command = (
     PutConfiguration
+    | PatchConfiguration
     | PutWorker
     | RemoveWorkers
     | SilenceWorkers
@@ -108,4 +118,11 @@
     """The configuration is so old that whether it was taken is no longer known."""
 
 
-Result = Accepted | Conflict | NotAbove | Untold
+@dataclass(frozen=True, slots=True)
+class Invalid:
+    """The configuration that the patch would make is not valid."""
+
+    reason: str
+
+
+Result = Accepted | Conflict | NotAbove | Untold | Invalid
--- a/pewterring/control/service.py
+++ b/pewterring/control/service.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from pewterring.configuration.acceptance import candidate
+from pewterring.configuration.acceptance import Candidate, candidate, patch_candidate
 from pewterring.configuration.reader import InvalidConfiguration
 from pewterring.control.calls import (
     DEREGISTER_PATH,
@@ -14,17 +14,22 @@
     RETIRE_GET_PATH,
     RETIRE_START_PATH,
     STATUS_PATH,
+    UPDATE_PATH,
     Answer,
     Call,
     read_base_version,
     refusal,
 )
 from pewterring.control.commands import (
+    Command,
     Conflict,
+    Invalid,
     NotAbove,
+    PatchConfiguration,
     PutConfiguration,
     PutWorker,
     RemoveWorkers,
+    Result,
     Untold,
 )
 from pewterring.control.leadership import Leadership
@@ -38,7 +43,7 @@
 
 
 class ControlService:
-    """Handles calls by path. Configurations are checked here, before they go to the log."""
+    """Handles calls by path. Orders are checked here, before they go to the log."""
 
     def __init__(
         self,
@@ -67,7 +72,9 @@
                 name = call.path[len(prefix) :]
                 return await handler(name, call.body) if name else refusal(404, "no name in the path")
         if call.path == REPLACE_PATH:
-            return await self._replace(call)
+            return await self._change_configuration(call, candidate, _put)
+        if call.path == UPDATE_PATH:
+            return await self._change_configuration(call, patch_candidate, _patch)
         if call.path == READ_PATH:
             return await self._read()
         if call.path == STATUS_PATH:
@@ -91,33 +98,26 @@
             await self._leadership.propose(RemoveWorkers((worker_id,), for_good=True))
         return ACKNOWLEDGED
 
-    async def _replace(self, call: Call) -> Answer:
+    async def _change_configuration(
+        self,
+        call: Call,
+        check: Callable[[bytes], Candidate],
+        command_for: Callable[[int, Candidate], Command],
+    ) -> Answer:
+        """Takes an order in either form. A patch is judged against its base only when it is applied."""
         base = read_base_version(call.base_version)
         if base is None:
             return refusal(400, "Base-Version is not a number")
         try:
-            wanted = candidate(call.body)
+            wanted = check(call.body)
         except InvalidConfiguration as error:
             return refusal(400, str(error))
         if wanted.version <= base:  # never taken, so this repeats no order, also where the document was taken
             return refusal(400, f"version: not above Base-Version {base}")
-        if self._state.has_taken(wanted.version, wanted.digest):  # the log need not hold the document again
+        if self._state.has_taken(wanted.version, wanted.digest):  # the log need not hold the order again
             await self._leadership.read_barrier()
             return ACKNOWLEDGED
-        command = PutConfiguration(
-            base=base,
-            version=wanted.version,
-            digest=wanted.digest,
-            document=msgspec.Raw(wanted.document),
-        )
-        result = await self._leadership.propose(command)
-        if isinstance(result, Conflict):
-            return refusal(412, f"version {result.current} is current")
-        if isinstance(result, NotAbove):
-            return refusal(400, f"version: not above {result.current}")
-        if isinstance(result, Untold):
-            return refusal(503, "too old to tell whether it was taken")
-        return ACKNOWLEDGED
+        return _configuration_answer(await self._leadership.propose(command_for(base, wanted)))
 
     async def _read(self) -> Answer:
         await self._leadership.read_barrier()
@@ -142,3 +142,23 @@
         if state is None:
             return refusal(404, "no such retirement")
         return Answer(200, msgspec.json.encode({"state": state}))
+
+
+def _put(base: int, wanted: Candidate) -> Command:
+    return PutConfiguration(base, wanted.version, wanted.digest, msgspec.Raw(wanted.document))
+
+
+def _patch(base: int, wanted: Candidate) -> Command:
+    return PatchConfiguration(base, wanted.version, wanted.digest, msgspec.Raw(wanted.document))
+
+
+def _configuration_answer(result: Result) -> Answer:
+    if isinstance(result, Conflict):
+        return refusal(412, f"version {result.current} is current")
+    if isinstance(result, NotAbove):
+        return refusal(400, f"version: not above {result.current}")
+    if isinstance(result, Invalid):
+        return refusal(400, result.reason)
+    if isinstance(result, Untold):
+        return refusal(503, "too old to tell whether it was taken")
+    return ACKNOWLEDGED
--- a/pewterring/control/state.py
+++ b/pewterring/control/state.py
@@ -7,13 +7,17 @@
 
 import msgspec
 
+from pewterring.configuration.patch import apply_patch, parse_patch
+from pewterring.configuration.reader import InvalidConfiguration
 from pewterring.control.commands import (
     Accepted,
     Command,
     Conflict,
     CreateGroup,
     EndRetirement,
+    Invalid,
     NotAbove,
+    PatchConfiguration,
     PutConfiguration,
     PutNodes,
     PutWorker,
@@ -115,6 +119,7 @@
         self._changes = StateChanges()
         self._handlers: dict[type, Callable[[Any], Result]] = {
             PutConfiguration: self._put_configuration,
+            PatchConfiguration: self._patch_configuration,
             PutWorker: self._put_worker,
             RemoveWorkers: self._remove_workers,
             SilenceWorkers: self._silence_workers,
@@ -217,6 +222,21 @@
     # Configuration
 
     def _put_configuration(self, command: PutConfiguration) -> Result:
+        return self._configuration_result(command) or self._take_configuration(command, command.document)
+
+    def _patch_configuration(self, command: PatchConfiguration) -> Result:
+        """Symptom answered: a patch judged on arrival may meet another base in the log."""
+        result = self._configuration_result(command)
+        if result is not None:
+            return result
+        try:
+            document = apply_patch(bytes(self.document), parse_patch(bytes(command.patch)))
+        except InvalidConfiguration as error:
+            return Invalid(str(error))
+        return self._take_configuration(command, msgspec.Raw(document))
+
+    def _configuration_result(self, command: PutConfiguration | PatchConfiguration) -> Result | None:
+        """What becomes of an order whatever it holds; None where it may come into force."""
         if self.has_taken(command.version, command.digest):
             return Accepted(repeated=True)
         if command.version <= self._forgotten:  # it may have been taken: a refusal could be wrong
@@ -225,8 +245,13 @@
             return Conflict(self.version)
         if command.version <= self.version:
             return NotAbove(self.version)
+        return None
+
+    def _take_configuration(
+        self, command: PutConfiguration | PatchConfiguration, document: msgspec.Raw
+    ) -> Result:
         self.version = command.version
-        self.document = command.document.copy()
+        self.document = document.copy()
         self._taken[command.version] = command.digest
         self._forgotten = max((self._forgotten, *_drop_oldest(self._taken, REMEMBERED_VERSIONS)))
         self._changes.configuration = True
--- a/tests/cli/test_cluster.py
+++ b/tests/cli/test_cluster.py
@@ -1,9 +1,10 @@
-"""`pewterring cluster status`: the committed tables as control tells them."""
+"""`pewterring cluster`: the committed tables as control tells them, and orders that are sent."""
 
 import json
 import threading
 from collections.abc import Iterator
 from http.server import BaseHTTPRequestHandler, HTTPServer
+from pathlib import Path
 
 import msgspec
 import pytest
@@ -13,6 +14,7 @@
 from pewterring.control.state import ControlState, encode_command
 from pewterring.control.status import status_of
 from pewterring.distribution.messages import NodeRecord, WorkerRecord
+from tests.configuration.documents import encoded
 
 COMMANDS: tuple[Command, ...] = (
     PutConfiguration(0, 7, "digest", msgspec.Raw(b'{"version":7}')),
@@ -32,6 +34,7 @@
     """Answers by path; 404 else."""
 
     answers: dict[str, tuple[int, bytes]]
+    orders: list[tuple[str, str | None, bytes]]
 
 
 class Handler(BaseHTTPRequestHandler):
@@ -44,6 +47,11 @@
         self.end_headers()
         self.wfile.write(body)
 
+    def do_POST(self) -> None:
+        body = self.rfile.read(int(self.headers["Content-Length"]))
+        self.server.orders.append((self.path, self.headers["Base-Version"], body))
+        self.do_GET()
+
     def log_message(self, format: str, *args: object) -> None:
         pass
 
@@ -52,6 +60,7 @@
 def control() -> Iterator[Control]:
     server = Control(("127.0.0.1", 0), Handler)
     server.answers = {}
+    server.orders = []
     thread = threading.Thread(target=server.serve_forever, kwargs={"poll_interval": 0.01})
     thread.start()
     yield server
@@ -89,3 +98,34 @@
     control.answers["/v1/Tier.Status"] = answer
     assert asked(control) == 1
     assert capsys.readouterr().err.count("\n") == 1
+
+
+def ordered(control: Control, path: Path, base: int = 7) -> int:
+    where = f"127.0.0.1:{control.server_port}"
+    return main(["cluster", "configure", str(path), "--base-version", str(base), "--control", where])
+
+
+PATCH = b'{"version":9,"delete":{"routes":["r-1"]}}'
+
+
+@pytest.mark.parametrize(("body", "path"), [(encoded(), "/v1/Config.Replace"), (PATCH, "/v1/Config.Update")])
+def test_orders_of_both_forms_are_sent(control: Control, tmp_path: Path, body: bytes, path: str) -> None:
+    file = tmp_path / "order.json"
+    file.write_bytes(body)
+    control.answers[path] = (200, b"{}")
+    assert ordered(control, file) == 0
+    assert control.orders == [(path, "7", body)]
+    control.answers[path] = (412, b'{"error":"version 8 is current"}')
+    assert ordered(control, file) == 1
+
+
+@pytest.mark.parametrize("body", [b"{", b"[]", encoded()[:-1], b'{"version":9,"delete":["r-1"]}'])
+def test_an_order_that_control_would_refuse_is_not_sent(
+    control: Control, tmp_path: Path, capsys: pytest.CaptureFixture[str], body: bytes
+) -> None:
+    file = tmp_path / "order.json"
+    file.write_bytes(body)
+    assert ordered(control, file) == 2
+    assert ordered(control, tmp_path / "none.json") == 2
+    assert not control.orders
+    assert len(capsys.readouterr().err.splitlines()) == 2
--- a/tests/control/test_service.py
+++ b/tests/control/test_service.py
@@ -19,7 +19,7 @@
 from pewterring.registry.workers import WorkerRegistry
 from pewterring.transport.http_request import ServerRequest
 from pewterring.transport.http_responder import Responder
-from tests.configuration.documents import encoded, with_route
+from tests.configuration.documents import document, encoded, with_route
 from tests.control.records import apply, store
 from tests.transport.http_stand_ins import AnswerTaker
 
@@ -83,6 +83,9 @@
         await ControlApi(self.router.answer)(request, Responder(caller, request))
         return Answer(int(caller.status), caller.body)
 
+    def update(self, base: int, patch: bytes) -> int:
+        return self.call("POST", "/v1/Config.Update", patch, base_version=str(base)).status
+
     def replace(self, base: int, document: bytes) -> int:
         return self.call("POST", "/v1/Config.Replace", document, base_version=str(base)).status
 
@@ -104,19 +107,47 @@
 def test_a_configuration_is_taken_read_and_taken_again() -> None:
     machine = Machine()
     assert machine.call("GET", "/v1/Config.Get").status == 404
-    document = encoded(version=5).replace(b",", b",\n")
-    assert machine.replace(0, document) == 200
-    assert machine.replace(0, document) == 200
+    order = encoded(version=5).replace(b",", b",\n")
+    assert machine.replace(0, order) == 200
+    assert machine.replace(0, order) == 200
     answer = machine.call("GET", "/v1/Config.Get")
     assert answer.status == 200
-    assert orjson.loads(answer.body) == orjson.loads(document)
+    assert orjson.loads(answer.body) == orjson.loads(order)
     assert machine.replace(5, encoded(version=7)) == 200
-    assert machine.replace(0, document) == 200
+    assert machine.replace(0, order) == 200
     assert machine.replace(5, encoded(version=8)) == 412
     assert machine.replace(7, encoded(version=7, limits={})) == 400
     assert machine.state.version == 7
 
 
+def test_a_patch_is_taken_read_and_taken_again() -> None:
+    machine = Machine()
+    patch = b'{"version":9,"delete":{"routes":["r-1"]}}'
+    assert machine.replace(0, encoded(version=7)) == 200
+    assert machine.update(7, patch) == 200
+    answer = machine.call("GET", "/v1/Config.Get")
+    expected = document(version=9, routes=document()["routes"][1:])
+    assert orjson.loads(answer.body) == expected
+    assert machine.update(7, patch.replace(b",", b",\n ")) == 200
+    assert machine.update(9, patch) == 400
+    assert machine.update(7, patch.replace(b"9", b"10")) == 412
+    assert machine.replace(7, orjson.dumps(expected)) == 412  # the same result is another order
+    assert machine.replace(9, encoded(version=11)) == 200
+    assert machine.update(7, patch) == 200
+    assert machine.state.version == 11
+    assert machine.proposals == 5
+
+
+def test_a_patch_is_refused_where_its_result_is_invalid() -> None:
+    machine = Machine()
+    assert machine.replace(0, encoded(version=7)) == 200
+    assert machine.update(7, b'{"version":9,"delete":{"backends":["huvo11a"]}}') == 400
+    assert machine.update(7, b'{"version":9,"delete":') == 400
+    assert machine.call("POST", "/v1/Config.Update", b'{"version":9}').status == 400
+    assert machine.call("GET", "/v1/Config.Update").status == 405
+    assert machine.state.version == 7
+
+
 def test_a_repeat_writes_nothing_and_is_acknowledged_by_a_leader_alone() -> None:
     machine = Machine()
     assert machine.replace(0, encoded(version=5)) == 200
--- a/tests/control/test_two_operators.py
+++ b/tests/control/test_two_operators.py
@@ -9,6 +9,7 @@
 import itertools
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from typing import Any
 from unittest.mock import patch
 
 import msgspec
@@ -23,8 +24,18 @@
     rule,
 )
 
-from pewterring.control.calls import REPLACE_PATH
-from pewterring.control.commands import Accepted, Command, Conflict, PutConfiguration, Result
+from pewterring.configuration.acceptance import PATCH_DIGEST
+from pewterring.configuration.digest import digest_of
+from pewterring.configuration.patch import apply_patch, parse_patch
+from pewterring.control.calls import REPLACE_PATH, UPDATE_PATH
+from pewterring.control.commands import (
+    Accepted,
+    Command,
+    Conflict,
+    PatchConfiguration,
+    PutConfiguration,
+    Result,
+)
 from pewterring.control.errors import OutcomeUnsure
 from pewterring.control.messages import RelayedCall
 from pewterring.control.nodes import NodeTable
@@ -33,7 +44,7 @@
 from pewterring.control.service import ControlService
 from pewterring.control.state import ControlState, encode_command
 from pewterring.registry.workers import WorkerRegistry
-from tests.configuration.documents import encoded
+from tests.configuration.documents import document, encoded
 from tests.consensus.virtual_time import VirtualTimeLoop
 
 MEMBERS = 3
@@ -51,10 +62,23 @@
     base: int
     version: int
     variant: int  # of the document under this number
+    is_patch: bool = False
 
     def call(self) -> RelayedCall:
-        limits = {"max_header_bytes": 1000 + self.variant, "max_body_bytes": self.base}
-        return RelayedCall("POST", REPLACE_PATH, str(self.base), encoded(version=self.version, limits=limits))
+        notes = [{"name": "order", "variant": self.variant, "base": self.base}]
+        if self.is_patch:  # its service is there only if it is applied to the base that it names
+            removed = {"backends": [service_of(self.base)]}
+            added = {"backends": [{"name": service_of(self.version)}], "notes": notes}
+            body = orjson.dumps({"version": self.version, "upsert": added, "delete": removed})
+            return RelayedCall("POST", UPDATE_PATH, str(self.base), body)
+        services = [*document()["backends"], {"name": service_of(self.version)}]
+        body = encoded(version=self.version, notes=notes, backends=services)
+        return RelayedCall("POST", REPLACE_PATH, str(self.base), body)
+
+
+def service_of(version: int) -> str:
+    """The service that stands in one version alone."""
+    return f"only-in-{version}"
 
 
 @dataclass
@@ -216,21 +240,35 @@
 
     # Rules
 
-    @rule(back=st.integers(0, 3), steps=st.lists(st.integers(-1, 4), min_size=1, max_size=2))
-    def orders(self, back: int, steps: list[int]) -> None:
+    @rule(
+        back=st.integers(0, 3),
+        steps=st.lists(st.integers(-1, 4), min_size=1, max_size=2),
+        patches=st.integers(0, 3),
+    )
+    def orders(self, back: int, steps: list[int], patches: int = 0) -> None:
         """One operator or two send orders on the current version or an older one."""
         base = self.in_force[max(0, len(self.in_force) - 1 - back)]
-        self._order(base, steps)
+        self._order(base, steps, patches)
+
+    @rule(step=st.integers(1, 2), patches=st.integers(0, 3))
+    def both_order_under_one_number(self, step: int, patches: int = 0) -> None:
+        self._order(self.in_force[-1], [step, step], patches)
 
-    @rule(step=st.integers(1, 2))
-    def both_order_under_one_number(self, step: int) -> None:
-        self._order(self.in_force[-1], [step, step])
+    def _order(self, base: int, steps: list[int], patches: int) -> None:
+        """`patches` says by its bits which of the orders are patches; the first configuration is whole."""
+        for number, step in enumerate(steps):
+            self._send_new(base, max(0, base + step), bool(patches >> number & 1))
 
-    def _order(self, base: int, steps: list[int]) -> None:
-        for step in steps:
-            order = Order(base, max(0, base + step), next(self.variants))
-            self.sent.append(order)
-            self.send(order)
+    def _send_new(self, base: int, version: int, is_patch: bool) -> asyncio.Task[int]:
+        order = Order(base, version, next(self.variants), is_patch and base > 0)
+        self.sent.append(order)
+        return self.send(order)
+
+    @rule()
+    @precondition(lambda self: self.group.proposals)
+    def sends_a_patch_of_what_is_not_committed(self) -> None:
+        base = max(order.version for order in self.calls.values())
+        self._send_new(base, base + 1, True)
 
     @rule(number=st.integers(0, 1000), which=st.sampled_from(["any", "oldest taken", "newest taken"]))
     @precondition(lambda self: self.sent)
@@ -241,13 +279,11 @@
         else:
             self.send(taken[min(taken) if which == "oldest taken" else max(taken)])
 
-    @rule()
+    @rule(is_patch=st.booleans())
     @precondition(lambda self: not self.group.proposals)
-    def a_proper_order_alone_is_taken(self) -> None:
+    def a_proper_order_alone_is_taken(self, is_patch: bool = False) -> None:
         base = self.in_force[-1]
-        order = Order(base, base + 1, next(self.variants))
-        self.sent.append(order)
-        call = self.send(order)
+        call = self._send_new(base, base + 1, is_patch)
         self.group.commit(1)
         self.turn()
         assert call.result() == 200
@@ -290,11 +326,20 @@
             assert order.version == state.version
             assert order not in self.history.refused, "a loser is in force"
             assert self.history.taken.get(order.version, order) == order, "other than what was acknowledged"
+            self._check_content(orjson.loads(bytes(state.document)))
+
+    def _order_of(self, content: bytes) -> Order:
+        (note,) = orjson.loads(content)["notes"]
+        return next(order for order in self.sent if order.variant == note["variant"])
 
-    def _order_of(self, document: bytes) -> Order:
-        limits = orjson.loads(document)["limits"]
-        variant = limits["max_header_bytes"] - 1000
-        return next(order for order in self.sent if order.variant == variant)
+    def _check_content(self, content: dict[str, Any]) -> None:
+        """A patch that was applied to another base than its own leaves that one's service behind."""
+        usual = [service["name"] for service in document()["backends"]]
+        names = [service["name"] for service in content["backends"]]
+        assert names == [*usual, service_of(content["version"])], "a patch of another base"
+        assert {key: content[key] for key in ("routes", "some_new_field")} == {
+            key: document()[key] for key in ("routes", "some_new_field")
+        }, "fields were lost"
 
     @invariant()
     def members_hold_what_was_committed_in_this_order(self) -> None:
@@ -352,6 +397,34 @@
         return result
 
 
+class PatchesAnyBase(ControlState):
+    def _patch_configuration(self, command: PatchConfiguration) -> Result:
+        return super()._patch_configuration(msgspec.structs.replace(command, base=self.version))
+
+
+class KnowsPatchesByTheirResult(ControlState):
+    def _patch_configuration(self, command: PatchConfiguration) -> Result:
+        result = super()._patch_configuration(command)
+        if result == Accepted():
+            self._taken[command.version] = digest_of(bytes(self.document))
+        return result
+
+
+class PatchesAgain(ControlState):
+    def has_taken(self, version: int, digest: str) -> bool:
+        return not digest.startswith(PATCH_DIGEST) and super().has_taken(version, digest)
+
+
+class JudgedOnArrival(Group):
+    """Makes a whole configuration of each patch as it arrives, on what is in force then."""
+
+    async def propose(self, command: Command) -> Result:
+        if isinstance(command, PatchConfiguration):
+            content = apply_patch(bytes(self.state.document), parse_patch(bytes(command.patch)))
+            command = PutConfiguration(command.base, command.version, command.digest, msgspec.Raw(content))
+        return await super().propose(command)
+
+
 class RefusesWhatItDoesNotKnow(Group):
     async def propose(self, command: Command) -> Result:
         try:
@@ -404,10 +477,44 @@
         day.members_hold_what_was_committed_in_this_order()
 
 
-def played(make_state: type[ControlState] = ControlState, make_group: type[Group] = Group) -> TwoOperators:
+def a_day_of_patches(day: TwoOperators) -> None:
+    """Patches beside whole configurations: on one base, sent again after others, on an older base, and one
+    that arrives before its base is committed.
+    """
+    plays: list[Callable[[], object]] = [
+        day.a_proper_order_alone_is_taken,
+        lambda: day.both_order_under_one_number(1, 0b01),
+        lambda: day.commits(2),
+        lambda: day.both_order_under_one_number(1, 0b10),
+        lambda: day.commits(2),
+        lambda: day.sends_again(1, "any"),  # the patch that was taken, after another order
+        lambda: day.commits(1),
+        lambda: day.orders(1, [3], 0b1),  # a patch of a version that is no longer current
+        lambda: day.commits(1),
+        lambda: day.a_proper_order_alone_is_taken(True),
+        lambda: day.sends_again(0, "newest taken"),
+        lambda: day.commits(1),
+        lambda: day.orders(0, [1]),
+        day.sends_a_patch_of_what_is_not_committed,
+        lambda: day.commits(2),
+        lambda: day.is_elected_after_a_snapshot(1, 0),
+        lambda: day.sends_again(0, "newest taken"),
+        lambda: day.commits(1),
+    ]
+    for play in plays:
+        play()
+        day.what_is_in_force_was_ordered_and_not_refused()
+        day.members_hold_what_was_committed_in_this_order()
+
+
+def played(
+    make_state: type[ControlState] = ControlState,
+    make_group: type[Group] = Group,
+    plays: Callable[[TwoOperators], None] = a_day,
+) -> TwoOperators:
     day = TwoOperators(make_state, make_group)
     try:
-        a_day(day)
+        plays(day)
     finally:
         day.teardown()
     return day
@@ -435,6 +542,37 @@
         played(make_state=broken)
 
 
+def test_a_day_of_patches_without_breakage() -> None:
+    day = played(plays=a_day_of_patches)
+    assert [order.is_patch for _, order in sorted(day.history.taken.items())] == [
+        False,
+        True,
+        False,
+        True,
+        False,
+        True,
+    ]
+    assert [order.is_patch for order in day.history.refused].count(True) == 2
+
+
+@pytest.mark.parametrize(
+    ("broken", "noticed"),
+    [
+        (PatchesAnyBase, "two changes on one version"),
+        (KnowsPatchesByTheirResult, "an acknowledged order was refused"),
+        (PatchesAgain, "an acknowledged order was refused"),
+    ],
+)
+def test_a_state_that_breaks_patches_is_noticed(broken: type[ControlState], noticed: str) -> None:
+    with pytest.raises(AssertionError, match=noticed):
+        played(make_state=broken, plays=a_day_of_patches)
+
+
+def test_patches_judged_on_arrival_are_noticed() -> None:
+    with pytest.raises(AssertionError, match="a patch of another base"):
+        played(make_group=JudgedOnArrival, plays=a_day_of_patches)
+
+
 @pytest.mark.parametrize(
     ("broken", "noticed"),
     [
