--- a/tests/simulation/breakages.py
+++ b/tests/simulation/breakages.py
@@ -12,6 +12,7 @@
 
 from pewterring.batch.messages import JobAccepted, SubmitJob
 from pewterring.batch.service import BatchService, SubmitReply
+from pewterring.configuration.digest import digest_of
 from pewterring.consensus.following import Following
 from pewterring.consensus.group import ReplicatedGroup
 from pewterring.consensus.leading import Leading
@@ -22,7 +23,14 @@
 from pewterring.control import duties
 from pewterring.control import program as control_program
 from pewterring.control.calls import READ_PATH, Answer, Call
-from pewterring.control.commands import Command, Conflict, PutConfiguration, Result
+from pewterring.control.commands import (
+    Accepted,
+    Command,
+    Conflict,
+    PatchConfiguration,
+    PutConfiguration,
+    Result,
+)
 from pewterring.control.errors import OutcomeUnsure
 from pewterring.control.leadership import GroupLeadership
 from pewterring.control.relay import CallRouter
@@ -200,6 +208,29 @@
     return mock.patch.object(ControlState, "_put_configuration", put)
 
 
+def patch_base_not_checked() -> Any:
+    """A patch is applied to whatever version it meets."""
+    real = ControlState._patch_configuration
+
+    def patched(self: ControlState, command: PatchConfiguration) -> Result:
+        return real(self, msgspec.structs.replace(command, base=self.version))
+
+    return mock.patch.object(ControlState, "_patch_configuration", patched)
+
+
+def patch_known_by_its_result() -> Any:
+    """What is remembered of a patch is the configuration that it made."""
+    real = ControlState._patch_configuration
+
+    def patched(self: ControlState, command: PatchConfiguration) -> Result:
+        result = real(self, command)
+        if result == Accepted():
+            self._taken[command.version] = digest_of(bytes(self.document))
+        return result
+
+    return mock.patch.object(ControlState, "_patch_configuration", patched)
+
+
 def unsure_refused() -> Any:
     """An order whose outcome is unknown is answered as if another had won."""
     real = GroupLeadership.propose
--- a/tests/simulation/callers.py
+++ b/tests/simulation/callers.py
@@ -8,12 +8,21 @@
 import orjson
 
 from pewterring.configuration.digest import digest_of
-from pewterring.control.calls import DEREGISTER_PATH, HEARTBEAT_PATH, READ_PATH, REPLACE_PATH, Answer, Call
+from pewterring.control.calls import (
+    DEREGISTER_PATH,
+    HEARTBEAT_PATH,
+    READ_PATH,
+    REPLACE_PATH,
+    UPDATE_PATH,
+    Answer,
+    Call,
+)
 from tests.simulation.history import NONE, Order, Outcome, Read, State
 
 if TYPE_CHECKING:
     from tests.simulation.world import World
 
+PATCHED_SHARE = 0.5  # of the orders that build on a configuration
 PATIENCE_S = 1.0  # after so much silence a caller goes to another machine
 REFUSALS = (400, 409, 412)
 HEARTBEAT_S = 1.0
@@ -22,8 +31,15 @@
 
 def document(version: int, text: str) -> bytes:
     """A small valid configuration."""
-    route = {
-        "name": text,
+    services = [{"name": "s"}]
+    return orjson.dumps({"version": version, "routes": [route_labelled(text)], "backends": services})
+
+
+def route_labelled(text: str) -> dict[str, object]:
+    """The one route of a configuration."""
+    return {
+        "name": "jobs",
+        "label": text,
         "hostname": "h",
         "path_prefix": "/jobs/",
         "route_type": "batch_job",
@@ -32,7 +48,13 @@
         "run_aim_ms": 10_000,
         "keep_s": 60,
     }
-    return orjson.dumps({"version": version, "routes": [route], "backends": [{"name": "s"}]})
+
+
+def patch_of(version: int, text: str) -> tuple[bytes, State]:
+    """A patch that replaces the route, and the state that it makes of any configuration of `document`."""
+    upsert = {"routes": [route_labelled(text)]}
+    body = orjson.dumps({"version": version, "upsert": upsert, "delete": {"backends": ["unused"]}})
+    return body, state_of(document(version, text))
 
 
 def state_of(body: bytes) -> State:
@@ -49,6 +71,8 @@
         self._name = name
         self._count = 0
         self._taken: list[tuple[Call, State, int]] = []  # acknowledged
+        self._forms = random.Random()  # draws which orders are patches, apart from all else
+        self._forms.setstate(self._rng.getstate())
         self.busy = True
 
     async def work(self) -> None:
@@ -68,9 +92,7 @@
         """Sends a new configuration; returns the base of the next one."""
         self._count += 1
         version = base + self._rng.choice((1, 1, 2, 5))
-        body = document(version, f"{self._name}-{self._count}")
-        call = Call("POST", REPLACE_PATH, str(base), body)
-        state = state_of(body)
+        call, state = self._new_call(base, version, f"{self._name}-{self._count}")
         for _ in range(30):
             answer = await self.send(call, state, base)
             if answer is not None and answer.status == 200:
@@ -83,6 +105,14 @@
             await asyncio.sleep(self._rng.uniform(0.02, 0.3))
         return await self.read_version(base)
 
+    def _new_call(self, base: int, version: int, text: str) -> tuple[Call, State]:
+        """A whole configuration, or a patch if there is one to build on."""
+        if not base or self._forms.random() >= PATCHED_SHARE:
+            body = document(version, text)
+            return Call("POST", REPLACE_PATH, str(base), body), state_of(body)
+        body, state = patch_of(version, text)
+        return Call("POST", UPDATE_PATH, str(base), body), state
+
     async def send(self, call: Call, state: State, base: int) -> Answer | None:
         """Sends an order once, to any machine."""
         began = self._world.loop.time()
--- a/tests/simulation/named.py
+++ b/tests/simulation/named.py
@@ -12,6 +12,8 @@
     learner_counted,
     lease_not_checked,
     old_tag_votes,
+    patch_base_not_checked,
+    patch_known_by_its_result,
     promotion_without_catch_up,
     read_out_of_own_state,
     relay_id_used_again,
@@ -100,6 +102,8 @@
     "told before saved": (told_before_saved, Schedule(1, 1, POWER_AT_ACK)),
     "relay id used again": (relay_id_used_again, Schedule(1, 1, ())),
     "base not checked": (base_not_checked, Schedule(1, 1, ())),
+    "base of a patch not checked": (patch_base_not_checked, Schedule(1, 1, ())),
+    "patch known by its result": (patch_known_by_its_result, Schedule(1, 1, ())),
     "unsure order refused": (
         unsure_refused,
         Schedule(1, 1, again(Fault(6.0, Kind.CUT_IN, LEADER, Point.BEFORE_SAVE, lasts_s=2.0))),
