Gateways can log late, refused and failed requests, each with its times and reason

log.requests = off (default), thinned or all. One event 'request' a bad request: when it was admitted, sent, first answered, what the worker was thought to have to read and to wait for, and what held it up.

--- a/pewterring/cli/tier.py
+++ b/pewterring/cli/tier.py
@@ -10,9 +10,16 @@
 from loguru import logger
 
 from pewterring.cli.errors import FAILED, USAGE_ERROR
-from pewterring.node.settings import NodeSettings, SettingsError, SettingsReport, settings_path
+from pewterring.node.settings import (
+    NodeSettings,
+    RequestLogMode,
+    SettingsError,
+    SettingsReport,
+    settings_path,
+)
 from pewterring.node.settings_file import SettingsFile, SettingsReloader
 from pewterring.observability.log import configure_log
+from pewterring.observability.request_log import REQUEST_EVENT
 
 STOP_S = 1.0  # for a program to stop
 # Start-up makes many objects that live for ever; collections are rarer after it, and pass them over.
@@ -39,7 +46,8 @@
     except SettingsError as error:
         print(f"pewterring: {error}", file=sys.stderr)
         return USAGE_ERROR
-    configure_log({"program": name, "node": report.settings.node_id})
+    whole = (REQUEST_EVENT,) if report.settings.request_log is RequestLogMode.ALL else ()
+    configure_log({"program": name, "node": report.settings.node_id}, whole=whole)
     _tell_unknown(report)
     try:
         return asyncio.run(_run(name, file, report.settings))
--- a/pewterring/edge/live.py
+++ b/pewterring/edge/live.py
@@ -19,6 +19,7 @@
 )
 from pewterring.edge.drain import Drain
 from pewterring.edge.metrics import Limit
+from pewterring.edge.request_trace import RequestTrace
 from pewterring.edge.stalls import GAP_SHARE, StallWatch, WatchedAttempt
 from pewterring.routing.chooser import WorkerChooser
 from pewterring.routing.prompt import Prompt
@@ -78,6 +79,7 @@
         deadline: float,
         admission: ServiceAdmission,
         max_connections: int,
+        trace: RequestTrace | None = None,
     ) -> None:
         self._context = context
         self._request = request
@@ -89,6 +91,7 @@
         self._chooser = context.chooser
         self._admission = admission
         self._max_connections = max_connections
+        self._trace = trace
         self._now = context.pool.now
         self._tried: set[str] = set()
         self._runs = 0  # attempts that may have run
@@ -109,6 +112,8 @@
             end = await self._attempt(worker)
             if end is End.DONE:
                 self.limit = None
+                if self._trace is not None:
+                    self._trace.done = True
                 return
             self._tried.add(worker.record.id)
             if end is End.MAY_HAVE_RUN:
@@ -154,6 +159,9 @@
         except ExchangeError:
             self.limit = Limit.CONNECTIONS
             return End.NOT_RUN
+        if self._trace is not None:
+            read_s = times.per_token_s * tokens
+            self._trace.sent(now, worker.record.id, tokens, read_s, wait_s, worker.out)
         worker.out += 1
         worker.pending_tokens += tokens
         watched = self._watched(worker, stream, now, times.expected(tokens) + wait_s)
@@ -164,6 +172,8 @@
             async with self._context.drain.timeout_at(self._deadline):
                 return await self._read(worker, stream, reading)
         except ExchangeError as error:
+            if self._trace is not None:
+                self._trace.failure = type(error).__name__
             worker.failed(self._now(), certain=not isinstance(error, AnswerBroken | StaleConnection))
             return End.MAY_HAVE_RUN if error.sent else End.NOT_RUN
         except TimeoutError:
@@ -208,10 +218,13 @@
                 worker.misdirected(self._now())
             return End.NOT_RUN
         if verdict is Verdict.FAILURE or self._begun:
+            if self._trace is not None:
+                self._trace.failure = f"status {head.status}"
             self._failure = Failure(head, body)
             return End.MAY_HAVE_RUN
         self._first_byte(worker, reading)
         worker.answered()
+        self._note_event(worker.heard_at)
         await self._responder.respond(head.status, answer_headers(head), body)
         return End.DONE
 
@@ -260,9 +273,14 @@
         if not self._begun:
             self._begun = True
             self._responder.begin(head.status, answer_headers(head))
+        self._note_event(worker.heard_at)
         self._responder.write(b"".join(event.raw for event in events))
         self._last_event_id = events[-1].id
 
+    def _note_event(self, now: float) -> None:
+        if self._trace is not None:
+            self._trace.event(now)
+
     def _first_byte(self, worker: WorkerState, reading: "_Reading") -> None:
         """Learns from the time to the first byte: the service's times, the worker's speed, the ceiling."""
         reading.done = True
--- a/pewterring/edge/metrics.py
+++ b/pewterring/edge/metrics.py
@@ -44,10 +44,12 @@
         self.unrouted = 0
         self._limits = dict.fromkeys(Limit, 0)
 
-    def refused(self, admission: ServiceAdmission) -> None:
-        """Counts a request that admission refused."""
+    def refused(self, admission: ServiceAdmission) -> Limit:
+        """Counts a request that admission refused; tells by what."""
         by_share = admission.shares.room(admission.out) <= admission.ceiling.limit
-        self.limited(Limit.SHARE if by_share else Limit.CEILING)
+        limit = Limit.SHARE if by_share else Limit.CEILING
+        self.limited(limit)
+        return limit
 
     def limited(self, limit: Limit | None) -> None:
         """Counts what kept a request from a worker's answer, if anything did."""
--- a/pewterring/edge/program.py
+++ b/pewterring/edge/program.py
@@ -28,12 +28,13 @@
 from pewterring.edge.live import LiveContext, LiveRequest
 from pewterring.edge.metrics import GatewayMetrics, GatewayState, Limit
 from pewterring.edge.prompt_exchange import PromptExchange
+from pewterring.edge.request_trace import RequestTrace
 from pewterring.edge.stalls import CHECK_INTERVAL_S, StallWatch
-from pewterring.node.settings import NodeSettings
+from pewterring.node.settings import NodeSettings, RequestLogMode
 from pewterring.observability.metrics import CONTENT_TYPE, METRICS_PATH, render
 from pewterring.routing.chooser import WorkerChooser
 from pewterring.routing.heartbeats import AdmissionHeartbeats
-from pewterring.routing.prompt import read_prompt
+from pewterring.routing.prompt import Prompt, read_prompt
 from pewterring.transport.http_client import WorkerPool
 from pewterring.transport.http_exchange import REQUEST_ID
 from pewterring.transport.http_request import RequestHead, ServerLimits, ServerRequest
@@ -310,8 +311,13 @@
         service = self._choose_service(route)
         admission = self._admissions.of(service)
         self._metrics.requests += 1
+        prompt = read_prompt(_text(request.get(b"prompt-prefix")), _text(request.get(b"token-usage")))
+        trace = self._trace(request, route, prompt)
         if not admission.acquire(self._urgency.rank(service, route.priority)):
-            self._metrics.refused(admission)
+            limit = self._metrics.refused(admission)
+            if trace is not None:
+                trace.limit = limit
+                trace.log(self._clock())
             after = b"%.2f" % max(0.05, min(1.0, route.target_latency_ms / 1000))
             await responder.respond(503, [(b"Retry-After", after)])
             return
@@ -325,15 +331,28 @@
                 responder,
                 route,
                 service,
-                read_prompt(_text(request.get(b"prompt-prefix")), _text(request.get(b"token-usage"))),
+                prompt,
                 deadline,
                 admission,
                 self._connections(service),
+                trace,
             )
             await live.run()
             self._metrics.limited(live.limit)
+            if trace is not None:
+                trace.limit = live.limit
         finally:
             admission.release()
+            if trace is not None:
+                trace.log(self._clock())
+
+    def _trace(self, request: ServerRequest, route: Route, prompt: Prompt) -> RequestTrace | None:
+        """Where bad requests are to be logged, what is noted of this one."""
+        if self._settings.request_log is RequestLogMode.OFF:
+            return None
+        request_id = _text(request.get(REQUEST_ID)) or ""
+        now = self._clock()
+        return RequestTrace(request_id, route, request.received_at, prompt.prompt_tokens, admitted_at=now)
 
     def _choose_service(self, route: Route) -> str:
         if len(route.services) == 1:
--- a/pewterring/node/settings.py
+++ b/pewterring/node/settings.py
@@ -5,8 +5,9 @@
 
 import math
 import os
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
+from enum import StrEnum
 from pathlib import Path
 from typing import TypeVar
 
@@ -46,6 +47,14 @@
         return f"{self.ip}:{self.port}"
 
 
+class RequestLogMode(StrEnum):
+    """Which late, refused and failed requests are logged: none, the first ones of each period, or all."""
+
+    OFF = "off"
+    THINNED = "thinned"
+    ALL = "all"
+
+
 @dataclass(frozen=True, slots=True)
 class Bounds:
     """Figures of the rules, as the deployment states them. Seconds unless the name says otherwise."""
@@ -85,6 +94,7 @@
     bounds: Bounds
     cluster: str = ""  # processes talk only with those that are told the same name
     copy_mb_per_s: float = 0.0  # of a store's state, to each of f new members at once; 0: not told
+    request_log: RequestLogMode = RequestLogMode.OFF  # of late, refused and failed requests at gateways
 
 
 @dataclass(frozen=True, slots=True)
@@ -128,6 +138,14 @@
             self.problems.append(f"{key} is neither true nor false: {value!r}")
         return self._note(key, "flag", value == "true", False)
 
+    def choice(self, key: str, values: Sequence[str]) -> str:
+        """One of `values`; the first where the key is not given."""
+        value = self._given(key, False) or values[0]
+        if value not in values:
+            self.problems.append(f"{key} is none of {', '.join(values)}: {value!r}")
+            value = values[0]
+        return self._note(key, "text", str(value), False)
+
     def address(self, key: str) -> Address | None:
         value = self._given(key, False)
         return self._note(key, "address", self._address(key, value) if value else None, False)
@@ -213,6 +231,7 @@
         bounds=_bounds(reader),
         cluster=reader.text("cluster_name", ""),
         copy_mb_per_s=reader.number("limits.copy_mb_per_s", 0.0),
+        request_log=RequestLogMode(reader.choice("log.requests", tuple(RequestLogMode))),
     )
 
 
--- a/pewterring/observability/log.py
+++ b/pewterring/observability/log.py
@@ -8,7 +8,7 @@
 import sys
 import time
 import traceback
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Collection, Mapping
 from typing import TYPE_CHECKING, Any
 
 import orjson
@@ -28,13 +28,21 @@
 class EventThinner:
     """Decides which lines of an event are written: the first `BURST_LINES` of each period."""
 
-    def __init__(self, burst: int = BURST_LINES, period_s: float = PERIOD_S) -> None:
+    def __init__(
+        self,
+        burst: int = BURST_LINES,
+        period_s: float = PERIOD_S,
+        whole: Collection[str] = (),
+    ) -> None:
         self._burst = burst
         self._period_s = period_s
+        self._whole = whole  # events of which each line is written
         self._periods: dict[str, list[float]] = {}  # began at, written, suppressed
 
     def admit(self, event: str, now: float) -> int | None:
         """None where the line is dropped, else how many lines of the event were dropped before it."""
+        if event in self._whole:
+            return 0
         period = self._periods.get(event)
         if period is None:
             if len(self._periods) >= MAX_EVENTS:
@@ -111,9 +119,11 @@
         bound.log(level, "{}", record.getMessage())
 
 
-def configure_log(fields: Mapping[str, str], level: str = DEFAULT_LEVEL) -> None:
-    """Sends all logs of this process to standard error. `fields` stand in every line."""
+def configure_log(fields: Mapping[str, str], level: str = DEFAULT_LEVEL, whole: Collection[str] = ()) -> None:
+    """Sends all logs of this process to standard error. `fields` stand in every line; events named in `whole`
+    are not thinned out.
+    """
     logger.remove()
-    sink = JsonLineSink(sys.stderr.write, fields)
+    sink = JsonLineSink(sys.stderr.write, fields, EventThinner(whole=whole))
     logger.add(sink, level=level, format="{message}", backtrace=False, diagnose=False)
     logging.basicConfig(handlers=[_StandardLibraryHandler()], level=logging.WARNING, force=True)
