--- a/pewterring/cli/inspect.py
+++ b/pewterring/cli/inspect.py
@@ -1,4 +1,4 @@
-"""`pewterring inspect`: what a control machine or a store keeps in its data folder. Changes nothing there."""
+"""`pewterring inspect`: what is in a data folder, or in logs of gateways. Changes nothing there."""
 
 import argparse
 from collections.abc import Callable, Iterator
@@ -8,6 +8,7 @@
 
 import orjson
 
+from pewterring.cli import inspect_requests
 from pewterring.cli.errors import CommandError, UsageError
 from pewterring.cli.parser import add_subcommands
 from pewterring.consensus.membership import MEMBERS, MembershipHistory
@@ -42,7 +43,7 @@
 
 def configure(parser: argparse.ArgumentParser) -> None:
     """Adds the commands to the parser."""
-    parser.description = "Read the data folder of a control machine or a store, also of one that runs."
+    parser.description = "Read the data folder of a control machine or a store, or logs of gateways."
     commands = add_subcommands(parser)
     for name, show, about in (
         ("log", _show_log, "the entries of the log after the snapshot"),
@@ -56,6 +57,8 @@
         if name == "log":
             added.add_argument("--last", type=int, default=0, metavar="N", help="only the last N entries")
         added.set_defaults(run=_guarded(show))
+    about = "late, refused and failed requests in logs of gateways (setting log.requests), by reason"
+    inspect_requests.configure(commands.add_parser("requests", help=about, description=about))
 
 
 def _guarded(show: Show) -> Callable[[argparse.Namespace], None]:
--- /dev/null
+++ b/pewterring/cli/inspect_requests.py
@@ -0,0 +1,132 @@
+"""`pewterring inspect requests`: sums up what gateways logged of late, refused and failed requests."""
+
+import argparse
+from collections import Counter
+from collections.abc import Callable, Iterable, Iterator
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import msgspec
+
+from pewterring.cli.errors import UsageError
+from pewterring.observability.request_log import LINE_FORMAT, REQUEST_EVENT, RequestLine
+
+SMALLEST_BAND_TOKENS = 4096  # prompts are told apart by size in bands that double from here
+
+
+class _LogLine(msgspec.Struct):
+    """What all lines of the log have."""
+
+    event: str = ""
+    time: float = 0.0  # when the request ended
+    format: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class LoggedRequest:
+    """One request and when it arrived, in seconds of the time of day."""
+
+    line: RequestLine
+    arrived_at: float
+
+
+@dataclass(slots=True)
+class RequestLog:
+    """What was read of log files."""
+
+    requests: list[LoggedRequest] = field(default_factory=list)
+    unreadable: int = 0  # lines that are cut, or of another version
+
+    def add(self, line: bytes) -> None:
+        """Takes one line of a log; lines of other events are passed over."""
+        start = line.find(b"{")
+        if start < 0 or f'"{REQUEST_EVENT}"'.encode() not in line:
+            return
+        try:
+            common = msgspec.json.decode(line[start:], type=_LogLine)
+            if common.event != REQUEST_EVENT:
+                return
+            if common.format != LINE_FORMAT:
+                self.unreadable += 1
+                return
+            request = msgspec.json.decode(line[start:], type=RequestLine)
+        except msgspec.MsgspecError:
+            self.unreadable += 1
+            return
+        self.requests.append(LoggedRequest(request, common.time - request.end_s))
+
+
+def configure(parser: argparse.ArgumentParser) -> None:
+    """Adds the arguments of the command."""
+    parser.add_argument("files", nargs="+", type=Path, metavar="FILE", help="logs of gateways")
+    parser.add_argument(
+        "--plot", type=Path, metavar="IMAGE", help="also draw the requests by second and reason"
+    )
+    parser.set_defaults(run=_run)
+
+
+def read_logs(paths: Iterable[Path]) -> RequestLog:
+    """Reads log files; raises `UsageError` where one cannot be read."""
+    log = RequestLog()
+    for path in paths:
+        try:
+            with path.open("rb") as lines:
+                for line in lines:
+                    log.add(line)
+        except OSError as error:
+            raise UsageError(f"{path}: {error.strerror}") from error
+    return log
+
+
+def table(log: RequestLog) -> Iterator[str]:
+    """The lines that are printed."""
+    yield f"{len(log.requests)} requests that ended badly"
+    if log.unreadable:
+        yield f"{log.unreadable} lines cut or of another version, passed over"
+    yield from _counts("reason", log.requests, lambda each: each.line.reason.value)
+    yield from _counts("route", log.requests, lambda each: each.line.route)
+    yield from _counts(
+        "route, size of the prompt and reason",
+        log.requests,
+        lambda each: f"{each.line.route} {_band(each.line.tokens)} {each.line.reason}",
+    )
+    first = min((each.arrived_at for each in log.requests), default=0.0)
+    yield from _counts(
+        "second and reason",
+        log.requests,
+        lambda each: f"{int(each.arrived_at - first):>4} {each.line.reason}",
+        by_count=False,
+    )
+
+
+def _band(tokens: int) -> str:
+    """The size of a prompt: a number that it is not above."""
+    most = SMALLEST_BAND_TOKENS
+    while most < tokens:
+        most *= 2
+    return f"up to {most} tokens"
+
+
+def _counts(
+    title: str,
+    requests: Iterable[LoggedRequest],
+    key: Callable[[LoggedRequest], str],
+    by_count: bool = True,
+) -> Iterator[str]:
+    counts = Counter(key(each) for each in requests)
+    yield f"by {title}"
+    for name, count in counts.most_common() if by_count else sorted(counts.items()):
+        yield f"  {count:>7}  {name}"
+
+
+def _run(given: argparse.Namespace) -> None:
+    log = read_logs(given.files)
+    for line in table(log):
+        print(line)
+    if given.plot is not None:
+        from pewterring.lab.plots import plot_counts
+
+        moments: dict[str, list[float]] = {}
+        for each in log.requests:
+            moments.setdefault(each.line.reason.value, []).append(each.arrived_at)
+        plot_counts(moments, given.plot)
--- a/pewterring/lab/plots.py
+++ b/pewterring/lab/plots.py
@@ -1,7 +1,7 @@
 """Plots of a run and of a sweep, as PNG or SVG."""
 
 import math
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from pathlib import Path
 from typing import Any
 
@@ -175,6 +175,22 @@
     plt.close(figure)
 
 
+def plot_counts(moments: Mapping[str, Sequence[float]], path: str | Path) -> None:
+    """Bars of how many things of each name happened in each second; moments are in seconds."""
+    path = form_of(path)
+    first = math.floor(min((min(each) for each in moments.values() if each), default=0.0))
+    last = math.ceil(max((max(each) for each in moments.values() if each), default=1.0))
+    figure, panel = plt.subplots(figsize=(10, 5), layout="constrained")
+    seconds = range(max(1, last - first) + 1)
+    values = [[moment - first for moment in each] for each in moments.values()]
+    panel.hist(values, bins=list(seconds), stacked=True, label=list(moments))
+    panel.set(xlabel="seconds since the first", ylabel="requests a second, by arrival")
+    panel.spines[["top", "right"]].set_visible(False)
+    panel.legend(fontsize=8)
+    figure.savefig(path, dpi=110)
+    plt.close(figure)
+
+
 def is_number(text: str) -> bool:
     try:
         float(text)
