--- a/pewterring/edge/live.py
+++ b/pewterring/edge/live.py
@@ -20,7 +20,7 @@
 from pewterring.edge.drain import Drain
 from pewterring.edge.metrics import Limit
 from pewterring.edge.request_trace import RequestTrace
-from pewterring.edge.stalls import GAP_SHARE, StallWatch, WatchedAttempt
+from pewterring.edge.stalls import GAP_SHARE, StallWatch, WatchedAttempt, WorkerSilent
 from pewterring.routing.chooser import WorkerChooser
 from pewterring.routing.prompt import Prompt
 from pewterring.routing.worker_state import WorkerState
@@ -164,6 +164,7 @@
             self._trace.sent(now, worker.record.id, tokens, read_s, wait_s, worker.out)
         worker.out += 1
         worker.pending_tokens += tokens
+        worker.expect_reading(now, times.per_token_s * tokens)
         watched = self._watched(worker, stream, now, times.expected(tokens) + wait_s)
         reading = _Reading(tokens, now, wait_s, watched)
         self._context.watch.add(watched)
@@ -174,7 +175,8 @@
         except ExchangeError as error:
             if self._trace is not None:
                 self._trace.failure = type(error).__name__
-            worker.failed(self._now(), certain=not isinstance(error, AnswerBroken | StaleConnection))
+            if not isinstance(error, WorkerSilent):  # the watch has told of that
+                worker.failed(self._now(), certain=not isinstance(error, AnswerBroken | StaleConnection))
             return End.MAY_HAVE_RUN if error.sent else End.NOT_RUN
         except TimeoutError:
             return End.MAY_HAVE_RUN if stream.exchange.sent else End.NOT_RUN
@@ -187,7 +189,8 @@
     def _watched(
         self, worker: WorkerState, stream: AnswerStream, now: float, expected_s: float
     ) -> WatchedAttempt:
-        patience_s = PATIENCE * expected_s + self._silence_s()
+        reading_s = worker.reading_after(now)  # which the watch allows for
+        patience_s = max(0.0, PATIENCE * expected_s - reading_s) + self._silence_s()
         repeatable = self._route.repeatable and self._runs + 1 < self._route.max_attempts
         return WatchedAttempt(worker, stream, patience_s, now, repeatable)
 
@@ -203,7 +206,7 @@
     async def _read(self, worker: WorkerState, stream: AnswerStream, reading: "_Reading") -> End:
         head = await stream.next_part()
         assert isinstance(head, AnswerHead)
-        worker.heard_at = self._now()
+        worker.heard(self._now())
         load = read_load(head)
         if load is not None:
             worker.take_report(worker.heard_at, load.running, load.waiting)
@@ -244,7 +247,7 @@
         while (part := await stream.next_part()) is not None:
             if not isinstance(part, bytes):
                 continue
-            worker.heard_at = self._now()
+            worker.heard(self._now())
             self._pass_on(splitter.feed(part), worker, head, reading)
             if self._responder.paused:
                 await self._responder.drain()
--- a/pewterring/edge/stalls.py
+++ b/pewterring/edge/stalls.py
@@ -13,6 +13,7 @@
 
 CHECK_INTERVAL_S = 0.05  # between checks
 OVERDUE_S = 3 * CHECK_INTERVAL_S
+MOST_READING_S = 1.0  # of the silence of a worker that prompts it has to read may explain
 GAP_SHARE = 0.7  # of the longest pause that a route allows: silence of a worker in the middle of streams
 
 
@@ -30,9 +31,15 @@
     since: float  # when it was sent, or its last byte came
     repeatable: bool  # whether the request may go elsewhere
 
-    def silent_for(self, now: float) -> float:
-        """Seconds since the worker was heard of, or since the attempt began."""
-        return now - max(self.since, self.worker.heard_at)
+    def is_overdue(self, now: float) -> bool:
+        """Whether the worker is silent for longer than patience and the prompts that it reads explain.
+
+        Symptom answered: streams were taken away from workers that were reading a long prompt, and their own
+        prompts read anew elsewhere.
+        """
+        heard_at = max(self.since, self.worker.heard_at)
+        reading_s = min(MOST_READING_S, self.worker.reading_after(heard_at))
+        return now - heard_at > self.patience_s + reading_s
 
 
 class StallWatch:
@@ -58,10 +65,10 @@
             if late:
                 attempt.since = now  # this process stood still itself: what came meanwhile is not read yet
                 continue
-            if attempt.silent_for(now) <= attempt.patience_s:
+            if not attempt.is_overdue(now):
                 continue
             if not attempt.worker.suspect(now):
-                attempt.worker.failed(now)
+                attempt.worker.fell_silent(now)
             if attempt.repeatable:
                 self._attempts.discard(attempt)
                 attempt.stream.interrupt(WorkerSilent("the worker is silent"))
--- a/pewterring/routing/worker_state.py
+++ b/pewterring/routing/worker_state.py
@@ -29,6 +29,8 @@
         self._kept_tokens = 0
         self._announced_until = -math.inf  # when it will have read what other gateways announced
         self.heard_at = -math.inf  # when any byte of an answer last came from it
+        self._silent = False  # it is suspected for its silence alone
+        self._reading_until = -math.inf  # when it will have read the prompts that are known here
         self._reported = 0.0  # attempts of others by the last report
         self._reported_at = -math.inf
         self._failures = 0
@@ -65,8 +67,33 @@
     def announce(self, now: float, seconds: float, parts: tuple[tuple[int, int], ...]) -> None:
         """Another gateway sent it a prompt that takes `seconds` to read; it keeps the parts from now on."""
         self._announced_until = max(now, self._announced_until) + seconds
+        self.expect_reading(now, seconds)
         self._keep_parts(parts)
 
+    def expect_reading(self, now: float, seconds: float) -> None:
+        """It is given a prompt that takes `seconds` to read."""
+        self._reading_until = max(now, self._reading_until) + seconds
+
+    def reading_after(self, moment: float) -> float:
+        """Seconds after `moment` in which it reads prompts, for all that is known here."""
+        return max(0.0, self._reading_until - moment)
+
+    def heard(self, now: float) -> None:
+        """A byte of an answer came from it."""
+        self.heard_at = now
+        if self._silent:
+            self.answered()
+
+    def fell_silent(self, now: float) -> None:
+        """It says nothing for longer than it should; what it keeps is as it was if it is heard again.
+
+        Symptom answered: a worker that was reading a long prompt was taken for one that had lost what it
+        keeps, and its prompts were read once more at another worker.
+        """
+        self._silent = True
+        self._failures += 1
+        self._keep_away(now)
+
     def vouched(self, now: float) -> bool:
         """Whether it answers this process, whatever control hears of it."""
         return now - self.heard_at < VOUCHED_S
@@ -108,16 +135,20 @@
         self._failures += 1
         if not certain and self._failures < 2:
             return
-        doublings = min(self._failures - 1, MOST_DOUBLINGS)  # a power of any size is no float
-        pause = min(SUSPECT_MOST_S, SUSPECT_S * 2**doublings)
-        self._suspect_until = now + pause
-        self.failed_at = now
+        self._silent = False
+        self._keep_away(now)
         self._kept.clear()  # a worker that fails may have restarted
         self._kept_tokens = 0
 
+    def _keep_away(self, now: float) -> None:
+        doublings = min(self._failures - 1, MOST_DOUBLINGS)  # a power of any size is no float
+        self._suspect_until = now + min(SUSPECT_MOST_S, SUSPECT_S * 2**doublings)
+        self.failed_at = now
+
     def answered(self) -> None:
         """An attempt went well."""
         self._failures = 0
+        self._silent = False
         self._suspect_until = -math.inf
 
     def suspect(self, now: float) -> bool:
