A worker's silence is explained by prompts that it reads, and clears nothing that it keeps

Change: patience grows by what is known to be read there (0.5 s at most), and a worker that fell silent keeps its parts and its trust returns with its next byte.

--- a/pewterring/edge/stalls.py
+++ b/pewterring/edge/stalls.py
@@ -13,7 +13,7 @@
 
 CHECK_INTERVAL_S = 0.05  # between checks
 OVERDUE_S = 3 * CHECK_INTERVAL_S
-MOST_READING_S = 1.0  # of the silence of a worker that prompts it has to read may explain
+MOST_READING_S = 0.5  # of the silence of a worker that prompts it has to read may explain
 GAP_SHARE = 0.7  # of the longest pause that a route allows: silence of a worker in the middle of streams
 
 
--- /dev/null
+++ b/tests/edge/test_stalls.py
@@ -0,0 +1,76 @@
+"""How long a worker's silence is borne."""
+
+from typing import cast
+
+import pytest
+
+from pewterring.distribution.messages import WorkerRecord
+from pewterring.edge.stalls import CHECK_INTERVAL_S, MOST_READING_S, StallWatch, WatchedAttempt, WorkerSilent
+from pewterring.routing.worker_state import WorkerState
+from pewterring.transport.http_fetch import AnswerStream
+
+PATIENCE_S = 0.2
+
+
+class Stream:
+    """Notes why it was interrupted."""
+
+    def __init__(self) -> None:
+        self.error: Exception | None = None
+
+    def interrupt(self, error: Exception) -> None:
+        self.error = error
+
+
+class Watched:
+    """One attempt at a worker under a watch."""
+
+    def __init__(self, repeatable: bool = True) -> None:
+        self.worker = WorkerState(WorkerRecord("w1", "s", "10.0.0.1:80", "z", 4, "ready"), 1000)
+        self.stream = Stream()
+        self.watch = StallWatch()
+        attempt = cast(AnswerStream, self.stream)
+        self.watch.add(WatchedAttempt(self.worker, attempt, PATIENCE_S, 0.0, repeatable))
+        self.now = 0.0
+        self.watch.check(self.now)
+
+    def interrupted_at(self, until: float = 3.0) -> float | None:
+        """When the watch takes the attempt away."""
+        while self.now < until:
+            self.now = round(self.now + CHECK_INTERVAL_S, 6)
+            self.watch.check(self.now)
+            if self.stream.error is not None:
+                assert isinstance(self.stream.error, WorkerSilent)
+                return self.now
+        return None
+
+
+def test_a_silent_worker_loses_its_attempt_and_its_trust() -> None:
+    watched = Watched()
+    watched.worker.announce(0.0, 0.0, ((1, 100),))
+    assert watched.interrupted_at() == pytest.approx(PATIENCE_S + CHECK_INTERVAL_S)
+    assert watched.worker.suspect(watched.now) and watched.worker.keeps(1)
+
+
+def test_what_may_not_run_twice_stays_where_it_is() -> None:
+    watched = Watched(repeatable=False)
+    assert watched.interrupted_at(1.0) is None
+    assert watched.worker.suspect(watched.now)
+
+
+def test_prompts_that_it_reads_explain_a_silence() -> None:
+    watched = Watched()
+    watched.worker.expect_reading(0.0, 0.3)
+    assert watched.interrupted_at() == pytest.approx(PATIENCE_S + 0.3 + CHECK_INTERVAL_S)
+
+
+def test_prompts_explain_a_bounded_silence() -> None:
+    watched = Watched()
+    watched.worker.expect_reading(0.0, 60.0)
+    assert watched.interrupted_at() == pytest.approx(PATIENCE_S + MOST_READING_S + CHECK_INTERVAL_S)
+
+
+def test_a_byte_of_any_answer_begins_the_silence_anew() -> None:
+    watched = Watched()
+    watched.worker.heard(0.2)
+    assert watched.interrupted_at() == pytest.approx(0.2 + PATIENCE_S + CHECK_INTERVAL_S)
