--- a/pewterring/edge/live.py
+++ b/pewterring/edge/live.py
@@ -1,6 +1,7 @@
 """One live request at a gateway: attempts at workers within its time, and the answer to the client."""
 
 import asyncio
+import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum, auto
@@ -189,7 +190,7 @@
     ) -> WatchedAttempt:
         patience_s = PATIENCE * expected_s + self._silence_s()
         repeatable = self._route.repeatable and self._runs + 1 < self._route.max_attempts
-        return WatchedAttempt(worker, stream, patience_s, now, repeatable)
+        return WatchedAttempt(worker, stream, patience_s, now, repeatable, expected_s)
 
     def _silence_s(self) -> float:
         """The silence of a worker that is borne: past it the answer would be late."""
@@ -289,6 +290,7 @@
         worker.pending_tokens -= reading.pending_tokens
         reading.pending_tokens = 0
         reading.watched.patience_s = self._silence_s()
+        reading.watched.expected_s = math.inf
         worker.keep(self._prompt)
         times = self._chooser.times_of(self._service)
         expected = times.expected(reading.tokens)
--- a/pewterring/edge/program.py
+++ b/pewterring/edge/program.py
@@ -97,7 +97,7 @@
             settings.ip, settings.internal_port, GATEWAY, self._heard, self._heard_totals
         )
         self._prompts = PromptExchange(settings.ip, settings.internal_port + 1, self._chooser, self._rng)
-        self._watch = StallWatch()
+        self._watch = StallWatch(self._prompts.tell_wait)
         self._drain = Drain()
         self._live = LiveContext(self._pool, self._chooser, self._watch, self._prompts.tell, self._drain)
         self._configured = asyncio.Event()
--- a/pewterring/edge/prompt_exchange.py
+++ b/pewterring/edge/prompt_exchange.py
@@ -6,7 +6,16 @@
 
 from pewterring.routing.chooser import WorkerChooser
 from pewterring.routing.prompt import Prompt
-from pewterring.routing.prompt_hints import HintBudget, hint_of, read_hint, write_hint
+from pewterring.routing.prompt_hints import (
+    HintBudget,
+    WaitHint,
+    hint_of,
+    read_hint,
+    read_wait_hint,
+    worker_number,
+    write_hint,
+    write_wait_hint,
+)
 from pewterring.routing.worker_state import WorkerState
 from pewterring.transport.datagrams import DatagramPort
 
@@ -29,6 +38,7 @@
         self._rng = rng
         self._clock = clock
         self._budget = HintBudget(clock())
+        self._wait_budget = HintBudget(clock())
         self._port = DatagramPort(self._received)
 
     async def start(self) -> None:
@@ -47,15 +57,33 @@
         times = self._chooser.times_of(worker.record.service)
         if prompt.prompt_tokens * times.per_token_s < times.base_s:
             return
-        data = write_hint(hint_of(worker.record.id, tokens, prompt))
+        self._send(write_hint(hint_of(worker.record.id, tokens, prompt)), self._budget)
+
+    def tell_wait(self, worker: WorkerState, seconds: float) -> None:
+        """Tells that a request waits at a worker for so much longer than it should.
+
+        Symptom answered: workers whose slots are taken, or that read what nobody was told of, tell of it to
+        none but those who wait there; each gateway found out alone, with a request of its own.
+        """
+        hint = WaitHint(worker_number(worker.record.id), seconds)
+        self._send(write_wait_hint(hint), self._wait_budget)
+
+    def _send(self, data: bytes, budget: HintBudget) -> None:
+        """Tells all other gateways, or as many of them as the budget allows."""
         others = [peer for peer in self.peers if peer != self._ip]
-        told = self._budget.take(self._clock(), len(data), len(others))
+        told = budget.take(self._clock(), len(data), len(others))
         if told < len(others):
             others = self._rng.sample(others, told)
         for peer in others:
             self._port.send(peer, data)
 
     def _received(self, data: bytes, ip: str) -> None:
+        wait = read_wait_hint(data)
+        if wait is not None:
+            waited_at = self._chooser.by_number(wait.worker)
+            if waited_at is not None:
+                waited_at.expect_wait(self._clock(), wait.seconds)
+            return
         hint = read_hint(data)
         worker = self._chooser.by_number(hint.worker) if hint else None
         if hint is None or worker is None:
--- a/pewterring/edge/stalls.py
+++ b/pewterring/edge/stalls.py
@@ -5,6 +5,7 @@
 """
 
 import math
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from pewterring.routing.worker_state import WorkerState
@@ -13,6 +14,8 @@
 
 CHECK_INTERVAL_S = 0.05  # between checks
 OVERDUE_S = 3 * CHECK_INTERVAL_S
+LATE_FACTOR = 2.0  # times the expected time to the first byte: from then on a wait is told of
+LATE_S = 0.05  # and this much besides
 GAP_SHARE = 0.7  # of the longest pause that a route allows: silence of a worker in the middle of streams
 
 
@@ -29,6 +32,18 @@
     patience_s: float
     since: float  # when it was sent, or its last byte came
     repeatable: bool  # whether the request may go elsewhere
+    expected_s: float = math.inf  # time to the first byte; infinite once it came
+    told_s: float = 0.0  # how long it had waited when that was last told
+
+    def untold_wait(self, now: float) -> float:
+        """Seconds that it has waited beyond what was expected, if that is to be told: it is, and again each
+        time that it has doubled.
+        """
+        waited_s = now - self.since
+        if waited_s < max(LATE_FACTOR * self.expected_s + LATE_S, 2 * self.told_s):
+            return 0.0
+        self.told_s = waited_s
+        return waited_s - self.expected_s
 
     def silent_for(self, now: float) -> float:
         """Seconds since the worker was heard of, or since the attempt began."""
@@ -36,9 +51,12 @@
 
 
 class StallWatch:
-    """All attempts out at this gateway."""
+    """All attempts out at this gateway. `tell_wait` is told of workers at which requests wait too long."""
 
-    def __init__(self) -> None:
+    def __init__(
+        self, tell_wait: Callable[[WorkerState, float], None] = lambda worker, seconds: None
+    ) -> None:
+        self._tell_wait = tell_wait
         self._attempts: set[WatchedAttempt] = set()
         self._checked_at = -math.inf
 
@@ -58,6 +76,10 @@
             if late:
                 attempt.since = now  # this process stood still itself: what came meanwhile is not read yet
                 continue
+            wait_s = attempt.untold_wait(now)
+            if wait_s:
+                attempt.worker.expect_wait(now, wait_s)
+                self._tell_wait(attempt.worker, wait_s)
             if attempt.silent_for(now) <= attempt.patience_s:
                 continue
             if not attempt.worker.suspect(now):
--- a/pewterring/routing/prompt_hints.py
+++ b/pewterring/routing/prompt_hints.py
@@ -1,4 +1,5 @@
-"""Hints between gateways: which worker has just been given a long prompt to read, and of which parts.
+"""Hints between gateways: which worker has just been given a long prompt to read, and of which parts; and at
+which worker requests wait for longer than all that was known of it explains.
 
 A worker reads prompts in the order they came, so a request behind a long one waits; and the parts that it has
 read need not be read by another. Both show to other gateways only too late. Symptoms answered: first events
@@ -16,6 +17,9 @@
 HEAD = struct.Struct(">3sBII")  # magic, number of parts, worker, tokens to read
 PART = struct.Struct(">II")  # number of the part, tokens
 MOST_PARTS = 16
+WAIT_MAGIC = b"WW1"
+WAIT = struct.Struct(">3sII")  # magic, worker, milliseconds
+MOST_WAIT_S = 2.0  # that a hint may tell of
 BYTES_A_SECOND = 3000.0  # that one process may spend on hints
 BURST_S = 2.0  # unspent bytes are kept for so long
 
@@ -56,6 +60,27 @@
     return PromptHint(worker, tokens, tuple(PART.unpack_from(data, start) for start in starts))
 
 
+@dataclass(frozen=True, slots=True)
+class WaitHint:
+    """A request has waited at a worker for so much longer than it should; the next one may as well."""
+
+    worker: int
+    seconds: float
+
+
+def write_wait_hint(hint: WaitHint) -> bytes:
+    """One datagram."""
+    return WAIT.pack(WAIT_MAGIC, hint.worker, int(1000 * min(MOST_WAIT_S, hint.seconds)))
+
+
+def read_wait_hint(data: bytes) -> WaitHint | None:
+    """None where the bytes are no such hint."""
+    if len(data) != WAIT.size or not data.startswith(WAIT_MAGIC):
+        return None
+    _, worker, milliseconds = WAIT.unpack(data)
+    return WaitHint(worker, min(MOST_WAIT_S, milliseconds / 1000))
+
+
 class HintBudget:
     """Bounds the bytes spent on hints; in a large fleet only as many peers are told as fit."""
 
--- a/pewterring/routing/worker_state.py
+++ b/pewterring/routing/worker_state.py
@@ -67,6 +67,10 @@
         self._announced_until = max(now, self._announced_until) + seconds
         self._keep_parts(parts)
 
+    def expect_wait(self, now: float, seconds: float) -> None:
+        """Requests wait there; one sent now would probably wait for `seconds`."""
+        self._announced_until = max(self._announced_until, now + seconds)
+
     def vouched(self, now: float) -> bool:
         """Whether it answers this process, whatever control hears of it."""
         return now - self.heard_at < VOUCHED_S
