--- a/pewterring/edge/live.py
+++ b/pewterring/edge/live.py
@@ -1,6 +1,7 @@
 """One live request at a gateway: attempts at workers within its time, and the answer to the client."""
 
 import asyncio
+import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum, auto
@@ -192,7 +193,7 @@
         reading_s = worker.reading_after(now)  # which the watch allows for
         patience_s = max(0.0, PATIENCE * expected_s - reading_s) + self._silence_s()
         repeatable = self._route.repeatable and self._runs + 1 < self._route.max_attempts
-        return WatchedAttempt(worker, stream, patience_s, now, repeatable)
+        return WatchedAttempt(worker, stream, patience_s, now, repeatable, expected_s)
 
     def _silence_s(self) -> float:
         """The silence of a worker that is borne: past it the answer would be late."""
@@ -292,6 +293,7 @@
         worker.pending_tokens -= reading.pending_tokens
         reading.pending_tokens = 0
         reading.watched.patience_s = self._silence_s()
+        reading.watched.expected_s = math.inf
         worker.keep(self._prompt)
         times = self._chooser.times_of(self._service)
         expected = times.expected(reading.tokens)
