--- a/pewterring/batch/program.py
+++ b/pewterring/batch/program.py
@@ -82,7 +82,7 @@
         self.feed = FeedSubscriber(
             settings, codec, self._node_record, self._status, self._on_tables, self._rng, clock
         )
-        self._chooser = WorkerChooser(settings.zone, self._rng)
+        self._chooser = WorkerChooser(settings.zone, self._rng, self._workers.is_connected)
         self._admissions = BatchAdmissions(self._rng)
         self._heartbeats = AdmissionHeartbeats(
             settings.ip, settings.internal_port, BATCH, self._heard, self._heard_totals
--- a/pewterring/edge/program.py
+++ b/pewterring/edge/program.py
@@ -91,7 +91,7 @@
         self._links = links
         self._batch = BatchCalls(links, lambda: self._feed.tables, self._rng, clock)
         self._pool = WorkerPool(now=clock)
-        self._chooser = WorkerChooser(settings.zone, self._rng)
+        self._chooser = WorkerChooser(settings.zone, self._rng, self._pool.is_connected)
         self._admissions = GatewayAdmissions(self._rng)
         self._heartbeats = AdmissionHeartbeats(
             settings.ip, settings.internal_port, GATEWAY, self._heard, self._heard_totals
@@ -162,6 +162,8 @@
             self._urgency = Urgency(new.configuration)
             self._limits = server_limits(new.configuration.limits)
             self._configured.set()
+        if new.nodes is not old.nodes:
+            self._chooser.take_place(_place(self._settings, new))
         if new.workers is not old.workers or new.configuration is not old.configuration:
             self._chooser.update(new.workers, new.configuration)
             addresses = {worker.address for worker in new.workers.values()}
@@ -367,6 +369,18 @@
         return known.max_connections if known and known.max_connections else IDLE_CONNECTIONS
 
 
+def _place(settings: NodeSettings, tables: Tables) -> float:
+    """Where this gateway stands among those of its zone, from 0 to 1."""
+    neighbours = sorted(
+        node.node_id
+        for node in tables.nodes
+        if node.program == GATEWAY_PROGRAM and node.zone == settings.zone
+    )
+    if settings.node_id not in neighbours:
+        return 0.0
+    return neighbours.index(settings.node_id) / len(neighbours)
+
+
 def _cancel(task: asyncio.Task[Any]) -> None:
     task.cancel()
 
--- a/pewterring/routing/chooser.py
+++ b/pewterring/routing/chooser.py
@@ -2,7 +2,7 @@
 
 import random
 import zlib
-from collections.abc import Collection, Iterable, Mapping, Sequence
+from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
 
 from pewterring.configuration.model import Configuration
 from pewterring.distribution.messages import READY, SILENT, WorkerRecord
@@ -13,6 +13,9 @@
 LEARN = 0.05  # weight of one sample in what is learnt
 BASE_S, PER_TOKEN_S = 0.02, 1e-5  # time to the first byte where nothing is learnt yet, without and per token
 OTHER_ZONE = 0.05  # of the base time: what another zone costs
+NEW_CONNECTION = 0.2  # what it costs that no connection to a worker rests here
+TURN = 0.04  # what it costs, at the most, that a worker is nearer to other gateways of the zone
+SLOW_FROM = 1.5  # slowness up to which workers count as equal: single times vary by as much
 FULL = 1.0  # load from which requests wait at the worker
 SUSPECT_COST = 50.0  # base times: only where all others are worse
 
@@ -44,7 +47,12 @@
 class WorkerChooser:
     """The workers of all services as this process knows them, and the choice among them."""
 
-    def __init__(self, zone: str, rng: random.Random) -> None:
+    def __init__(
+        self, zone: str, rng: random.Random, is_connected: Callable[[str], bool] = lambda address: True
+    ) -> None:
+        """`is_connected` tells whether a connection to an address rests here."""
+        self._place = 0.0  # of this process among those of its zone, from 0 to 1
+        self._is_connected = is_connected
         self._zone = zone
         self._rng = rng
         self.workers: dict[str, WorkerState] = {}
@@ -63,10 +71,31 @@
             state.record = record
             kept[worker_id] = state
         self.workers = kept
+        self._arrange()
         self._by_number = {worker_number(worker_id): state for worker_id, state in kept.items()}
         self._by_service = _by_service(kept.values(), READY)
         self._silent = _by_service(kept.values(), SILENT)
 
+    def take_place(self, place: float) -> None:
+        """Where this process stands among those of its zone, from 0 to 1."""
+        if place != self._place:
+            self._place = place
+            self._arrange()
+
+    def _arrange(self) -> None:
+        """Gives each worker its turn: all processes know the workers in one order, and begin at their place.
+
+        Symptom answered: with many processes, each opened connections to all workers for a request or two,
+        and by chance several were kept to by the same ones.
+        """
+        by_group: dict[tuple[str, str], list[WorkerState]] = {}
+        for state in self.workers.values():
+            by_group.setdefault((state.record.service, state.record.zone), []).append(state)
+        for group in by_group.values():
+            group.sort(key=lambda state: worker_number(state.record.id))
+            for index, state in enumerate(group):
+                state.turn = (index / len(group) - self._place) % 1.0
+
     @staticmethod
     def _memory(record: WorkerRecord, configuration: Configuration | None) -> int:
         service = configuration.services.get(record.service) if configuration else None
@@ -149,7 +178,10 @@
             cost += times.base_s * (2 + 10 * (load - FULL))
         if state.record.zone != self._zone:
             cost += OTHER_ZONE * times.base_s
-        cost *= max(1.0, state.slowness)
+        if not self._is_connected(state.record.address):
+            cost += NEW_CONNECTION * times.base_s
+        cost += TURN * state.turn * times.base_s
+        cost *= max(1.0, state.slowness / SLOW_FROM)
         if state.suspect(now):
             cost += SUSPECT_COST * times.base_s
         return cost
--- a/pewterring/routing/worker_state.py
+++ b/pewterring/routing/worker_state.py
@@ -23,6 +23,7 @@
     def __init__(self, record: WorkerRecord, memory_tokens: int) -> None:
         self.record = record
         self.out = 0  # own attempts out
+        self.turn = 0.0  # when its turn is among its zone's workers, from 0 to 1
         self.pending_tokens = 0  # of own attempts that have no first byte yet: tokens to be read
         self._memory_tokens = memory_tokens
         self._kept: OrderedDict[int, int] = OrderedDict()  # parts by last use
--- a/pewterring/transport/http_client.py
+++ b/pewterring/transport/http_client.py
@@ -339,6 +339,11 @@
             return ConnectionCounts(0, 0)
         return ConnectionCounts(connections.open, len(connections.idle))
 
+    def is_connected(self, address: str) -> bool:
+        """Whether a connection to the address rests."""
+        connections = self._addresses.get(address)
+        return connections is not None and bool(connections.idle)
+
     def total_open(self) -> int:
         """The connections to all addresses."""
         return sum(connections.open for connections in self._addresses.values())
