--- a/tests/edge/test_stalls.py
+++ b/tests/edge/test_stalls.py
@@ -1,5 +1,6 @@
 """How long a worker's silence is borne."""
 
+import math
 from typing import cast
 
 import pytest
@@ -10,6 +11,7 @@
 from pewterring.transport.http_fetch import AnswerStream
 
 PATIENCE_S = 0.2
+EXPECTED_S = 0.1
 
 
 class Stream:
@@ -28,9 +30,11 @@
     def __init__(self, repeatable: bool = True) -> None:
         self.worker = WorkerState(WorkerRecord("w1", "s", "10.0.0.1:80", "z", 4, "ready"), 1000)
         self.stream = Stream()
-        self.watch = StallWatch()
-        attempt = cast(AnswerStream, self.stream)
-        self.watch.add(WatchedAttempt(self.worker, attempt, PATIENCE_S, 0.0, repeatable))
+        self.told: list[tuple[float, float]] = []  # when, and what wait
+        self.watch = StallWatch(lambda worker, seconds: self.told.append((self.now, seconds)))
+        stream = cast(AnswerStream, self.stream)
+        self.attempt = WatchedAttempt(self.worker, stream, PATIENCE_S, 0.0, repeatable, EXPECTED_S)
+        self.watch.add(self.attempt)
         self.now = 0.0
         self.watch.check(self.now)
 
@@ -74,3 +78,19 @@
     watched = Watched()
     watched.worker.heard(0.2)
     assert watched.interrupted_at() == pytest.approx(0.2 + PATIENCE_S + CHECK_INTERVAL_S)
+
+
+def test_a_wait_beyond_what_was_expected_is_told_of_again_as_it_doubles() -> None:
+    watched = Watched(repeatable=False)
+    watched.interrupted_at(1.3)
+    moments = [moment for moment, _ in watched.told]
+    assert moments == pytest.approx([0.25, 0.5, 1.0])
+    assert [seconds for _, seconds in watched.told] == pytest.approx([0.15, 0.4, 0.9])
+    assert watched.worker.announced_s(1.3) == pytest.approx(0.6)
+
+
+def test_nothing_is_told_once_the_first_byte_came() -> None:
+    watched = Watched(repeatable=False)
+    watched.attempt.expected_s = math.inf
+    watched.interrupted_at(1.3)
+    assert watched.told == []
--- a/tests/routing/test_prompt_hints.py
+++ b/tests/routing/test_prompt_hints.py
@@ -5,7 +5,17 @@
 from pewterring.distribution.messages import WorkerRecord
 from pewterring.routing.chooser import WorkerChooser
 from pewterring.routing.prompt import read_prompt
-from pewterring.routing.prompt_hints import HintBudget, hint_of, read_hint, write_hint
+from pewterring.routing.prompt_hints import (
+    MOST_WAIT_S,
+    HintBudget,
+    WaitHint,
+    hint_of,
+    read_hint,
+    read_wait_hint,
+    worker_number,
+    write_hint,
+    write_wait_hint,
+)
 
 
 def chooser_with(workers: int) -> WorkerChooser:
@@ -74,3 +84,22 @@
     assert told < 100
     assert budget.take(0.0, 40, 10) == 0
     assert budget.take(1.0, 40, 10) == 10
+
+
+def test_a_hint_of_a_wait_survives_the_wire_and_is_bounded() -> None:
+    hint = WaitHint(worker_number("w1"), 0.25)
+    assert read_wait_hint(write_wait_hint(hint)) == hint
+    assert read_wait_hint(write_wait_hint(WaitHint(1, 1e9))) == WaitHint(1, MOST_WAIT_S)
+    assert read_hint(write_wait_hint(hint)) is None
+    for data in (b"", write_wait_hint(hint)[:-1], write_hint(hint_of("w1", 5, read_prompt("a:1", "1,1")))):
+        assert read_wait_hint(data) is None
+
+
+def test_waits_that_several_tell_of_do_not_add_up() -> None:
+    chooser = chooser_with(2)
+    worker = chooser.workers["w0"]
+    for _ in range(5):
+        worker.expect_wait(10.0, 0.2)
+    assert worker.announced_s(10.0) <= 0.2
+    small = read_prompt("cc:500", "500,100")
+    assert all(chooser.choose(10.0, "s", small) is chooser.workers["w1"] for _ in range(10))
