--- a/pewterring/distribution/subscriber.py
+++ b/pewterring/distribution/subscriber.py
@@ -29,6 +29,7 @@
 ANSWER_S = 0.9  # an answer of the leader later than this counts as lost
 CONNECT_S = 0.5
 RETRY_S = 0.15  # between tries to find the leader, once all known machines were asked
+MOST_REDIRECTS = 2  # that are followed without a pause: machines may name each other
 
 OpenChannel = Callable[[MessageCodec, str, int, float, MessageHandler], Awaitable[Channel]]
 
@@ -86,12 +87,17 @@
         self._settings = settings
 
     async def _follow(self) -> None:
+        """Symptom answered: after a restart of all, a leader was known for 0.2 s before gateways asked it."""
+        redirects = 0
         while True:
             for ip in self._candidates():
                 await self._session(ip)
                 if self._leader:
                     break
-            await asyncio.sleep(RETRY_S * (0.5 + self._rng.random()))
+            redirects += 1
+            if not self._leader or redirects > MOST_REDIRECTS:
+                redirects = 0
+                await asyncio.sleep(RETRY_S * (0.5 + self._rng.random()))
 
     def _candidates(self) -> list[str]:
         if self._leader:
