--- /dev/null
+++ b/tests/distribution/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of `pewterring.distribution` by itself."""
