--- a/pewterring/routing/worker_state.py
+++ b/pewterring/routing/worker_state.py
@@ -23,6 +23,7 @@
     def __init__(self, record: WorkerRecord, memory_tokens: int) -> None:
         self.record = record
         self.out = 0  # own attempts out
+        self.turn = 0.0  # when its turn is among its zone's workers, from 0 to 1
         self.pending_tokens = 0  # of own attempts that have no first byte yet: tokens to be read
         self._memory_tokens = memory_tokens
         self._kept: OrderedDict[int, int] = OrderedDict()  # parts by last use
@@ -94,6 +95,10 @@
         self._failures += 1
         self._keep_away(now)
 
+    def expect_wait(self, now: float, seconds: float) -> None:
+        """Requests wait there; one sent now would probably wait for `seconds`."""
+        self._announced_until = max(self._announced_until, now + seconds)
+
     def vouched(self, now: float) -> bool:
         """Whether it answers this process, whatever control hears of it."""
         return now - self.heard_at < VOUCHED_S
