--- a/pewterring/batch/dispatch.py
+++ b/pewterring/batch/dispatch.py
@@ -21,6 +21,7 @@
 WORKER_FILL = 0.9  # of a worker's slots that may be taken, by all that is known, when an item is placed there
 SEEMS_FULL = 0.75  # of a worker's slots taken: it may well refuse an item for want of room
 READING_S = 0.03  # what a worker may have to read of items: live requests that come wait behind it
+SPREAD = 0.2  # of a worker's slots that it may have taken beyond the least taken one
 PROBE_S = 2.0  # where no worker is thought well, one that failed so long ago is tried with an item
 LEAST_EXPECTED_S = 1e-4  # keeps ratios finite
 
@@ -78,6 +79,7 @@
     tokens: int  # that the worker must read before the first event
     placed_at: float
     probe: bool  # the worker is tried although it is thought to fail
+    clean: bool  # nothing was there that it would have to wait for
     reading: bool = True  # until the first event
 
 
@@ -114,8 +116,7 @@
                 continue
             worker = self._choose(now, service, prompt, avoid)
             if worker is not None:
-                tokens, probe = worker.uncached(prompt), worker.suspect(now)
-                self._take(item, _Placement(service, worker, prompt, tokens, now, probe))
+                self._take(item, self._placement(now, service, worker, prompt))
                 return worker.record
         return None
 
@@ -129,7 +130,10 @@
         seconds = now - placement.placed_at
         times = self._chooser.times_of(placement.service)
         expected = times.expected(placement.tokens)
-        times.learn(placement.tokens, seconds)
+        if placement.clean:
+            # Symptom answered: the time to read a token was learnt as four times what it is while items
+            # waited for slots, and a shared part that a worker keeps then outweighed any load.
+            times.learn(placement.tokens, seconds)
         ratio = seconds / max(LEAST_EXPECTED_S, expected)
         placement.worker.note_ratio(ratio)
         placement.worker.keep(placement.prompt)
@@ -161,6 +165,12 @@
             # Answers workers that crash or leave: all their items end at once, which is one failure.
             worker.failed(now)
 
+    @staticmethod
+    def _placement(now: float, service: str, worker: WorkerState, prompt: Prompt) -> _Placement:
+        clean = not worker.pending_tokens and worker.load(now) < SEEMS_FULL
+        tokens = worker.uncached(prompt)
+        return _Placement(service, worker, prompt, tokens, now, worker.suspect(now), clean)
+
     def _take(self, item: QueuedItem, placement: _Placement) -> None:
         self._placements[item] = placement
         placement.worker.out += 1
@@ -184,6 +194,7 @@
         busy = {worker.record.id for worker in workers if not _has_room(now, worker, per_token_s)}
         if len(busy) == len(workers):
             return _probe(now, workers)
+        busy |= _crowded(now, [worker for worker in workers if worker.record.id not in busy])
         alone = all(worker.record.id in busy or worker.record.id == avoid for worker in workers)
         return self._chooser.choose(now, service, prompt, busy if alone else busy | {avoid})
 
@@ -200,6 +211,16 @@
     return min(due, key=lambda worker: worker.failed_at, default=None)
 
 
+def _crowded(now: float, workers: Sequence[WorkerState]) -> set[str]:
+    """The workers that have much more of their slots taken than the least taken one.
+
+    Symptom answered: items of one shared part filled the workers that keep it while others were half empty,
+    and live requests that came to the full ones waited for a slot.
+    """
+    most = min(worker.load(now) for worker in workers) + SPREAD
+    return {worker.record.id for worker in workers if worker.load(now) > most}
+
+
 def _has_room(now: float, worker: WorkerState, per_token_s: float) -> bool:
     if worker.suspect(now) or worker.pending_tokens * per_token_s > READING_S:
         return False
