--- a/tests/batch/test_dispatch.py
+++ b/tests/batch/test_dispatch.py
@@ -8,7 +8,7 @@
 from pewterring.admission.datagram import BATCH, GATEWAY, service_number
 from pewterring.admission.shares import LEASE_S
 from pewterring.batch.admissions import BatchAdmissions
-from pewterring.batch.dispatch import PROBE_S, READING_S, AdmissionDispatcher, ExchangeOutcome
+from pewterring.batch.dispatch import PROBE_S, READING_S, SPREAD, AdmissionDispatcher, ExchangeOutcome
 from pewterring.batch.scheduler import QueuedItem
 from pewterring.configuration.model import Engine, Service, WeightedService
 from pewterring.distribution.messages import NodeRecord, WorkerRecord
@@ -297,3 +297,33 @@
     fixture.dispatcher.first_event(stranger)
     fixture.dispatcher.finished(stranger, ExchangeOutcome.CUT)
     assert fixture.admissions.of("s").out == 0
+
+
+def test_items_of_one_shared_part_do_not_crowd_the_worker_that_keeps_it() -> None:
+    fixture = two_workers()
+    fixture.beat(1, out=0)
+    shared = prompt(2000, "own")
+    first = fixture.place(shared)
+    assert first is not None
+    fixture.dispatcher.first_event(fixture.items[-1])
+    placed = [fixture.place(prompt(2000, f"own{number}")) for number in range(2)]
+    while (found := fixture.place(prompt(60, "small"))) is not None:
+        placed.append(found)
+    counts = [sum(found == each for found in placed) for each in fixture.tables.workers.values()]
+    assert sum(counts) == 17
+    assert abs(counts[0] - counts[1]) <= SPREAD * SLOTS + 1
+
+
+def test_times_are_learnt_where_nothing_was_waited_for() -> None:
+    fixture = two_workers()
+    fixture.beat(1, out=0)
+    fixture.place(prompt(1000, "a"))
+    fixture.clock.now += 0.1
+    fixture.dispatcher.first_event(fixture.items[-1])
+    learnt = fixture.chooser.times_of("s").expected(1000)
+    while fixture.place(prompt(60, "small")) is not None:
+        pass
+    fixture.clock.now += 5.0
+    for each in fixture.items[3:]:  # the first at each worker, and those behind it
+        fixture.dispatcher.first_event(each)
+    assert fixture.chooser.times_of("s").expected(1000) == pytest.approx(learnt)
