Patches: items without a name stay, a base that cannot be read refuses and ends nothing

Found on reading: a route whose name is null, which a whole configuration may have, refused each patch; and a message that the decoder does not take would have ended every control machine at apply.

--- a/pewterring/configuration/patch.py
+++ b/pewterring/configuration/patch.py
@@ -33,7 +33,7 @@
 class _Named(msgspec.Struct):
     """What all items of a list have in common."""
 
-    name: str = ""
+    name: str | None = None
 
 
 class _PatchDocument(msgspec.Struct):
@@ -134,7 +134,7 @@
 
 def _name_of(path: str, item: msgspec.Raw) -> str:
     try:
-        return msgspec.json.decode(item, type=_Named).name
+        return msgspec.json.decode(item, type=_Named).name or ""
     except msgspec.MsgspecError as error:
         raise InvalidConfiguration(path, str(error)) from error
 
@@ -182,12 +182,18 @@
             yield InvalidConfiguration(name, "the patched configuration has none")
             return
     services = [_name_of(SERVICES, item) for item in _items(SERVICES, content.get(SERVICES))]
-    routes = [
-        {key: value for key, value in msgspec.to_builtins(route).items() if value is not None}
-        for route in msgspec.json.decode(content[ROUTES], type=list[_RouteReferences])
-    ]
+    routes = [_references(item) for item in _items(ROUTES, content.get(ROUTES))]
     yield from reference_faults({SERVICES: [{"name": name} for name in services], ROUTES: routes})
 
 
+def _references(route: msgspec.Raw) -> dict[str, Any]:
+    """The fields of a route that `reference_faults` looks at, those that are null left out."""
+    try:
+        read = msgspec.json.decode(route, type=_RouteReferences)
+    except msgspec.MsgspecError as error:
+        raise InvalidConfiguration(ROUTES, str(error)) from error
+    return {key: value for key, value in msgspec.to_builtins(read).items() if value is not None}
+
+
 def _encoded(value: Any) -> msgspec.Raw:
     return msgspec.Raw(msgspec.json.encode(value))
--- a/tests/configuration/test_patch.py
+++ b/tests/configuration/test_patch.py
@@ -165,3 +165,20 @@
     assert document_faults(patch(upsert={"routes": [NEW_ROUTE]})) == []
     (fault,) = document_faults(patch(upsert={"routes": [NEW_ROUTE | {"timeout_ms": 0}]}))
     assert fault.path == "upsert.routes.0.timeout_ms"
+
+
+def test_items_without_a_name_stay_in_the_base() -> None:
+    unnamed = [ROUTE | {"name": None}, NEW_ROUTE | {"name": ""}]
+    base = encoded(routes=unnamed)
+    assert candidate(base)
+    assert patched(patch(upsert={"routes": [ROUTE | {"path_prefix": "/x/"}]}), base)["routes"] == [
+        *unnamed,
+        ROUTE | {"path_prefix": "/x/"},
+    ]
+
+
+@pytest.mark.parametrize("routes", [[7], ["r"], [{"name": "r"}], [{"name": 7}], {"name": "r"}])
+def test_a_base_that_cannot_be_read_refuses_the_patch_and_ends_nothing(routes: object) -> None:
+    readable = read_patch(patch(upsert={"routes": [NEW_ROUTE]}))
+    with pytest.raises(InvalidConfiguration):
+        apply_patch(encoded(routes=routes), readable)
