Waits that gateways tell of steer the choice alone: the ceiling sees them as queueing

Cause, found on reading: a told wait went into the expected time, so the ratio that the gradient compares no longer showed requests waiting for slots. Change: it is kept apart, counts in the cost of a worker and in the patience with it, and keeps its requests out of what is learnt.

--- a/pewterring/edge/live.py
+++ b/pewterring/edge/live.py
@@ -167,7 +167,8 @@
         worker.pending_tokens += tokens
         worker.expect_reading(now, times.per_token_s * tokens)
         watched = self._watched(worker, stream, now, times.expected(tokens) + wait_s)
-        reading = _Reading(tokens, now, wait_s, watched)
+        clean = wait_s < CLEAN_WAIT * times.expected(tokens) and not worker.congested_s(now)
+        reading = _Reading(tokens, now, wait_s, watched, clean)
         self._context.watch.add(watched)
         try:
             self._context.tell_prompt(worker, tokens, self._prompt)
@@ -191,7 +192,7 @@
         self, worker: WorkerState, stream: AnswerStream, now: float, expected_s: float
     ) -> WatchedAttempt:
         reading_s = worker.reading_after(now)  # which the watch allows for
-        patience_s = max(0.0, PATIENCE * expected_s - reading_s) + self._silence_s()
+        patience_s = max(0.0, PATIENCE * expected_s - reading_s) + self._silence_s() + worker.congested_s(now)
         repeatable = self._route.repeatable and self._runs + 1 < self._route.max_attempts
         return WatchedAttempt(worker, stream, patience_s, now, repeatable, expected_s)
 
@@ -297,7 +298,7 @@
         worker.keep(self._prompt)
         times = self._chooser.times_of(self._service)
         expected = times.expected(reading.tokens)
-        if reading.wait_s < CLEAN_WAIT * expected:
+        if reading.clean:
             times.learn(reading.tokens, seconds - reading.wait_s)
         expected += reading.wait_s
         ratio = seconds / max(1e-4, expected)
@@ -322,10 +323,13 @@
 class _Reading:
     """What an attempt waits for: the first byte, and on a resumed stream the event behind the last."""
 
-    __slots__ = ("done", "pending_tokens", "resumed_after", "sent_at", "tokens", "wait_s", "watched")
+    __slots__ = ("clean", "done", "pending_tokens", "resumed_after", "sent_at", "tokens", "wait_s", "watched")
 
-    def __init__(self, tokens: int, sent_at: float, wait_s: float, watched: WatchedAttempt) -> None:
+    def __init__(
+        self, tokens: int, sent_at: float, wait_s: float, watched: WatchedAttempt, clean: bool
+    ) -> None:
         self.watched = watched
+        self.clean = clean  # its time to the first byte says how long reading takes
         self.wait_s = wait_s  # expected wait for prompts sent before
         self.tokens = tokens
         self.pending_tokens = tokens
--- a/pewterring/routing/chooser.py
+++ b/pewterring/routing/chooser.py
@@ -173,7 +173,8 @@
         if is_home and prompt.parts:
             tokens = min(tokens, prompt.parts[-1][1])  # others will have sent the shared parts there
         load = state.load(now)
-        cost = times.base_s * (1 + load) + times.per_token_s * tokens + self.wait_s(now, state, times)
+        wait_s = max(state.congested_s(now), self.wait_s(now, state, times))
+        cost = times.base_s * (1 + load) + times.per_token_s * tokens + wait_s
         if load >= FULL:
             cost += times.base_s * (2 + 10 * (load - FULL))
         if state.record.zone != self._zone:
--- a/pewterring/routing/worker_state.py
+++ b/pewterring/routing/worker_state.py
@@ -29,6 +29,7 @@
         self._kept: OrderedDict[int, int] = OrderedDict()  # parts by last use
         self._kept_tokens = 0
         self._announced_until = -math.inf  # when it will have read what other gateways announced
+        self._waits_until = -math.inf  # up to when requests there were told to wait
         self.heard_at = -math.inf  # when any byte of an answer last came from it
         self._silent = False  # it is suspected for its silence alone
         self._reading_until = -math.inf  # when it will have read the prompts that are known here
@@ -97,7 +98,11 @@
 
     def expect_wait(self, now: float, seconds: float) -> None:
         """Requests wait there; one sent now would probably wait for `seconds`."""
-        self._announced_until = max(self._announced_until, now + seconds)
+        self._waits_until = max(self._waits_until, now + seconds)
+
+    def congested_s(self, now: float) -> float:
+        """Seconds that a request would probably wait there, beyond what prompts to be read explain."""
+        return max(0.0, self._waits_until - now)
 
     def vouched(self, now: float) -> bool:
         """Whether it answers this process, whatever control hears of it."""
--- a/tests/edge/test_stalls.py
+++ b/tests/edge/test_stalls.py
@@ -86,7 +86,7 @@
     moments = [moment for moment, _ in watched.told]
     assert moments == pytest.approx([0.25, 0.5, 1.0])
     assert [seconds for _, seconds in watched.told] == pytest.approx([0.15, 0.4, 0.9])
-    assert watched.worker.announced_s(1.3) == pytest.approx(0.6)
+    assert watched.worker.congested_s(1.3) == pytest.approx(0.6)
 
 
 def test_nothing_is_told_once_the_first_byte_came() -> None:
--- a/tests/routing/test_prompt_hints.py
+++ b/tests/routing/test_prompt_hints.py
@@ -2,6 +2,8 @@
 
 import random
 
+import pytest
+
 from pewterring.distribution.messages import WorkerRecord
 from pewterring.routing.chooser import WorkerChooser
 from pewterring.routing.prompt import read_prompt
@@ -100,6 +102,7 @@
     worker = chooser.workers["w0"]
     for _ in range(5):
         worker.expect_wait(10.0, 0.2)
-    assert worker.announced_s(10.0) <= 0.2
+    assert worker.congested_s(10.0) == pytest.approx(0.2)
+    assert worker.announced_s(10.0) == 0.0  # the ceiling must see such a wait as queueing
     small = read_prompt("cc:500", "500,100")
     assert all(chooser.choose(10.0, "s", small) is chooser.workers["w1"] for _ in range(10))
