--- /dev/null
+++ b/tests/edge/test_request_log.py
@@ -0,0 +1,79 @@
+"""A gateway logs its bad requests where the settings ask for it, with what happened to each."""
+
+from collections.abc import Iterator
+from dataclasses import replace
+from typing import Any
+
+import orjson
+import pytest
+from loguru import logger
+
+from pewterring.node.settings import RequestLogMode
+from pewterring.observability.log import EventThinner, JsonLineSink
+from pewterring.observability.request_log import REQUEST_EVENT
+from pewterring.transport.http_request import ServerRequest
+from pewterring.transport.http_responder import Responder
+from tests.edge.gateway import Gateway, answered, gateway
+from tests.transport.virtual_time import run
+
+Lines = list[dict[str, Any]]
+
+
+@pytest.fixture
+def lines() -> Iterator[Lines]:
+    written: Lines = []
+    sink = JsonLineSink(lambda line: written.append(orjson.loads(line)), {}, EventThinner())
+    logger.remove()
+    number = logger.add(sink, format="{message}")
+    yield written
+    logger.remove(number)
+
+
+def log_requests(tier: Gateway) -> None:
+    tier.program._settings = replace(tier.program._settings, request_log=RequestLogMode.ALL)
+
+
+def requests(lines: Lines) -> Lines:
+    return [line for line in lines if line["event"] == REQUEST_EVENT]
+
+
+async def declined(request: ServerRequest, responder: Responder) -> None:
+    await responder.respond(503, [(b"Not-Executed", b"full")])
+
+
+def test_a_request_that_no_worker_took_is_logged_with_its_worker(lines: Lines) -> None:
+    async def play() -> None:
+        async with gateway(declined) as tier:
+            log_requests(tier)
+            assert (await tier.ask()).head.status == 503
+
+    run(play())
+    (line,) = requests(lines)
+    assert line["worker"] == "w0"
+    assert line["attempts"] >= 1
+    assert line["end_s"] >= line["sent_s"] >= line["admitted_s"] >= 0
+
+
+def test_a_refused_request_is_logged_as_refused(lines: Lines) -> None:
+    async def play() -> None:
+        async with gateway(answered) as tier:
+            log_requests(tier)
+            admission = tier.program._admissions.of("s")
+            admission.out = 10**6
+            assert (await tier.ask()).head.status == 503
+            admission.out = 0
+
+    run(play())
+    assert [line["reason"] for line in requests(lines)] == ["refused"]
+
+
+def test_good_requests_are_not_logged_and_nothing_is_by_default(lines: Lines) -> None:
+    async def play() -> None:
+        async with gateway(answered) as tier:
+            log_requests(tier)
+            assert (await tier.ask()).head.status == 200
+        async with gateway(declined) as tier:
+            assert (await tier.ask()).head.status == 503
+
+    run(play())
+    assert requests(lines) == []
--- a/tests/node/test_settings.py
+++ b/tests/node/test_settings.py
@@ -2,7 +2,14 @@
 
 import pytest
 
-from pewterring.node.settings import Address, SettingsError, examine_settings, read_report, read_settings
+from pewterring.node.settings import (
+    Address,
+    RequestLogMode,
+    SettingsError,
+    examine_settings,
+    read_report,
+    read_settings,
+)
 from tests.node.settings_texts import settings_text
 
 
@@ -76,3 +83,12 @@
 def test_each_program_needs_keys_of_its_own(program: str, missing: tuple[str, ...]) -> None:
     problems = examine_settings(settings_text(), program).problems
     assert problems == tuple(f"{key} is missing: {program} needs it" for key in missing)
+
+
+def test_requests_are_logged_only_where_the_settings_say_so() -> None:
+    assert read_settings(settings_text()).request_log is RequestLogMode.OFF
+    for mode in RequestLogMode:
+        text = settings_text() + f"\nlog.requests={mode}\n"
+        assert read_settings(text).request_log is mode
+    with pytest.raises(SettingsError, match=r"log\.requests is none of off, thinned, all: 'some'"):
+        read_settings(settings_text() + "\nlog.requests=some\n")
