--- a/pewterring/lab/faults.py
+++ b/pewterring/lab/faults.py
@@ -191,7 +191,7 @@
     struck = struck_workers(world, fault, stream)
 
     def replace(worker: Worker) -> None:
-        world.publish(to_server(world.add_worker(worker.zone, worker.cell, world.engine.now)))
+        world.discovery.publish(to_server(world.add_worker(worker.zone, worker.cell, world.engine.now)))
         world.drain(worker, fault.drain_s)
 
     for n, worker in enumerate(struck):
@@ -245,12 +245,12 @@
 @begin.register(schema.MessageLoss)
 def _(fault: schema.MessageLoss, world: World, stream: Stream) -> End:
     kept = 1 - min(fault.share, 0.999999)
-    world.message_loss = 1 - (1 - world.message_loss) * kept
-    world.message_delay += fault.late_s
+    world.peers.loss = 1 - (1 - world.peers.loss) * kept
+    world.peers.delay_s += fault.late_s
 
     def end() -> None:
-        world.message_loss = max(0.0, 1 - (1 - world.message_loss) / kept)
-        world.message_delay = max(0.0, world.message_delay - fault.late_s)
+        world.peers.loss = max(0.0, 1 - (1 - world.peers.loss) / kept)
+        world.peers.delay_s = max(0.0, world.peers.delay_s - fault.late_s)
 
     return end
 
@@ -294,10 +294,10 @@
 
 @begin.register(schema.ListLate)
 def _(fault: schema.ListLate, world: World, stream: Stream) -> End:
-    world.list_late += fault.by_s
+    world.discovery.late_s += fault.by_s
 
     def end() -> None:
-        world.list_late = max(0.0, world.list_late - fault.by_s)
+        world.discovery.late_s = max(0.0, world.discovery.late_s - fault.by_s)
 
     return end
 
--- a/pewterring/lab/loopback/load.py
+++ b/pewterring/lab/loopback/load.py
@@ -21,6 +21,7 @@
 from pewterring.lab.calls import Attempt, Call, Intent
 from pewterring.lab.conversions import to_server
 from pewterring.lab.customers import Customer
+from pewterring.lab.discovery import Discovery
 from pewterring.lab.engine import START
 from pewterring.lab.faults import put_in
 from pewterring.lab.host import Host
@@ -353,22 +354,16 @@
             "block": entry.cell, "health": HEALTH[entry.mode], "share": entry.rating, "born_ms": round(born),
         }  # fmt: skip
 
-    def take_list(self, host: Host, upto: int) -> None:
-        for entry in self.log[host.seen : upto]:
-            self.discoveries[host.number].tell(self.json_entry(entry))
-        host.seen = max(host.seen, upto)
-
-    def list_to(self, host: Host, life: int, upto: int) -> None:
-        if not self.target:
-            self.take_list(host, upto)  # the agent lives beside its gatekeeper, and longer
+    def make_discovery(self) -> Discovery:
+        return SocketDiscovery(self)
 
     def passes(self, a: int, b: int) -> float | None:
         stream, network = self.message_streams[a], self.scenario.network
         if not self.reaches(self.hosts[a].zone, self.hosts[b].zone):
             return None
-        if self.message_loss and stream.uniform() < self.message_loss:
+        if self.peers.loss and stream.uniform() < self.peers.loss:
             return None
-        return stream.uniform(*network.peer_s) + self.message_delay
+        return stream.uniform(*network.peer_s) + self.peers.delay_s
 
     # What faults do to gatekeepers
 
@@ -409,6 +404,23 @@
             self.processes[host.number].signal(signal.SIGCONT)
 
 
+class SocketDiscovery(Discovery):
+    """Discovery that tells processes by their agents' ports."""
+
+    def __init__(self, world: SocketWorld) -> None:
+        super().__init__(world)
+        self._sockets = world
+
+    def take_list(self, host: Host, upto: int) -> None:
+        for entry in self.log[host.seen : upto]:
+            self._sockets.discoveries[host.number].tell(self._sockets.json_entry(entry))
+        host.seen = max(host.seen, upto)
+
+    def list_to(self, host: Host, life: int, upto: int) -> None:
+        if not self._sockets.target:
+            self.take_list(host, upto)  # the agent lives beside its gatekeeper, and longer
+
+
 def load(
     path: str | Path, sets: tuple[str, ...] = (), seed: int | None = None, target: str = "", logs: str = ""
 ) -> Result:
--- a/pewterring/lab/world.py
+++ b/pewterring/lab/world.py
@@ -18,8 +18,10 @@
 from pewterring.lab.counter import CounterService
 from pewterring.lab.customers import Customer
 from pewterring.lab.demand import Demand, Front
+from pewterring.lab.discovery import Discovery
 from pewterring.lab.engine import START, Engine
 from pewterring.lab.host import Host
+from pewterring.lab.peer_network import PeerNetwork
 from pewterring.lab.policies import POLICIES, Count
 from pewterring.lab.rules import Broken, Rules
 from pewterring.lab.streams import Stream
@@ -75,13 +77,9 @@
         self.hosts = [Host(n, self.zones[n % len(self.zones)], seed) for n in range(g.count)]
         self.mean_work, self.longest = schema.mean_work(scenario), schema.longest_deadline(scenario)
         self.workers: list[Worker] = []
-        self.list_late = 0.0
         for n in range(w.count):
             self.add_worker(self.zones[n % len(self.zones)], n // w.cell_size)
-        self.log = [to_server(worker) for worker in self.workers]  # what discovery has to tell, in order
-        self.first_list = len(self.log)
-        self.discovery_stream = Stream(seed, "discovery")
-        self.list_calls: list[float] = []
+        self.discovery = self.make_discovery()
         self.front = Front(scenario.front, g.count, seed)
         self.front.closed_at = [START] * g.count
         self.demand = Demand(scenario, self.engine, seed, self.ask)
@@ -90,17 +88,17 @@
         self.storm: list[int] = []  # retries of each client, by each storm that is on
         self.cut = Counter[str]()  # zones that nothing enters or leaves, and by how many faults
         self.clients_cut = Counter[str]()
-        self.message_loss, self.message_delay = scenario.network.peer_loss, 0.0
+        self.peers = PeerNetwork(self)
         self.broken: Broken | None = None
         self.doers: dict[type[Any], Callable[[Host, Any], None]] = {
             i.SetTimer: self.set_timer,
-            i.Tell: self.send_message,
+            i.Tell: self.peers.send,
             i.Send: self.send,
             i.Refuse: lambda host, a: self.final(host, a.id, "refused", a.retry_after),
             i.Fail: lambda host, a: self.final(host, a.id, "failed", 0.0),
             i.Cancel: self.cancel,
             i.Probe: lambda host, a: self.probe(host, a.server),
-            i.Subscribe: lambda host, a: self.subscribe(host, a.on),
+            i.Subscribe: lambda host, a: self.discovery.subscribe(host, a.on),
             Count: lambda host, a: self.count(host, a.name, a.amount, a.life),
         }
         self.intent_of = array("q", [0])  # by request id
@@ -109,6 +107,10 @@
 
     # Putting together
 
+    def make_discovery(self) -> Discovery:
+        """Whoever tells gatekeepers of workers."""
+        return Discovery(self)
+
     def settings(self, host: Host) -> i.Settings:
         s, w = self.scenario, self.scenario.workers
         return i.Settings(
@@ -139,9 +141,7 @@
         """Plays to the end, or to the first broken rule."""
         s, engine = self.scenario, self.engine
         for host in self.hosts:
-            for entry in self.log[: self.first_list]:
-                host.entries[entry.id] = entry
-            host.seen = self.first_list
+            self.discovery.give_first(host)
             engine.after(host.stream.uniform(0, s.gatekeepers.start_spread_s), self.start_host, host)
         engine.after(s.gatekeepers.start_spread_s + READY_S, self.demand.start)
         self.plan_samples()
@@ -303,11 +303,11 @@
         host.told_end.clear()
         host.told_start.clear()
         known = tuple(host.entries.values())
-        self.told(host, known)
+        self.discovery.told(host, known)
         self.tell(host, i.ServerList(i.ListForm.REMEMBERED, known))
         self.engine.after(READY_S, self.ready, host, host.life)
         if self.scenario.discovery.mode == "push":
-            self.engine.after(host.stream.uniform(0.05, 0.3), self.list_to, host, host.life, len(self.log))
+            self.discovery.catch_up(host)
 
     def ready(self, host: Host, life: int) -> None:
         if host.life == life and host.up:
@@ -574,7 +574,7 @@
 
     def miss(self, worker: Worker, life: int) -> None:
         if worker.state == "silent" and worker.life == life and worker.mode == i.Mode.SERVING:
-            self.publish(to_server(worker, i.Mode.DELETED))
+            self.discovery.publish(to_server(worker, i.Mode.DELETED))
 
     def speak(self, worker: Worker, cold: bool) -> None:
         if worker.state != "silent":
@@ -583,12 +583,12 @@
         if cold:
             worker.lose_all()
             worker.came_up = self.engine.now
-        self.publish(to_server(worker))
+        self.discovery.publish(to_server(worker))
 
     def drain(self, worker: Worker, drain_s: float) -> None:
         if worker.mode == i.Mode.SERVING:
             worker.mode = i.Mode.DRAINING
-            self.publish(to_server(worker))
+            self.discovery.publish(to_server(worker))
             self.engine.after(drain_s, self.remove, worker)
 
     def remove(self, worker: Worker) -> None:
@@ -598,63 +598,7 @@
             host = self.hosts[attempt.gatekeeper]
             way = self.way(host, worker.zone)
             self.ends_in(way, host, attempt, i.Code.ABORTED)
-        self.publish(to_server(worker))
-
-    # Discovery
-
-    def publish(self, entry: i.Server) -> None:
-        """News for the list: each gatekeeper hears of it in its own time."""
-        self.log.append(entry)
-        setup, upto = self.scenario.discovery, len(self.log)
-        notice = setup.notice_s * (0.7 + 0.6 * self.discovery_stream.uniform()) + self.list_late
-        for host in self.hosts:
-            due = self.engine.now + notice + setup.spread_s * host.stream.uniform()
-            host.list_due = max(host.list_due, due)
-            if setup.mode == "push" or host.subscribed:
-                self.engine.at(host.list_due, self.list_to, host, host.life, upto)
-
-    def list_to(self, host: Host, life: int, upto: int) -> None:
-        self.turn(host, life, self.take_list, upto)
-
-    def take_list(self, host: Host, upto: int) -> None:
-        if upto <= host.seen:
-            return
-        fresh, host.seen = tuple(self.log[host.seen : upto]), upto
-        for entry in fresh:
-            if entry.mode == i.Mode.DELETED:
-                host.entries.pop(entry.id, None)
-            else:
-                host.entries[entry.id] = entry
-        self.told(host, fresh)
-        self.tell(host, i.ServerList(i.ListForm.CHANGES, fresh))
-
-    def told(self, host: Host, entries: tuple[i.Server, ...]) -> None:
-        self.account.counts["lists"] += len(entries)
-        for entry in entries:
-            if entry.mode == i.Mode.SERVING:
-                host.told_end.pop(entry.id, None)
-                host.told_start[entry.id] = entry.came_up
-            else:
-                host.told_end.setdefault(entry.id, self.engine.now)
-                host.told_start.setdefault(entry.id, 0.0)
-
-    def subscribe(self, host: Host, on: bool) -> None:
-        """Where discovery is asked: a call takes its turn and may fail."""
-        setup, now = self.scenario.discovery, self.engine.now
-        if setup.mode == "push":
-            return
-        host.subscribed = False
-        if not on:
-            return
-        self.list_calls = [t for t in self.list_calls if t > now - 1.0] + [now]
-        if len(self.list_calls) > setup.calls_per_s:
-            lost = i.ServerList(i.ListForm.FAILED)
-            return self.engine.after(0.1, self.turn, host, host.life, self.tell, lost)
-        self.engine.after(0.01 + self.list_late, self.turn, host, host.life, self.subscribed)
-
-    def subscribed(self, host: Host) -> None:
-        host.subscribed = True
-        self.take_list(host, len(self.log))
+        self.discovery.publish(to_server(worker))
 
     # Probes, peers, the counter service
 
@@ -671,34 +615,6 @@
         code = i.Code.OK if answers else i.Code.UNAVAILABLE
         self.engine.after(wait, self.turn, host, host.life, self.tell, i.ProbeResult(server, code, wait))
 
-    def send_message(self, host: Host, action: i.Tell) -> None:
-        self.rules.message(self.engine.now, host.number, action.data)
-        loss, late, stream, after = self.message_loss, self.message_delay, host.stream, self.engine.after
-        low, high = self.scenario.network.peer_s
-        message = i.PeerMail(host.number, action.data)
-        others = (
-            [h for h in self.hosts if h is not host] if action.peer is None else [self.hosts[action.peer]]
-        )
-        self.account.counts["messages"] += len(others)
-        for other in others:
-            if loss and stream.uniform() < loss:
-                continue
-            after(stream.uniform(low, high) + late, self.receive_message, host.zone, other, message)
-
-    def receive_message(self, zone: str, host: Host, message: i.PeerMail) -> None:
-        if not host.up or (self.cut and not self.reaches(zone, host.zone)):
-            return
-        intake, now = self.scenario.gatekeepers.mail_per_s, self.engine.now
-        tokens = min(max(1.0, intake), host.tokens + (now - host.token_at) * intake)
-        host.token_at = now
-        if tokens < 1.0:
-            host.tokens = tokens
-            self.account.counts["messages_dropped"] += 1
-            return
-        host.tokens = tokens - 1.0
-        self.account.counts["message_bytes"] += len(message.data)
-        self.turn(host, host.life, self.tell, message)
-
     def count(self, host: Host, name: int, amount: float, life: float) -> None:
         self.account.counts["counter_calls"] += 1
 
