--- a/pewterring/lab/discovery.py
+++ b/pewterring/lab/discovery.py
@@ -1,14 +1,10 @@
 """Discovery in the emulator: what it knows of workers, and when each gatekeeper hears of it."""
 
-from typing import TYPE_CHECKING
-
 from pewterring import interface as i
 from pewterring.lab.conversions import to_server
 from pewterring.lab.host import Host
 from pewterring.lab.streams import Stream
-
-if TYPE_CHECKING:
-    from pewterring.lab.world import World
+from pewterring.lab.surroundings import Surroundings
 
 CATCH_UP_S = (0.05, 0.3)  # until a gatekeeper that has started is told what it missed
 CALL_S, LOST_CALL_S = 0.01, 0.1  # until a call for the list is answered, and until it has failed
@@ -18,7 +14,7 @@
 class Discovery:
     """Tells gatekeepers of workers, pushed or asked for."""
 
-    def __init__(self, world: "World") -> None:
+    def __init__(self, world: Surroundings) -> None:
         self.late_s = 0.0  # by which a fault holds all news up
         self.log = [to_server(worker) for worker in world.workers]  # all that there is to tell, in order
         self._world = world
--- a/pewterring/lab/peer_network.py
+++ b/pewterring/lab/peer_network.py
@@ -1,18 +1,14 @@
 """Messages between gatekeepers in the emulator: delay, loss, and what each takes in."""
 
-from typing import TYPE_CHECKING
-
 from pewterring import interface as i
 from pewterring.lab.host import Host
-
-if TYPE_CHECKING:
-    from pewterring.lab.world import World
+from pewterring.lab.surroundings import Surroundings
 
 
 class PeerNetwork:
     """Carries messages. Faults change `loss` and `delay_s`."""
 
-    def __init__(self, world: "World") -> None:
+    def __init__(self, world: Surroundings) -> None:
         self.loss = world.scenario.network.peer_loss
         self.delay_s = 0.0  # beyond the usual
         self._world = world
