Batch: f stores beside the voters keep a warm copy of a partition's state

Cause: a store that was gone for good, or stopped by plan, was replaced by one that had to copy the whole state first; with 40 MB that took up to 4.1 s from the loss (half of catch_up_s is 2.4 s), and a second loss meanwhile left no majority.

Change: the planner of members keeps `spare_learners` beside the voters: all that ask for control, as before, and `batch.warm_learners` (new, default fault_tolerance.machines) for a partition, where spare stores exist. While a voter is missing no more copies are made than voters are missing, since they share the leader's link; a learner that does not answer is not copied elsewhere before it is given up, so that a store which is killed and starts again costs no copy. Golden surfaces: one key more, read in the old order.

--- a/pewterring/batch/partition.py
+++ b/pewterring/batch/partition.py
@@ -97,7 +97,7 @@
             environment.member,
             settings.tolerated_machines,
             settings.bounds.catch_up_s,
-            keeps_spare_learners=False,
+            settings.warm_learners,
         )
         inputs = MembershipInputs(environment.tables, self._tables_are_fresh, environment.clock)
         return MembershipChanges(self.group, planner, inputs)
--- a/pewterring/cli/node_settings.py
+++ b/pewterring/cli/node_settings.py
@@ -32,6 +32,7 @@
     "limits.cpu_share": "processor time of the process",
     "limits.disk_mb": "room in data_dir; 0: not given",
     "limits.copy_mb_per_s": "MB of state a second that a store copies to each of f new ones; 0: not given",
+    "batch.warm_learners": "stores that keep a copy of a partition beside its voters; f if not given",
     "bounds.quota_overshoot": "part by which waiting tokens may pass a quota",
 }
 TYPES: Mapping[str, Mapping[str, object]] = {
--- a/pewterring/consensus/membership_planner.py
+++ b/pewterring/consensus/membership_planner.py
@@ -9,6 +9,9 @@
 - A lost voter goes only when a learner is ready to take its place, or when it is one too many. Lost voters
   are replaced one after the other, so that a majority never is fewer than f + 1 disks.
 - A learner votes once it has all that was committed at the check before.
+- Some learners are kept though no voter is missing, so that a copy of the state is there before a loss or a
+  planned stop. While a voter is missing only as many copies are made as there are voters missing: they share
+  the leader's link.
 - A learner that is not needed is kept while a voter does not answer, or may not: a new leader goes on with
   the copy that the one before began.
 - A decommissioned voter goes last, once the wanted number of healthy voters has all that was committed.
@@ -16,6 +19,8 @@
   learner is ready to take its place it stays, and is lost as soon as it answers no more.
 """
 
+import sys
+
 from pewterring.consensus.membership import all_members, voters_needed, with_voter, without_member
 from pewterring.consensus.membership_view import (
     Candidates,
@@ -26,6 +31,7 @@
 from pewterring.consensus.messages import Membership
 
 MAX_CHANGES_PER_CHECK = 4  # a removal, a promotion, and some more; the next check follows soon
+ALL_SPARES = sys.maxsize  # whoever may join is a learner: for groups with little state
 LEARNER_RETRY_DELAY_S = 10.0  # a learner that was dropped for not answering is the last choice for so long
 
 
@@ -33,12 +39,12 @@
     """Finds the next change of members, if one is due. `start` it with each leadership."""
 
     def __init__(
-        self, own_member: str, tolerated_machines: int, catch_up_s: float, keeps_spare_learners: bool
+        self, own_member: str, tolerated_machines: int, catch_up_s: float, spare_learners: int
     ) -> None:
-        """With `keeps_spare_learners` whoever may join is a learner: for groups with little state."""
+        """Keeps up to `spare_learners` beside the voters, or `ALL_SPARES`."""
         self._own_member = own_member
         self._wanted_voters = voters_needed(tolerated_machines)
-        self._keeps_spare_learners = keeps_spare_learners
+        self._spare_learners = spare_learners
         self._observer = MembershipObserver(own_member, catch_up_s)
         self._dropped_at: dict[str, float] = {}  # learners that were removed
 
@@ -59,7 +65,7 @@
         missing = self._wanted_voters - len(view.healthy_voters)
         if missing <= 0:
             return self._remove_surplus(view) or self._add_spare(now, view, candidates)
-        return self._replace_voter(view) or self._add_learner(now, view, candidates, missing)
+        return self._replace_voter(view) or self._add_successor(now, view, candidates, missing)
 
     def _replace_voter(self, view: MembershipView) -> Membership | None:
         """Healthy voters are missing: takes lost ones away, and makes voters of learners that are ready."""
@@ -86,7 +92,7 @@
             is_safe = len([voter for voter in healthy if voter in view.caught_up]) >= self._wanted_voters
             outgoing.sort(key=lambda voter: voter == self._own_member)
             return without_member(membership, outgoing[0]) if is_safe else None
-        if membership.learners and view.all_voters_answer and not self._keeps_spare_learners:
+        if len(membership.learners) > self._spare_learners and view.all_voters_answer:
             return without_member(membership, membership.learners[-1])
         if len(healthy) > self._wanted_voters:
             surplus = [voter for voter in healthy if voter != self._own_member]
@@ -94,15 +100,21 @@
         return None
 
     def _add_spare(self, now: float, view: MembershipView, candidates: Candidates) -> Membership | None:
-        return self._add_learner(now, view, candidates, 0) if self._keeps_spare_learners else None
+        """Lets a learner join that is kept at hand; one that does not answer counts until it is given up."""
+        if len(view.membership.learners) >= self._spare_learners:
+            return None
+        return self._add_learner(now, view, candidates)
 
-    def _add_learner(
+    def _add_successor(
         self, now: float, view: MembershipView, candidates: Candidates, missing: int
     ) -> Membership | None:
-        """Lets another learner join, where fewer than the missing ones are there or spares are kept."""
-        membership = view.membership
-        if not self._keeps_spare_learners and len(view.reachable_learners) >= missing:
+        """Lets a learner join for a missing voter, unless enough are there that answer."""
+        if len(view.reachable_learners) >= missing and self._spare_learners != ALL_SPARES:
             return None
+        return self._add_learner(now, view, candidates)
+
+    def _add_learner(self, now: float, view: MembershipView, candidates: Candidates) -> Membership | None:
+        membership = view.membership
         excluded = {*all_members(membership), *candidates.decommissioning}
         joining = [member for member in candidates.joining if member not in excluded]
         if not joining:
--- a/pewterring/control/program.py
+++ b/pewterring/control/program.py
@@ -20,7 +20,7 @@
 from pewterring.consensus.group import ReplicatedGroup
 from pewterring.consensus.group_environment import GroupCallbacks, GroupEnvironment
 from pewterring.consensus.membership import address_of, voters_needed
-from pewterring.consensus.membership_planner import MembershipPlanner
+from pewterring.consensus.membership_planner import ALL_SPARES, MembershipPlanner
 from pewterring.consensus.messages import CONSENSUS_MESSAGES, ConsensusMessage
 from pewterring.control.api import ControlApi
 from pewterring.control.feed import FeedServer
@@ -110,7 +110,7 @@
         bounds = self._settings.bounds
         tasks = LeaderTasks(tables, needed_stores, report_delay_s=min(bounds.config_s, bounds.drain_s))
         planner = MembershipPlanner(
-            self.group.member, self._settings.tolerated_machines, bounds.catch_up_s, keeps_spare_learners=True
+            self.group.member, self._settings.tolerated_machines, bounds.catch_up_s, ALL_SPARES
         )
         return LeaderTaskRunner(tasks, planner, join_requests, self.group, self.leadership)
 
--- a/pewterring/node/settings.py
+++ b/pewterring/node/settings.py
@@ -66,6 +66,7 @@
     bounds: Bounds
     cluster: str = ""  # processes talk only with those of the same name
     copy_mb_per_s: float = 0.0  # of a store's state, to each of f new members at once; 0: not given
+    warm_learners: int = 1  # stores beside the voters that keep a copy of a partition's state
     request_log: RequestLogMode = RequestLogMode.OFF  # of late, refused and failed requests at gateways
 
 
@@ -104,7 +105,7 @@
         bootstrap=reader.flag("bootstrap"),
         data_dir=Path(data_dir) if data_dir else None,
         heartbeat_s=reader.number("heartbeat_ms", DEFAULT_HEARTBEAT_MS, least=1) / MILLISECONDS_PER_SECOND,
-        tolerated_machines=int(reader.number("fault_tolerance.machines", 1)),
+        tolerated_machines=(tolerated_machines := int(reader.number("fault_tolerance.machines", 1))),
         memory_mb=int(reader.number("limits.memory_mb", 256)),
         max_descriptors=int(reader.number("limits.max_fds", 1024)),
         cpu_share=reader.number("limits.cpu_share", 1.0),
@@ -112,6 +113,7 @@
         bounds=_bounds(reader),
         cluster=reader.text("cluster_name"),
         copy_mb_per_s=reader.number("limits.copy_mb_per_s", 0.0),
+        warm_learners=int(reader.number("batch.warm_learners", tolerated_machines)),
         request_log=RequestLogMode(reader.one_of("log.requests", tuple(RequestLogMode))),
     )
 
--- a/tests/golden/settings_cases.py
+++ b/tests/golden/settings_cases.py
@@ -54,6 +54,7 @@
     bounds=settings.Bounds(3.1, 2.1, 2.2, 8.5, 5.5, 4.1, 121.0, 3.2, 0.25),
     cluster="blue",
     copy_mb_per_s=12.5,
+    warm_learners=3,
     request_log=settings.RequestLogMode.ALL,
 )
 LEAST_NODE_SETTINGS = settings.NodeSettings(
@@ -77,6 +78,7 @@
     bounds=settings.Bounds(3.0, 2.0, 2.0, 8.0, 5.0, 4.0, 120.0, 3.0, 0.1),
     cluster="",
     copy_mb_per_s=0.0,
+    warm_learners=1,
     request_log=settings.RequestLogMode.OFF,
 )
 
