Control: a machine that no leader has let in asks to join each 0.1 s

Cause: a request that comes before there is a leader is lost, and the next one came 0.5 s later. Until the three seeds have become five voters a group that should bear two losses bears one.

Change: the interval is 0.1 s until a leader is known, 0.5 s afterwards, as before.

--- a/pewterring/control/join_protocol.py
+++ b/pewterring/control/join_protocol.py
@@ -1,4 +1,4 @@
-"""How a machine becomes a member of the control group: it asks every 0.5 s, and the leader takes note.
+"""How a machine becomes a member of the control group: it asks again and again, and the leader takes note.
 
 Owns no state of its own; the leader's notes are `JoinRequests`, from which the membership planner chooses.
 What may go wrong: messages are lost or reach followers, which forward them once; hence the repetition.
@@ -15,6 +15,9 @@
 from pewterring.transport.lines import LinkPool
 
 JOIN_INTERVAL_S = 0.5  # between requests to join; the leader forgets one that is not repeated within 2 s
+# The same for a member that no leader has let in yet. Until the first voters are 2f + 1 the group tolerates
+# fewer losses than it should, and requests that come before there is a leader are lost.
+FIRST_JOIN_INTERVAL_S = 0.1
 
 
 class JoinProtocol:
@@ -48,7 +51,8 @@
             if not self.is_voter:
                 for ip in sorted(self._known_control_ips() - {self.settings.ip}):
                     self._links.send(ip, JoinGroup(self._group.member))
-            await asyncio.sleep(JOIN_INTERVAL_S)
+            has_joined = self._group.leader is not None
+            await asyncio.sleep(JOIN_INTERVAL_S if has_joined else FIRST_JOIN_INTERVAL_S)
 
     def receive(self, now: float, message: JoinGroup) -> None:
         """Notes another member's request as the leader, or forwards it to the leader, once."""
--- a/tests/control/test_join_protocol.py
+++ b/tests/control/test_join_protocol.py
@@ -8,7 +8,7 @@
 
 from pewterring.consensus.group import ReplicatedGroup
 from pewterring.consensus.messages import Membership
-from pewterring.control.join_protocol import JOIN_INTERVAL_S, JoinProtocol
+from pewterring.control.join_protocol import FIRST_JOIN_INTERVAL_S, JOIN_INTERVAL_S, JoinProtocol
 from pewterring.control.join_requests import JoinRequests
 from pewterring.control.leadership import GroupLeadership
 from pewterring.control.messages import JoinGroup
@@ -98,3 +98,17 @@
         run_forever.cancel()
 
     run(scenario())
+
+
+def test_a_member_that_no_leader_has_let_in_asks_more_often() -> None:
+    """Before there is a leader requests are lost, and the group bears fewer losses until it is complete."""
+
+    async def scenario() -> None:
+        joining = Joining(leader=None)
+        run_forever = asyncio.create_task(joining.protocol.run())
+        await asyncio.sleep(2.5 * FIRST_JOIN_INTERVAL_S)
+        targets = {ip for ip, _request in joining.links.sent}
+        assert len(joining.links.sent) == 3 * len(targets)
+        run_forever.cancel()
+
+    run(scenario())
