Storage: what a full disk refused is gone at once, and leaves no segment behind

Test: the disk gets full at each byte of each call in turn (more than 1,000 refusals); after each of them only what counts is on the disk, then the call succeeds and outlasts a loss of power.

--- a/pewterring/storage/group.py
+++ b/pewterring/storage/group.py
@@ -176,8 +176,7 @@
         if self._has_snapshot and index <= self._snapshot_index:
             return
         keeps_entries = self._terms.contains(index, term)
-        with self._fail_stop.stopping_unless_full:
-            self._log.roll(self._segment_head())
+        self._begin_fresh_segment()
         first_segment = self._first_needed_segment(index) if keeps_entries else self._log.last_segment
         self._write_snapshot(SnapshotHeader(index, term, membership, first_segment), data)
         self._snapshot_index = index
@@ -198,6 +197,16 @@
                 self._log.roll(self._segment_head())
             self._log.append(payloads)
 
+    def _begin_fresh_segment(self) -> None:
+        """Ends the last segment, unless nothing was written to it.
+
+        Symptom answered: a snapshot that found no disk space left a new segment behind at each attempt.
+        """
+        if self._log.is_last_segment_fresh:
+            return
+        with self._fail_stop.stopping_unless_full:
+            self._log.roll(self._segment_head())
+
     def _write_snapshot(self, header: SnapshotHeader, data: bytes) -> None:
         with self._fail_stop.stopping_unless_full:
             self._snapshots.write(header, data)
--- a/pewterring/storage/log.py
+++ b/pewterring/storage/log.py
@@ -53,7 +53,6 @@
         self._sizes: dict[int, int] = {}  # valid bytes by segment
         self._last_file: DiskFile | None = None
         self._last_batch = 0  # the last complete one of the last segment
-        self._has_failed_write = False  # whose bytes may be behind the valid ones
         self._fail_stop = FailStop(f"log {self._prefix}*{SEGMENT_SUFFIX}")
 
     @property
@@ -66,6 +65,11 @@
         """The size of the segment that is written to."""
         return self._sizes[self.last_segment]
 
+    @property
+    def is_last_segment_fresh(self) -> bool:
+        """Whether the segment that is written to has only the records that it was started with."""
+        return self._last_batch <= 1
+
     @property
     def size_bytes(self) -> int:
         """The size of all segments."""
@@ -84,7 +88,6 @@
         """
         self.close()
         self._sizes = {}
-        self._has_failed_write = False
         numbers = self._present_segments(first_segment)
         for number in numbers:
             yield from self._read_segment(number, is_last=number == numbers[-1])
@@ -151,20 +154,20 @@
             StorageError: the log must be opened again.
         """
         self._fail_stop.check()
-        self._truncate_failed_write()
         data = encode_batch(payloads, self._last_batch + 1)
-        self._has_failed_write = True
-        with self._fail_stop.stopping_unless_full:
-            self._writable_file.write(data)
-            self._writable_file.sync()
-        self._has_failed_write = False
+        try:
+            with self._fail_stop.stopping_unless_full:
+                self._writable_file.write(data)
+                self._writable_file.sync()
+        except StorageFullError:
+            self._truncate_failed_write()
+            raise
         self._last_batch += 1
         self._sizes[self.last_segment] += len(data)
 
     def roll(self, payloads: Sequence[bytes]) -> None:
         """Starts a new segment with these records, written and synced; raises as `append` does."""
         self._fail_stop.check()
-        self._truncate_failed_write()
         self._start_segment(self.last_segment + 1, payloads)
 
     def remove_before(self, segment: int) -> None:
@@ -221,13 +224,10 @@
             self._disk.sync_folder()
 
     def _truncate_failed_write(self) -> None:
-        """Removes what is left of a failed write, synced, before anything else is written."""
-        if not self._has_failed_write:
-            return
+        """Removes what is left of a failed write, synced: it takes no space while others wait for some."""
         with self._fail_stop.stopping_on_error:
             self._writable_file.truncate(self.last_segment_bytes)
             self._writable_file.sync()
-        self._has_failed_write = False
 
     def _close_last_file(self) -> None:
         if self._last_file is not None:
--- a/tests/storage/test_breakages.py
+++ b/tests/storage/test_breakages.py
@@ -65,7 +65,6 @@
 
     def roll(self: SegmentedLog, _payloads: list[bytes]) -> None:
         self._fail_stop.check()
-        self._truncate_failed_write()
         self._start_segment(self.last_segment + 1, ())
 
     monkeypatch.setattr(SegmentedLog, "roll", roll)
--- a/tests/storage/test_group.py
+++ b/tests/storage/test_group.py
@@ -1,6 +1,7 @@
 """A member's storage: what it returns after crashes equals a plain model."""
 
 import contextlib
+import itertools
 import random
 from collections.abc import Iterable, Iterator
 from pathlib import Path
@@ -147,6 +148,32 @@
     assert loads_as(disk, changed)
 
 
+def test_a_member_that_waits_for_space_has_only_what_counts_on_its_disk() -> None:
+    """The disk gets full at each byte of each call in turn; what a refused call wrote is gone at once."""
+    disk = SimulatedDisk()
+    storage = opened(disk)
+    refusals = 0
+    for _, call, changed in schedule(3):
+        content = {name: disk.read(name) for name in disk.names()}
+        used_bytes = sum(map(len, content.values()))
+        for free_bytes in itertools.count():
+            disk.capacity = used_bytes + free_bytes
+            try:
+                call(storage)
+                break
+            except StorageFullError:
+                refusals += 1
+                left = {name: disk.read(name) for name in disk.names()}
+                assert {name: left.pop(name) for name in content} == content
+                assert len(left) <= 1, "a snapshot that was refused has begun a segment, once"
+                assert all(b'"type":"entry"' not in data for data in left.values())
+        disk.capacity = None
+        disk.lose_power(random.Random(refusals))
+        assert loads_as(disk, changed)
+        storage = opened(disk)
+    assert refusals > 1000
+
+
 def test_a_new_group_on_a_full_disk_is_loaded_and_initialized_once_there_is_free_space() -> None:
     voters = Membership(("a", "b", "c"))
     for free_bytes in range(400):
