Registry: a heartbeat that was held up brings no crashed worker back by itself

Cause: a heartbeat behind a cut, or in a kernel that sends again after a freeze, put a crashed worker back into the table for one silence period, or took an address from the worker that is there now.

Change: where a heartbeat would bring an unresponsive or replaced worker back, its `sequence` and the time at which control last heard the worker say how old it is at least: a live worker calls again within 1.25 times the longer of its period and the time-out of a call. An older one is acknowledged and changes nothing; the next one that comes half a period later is believed. So a worker that was frozen comes back one heartbeat later; one that was cut off and went on calling at once, as before.

--- a/pewterring/registry/workers.py
+++ b/pewterring/registry/workers.py
@@ -16,6 +16,11 @@
 HEARTBEAT_TIMEOUT_PERIODS = 3.5  # without a heartbeat for so many periods a worker counts as unresponsive
 # Periods after which an unresponsive worker is removed, though a gateway may still have answers from it.
 REMOVAL_PERIODS = 50.0
+CALL_TIMEOUT_S = 1.0  # after which a worker gives a heartbeat up and calls another machine (PROTOCOL)
+# A live worker begins its next call within that many times the longer of its period and the time-out. What
+# its calls cannot have taken by this a heartbeat has been on its way.
+SLOWEST_CALL_FACTOR = 1.25
+CONFIRMATION_PERIODS = 0.5  # calls that were held up together arrive together, not one such a time apart
 
 
 @dataclass(slots=True)
@@ -24,6 +29,7 @@
 
     heard_at: float
     sequence: int
+    unconfirmed_at: float | None = None  # when one came that may be late; the next one confirms it
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,6 +49,7 @@
     def __init__(
         self, committed: Mapping[str, WorkerRecord], departed: Set[str], heartbeat_period_s: float
     ) -> None:
+        self._heartbeat_period_s = heartbeat_period_s
         self._heartbeat_timeout_s = HEARTBEAT_TIMEOUT_PERIODS * heartbeat_period_s
         self._removal_s = REMOVAL_PERIODS * heartbeat_period_s
         self._committed = committed
@@ -63,13 +70,40 @@
         contact = self._contacts.get(worker_id)
         if contact is None:
             contact = self._contacts[worker_id] = Contact(now, 0)
+        is_draining = heartbeat.state == RegistrationState.DRAINING
         overtaken = heartbeat.sequence < contact.sequence
-        if overtaken and heartbeat.state != RegistrationState.DRAINING:
+        if not is_draining and (overtaken or self._may_be_late(now, worker_id, contact, heartbeat)):
             return None
         contact.heard_at = now
+        contact.unconfirmed_at = None
         contact.sequence = max(contact.sequence, heartbeat.sequence)
         return self._change(heartbeat.record(worker_id))
 
+    def _may_be_late(self, now: float, worker_id: str, contact: Contact, heartbeat: Heartbeat) -> bool:
+        """Whether a heartbeat would bring a worker back, and was perhaps held up until the worker had ended.
+
+        Symptom answered: a heartbeat behind a cut brought a crashed worker back, or took an address from the
+        worker that is there now. One that shows by its number that the worker went on calling is believed, as
+        is the next one that comes a while after the first.
+        """
+        if not contact.sequence or not self._would_bring_back(worker_id, heartbeat):
+            return False
+        calls = heartbeat.sequence - contact.sequence
+        slowest_call_s = SLOWEST_CALL_FACTOR * max(self._heartbeat_period_s, CALL_TIMEOUT_S)
+        least_age_s = now - contact.heard_at - calls * slowest_call_s
+        if least_age_s <= slowest_call_s:
+            return False
+        if contact.unconfirmed_at is None:
+            contact.unconfirmed_at = now
+        return now - contact.unconfirmed_at < CONFIRMATION_PERIODS * self._heartbeat_period_s
+
+    def _would_bring_back(self, worker_id: str, heartbeat: Heartbeat) -> bool:
+        """Whether the worker is unresponsive, or was removed and another one is at its address."""
+        committed = self._committed.get(worker_id)
+        if committed is not None:
+            return committed.state == RegistrationState.UNRESPONSIVE
+        return any(worker.address == heartbeat.address for worker in self._committed.values())
+
     def _change(self, record: WorkerRecord) -> WorkerRecord | None:
         """The record where it differs from the committed one; draining is never taken back."""
         committed = self._committed.get(record.id)
@@ -103,11 +137,11 @@
         return self._removal_s if is_unresponsive else self._heartbeat_timeout_s
 
     def _forget_removed(self, now: float) -> None:
-        """Drops contacts of workers that are no longer committed, once overtaken heartbeats are past."""
+        """Drops contacts of workers that are no longer committed, once heartbeats held up are past."""
         forgotten = [
             worker_id
             for worker_id, contact in self._contacts.items()
-            if now - contact.heard_at > 2 * self._heartbeat_timeout_s and worker_id not in self._committed
+            if now - contact.heard_at > self._removal_s and worker_id not in self._committed
         ]
         for worker_id in forgotten:
             del self._contacts[worker_id]
