Cluster recover: one control machine goes on alone after a majority's disks are lost

Cause: a group without a majority never leads again, and a group that was begun anew has terms that gateways refuse until they restart.

--- a/pewterring/cli/cluster.py
+++ b/pewterring/cli/cluster.py
@@ -11,6 +11,7 @@
 import msgspec
 import orjson
 
+from pewterring.cli import recover
 from pewterring.cli.errors import CommandError, UsageError
 from pewterring.cli.parser import add_subcommands
 from pewterring.configuration.patch import is_patch
@@ -40,6 +41,8 @@
     )
     _add_control(configure)
     configure.set_defaults(run=_configure)
+    about = "has one control machine go on alone after a majority of them has lost its disks"
+    recover.configure(commands.add_parser("recover", help=about, description=about))
 
 
 def _add_control(parser: argparse.ArgumentParser) -> None:
--- a/pewterring/consensus/errors.py
+++ b/pewterring/consensus/errors.py
@@ -43,6 +43,10 @@
     """The change of membership is not allowed now and nothing was done; the text says why."""
 
 
+class RecoveryRefusedError(ConsensusError):
+    """The member cannot go on alone, or need not; nothing was changed, and the text says what was found."""
+
+
 class InvariantError(ConsensusError):
     """A rule of the protocol was broken, such as a committed entry that would be overwritten.
 
--- a/tests/cli/test_bad_data.py
+++ b/tests/cli/test_bad_data.py
@@ -29,7 +29,7 @@
 def _of_a_later_version(folder: Path, group: str) -> str:
     """Gives the log a format of its own; the snapshot is of a state that nobody gets to read."""
     _fill(folder, group, b"{}")
-    name = f"{group}.00000002.log"
+    name = max(path.name for path in folder.glob(f"{group}.*.log"))
     record = read_record((folder / name).read_bytes(), 0)
     assert record is not None
     head = {**msgspec.json.decode(record.payload), "format": 99}
