Datagrams are taken from processes that the tables name, and from no others

Cause: heartbeats of admission in fleets without relays, and hints of prompts and waits, carry no cluster's name; those of another cluster, whose process has an address that one of this fleet had, were believed.

Change: the sender's address must be in the tables, as the exchange by relays had it already. A process gets into the tables by a feed session, whose greeting names the cluster.

Tests: routing/test_heartbeats.py, gateway/test_prompt_exchange.py; both fail without the change. The stand-in for control in batch/test_program.py lists the gateway whose heartbeats the stores hear.

--- a/pewterring/gateway/prompt_exchange.py
+++ b/pewterring/gateway/prompt_exchange.py
@@ -34,7 +34,8 @@
         rng: random.Random,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
-        self.peers: tuple[str, ...] = ()
+        self._peers: tuple[str, ...] = ()
+        self._known_peers: frozenset[str] = frozenset()
         self._ip = ip
         self._port_number = port
         self._chooser = chooser
@@ -44,6 +45,16 @@
         self._wait_budget = HintBudget(clock())
         self._port = DatagramPort(self._receive)
 
+    @property
+    def peers(self) -> tuple[str, ...]:
+        """The addresses of all gateways, by the tables. Hints of others are not taken."""
+        return self._peers
+
+    @peers.setter
+    def peers(self, peers: tuple[str, ...]) -> None:
+        self._peers = peers
+        self._known_peers = frozenset(peers)
+
     async def start(self) -> None:
         """Opens the port.
 
@@ -77,14 +88,16 @@
 
     def _send(self, data: bytes, budget: HintBudget) -> None:
         """Sends to all other gateways, or to as many of them as the budget allows."""
-        others = [peer for peer in self.peers if peer != self._ip]
+        others = [peer for peer in self._peers if peer != self._ip]
         allowed = budget.take(self._clock(), len(data), len(others))
         if allowed < len(others):
             others = self._rng.sample(others, allowed)
         for peer in others:
             self._port.send(peer, data)
 
-    def _receive(self, data: bytes, _ip: str) -> None:
+    def _receive(self, data: bytes, ip: str) -> None:
+        if ip not in self._known_peers:  # no greeting names the sender
+            return
         wait = read_wait_hint(data)
         if wait is not None:
             congested = self._chooser.by_number(wait.worker)
--- a/pewterring/routing/heartbeats.py
+++ b/pewterring/routing/heartbeats.py
@@ -115,7 +115,7 @@
             self._exchange.receive(self._clock(), ip, data)
             return
         heard = read_heartbeat(data)
-        if heard is None:
+        if heard is None or ip not in self._peers:  # no greeting names the sender
             return
         kind, beats = heard
         peer = peer_number(ip)
--- a/tests/batch/test_program.py
+++ b/tests/batch/test_program.py
@@ -82,7 +82,8 @@
     """Tells stores of one another; places the partition once three are there."""
 
     def __init__(self, worker: WorkerRecord) -> None:
-        self.nodes: dict[str, NodeRecord] = {}
+        gateway = NodeRecord("edge-1", "gateway", GATEWAY_IP, "z", "life")
+        self.nodes = {gateway.node_id: gateway}
         self.worker = worker
         self.placements: tuple[PlacementRecord, ...] = ()
         self.version = 1
@@ -121,8 +122,8 @@
     def see(self, node: NodeRecord) -> None:
         self.nodes[node.node_id] = node
         self.version += 1
-        if len(self.nodes) == len(STORE_IPS) and not self.placements:
-            voters = tuple(record.member for record in self.nodes.values())
+        voters = tuple(record.member for record in self.nodes.values() if record.member)
+        if len(voters) == len(STORE_IPS) and not self.placements:
             self.placements = (PlacementRecord("batch-0", voters),)
 
     def versions(self) -> TableVersions:
--- a/tests/routing/test_heartbeats.py
+++ b/tests/routing/test_heartbeats.py
@@ -15,6 +15,7 @@
     RELAYED_FLEET,
     AdmissionHeartbeats,
     needs_relays,
+    peer_number,
     rounds_apart,
 )
 from pewterring.standalone.peer_messages import Beat, write_beat
@@ -130,3 +131,22 @@
         peers.close()
 
     asyncio.run(scenario())
+
+
+def test_a_datagram_of_a_process_that_no_table_names_is_dropped() -> None:
+    """Another cluster's, say, whose address this fleet had before."""
+
+    async def scenario() -> None:
+        fleet, stranger = Peers(3), Peers(4)
+        await fleet.start()
+        outsider = AdmissionHeartbeats(stranger.ips[3], fleet.all[0].port, GATEWAY, lambda *_: None)
+        await outsider.start()
+        outsider.send({SERVICE: write_beat(Beat(1, 1, 8.0, 1, 1.0, 1.0))}, stranger.nodes)
+        numbers = {peer_number(ip) for ip in fleet.ips}
+        others = {ip: numbers - {peer_number(ip)} for ip in fleet.ips}
+        await fleet.send_until(lambda: all(others[ip] <= heard for ip, heard in fleet.beats.items()))
+        assert fleet.beats == others
+        outsider.close()
+        fleet.close()
+
+    asyncio.run(scenario())
