--- a/tests/simulation/breakages.py
+++ b/tests/simulation/breakages.py
@@ -93,6 +93,29 @@
     return mock.patch.object(LeaderRole, "advance_commit", advance_commit)
 
 
+def votes_again_at_once() -> Any:
+    """A member that has just started votes at once, though a leader may still count on its silence."""
+    real = MemberState.__init__
+
+    def begin(self: MemberState, *args: Any, **named: Any) -> None:
+        real(self, *args, **named)
+        self.votes_withheld_until = 0.0
+
+    return mock.patch.object(MemberState, "__init__", begin)
+
+
+def own_unsaved_counted() -> Any:
+    """A leader counts its own entries towards a majority before they are on its disk."""
+    real = LeaderRole.match
+
+    def match(self: LeaderRole, member: str) -> int:
+        if member == self._state.member:
+            return self._state.log.last_index
+        return real(self, member)
+
+    return mock.patch.object(LeaderRole, "match", match)
+
+
 def departure_ignored() -> Any:
     """A leader ignores the departure that a voter announced."""
     return mock.patch.object(LeaderRole, "is_departing", return_value=False)
