--- a/tests/observability/test_log.py
+++ b/tests/observability/test_log.py
@@ -2,7 +2,10 @@
 
 import json
 import logging
+import subprocess
+import sys
 from collections.abc import Iterator
+from pathlib import Path
 from typing import Any
 
 import pytest
@@ -11,6 +14,9 @@
 from pewterring.observability.event_thinner import BURST_RECORDS, PERIOD_S
 from pewterring.observability.log import JsonLineSink, configure_log
 
+ROOT = Path(__file__).resolve().parents[2]
+PATIENCE_S = 30.0
+
 
 class WrittenLog:
     """Collects what the sink writes, at a time that the test moves."""
@@ -97,3 +103,27 @@
     assert record["message"] == "task 7 failed"
     assert record["level"] == "warning"
     assert record["program"] == "gateway"
+
+
+LOGS_WITHOUT_ROOM = """
+from loguru import logger
+from pewterring.observability.log import configure_log
+configure_log({"program": "store"})
+for number in range(1000):
+    logger.bind(event="e", number=number).warning("x" * 100)
+print("goes on")
+"""
+
+
+@pytest.mark.skipif(not Path("/dev/full").exists(), reason="the system has no device that is always full")
+def test_a_full_disk_under_the_log_ends_nothing() -> None:
+    with Path("/dev/full").open("w") as full:
+        done = subprocess.run(
+            [sys.executable, "-c", LOGS_WITHOUT_ROOM],
+            cwd=ROOT,
+            stdout=subprocess.PIPE,
+            stderr=full,
+            text=True,
+            timeout=PATIENCE_S,
+        )
+    assert (done.returncode, done.stdout) == (0, "goes on\n")
