--- a/tests/simulation/test_growth.py
+++ b/tests/simulation/test_growth.py
@@ -1,26 +1,28 @@
 """How long a new control group tolerates fewer losses than it should: until its seeds are 2f + 1 voters."""
 
-import pytest
-
 from tests.simulation.patches import installed
 from tests.simulation.schedule import Role
-from tests.simulation.world import START_S, World
+from tests.simulation.world import World
 
 STEP_S = 0.01
-LATEST_LEADER_S = 0.8  # the longest election time-out; nothing is known of an earlier leader
-GROWN_S = 0.6  # from the first leader, or the last start, to 2f + 1 voters that hold everything
+GROWN_S = 0.6  # from the first leader to 2f + 1 voters that hold everything; machines start within 0.3 s
+PATIENCE_S = 10.0
 
 
-def seconds_until_grown(seed: int, tolerated: int) -> float:
-    """Returns the time from the first start to 2f + 1 voters on whose disks everything is."""
+def seconds_from_leader_to_growth(seed: int, tolerated: int) -> float:
+    """Returns the time from the first leader to 2f + 1 voters on whose disks everything is."""
     world = World(seed, tolerated)
+    led_at: float | None = None
     with installed(world):
         while not _has_grown(world):
             world.run(world.loop.time() + STEP_S)
-            assert world.loop.time() < 10.0
+            if led_at is None and world.leader(Role.CONTROL) is not None:
+                led_at = world.loop.time()
+            assert world.loop.time() < PATIENCE_S
     world.loop.close()
     assert not world.failed
-    return world.loop.time()
+    assert led_at is not None
+    return world.loop.time() - led_at
 
 
 def _has_grown(world: World) -> bool:
@@ -32,6 +34,6 @@
     return len(holders) == 2 * world.tolerated + 1
 
 
-@pytest.mark.parametrize("seed", range(1, 9))
-def test_three_seeds_become_five_voters_soon_after_their_first_leader(seed: int) -> None:
-    assert seconds_until_grown(seed, 2) < START_S[1] + LATEST_LEADER_S + GROWN_S
+def test_three_seeds_become_five_voters_soon_after_their_first_leader() -> None:
+    times = {seed: seconds_from_leader_to_growth(seed, 2) for seed in range(1, 16)}
+    assert max(times.values()) < GROWN_S, times
