Readable code: cli and local by the field's terms, without lint exceptions

What commands print and take is the same (tests/golden unchanged). The one exception left by name is the process's outermost edge in cli/tier.py, with its reason.

--- a/pewterring/cli/__init__.py
+++ b/pewterring/cli/__init__.py
@@ -1,2 +1,4 @@
-"""The command line: sub-commands on argparse. `serve` and the tier's programs do not come this way (see
-__main__)."""
+"""The command line: sub-commands on argparse.
+
+`serve` and the tier's programs do not come this way (see `__main__`).
+"""
--- a/pewterring/cli/completion.py
+++ b/pewterring/cli/completion.py
@@ -4,10 +4,10 @@
 from collections.abc import Iterator, Mapping, Sequence
 
 from pewterring.cli.errors import UsageError
-from pewterring.cli.parser import COMMANDS, PROGRAM, make_parser
+from pewterring.cli.parser import COMMANDS, PROGRAM, Parser, make_parser
 
 FUNCTION = "_PEWTERRING_COMPLETE"
-WORDS_OF_A_COMMAND = 2  # at most: `lab run`
+LONGEST_COMMAND = 2  # names in it: `lab run`
 
 
 def configure(parser: argparse.ArgumentParser) -> None:
@@ -18,11 +18,11 @@
 
 
 def _completion(given: argparse.Namespace) -> None:
-    words = {path: sorted(offered) for path, offered in _words(_whole_parser())}
-    print(_fish(words) if given.shell == "fish" else _bash(words, zsh=given.shell == "zsh"))
+    offers = {path: sorted(offered) for path, offered in _offers(_complete_parser())}
+    print(_fish(offers) if given.shell == "fish" else _bash(offers, zsh=given.shell == "zsh"))
 
 
-def _whole_parser() -> argparse.ArgumentParser:
+def _complete_parser() -> Parser:
     """All commands whose libraries are there."""
     names = []
     for command in COMMANDS:
@@ -36,23 +36,17 @@
     return make_parser(names)
 
 
-def _words(
-    parser: argparse.ArgumentParser, path: tuple[str, ...] = ()
-) -> Iterator[tuple[tuple[str, ...], set[str]]]:
+def _offers(parser: Parser, path: tuple[str, ...] = ()) -> Iterator[tuple[tuple[str, ...], set[str]]]:
     """Each command's path with what may follow it."""
-    options = {option for action in parser._actions for option in action.option_strings}
-    commands: dict[str, argparse.ArgumentParser] = {}
-    for action in parser._actions:
-        if isinstance(action, argparse._SubParsersAction):
-            commands.update(action.choices)
-    yield path, options | set(commands)
+    commands = parser.parser_by_command
+    yield path, parser.options | set(commands)
     for name, command in commands.items():
-        yield from _words(command, (*path, name))
+        yield from _offers(command, (*path, name))
 
 
-def _bash(words: Mapping[tuple[str, ...], Sequence[str]], zsh: bool) -> str:
+def _bash(offers: Mapping[tuple[str, ...], Sequence[str]], zsh: bool) -> str:
     cases = "\n".join(
-        f'    "{" ".join(path)}") words="{" ".join(offered)}" ;;' for path, offered in words.items()
+        f'    "{" ".join(path)}") words="{" ".join(offered)}" ;;' for path, offered in offers.items()
     )
     head = "autoload -U +X bashcompinit && bashcompinit\n" if zsh else ""
     return f"""{head}{FUNCTION}() {{
@@ -61,7 +55,7 @@
     case "$word" in -*) break ;; esac
     path="${{path:+$path }}$word"
   done
-  path=$(echo "$path" | cut -d' ' -f1-{WORDS_OF_A_COMMAND})
+  path=$(echo "$path" | cut -d' ' -f1-{LONGEST_COMMAND})
   case "$path" in
 {cases}
   esac
@@ -70,13 +64,13 @@
 complete -o default -F {FUNCTION} {PROGRAM}"""
 
 
-def _fish(words: Mapping[tuple[str, ...], Sequence[str]]) -> str:
-    lines = [f"# {FUNCTION}"]
-    for path, offered in words.items():
+def _fish(offers: Mapping[tuple[str, ...], Sequence[str]]) -> str:
+    script = [f"# {FUNCTION}"]
+    for path, offered in offers.items():
         used = " ".join(path)
         condition = f"__fish_seen_subcommand_from {used}" if path else "__fish_use_subcommand"
-        for word in (word for word in offered if not word.startswith("-")):
-            lines.append(f"complete -c {PROGRAM} -n '{condition}' -a {word}")
-        for word in (word for word in offered if word.startswith("--")):
-            lines.append(f"complete -c {PROGRAM} -n '{condition}' -l {word[2:]}")
-    return "\n".join(lines)
+        for command in (each for each in offered if not each.startswith("-")):
+            script.append(f"complete -c {PROGRAM} -n '{condition}' -a {command}")
+        for option in (each for each in offered if each.startswith("--")):
+            script.append(f"complete -c {PROGRAM} -n '{condition}' -l {option[2:]}")
+    return "\n".join(script)
--- a/pewterring/cli/gatekeeper_settings.py
+++ b/pewterring/cli/gatekeeper_settings.py
@@ -18,7 +18,7 @@
 from pewterring.standalone.config import CONFIG, DISCOVERY, LISTEN, NAME, ConfigError, load
 from pewterring.standalone.settings import Fields, flatten, read_all, slips
 
-T = TypeVar("T")
+Value = TypeVar("Value")
 # The file's own keys: kind, the environment's variable that stands in, the default, what it is.
 TOP: dict[str, tuple[str, str, object, str]] = {
     "name": ("string", NAME, "", "the gatekeeper's name"),
@@ -50,49 +50,57 @@
     value: object
     given: bool
     required: bool
-    words: tuple[str, ...] = ()
+    choices: tuple[str, ...] = ()
 
 
-class Noting(Fields):
-    """Fields that note what is read of them."""
+class RecordingFields(Fields):
+    """Fields that record what is read of them. Each method reads as the one of `Fields` does."""
 
     def __init__(self, values: Mapping[str, str]) -> None:
         super().__init__("settings", values)
         self.seen: dict[str, Read] = {}
 
-    def note(self, name: str, kind: str, value: T, default: object, words: tuple[str, ...] = ()) -> T:
-        self.seen[name] = Read(kind, value, name in self.values, default is None, words)
+    def record(
+        self, name: str, kind: str, value: Value, default: object, choices: tuple[str, ...] = ()
+    ) -> Value:
+        """Records what was read; returns the value."""
+        self.seen[name] = Read(kind, value, name in self.values, default is None, choices)
         return value
 
     def text(self, name: str, default: str | None = None) -> str:
-        return self.note(name, "string", super().text(name, default), default)
+        """A text."""
+        return self.record(name, "string", super().text(name, default), default)
 
     def whole(self, name: str, default: int | None = None) -> int:
-        return self.note(name, "integer", super().whole(name, default), default)
+        """An integer."""
+        return self.record(name, "integer", super().whole(name, default), default)
 
     def number(
         self, name: str, default: float | None = None, least: float = -math.inf, most: float = math.inf
     ) -> float:
-        return self.note(name, "number", super().number(name, default, least, most), default)
+        """A number between `least` and `most`."""
+        return self.record(name, "number", super().number(name, default, least, most), default)
 
     def seconds(self, name: str, default: float | None = None) -> float:
-        return self.note(name, "nanoseconds", super().seconds(name, default), default)
+        """Seconds; the file has nanoseconds."""
+        return self.record(name, "nanoseconds", super().seconds(name, default), default)
 
     def flag(self, name: str, default: bool | None = None) -> bool:
-        return self.note(name, "boolean", super().flag(name, default), default)
+        """True or false."""
+        return self.record(name, "boolean", super().flag(name, default), default)
 
-    def word(self, name: str, words: dict[str, T], default: str | None = None) -> T:
+    def word(self, name: str, words: dict[str, Value], default: str | None = None) -> Value:
+        """What one of `words` stands for."""
         found = super().word(name, words, default)
-        said = self.values.get(name, default)
-        self.note(name, "word", said, default, tuple(words))
+        self.record(name, "word", self.values.get(name, default), default, tuple(words))
         return found
 
 
-def noted(tree: object) -> Noting:
+def noted(tree: object) -> RecordingFields:
     """What the reader of settings asks of them. Raises ConfigError."""
     if not isinstance(tree, dict):
         raise ConfigError("settings: not an object")
-    fields = Noting(dict(flatten(tree)))
+    fields = RecordingFields(dict(flatten(tree)))
     try:
         read_all(fields)
     except ValueError as error:
@@ -110,6 +118,7 @@
 
 
 def given_keys(tree: dict[str, Any]) -> Iterator[str]:
+    """The keys of a configuration, those of `limits` with their path."""
     for key, value in tree.items():
         if key == "limits" and isinstance(value, dict):
             yield from (f"limits.{name}" for name in value)
@@ -191,6 +200,7 @@
 
 
 def json_schema() -> dict[str, Any]:
+    """A JSON Schema of the configuration."""
     root: dict[str, Any] = {
         "$schema": "https://json-schema.org/draft/2020-12/schema",
         "title": "pewterring configuration",
@@ -199,23 +209,23 @@
         "required": ["settings"],
     }
     for key, (kind, variable, _, about) in TOP.items():
-        words = f"{about}; {variable} stands in where it is missing" if variable else about
-        place(root, key.split("."), {**KINDS[kind], "description": words}, False)
+        description = f"{about}; {variable} stands in where it is missing" if variable else about
+        insert_leaf(root, key.split("."), {**KINDS[kind], "description": description}, False)
     root["properties"]["seed"] = {"type": ["string", "integer"], "description": TOP["seed"][3]}
     settings = root["properties"]["settings"]
     for name, read in noted(SAMPLE).seen.items():
         if name.endswith(".count"):
             continue
         leaf = dict(KINDS[read.kind])
-        if read.words:
-            leaf["enum"] = list(read.words)
+        if read.choices:
+            leaf["enum"] = list(read.choices)
         if not read.required and read.kind != "nanoseconds":
             leaf["default"] = read.value
-        place(settings, name.split("."), leaf, read.required)
+        insert_leaf(settings, name.split("."), leaf, read.required)
     return root
 
 
-def place(node: dict[str, Any], steps: list[str], leaf: dict[str, Any], required: bool) -> None:
+def insert_leaf(node: dict[str, Any], steps: list[str], leaf: dict[str, Any], required: bool) -> None:
     """Puts a leaf into a schema, with the objects and lists on its way."""
     step, *rest = steps
     properties = node.setdefault("properties", {})
@@ -226,5 +236,6 @@
         return
     if rest[0].isdigit():
         inner = properties.setdefault(step, {"type": "array", "items": {"type": "object"}})["items"]
-        return place(inner, rest[1:], leaf, required)
-    place(properties.setdefault(step, {"type": "object"}), rest, leaf, required)
+        insert_leaf(inner, rest[1:], leaf, required)
+    else:
+        insert_leaf(properties.setdefault(step, {"type": "object"}), rest, leaf, required)
--- a/pewterring/cli/lab.py
+++ b/pewterring/cli/lab.py
@@ -98,7 +98,7 @@
             first, last = text.split("..")
             seeds = list(range(int(first), int(last) + 1))
         else:
-            seeds = [int(n) for n in text.split(",")]
+            seeds = [int(seed) for seed in text.split(",")]
     except ValueError as error:
         raise UsageError(f"{text}: not FIRST..LAST nor N,N,...") from error
     if not seeds or min(seeds) < 0:
@@ -107,8 +107,9 @@
 
 
 def progress(total: int, what: str) -> tuple[Any, Callable[[Any], None]]:
+    """A progress bar, and what moves it on by one run."""
     bar = tqdm(total=total, desc=what, unit="run", disable=not sys.stderr.isatty())
-    return bar, lambda entry: bar.update(1)
+    return bar, lambda _entry: bar.update(1)
 
 
 def _configure_run(parser: argparse.ArgumentParser) -> None:
@@ -129,7 +130,7 @@
 
         plots.form_of(given.plot)
     result, world = experiment.run(given.scenario, given.sets, given.seed, given.policy)
-    hand_out(result, given.out, given.plot, given.json, world.scenario.faults)
+    write_result(result, given.out, given.plot, given.json, world.scenario.faults)
     if not result.broken:
         return 0
     assert world.broken is not None
@@ -141,7 +142,7 @@
     return RULE_BROKEN
 
 
-def hand_out(
+def write_result(
     result: Result,
     out: str | None,
     plot_to: str | None,
@@ -162,13 +163,15 @@
 
 
 def origin(result: Result) -> str:
+    """How the figures came about."""
     return "measured on loopback" if result.policy == "loopback" else "emulated"
 
 
 def report(result: Result) -> list[str]:
+    """The lines of a run's report."""
     counts = result.counts
     ended = ("tries", "served", "late", "refused", "failed", "attempts")
-    lines = [
+    return [
         f"{result.scenario}, {result.policy}, seed {result.seed}: {result.gatekeepers} gatekeepers, "
         f"{result.workers} workers, {result.duration_s:g} s ({origin(result)})",
         f"G {result.g:.3f}   served {result.served:.3f}",
@@ -176,19 +179,25 @@
         "latency " + ", ".join(f"{name} {value:.3f} s" for name, value in result.latency.items()),
         "",
         f"{'taken off G':<24}{'':>8}",
-        *(f"  {name:<22}{value:>8.4f}" for name, value in sorted(result.prices.items(), key=lambda p: -p[1])),
+        *(
+            f"  {name:<22}{value:>8.4f}"
+            for name, value in sorted(result.prices.items(), key=lambda price: -price[1])
+        ),
         f"{'tries refused':<24}{'in all':>8}{'with room':>12}",
-        *(f"  {name:<22}{n:>8}{result.refused_with_room[name]:>12}" for name, n in result.refused.items()),
+        *(
+            f"  {name:<22}{count:>8}{result.refused_with_room[name]:>12}"
+            for name, count in result.refused.items()
+        ),
         f"{'units sent on':<24}{'in all':>8}{'beyond quota':>14}",
         *(
-            f"  {name:<22}{n:>8.0f}{result.beyond_units[name]:>14.0f}"
-            for name, n in result.sent_units.items()
+            f"  {name:<22}{units:>8.0f}{result.beyond_units[name]:>14.0f}"
+            for name, units in result.sent_units.items()
         ),
     ]
-    return lines
 
 
 def show_trail(trail: Sequence[tuple[float, str]]) -> None:
+    """Prints what happened to one request, with the times in seconds."""
     for at, text in trail:
         print(f"{at:10.4f} s  {text}")
 
@@ -372,7 +381,7 @@
 
         plots.form_of(given.plot)
     result = loading.load(given.scenario, tuple(given.sets), given.seed, given.target, given.logs)
-    hand_out(result, given.out, given.plot, given.json)
+    write_result(result, given.out, given.plot, given.json)
     counts = result.counts
     if not given.json:
         names = ("wrong_bodies", "never_answered", "crashed")
@@ -384,7 +393,7 @@
     return RULE_BROKEN if result.broken or counts["wrong_bodies"] or counts["crashed"] else 0
 
 
-def show_schema(given: argparse.Namespace) -> int:
+def show_schema(_given: argparse.Namespace) -> int:
     """Prints the scenario format as JSON Schema."""
     print(json.dumps(schema.json_schema(), indent=2))
     return 0
--- a/pewterring/cli/local.py
+++ b/pewterring/cli/local.py
@@ -12,7 +12,7 @@
 from pewterring.cli.errors import DONE, CommandError, UsageError
 from pewterring.local import sample
 from pewterring.local.layout import DEFAULT_NETWORK, Layout, LayoutError
-from pewterring.local.processes import ProcessEnded
+from pewterring.local.processes import ProcessEndedError
 from pewterring.local.tier import LocalTier, TierError
 
 START_S = 30.0
@@ -48,7 +48,7 @@
         asyncio.run(_serve(Layout(given.network, folder.absolute()), given.start_s, given.try_out))
     except LayoutError as error:
         raise UsageError(str(error)) from error
-    except (ProcessEnded, TierError, OSError) as error:
+    except (ProcessEndedError, TierError, OSError) as error:
         raise CommandError(f"{error}\nits logs are kept in {folder}") from error
     if given.folder is None:
         shutil.rmtree(folder, ignore_errors=True)
@@ -86,7 +86,7 @@
     job_file = layout.folder / sample.JOB_FILE
     job_file.write_text(json.dumps(sample.job()), encoding="utf-8")
     print(f"A tier serves on {layout.network}.*; settings, logs and data are in {layout.folder}\n")
-    print(f"A stream:\n\n    {sample.stream_line(front)}\n")
-    print(f"A batch job and its results:\n\n    {sample.job_line(front, str(job_file))}\n")
+    print(f"A stream:\n\n    {sample.stream_command(front)}\n")
+    print(f"A batch job and its results:\n\n    {sample.job_command(front, str(job_file))}\n")
     print(f"Its state:\n\n    pewterring cluster status --control {layout.control_addresses()[0]}\n")
     print("Ctrl-C ends it.", flush=True)
--- a/pewterring/cli/main.py
+++ b/pewterring/cli/main.py
@@ -1,6 +1,5 @@
 """Reads the command line and runs one command. Each command's module is loaded when it is used."""
 
-import argparse
 import os
 import sys
 from collections.abc import Sequence
@@ -15,18 +14,8 @@
     try:
         status = _run(list(argv))
         sys.stdout.flush()
-        return status
-    except CommandError as error:
-        print(f"{PROGRAM}: {error}", file=sys.stderr)
-        return error.status
-    except ModuleNotFoundError as error:
-        if (error.name or "").startswith(PROGRAM):
-            raise
-        print(f"{PROGRAM}: this needs {error.name}; install {PROGRAM}[tier]", file=sys.stderr)
-        return USAGE_ERROR
-    except ConfigError as error:
-        print(f"{PROGRAM}: {error}", file=sys.stderr)
-        return USAGE_ERROR
+    except (CommandError, ConfigError, ModuleNotFoundError) as error:
+        return _report(error)
     except BrokenPipeError:  # whoever reads the output has read enough
         os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
         return FAILED
@@ -34,10 +23,26 @@
         return INTERRUPTED
     except SystemExit as end:  # of argparse, after help and version
         return end.code if isinstance(end.code, int) else FAILED
+    return status
+
+
+def _report(error: CommandError | ConfigError | ModuleNotFoundError) -> int:
+    """Prints why a command ended, in one line; returns the exit status.
+
+    Raises:
+        ModuleNotFoundError: A module of this program is missing, which is a fault of its own.
+    """
+    text = str(error)
+    if isinstance(error, ModuleNotFoundError):
+        if (error.name or "").startswith(PROGRAM):
+            raise error
+        text = f"this needs {error.name}; install {PROGRAM}[tier]"
+    print(f"{PROGRAM}: {text}", file=sys.stderr)
+    return error.status if isinstance(error, CommandError) else USAGE_ERROR
 
 
 def _run(argv: list[str]) -> int:
-    name = next((word for word in argv if not word.startswith("-")), "")
+    name = next((each for each in argv if not each.startswith("-")), "")
     parser = make_parser((name,))
     given = parser.parse_args(argv)
     run = getattr(given, "run", None)
@@ -47,10 +52,6 @@
     return int(run(given) or DONE)
 
 
-def _used_parser(parser: Parser, argv: Sequence[str]) -> argparse.ArgumentParser:
+def _used_parser(parser: Parser, argv: Sequence[str]) -> Parser:
     """The parser of the command that was named without one of its own commands."""
-    for action in parser._actions:
-        if isinstance(action, argparse._SubParsersAction) and argv and argv[0] in action.choices:
-            found: argparse.ArgumentParser = action.choices[argv[0]]
-            return found
-    return parser
+    return parser.parser_by_command.get(argv[0], parser) if argv else parser
--- a/pewterring/cli/parser.py
+++ b/pewterring/cli/parser.py
@@ -2,9 +2,9 @@
 
 import argparse
 import importlib
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
-from typing import NoReturn
+from typing import NoReturn, Protocol, cast
 
 from pewterring import __version__
 from pewterring.cli.errors import UsageError
@@ -59,9 +59,20 @@
     """A parser whose errors are `UsageError`."""
 
     def __init__(self, *args: object, **named: object) -> None:
+        self.commands: Subcommands | None = None
         named = {"formatter_class": HelpFormatter, "allow_abbrev": False, **named}
         super().__init__(*args, **named)  # type: ignore[arg-type]
 
+    @property
+    def options(self) -> set[str]:
+        """All options of this command, in each of their forms."""
+        return {option for action in self._actions for option in action.option_strings}
+
+    @property
+    def parser_by_command(self) -> Mapping[str, "Parser"]:
+        """The parsers of its own commands."""
+        return {} if self.commands is None else self.commands.choices
+
     def error(self, message: str) -> NoReturn:
         """Raises instead of printing the usage and ending the process."""
         raise UsageError(f"{message}; see {self.prog} --help")
@@ -71,16 +82,27 @@
     """Prints the version and ends."""
 
     def __call__(self, parser: argparse.ArgumentParser, *_: object) -> NoReturn:
+        """Part of `argparse.Action`."""
         print(f"{PROGRAM} {__version__}")
         parser.exit(0)
 
 
-Subcommands = argparse._SubParsersAction  # the standard library gives its type no public name
+class Subcommands(Protocol):
+    """The commands of a command. The standard library gives the type no public name."""
+
+    choices: Mapping[str, "Parser"]
+
+    def add_parser(self, name: str, **named: object) -> argparse.ArgumentParser:
+        """Adds a command, and returns its parser."""
+        ...
 
 
-def add_subcommands(parser: argparse.ArgumentParser) -> "Subcommands[argparse.ArgumentParser]":
+def add_subcommands(parser: argparse.ArgumentParser) -> Subcommands:
     """Where the commands of a command are added."""
-    return parser.add_subparsers(title="Commands", metavar="COMMAND", dest="command", parser_class=Parser)
+    made = parser.add_subparsers(title="Commands", metavar="COMMAND", dest="command", parser_class=Parser)
+    commands = cast(Subcommands, made)
+    cast(Parser, parser).commands = commands
+    return commands
 
 
 def make_parser(names: Sequence[str]) -> Parser:
--- a/pewterring/cli/serving.py
+++ b/pewterring/cli/serving.py
@@ -1,5 +1,7 @@
-"""What `serve` and `check` do. Nothing here or on the way here imports the command line's library: see
-__main__."""
+"""What `serve` and `check` do.
+
+Nothing here or on the way here imports the command line's library: see `__main__`.
+"""
 
 import asyncio
 import contextlib
@@ -9,13 +11,14 @@
 
 
 def serve(path: str | None) -> int:
+    """Serves by the configuration at `path` until SIGTERM; returns the exit status."""
     from pewterring.standalone.log import Log
     from pewterring.standalone.proxy.service import Service
 
     service: Service | None = None
     hung_up = False
 
-    def on_hang_up(number: int, frame: object) -> None:
+    def on_hang_up(_number: int, _frame: object) -> None:
         # Not the loop's own handler: that one goes with the loop, and one just before the end would kill.
         nonlocal hung_up
         hung_up = True
@@ -42,6 +45,7 @@
 
 
 def check(path: str | None) -> int:
+    """Prints what the configuration at `path` says; returns the exit status."""
     config = load(path)
     settings = config.settings
     workers = len(config.known.entries) if config.known else 0
--- a/pewterring/cli/tally.py
+++ b/pewterring/cli/tally.py
@@ -12,12 +12,15 @@
 
 MEANS = ("limit", "whole", "demands", "elsewhere", "usual", "peers", "workers", "took_mean")  # not summed
 SUMS = ("share", "out", "demand", "customers")  # of the last line of each gatekeeper in the window
-Line = dict[str, Any]
+TallyRecord = dict[str, Any]
 
 
-def read(path: Path) -> Iterator[Line]:
-    """The tally lines of one log. What stands before a line's object is passed over, and so is what is no
-    such line, the cut end of a killed gatekeeper's log among it."""
+def read(path: Path) -> Iterator[TallyRecord]:
+    """The tally records of one log.
+
+    What stands before a line's object is passed over, and so is what is no such record, as the truncated end
+    of a killed gatekeeper's log.
+    """
     for raw in path.read_bytes().splitlines():
         start = raw.find(b"{")
         if start < 0:
@@ -34,15 +37,18 @@
             yield line
 
 
-def windows(logs: Iterable[tuple[str, Iterable[Line]]], length: float) -> list[Line]:
-    """One row a window of `length` seconds, from the first line of all on: counts summed over gatekeepers and
-    lines; what a gatekeeper holds taken from its last line, then meant (MEANS) or summed (SUMS)."""
+def windows(logs: Iterable[tuple[str, Iterable[TallyRecord]]], length: float) -> list[TallyRecord]:
+    """One row a window of `length` seconds, from the first record of all on.
+
+    Counts are summed over gatekeepers and records; what a gatekeeper has in force is taken from its last
+    record, then averaged (MEANS) or summed (SUMS).
+    """
     lines = [(float(line["time"]), name, line) for name, log in logs for line in log]
     if not lines:
         return []
     first = min(at for at, _, _ in lines)
     counts: dict[int, dict[str, float]] = {}
-    last: dict[int, dict[str, Line]] = {}
+    last: dict[int, dict[str, TallyRecord]] = {}
     for at, name, line in sorted(lines, key=lambda entry: entry[:2]):
         window = int((at - first) / length)
         row = counts.setdefault(window, {})
--- a/pewterring/cli/tier.py
+++ b/pewterring/cli/tier.py
@@ -47,7 +47,7 @@
     _tell_unknown(report)
     try:
         return asyncio.run(_run(name, file, report.settings))
-    except Exception as error:
+    except Exception as error:  # noqa: BLE001 - the process's edge: whatever ends it is one log line and a status
         logger.bind(event="program_failed").opt(exception=error).error("{} cannot go on: {}", name, error)
         return FAILED
 
@@ -61,7 +61,7 @@
 async def _run(name: str, file: SettingsFile, settings: NodeSettings) -> int:
     failed = asyncio.Event()
     stopped = asyncio.Event()
-    program = await _make_with_room(name, settings, failed)
+    program = await _make_once_there_is_space(name, settings, failed)
     reloader = _reloader(file, settings, program)
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, stopped.set)
@@ -84,7 +84,7 @@
     return FAILED if failed.is_set() else 0
 
 
-async def _make_with_room(name: str, settings: NodeSettings, failed: asyncio.Event) -> Program:
+async def _make_once_there_is_space(name: str, settings: NodeSettings, failed: asyncio.Event) -> Program:
     from pewterring.consensus.backpressure import retry_while_full
 
     async def make() -> Program:
@@ -133,7 +133,7 @@
     if name == "control":
         from pewterring.control.program import ControlProgram
 
-        return ControlProgram(settings, on_failure=lambda error: failed.set())
+        return ControlProgram(settings, on_failure=lambda _error: failed.set())
     from pewterring.batch.program import StoreProgram
 
-    return StoreProgram(settings, on_failure=lambda error: failed.set())
+    return StoreProgram(settings, on_failure=lambda _error: failed.set())
--- a/pewterring/cli/version.py
+++ b/pewterring/cli/version.py
@@ -10,5 +10,5 @@
     parser.set_defaults(run=_version)
 
 
-def _version(given: argparse.Namespace) -> None:
+def _version(_given: argparse.Namespace) -> None:
     print(f"pewterring {__version__}")
--- a/pewterring/local/engine.py
+++ b/pewterring/local/engine.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import secrets
+from dataclasses import dataclass
 
 import msgspec
 
@@ -26,28 +27,37 @@
 NOT_EXECUTED = (b"Not-Executed", b"1")
 
 
-def words_of(body: bytes) -> list[str]:
+def echoed_words(body: bytes) -> list[str]:
     """The data of a request's events: the same at each worker, so that a stream can be taken up elsewhere."""
     return [*GREETING.split(), *body.decode("utf-8", "replace").split()]
 
 
+@dataclass(frozen=True, slots=True)
+class WorkerPlace:
+    """Where a worker serves, and which service."""
+
+    service: str
+    address: str  # `IP:port`; port 0 for one that is free
+    zone: str
+
+
 class StandInWorker:
-    """One worker of `service` at `address` (`IP:port`). `registered` is set at its first acknowledgement."""
+    """One worker that sends heartbeats to `controls`. `registered` is set at its first acknowledgement.
+
+    Args:
+        place: What it serves, and where.
+        controls: Addresses of control machines, `IP:port`; the next one is called where one does not answer.
+        heartbeat_s: Period of its heartbeats, in seconds.
+        event_s: Seconds between two events of a stream.
+    """
 
     def __init__(
-        self,
-        service: str,
-        address: str,
-        zone: str,
-        controls: list[str],
-        heartbeat_s: float,
-        event_s: float = EVENT_S,
+        self, place: WorkerPlace, controls: list[str], heartbeat_s: float, event_s: float = EVENT_S
     ) -> None:
         self.id = f"i-{secrets.token_hex(4)}"
         self.registered = asyncio.Event()
-        self._service = service
-        self._address = address
-        self._zone = zone
+        self._place = place
+        self._address = place.address
         self._controls = controls
         self._heartbeat_s = heartbeat_s
         self._event_s = event_s
@@ -55,22 +65,26 @@
         self._running = 0
         self._server = HttpServer(self._handle, lambda: LIMITS)
         self._pool = WorkerPool()
-        self._beating: asyncio.Task[None] | None = None
+        self._heartbeats: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
-        """Listens and registers. Raises OSError."""
+        """Listens and registers.
+
+        Raises:
+            OSError: The address cannot be had.
+        """
         ip, _, port = self._address.rpartition(":")
         await self._server.start(ip, int(port))
         if not int(port):
             self._address = f"{ip}:{self._server.port}"
-        self._beating = asyncio.create_task(self._beat_forever())
+        self._heartbeats = asyncio.create_task(self._send_heartbeats())
 
     async def stop(self) -> None:
         """Says nothing any more."""
-        if self._beating is not None:
-            self._beating.cancel()
+        if self._heartbeats is not None:
+            self._heartbeats.cancel()
             with contextlib.suppress(asyncio.CancelledError):
-                await self._beating
+                await self._heartbeats
         self._pool.close()
         await self._server.stop()
 
@@ -101,7 +115,7 @@
                 self._running -= 1
 
     async def _stream(self, request: ServerRequest, responder: Responder, request_id: bytes) -> None:
-        words = words_of(request.body)
+        words = echoed_words(request.body)
         last = request.get(b"last-event-id") or b"0"
         headers = [
             (b"Content-Type", b"text/event-stream"),
@@ -123,22 +137,22 @@
 
     # Heartbeats
 
-    async def _beat_forever(self) -> None:
+    async def _send_heartbeats(self) -> None:
         next_control = 0
         while True:
-            if await self._beat(self._controls[next_control % len(self._controls)]):
+            if await self._send_heartbeat(self._controls[next_control % len(self._controls)]):
                 self.registered.set()
                 await asyncio.sleep(self._heartbeat_s)
             else:
                 next_control += 1
                 await asyncio.sleep(self._heartbeat_s / 5)
 
-    async def _beat(self, control: str) -> bool:
+    async def _send_heartbeat(self, control: str) -> bool:
         self._sequence += 1
-        beat = Heartbeat(
-            service=self._service,
+        heartbeat = Heartbeat(
+            service=self._place.service,
             address=self._address,
-            zone=self._zone,
+            zone=self._place.zone,
             capacity=CAPACITY,
             state=RegistrationState.READY,
             models=(LoadedModel(MODEL, 1),),
@@ -148,7 +162,7 @@
             "POST",
             f"/v1/Instances.Heartbeat/{self.id}",
             [(b"Host", control.encode()), (b"Content-Type", b"application/json")],
-            msgspec.json.encode(beat),
+            msgspec.json.encode(heartbeat),
         )
         try:
             answer = await fetch(self._pool, control, request, 1, HEARTBEAT_TIMEOUT_S)
--- a/pewterring/local/layout.py
+++ b/pewterring/local/layout.py
@@ -68,7 +68,7 @@
 
     def worker_addresses(self) -> list[str]:
         """Where the stand-in workers listen."""
-        return [f"{self._ip(FIRST_WORKER_HOST + n)}:{WORKER_PORT}" for n in range(self.workers)]
+        return [f"{self._ip(FIRST_WORKER_HOST + number)}:{WORKER_PORT}" for number in range(self.workers)]
 
     def folder_of(self, process: Process) -> Path:
         """The process's files: `node.conf`, `log`, `data/`."""
--- a/pewterring/local/processes.py
+++ b/pewterring/local/processes.py
@@ -5,6 +5,7 @@
 import os
 import sys
 from pathlib import Path
+from typing import BinaryIO
 
 from pewterring.local.layout import Layout, Process
 
@@ -13,10 +14,15 @@
 SHOWN_LOG_BYTES = 1000
 
 
-class ProcessEnded(Exception):
+class ProcessEndedError(Exception):
     """A process ended by itself."""
 
 
+def _log_of(folder: Path) -> BinaryIO:
+    """A process's log, to which each of its runs appends."""
+    return (folder / "log").open("ab")
+
+
 class Children:
     """Starts the processes, notices where one ends, and ends them all."""
 
@@ -31,7 +37,7 @@
             await self._start(process, bootstrap)
 
     async def wait_for_end(self) -> None:
-        """Raises `ProcessEnded` when a process ends by itself."""
+        """Raises `ProcessEndedError` when a process ends by itself."""
         waits = {asyncio.create_task(child.wait()): name for name, child in self._children.items()}
         try:
             done, _ = await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
@@ -39,7 +45,7 @@
             for task in waits:
                 task.cancel()
         name = waits[next(iter(done))]
-        raise ProcessEnded(f"{name} ended; the end of its log: {self._log_end(name)}")
+        raise ProcessEndedError(f"{name} ended; the end of its log: {self._log_end(name)}")
 
     async def stop(self) -> None:
         """Ends all processes, by force after `END_S`."""
@@ -61,7 +67,7 @@
         (folder / "data").mkdir(parents=True, exist_ok=True)
         settings = folder / "node.conf"
         settings.write_text(self._layout.settings(process, bootstrap), encoding="utf-8")
-        with open(folder / "log", "ab") as log:
+        with _log_of(folder) as log:
             self._children[process.name] = await asyncio.create_subprocess_exec(
                 sys.executable,
                 "-m",
--- a/pewterring/local/sample.py
+++ b/pewterring/local/sample.py
@@ -45,7 +45,7 @@
     }
 
 
-def stream_line(front: str) -> str:
+def stream_command(front: str) -> str:
     """Asks for a stream."""
     return (
         f"curl -sN http://{front}{STREAM_PATH} -H 'Host: {HOST}' -H \"Request-Id: stream-$RANDOM$RANDOM\" "
@@ -53,7 +53,7 @@
     )
 
 
-def job_line(front: str, job_file: str) -> str:
+def job_command(front: str, job_file: str) -> str:
     """Submits the batch job and reads its results."""
     submit = f"curl -s http://{front}{JOB_PATH} -H 'Host: {HOST}' -H 'Request-Id: {JOB}' -d @{job_file}"
     read = f"-s 'http://{front}/v1/lots/{JOB}?after=0' -H 'Host: {HOST}' -H 'Wait-Ms: {WAIT_MS}'"
--- a/pewterring/local/tier.py
+++ b/pewterring/local/tier.py
@@ -3,12 +3,14 @@
 import asyncio
 import contextlib
 import json
+from collections.abc import Mapping
+from dataclasses import dataclass, field
 from types import TracebackType
 
 import msgspec
 
 from pewterring.local import sample
-from pewterring.local.engine import StandInWorker
+from pewterring.local.engine import StandInWorker, WorkerPlace
 from pewterring.local.layout import FRONT_PORT, HEARTBEAT_MS, READY_PORT, ZONES, Layout
 from pewterring.local.processes import Children
 from pewterring.transport.http_client import WorkerPool
@@ -26,10 +28,20 @@
     """The tier did not serve; the text says what was asked and answered."""
 
 
+@dataclass(frozen=True, slots=True)
+class _Call:
+    """One HTTP call, but for the address."""
+
+    method: str
+    target: str
+    headers: Mapping[str, str] = field(default_factory=dict)
+    body: bytes = b""
+
+
 class LocalTier:
     """`async with`: starts everything, waits until it serves, and stops it at the end.
 
-    `start_s` bounds the start. Raises `ProcessEnded`, `TierError` or `OSError`.
+    `start_s` bounds the start. Raises `ProcessEndedError`, `TierError` or `OSError`.
     """
 
     def __init__(self, layout: Layout, start_s: float) -> None:
@@ -61,7 +73,9 @@
     async def stream(self) -> str:
         """Asks for the sample stream; the text of its events."""
         headers = {"Request-Id": "stream-self-test", "Model-Id": "m", "Token-Usage": sample.TOKEN_USAGE}
-        answer = await self._call(self.front, "POST", sample.STREAM_PATH, headers, sample.PROMPT.encode())
+        answer = await self._call(
+            self.front, _Call("POST", sample.STREAM_PATH, headers, sample.PROMPT.encode())
+        )
         if answer.head.status != 200:
             raise TierError(f"the stream was answered {answer.head.status}")
         return answer.body.decode()
@@ -70,7 +84,7 @@
         """Submits the sample job and reads all of its results."""
         headers = {"Request-Id": sample.JOB, "Content-Type": "application/json"}
         body = json.dumps(sample.job()).encode()
-        answer = await self._call(self.front, "POST", sample.JOB_PATH, headers, body)
+        answer = await self._call(self.front, _Call("POST", sample.JOB_PATH, headers, body))
         if answer.head.status != 202:
             raise TierError(f"the batch job was answered {answer.head.status}: {answer.body.decode()}")
         results: list[dict[str, str]] = []
@@ -81,7 +95,7 @@
     async def _results_from(self, position: int) -> list[dict[str, str]]:
         target = f"/v1/lots/{sample.JOB}?after={position}"
         headers = {"Wait-Ms": str(sample.WAIT_MS)}
-        answer = await self._call(self.front, "GET", target, headers, timeout_s=READ_S)
+        answer = await self._call(self.front, _Call("GET", target, headers), READ_S)
         if answer.head.status != 200:
             raise TierError(f"results were answered {answer.head.status}")
         found: list[dict[str, str]] = json.loads(answer.body)["results"]
@@ -110,7 +124,7 @@
         controls = self._layout.control_addresses()
         for number, address in enumerate(self._layout.worker_addresses()):
             zone = ZONES[number % len(ZONES)]
-            worker = StandInWorker(sample.SERVICE, address, zone, controls, heartbeat_s)
+            worker = StandInWorker(WorkerPlace(sample.SERVICE, address, zone), controls, heartbeat_s)
             self._workers.append(worker)
             await worker.start()
         self._waiting_for = "control to take the configuration"
@@ -135,35 +149,30 @@
         controls = self._layout.control_addresses()
         headers = {"Base-Version": "0", "Content-Type": "application/json"}
         number = 0
-        while await self._status(controls[number], "POST", "/v1/Config.Replace", headers, body) not in TAKEN:
+        call = _Call("POST", "/v1/Config.Replace", headers, body)
+        while await self._status(controls[number], call) not in TAKEN:
             number = (number + 1) % len(controls)
             await asyncio.sleep(POLL_S)
 
     async def _until_answered(self, address: str, target: str, status: int) -> None:
-        while await self._status(address, "GET", target, {}, b"") != status:
+        call = _Call("GET", target)
+        while True:
+            if await self._status(address, call) == status:
+                return
             await asyncio.sleep(POLL_S)
 
-    async def _status(
-        self, address: str, method: str, target: str, headers: dict[str, str], body: bytes
-    ) -> int:
+    async def _status(self, address: str, call: "_Call") -> int:
         """The status, or 0 without an answer."""
         try:
-            return (await self._call(address, method, target, headers, body)).head.status
+            return (await self._call(address, call)).head.status
         except TierError:
             return 0
 
-    async def _call(
-        self,
-        address: str,
-        method: str,
-        target: str,
-        headers: dict[str, str],
-        body: bytes = b"",
-        timeout_s: float = CALL_S,
-    ) -> WholeAnswer:
-        sent = [(name.encode(), value.encode()) for name, value in {"Host": sample.HOST, **headers}.items()]
-        request = SendRequest(method, target, sent, body)
+    async def _call(self, address: str, call: "_Call", timeout_s: float = CALL_S) -> WholeAnswer:
+        headers = {"Host": sample.HOST, **call.headers}
+        sent = [(name.encode(), value.encode()) for name, value in headers.items()]
+        request = SendRequest(call.method, call.target, sent, call.body)
         try:
             return await fetch(self._pool, address, request, CONNECTIONS, timeout_s)
         except ExchangeError as error:
-            raise TierError(f"{method} http://{address}{target}: {error}") from error
+            raise TierError(f"{call.method} http://{address}{call.target}: {error}") from error
--- a/tests/cli/test_bad_data.py
+++ b/tests/cli/test_bad_data.py
@@ -77,6 +77,7 @@
     assert done.stdout == ""
     lines = [orjson.loads(line) for line in done.stderr.splitlines()]
     errors = [line for line in lines if line["level"].lower() not in ("info", "debug")]
-    assert len(errors) == 1 and name in errors[0]["message"], done.stderr
+    assert len(errors) == 1, done.stderr
+    assert name in errors[0]["message"]
     after = {path.name: path.read_bytes() for path in folder.iterdir() if path.name in before}
     assert after == before
--- a/tests/cli/test_cluster.py
+++ b/tests/cli/test_cluster.py
@@ -52,7 +52,7 @@
         self.server.orders.append((self.path, self.headers["Base-Version"], body))
         self.do_GET()
 
-    def log_message(self, format: str, *args: object) -> None:
+    def log_message(self, *_: object, **__: object) -> None:
         pass
 
 
--- a/tests/cli/test_inspect.py
+++ b/tests/cli/test_inspect.py
@@ -80,9 +80,7 @@
 
 
 @pytest.mark.parametrize("what", ["log", "snapshot", "members"])
-def test_nothing_is_changed_also_where_a_crash_left_something_to_repair(
-    what: str, folder: Path, capsys: pytest.CaptureFixture[str]
-) -> None:
+def test_nothing_is_changed_also_where_a_crash_left_something_to_repair(what: str, folder: Path) -> None:
     last = max(path for path in folder.glob("batch-0.*.log"))
     last.write_bytes(last.read_bytes() + b"half a record")
     (folder / "batch-0.snapshot.new").write_bytes(b"half a snapshot")
--- a/tests/cli/test_programs.py
+++ b/tests/cli/test_programs.py
@@ -79,10 +79,10 @@
                 seen = await until(child.stderr, b"listens on")
                 assert b'"event":"settings_unknown_keys"' in seen
                 assert b'"count":1' in seen
-                path.write_text(path.read_text().replace("seed_nodes=", "seed_nodes=127.0.0.1:8,"))
+                written(tmp_path, text.replace("seed_nodes=", "seed_nodes=127.0.0.1:8,"))
                 child.send_signal(signal.SIGHUP)
                 await until(child.stderr, b"settings_reloaded")
-                path.write_text("node_id=\n")
+                written(tmp_path, "node_id=\n")
                 child.send_signal(signal.SIGHUP)
                 assert b"settings kept" in await until(child.stderr, b"settings_refused")
                 child.terminate()
--- a/tests/cli/test_recover.py
+++ b/tests/cli/test_recover.py
@@ -38,7 +38,7 @@
         self.send_header("Content-Length", "0")
         self.end_headers()
 
-    def log_message(self, format: str, *args: object) -> None:
+    def log_message(self, *_: object, **__: object) -> None:
         pass
 
 
--- a/tests/cli/test_start.py
+++ b/tests/cli/test_start.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from pewterring.cli.tier import STOP_S, _make_with_room, _started
+from pewterring.cli.tier import STOP_S, _make_once_there_is_space, _started
 from pewterring.consensus.errors import StorageFullError
 from tests.consensus.virtual_time import run
 
@@ -63,14 +63,14 @@
 ) -> None:
     program, tries = SlowProgram(0.0), []
 
-    def make(*arguments: object) -> SlowProgram:
+    def make(*_arguments: object) -> SlowProgram:
         tries.append(asyncio.get_running_loop().time())
         if len(tries) < 4:
             raise StorageFullError("no room")
         return program
 
     async def scenario() -> object:
-        return await _make_with_room("control", None, asyncio.Event())  # type: ignore[arg-type]
+        return await _make_once_there_is_space("control", None, asyncio.Event())  # type: ignore[arg-type]
 
     monkeypatch.setattr("pewterring.cli.tier._make", make)
     assert run(scenario()) is program
--- a/tests/local/test_engine.py
+++ b/tests/local/test_engine.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from pewterring.local.engine import LIMITS, StandInWorker, words_of
+from pewterring.local.engine import LIMITS, StandInWorker, WorkerPlace, echoed_words
 from pewterring.transport.http_client import WorkerPool
 from pewterring.transport.http_exchange import SendRequest
 from pewterring.transport.http_fetch import WholeAnswer, fetch
@@ -12,6 +12,7 @@
 from pewterring.transport.sse import EventSplitter
 
 PATIENCE_S = 10.0
+PLACE = WorkerPlace("s", "127.0.0.1:0", "z")
 
 
 class Control:
@@ -43,11 +44,11 @@
 
 def test_a_stream_is_taken_up_where_it_is_asked_to_and_others_are_declined() -> None:
     async def run() -> None:
-        worker = StandInWorker("s", "127.0.0.1:0", "z", ["127.0.0.1:9"], heartbeat_s=60.0, event_s=0.0)
+        worker = StandInWorker(PLACE, ["127.0.0.1:9"], heartbeat_s=60.0, event_s=0.0)
         await worker.start()
         try:
             whole = await asked(worker, Request_Id="r-1", Target_Instance=worker.id)
-            words = words_of(b"one two")
+            words = echoed_words(b"one two")
             assert data(whole) == list(enumerate(words, 1))
             assert whole.head.get(b"request-id") == b"r-1"
             assert whole.head.get(b"response-signature") is not None
@@ -71,7 +72,7 @@
         for control in (refusing, taking):
             await control.server.start("127.0.0.1", 0)
         addresses = [f"127.0.0.1:{control.server.port}" for control in (refusing, taking)]
-        worker = StandInWorker("s", "127.0.0.1:0", "z", addresses, heartbeat_s=0.01)
+        worker = StandInWorker(PLACE, addresses, heartbeat_s=0.01)
         await worker.start()
         try:
             async with asyncio.timeout(PATIENCE_S):
--- a/tests/local/test_local.py
+++ b/tests/local/test_local.py
@@ -10,7 +10,7 @@
 import pytest
 
 from pewterring.local import sample
-from pewterring.local.engine import words_of
+from pewterring.local.engine import echoed_words
 from pewterring.local.layout import Layout, LayoutError
 from pewterring.node.settings import read_report
 
@@ -51,7 +51,7 @@
     )
     assert done.returncode == 0, done.stderr
     events, _, results = done.stdout.partition("\n\n\n")
-    words = words_of(sample.PROMPT.encode())
+    words = echoed_words(sample.PROMPT.encode())
     assert [line.removeprefix("data: ") for line in events.splitlines() if line.startswith("data")] == words
     listed = {result["id"]: result for result in map(json.loads, results.split("\n")[:-1])}
     assert set(listed) == set(sample.ITEMS)
--- a/tests/test_examples.py
+++ b/tests/test_examples.py
@@ -80,6 +80,6 @@
     readme = (ROOT / "README.md").read_text()
     layout = Layout(DEFAULT_NETWORK, ROOT)
     front = f"{layout.of('gateway')[0].ip}:{FRONT_PORT}"
-    assert f"    {sample.stream_line(front)}\n" in readme
-    assert f"    {sample.job_line(front, 'examples/tier/job.json')}\n" in readme
+    assert f"    {sample.stream_command(front)}\n" in readme
+    assert f"    {sample.job_command(front, 'examples/tier/job.json')}\n" in readme
     assert f"cluster status --control {layout.control_addresses()[0]}" in readme
