--- a/pewterring/admission/relay_plan.py
+++ b/pewterring/admission/relay_plan.py
@@ -58,8 +58,10 @@
 
 
 def _relays(number: int, members: list[Speaker]) -> tuple[str, ...]:
-    """By rendezvous hashing, so that a node that comes or goes seldom changes them. A group in which nobody
-    may relay is relayed by its members all the same."""
+    """The relays of a group, by rendezvous hashing, so that a node that comes or goes seldom changes them.
+
+    A group in which nobody may relay is relayed by its members all the same.
+    """
     able = [member.ip for member in members if member.may_relay] or [member.ip for member in members]
     return tuple(sorted(able, key=lambda ip: _weight(str(number), ip))[:RELAYS])
 
--- a/pewterring/batch/worker_access.py
+++ b/pewterring/batch/worker_access.py
@@ -19,7 +19,7 @@
 from pewterring.distribution.tables import Tables
 from pewterring.node.settings import NodeSettings
 from pewterring.routing.chooser import WorkerChooser
-from pewterring.routing.heartbeats import AdmissionHeartbeats
+from pewterring.routing.heartbeats import AdmissionHeartbeats, HeartbeatHandlers
 from pewterring.transport.http_client import WorkerPool
 
 
@@ -40,7 +40,7 @@
         self._chooser = WorkerChooser(settings.zone, rng, self._pool.is_connected)
         self._admissions = BatchAdmissions(rng)
         self._heartbeats = AdmissionHeartbeats(
-            settings.ip, settings.internal_port, BATCH, self._on_heartbeat, self._on_totals
+            settings.ip, settings.internal_port, BATCH, HeartbeatHandlers(self._on_heartbeat, self._on_totals)
         )
         self._heartbeat_task: asyncio.Task[None] | None = None
         self.dispatcher = AdmissionDispatcher(tables, self._chooser, self._admissions, clock)
--- a/pewterring/gateway/program.py
+++ b/pewterring/gateway/program.py
@@ -36,7 +36,7 @@
 from pewterring.gateway.stall_detector import CHECK_INTERVAL_S, StallDetector
 from pewterring.node.settings import NodeSettings
 from pewterring.routing.chooser import WorkerChooser
-from pewterring.routing.heartbeats import AdmissionHeartbeats
+from pewterring.routing.heartbeats import AdmissionHeartbeats, HeartbeatHandlers
 from pewterring.transport.http_client import WorkerPool
 from pewterring.transport.lines import LinkPool, MessageCodec
 
@@ -87,7 +87,10 @@
         self.chooser = WorkerChooser(settings.zone, self._rng, self.pool.is_connected)
         self.admissions = GatewayAdmissions(self._rng)
         self._heartbeats = AdmissionHeartbeats(
-            settings.ip, settings.internal_port, GATEWAY, self._receive_heartbeat, self._receive_totals
+            settings.ip,
+            settings.internal_port,
+            GATEWAY,
+            HeartbeatHandlers(self._receive_heartbeat, self._receive_totals),
         )
         self._prompts = PromptExchange(settings.ip, settings.internal_port + 1, self.chooser, self._rng)
         self._stalls = StallDetector(self._prompts.announce_wait)
--- a/pewterring/routing/chooser.py
+++ b/pewterring/routing/chooser.py
@@ -10,14 +10,22 @@
 from pewterring.routing.prompt_hints import worker_number
 from pewterring.routing.worker_state import WorkerState
 
-LEARN = 0.05  # weight of one sample in what is learnt
+LEARNING_WEIGHT = 0.05  # of one sample in what is learnt: the last twenty or so count
 BASE_S, PER_TOKEN_S = 0.02, 1e-5  # time to the first byte where nothing is learnt yet, without and per token
-OTHER_ZONE = 0.05  # of the base time: what another zone costs
-NEW_CONNECTION = 0.2  # what it costs that no connection to a worker rests here
-TURN = 0.04  # what it costs, at the most, that a worker is nearer to other gateways of the zone
-SLOW_FROM = 1.5  # slowness up to which workers count as equal: single times vary by as much
-FULL = 1.0  # load from which requests wait at the worker
-SUSPECT_COST = 50.0  # base times: only where all others are worse
+SLOW_FROM = 1.5  # slowness (ratio of times) up to which workers count as equal: single times vary by as much
+FULL_LOAD = 1.0  # requests per slot from which on they wait at the worker
+
+# Costs in base times: the time to the first byte of a prompt without reading, at an idle worker. They are
+# added to what is expected there, so that each says how much longer a request may wait to avoid it.
+# Connections and turns were weighed in paired plays (docs/decisions.md).
+OTHER_ZONE_COST = 0.05  # bytes between zones are paid for; it decides among workers that are about as good
+NEW_CONNECTION_COST = 0.2  # a connection takes a round trip, and operators pay for it
+# At the most, for the worker that comes last in this process's order: less than another zone, so that it only
+# decides among equals, and processes keep to different ones.
+TURN_COST = 0.04
+FULL_COST = 2.0  # a request that finds no free slot waits for another's end
+OVERLOAD_COST = 10.0  # for each further load of 1: the wait grows with the queue
+SUSPECT_COST = 50.0  # longer than any wait that is still in time: only where all others are worse
 
 
 class ServiceTimes:
@@ -35,7 +43,7 @@
     def learn(self, tokens: int, seconds: float) -> None:
         """Takes one sample: normalised least mean squares of base and slope."""
         self._samples += 1
-        weight = max(LEARN, 1 / (1 + self._samples))
+        weight = max(LEARNING_WEIGHT, 1 / (1 + self._samples))
         scaled = tokens / 1000
         error = seconds - self.expected(tokens)
         error = max(-3 * self.expected(tokens), min(3 * self.expected(tokens), error))
@@ -48,7 +56,7 @@
     """The workers of all services as this process knows them, and the choice among them."""
 
     def __init__(
-        self, zone: str, rng: random.Random, is_connected: Callable[[str], bool] = lambda address: True
+        self, zone: str, rng: random.Random, is_connected: Callable[[str], bool] = lambda _address: True
     ) -> None:
         """`is_connected` tells whether a connection to an address rests here."""
         self._place = 0.0  # of this process among those of its zone, from 0 to 1
@@ -67,7 +75,7 @@
         for worker_id, record in records.items():
             state = self.workers.get(worker_id)
             if state is None:
-                state = WorkerState(record, self._memory(record, configuration))
+                state = WorkerState(record, self._cache_tokens(record, configuration))
             state.record = record
             kept[worker_id] = state
         self.workers = kept
@@ -97,7 +105,8 @@
                 state.turn = (index / len(group) - self._place) % 1.0
 
     @staticmethod
-    def _memory(record: WorkerRecord, configuration: Configuration | None) -> int:
+    def _cache_tokens(record: WorkerRecord, configuration: Configuration | None) -> int:
+        """Tokens that the worker's prefix cache holds; 0 where the configuration does not say."""
         service = configuration.services.get(record.service) if configuration else None
         return service.engine.kv_tokens if service and service.engine else 0
 
@@ -175,13 +184,13 @@
         load = state.load(now)
         wait_s = max(state.congested_s(now), self.wait_s(now, state, times))
         cost = times.base_s * (1 + load) + times.per_token_s * tokens + wait_s
-        if load >= FULL:
-            cost += times.base_s * (2 + 10 * (load - FULL))
+        if load >= FULL_LOAD:
+            cost += times.base_s * (FULL_COST + OVERLOAD_COST * (load - FULL_LOAD))
         if state.record.zone != self._zone:
-            cost += OTHER_ZONE * times.base_s
+            cost += OTHER_ZONE_COST * times.base_s
         if not self._is_connected(state.record.address):
-            cost += NEW_CONNECTION * times.base_s
-        cost += TURN * state.turn * times.base_s
+            cost += NEW_CONNECTION_COST * times.base_s
+        cost += TURN_COST * state.turn * times.base_s
         cost *= max(1.0, state.slowness / SLOW_FROM)
         if state.suspect(now):
             cost += SUSPECT_COST * times.base_s
--- a/pewterring/routing/heartbeats.py
+++ b/pewterring/routing/heartbeats.py
@@ -5,6 +5,7 @@
 import secrets
 import time
 from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass
 
 from pewterring.admission.datagram import read_heartbeat, write_heartbeat
 from pewterring.admission.digests import FLEET_ENTRY, HEAD, Totals
@@ -26,6 +27,18 @@
 OnTotals = Callable[[int, Totals], None]  # service number, totals of the fleet
 
 
+def _ignore_totals(_number: int, _totals: Totals) -> None:
+    """For a process that does not go by totals."""
+
+
+@dataclass(frozen=True, slots=True)
+class HeartbeatHandlers:
+    """What takes the heartbeats that arrive: those of single processes, and in a large fleet its totals."""
+
+    on_beat: OnBeat
+    on_totals: OnTotals = _ignore_totals
+
+
 def peer_number(ip: str) -> int:
     """What a process is called among its peers."""
     return int(ipaddress.IPv4Address(ip))
@@ -46,24 +59,31 @@
 
 
 class AdmissionHeartbeats:
-    """One process's side of the exchange. A process that leaves `on_totals` out gets no totals."""
+    """One process's side of the exchange.
+
+    Args:
+        ip: Of this process.
+        port: Of all processes; 0 for one that is free.
+        kind: What it is, as in `admission.datagram`.
+        handlers: What takes what arrives.
+        clock: Monotonic seconds.
+    """
 
     def __init__(
         self,
         ip: str,
         port: int,
         kind: int,
-        on_beat: OnBeat,
-        on_totals: OnTotals = lambda number, totals: None,
+        handlers: HeartbeatHandlers,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self._ip = ip
         self._port_number = port
         self._kind = kind
-        self._on_beat = on_beat
+        self._on_beat = handlers.on_beat
         self._clock = clock
         self._port = DatagramPort(self._received)
-        self._exchange = RelayExchange(ip, secrets.randbits(INCARNATION_BITS), on_totals)
+        self._exchange = RelayExchange(ip, secrets.randbits(INCARNATION_BITS), handlers.on_totals)
         self._relayed = False
         self._periods = 0
         self._nodes: tuple[NodeRecord, ...] | None = None
--- a/pewterring/routing/prompt_hints.py
+++ b/pewterring/routing/prompt_hints.py
@@ -1,5 +1,7 @@
-"""Hints between gateways: which worker has just been given a long prompt to read, and of which parts; and at
-which worker requests wait for longer than all that was known of it explains.
+"""Hints between gateways of long prompts and of unexpected waits.
+
+One kind says which worker has just been given a long prompt to read, and of which parts; the other at which
+worker requests wait for longer than all that was known of it explains.
 
 A worker reads prompts in the order they came, so a request behind a long one waits; and the parts that it has
 read need not be read by another. Both show to other gateways only too late. Symptoms answered: first events
--- a/tests/admission/relayed_fleet.py
+++ b/tests/admission/relayed_fleet.py
@@ -42,7 +42,7 @@
     def __init__(self, gateways: int, zones: int = 4) -> None:
         self.now = 0.0
         self.zones = zones
-        self.is_cut: Callable[[str, str], bool] = lambda source, target: False
+        self.is_cut: Callable[[str, str], bool] = lambda _source, _target: False
         self.processes = {
             f"10.0.{index // 256}.{index % 256}": Process(
                 f"10.0.{index // 256}.{index % 256}", GATEWAY, 100.0 + index, index % 4
--- a/tests/admission/test_relays.py
+++ b/tests/admission/test_relays.py
@@ -176,7 +176,7 @@
     inside = sum(fleet.processes[ip].kind == 0 for ip in lost)
     for process in fleet.live():
         assert process.totals[SERVICE].gateways == (inside if process.ip in lost else 64 - inside)
-    fleet.is_cut = lambda source, target: False
+    fleet.is_cut = lambda _source, _target: False
     fleet.run(SETTLED)
     assert all(process.totals[SERVICE].gateways == 64 for process in fleet.live())
 
--- a/tests/routing/test_heartbeats.py
+++ b/tests/routing/test_heartbeats.py
@@ -14,6 +14,7 @@
     RELAYED_BYTES_A_SECOND,
     RELAYED_FLEET,
     AdmissionHeartbeats,
+    HeartbeatHandlers,
     needs_relays,
     peer_number,
     rounds_apart,
@@ -67,7 +68,7 @@
     async def start(self) -> None:
         port = 0
         for ip in self.ips:
-            peer = AdmissionHeartbeats(ip, port, GATEWAY, self._on_beat(ip), self._on_totals(ip))
+            peer = AdmissionHeartbeats(ip, port, GATEWAY, self._handlers(ip))
             await peer.start()
             port = peer.port
             self.all.append(peer)
@@ -91,17 +92,14 @@
         for peer in self.all:
             peer.close()
 
-    def _on_beat(self, ip: str) -> Callable[[int, int, int, bytes], None]:
-        def hear(kind: int, peer: int, number: int, beat: bytes) -> None:
+    def _handlers(self, ip: str) -> HeartbeatHandlers:
+        def hear_beat(_kind: int, peer: int, _number: int, _beat: bytes) -> None:
             self.beats[ip].add(peer)
 
-        return hear
-
-    def _on_totals(self, ip: str) -> Callable[[int, Totals], None]:
-        def hear(number: int, totals: Totals) -> None:
+        def hear_totals(_number: int, totals: Totals) -> None:
             self.totals[ip] = totals
 
-        return hear
+        return HeartbeatHandlers(hear_beat, hear_totals)
 
 
 def test_a_small_fleet_hears_each_other() -> None:
@@ -139,7 +137,9 @@
     async def scenario() -> None:
         fleet, stranger = Peers(3), Peers(4)
         await fleet.start()
-        outsider = AdmissionHeartbeats(stranger.ips[3], fleet.all[0].port, GATEWAY, lambda *_: None)
+        outsider = AdmissionHeartbeats(
+            stranger.ips[3], fleet.all[0].port, GATEWAY, HeartbeatHandlers(lambda *_: None)
+        )
         await outsider.start()
         outsider.send({SERVICE: write_beat(Beat(1, 1, 8.0, 1, 1.0, 1.0))}, stranger.nodes)
         numbers = {peer_number(ip) for ip in fleet.ips}
--- a/tests/routing/test_prompt_hints.py
+++ b/tests/routing/test_prompt_hints.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from pewterring.configuration.model import ClientLimits, Configuration, Engine, Service
 from pewterring.distribution.messages import WorkerRecord
 from pewterring.routing.chooser import WorkerChooser
 from pewterring.routing.prompt import read_prompt
@@ -19,15 +20,21 @@
     write_wait_hint,
 )
 
+CONFIGURATION = Configuration(
+    version=1,
+    routes=(),
+    services={"s": Service("s", engine=Engine(capacity=24, kv_tokens=100_000))},
+    limits=ClientLimits(),
+    document=b"",
+)
+
 
 def chooser_with(workers: int) -> WorkerChooser:
     chooser = WorkerChooser("z", random.Random(3))
     records = {
         f"w{n}": WorkerRecord(f"w{n}", "s", f"10.0.0.{n}:80", "z", 24, "ready") for n in range(workers)
     }
-    chooser.update(records, None)
-    for state in chooser.workers.values():
-        state._memory_tokens = 100_000
+    chooser.update(records, CONFIGURATION)
     return chooser
 
 
