--- a/pewterring/batch/runner.py
+++ b/pewterring/batch/runner.py
@@ -22,9 +22,9 @@
     REQUEST_ID,
     Exchange,
     ExchangeError,
-    NoFreeConnection,
+    NoFreeConnectionError,
     SendRequest,
-    StaleConnection,
+    StaleConnectionError,
 )
 from pewterring.transport.sse import EventSplitter, StreamEvent
 
@@ -58,7 +58,7 @@
         answer = _ItemAnswer(item, on_event, partial(self._report_load, worker))
         try:
             answer.exchange = self._pool.send(worker.address, request, answer, max(1, worker.capacity))
-        except NoFreeConnection:
+        except NoFreeConnectionError:
             return Failure.REFUSED
         try:
             return await answer.outcome
@@ -149,7 +149,7 @@
         if error is None:
             self._take_events(self._splitter.finish())
             self._end(self._completed_outcome())
-        elif isinstance(error, StaleConnection):
+        elif isinstance(error, StaleConnectionError):
             self._end(Failure.STALE)
         else:
             self._end(Failure.TRUNCATED if error.sent else Failure.REFUSED)
--- a/pewterring/distribution/subscriber.py
+++ b/pewterring/distribution/subscriber.py
@@ -11,7 +11,6 @@
 import time
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
-from functools import partial
 
 from loguru import logger
 
@@ -30,7 +29,7 @@
 from pewterring.distribution.tables import Tables
 from pewterring.node.settings import NodeSettings
 from pewterring.transport.channel import PeerWarnings
-from pewterring.transport.lines import Channel, MessageCodec, MessageHandler, TransportError, connect
+from pewterring.transport.lines import Channel, ChannelSettings, MessageCodec, TransportError, connect
 
 RENEWAL_INTERVAL_S = 0.4  # a machine that lost the leadership says so at the next renewal, at the latest
 ANSWER_TIMEOUT_S = 0.9  # an answer of the leader later than this counts as lost
@@ -38,7 +37,7 @@
 SEARCH_PAUSE_S = 0.15  # between searches through all known machines: spares them while none leads
 MAX_REDIRECTS = 2  # that are followed without a pause: machines may name each other
 
-OpenChannel = Callable[[MessageCodec, str, int, float, MessageHandler], Awaitable[Channel]]
+OpenChannel = Callable[[ChannelSettings, str, int, float], Awaitable[Channel]]
 TablesHandler = Callable[[Tables, Tables], None]
 
 
@@ -56,8 +55,7 @@
 
     rng: random.Random = field(default_factory=random.Random)
     clock: Callable[[], float] = time.monotonic  # seconds, steady
-    # Warnings of all sessions are counted together: a seed of another cluster is contacted again and again.
-    open_channel: OpenChannel = field(default_factory=lambda: partial(connect, warnings=PeerWarnings()))
+    open_channel: OpenChannel = field(default_factory=lambda: connect)
 
 
 def _ignore_tables(_old: Tables, _new: Tables) -> None:
@@ -81,7 +79,8 @@
     ) -> None:
         environment = environment or FeedEnvironment()
         self._settings = settings
-        self._codec = codec
+        # Warnings of all sessions count together: a seed of another cluster is contacted again and again.
+        self._channel_settings = ChannelSettings(codec, self._on_message, warnings=PeerWarnings())
         self._report = report
         self._on_tables = on_tables
         self._rng = environment.rng
@@ -146,7 +145,7 @@
         """One session with the control machine at `ip`, until it ends; sets `_leader_ip` if one is named."""
         try:
             channel = await self._open_channel(
-                self._codec, ip, self._settings.internal_port, CONNECT_TIMEOUT_S, self._on_message
+                self._channel_settings, ip, self._settings.internal_port, CONNECT_TIMEOUT_S
             )
         except (TransportError, OSError):
             return
--- a/pewterring/gateway/live_attempt.py
+++ b/pewterring/gateway/live_attempt.py
@@ -34,7 +34,12 @@
 from pewterring.routing.worker_state import WorkerState
 from pewterring.standalone.policy.interface import RequestClass
 from pewterring.transport.http_answer import AnswerHead
-from pewterring.transport.http_client import AnswerBroken, ExchangeError, StaleConnection, WorkerPool
+from pewterring.transport.http_client import (
+    AnswerBrokenError,
+    ExchangeError,
+    StaleConnectionError,
+    WorkerPool,
+)
 from pewterring.transport.http_fetch import AnswerStream
 from pewterring.transport.http_request import ServerRequest
 from pewterring.transport.http_responder import Responder
@@ -196,7 +201,7 @@
         if self._admitted.trace is not None:
             self._admitted.trace.failure = type(error).__name__
         if not isinstance(error, WorkerUnresponsiveError):  # the detector has marked the worker
-            certain = not isinstance(error, AnswerBroken | StaleConnection)
+            certain = not isinstance(error, AnswerBrokenError | StaleConnectionError)
             self._worker.failed(self._now(), certain=certain)
 
     async def _read(self) -> AttemptEnd:
@@ -209,7 +214,7 @@
             worker.take_report(worker.heard_at, load.running, load.waiting)
         verdict = judge(head)
         if verdict is Verdict.UNUSABLE:
-            raise AnswerBroken(f"an answer of status {head.status} that may not reach the client")
+            raise AnswerBrokenError(f"an answer of status {head.status} that may not reach the client")
         if verdict is Verdict.SUCCESS and is_event_stream(head):
             return await self._read_events(head)
         body = await self._read_body()
@@ -264,7 +269,7 @@
         """Gives complete events to the client.
 
         Raises:
-            AnswerBroken: A resumed run begins at another event than the one requested.
+            AnswerBrokenError: A resumed run begins at another event than the one requested.
         """
         if not events:
             return
@@ -272,7 +277,7 @@
             self._learn_from_first_byte()
         if self._resume_after is not None:
             if events[0].id != self._resume_after + 1:
-                raise AnswerBroken("the stream does not go on behind the event that was requested")
+                raise AnswerBrokenError("the stream does not go on behind the event that was requested")
             self._resume_after = None
         if not self._progress.begun:
             self._begin_answer(head)
@@ -293,12 +298,12 @@
         stream ends.
 
         Raises:
-            AnswerBroken: It is not complete.
+            AnswerBrokenError: It is not complete.
         """
         if splitter.amid_event:
-            raise AnswerBroken("the stream ended in the middle of an event")
+            raise AnswerBrokenError("the stream ended in the middle of an event")
         if not head.framed and not self._first_byte_received:
-            raise AnswerBroken("the stream ended with its connection before its first event")
+            raise AnswerBrokenError("the stream ended with its connection before its first event")
 
     def _learn_from_first_byte(self) -> None:
         """Learns from the time to the first byte: the service's times, the worker's speed, the limit."""
--- a/pewterring/gateway/store_calls.py
+++ b/pewterring/gateway/store_calls.py
@@ -23,7 +23,7 @@
 )
 from pewterring.distribution.messages import STORE
 from pewterring.distribution.tables import Tables
-from pewterring.transport.lines import LinkPool, RequestNotSent, TransportError
+from pewterring.transport.lines import LinkPool, RequestNotSentError, TransportError
 
 ATTEMPT_TIMEOUT_S = 1.2  # one attempt at one store; a commit takes some milliseconds
 RETRY_PAUSE_S = 0.06  # after all stores were called, give or take half of it
@@ -71,7 +71,7 @@
                 answer = await self._links.request(ip, message, min(left_s, ATTEMPT_TIMEOUT_S + wait_s))
             except TransportError as error:
                 self._forget(ip)
-                may_have_run = may_have_run or not isinstance(error, RequestNotSent)
+                may_have_run = may_have_run or not isinstance(error, RequestNotSentError)
                 continue
             if isinstance(answer, StoreAnswer):
                 self._leader = ip
--- a/pewterring/transport/channel.py
+++ b/pewterring/transport/channel.py
@@ -12,11 +12,11 @@
 
 from pewterring.transport.line_codec import MAX_GREETING_BYTES, Envelope, MessageCodec
 from pewterring.transport.line_errors import (
-    ChannelClosed,
-    RequestFailed,
-    RequestNotSent,
-    RequestTimeout,
-    UndecodableLine,
+    ChannelClosedError,
+    RequestFailedError,
+    RequestNotSentError,
+    RequestTimeoutError,
+    UndecodableLineError,
 )
 
 MAX_LINE_BYTES = 32 * 1024 * 1024
@@ -114,10 +114,10 @@
     async def request(self, message: Message, timeout_s: float) -> Message:
         """Sends a message and waits for its reply.
 
-        Raises `RequestNotSent`, `ChannelClosed`, `RequestTimeout` or `RequestFailed`.
+        Raises `RequestNotSentError`, `ChannelClosedError`, `RequestTimeoutError` or `RequestFailedError`.
         """
         if not self._can_write():
-            raise RequestNotSent(f"no connection with {self.remote_ip}, or its backlog is full")
+            raise RequestNotSentError(f"no connection with {self.remote_ip}, or its backlog is full")
         request_id = next(self._request_ids)
         line = self._codec.line(message, request_id)
         loop = asyncio.get_running_loop()
@@ -160,7 +160,7 @@
     def _expire(self, request_id: int) -> None:
         reply = self._pending.pop(request_id, None)
         if reply is not None and not reply.done():
-            reply.set_exception(RequestTimeout(f"{self.remote_ip} did not answer in time"))
+            reply.set_exception(RequestTimeoutError(f"{self.remote_ip} did not answer in time"))
 
     # Called by asyncio
 
@@ -208,10 +208,13 @@
 
     # Receiving
 
+    def _check_line(self, line: bytes) -> None:
+        if len(line) > self._longest:
+            raise UndecodableLineError(f"a line is longer than {self._longest} bytes")
+
     def _receive(self, line: bytes) -> None:
         try:
-            if len(line) > self._longest:
-                raise UndecodableLine(f"a line is longer than {self._longest} bytes")
+            self._check_line(line)
             if not self._greeted:
                 self._codec.check_greeting(line)
                 self._greeted = True
@@ -222,7 +225,7 @@
                 self._settle(envelope)
                 return
             message = self._codec.decode(envelope.body)
-        except UndecodableLine as error:
+        except UndecodableLineError as error:
             self._reject(str(error))
             return
         if self._on_message is not None:
@@ -233,18 +236,18 @@
         if reply is None or reply.done():
             return
         if envelope.is_failure:
-            reply.set_exception(RequestFailed(f"{self.remote_ip} could not answer"))
+            reply.set_exception(RequestFailedError(f"{self.remote_ip} could not answer"))
             return
         try:
             reply.set_result(self._codec.decode(envelope.body))
-        except UndecodableLine:
-            reply.set_exception(ChannelClosed(f"{self.remote_ip} sent a reply that is no message"))
+        except UndecodableLineError:
+            reply.set_exception(ChannelClosedError(f"{self.remote_ip} sent a reply that is no message"))
             raise
 
     def _handle(self, handler: MessageHandler, request_id: int, message: Message) -> None:
         try:
             result = handler(self, message)
-        except Exception:
+        except Exception:  # noqa: BLE001 - a handler's fault ends its call, not the channel
             logger.exception("handling {} from {} failed", type(message).__name__, self.remote_ip)
             self._answer_failure(request_id)
             return
@@ -299,6 +302,6 @@
         pending, self._pending = self._pending, {}
         for reply in pending.values():
             if not reply.done():
-                reply.set_exception(ChannelClosed(f"connection with {self.remote_ip}: {reason}"))
+                reply.set_exception(ChannelClosedError(f"connection with {self.remote_ip}: {reason}"))
         for callback in tuple(self.on_close):
             callback(self)
--- a/pewterring/transport/http_common.py
+++ b/pewterring/transport/http_common.py
@@ -79,6 +79,7 @@
     """A connection that reads into the shared buffer and tells when its writers should wait."""
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Part of `asyncio.BufferedProtocol`."""
         super().connection_made(transport)
         self.transport.set_write_buffer_limits(high=WRITE_HIGH_WATER_BYTES)
 
@@ -89,6 +90,7 @@
         self.transport.abort()
 
     def received(self, data: memoryview) -> None:
+        """Part of `Connection`."""
         self.data_received(bytes(data))
 
     def data_received(self, data: bytes) -> None:
--- /dev/null
+++ b/pewterring/transport/http_connection.py
@@ -0,0 +1,225 @@
+"""One connection to a worker, over HTTP/1.1: one request at a time, callbacks instead of tasks.
+
+It belongs to the connections of one address, which it tells when it comes to rest and when it is gone. What
+may go wrong ends its exchange with an `ExchangeError`: that says whether the request may have reached the
+worker.
+"""
+
+import asyncio
+import socket
+from typing import Protocol
+
+from pewterring.transport.http_answer import AnswerHead, AnswerReader
+from pewterring.transport.http_common import HttpConnection, encode_request
+from pewterring.transport.http_exchange import (
+    AnswerBrokenError,
+    ConnectFailedError,
+    Exchange,
+    ExchangeError,
+    SendRequest,
+    StaleConnectionError,
+    may_belong,
+    names_request,
+)
+
+USER_TIMEOUT_MS = 5000  # sent bytes that stay unacknowledged so long end the connection
+
+
+class ConnectionOwner(Protocol):
+    """The connections to one address."""
+
+    address: str  # `IP:port`
+
+    def now(self) -> float:
+        """The steady clock, in seconds."""
+        ...
+
+    def release(self, connection: "WorkerConnection", keep_alive_s: int | None) -> None:
+        """Takes a connection that comes to rest; `keep_alive_s` is for how long its worker keeps it."""
+        ...
+
+    def forget(self, connection: "WorkerConnection") -> None:
+        """Takes note of a connection that is closed, or about to be."""
+        ...
+
+
+class WorkerConnection(HttpConnection):
+    """One connection to a worker."""
+
+    def __init__(self, owner: ConnectionOwner, exchange: Exchange) -> None:
+        super().__init__()
+        self.reuse_until = 0.0
+        self._owner = owner
+        self._exchange: Exchange | None = exchange
+        self._reader = AnswerReader(exchange.request.method)
+        self._answer_begun = False
+        self._connecting: asyncio.Task[None] | None = None
+        exchange.attach(self)
+
+    # Connecting.
+
+    def connect(self, timeout_s: float) -> None:
+        """Begins to connect; the request is written when the connection is up."""
+        self._connecting = asyncio.get_running_loop().create_task(self._connect(timeout_s))
+
+    async def _connect(self, timeout_s: float) -> None:
+        ip, _, port = self._owner.address.rpartition(":")
+        try:
+            async with asyncio.timeout(timeout_s):
+                await asyncio.get_running_loop().create_connection(lambda: self, ip, int(port))
+        except (OSError, ValueError) as error:  # TimeoutError is an OSError
+            if not self.made:
+                self._finish(ConnectFailedError(f"cannot connect to {self._owner.address}: {error!r}"))
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Part of `HttpConnection`."""
+        super().connection_made(transport)
+        exchange = self._exchange
+        if exchange is None:  # cancelled meanwhile
+            self.transport.abort()
+            return
+        _set_user_timeout(self.transport)
+        self._write(exchange.request)
+
+    # Sending.
+
+    def reuse(self, exchange: Exchange) -> bool:
+        """Sends another request. False if the connection turned out closed with no byte of it sent."""
+        if self.transport.is_closing() or self.unread():
+            return False
+        self._write(exchange.request)
+        if self.transport.is_closing():  # the first write failed
+            return False
+        self._exchange = exchange
+        self._reader = AnswerReader(exchange.request.method)
+        self._answer_begun = False
+        exchange.reused = True
+        exchange.attach(self)
+        return True
+
+    def _write(self, request: SendRequest) -> None:
+        headers = request.headers_at(self._owner.now())
+        self.transport.write(encode_request(request.method, request.target, headers, request.body))
+
+    # Receiving.
+
+    def data_received(self, data: bytes) -> None:
+        """Part of `HttpConnection`."""
+        exchange, reader = self._exchange, self._reader
+        if exchange is None:
+            self.close()  # bytes that belong to no request
+            return
+        self._answer_begun = True
+        had_head = reader.head is not None
+        body = reader.feed(data)
+        if reader.head is not None and not had_head and not self._take_head(exchange, reader.head):
+            return
+        if body and self._exchange is exchange:
+            exchange.listener.on_data(body)
+        if self._exchange is exchange:
+            self._check_end()
+
+    def _take_head(self, exchange: Exchange, head: AnswerHead) -> bool:
+        if not may_belong(head, exchange.request, exchange.reused):
+            self._break(AnswerBrokenError("the answer is that to another request"))
+            return False
+        exchange.listener.on_head(head)
+        return True
+
+    def _check_end(self) -> None:
+        reader = self._reader
+        if reader.error is not None:
+            self._break(AnswerBrokenError(reader.error))
+        elif reader.complete:
+            self._complete()
+
+    def _complete(self) -> None:
+        exchange, head = self._exchange, self._reader.head
+        assert exchange is not None
+        assert head is not None
+        if not self._may_carry_another(exchange, head):
+            self._finish(None)
+            return
+        self.transport.resume_reading()
+        self._exchange = None
+        self._owner.release(self, head.keep_alive_s)
+        exchange.finish(None)
+
+    def _may_carry_another(self, exchange: Exchange, head: AnswerHead) -> bool:
+        """Whether nothing of this exchange can be taken for a part of the next one.
+
+        A worker may answer before it has read a long body. What the socket has taken of the body stays in
+        front of the next request; where some of it still waits here, the rest leaves and the connection ends.
+        """
+        if not self._reader.reusable or self._reader.surplus or not names_request(head, exchange.request):
+            return False
+        return self.up and not self.transport.get_write_buffer_size()
+
+    def eof_received(self) -> bool:
+        """Part of `HttpConnection`."""
+        if self._exchange is not None:
+            if self._is_stale():
+                self._break(StaleConnectionError("the reused connection was closed"))
+            else:
+                self._reader.end_of_input()
+                self._check_end()
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Part of `HttpConnection`."""
+        super().connection_lost(exc)
+        if self._exchange is not None and self._is_stale():
+            self._finish(StaleConnectionError(f"the reused connection was lost: {exc!r}"))
+        else:
+            self._finish(AnswerBrokenError(f"the connection was lost: {exc!r}"))
+
+    def _is_stale(self) -> bool:
+        return self._exchange is not None and self._exchange.reused and not self._answer_begun
+
+    # Ending.
+
+    def cancel(self) -> None:
+        """Drops the exchange and the connection, with what is not delivered yet of the request.
+
+        Symptom answered: a request that a slow link or a worker that reads slowly held up reaches the worker
+        long after its client has left.
+        """
+        self._exchange = None
+        if self._connecting is not None and not self.made:
+            self._connecting.cancel()
+        if self.up:
+            self.reset()
+        self._owner.forget(self)
+
+    def pause_reading(self) -> None:
+        """Leaves what comes in the socket."""
+        if self.up:
+            self.transport.pause_reading()
+
+    def resume_reading(self) -> None:
+        """Reads again."""
+        if self.up:
+            self.transport.resume_reading()
+
+    def close(self) -> None:
+        """Closes a connection at rest."""
+        self._owner.forget(self)
+        self.transport.close()
+
+    def _break(self, error: ExchangeError) -> None:
+        self.transport.abort()
+        self._finish(error)
+
+    def _finish(self, error: ExchangeError | None) -> None:
+        """Ends the exchange, if there is one, and the connection."""
+        self._owner.forget(self)
+        exchange, self._exchange = self._exchange, None
+        if self.made:
+            self.transport.close()
+        if exchange is not None:
+            exchange.finish(error)
+
+
+def _set_user_timeout(transport: asyncio.Transport) -> None:
+    connection = transport.get_extra_info("socket")
+    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
--- a/pewterring/transport/http_exchange.py
+++ b/pewterring/transport/http_exchange.py
@@ -18,21 +18,21 @@
     sent = True
 
 
-class ConnectFailed(ExchangeError):
+class ConnectFailedError(ExchangeError):
     """No connection came up: the request was certainly not sent."""
 
     sent = False
 
 
-class NoFreeConnection(ConnectFailed):
+class NoFreeConnectionError(ConnectFailedError):
     """All connections that the caller allows are in use: the request was certainly not sent."""
 
 
-class StaleConnection(ExchangeError):
+class StaleConnectionError(ExchangeError):
     """A reused connection closed before a byte of the answer: the request may or may not have been run."""
 
 
-class AnswerBroken(ExchangeError):
+class AnswerBrokenError(ExchangeError):
     """The answer ended early, was not HTTP, or was that to another request."""
 
 
--- a/pewterring/transport/http_fetch.py
+++ b/pewterring/transport/http_fetch.py
@@ -6,13 +6,13 @@
 
 from pewterring.transport.http_answer import AnswerHead
 from pewterring.transport.http_client import WorkerPool
-from pewterring.transport.http_exchange import AnswerBroken, Exchange, ExchangeError, SendRequest
+from pewterring.transport.http_exchange import AnswerBrokenError, Exchange, ExchangeError, SendRequest
 
 MAX_UNREAD_BYTES = 256 * 1024  # read from the connection and not taken yet; above this reading pauses
 MAX_ANSWER_BYTES = 8 * 1024 * 1024
 
 
-class AnswerTimeout(ExchangeError):
+class AnswerTimeoutError(ExchangeError):
     """The answer did not come whole in time."""
 
     def __init__(self, sent: bool) -> None:
@@ -35,7 +35,7 @@
     """An answer as a series of parts: the head, pieces of the body, None at its end."""
 
     def __init__(self, pool: WorkerPool, address: str, request: SendRequest, limit: int) -> None:
-        """Sends the request. Raises NoFreeConnection."""
+        """Sends the request. Raises NoFreeConnectionError."""
         self._parts: deque[AnswerPart | ExchangeError] = deque()
         self._unread_bytes = 0
         self._arrival: asyncio.Future[None] | None = None
@@ -97,7 +97,7 @@
         async with asyncio.timeout(timeout_s):
             return await _read_whole(stream)
     except TimeoutError:
-        raise AnswerTimeout(stream.exchange.sent) from None
+        raise AnswerTimeoutError(stream.exchange.sent) from None
     finally:
         stream.cancel()
 
@@ -113,6 +113,6 @@
         pieces.append(part)
         size += len(part)
         if size > MAX_ANSWER_BYTES:
-            raise AnswerBroken("the answer is too long")
+            raise AnswerBrokenError("the answer is too long")
     assert head is not None
     return WholeAnswer(head, b"".join(pieces))
--- a/pewterring/transport/http_request.py
+++ b/pewterring/transport/http_request.py
@@ -13,7 +13,7 @@
 MAX_EMPTY_LINE_BYTES = 64  # before a request
 
 
-class RequestRejected(TransportError):
+class RequestRejectedError(TransportError):
     """A request that is not handled; `status` is the answer to it."""
 
     def __init__(self, status: int, reason: str) -> None:
@@ -106,7 +106,7 @@
         return self._parser.trailing_data[0]
 
     def feed(self, data: bytes) -> ServerRequest | None:
-        """Takes bytes; returns the request once it is whole. Raises RequestRejected."""
+        """Takes bytes; returns the request once it is whole. Raises RequestRejectedError."""
         if self._head is None:
             data = self._without_empty_lines(data)
             if not data:
@@ -116,7 +116,7 @@
         try:
             return self._read_events()
         except h11.RemoteProtocolError as error:
-            raise RequestRejected(error.error_status_hint, str(error)) from error
+            raise RequestRejectedError(error.error_status_hint, str(error)) from error
 
     def _without_empty_lines(self, data: bytes) -> bytes:
         if self._head_bytes or data[0] not in b"\r\n":
@@ -124,7 +124,7 @@
         rest = data.lstrip(b"\r\n")
         self._empty_line_bytes += len(data) - len(rest)
         if self._empty_line_bytes > MAX_EMPTY_LINE_BYTES:
-            raise RequestRejected(400, "nothing but empty lines")
+            raise RequestRejectedError(400, "nothing but empty lines")
         return rest
 
     def _read_events(self) -> ServerRequest | None:
@@ -140,32 +140,32 @@
             elif isinstance(event, h11.EndOfMessage):
                 return self._request()
             else:
-                raise RequestRejected(400, f"unexpected {event!r}")
+                raise RequestRejectedError(400, f"unexpected {event!r}")
 
     def _check_incomplete_head(self) -> None:
         if self._head is None and self._head_bytes > self._limits.max_header_bytes:
-            raise RequestRejected(431, "the head is too long")
+            raise RequestRejectedError(431, "the head is too long")
 
     def _take_head(self, head: h11.Request) -> None:
         if head.http_version not in (b"1.1", b"1.0"):
-            raise RequestRejected(400, "not HTTP/1.1")
+            raise RequestRejectedError(400, "not HTTP/1.1")
         if self._head_bytes > self._limits.max_header_bytes:  # may count bytes of the body
             self._check_head(head)
         self._head = head
         for name, value in head.headers:
             if name == b"content-length" and int(value) > self._limits.max_body_bytes:
-                raise RequestRejected(413, "the body is too long")
+                raise RequestRejectedError(413, "the body is too long")
 
     def _check_head(self, head: h11.Request) -> None:
         size = len(head.method) + len(head.target) + REQUEST_LINE_OVERHEAD_BYTES
         size += sum(len(name) + len(value) + HEADER_OVERHEAD_BYTES for name, value in head.headers)
         if size > self._limits.max_header_bytes:
-            raise RequestRejected(431, "the head is too long")
+            raise RequestRejectedError(431, "the head is too long")
 
     def _take_body(self, data: bytes) -> None:
         self._body_bytes += len(data)
         if self._body_bytes > self._limits.max_body_bytes:
-            raise RequestRejected(413, "the body is too long")
+            raise RequestRejectedError(413, "the body is too long")
         self._body.append(data)
 
     def _request(self) -> ServerRequest:
--- a/pewterring/transport/http_server.py
+++ b/pewterring/transport/http_server.py
@@ -15,7 +15,7 @@
 from pewterring.transport.http_request import (
     RequestHead,
     RequestReader,
-    RequestRejected,
+    RequestRejectedError,
     ServerLimits,
     ServerRequest,
 )
@@ -155,7 +155,7 @@
         had_head = reader.has_head
         try:
             request = reader.feed(data)
-        except RequestRejected as rejection:
+        except RequestRejectedError as rejection:
             self._reject(rejection.status)
             return
         if request is not None:
@@ -272,7 +272,7 @@
         handler: Handler,
         limits: Callable[[], ServerLimits],
         now: Callable[[], float] = time.monotonic,
-        time_to_come: Callable[[RequestHead], float] = lambda head: math.inf,
+        time_to_come: Callable[[RequestHead], float] = lambda _head: math.inf,
     ) -> None:
         self.limits = limits
         self.now = now  # the clock of the event loop
@@ -358,7 +358,7 @@
         except asyncio.CancelledError:
             responder.abort()
             raise
-        except Exception as error:
+        except Exception as error:  # noqa: BLE001 - a handler's fault ends its request, not the connection
             logger.opt(exception=error).error("the handler of {} {} failed", request.method, request.target)
         if not responder.started:
             await responder.respond(500, [])
--- a/pewterring/transport/line_codec.py
+++ b/pewterring/transport/line_codec.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from pewterring.transport.line_errors import ForeignPeer, UndecodableLine
+from pewterring.transport.line_errors import ForeignPeerError, UndecodableLineError
 
 PROTOCOL = 1  # raised when older programs can no longer be understood
 MAX_GREETING_BYTES = 4096  # what a peer may send before it has said who it is
@@ -55,26 +55,30 @@
         return self._encoder.encode(self._greeting) + b"\n"
 
     def check_greeting(self, line: bytes) -> None:
-        """Raises `ForeignPeer` unless this first line of the peer is that of this cluster and protocol."""
+        """Checks the first line of a peer.
+
+        Raises:
+            ForeignPeerError: It is not that of this cluster and protocol.
+        """
         try:
             greeting = self._greetings.decode(line)
         except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
-            raise ForeignPeer(f"no greeting: {error}") from error
+            raise ForeignPeerError(f"no greeting: {error}") from error
         if greeting.protocol != PROTOCOL:
-            raise ForeignPeer(f"it speaks protocol {greeting.protocol}, not {PROTOCOL}")
+            raise ForeignPeerError(f"it speaks protocol {greeting.protocol}, not {PROTOCOL}")
         if greeting.cluster != self._greeting.cluster:
-            raise ForeignPeer(f"it is of cluster {greeting.cluster!r}, not {self._greeting.cluster!r}")
+            raise ForeignPeerError(f"it is of cluster {greeting.cluster!r}, not {self._greeting.cluster!r}")
 
     def encode(self, message: msgspec.Struct) -> bytes:
         """Encodes the message alone, without an envelope."""
         return self._encoder.encode(message)
 
     def decode(self, body: bytes | msgspec.Raw) -> msgspec.Struct:
-        """Decodes one message; raises `UndecodableLine`."""
+        """Decodes one message; raises `UndecodableLineError`."""
         try:
             return self._bodies.decode(body)
         except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
-            raise UndecodableLine(str(error)) from error
+            raise UndecodableLineError(str(error)) from error
 
     def line(self, message: msgspec.Struct, request_id: int = 0, reply_to: int = 0) -> bytes:
         """Encodes a message as one line, its line feed included."""
@@ -85,11 +89,11 @@
         return self._line(FAILURE_BODY, 0, reply_to)
 
     def decode_line(self, line: bytes) -> Envelope:
-        """Decodes the envelope of a line; raises `UndecodableLine`."""
+        """Decodes the envelope of a line; raises `UndecodableLineError`."""
         try:
             return self._envelopes.decode(line)
         except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
-            raise UndecodableLine(str(error)) from error
+            raise UndecodableLineError(str(error)) from error
 
     def _line(self, body: bytes, request_id: int, reply_to: int) -> bytes:
         envelope = Envelope(request_id, reply_to, msgspec.Raw(body))
--- a/pewterring/transport/line_server.py
+++ b/pewterring/transport/line_server.py
@@ -2,10 +2,11 @@
 
 import asyncio
 import socket
+from dataclasses import dataclass
 
 from pewterring.transport.channel import Channel, MessageHandler, PeerWarnings, set_liveness_options
 from pewterring.transport.line_codec import MessageCodec
-from pewterring.transport.line_errors import RequestNotSent
+from pewterring.transport.line_errors import RequestNotSentError
 
 ACCEPT_QUEUE = 1024  # connections that the kernel keeps until they are accepted
 
@@ -49,30 +50,40 @@
         return channel
 
 
-async def connect(
-    codec: MessageCodec,
-    ip: str,
-    port: int,
-    timeout_s: float,
-    on_message: MessageHandler | None = None,
-    source_ip: str | None = None,
-    warnings: PeerWarnings | None = None,
-) -> Channel:
-    """Opens a channel; raises `RequestNotSent` where there is no connection in time."""
+@dataclass(frozen=True, slots=True)
+class ChannelSettings:
+    """What the side that connects brings with it."""
+
+    codec: MessageCodec
+    on_message: MessageHandler | None = None  # takes messages that are no replies
+    source_ip: str | None = None  # own address to connect from
+    warnings: PeerWarnings | None = None  # shared by channels, so that a peer is named once
+
+
+async def connect(settings: ChannelSettings, ip: str, port: int, timeout_s: float) -> Channel:
+    """Opens a channel.
+
+    Raises:
+        RequestNotSentError: There is no connection after `timeout_s`.
+    """
     loop = asyncio.get_running_loop()
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     try:
         sock.setblocking(False)
         set_liveness_options(sock)
-        if source_ip is not None:
-            sock.bind((source_ip, 0))
+        if settings.source_ip is not None:
+            sock.bind((settings.source_ip, 0))
         async with asyncio.timeout(timeout_s):
             await loop.sock_connect(sock, (ip, port))
-            _, channel = await loop.create_connection(lambda: Channel(codec, on_message, warnings), sock=sock)
+            _, channel = await loop.create_connection(lambda: _new_channel(settings), sock=sock)
     except OSError as error:  # TimeoutError is one of them
         sock.close()
-        raise RequestNotSent(f"cannot connect to {ip}:{port}: {error or 'no answer'}") from error
+        raise RequestNotSentError(f"cannot connect to {ip}:{port}: {error or 'no answer'}") from error
     except BaseException:
         sock.close()
         raise
     return channel
+
+
+def _new_channel(settings: ChannelSettings) -> Channel:
+    return Channel(settings.codec, settings.on_message, settings.warnings)
--- a/pewterring/transport/lines.py
+++ b/pewterring/transport/lines.py
@@ -9,33 +9,34 @@
 )
 from pewterring.transport.line_codec import Envelope, MessageCodec
 from pewterring.transport.line_errors import (
-    ChannelClosed,
-    ForeignPeer,
-    RequestFailed,
-    RequestNotSent,
-    RequestTimeout,
+    ChannelClosedError,
+    ForeignPeerError,
+    RequestFailedError,
+    RequestNotSentError,
+    RequestTimeoutError,
     TransportError,
-    UndecodableLine,
+    UndecodableLineError,
 )
-from pewterring.transport.line_server import LineServer, connect
+from pewterring.transport.line_server import ChannelSettings, LineServer, connect
 from pewterring.transport.link_pool import LinkPool
 
 __all__ = [
     "MAX_BACKLOG_BYTES",
     "MAX_LINE_BYTES",
     "Channel",
-    "ChannelClosed",
+    "ChannelClosedError",
+    "ChannelSettings",
     "Envelope",
-    "ForeignPeer",
+    "ForeignPeerError",
     "LineServer",
     "LinkPool",
     "Message",
     "MessageCodec",
     "MessageHandler",
-    "RequestFailed",
-    "RequestNotSent",
-    "RequestTimeout",
+    "RequestFailedError",
+    "RequestNotSentError",
+    "RequestTimeoutError",
     "TransportError",
-    "UndecodableLine",
+    "UndecodableLineError",
     "connect",
 ]
--- a/pewterring/transport/link_pool.py
+++ b/pewterring/transport/link_pool.py
@@ -7,8 +7,8 @@
 
 from pewterring.transport.channel import Channel, Message, MessageHandler, PeerWarnings
 from pewterring.transport.line_codec import MessageCodec
-from pewterring.transport.line_errors import RequestNotSent, RequestTimeout
-from pewterring.transport.line_server import connect
+from pewterring.transport.line_errors import RequestNotSentError, RequestTimeoutError
+from pewterring.transport.line_server import ChannelSettings, connect
 
 CONNECT_TIMEOUT_S = 1.0
 MIN_PAUSE_S = 0.1  # between attempts to connect with one peer
@@ -44,10 +44,10 @@
         if self._channel is None:
             await self._open(timeout_s)
         if self._channel is None:
-            raise RequestNotSent(f"no connection with {self._ip}")
+            raise RequestNotSentError(f"no connection with {self._ip}")
         left = deadline - loop.time()
         if left <= 0.0:
-            raise RequestTimeout(f"no time left to ask {self._ip}")
+            raise RequestTimeoutError(f"no time left to ask {self._ip}")
         return await self._channel.request(message, left)
 
     def close(self) -> None:
@@ -65,7 +65,7 @@
                 if self._channel is None:
                     await asyncio.wait([self._attempt or self._start_attempt()])
         except TimeoutError as error:
-            raise RequestNotSent(f"no connection with {self._ip} in time") from error
+            raise RequestNotSentError(f"no connection with {self._ip} in time") from error
 
     def _pause_left(self) -> float:
         return self._next_attempt_at - asyncio.get_running_loop().time()
@@ -77,7 +77,7 @@
     async def _connect(self) -> Channel | None:
         try:
             channel = await self._pool.open_channel(self._ip)
-        except RequestNotSent:
+        except RequestNotSentError:
             self._failures += 1
             self._pause()
             return None
@@ -93,7 +93,7 @@
             channel.send(message)
         return channel
 
-    def _lost(self, channel: Channel) -> None:
+    def _lost(self, _channel: Channel) -> None:
         self._channel = None
         self._pause()
 
@@ -113,12 +113,9 @@
         rng: random.Random,
         source_ip: str | None = None,
     ) -> None:
-        self._codec = codec
+        self._settings = ChannelSettings(codec, on_message, source_ip, PeerWarnings())
         self._port = port
         self._rng = rng
-        self._on_message = on_message
-        self._source_ip = source_ip
-        self._warnings = PeerWarnings()
         self._links: dict[str, _Link] = {}
 
     def send(self, ip: str, message: msgspec.Struct) -> bool:
@@ -141,16 +138,8 @@
             self.drop(ip)
 
     async def open_channel(self, ip: str) -> Channel:
-        """Opens a channel of its own to a peer; raises `RequestNotSent`."""
-        return await connect(
-            self._codec,
-            ip,
-            self._port,
-            CONNECT_TIMEOUT_S,
-            self._on_message,
-            self._source_ip,
-            self._warnings,
-        )
+        """Opens a channel of its own to a peer; raises `RequestNotSentError`."""
+        return await connect(self._settings, ip, self._port, CONNECT_TIMEOUT_S)
 
     def pause_s(self, failures: int) -> float:
         """How long to wait before the next attempt, after so many failures in a row."""
--- a/tests/control/api_machine.py
+++ b/tests/control/api_machine.py
@@ -15,7 +15,7 @@
 from pewterring.control.state import ControlState
 from pewterring.transport.http_request import ServerRequest
 from pewterring.transport.http_responder import Responder
-from pewterring.transport.lines import RequestNotSent
+from pewterring.transport.lines import RequestNotSentError
 from tests.control.records import apply
 from tests.transport.http_stand_ins import AnswerTaker
 
@@ -64,7 +64,7 @@
         self.relayed += 1
         self._relays.set()
         if self.other is None or not isinstance(message, RelayedCall):
-            raise RequestNotSent(f"no connection with {ip} for {timeout_s} s")
+            raise RequestNotSentError(f"no connection with {ip} for {timeout_s} s")
         return await self.other.router.answer_relayed(message)
 
     async def has_relayed(self, count: int) -> None:
--- a/tests/control/cluster.py
+++ b/tests/control/cluster.py
@@ -35,7 +35,7 @@
 from pewterring.control.service import ControlService
 from pewterring.control.state import ControlState
 from pewterring.distribution.messages import FEED_MESSAGES
-from pewterring.transport.lines import MessageCodec, RequestNotSent, RequestTimeout
+from pewterring.transport.lines import MessageCodec, RequestNotSentError, RequestTimeoutError
 from tests.consensus.memory_storage import MemoryStorage
 from tests.consensus.virtual_time import InlineExecutor
 
@@ -203,17 +203,17 @@
         self._pass_point()
         machine = self.machines.get(ip)
         if machine is None or not isinstance(message, RelayedCall):
-            raise RequestNotSent(f"no connection with {ip}")
+            raise RequestNotSentError(f"no connection with {ip}")
         if (origin, ip) in self.partitions:
             self.carry(origin, ip, lambda: self._answer_nobody(machine, message))
             await asyncio.sleep(timeout_s)
-            raise RequestTimeout("no answer in time")
+            raise RequestTimeoutError("no answer in time")
         reply: msgspec.Struct | None = await self._unless_it_dies(
             machine, machine.router.answer_relayed(message), timeout_s
         )
         self._pass_point()
         if reply is None or ip not in self.machines or (ip, origin) in self.partitions:
-            raise RequestTimeout("no answer in time")
+            raise RequestTimeoutError("no answer in time")
         return reply
 
     def _answer_nobody(self, machine: ControlMachine, message: RelayedCall) -> None:
--- a/tests/control/simulated_feed.py
+++ b/tests/control/simulated_feed.py
@@ -10,7 +10,7 @@
 from pewterring.distribution.messages import NodeRecord, Renew, Subscribe
 from pewterring.distribution.subscriber import FeedEnvironment, FeedSubscriber, NodeReport
 from pewterring.distribution.tables import Tables
-from pewterring.transport.lines import Channel, MessageCodec, RequestNotSent, RequestTimeout
+from pewterring.transport.lines import Channel, ChannelSettings, RequestNotSentError, RequestTimeoutError
 from tests.control.cluster import FEED_CODEC, ControlCluster, ControlMachine
 from tests.node_settings import addresses, node_settings
 
@@ -77,7 +77,7 @@
         try:
             return await asyncio.wait_for(reply, timeout_s)
         except TimeoutError as error:
-            raise RequestTimeout("no answer in time") from error
+            raise RequestTimeoutError("no answer in time") from error
 
 
 class FeedNode:
@@ -116,14 +116,15 @@
         return True
 
     async def _open_channel(
-        self, _codec: MessageCodec, ip: str, _port: int, timeout_s: float, on_message: Any
+        self, settings: ChannelSettings, ip: str, _port: int, timeout_s: float
     ) -> Channel:
         machine = self._cluster.machines.get(ip)
         if machine is None or {(self.ip, ip), (ip, self.ip)} & self._cluster.partitions:
             await asyncio.sleep(timeout_s)
-            raise RequestNotSent(f"no connection with {ip} in time")
+            raise RequestNotSentError(f"no connection with {ip} in time")
         near = NodeEnd(self._cluster, self.ip, ip)
         far = FeedEnd(self._cluster, ip, self.ip)
         near.peer, far.peer, near.machine = far, near, machine
+        on_message: Any = settings.on_message
         near.receive = lambda message: on_message(cast(Channel, near), message)
         return cast(Channel, near)
--- a/tests/control/test_program.py
+++ b/tests/control/test_program.py
@@ -28,7 +28,7 @@
 from pewterring.node.address import Address
 from pewterring.node.errors import SettingsError
 from pewterring.node.settings import NodeSettings
-from pewterring.transport.lines import ChannelClosed, LineServer, MessageCodec, connect
+from pewterring.transport.lines import ChannelClosedError, ChannelSettings, LineServer, MessageCodec, connect
 from tests.configuration.documents import encoded
 from tests.loopback import free_port, loopback_ip
 from tests.node_settings import addresses, node_settings
@@ -260,12 +260,12 @@
         try:
             for cluster in ("one", "two", ""):
                 codec = MessageCodec(MESSAGES, cluster)
-                channel = await connect(codec, IPS[0], machines.internal_port, CALL_S)
+                channel = await connect(ChannelSettings(codec), IPS[0], machines.internal_port, CALL_S)
                 channel.send(JoinGroup(f"{NODE_IP}#{cluster}"))
                 if cluster == "one":
                     assert isinstance(await channel.request(subscribe, CALL_S), Redirect)
                 else:
-                    with pytest.raises(ChannelClosed):
+                    with pytest.raises(ChannelClosedError):
                         await channel.request(subscribe, CALL_S)
                 channel.close()
             assert requested == [f"{NODE_IP}#one"]
--- a/tests/distribution/test_subscriber.py
+++ b/tests/distribution/test_subscriber.py
@@ -26,7 +26,7 @@
     NodeReport,
 )
 from pewterring.distribution.tables import Tables
-from pewterring.transport.lines import Channel, MessageCodec, MessageHandler
+from pewterring.transport.lines import Channel, ChannelSettings, MessageCodec, MessageHandler
 from tests.consensus.virtual_time import VirtualTimeLoop
 from tests.node_settings import addresses, node_settings
 
@@ -66,10 +66,11 @@
         self._answers = answers
 
     async def open_channel(
-        self, _codec: MessageCodec, ip: str, _port: int, _timeout_s: float, handler: MessageHandler
+        self, settings: ChannelSettings, ip: str, _port: int, _timeout_s: float
     ) -> Channel:
         self.requests.append((self.loop.time(), ip))
-        self.machines.append(Machine(*self._answers[ip], handler=handler))
+        assert settings.on_message is not None
+        self.machines.append(Machine(*self._answers[ip], handler=settings.on_message))
         return cast(Channel, self.machines[-1])
 
     def subscriber(self, on_tables: Any) -> FeedSubscriber:
--- a/tests/gateway/test_batch_calls.py
+++ b/tests/gateway/test_batch_calls.py
@@ -26,11 +26,11 @@
 from pewterring.gateway.batch_submission import read_submission
 from pewterring.gateway.errors import InvalidSubmissionError
 from pewterring.transport.lines import (
-    ChannelClosed,
+    ChannelClosedError,
     LinkPool,
-    RequestFailed,
-    RequestNotSent,
-    RequestTimeout,
+    RequestFailedError,
+    RequestNotSentError,
+    RequestTimeoutError,
     TransportError,
 )
 
@@ -138,7 +138,7 @@
 
 def test_a_call_that_reached_no_store_is_answered_as_not_run() -> None:
     def reply(_ip: str, _message: msgspec.Struct) -> msgspec.Struct:
-        raise RequestNotSent("down")
+        raise RequestNotSentError("down")
 
     assert call(reply)[0].status == 503
 
@@ -148,7 +148,7 @@
     def reply(_ip: str, _message: msgspec.Struct) -> msgspec.Struct:
         if unsure:
             return OutcomeUnknown()
-        raise RequestTimeout("late")
+        raise RequestTimeoutError("late")
 
     assert call(reply)[0].status == 504
 
@@ -158,7 +158,7 @@
 
     def reply(_ip: str, _message: msgspec.Struct) -> msgspec.Struct:
         if next(attempts) == 0:
-            raise RequestTimeout("late")
+            raise RequestTimeoutError("late")
         return JobRejected(True, 1.0)
 
     assert call(reply)[0].status == 504
@@ -201,7 +201,7 @@
 
 
 @pytest.mark.parametrize("method", ["POST", "DELETE"])
-@pytest.mark.parametrize("error", [ChannelClosed, RequestTimeout, RequestFailed])
+@pytest.mark.parametrize("error", [ChannelClosedError, RequestTimeoutError, RequestFailedError])
 def test_only_a_call_that_was_never_written_counts_as_not_arrived(
     error: type[TransportError], method: str
 ) -> None:
@@ -216,7 +216,7 @@
 
         return reply
 
-    assert call(reply_with(RequestNotSent), method, target)[0].status == 503
+    assert call(reply_with(RequestNotSentError), method, target)[0].status == 503
     assert call(reply_with(error), method, target)[0].status == 504
-    assert call(reply_with(error, RequestNotSent), method, target)[0].status == 504
-    assert call(reply_with(RequestNotSent, error), method, target)[0].status == 504
+    assert call(reply_with(error, RequestNotSentError), method, target)[0].status == 504
+    assert call(reply_with(RequestNotSentError, error), method, target)[0].status == 504
--- a/tests/gateway/test_client_disconnects.py
+++ b/tests/gateway/test_client_disconnects.py
@@ -8,7 +8,7 @@
 
 from pewterring.configuration.model import RouteType
 from pewterring.distribution.messages import WorkerRecord
-from pewterring.transport.http_client import WorkerConnection
+from pewterring.transport.http_connection import WorkerConnection
 from pewterring.transport.http_request import ServerRequest
 from pewterring.transport.http_responder import Responder
 from tests.gateway.gateway import IP, Behaviour, answered, gateway, route, slow_stream, unresponsive
--- a/tests/gateway/test_request_trace.py
+++ b/tests/gateway/test_request_trace.py
@@ -84,7 +84,7 @@
 
 def test_a_broken_stream_is_distinguished_from_a_failed_worker() -> None:
     made = trace()
-    made.failure = "AnswerBroken"
+    made.failure = "AnswerBrokenError"
     assert made.reason() is Reason.WORKER_FAILED
     made.event(100.1)
     assert made.reason() is Reason.STREAM_BROKEN
--- a/tests/gateway/test_timeouts.py
+++ b/tests/gateway/test_timeouts.py
@@ -7,7 +7,7 @@
 import pytest
 
 from pewterring.configuration.model import RouteType
-from pewterring.transport.http_client import WorkerConnection
+from pewterring.transport.http_connection import WorkerConnection
 from pewterring.transport.http_request import ServerRequest
 from pewterring.transport.http_responder import Responder
 from tests.gateway.gateway import EVENTS, Gateway, answered, event, gateway, route, slow_stream, unresponsive
--- a/tests/golden/gateway_http_cases.py
+++ b/tests/golden/gateway_http_cases.py
@@ -18,7 +18,7 @@
 from pewterring.gateway.batch_calls import BatchCalls
 from pewterring.gateway.program import GatewayProgram
 from pewterring.routing.prompt import read_prompt
-from pewterring.transport.lines import LinkPool, RequestNotSent, TransportError
+from pewterring.transport.lines import LinkPool, RequestNotSentError, TransportError
 from tests.gateway.gateway import Gateway, route, settings
 from tests.golden.http_transcripts import IP, RecordingWorker, Transcript, ask
 
@@ -244,7 +244,7 @@
     "batch-item": (_batch(_told(batch.ItemBody("q83v")), ITEM), ()),
     "batch-ended": (_batch(_told(batch.JobEnded()), END), ()),
     "batch-unknown": (_batch(_told(batch.NotFound()), PAGE, ITEM, END), ()),
-    "batch-no-store-asked": (_batch(_raise(RequestNotSent("down")), SUBMIT, PAGE, ITEM, END), ()),
+    "batch-no-store-asked": (_batch(_raise(RequestNotSentError("down")), SUBMIT, PAGE, ITEM, END), ()),
     "batch-no-store-sure": (_batch(_raise(TransportError("lost")), SUBMIT, PAGE, ITEM, END), ()),
 }
 
--- a/tests/golden/test_channel_lines.py
+++ b/tests/golden/test_channel_lines.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from pewterring.transport.line_errors import ForeignPeer
+from pewterring.transport.line_errors import ForeignPeerError
 from tests.golden import line_cases as cases
 from tests.golden.golden_files import read_text
 
@@ -17,7 +17,7 @@
 @pytest.mark.parametrize(("cluster", "greeting"), list(zip(("", "blue"), GREETINGS, strict=True)))
 def test_the_golden_greeting_is_taken_from_the_same_cluster_alone(cluster: str, greeting: bytes) -> None:
     cases.codec(cluster).check_greeting(greeting)
-    with pytest.raises(ForeignPeer):
+    with pytest.raises(ForeignPeerError):
         cases.codec("other").check_greeting(greeting)
 
 
--- a/tests/simulation/network.py
+++ b/tests/simulation/network.py
@@ -9,9 +9,9 @@
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
-from pewterring.transport.channel import USER_TIMEOUT_MS, Channel, MessageHandler, PeerWarnings
-from pewterring.transport.line_codec import MessageCodec
-from pewterring.transport.line_errors import RequestNotSent
+from pewterring.transport.channel import USER_TIMEOUT_MS, Channel
+from pewterring.transport.line_errors import RequestNotSentError
+from pewterring.transport.line_server import ChannelSettings
 from tests.simulation.virtual_loop import Process, VirtualLoop
 
 USER_TIMEOUT_S = USER_TIMEOUT_MS / 1000
@@ -147,13 +147,10 @@
 
     async def connect(
         self,
-        codec: MessageCodec,
+        settings: ChannelSettings,
         ip: str,
         _port: int,
         timeout_s: float,
-        on_message: MessageHandler | None = None,
-        _source_ip: str | None = None,
-        warnings: PeerWarnings | None = None,
     ) -> Channel:
         """Stands for `pewterring.transport.line_server.connect`."""
         process = self._loop.current
@@ -163,11 +160,13 @@
             async with asyncio.timeout(timeout_s):
                 await self._reach(source, ip)
         except TimeoutError as error:
-            raise RequestNotSent(f"cannot connect to {ip}: no answer") from error
+            raise RequestNotSentError(f"cannot connect to {ip}: no answer") from error
         listener = self.listeners.get(ip)
         if listener is None or not listener.owner.alive:
-            raise RequestNotSent(f"cannot connect to {ip}: refused")
-        return self._pair(process, ip, Channel(codec, on_message, warnings), listener)
+            raise RequestNotSentError(f"cannot connect to {ip}: refused")
+        return self._pair(
+            process, ip, Channel(settings.codec, settings.on_message, settings.warnings), listener
+        )
 
     async def _reach(self, source: str, ip: str) -> None:
         while True:
--- a/tests/transport/test_answer_breakages.py
+++ b/tests/transport/test_answer_breakages.py
@@ -7,10 +7,11 @@
 
 import pytest
 
-from pewterring.transport import http_client
+from pewterring.transport import http_connection
 from pewterring.transport.channel import Channel
-from pewterring.transport.http_client import AddressConnections, WorkerConnection
-from pewterring.transport.http_exchange import StaleConnection
+from pewterring.transport.http_client import AddressConnections
+from pewterring.transport.http_connection import WorkerConnection
+from pewterring.transport.http_exchange import StaleConnectionError
 from pewterring.transport.line_codec import MessageCodec
 from tests.gateway import test_worker_resets as live
 from tests.transport import test_http_resets as http
@@ -43,7 +44,7 @@
 
 def unsafe_call_sent_again(patch: pytest.MonkeyPatch) -> None:
     """A used connection that is lost is taken as proof that the request never arrived."""
-    patch.setattr(StaleConnection, "sent", False)
+    patch.setattr(StaleConnectionError, "sent", False)
 
 
 def early_answer_cuts_the_body(patch: pytest.MonkeyPatch) -> None:
@@ -67,12 +68,12 @@
 
 def answers_taken_as_they_come(patch: pytest.MonkeyPatch) -> None:
     """An answer is taken whatever id it shows."""
-    patch.setattr(http_client, "may_belong", lambda head, request, reused: True)
+    patch.setattr(http_connection, "may_belong", lambda head, request, reused: True)
 
 
 def unnamed_answers_taken(patch: pytest.MonkeyPatch) -> None:
     """An answer without an id counts as one that shows the right one."""
-    patch.setattr(http_client, "names_request", lambda head, request: True)
+    patch.setattr(http_connection, "names_request", lambda head, request: True)
 
 
 def reset_ends_an_answer(patch: pytest.MonkeyPatch) -> None:
--- a/tests/transport/test_http_client.py
+++ b/tests/transport/test_http_client.py
@@ -8,16 +8,16 @@
 
 from pewterring.transport.http_answer import AnswerReader
 from pewterring.transport.http_client import (
-    AnswerBroken,
-    ConnectFailed,
+    AnswerBrokenError,
+    ConnectFailedError,
     ConnectionCounts,
-    NoFreeConnection,
+    NoFreeConnectionError,
     SendRequest,
-    StaleConnection,
+    StaleConnectionError,
     WorkerPool,
 )
 from pewterring.transport.http_common import encode_chunk
-from pewterring.transport.http_fetch import AnswerTimeout, fetch
+from pewterring.transport.http_fetch import AnswerTimeoutError, fetch
 from tests.transport.http_stand_ins import PATIENCE_S, RawWorker, Recorder, Script, Wire
 
 REQUEST = SendRequest("POST", "/x?", [(b"Host", b"h"), (b"Request-Id", b"a1")], b"body", b"a1")
@@ -220,7 +220,7 @@
             address = worker.address
         pool = WorkerPool()
         recorder = await exchange(pool, address)
-        assert isinstance(recorder.error, ConnectFailed)
+        assert isinstance(recorder.error, ConnectFailedError)
         assert not recorder.error.sent
         assert pool.counts(address).open == 0
 
@@ -234,7 +234,7 @@
         async with RawWorker() as worker:
             pool.send(worker.address, REQUEST, recorder, LIMIT, connect_timeout_s=0.0)
             error = await recorder.end()
-        assert isinstance(error, ConnectFailed)
+        assert isinstance(error, ConnectFailedError)
         assert not error.sent
 
     asyncio.run(run())
@@ -244,7 +244,7 @@
     async def then(pool: WorkerPool, worker: RawWorker) -> None:
         first = Recorder()
         pool.send(worker.address, REQUEST, first, limit=1)
-        with pytest.raises(NoFreeConnection):
+        with pytest.raises(NoFreeConnectionError):
             pool.send(worker.address, REQUEST, Recorder(), limit=1)
         assert await first.end() is None
         second = Recorder()
@@ -268,7 +268,7 @@
     async def then(pool: WorkerPool, worker: RawWorker) -> None:
         assert (await exchange(pool, worker.address)).error is None
         recorder = await exchange(pool, worker.address)
-        assert isinstance(recorder.error, StaleConnection)
+        assert isinstance(recorder.error, StaleConnectionError)
         assert recorder.error.sent
 
     play(script, then=then)
@@ -319,7 +319,7 @@
 
 def test_an_answer_to_another_request_is_not_taken() -> None:
     recorder = one_exchange(answering(OK.replace(b"a1", b"b2")))
-    assert isinstance(recorder.error, AnswerBroken)
+    assert isinstance(recorder.error, AnswerBrokenError)
     assert recorder.error.sent
     assert recorder.head is None
     assert recorder.body == b""
@@ -347,7 +347,7 @@
 )
 def test_an_answer_that_is_cut_or_garbage_is_broken(raw: bytes, body: bytes) -> None:
     recorder = one_exchange(answering(raw, close=True))
-    assert isinstance(recorder.error, AnswerBroken)
+    assert isinstance(recorder.error, AnswerBrokenError)
     assert recorder.error.sent
     assert recorder.body == body
 
@@ -356,7 +356,7 @@
     raw = b"HTTP/1.1 200 OK\r\n\r\nall of it"
     recorder = one_exchange(answering(raw, close=True))
     assert (recorder.error, recorder.body) == (None, b"all of it")
-    assert isinstance(one_exchange(resetting(raw)).error, AnswerBroken)
+    assert isinstance(one_exchange(resetting(raw)).error, AnswerBrokenError)
 
 
 def test_pieces_come_as_they_are_read() -> None:
@@ -449,9 +449,9 @@
     async def then(pool: WorkerPool, worker: RawWorker) -> None:
         answer = await fetch(pool, worker.address, REQUEST, LIMIT, PATIENCE_S)
         assert (answer.head.status, answer.body) == (200, b"onetwo!")
-        with pytest.raises(AnswerBroken):
+        with pytest.raises(AnswerBrokenError):
             await fetch(pool, worker.address, REQUEST, LIMIT, PATIENCE_S)
-        with pytest.raises(AnswerTimeout):
+        with pytest.raises(AnswerTimeoutError):
             await fetch(pool, worker.address, REQUEST, LIMIT, 0.05)
         assert pool.counts(worker.address).open == 0
 
--- a/tests/transport/test_http_resets.py
+++ b/tests/transport/test_http_resets.py
@@ -5,7 +5,12 @@
 
 import pytest
 
-from pewterring.transport.http_client import AnswerBroken, ConnectFailed, SendRequest, StaleConnection
+from pewterring.transport.http_client import (
+    AnswerBrokenError,
+    ConnectFailedError,
+    SendRequest,
+    StaleConnectionError,
+)
 from pewterring.transport.http_common import encode_request
 from tests.consensus import virtual_time
 from tests.transport.scripted import Ending, ScriptedWorker, scripted_network, settle
@@ -88,7 +93,7 @@
                 assert recorder.body == sample.body[: len(recorder.body)]
                 assert sample.closable is not None or recorder.body == sample.body
             else:
-                kind = StaleConnection if reused and not cut else AnswerBroken
+                kind = StaleConnectionError if reused and not cut else AnswerBrokenError
                 assert type(recorder.error) is kind
                 assert recorder.error is not None
                 assert recorder.error.sent
@@ -125,7 +130,7 @@
     async def story(worker: ScriptedWorker) -> None:
         worker.network.refusing.add("192.0.2.1")
         recorder, _ = await worker.send(REQUEST)
-        assert type(recorder.error) is ConnectFailed
+        assert type(recorder.error) is ConnectFailedError
         assert not recorder.error.sent
 
     play(story)
@@ -193,7 +198,7 @@
             first.deliver(surplus[:split])
             first.deliver(surplus[split:] + NEXT_OK)
             await settle()
-            assert isinstance(recorder.error, AnswerBroken)
+            assert isinstance(recorder.error, AnswerBrokenError)
             assert recorder.error.sent
             assert (recorder.head, recorder.body) == (None, b"")
             assert first.ended
--- a/tests/transport/test_line_resets.py
+++ b/tests/transport/test_line_resets.py
@@ -10,12 +10,12 @@
 from pewterring.transport.channel import GREETING_S, Channel, PeerWarnings
 from pewterring.transport.line_codec import MAX_GREETING_BYTES, PROTOCOL, Greeting
 from pewterring.transport.lines import (
-    ChannelClosed,
+    ChannelClosedError,
     LineServer,
     LinkPool,
     MessageCodec,
-    RequestNotSent,
-    RequestTimeout,
+    RequestNotSentError,
+    RequestTimeoutError,
 )
 from tests.consensus import virtual_time
 from tests.transport.scripted import Ending, ScriptedTransport, settle, warnings_logged
@@ -92,8 +92,8 @@
             await settle()
             error = task.exception()
             assert asked.handled == (["q"] if cut == len(line) else [])
-            assert isinstance(error, ChannelClosed)
-            assert not isinstance(error, RequestNotSent)
+            assert isinstance(error, ChannelClosedError)
+            assert not isinstance(error, RequestNotSentError)
 
         play(story)
 
@@ -112,8 +112,8 @@
             if cut == len(line):
                 assert task.result() == Told("a")
             else:
-                assert isinstance(task.exception(), ChannelClosed)
-            with pytest.raises(RequestNotSent):
+                assert isinstance(task.exception(), ChannelClosedError)
+            with pytest.raises(RequestNotSentError):
                 await side.channel.request(Ask("more"), TIME_S)
 
         play(story)
@@ -127,7 +127,7 @@
     side.transport.deliver(CODEC.greeting)
     first = await side.ask("first")
     first_id = side.last_id()
-    with pytest.raises(RequestTimeout):
+    with pytest.raises(RequestTimeoutError):
         await first
     second = await side.ask("second")
     side.transport.deliver(CODEC.line(Told("late"), reply_to=first_id))
@@ -257,7 +257,7 @@
                 await asyncio.sleep(0.2)
                 assert side.transport.ended
                 assert side.channel.closed
-                assert isinstance(task.exception(), ChannelClosed)
+                assert isinstance(task.exception(), ChannelClosedError)
         assert len(lines) == 1
         assert "192.0.2.1" in lines[0]
         assert "no greeting" in lines[0]
@@ -297,7 +297,7 @@
         task = await side.ask("q")
         side.transport.deliver(greeting(cluster="two") + CODEC.line(Told("a"), reply_to=1))
         await settle()
-        assert isinstance(task.exception(), ChannelClosed)
+        assert isinstance(task.exception(), ChannelClosedError)
 
     play(story)
 
@@ -320,7 +320,7 @@
         stranger = LineServer(MessageCodec((Ask, Told), "two"), lambda channel, message: Told("taken"))
         await stranger.start("127.0.0.1", 0)
         pool = LinkPool(CODEC, stranger.port, rng=random.Random(1))
-        with pytest.raises(ChannelClosed):
+        with pytest.raises(ChannelClosedError):
             await pool.request("127.0.0.1", Ask("q"), 10.0)
         pool.close()
         await stranger.stop()
--- a/tests/transport/test_lines.py
+++ b/tests/transport/test_lines.py
@@ -13,14 +13,15 @@
 from pewterring.transport.datagrams import DatagramPort
 from pewterring.transport.lines import (
     Channel,
-    ChannelClosed,
+    ChannelClosedError,
+    ChannelSettings,
     LineServer,
     LinkPool,
     MessageCodec,
-    RequestFailed,
-    RequestNotSent,
-    RequestTimeout,
-    UndecodableLine,
+    RequestFailedError,
+    RequestNotSentError,
+    RequestTimeoutError,
+    UndecodableLineError,
     connect,
 )
 
@@ -81,7 +82,7 @@
     async def play() -> None:
         peer = Peer()
         await peer.server.start(LOOPBACK, 0)
-        channel = await connect(CODEC, LOOPBACK, peer.server.port, TIMEOUT_S)
+        channel = await connect(ChannelSettings(CODEC), LOOPBACK, peer.server.port, TIMEOUT_S)
         try:
             async with asyncio.timeout(TIMEOUT_S):
                 await scenario(peer, channel)
@@ -105,7 +106,7 @@
     "body", [b"", b"{}", b"[", b'{"type":"Unlisted"}', b'{"type":"Say","text":7}', b"\xff"]
 )
 def test_a_codec_refuses_what_is_no_message(body: bytes) -> None:
-    with pytest.raises(UndecodableLine):
+    with pytest.raises(UndecodableLineError):
         CODEC.decode(body)
 
 
@@ -142,7 +143,7 @@
 @pytest.mark.parametrize("text", ["error", "later error"])
 def test_an_error_of_the_handler_fails_the_request_and_nothing_else(text: str) -> None:
     async def scenario(peer: Peer, channel: Channel) -> None:
-        with pytest.raises(RequestFailed):
+        with pytest.raises(RequestFailedError):
             await channel.request(Say(text), TIMEOUT_S)
         assert await channel.request(Say("next"), TIMEOUT_S) == Heard("next")
 
@@ -151,7 +152,7 @@
 
 def test_a_request_without_answer_times_out_and_a_late_answer_is_dropped() -> None:
     async def scenario(peer: Peer, channel: Channel) -> None:
-        with pytest.raises(RequestTimeout):
+        with pytest.raises(RequestTimeoutError):
             await channel.request(Say("later"), 0.0)
         peer.release.set()
         assert await channel.request(Say("next"), TIMEOUT_S) == Heard("next")
@@ -166,13 +167,13 @@
         request = asyncio.ensure_future(channel.request(Say("later"), TIMEOUT_S))
         server_side, _ = await peer.received.get()
         server_side.close()
-        with pytest.raises(ChannelClosed) as caught:
+        with pytest.raises(ChannelClosedError) as caught:
             await request
-        assert not isinstance(caught.value, RequestNotSent)
+        assert not isinstance(caught.value, RequestNotSentError)
         await closed.wait()
         assert channel.closed
         assert not channel.send(Say("more"))
-        with pytest.raises(RequestNotSent):
+        with pytest.raises(RequestNotSentError):
             await channel.request(Say("more"), TIMEOUT_S)
 
     run(scenario)
@@ -186,7 +187,7 @@
         sent = 0
         while channel.send(Say(text)):  # nothing is read meanwhile: this task does not wait
             sent += 1
-        with pytest.raises(RequestNotSent):
+        with pytest.raises(RequestNotSentError):
             await channel.request(Say("no room"), TIMEOUT_S)
         for _ in range(sent):
             assert await peer.text() == text
@@ -227,8 +228,8 @@
     async def play() -> None:
         with socket.socket() as unused:  # bound, not listening
             unused.bind((LOOPBACK, 0))
-            with pytest.raises(RequestNotSent):
-                await connect(CODEC, LOOPBACK, unused.getsockname()[1], TIMEOUT_S)
+            with pytest.raises(RequestNotSentError):
+                await connect(ChannelSettings(CODEC), LOOPBACK, unused.getsockname()[1], TIMEOUT_S)
 
     asyncio.run(play())
 
@@ -263,7 +264,7 @@
         request = asyncio.ensure_future(pool.request(LOOPBACK, Say("later"), TIMEOUT_S))
         server_side, _say = await peer.received.get()
         server_side.close()
-        with pytest.raises(ChannelClosed):
+        with pytest.raises(ChannelClosedError):
             await request
         assert await pool.request(LOOPBACK, Say("again"), TIMEOUT_S) == Heard("again")
         pool.close()
@@ -276,7 +277,7 @@
         with socket.socket() as unused:
             unused.bind((LOOPBACK, 0))
             pool = LinkPool(CODEC, unused.getsockname()[1], rng=random.Random(1))
-            with pytest.raises(RequestNotSent):
+            with pytest.raises(RequestNotSentError):
                 await pool.request(LOOPBACK, Say("nobody"), TIMEOUT_S)
             assert not pool.send(LOOPBACK, Say("in the pause after a failure"))
             pool.close()
