--- a/tests/transport/http_stand_ins.py
+++ b/tests/transport/http_stand_ins.py
@@ -176,5 +176,5 @@
     def answer_ended(self) -> None:
         pass
 
-    def abort_answer(self, reset: bool) -> None:
+    def abort_answer(self, _reset: bool) -> None:
         self.aborted = True
--- a/tests/transport/scripted.py
+++ b/tests/transport/scripted.py
@@ -150,7 +150,7 @@
         return self.transports[-1]
 
     async def connect(
-        self, make_protocol: Callable[[], asyncio.BaseProtocol], ip: str, port: int
+        self, make_protocol: Callable[[], asyncio.BaseProtocol], ip: str, _port: int
     ) -> tuple[ScriptedTransport, asyncio.BaseProtocol]:
         """Stands in for the loop's `create_connection`."""
         if ip in self.refusing:
--- a/tests/transport/test_answer_breakages.py
+++ b/tests/transport/test_answer_breakages.py
@@ -58,28 +58,28 @@
 
     kept = AddressConnections.release
     patch.setattr(AddressConnections, "release", release)
-    patch.setattr(WorkerConnection, "_may_carry_another", lambda connection, exchange, head: True)
+    patch.setattr(WorkerConnection, "_may_carry_another", lambda _connection, _exchange, _head: True)
 
 
 def surplus_ignored(patch: pytest.MonkeyPatch) -> None:
     """A connection with bytes after a whole answer is used again."""
-    patch.setattr(WorkerConnection, "_may_carry_another", lambda connection, exchange, head: True)
+    patch.setattr(WorkerConnection, "_may_carry_another", lambda _connection, _exchange, _head: True)
 
 
 def answers_taken_as_they_come(patch: pytest.MonkeyPatch) -> None:
     """An answer is taken whatever id it shows."""
-    patch.setattr(http_connection, "may_belong", lambda head, request, reused: True)
+    patch.setattr(http_connection, "may_belong", lambda _head, _request, _reused: True)
 
 
 def unnamed_answers_taken(patch: pytest.MonkeyPatch) -> None:
     """An answer without an id counts as one that shows the right one."""
-    patch.setattr(http_connection, "names_request", lambda head, request: True)
+    patch.setattr(http_connection, "names_request", lambda _head, _request: True)
 
 
 def reset_ends_an_answer(patch: pytest.MonkeyPatch) -> None:
     """A reset is taken for an end in good order."""
 
-    def connection_lost(connection: WorkerConnection, exc: Exception | None) -> None:
+    def connection_lost(connection: WorkerConnection, _exc: Exception | None) -> None:
         if connection._exchange is not None:
             connection._reader.end_of_input()
             connection._check_end()
@@ -89,7 +89,7 @@
 
 def strangers_heard(patch: pytest.MonkeyPatch) -> None:
     """The first line of a peer is not looked at."""
-    patch.setattr(MessageCodec, "check_greeting", lambda codec, line: None)
+    patch.setattr(MessageCodec, "check_greeting", lambda _codec, _line: None)
 
 
 def half_a_line_handled(patch: pytest.MonkeyPatch) -> None:
--- a/tests/transport/test_http_server.py
+++ b/tests/transport/test_http_server.py
@@ -124,7 +124,7 @@
 
 
 def test_an_answer_in_pieces_is_chunked() -> None:
-    async def handler(request: ServerRequest, responder: Responder) -> None:
+    async def handler(_request: ServerRequest, responder: Responder) -> None:
         responder.begin(200, [(b"X-A", b"1")])
         responder.write(b"one")
         await asyncio.sleep(0)
@@ -141,7 +141,7 @@
     async def play() -> None:
         go_on = asyncio.Event()
 
-        async def handler(request: ServerRequest, responder: Responder) -> None:
+        async def handler(_request: ServerRequest, responder: Responder) -> None:
             responder.begin(200, [])
             await go_on.wait()
             responder.end()
@@ -158,7 +158,7 @@
 
 @pytest.mark.parametrize("how", ["abort", "return", "raise"])
 def test_an_unfinished_answer_has_no_last_chunk(how: str) -> None:
-    async def handler(request: ServerRequest, responder: Responder) -> None:
+    async def handler(_request: ServerRequest, responder: Responder) -> None:
         responder.begin(200, [])
         responder.write(b"one")
         if how == "abort":
@@ -172,7 +172,7 @@
 
 
 def test_an_unfinished_answer_to_an_old_client_is_reset() -> None:
-    async def handler(request: ServerRequest, responder: Responder) -> None:
+    async def handler(_request: ServerRequest, responder: Responder) -> None:
         responder.begin(200, [])
         responder.write(b"one")
 
@@ -182,7 +182,7 @@
 
 @pytest.mark.parametrize("raises", [False, True])
 def test_a_handler_without_an_answer_gives_500(raises: bool) -> None:
-    async def handler(request: ServerRequest, responder: Responder) -> None:
+    async def handler(_request: ServerRequest, _responder: Responder) -> None:
         if raises:
             raise ValueError("failed")
 
@@ -249,7 +249,7 @@
 
 
 def test_head_has_a_length_and_no_body() -> None:
-    async def handler(request: ServerRequest, responder: Responder) -> None:
+    async def handler(_request: ServerRequest, responder: Responder) -> None:
         await responder.respond(200, [], b"four")
 
     raw = asyncio.run(exchanged(b"HEAD /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n", handler))
@@ -274,7 +274,7 @@
     async def play() -> None:
         gone, handled = asyncio.Event(), asyncio.Event()
 
-        async def handler(request: ServerRequest, responder: Responder) -> None:
+        async def handler(_request: ServerRequest, responder: Responder) -> None:
             responder.on_disconnect(gone.set)
             handled.set()
             await responder.finished()
@@ -301,7 +301,7 @@
 def test_no_disconnect_after_the_end_of_the_answer() -> None:
     calls: list[int] = []
 
-    async def handler(request: ServerRequest, responder: Responder) -> None:
+    async def handler(_request: ServerRequest, responder: Responder) -> None:
         responder.on_disconnect(lambda: calls.append(1))
         await responder.respond(200, [])
         assert not responder.disconnected
@@ -330,7 +330,7 @@
     async def play() -> None:
         handled = asyncio.Event()
 
-        async def handler(request: ServerRequest, responder: Responder) -> None:
+        async def handler(_request: ServerRequest, responder: Responder) -> None:
             responder.begin(200, [])
             responder.write(b"one")
             handled.set()
@@ -398,7 +398,7 @@
     async def play() -> None:
         paused = asyncio.Event()
 
-        async def handler(request: ServerRequest, responder: Responder) -> None:
+        async def handler(_request: ServerRequest, responder: Responder) -> None:
             responder.begin(200, [])
             responder.write(b"x" * size)
             assert responder.paused
--- a/tests/transport/test_line_resets.py
+++ b/tests/transport/test_line_resets.py
@@ -46,7 +46,7 @@
         self.transport = ScriptedTransport(self.channel)
         self.channel.connection_made(self.transport)
 
-    def _answer(self, channel: Channel, message: Ask) -> Told:
+    def _answer(self, _channel: Channel, message: Ask) -> Told:
         self.handled.append(message.text)
         return Told(message.text)
 
@@ -317,7 +317,7 @@
 
 def test_a_pool_has_requests_of_a_stranger_fail() -> None:
     async def play_it() -> None:
-        stranger = LineServer(MessageCodec((Ask, Told), "two"), lambda channel, message: Told("taken"))
+        stranger = LineServer(MessageCodec((Ask, Told), "two"), lambda _channel, _message: Told("taken"))
         await stranger.start("127.0.0.1", 0)
         pool = LinkPool(CODEC, stranger.port, rng=random.Random(1))
         with pytest.raises(ChannelClosedError):
--- a/tests/transport/test_lines.py
+++ b/tests/transport/test_lines.py
@@ -134,7 +134,7 @@
 def test_a_long_line_arrives_whole() -> None:
     text = "x" * 6_000_000
 
-    async def scenario(peer: Peer, channel: Channel) -> None:
+    async def scenario(_peer: Peer, channel: Channel) -> None:
         assert await channel.request(Say(text), TIMEOUT_S) == Heard(text)
 
     run(scenario)
@@ -142,7 +142,7 @@
 
 @pytest.mark.parametrize("text", ["error", "later error"])
 def test_an_error_of_the_handler_fails_the_request_and_nothing_else(text: str) -> None:
-    async def scenario(peer: Peer, channel: Channel) -> None:
+    async def scenario(_peer: Peer, channel: Channel) -> None:
         with pytest.raises(RequestFailedError):
             await channel.request(Say(text), TIMEOUT_S)
         assert await channel.request(Say("next"), TIMEOUT_S) == Heard("next")
@@ -296,7 +296,7 @@
     async def play() -> None:
         received: asyncio.Queue[Any] = asyncio.Queue()
         one = DatagramPort(lambda data, ip: received.put_nowait((data, ip)))
-        other = DatagramPort(lambda data, ip: None)
+        other = DatagramPort(lambda _data, _ip: None)
         await one.start(LOOPBACK, 0)
         await other.start(LOOPBACK, 0)
         other.send(LOOPBACK, b"hello", one.port)
