--- a/tests/simulation/test_planned.py
+++ b/tests/simulation/test_planned.py
@@ -3,8 +3,10 @@
 import pytest
 
 from tests.simulation.named import DEPARTURE_TIMEOUT_S, STOPPED_AT_S, replacement_at_full_tolerance
+from tests.simulation.patches import installed
 from tests.simulation.play import Verdict, play
 from tests.simulation.schedule import Fault, Kind, Role, Schedule, Target
+from tests.simulation.world import SPARE_STORES, World
 
 SEEDS = range(1, 4)
 LEADERSHIP_TRANSFER_TIMEOUT_S = 0.3
@@ -44,3 +46,22 @@
     assert not verdict.violations, verdict
     requested_s, ended_s = stop_times(verdict)
     assert ended_s - requested_s < DEPARTURE_TIMEOUT_S / 2
+
+
+WARM_S = 5.0  # stores start within 0.3 s; the partition is placed, and its first copies are made
+
+
+@pytest.mark.parametrize("tolerated", [1, 2])
+def test_a_partition_keeps_a_warm_copy_on_a_spare_store(tolerated: int) -> None:
+    world = World(1, tolerated, stores=True)
+    with installed(world):
+        world.run(WARM_S)
+        leader = world.leader(Role.STORE)
+        assert leader is not None
+        group = leader.group
+        assert group is not None
+        assert len(group.membership.voters) == 2 * tolerated + 1
+        assert len(group.membership.learners) == SPARE_STORES
+        assert all(group.match(learner) >= group.commit_index for learner in group.membership.learners)
+    world.loop.close()
+    assert not world.failed
