Tests: a breakage of departures is played beside control's learners again

The planner's parameter became a number of learners, and one caller still gave it True: the breakage `AcceptsLateDepartures` was played with one learner instead of all, as it was before. It is caught with all as with one. Two callers that gave False say 0, and the term of a recovery is compared by its constant.

--- a/tests/consensus/test_departure.py
+++ b/tests/consensus/test_departure.py
@@ -252,7 +252,7 @@
 
 def test_a_leader_that_accepts_late_notices_is_caught() -> None:
     with pytest.raises(AssertionError):
-        restart_and_late_notices(True, AcceptsLateDepartures)
+        restart_and_late_notices(ALL_SPARES, AcceptsLateDepartures)
 
 
 def test_a_late_acknowledgement_does_not_end_a_later_departure() -> None:
--- a/tests/consensus/test_losses.py
+++ b/tests/consensus/test_losses.py
@@ -132,7 +132,7 @@
 
 
 def test_a_member_that_was_removed_and_returns_with_its_old_disk_does_not_count() -> None:
-    simulation = started(1, 1, False, spares=1)
+    simulation = started(1, 1, 0, spares=1)
     gone = next(name for name in simulation.oldest(3) if name != simulation.leader())
     simulation.crash(gone)
     simulation.run(1.5)
@@ -156,7 +156,7 @@
 
 def test_two_losses_at_once_are_more_than_one_may_bear() -> None:
     """The check itself: where the second loss comes too early, the group does not come back."""
-    simulation = started(1, 1, False)
+    simulation = started(1, 1, 0)
     simulation.wipe(*simulation.oldest(2))
     with pytest.raises(SafetyViolationError):
         simulation.check_converges()
--- a/tests/simulation/test_recovery.py
+++ b/tests/simulation/test_recovery.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from pewterring.consensus.recovery import RECOVERY_TERM_STEP
 from pewterring.control.member_storage import FIRST_TAG
 from pewterring.control.recovery import confirmation_of, read_survivor, recover
 from tests.simulation.callers import Operator
@@ -55,7 +56,7 @@
     leader = world.leader(Role.CONTROL)
     assert leader is not None
     assert leader.group is not None
-    assert leader.group.term > former_term + 1_000_000
+    assert leader.group.term > former_term + RECOVERY_TERM_STEP
     assert len(leader.group.membership.voters) == 3
     taken = [
         order.state.version
