--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -262,8 +262,8 @@
                 else:
                     await self._handler(run)
                 await writer.drain()
-        except (OSError, EOFError):
-            pass
+        except (OSError, EOFError, asyncio.CancelledError):
+            pass  # the caller closed the connection, or the script ends
         finally:
             writer.close()
 
