--- a/review/1/case.py
+++ b/review/1/case.py
@@ -16,8 +16,8 @@
 CAPACITY, QUEUE = 3, 1  # of each worker
 WORK_S = 0.03
 CLIENTS = 24
-PERIODS = 10  # of trouble, each with a pause behind it
-TROUBLE_S, PAUSE_S = 5.0, 3.0
+PERIODS = 15  # of trouble, each behind a pause
+TROUBLE_S, PAUSE_S = 5.0, 1.0
 SPOILT_SHARE = 0.03  # of the answers of the worker in trouble
 PROMISES = (408, 421, 429, 503)  # to a client: the request has not run and never will
 ROUTE = {
