Review: the stand-ins end processes that are just being started too

Cause: a process that the platform of a script started again while the script ended was left over. Change: starts are awaited before all are ended.

--- a/review/common2/harness.py
+++ b/review/common2/harness.py
@@ -162,6 +162,8 @@
             for number in range(count):
                 name = f"{role}-{number + 1}"
                 self.nodes[name] = Node(role, name, f"{self.network}.{host + number}", ZONES[number % 3])
+        self._starts: set[asyncio.Task[None]] = set()
+        self._is_stopping = False
         self._spares = [f"store-{stores - number}" for number in range(spare_stores)]
 
     def of(self, role: str) -> list[Node]:
@@ -202,7 +204,14 @@
         return "".join(f"{key}={value}\n" for key, value in values.items())
 
     async def start_node(self, node: Node, bootstrap: bool = False) -> None:
-        """Starts one process with the command of the deploy file."""
+        """Starts one process with the command of the deploy file, even if the caller is cancelled meanwhile."""
+        if self._is_stopping:
+            return
+        starting = asyncio.create_task(self._start_process(node, bootstrap))
+        self._starts.add(starting)
+        await asyncio.shield(starting)
+
+    async def _start_process(self, node: Node, bootstrap: bool) -> None:
         folder = self.folder / node.name
         (folder / "data").mkdir(parents=True, exist_ok=True)
         settings = folder / "node.conf"
@@ -262,7 +271,9 @@
         self.record.add(f"configuration {configuration['version']} acknowledged")
 
     async def stop(self) -> None:
-        """Ends all processes and removes their folder."""
+        """Ends all processes, those that are just being started too, and removes their folder."""
+        self._is_stopping = True
+        await asyncio.gather(*self._starts, return_exceptions=True)
         for node in self.nodes.values():
             node.signal(signal.SIGCONT) if node.process else None
             node.signal(signal.SIGKILL) if node.process else None
