--- a/review/common2/harness.py
+++ b/review/common2/harness.py
@@ -204,7 +204,7 @@
         return "".join(f"{key}={value}\n" for key, value in values.items())
 
     async def start_node(self, node: Node, bootstrap: bool = False) -> None:
-        """Starts one process with the command of the deploy file, even if the caller is cancelled meanwhile."""
+        """Starts one process with the command of the deploy file, even if its caller is cancelled."""
         if self._is_stopping:
             return
         starting = asyncio.create_task(self._start_process(node, bootstrap))
