--- a/pewterring/batch/execution.py
+++ b/pewterring/batch/execution.py
@@ -14,6 +14,7 @@
 
 from pewterring.batch.commands import ItemFailures, JobResult
 from pewterring.batch.dispatch import Dispatcher, ExchangeOutcome, batch_route
+from pewterring.batch.given_up import GiveUpReason, log_given_up
 from pewterring.batch.items import Failure, ItemKey, QueuedItem
 from pewterring.batch.messages import ItemResult
 from pewterring.batch.missing_routes import MissingRoutes
@@ -161,7 +162,7 @@
         if not self._active:
             return
         now = self._clock()
-        self._give_up(self._scheduler.expire(now))
+        self._give_up(self._scheduler.expire(now), GiveUpReason.EXPIRED)
         fresh = self._may_start(now)
         self._give_up_missing_routes(now, fresh)
         if fresh:
@@ -233,7 +234,8 @@
             if self._scheduler.on_success(item, now):
                 self._add_result(item, SUCCEEDED, item.text)
         elif self._scheduler.on_failure(item, failure, now, worker_was_full):
-            self._add_result(item, DEAD_LETTER, "")
+            impossible = failure is Failure.IMPOSSIBLE
+            self._give_up([item], GiveUpReason.IMPOSSIBLE if impossible else GiveUpReason.FAILED_ATTEMPTS)
         elif failure is Failure.FAILED:
             # The count is replicated so that the next leader continues it if this one fails before the retry.
             self._committer.count_failures(ItemFailures(item.job, item.spec.id, item.failed_attempts))
@@ -248,7 +250,8 @@
 
     # Giving up
 
-    def _give_up(self, items: list[QueuedItem]) -> None:
+    def _give_up(self, items: list[QueuedItem], reason: GiveUpReason) -> None:
+        log_given_up(items, reason, self._clock(), self._state, self._tables())
         for item in items:
             self._cancel(item.key)
             self._add_result(item, DEAD_LETTER, "")
@@ -262,7 +265,7 @@
             self._missing_routes.reset_times()
             return
         for route in self._missing_routes.find_removed(now, tables, self._routes()):
-            self._give_up(self._scheduler.remove_route(route))
+            self._give_up(self._scheduler.remove_route(route), GiveUpReason.ROUTE_REMOVED)
             self._give_up_jobs_without_route(route)
 
     def _routes(self) -> set[RouteKey]:
@@ -275,7 +278,8 @@
             if job is None or job.route == route:
                 self._missing_routes.job_ids.discard(job_id)
             if job is not None and job.route == route:
-                self._give_up([QueuedItem(job.id, route, spec) for spec in job.items.values()])
+                items = [QueuedItem(job.id, route, spec) for spec in job.items.values()]
+                self._give_up(items, GiveUpReason.ROUTE_REMOVED)
 
 
 def _failure_of(item: QueuedItem, task: "asyncio.Task[Failure | None]") -> Failure | None:
