--- a/pewterring/batch/execution.py
+++ b/pewterring/batch/execution.py
@@ -2,6 +2,7 @@
 
 Owns the tasks of running exchanges and the timer of the next scheduling pass. What may go wrong: no item
 starts while the lease has expired or the tables are stale, or while no worker has capacity (dispatch.py).
+For the same time no item is given up by a limit: another configuration may be in force (limit_updates.py).
 """
 
 import asyncio
@@ -16,14 +17,15 @@
 from pewterring.batch.dispatch import Dispatcher, ExchangeOutcome, batch_route
 from pewterring.batch.given_up import GiveUpReason, log_given_up
 from pewterring.batch.items import Failure, ItemKey, QueuedItem
+from pewterring.batch.job_limits import limits_by_route
+from pewterring.batch.limit_updates import LimitUpdates
 from pewterring.batch.messages import ItemResult
 from pewterring.batch.missing_routes import MissingRoutes
 from pewterring.batch.results import ResultCommitter
-from pewterring.batch.scheduler import ItemScheduler, JobLimits
+from pewterring.batch.scheduler import ItemScheduler
 from pewterring.batch.state import BatchState, Clock, Job, RouteKey
 from pewterring.distribution.messages import WorkerRecord
 from pewterring.distribution.tables import Tables
-from pewterring.durations import MILLISECONDS_PER_SECOND
 
 RECHECK_PERIOD_S = 0.1  # between passes while items find no free worker, or the lease or the tables are stale
 MIN_TIMER_S = 0.01  # shortest delay of the timer, also for a deadline that has passed
@@ -84,6 +86,7 @@
         self._may_start = environment.may_start
         self._clock = environment.clock
         self._scheduler = ItemScheduler()
+        self._limits = LimitUpdates(self._scheduler, state, environment.tables)
         self._missing_routes = MissingRoutes()
         self._active = False
         self._running: dict[ItemKey, asyncio.Task[Failure | None]] = {}
@@ -125,11 +128,7 @@
             self._missing_routes.job_ids.add(job.id)
             return
         self._missing_routes.job_ids.discard(job.id)
-        limits = JobLimits(
-            due_at=job.accepted_at + route.completion_target_ms / MILLISECONDS_PER_SECOND,
-            give_up_at=job.accepted_at + route.job_ttl_s,
-            max_attempts=route.max_attempts,
-        )
+        limits = limits_by_route(route, job.accepted_at)
         self._scheduler.add_job(job.id, job.route, job.items.values(), limits, job.failed_attempts)
         self.wake()
 
@@ -142,7 +141,7 @@
         self.wake()
 
     def tables_changed(self) -> None:
-        """Queues jobs whose route is in the new tables, and starts items if workers are free."""
+        """Queues jobs whose route is in the new tables, and takes the limits of the others from them."""
         for job_id in tuple(self._missing_routes.job_ids):
             job = self._state.job(job_id)
             if job is None or job.finished:
@@ -162,21 +161,22 @@
         if not self._active:
             return
         now = self._clock()
-        self._give_up(self._scheduler.expire(now), GiveUpReason.EXPIRED)
-        fresh = self._may_start(now)
-        self._give_up_missing_routes(now, fresh)
-        if fresh:
+        may_give_up = self._may_give_up(now)
+        if may_give_up:
+            self._give_up_by_limits(now)
+        self._give_up_missing_routes(now, may_give_up)
+        if self._may_start(now):
             for item in self._scheduler.start(now, self._assign):
                 self._launch(item)
-        self._set_timer(now, fresh)
+        self._set_timer(now, may_give_up)
 
-    def _set_timer(self, now: float, fresh: bool) -> None:
+    def _set_timer(self, now: float, may_give_up: bool) -> None:
         self._cancel_timer()
         deadline = self._scheduler.next_deadline()
         waits_s = [] if deadline is None else [max(MIN_TIMER_S, deadline - now)]
         if self._scheduler.has_ready or self._missing_routes.any_missing:
             waits_s.append(RECHECK_PERIOD_S)
-        if not fresh and waits_s:
+        if waits_s and not may_give_up:
             waits_s = [RECHECK_PERIOD_S]
         if waits_s:
             self._timer = asyncio.get_running_loop().call_later(min(waits_s), self._run_pass)
@@ -230,10 +230,11 @@
 
     def _record_outcome(self, item: QueuedItem, failure: Failure | None, worker_was_full: bool) -> None:
         now = self._clock()
+        self._limits.apply()
         if failure is None:
             if self._scheduler.on_success(item, now):
                 self._add_result(item, SUCCEEDED, item.text)
-        elif self._scheduler.on_failure(item, failure, now, worker_was_full):
+        elif self._scheduler.on_failure(item, failure, now, worker_was_full, self._may_give_up(now)):
             impossible = failure is Failure.IMPOSSIBLE
             self._give_up([item], GiveUpReason.IMPOSSIBLE if impossible else GiveUpReason.FAILED_ATTEMPTS)
         elif failure is Failure.FAILED:
@@ -250,18 +251,31 @@
 
     # Giving up
 
+    def _may_give_up(self, now: float) -> bool:
+        """Whether the limits known here are those in force, and a decision by them can be committed now.
+
+        One that waits for long could be listed when a newer configuration has raised the limit.
+        """
+        return self._may_start(now) and not self._committer.is_failing
+
+    def _give_up_by_limits(self, now: float) -> None:
+        self._limits.apply()
+        self._give_up(self._scheduler.expire(now), GiveUpReason.EXPIRED)
+        exhausted = self._scheduler.take_exhausted(lambda item: item.key in self._running)
+        self._give_up(exhausted, GiveUpReason.FAILED_ATTEMPTS)
+
     def _give_up(self, items: list[QueuedItem], reason: GiveUpReason) -> None:
         log_given_up(items, reason, self._clock(), self._state, self._tables())
         for item in items:
             self._cancel(item.key)
             self._add_result(item, DEAD_LETTER, "")
 
-    def _give_up_missing_routes(self, now: float, fresh: bool) -> None:
+    def _give_up_missing_routes(self, now: float, may_give_up: bool) -> None:
         """Gives up the items of routes that have been missing from the configuration for a while."""
         tables = self._tables()
         if not self._missing_routes.must_check(tables.configuration):
             return
-        if not fresh:
+        if not may_give_up:
             self._missing_routes.reset_times()
             return
         for route in self._missing_routes.find_removed(now, tables, self._routes()):
--- a/pewterring/batch/results.py
+++ b/pewterring/batch/results.py
@@ -28,6 +28,7 @@
         self._pending_results: list[JobResult] = []
         self._pending_failures: list[ItemFailures] = []
         self._task: asyncio.Task[None] | None = None
+        self.is_failing = False  # the last proposal has failed
 
     def add(self, result: JobResult) -> None:
         """Schedules a result to be committed."""
@@ -43,6 +44,7 @@
         """Drops all pending results and counts, and cancels a proposal in flight."""
         self._pending_results.clear()
         self._pending_failures.clear()
+        self.is_failing = False
         if self._task is not None:
             self._task.cancel()
             self._task = None
@@ -61,7 +63,9 @@
                 if results:
                     await self._log.propose(AddResults(results))
                     del self._pending_results[: len(results)]
+                self.is_failing = False
             except BatchError as error:
+                self.is_failing = True
                 logger.bind(
                     event="results_commit_failed",
                     results=len(results),
--- a/pewterring/batch/scheduler.py
+++ b/pewterring/batch/scheduler.py
@@ -9,17 +9,15 @@
 attempts on a route mostly fail, its items start in random order (route_failures.py).
 """
 
-import heapq
 import random
 from collections.abc import Callable, Iterable, Iterator, Mapping
-from dataclasses import dataclass
 from itertools import islice
 
-from sortedcontainers import SortedDict  # type: ignore[import-untyped]  # ships no type hints
-
 from pewterring.batch.backoff import BackoffQueue
 from pewterring.batch.deferred_items import DeferredItems
-from pewterring.batch.items import DEFER_AFTER_ATTEMPTS, Failure, QueuedItem
+from pewterring.batch.items import DEFER_AFTER_ATTEMPTS, Failure, ItemKey, QueuedItem
+from pewterring.batch.job_limits import JobLimits
+from pewterring.batch.job_queue import JobQueue, QueuedJob
 from pewterring.batch.messages import ItemSpec
 from pewterring.batch.route_failures import RouteFailures
 from pewterring.batch.state import RouteKey
@@ -28,41 +26,15 @@
 SMOOTHING_FRACTION = 0.1  # weight of the latest run time in the moving average
 
 
-@dataclass(frozen=True, slots=True)
-class JobLimits:
-    """Deadlines and retry limit that a job's route sets for its items. Times are monotonic, in seconds."""
-
-    due_at: float  # the time by which the job should be complete
-    give_up_at: float  # the time at which the job's unfinished items become dead letters
-    max_attempts: int  # the number of failed attempts after which an item becomes a dead letter
-
-
-@dataclass(slots=True, eq=False)
-class _QueuedJob:
-    """A job that still has items without a result."""
-
-    id: str
-    route: RouteKey
-    limits: JobLimits
-    items: dict[str, QueuedItem]
-    ready: list[QueuedItem]  # sorted by size, smallest first: items start from the end of the list
-
-    @property
-    def order(self) -> tuple[float, str]:
-        """The key by which jobs are sorted: due time, then id."""
-        return self.limits.due_at, self.id
-
-
 class ItemScheduler:
     """Queues the unfinished items of a partition at its leader; decides which start and which to give up."""
 
     def __init__(self) -> None:
-        self._jobs: dict[str, _QueuedJob] = {}
-        # Jobs with ready items by their sort key: those that can still meet their due time, and the others.
-        self._on_time: SortedDict = SortedDict()
-        self._late: SortedDict = SortedDict()
+        self._jobs = JobQueue()
         self._backing_off = BackoffQueue()
-        self._expiries: list[tuple[float, str]] = []  # heap of give-up times and job ids
+        self._exhausted: dict[
+            ItemKey, QueuedItem
+        ] = {}  # with as many failed attempts as their limit, perhaps
         self._deferred = DeferredItems(lambda item: self._job_of(item) is not None)
         self._failures = RouteFailures()
         self._rng = random.Random(0)
@@ -95,39 +67,47 @@
         if not queued or job_id in self._jobs:
             return
         ready = sorted(queued.values(), key=_tokens)
-        job = _QueuedJob(job_id, route, limits, queued, ready)
-        self._jobs[job_id] = job
-        self._on_time[job.order] = job
-        heapq.heappush(self._expiries, (limits.give_up_at, job_id))
+        job = QueuedJob(job_id, route, limits, queued, ready)
+        self._jobs.add(job)
+        self._note_exhausted(job)
+
+    def limits(self) -> Iterator[tuple[str, RouteKey, JobLimits]]:
+        """The id, the route and the limits of each job."""
+        for job in self._jobs:
+            yield job.id, job.route, job.limits
+
+    def set_limits(self, job_id: str, limits: JobLimits) -> None:
+        """Replaces the limits of a job, which a newer configuration has changed."""
+        job = self._jobs.get(job_id)
+        if job is None or job.limits == limits:
+            return
+        self._jobs.set_limits(job, limits)
+        self._note_exhausted(job)
 
     def end_job(self, job_id: str) -> None:
         """Removes a job with all its items."""
-        job = self._jobs.pop(job_id, None)
-        if job is not None:
-            self._remove_from_order(job)
+        self._jobs.remove(job_id)
 
     def clear(self) -> None:
         """Removes all jobs and items. The average run time is kept."""
         self._jobs.clear()
-        self._on_time.clear()
-        self._late.clear()
         self._backing_off.clear()
+        self._exhausted.clear()
         self._deferred.clear()
         self._failures.clear()
-        self._expiries.clear()
 
     @property
     def has_ready(self) -> bool:
         """Whether any item could start now."""
-        return bool(self._on_time) or bool(self._late) or bool(self._deferred)
+        return self._jobs.has_ready or bool(self._deferred)
 
     def routes(self) -> set[RouteKey]:
         """The routes of all jobs that have unfinished items."""
-        return {job.route for job in self._jobs.values()}
+        return {job.route for job in self._jobs}
 
     def next_deadline(self) -> float | None:
         """The earliest time at which `start` or `expire` has work because time has passed; None if never."""
-        times = [self._expiries[0][0] if self._expiries else None, self._backing_off.next_deadline()]
+        times = [self._jobs.next_expiry(), self._backing_off.next_deadline()]
         return min((each for each in times if each is not None), default=None)
 
     def start(self, now: float, assign: Callable[[QueuedItem], bool]) -> list[QueuedItem]:
@@ -136,7 +116,7 @@
         If `assign` finds none for an item, no more items of that route start: all go to the same workers.
         """
         self._end_backoffs(now)
-        self._move_late_jobs(now)
+        self._jobs.move_late(now, self._average_run_s)
         started: list[QueuedItem] = []
         saturated: set[RouteKey] = set()
         for route in self._deferred.routes_with_turn(now):
@@ -145,7 +125,7 @@
         for route in sorted(self._failures.mostly_failing() - saturated):
             if not self._start_in_random_order(route, now, assign, started):
                 saturated.add(route)
-        for job in self._jobs_in_order():
+        for job in self._jobs.in_order():
             if job.route not in saturated and not self._start_items(job, now, assign, started):
                 saturated.add(job.route)
         for route in self._deferred.routes():
@@ -179,7 +159,12 @@
         return self._finish(item)
 
     def on_failure(
-        self, item: QueuedItem, failure: Failure, now: float, worker_was_full: bool = False
+        self,
+        item: QueuedItem,
+        failure: Failure,
+        now: float,
+        worker_was_full: bool = False,
+        limits_known: bool = True,
     ) -> bool:
         """Records a failed attempt, after which the item backs off or is given up.
 
@@ -188,6 +173,8 @@
             failure: Why the attempt failed.
             now: Monotonic time.
             worker_was_full: Whether the worker is known to have had no capacity, which explains the failure.
+            limits_known: Whether the limits are those in force. Otherwise an item that has reached its limit
+                of failed attempts waits until `take_exhausted` is called.
 
         Returns:
             True if the item is given up: the caller lists it as a dead letter.
@@ -199,8 +186,11 @@
             item.events.clear()  # a stream without event ids cannot be resumed: the next attempt starts over
         if failure is Failure.FAILED:
             item.failed_attempts += 1
-        if failure is Failure.IMPOSSIBLE or item.failed_attempts >= max(1, job.limits.max_attempts):
+        is_exhausted = item.failed_attempts >= job.limits.max_attempts
+        if failure is Failure.IMPOSSIBLE or (is_exhausted and limits_known):
             return self._finish(item)
+        if is_exhausted:
+            self._exhausted[item.key] = item
         if item.count_fruitless(failure, worker_was_full) and item.fruitless_attempts <= DEFER_AFTER_ATTEMPTS:
             self._failures.on_failure(item.route)
         self._backing_off.add(item, now)
@@ -208,23 +198,39 @@
 
     def expire(self, now: float) -> list[QueuedItem]:
         """Removes and returns all items whose give-up time has passed, including running items."""
-        expired: list[QueuedItem] = []
-        while self._expiries and self._expiries[0][0] <= now:
-            _, job_id = heapq.heappop(self._expiries)
-            expired += self._remove_job(job_id)
-        return expired
+        return [item for job in self._jobs.pop_expired(now) for item in job.items.values()]
+
+    def take_exhausted(self, is_running: Callable[[QueuedItem], bool]) -> list[QueuedItem]:
+        """Removes and returns the items that have failed as often as their limits allow.
+
+        Running items stay: the attempt may succeed, and if not, `on_failure` decides.
+        """
+        candidates = list(self._exhausted.values())
+        self._exhausted.clear()
+        return [item for item in candidates if not is_running(item) and self._finish_exhausted(item)]
 
     def remove_route(self, route: RouteKey) -> list[QueuedItem]:
         """Removes and returns all items of a route, including running items."""
-        jobs = [job.id for job in self._jobs.values() if job.route == route]
-        return [item for job_id in jobs for item in self._remove_job(job_id)]
+        removed = [job for job in self._jobs if job.route == route]
+        for job in removed:
+            self.end_job(job.id)
+        return [item for job in removed for item in job.items.values()]
 
-    def _remove_job(self, job_id: str) -> list[QueuedItem]:
-        job = self._jobs.get(job_id)
-        if job is None:
-            return []
-        self.end_job(job_id)
-        return list(job.items.values())
+    def _note_exhausted(self, job: QueuedJob) -> None:
+        """Notes the items of a job that have failed as often as its limits allow."""
+        for item in job.items.values():
+            if item.failed_attempts >= job.limits.max_attempts:
+                self._exhausted[item.key] = item
+
+    def _finish_exhausted(self, item: QueuedItem) -> bool:
+        """Removes an item that waits, if it has failed as often as its limits allow by now."""
+        job = self._job_of(item)
+        if job is None or item.failed_attempts < job.limits.max_attempts:
+            return False
+        if item in job.ready:
+            job.ready.remove(item)
+            self._jobs.readiness_changed(job)
+        return self._finish(item)
 
     def _finish(self, item: QueuedItem) -> bool:
         job = self._job_of(item)
@@ -235,20 +241,16 @@
             self.end_job(job.id)
         return True
 
-    def _job_of(self, item: QueuedItem) -> _QueuedJob | None:
+    def _job_of(self, item: QueuedItem) -> QueuedJob | None:
         """The item's job, or None if the item was removed meanwhile."""
         job = self._jobs.get(item.job)
         if job is None or job.items.get(item.spec.id) is not item:
             return None
         return job
 
-    def _jobs_in_order(self) -> Iterator[_QueuedJob]:
-        yield from list(self._on_time.values())
-        yield from list(self._late.values())
-
     def _start_items(
         self,
-        job: _QueuedJob,
+        job: QueuedJob,
         now: float,
         assign: Callable[[QueuedItem], bool],
         started: list[QueuedItem],
@@ -261,7 +263,7 @@
             job.ready.pop()
             _note_start(item, now)
             started.append(item)
-        self._remove_from_order(job)
+        self._jobs.readiness_changed(job)
         return True
 
     def _start_in_random_order(
@@ -272,7 +274,7 @@
         started: list[QueuedItem],
     ) -> bool:
         """Starts ready items of a route, of any job and size. Returns whether all of them started."""
-        jobs = [job for job in self._jobs_in_order() if job.route == route]
+        jobs = [job for job in self._jobs.in_order() if job.route == route]
         while jobs:
             job = self._rng.choice(jobs)
             index = self._rng.randrange(len(job.ready))
@@ -284,7 +286,7 @@
             started.append(item)
             if not job.ready:
                 jobs.remove(job)
-                self._remove_from_order(job)
+                self._jobs.readiness_changed(job)
         return True
 
     def _start_deferred(
@@ -307,31 +309,21 @@
     def _end_backoffs(self, now: float) -> None:
         """Makes items whose backoff is over ready again, ahead of the other items of their job.
 
-        Items that have failed too often start after all others instead.
+        Items that have failed too often start after all others instead. Those that have reached their limit
+        of failed attempts keep backing off until `take_exhausted` is called.
         """
         for item in self._backing_off.pop_due(now):
             job = self._job_of(item)
             if job is None:
                 continue
+            if item.key in self._exhausted:
+                self._backing_off.add(item, now)
+                continue
             if item.is_deferred:
                 self._deferred.add(item, now)
                 continue
             job.ready.append(item)
-            if job.order not in self._late:
-                self._on_time[job.order] = job
-
-    def _move_late_jobs(self, now: float) -> None:
-        """Moves jobs that can no longer meet their due time behind the others."""
-        while self._on_time:
-            order, job = self._on_time.peekitem(0)
-            if order[0] - now >= self._average_run_s:
-                return
-            del self._on_time[order]
-            self._late[order] = job
-
-    def _remove_from_order(self, job: _QueuedJob) -> None:
-        self._on_time.pop(job.order, None)
-        self._late.pop(job.order, None)
+            self._jobs.readiness_changed(job)
 
 
 def _tokens(item: QueuedItem) -> int:
--- a/tests/batch/test_capacity.py
+++ b/tests/batch/test_capacity.py
@@ -5,8 +5,8 @@
 
 from pewterring.batch.capacity import LOG_BYTES, StoreLimits, max_state_bytes
 from pewterring.batch.messages import JobAccepted, JobRejected, SubmitJob
+from tests.batch.leading_store import MAX_STATE_BYTES, Store, scenario, submit
 from tests.batch.stand_ins import ROUTE, item
-from tests.batch.test_service import MAX_STATE_BYTES, Store, scenario, submit
 
 
 def job_with_body(name: str, body_bytes: int) -> SubmitJob:
--- a/tests/batch/test_scheduler.py
+++ b/tests/batch/test_scheduler.py
@@ -8,9 +8,10 @@
 from pewterring.batch.backoff import MAX_BACKOFF_S, MAX_DEFERRED_BACKOFF_S
 from pewterring.batch.deferred_items import MAX_BURST, STARTS_PER_S, TURN_INTERVAL_S
 from pewterring.batch.items import DEFER_AFTER_ATTEMPTS, Failure, QueuedItem
+from pewterring.batch.job_limits import JobLimits
 from pewterring.batch.messages import ItemSpec
 from pewterring.batch.route_failures import MOSTLY_FAILING_SCORE
-from pewterring.batch.scheduler import ItemScheduler, JobLimits
+from pewterring.batch.scheduler import ItemScheduler
 from tests.batch.stand_ins import ROUTE, item
 
 OTHER_ROUTE = ("h.example", "/other/")
