--- a/pewterring/routing/chooser.py
+++ b/pewterring/routing/chooser.py
@@ -73,12 +73,18 @@
         self.times: dict[str, ServiceTimes] = {}
 
     def update(self, records: Mapping[str, WorkerRecord], configuration: Configuration | None) -> None:
-        """Takes the table of workers. Workers that remain in it retain their states."""
+        """Takes the tables. Workers that remain in them retain their states.
+
+        The memory of a worker follows the newest configuration: a worker may be known before its service is.
+        """
         states: dict[str, WorkerState] = {}
         for worker_id, record in records.items():
+            memory_tokens = self._memory_tokens(record, configuration)
             state = self.workers.get(worker_id)
             if state is None:
-                state = WorkerState(record, self._cache_tokens(record, configuration))
+                state = WorkerState(record, memory_tokens)
+            elif memory_tokens:  # otherwise the last value stays: a service may be missing for a moment
+                state.set_memory_tokens(memory_tokens)
             state.record = record
             states[worker_id] = state
         self.workers = states
@@ -108,8 +114,8 @@
                 state.preference_offset = (index / len(group) - self._position) % 1.0
 
     @staticmethod
-    def _cache_tokens(record: WorkerRecord, configuration: Configuration | None) -> int:
-        """Capacity of the worker's prefix cache in tokens; 0 if the configuration does not state it."""
+    def _memory_tokens(record: WorkerRecord, configuration: Configuration | None) -> int:
+        """How many tokens the worker's memory holds; 0 if the configuration does not state it."""
         service = configuration.services.get(record.service) if configuration else None
         return service.engine.kv_tokens if service and service.engine else 0
 
--- a/pewterring/routing/worker_state.py
+++ b/pewterring/routing/worker_state.py
@@ -132,6 +132,11 @@
         """Notes that the worker has done the prompt's prefill; least recently used blocks are evicted."""
         self._add_to_cache(prompt.blocks)
 
+    def set_memory_tokens(self, memory_tokens: int) -> None:
+        """Sets how many tokens the worker's memory holds, by the newest configuration."""
+        self._memory_tokens = memory_tokens
+        self._evict()
+
     def _add_to_cache(self, blocks: tuple[tuple[int, int], ...]) -> None:
         for block, tokens in blocks:
             if block in self._cached:
@@ -139,6 +144,10 @@
             else:
                 self._cached[block] = tokens
                 self._cached_tokens += tokens
+        self._evict()
+
+    def _evict(self) -> None:
+        """Drops the blocks that were used least recently, until the others fit into the worker's memory."""
         while self._cached_tokens > CACHE_FRACTION * self._memory_tokens and self._cached:
             _, tokens = self._cached.popitem(last=False)
             self._cached_tokens -= tokens
--- a/tests/routing/test_chooser.py
+++ b/tests/routing/test_chooser.py
@@ -2,9 +2,10 @@
 
 import random
 
+from pewterring.configuration.model import ClientLimits, Configuration, Engine, Service
 from pewterring.distribution.messages import WorkerRecord
 from pewterring.routing.chooser import SLOW_RATIO, WorkerChooser
-from pewterring.routing.prompt import NO_PROMPT
+from pewterring.routing.prompt import NO_PROMPT, Prompt
 from pewterring.routing.worker_state import WorkerState
 
 WORKERS = 12
@@ -59,3 +60,32 @@
     assert chosen_worker(chooser) is first
     first.slowness = 2.5 * SLOW_RATIO
     assert chosen_worker(chooser) is not first
+
+
+PROMPT = Prompt(((1, 100), (2, 10)), prompt_tokens=110)
+
+
+def configuration(kv_tokens: int | None) -> Configuration:
+    """A configuration that states the memory of the service's workers; without the service for None."""
+    services = {} if kv_tokens is None else {"s": Service("s", engine=Engine(12, kv_tokens))}
+    return Configuration(1, (), services, ClientLimits())
+
+
+def cached_after(*kv_tokens: int | None) -> bool:
+    """Whether a worker is known to have a prompt cached that it got after these configurations."""
+    chooser = WorkerChooser("z", random.Random(1))
+    records = {"w": WorkerRecord("w", "s", "10.0.0.1:80", "z", 12, "ready")}
+    chooser.update(records, None)
+    for each in kv_tokens:
+        chooser.update(records, configuration(each))
+    chooser.workers["w"].record_cached(PROMPT)
+    return chooser.workers["w"].has_cached(1)
+
+
+# Guards against a memory of 0 for each worker that was known before the first configuration of its service:
+# no prompt counted as cached there, so requests that share one went to any worker and were read again.
+def test_the_memory_of_a_known_worker_follows_the_newest_configuration() -> None:
+    assert cached_after(1000)
+    assert cached_after(10, 1000)
+    assert cached_after(1000, None)
+    assert not cached_after(1000, 10)
