--- a/pewterring/batch/partition.py
+++ b/pewterring/batch/partition.py
@@ -117,6 +117,7 @@
         result_budget_bytes = int(settings.memory_mb * BYTES_PER_MEGABYTE * RESULT_BUDGET_FRACTION)
         service_environment = ServiceEnvironment(
             environment.tables,
+            self._tables_bind,
             environment.clock,
             RetentionLimits(settings.bounds.status_s, result_budget_bytes),
             max_state_bytes(_limits(settings)),
@@ -183,6 +184,11 @@
         max_age_s = TABLES_FRESH_FRACTION * min(bounds.config_s, bounds.drain_s)
         return self._environment.confirmed_age(now) < max_age_s
 
+    def _tables_bind(self) -> bool:
+        """Whether no newer configuration than that of the tables binds: each does so after `config_ms`."""
+        age_s = self._environment.confirmed_age(self._environment.clock())
+        return age_s <= self._environment.settings.bounds.config_s
+
     def _on_departure(self) -> None:
         self._membership.on_departure()
 
--- a/pewterring/batch/service.py
+++ b/pewterring/batch/service.py
@@ -51,6 +51,7 @@
     """What a partition's service needs from its store."""
 
     tables: Callable[[], Tables]
+    tables_bind: Callable[[], bool]  # whether no newer configuration than that of the tables can bind by now
     clock: Clock
     retention: RetentionLimits
     max_state_bytes: int  # limit on bodies and texts; jobs that would exceed it are rejected
@@ -74,7 +75,9 @@
         self._state = state
         self._execution = execution
         self._clock = environment.clock
-        self._submissions = JobSubmissions(log, state, environment.tables, environment.max_state_bytes)
+        self._submissions = JobSubmissions(
+            log, state, environment.tables, environment.tables_bind, environment.max_state_bytes
+        )
         self.retention = JobRetention(log, state, environment.clock, environment.retention)
         self._waiters = ResultWaiters()
         self._leadership_start: asyncio.Task[bool] | None = None
--- a/pewterring/batch/submissions.py
+++ b/pewterring/batch/submissions.py
@@ -1,8 +1,9 @@
 """Accepts jobs at the leader: checks route, quota and capacity, then commits the job.
 
 Owns the proposals in flight and the quota that they reserve. What may go wrong: a job is rejected although
-its route has quota left, because the partition is at the store's capacity (the status is 429 if the quota is
-exceeded, 503 otherwise), or the outcome of a proposal is unknown and the gateway repeats the call.
+its route has quota left, because the partition is at the store's capacity or the tables are stale (the status
+is 429 if the quota is exceeded, 503 otherwise), or the outcome of a proposal is unknown and the gateway
+repeats the call.
 """
 
 import asyncio
@@ -24,6 +25,7 @@
 # How long a client should wait before it submits a rejected job again (`retry_after_s`).
 QUOTA_RETRY_S = 0.5  # the quota is exceeded: items finish within about this time
 NO_ROUTE_RETRY_S = 0.5  # the route is missing: a configuration with the route may arrive soon
+STALE_TABLES_RETRY_S = 0.3  # no current tables: another store may lead soon, or control is back
 AT_CAPACITY_RETRY_S = 1.0  # the partition is at capacity: jobs are dropped every few seconds
 
 
@@ -34,11 +36,17 @@
     """
 
     def __init__(
-        self, log: PartitionLog, state: BatchState, tables: Callable[[], Tables], max_state_bytes: int
+        self,
+        log: PartitionLog,
+        state: BatchState,
+        tables: Callable[[], Tables],
+        tables_bind: Callable[[], bool],
+        max_state_bytes: int,
     ) -> None:
         self._log = log
         self._state = state
         self._tables = tables
+        self._tables_bind = tables_bind
         self._max_state_bytes = max_state_bytes
         self._quota = QuotaReservations(state.waiting_tokens)
         self._pending: dict[str, asyncio.Task[SubmitReply]] = {}
@@ -66,6 +74,11 @@
 
     def _rejection(self, call: SubmitJob) -> JobRejected | None:
         """The reply if the job cannot be accepted now; None if it can."""
+        if not self._tables_bind():
+            logger.bind(event="job_rejected_for_stale_tables", job=call.job).info(
+                "A job is rejected: control has not confirmed the tables, and a newer configuration may bind."
+            )
+            return JobRejected(over_quota=False, retry_after_s=STALE_TABLES_RETRY_S)
         key = (call.host, call.path_prefix)
         route = batch_route(self._tables(), key)
         if route is None:
--- a/tests/batch/leading_store.py
+++ b/tests/batch/leading_store.py
@@ -29,12 +29,14 @@
         self.admissions = BatchAdmissions(random.Random(2))
         self.take_tables(given_tables)
         self.fresh = True
+        self.tables_bind = True
         self.state = BatchState(self.clock)
         self.log = FakeLog(self.state)
         self.runner = FakeRunner()
         self.execution = ItemExecution(self.state, ResultCommitter(self.log), self._execution_environment())
         service_environment = ServiceEnvironment(
             lambda: self.tables,
+            lambda: self.tables_bind,
             self.clock,
             RetentionLimits(status_s=120, result_budget_bytes=0),
             max_state_bytes=MAX_STATE_BYTES,
--- a/tests/batch/test_service.py
+++ b/tests/batch/test_service.py
@@ -213,6 +213,22 @@
     scenario(test, tables(routes=()))
 
 
+# Guards against jobs beyond a lowered quota, or for a removed route, at a leader that control cannot reach.
+def test_no_job_is_accepted_by_a_configuration_that_may_have_been_replaced() -> None:
+    async def test(store: Store) -> None:
+        assert await store.service.handle(submit("j", "a")) == JobAccepted()
+        store.tables_bind = False
+        reply = await store.service.handle(submit("k", "b"))
+        assert isinstance(reply, JobRejected)
+        assert not reply.over_quota
+        assert reply.retry_after_s > 0
+        assert await store.service.handle(submit("j", "a")) == JobAccepted()  # accepted before
+        store.tables_bind = True
+        assert await store.service.handle(submit("k", "b")) == JobAccepted()
+
+    scenario(test)
+
+
 def test_a_store_that_does_not_lead_answers_with_the_leader() -> None:
     async def test(store: Store) -> None:
         store.lose_leadership()
--- a/tests/batch/virtual_cluster.py
+++ b/tests/batch/virtual_cluster.py
@@ -130,6 +130,7 @@
         )
         service_environment = ServiceEnvironment(
             lambda: known_tables,
+            lambda: True,
             loop.time,
             RetentionLimits(status_s=120, result_budget_bytes=0),
             max_state_bytes=10**9,
