--- a/tests/simulation/__main__.py
+++ b/tests/simulation/__main__.py
@@ -37,7 +37,7 @@
         command = [sys.executable, "-m", "tests.simulation", *sys.argv[1:]]
         os.execve(sys.executable, command, os.environ | {"PYTHONHASHSEED": "0"})
     began_s = time.monotonic()
-    totals = _play_all(arguments.seed, arguments.schedules, arguments.keep_going)
+    totals = _play_all(arguments.seed, arguments.schedules, arguments)
     elapsed_s = time.monotonic() - began_s
     print(
         f"{totals.schedules} schedules from seed {arguments.seed}, {totals.orders} orders, "
@@ -51,15 +51,18 @@
     parser = argparse.ArgumentParser(prog="python -m tests.simulation", description=__doc__)
     parser.add_argument("--seed", type=int, default=1, help="of the first schedule")
     parser.add_argument("--schedules", type=int, default=20)
+    parser.add_argument(
+        "--changing-limits", action="store_true", help="change the limits of batch jobs during each run"
+    )
     parser.add_argument("--keep-going", action="store_true", help="play on after failures")
     return parser.parse_args()
 
 
-def _play_all(first_seed: int, schedules: int, keep_going: bool) -> _Totals:
-    """Plays the schedules in turn, up to the first failure unless `keep_going` is set."""
+def _play_all(first_seed: int, schedules: int, arguments: argparse.Namespace) -> _Totals:
+    """Plays the schedules in turn, up to the first failure unless it is to keep going."""
     totals = _Totals()
     for seed in range(first_seed, first_seed + schedules):
-        verdict = play(draw(seed))
+        verdict = play(draw(seed, arguments.changing_limits))
         failed_before = totals.failed
         totals.add(verdict)
         if totals.schedules % PROGRESS_EVERY == 0:
@@ -67,7 +70,7 @@
         if not verdict.failed:
             continue
         print(f"seed {seed} failed: {verdict.violations[0]}", flush=True)
-        if not keep_going:
+        if not arguments.keep_going:
             _print_shortest(verdict)
             break
     return totals
--- a/tests/simulation/batch.py
+++ b/tests/simulation/batch.py
@@ -15,6 +15,7 @@
 
 from pewterring.batch.execution import EventHandler
 from pewterring.batch.items import Failure, QueuedItem
+from pewterring.configuration.model import RouteType
 from pewterring.control.calls import DECOMMISSION_START_PATH, DECOMMISSION_STATUS_PATH, Answer, Call
 from pewterring.distribution.messages import WorkerRecord
 from pewterring.distribution.subscriber import FeedSubscriber
@@ -35,6 +36,7 @@
 
 UNFIT = "unfit"  # in the name of an item: no worker can run it
 UNFIT_SHARE = 0.1  # of the items that would succeed otherwise
+UNFIT_SHARE_OF_CHANGING_LIMITS = 0.5  # where limits change: such items wait until a limit gives them up
 # How the attempts at an unfit item end, one after the other.
 UNFIT_FAILURES = (
     Failure.DECLINED,
@@ -53,6 +55,8 @@
         self.runs: Counter[str] = Counter()
         self.refused: set[str] = set()  # jobs of which every attempt was rejected
         self.ended: dict[str, float] = {}  # jobs whose cancellation was acknowledged, and when
+        self.sent_s: dict[str, float] = {}  # when each job was first sent
+        self.failed_attempts: Counter[str] = Counter()  # answers of 500, by item
 
     async def run(self, queued: QueuedItem, _worker: WorkerRecord, on_event: EventHandler) -> Failure | None:
         """Runs one item at one worker."""
@@ -69,6 +73,7 @@
         if UNFIT in name:
             return UNFIT_FAILURES[self.runs[name] % len(UNFIT_FAILURES)]
         if "fails" in name and self.runs[name] == 1:
+            self.failed_attempts[name] += 1
             return Failure.FAILED
         for number in range(int(queued.last_event_id or 0) + 1, EVENTS + 1):
             await asyncio.sleep(EVENT_S)
@@ -90,13 +95,15 @@
     configuration = subscriber.tables.configuration
     if configuration is None:
         return Answer(503)
+    if configuration.routes[0].route_type is not RouteType.BATCH_JOB:
+        return Answer(404)
     answer = await calls.submit(request, configuration.routes[0])
     return Answer(answer.status, answer.body)
 
 
-def _is_drawn_unfit(item: str) -> bool:
+def _is_drawn_unfit(item: str, share: float) -> bool:
     """Draws by the item's name alone, so that the draws of a seed's other events stay as they are."""
-    return item[-1].isdigit() and random.Random(item).random() < UNFIT_SHARE
+    return item[-1].isdigit() and random.Random(item).random() < share
 
 
 class _Result(msgspec.Struct, frozen=True):
@@ -168,7 +175,8 @@
         name = f"{self._name}-{self._count}"
         kinds = self._rng.choices(("", "fails", "impossible"), (8, 1, 1), k=self._rng.randint(1, 4))
         items = [f"{name}.{number}{kind}" for number, kind in enumerate(kinds)]
-        return _Job(name, tuple(f"{item}{UNFIT}" if _is_drawn_unfit(item) else item for item in items))
+        share = UNFIT_SHARE_OF_CHANGING_LIMITS if self._world.limits.are_changing else UNFIT_SHARE
+        return _Job(name, tuple(f"{item}{UNFIT}" if _is_drawn_unfit(item, share) else item for item in items))
 
     async def _submit(self) -> None:
         """Submits a job until it is accepted; one that every attempt rejected must never run."""
@@ -179,6 +187,7 @@
         ]
         call = Call("POST", "/jobs/", job.name, orjson.dumps({"requests": items}))
         only_refusals = True
+        self._world.items.sent_s[job.name] = self._world.loop.time()
         for _ in range(SUBMIT_ATTEMPTS):
             answer = await self._call(call)
             if answer is not None and answer.status == 202:
@@ -231,7 +240,7 @@
             )
         if result.state == "succeeded" and result.text != complete_text(result.id):
             self._world.invariants.record_violation(f"{result.id} succeeded with {result.text!r}")
-        may_fail = "impossible" in result.id or UNFIT in result.id
+        may_fail = "impossible" in result.id or result.id in self._world.invariants.given_up
         if result.state != "succeeded" and not may_fail and not job.ended:
             self._world.invariants.record_violation(f"{result.id} is {result.state}")
         job.results.append(result)
--- a/tests/simulation/breakages.py
+++ b/tests/simulation/breakages.py
@@ -13,6 +13,7 @@
 
 import msgspec
 
+from pewterring.batch.limit_updates import LimitUpdates
 from pewterring.batch.messages import JobAccepted, SubmitJob
 from pewterring.batch.submissions import JobSubmissions, SubmitReply
 from pewterring.configuration.digest import document_digest
@@ -45,6 +46,11 @@
 Breakage = Callable[[], Any]  # returns a context in which the real code is broken
 
 
+def limits_of_queued_jobs_kept() -> Any:
+    """A store goes by the limits that were configured when a job was queued."""
+    return mock.patch.object(LimitUpdates, "apply", return_value=None)
+
+
 def lease_not_checked() -> Any:
     """A leader that was frozen resumes without checking its lease again."""
     return mock.patch.object(GroupLeadership, "has_lease", property(lambda self: self.ready))
--- a/tests/simulation/callers.py
+++ b/tests/simulation/callers.py
@@ -21,6 +21,7 @@
     Call,
 )
 from tests.simulation.history import NONE, Order, Outcome, Read, State
+from tests.simulation.route_limits import RouteLimits
 
 if TYPE_CHECKING:
     from tests.simulation.world import World
@@ -29,17 +30,31 @@
 CALL_TIMEOUT_S = 1.0  # a caller that got no answer for so long tries another machine
 REFUSALS = (400, 409, 412)
 HEARTBEAT_S = 1.0
+USUAL_LIMITS = RouteLimits()
 END_S = 3.0  # a worker stops after that time, acknowledged or not
 
 
-def document(version: int, text: str) -> bytes:
-    """Encodes a small valid configuration."""
+def document(version: int, text: str, limits: RouteLimits = USUAL_LIMITS) -> bytes:
+    """Encodes a small valid configuration, told apart by its label."""
     services = [{"name": "s"}]
-    return orjson.dumps({"version": version, "routes": [route_labelled(text)], "backends": services})
+    routes = [batch_route(text, limits)] if limits.is_present else [live_route(text)]
+    return orjson.dumps({"version": version, "routes": routes, "backends": services})
 
 
-def route_labelled(text: str) -> dict[str, object]:
-    """Returns the only route of a configuration, told apart by its label."""
+def live_route(text: str) -> dict[str, object]:
+    """Returns the only route of a configuration without batch jobs."""
+    return {
+        "name": "jobs",
+        "label": text,
+        "hostname": "h",
+        "path_prefix": "/live/",
+        "route_type": "idempotent",
+        "backend": "s",
+    }
+
+
+def batch_route(text: str, limits: RouteLimits) -> dict[str, object]:
+    """Returns the only route of a configuration."""
     return {
         "name": "jobs",
         "label": text,
@@ -47,17 +62,17 @@
         "path_prefix": "/jobs/",
         "route_type": "batch_job",
         "backend": "s",
-        "max_attempts": 2,
-        "run_aim_ms": 10_000,
-        "keep_s": 60,
+        "max_attempts": limits.max_attempts,
+        "run_aim_ms": limits.completion_target_ms,
+        "keep_s": limits.keep_s,
     }
 
 
-def patch_of(version: int, text: str) -> tuple[bytes, State]:
+def patch_of(version: int, text: str, limits: RouteLimits = USUAL_LIMITS) -> tuple[bytes, State]:
     """Returns a patch that replaces the route, and the state that it makes of any `document`."""
-    upsert = {"routes": [route_labelled(text)]}
+    upsert = {"routes": [batch_route(text, limits) if limits.is_present else live_route(text)]}
     body = orjson.dumps({"version": version, "upsert": upsert, "delete": {"backends": ["unused"]}})
-    return body, state_of(document(version, text))
+    return body, state_of(document(version, text, limits))
 
 
 def state_of(body: bytes) -> State:
@@ -118,11 +133,15 @@
 
     def _new_order(self, base: int, version: int, text: str) -> _SentOrder:
         """Returns a complete configuration, or a patch if there is one to build on."""
+        limits = self._world.limits.at(self._world.loop.time())
         if not base or self._forms.random() >= PATCHED_SHARE:
-            body = document(version, text)
-            return _SentOrder(Call("POST", REPLACE_PATH, str(base), body), state_of(body), base)
-        body, state = patch_of(version, text)
-        return _SentOrder(Call("POST", UPDATE_PATH, str(base), body), state, base)
+            body = document(version, text, limits)
+            order = _SentOrder(Call("POST", REPLACE_PATH, str(base), body), state_of(body), base)
+        else:
+            body, state = patch_of(version, text, limits)
+            order = _SentOrder(Call("POST", UPDATE_PATH, str(base), body), state, base)
+        self._world.limits.record_sent(order.state, limits)
+        return order
 
     async def send(self, order: _SentOrder) -> Answer | None:
         """Sends an order once, to any machine, and records the outcome."""
--- a/tests/simulation/named.py
+++ b/tests/simulation/named.py
@@ -16,6 +16,7 @@
     job_accepted_early,
     learner_counted,
     lease_not_checked,
+    limits_of_queued_jobs_kept,
     old_tag_votes,
     patch_base_not_checked,
     patch_known_by_its_result,
@@ -27,7 +28,7 @@
     vote_not_synced,
 )
 from tests.simulation.losses import CATCH_UP_S
-from tests.simulation.schedule import Fault, Kind, Point, Role, Schedule, Target
+from tests.simulation.schedule import Fault, Kind, Point, Role, Schedule, Target, draw
 
 LEADER, OLDEST, LOST, FOLLOWER = Target.LEADER, Target.OLDEST, Target.LOST, Target.FOLLOWER
 PLANNED_AT_S, DEPARTURE_TIMEOUT_S = 6.0, 4.0  # a process that departs waits for half of its grace period
@@ -125,5 +126,6 @@
         ),
     ),
     "job accepted early": (job_accepted_early, Schedule(1, 1, PARTITIONED_STORE_LEADER, stores=True)),
+    "limits of queued jobs kept": (limits_of_queued_jobs_kept, draw(10, changing_limits=True)),
     "retirement ended early": (decommissioning_ended_early, Schedule(1, 1, STALLED_STORES, stores=True)),
 }
--- a/tests/simulation/patches.py
+++ b/tests/simulation/patches.py
@@ -14,6 +14,7 @@
 
 from loguru import logger
 
+from pewterring.batch import execution as batch_execution
 from pewterring.batch import partition as batch_partition
 from pewterring.batch import partitions as batch_partitions
 from pewterring.batch import program as batch_program
@@ -214,6 +215,11 @@
         Replacement(batch_program, "secrets", _secrets_module(world)),
         Replacement(batch_worker_access, "AdmissionHeartbeats", NoHeartbeats),
         Replacement(batch_worker_access, "HttpItemRunner", lambda *_: world.items),
+        Replacement(
+            batch_execution,
+            "log_given_up",
+            lambda items, reason, *_: world.invariants.on_given_up(items, reason),
+        ),
     )
 
 
--- a/tests/simulation/schedule.py
+++ b/tests/simulation/schedule.py
@@ -103,6 +103,7 @@
     tolerated: int
     faults: tuple[Fault, ...]
     stores: bool = False  # whether the run has stores with a batch partition
+    changing_limits: bool = False  # whether the limits of the route of batch jobs change (`route_limits.py`)
 
 
 FIRST_S = 5.5  # the first machines have caught up by then
@@ -161,14 +162,17 @@
 }
 
 
-def draw(seed: int) -> Schedule:
-    """Draws the schedule of a seed. Two out of three tolerate the loss of one machine, the others of two."""
+def draw(seed: int, changing_limits: bool = False) -> Schedule:
+    """Draws the schedule of a seed. Two out of three tolerate the loss of one machine, the others of two.
+
+    With `changing_limits` each schedule has stores.
+    """
     rng = random.Random(f"schedule {seed}")
     tolerated = rng.choice((1, 1, 2))
-    stores = rng.random() < STORES_FRACTION
+    stores = rng.random() < STORES_FRACTION or changing_limits
     count = rng.randint(3, 12)
     faults = sorted((_draw_fault(rng, stores) for _ in range(count)), key=lambda fault: fault.at_s)
-    return Schedule(seed, tolerated, tuple(faults), stores)
+    return Schedule(seed, tolerated, tuple(faults), stores, changing_limits)
 
 
 def _draw_fault(rng: random.Random, stores: bool) -> Fault:
--- a/tests/simulation/test_schedules.py
+++ b/tests/simulation/test_schedules.py
@@ -16,6 +16,14 @@
     assert verdict.orders > 10
 
 
+# Guards against items that are given up by a limit that no configuration in force has any more.
+@pytest.mark.parametrize("seed", SEEDS)
+def test_a_random_schedule_with_limits_that_change(seed: int) -> None:
+    verdict = play(draw(seed, changing_limits=True))
+    assert not verdict.violations, verdict
+    assert verdict.orders > 10
+
+
 # Schedules that showed a fault, of the code or of a check, by what it was.
 FOUND = {
     "a store is emptied while another voter is gone and not known to be lost": Schedule(
--- a/tests/simulation/watch.py
+++ b/tests/simulation/watch.py
@@ -4,11 +4,13 @@
 """
 
 from bisect import bisect_right
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 from math import inf
 from typing import TYPE_CHECKING, Any, NamedTuple
 from unittest import mock
 
+from pewterring.batch.given_up import GiveUpReason
+from pewterring.batch.items import QueuedItem
 from pewterring.consensus.group import ReplicatedGroup
 from pewterring.consensus.leader import LeaderRole
 from pewterring.consensus.membership import address_of, encode_membership
@@ -17,6 +19,8 @@
 from pewterring.distribution.messages import RegistrationState, WorkerRecord
 from pewterring.distribution.subscription import FeedSubscription
 from pewterring.registry.workers import WorkerRegistry
+from tests.simulation.machines import DRIFT
+from tests.simulation.route_limits import RouteLimits
 from tests.simulation.schedule import Role
 
 if TYPE_CHECKING:
@@ -27,6 +31,9 @@
 )
 
 
+FASTEST_CLOCK = 1 + DRIFT  # of a machine, by true time
+
+
 class _AppliedEntry(NamedTuple):
     """What must be the same of an entry on all members."""
 
@@ -47,12 +54,43 @@
         self._saved_terms: dict[tuple[str, str], int] = {}  # by group and member
         self._newest_leader = (0, "")  # the highest term in which a member of control committed an entry
         self._unsafe_if_committed: dict[tuple[str, int, bytes], str] = {}  # changes by deposed leaders
+        self.given_up: set[str] = set()  # items that a store has given up
         self.left: dict[str, float] = {}  # workers whose drain or end was acknowledged, and when
 
     def record_violation(self, text: str) -> None:
         """Records a violation, with the virtual time."""
         self.violations.append(f"{self._world.loop.time():.4f}: {text}")
 
+    # Items
+
+    def on_given_up(self, items: Sequence[QueuedItem], reason: GiveUpReason) -> None:
+        """Checks that a configuration that may be in force allows a store to give the items up."""
+        now = self._world.loop.time()
+        limits = self._world.limits.in_force(now, self._world.history)
+        for item in items:
+            name = item.spec.id
+            self.given_up.add(name)
+            if not any(self._allows(each, item, reason, now) for each in limits):
+                age_s = now - self._world.items.sent_s[item.job]
+                failed = self._world.items.failed_attempts[name]
+                self.record_violation(
+                    f"{name} is given up ({reason.value}) {age_s:.2f} s after its job was sent, "
+                    f"after {failed} answers of 500, by none of {set(limits)}"
+                )
+
+    def _allows(self, limits: RouteLimits, item: QueuedItem, reason: GiveUpReason, now: float) -> bool:
+        match reason:
+            case GiveUpReason.IMPOSSIBLE:
+                return "impossible" in item.spec.id
+            case GiveUpReason.ROUTE_REMOVED:
+                return not limits.is_present
+            case GiveUpReason.EXPIRED:
+                age_s = FASTEST_CLOCK * (now - self._world.items.sent_s[item.job])
+                return limits.is_present and age_s >= limits.keep_s
+            case GiveUpReason.FAILED_ATTEMPTS:
+                failed = self._world.items.failed_attempts[item.spec.id]
+                return limits.is_present and failed >= limits.max_attempts
+
     # Members
 
     def on_elected(self, group: str, member: str, term: int) -> None:
--- a/tests/simulation/world.py
+++ b/tests/simulation/world.py
@@ -28,6 +28,7 @@
 from tests.simulation.http import Http
 from tests.simulation.machines import SAVE_S, Machine
 from tests.simulation.network import Network
+from tests.simulation.route_limits import LimitEras
 from tests.simulation.schedule import Role
 from tests.simulation.virtual_loop import Process, VirtualLoop
 from tests.simulation.watch import InvariantChecker
@@ -98,13 +99,16 @@
 class World:
     """One run. `tolerated` is how many control machines may be lost at once."""
 
-    def __init__(self, seed: int, tolerated: int = 1, stores: bool = False) -> None:
+    def __init__(
+        self, seed: int, tolerated: int = 1, stores: bool = False, changing_limits: bool = False
+    ) -> None:
         self.rng = random.Random(f"world {seed}")
         self.tolerated = tolerated
         self.loop = VirtualLoop()  # type: ignore[abstract]  # has no files and sockets
         self.network = Network(self.loop, self.rng)
         self.http = Http(self)
         self.history = History()
+        self.limits = LimitEras(seed, changing_limits)
         self.invariants = InvariantChecker(self)
         self.machines: dict[str, ControlMachine] = {}
         self.stores: dict[str, StoreMachine] = {}
