--- a/pewterring/batch/pages.py
+++ b/pewterring/batch/pages.py
@@ -4,12 +4,13 @@
 import contextlib
 from collections.abc import Callable
 
+import msgspec
+
 from pewterring.batch.messages import ItemResult, ResultPage
 from pewterring.batch.state import Job
 
-PAGE_BYTES = 800_000  # estimated size of a page (see `_size_bytes`); clients accept up to 1 MB
-RESULT_OVERHEAD_BYTES = 200  # estimated size of a result without its text
-MAX_CHARACTER_BYTES = 4  # assumed size of each character in a text that is not ASCII
+PAGE_BYTES = 800_000  # of a page's results as JSON; clients accept up to 1 MB, and the page has a few more
+SEPARATOR_BYTES = 1  # between two results
 
 
 def result_page(job: Job, after: int) -> ResultPage:
@@ -26,9 +27,8 @@
 
 
 def _size_bytes(result: ItemResult) -> int:
-    """Upper estimate of the result's size in a page."""
-    text = result.text
-    return RESULT_OVERHEAD_BYTES + len(text) * (1 if text.isascii() else MAX_CHARACTER_BYTES)
+    """The result's size in a page. A text that is itself JSON takes far more bytes than characters."""
+    return len(msgspec.json.encode(result)) + SEPARATOR_BYTES
 
 
 class ResultWaiters:
--- a/tests/batch/test_service.py
+++ b/tests/batch/test_service.py
@@ -3,7 +3,9 @@
 import asyncio
 from typing import cast
 
+import orjson
 import pytest
+from msgspec import structs
 
 from pewterring.batch.commands import AcceptJob, AddResults, CloseJob
 from pewterring.batch.errors import CommandOutcomeUnknownError, CommandRefusedError, NotLeadingError
@@ -33,6 +35,8 @@
 from tests.batch.leading_store import LONG_MS, Store, scenario, submit
 from tests.batch.stand_ins import route, tables, until, worker
 
+MAX_PAGE_BYTES = 1_000_000  # by the page PROTOCOL
+
 
 def test_a_job_runs_and_its_results_are_read() -> None:
     async def test(store: Store) -> None:
@@ -448,6 +452,27 @@
     scenario(test)
 
 
+# Guards against pages over 1 MB: texts that are JSON themselves have more bytes in a page than characters.
+@pytest.mark.parametrize("text", ['{"a":"b"}', "\x01", "\u20ac", "x"])
+def test_a_page_has_at_most_1_mb_as_it_is_sent(text: str) -> None:
+    async def test(store: Store) -> None:
+        names = [f"i{number}" for number in range(18)]
+        await store.service.handle(submit("j", *names))
+        await store.exchanges(18)
+        for exchange in store.runner.exchanges:
+            exchange.answer(text * (100_000 // len(text)))
+        await store.page("j", 17, LONG_MS)
+        listed = 0
+        while listed < len(names):
+            page = await store.page("j", listed)
+            assert page.results
+            if len(page.results) > 1:
+                assert len(orjson.dumps([structs.asdict(result) for result in page.results])) < MAX_PAGE_BYTES
+            listed = page.next_position
+
+    scenario(test)
+
+
 def test_a_page_has_a_size_limit_but_always_at_least_one_result_if_there_is_any() -> None:
     async def test(store: Store) -> None:
         await store.service.handle(submit("j", "a", "b"))
