--- a/pewterring/batch/program.py
+++ b/pewterring/batch/program.py
@@ -98,6 +98,10 @@
     async def _read_name(self) -> str:
         return member_name(self._data_dir, self._settings.ip)
 
+    def reload(self, settings: NodeSettings) -> None:
+        """Applies changed settings: new seeds are contacted from the next search for control on."""
+        self.feed.reload(settings)
+
     async def drain(self) -> None:
         """Gives up leadership and votes of this store before a planned stop. It still serves meanwhile."""
         await self.partitions.drain()
--- a/tests/batch/test_program.py
+++ b/tests/batch/test_program.py
@@ -5,6 +5,7 @@
 import random
 import shutil
 from collections.abc import AsyncIterator
+from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
@@ -43,7 +44,7 @@
 
 CONTROL_IP = loopback_ip(10)
 STORE_IPS = (loopback_ip(11), loopback_ip(12), loopback_ip(13))
-GATEWAY_IP = loopback_ip(20)
+ADDED_IP, GATEWAY_IP = loopback_ip(14), loopback_ip(20)
 CODEC = MessageCodec((*BATCH_MESSAGES, *FEED_MESSAGES))
 EVENTS = b"id: 1\ndata: x\n\nid: 2\ndata: y\n\n"
 ANSWER = (
@@ -264,6 +265,24 @@
     asyncio.run(run())
 
 
+# Guards against a store that goes on asking the seeds of its start after its settings file has changed.
+def test_a_store_asks_the_seeds_of_changed_settings(tmp_path: Path) -> None:
+    async def run() -> None:
+        async with cluster(tmp_path) as stores:
+            right = settings(ADDED_IP, stores.port, tmp_path)
+            wrong = replace(right, seeds=addresses([GATEWAY_IP], stores.port))
+            store = stores.stores[ADDED_IP] = StoreProgram(wrong, rng=random.Random(ADDED_IP))
+            await store.start()
+            await stores.control.next_renewal()
+            assert store.feed.tables.configuration is None
+            store.reload(right)
+            async with asyncio.timeout(30):
+                while store.feed.tables.configuration is None:
+                    await stores.control.next_renewal()
+
+    asyncio.run(run())
+
+
 def test_items_start_within_the_capacity_that_gateways_report(tmp_path: Path) -> None:
     async def run() -> None:
         async with cluster(tmp_path) as stores:
