--- a/tests/transport/test_http_server.py
+++ b/tests/transport/test_http_server.py
@@ -359,6 +359,24 @@
     assert asyncio.run(received_after(b"", limits=limits)) == b""
 
 
+# Guards against a connection that is closed by an idle timeout that has been raised meanwhile.
+def test_a_raised_idle_timeout_holds_for_connections_that_are_idle() -> None:
+    async def run_scenario() -> None:
+        async with serving(echo, replace(LIMITS, idle_timeout_s=5.0)) as server:
+            wire = await server.connect()
+            wire.send(GET)
+            await read_answer(wire)
+            connection = next(iter(server.connections))
+            server.limits = lambda: replace(LIMITS, idle_timeout_s=60.0)
+            rested_s = 6.0
+            server.now = lambda: asyncio.get_running_loop().time() + rested_s
+            connection._timer_fired()
+            wire.send(GET)
+            assert status((await read_answer(wire))[0]) == 200
+
+    asyncio.run(run_scenario())
+
+
 def test_an_expired_idle_connection_with_unread_bytes_is_read_first() -> None:
     async def run_scenario() -> None:
         async with serving(echo) as server:
