--- a/benchmarks/soak/clients.py
+++ b/benchmarks/soak/clients.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 from benchmarks.soak.fleet import Member
+from benchmarks.soak.limits import ConfiguredLimits
 from benchmarks.soak.report import Report
 from benchmarks.soak.workers import EVENTS, MEMORY_TOKENS, text_of
 from pewterring.transport.http_client import WorkerPool
@@ -36,7 +37,9 @@
         self._rng = rng
         self._pool = WorkerPool()
         self._stopped = False
+        self.limits = ConfiguredLimits()
         self._jobs: dict[str, list[str]] = {}  # accepted jobs and those of their items that can run
+        self._sent_at: dict[str, float] = {}  # when each job was first sent
 
     def stop(self) -> None:
         """Lets all clients end after the request that they wait for."""
@@ -118,6 +121,7 @@
     async def _submit(self, job: str, items: dict[str, bool]) -> bool:
         body = json.dumps({"requests": [_item(name, can_run) for name, can_run in items.items()]}).encode()
         headers = {"Request-Id": job, "Content-Type": "application/json"}
+        self._sent_at[job] = asyncio.get_running_loop().time()
         while not self._stopped:
             answer = await self._try(f"POST /jobs/{job}", headers, body)
             if answer is not None and answer.head.status == 202:
@@ -135,14 +139,29 @@
     async def _read(self, job: str, is_over: Callable[[], bool]) -> list[dict[str, Any]]:
         """Reads results until those of all items that can run are there, or until `is_over`."""
         results: list[dict[str, Any]] = []
+        read_at = self._sent_at[job]
         while not is_over() and not set(self._jobs[job]) <= {result["id"] for result in results}:
             answer = await self._try(f"GET /v1/lots/{job}?after={len(results)}", {"Wait-Ms": "300"})
             if answer is not None and answer.head.status == 200:
-                results += json.loads(answer.body)["results"]
+                listed = json.loads(answer.body)["results"]
+                self._check_dead_letters(job, listed, read_at)
+                results += listed
+                read_at = asyncio.get_running_loop().time()
             else:
                 await asyncio.sleep(RETRY_S)
         return results
 
+    def _check_dead_letters(self, job: str, listed: list[dict[str, Any]], read_at: float) -> None:
+        """Checks that each item that was given up since `read_at` had reached a limit in force."""
+        now = asyncio.get_running_loop().time()
+        for result in listed:
+            failures = self._report.failures[result["id"]]
+            if result["state"] != SUCCEEDED and not self.limits.allow_dead_letter(
+                self._sent_at[job], failures, read_at, now
+            ):
+                age_s = now - self._sent_at[job]
+                self._report.faults.append(f"MIXED: {result['id']} is {result['state']} at {age_s:.2f} s")
+
     async def check_jobs(self) -> None:
         """Reads all accepted jobs from the start: each item that can run must succeed within `FINISH_S`."""
         ends_at = asyncio.get_running_loop().time() + FINISH_S
--- a/benchmarks/soak/disturbances.py
+++ b/benchmarks/soak/disturbances.py
@@ -13,6 +13,7 @@
 
 from benchmarks.soak.clients import HOST, Clients
 from benchmarks.soak.fleet import Fleet, Member
+from benchmarks.soak.limits import Limits
 from benchmarks.soak.report import Report
 from benchmarks.soak.workers import CAPACITY, MEMORY_TOKENS, SERVICE
 from pewterring.local.layout import CONTROL_PORT
@@ -23,14 +24,17 @@
 READY_TIMEOUT_S = 60.0
 POLL_S = 0.05
 UNANSWERED = 0
+KEEP_S = (4.0, 12.0, 600.0)
+MAX_ATTEMPTS = (2, 5)
+FIRST_KEEP_S = 600.0
 
 
 class NotReadyError(Exception):
     """The tier does not serve in time; the text says what it lacks."""
 
 
-def configuration(version: int, timeout_ms: int) -> dict[str, Any]:
-    """Returns a configuration with a route of each kind."""
+def configuration(version: int, timeout_ms: int, limits: Limits) -> dict[str, Any]:
+    """Returns a configuration with a route of each kind, and the limits of batch jobs."""
     common = {"hostname": HOST, "backend": SERVICE, "target_latency_ms": 300, "timeout_ms": timeout_ms}
     return {
         "version": version,
@@ -40,7 +44,8 @@
             {**common, "name": "chat", "path_prefix": "/chat/", "route_type": "streaming", "priority": 0,
              "max_attempts": 2, "session_affinity": True, "resumable": True, "gap_aim_ms": 500},
             {**common, "name": "jobs", "path_prefix": "/jobs/", "route_type": "batch_job", "priority": 1,
-             "max_attempts": 5, "max_queued_tokens": 0, "run_aim_ms": 10_000, "keep_s": 600},
+             "max_attempts": limits.max_attempts, "max_queued_tokens": 0, "run_aim_ms": 10_000,
+             "keep_s": limits.keep_s},
         ],
         "backends": [
             {"name": SERVICE, "health_check": "/healthz", "max_connections": 64,
@@ -119,7 +124,11 @@
         """Puts the next version at any control machine, again until it is acknowledged."""
         self._version += 1
         self._report.events["configuration"] += 1
-        document = configuration(self._version, self._rng.choice((2000, 3000, 4000)))
+        now = asyncio.get_running_loop().time
+        keep_s = self._rng.choice(KEEP_S) if self._version > 1 else FIRST_KEEP_S
+        limits = Limits(keep_s, self._rng.choice(MAX_ATTEMPTS), now())
+        self._clients.limits.send(limits)
+        document = configuration(self._version, self._rng.choice((2000, 3000, 4000)), limits)
         headers = {"Base-Version": str(self._version - 1), "Content-Type": "application/json"}
         async with asyncio.timeout(READY_TIMEOUT_S):
             while True:
@@ -129,6 +138,7 @@
                     address, "POST /v1/Config.Replace", headers, json.dumps(document).encode()
                 )
                 if status == 200:
+                    self._clients.limits.acknowledge(now())
                     return
                 if 400 <= status < 500:
                     self._report.faults.append(f"CONFIG: version {self._version} is answered {status}")
--- a/benchmarks/soak/report.py
+++ b/benchmarks/soak/report.py
@@ -13,6 +13,7 @@
     """Counts and faults of one run."""
 
     runs: Counter[str] = field(default_factory=Counter)  # at workers, by id of the request that may run once
+    failures: Counter[str] = field(default_factory=Counter)  # answers of 500, by id of the item
     statuses: dict[str, int] = field(default_factory=dict)  # of these requests; 0 without an answer
     streams: Counter[str] = field(default_factory=Counter)  # by outcome
     items: Counter[str] = field(default_factory=Counter)  # by state
--- a/benchmarks/soak/workers.py
+++ b/benchmarks/soak/workers.py
@@ -121,6 +121,7 @@
             await asyncio.sleep(self._rng.uniform(*WORK_S))
             self._respond(request, "200 OK", {"Response-Signature": self.id}, request.id.encode())
         elif request.path.startswith("/jobs/") and self._rng.random() < FAIL_SHARE:
+            self._report.failures[request.id] += 1
             self._respond(request, "500 Internal Server Error", {})
         else:
             await self._stream(request)
