--- a/pewterring/batch/job_limits.py
+++ b/pewterring/batch/job_limits.py
@@ -28,7 +28,7 @@
     """The limits of a job that was accepted at a monotonic time, by the configured route."""
     return JobLimits(
         due_at=accepted_at + route.completion_target_ms / MILLISECONDS_PER_SECOND,
-        give_up_at=accepted_at + route.job_ttl_s,
+        give_up_at=accepted_at + route.job_ttl_s if route.job_ttl_s else math.inf,
         max_attempts=max(1, route.max_attempts),
     )
 
--- a/pewterring/configuration/model.py
+++ b/pewterring/configuration/model.py
@@ -43,7 +43,7 @@
     token_gap_target_ms: float = 0.0  # key `gap_aim_ms`: longest time between events of a stream; 0: not set
     max_queued_tokens: int = 0  # 0: unlimited
     completion_target_ms: float = 0.0  # key `run_aim_ms`: from accepting a batch job to its last item
-    job_ttl_s: float = 0.0  # key `keep_s`: unfinished items of older jobs are abandoned
+    job_ttl_s: float = 0.0  # key `keep_s`: unfinished items of older jobs are abandoned; 0: not limited
 
     @property
     def is_idempotent(self) -> bool:
--- a/tests/batch/test_changed_limits.py
+++ b/tests/batch/test_changed_limits.py
@@ -71,6 +71,17 @@
     scenario(test)
 
 
+# Guards against a configuration without `keep_s`, which made dead letters of all items at once.
+def test_without_a_configured_time_items_are_kept() -> None:
+    async def test(store: Store) -> None:
+        await store.service.handle(submit("j", "a"))
+        configure(store, replace(route(), job_ttl_s=0))
+        store.clock.now += 10 * LONGER_S
+        assert await states(store) == []
+
+    scenario(test)
+
+
 # Guards against a copy that survives a rise and a fall: the last configuration decides.
 def test_the_last_of_several_changes_decides() -> None:
     async def test(store: Store) -> None:
