--- a/tests/simulation/__main__.py
+++ b/tests/simulation/__main__.py
@@ -37,7 +37,7 @@
         command = [sys.executable, "-m", "tests.simulation", *sys.argv[1:]]
         os.execve(sys.executable, command, os.environ | {"PYTHONHASHSEED": "0"})
     began_s = time.monotonic()
-    totals = _play_all(arguments.seed, arguments.schedules, arguments)
+    totals = _play_all(arguments)
     elapsed_s = time.monotonic() - began_s
     print(
         f"{totals.schedules} schedules from seed {arguments.seed}, {totals.orders} orders, "
@@ -58,10 +58,10 @@
     return parser.parse_args()
 
 
-def _play_all(first_seed: int, schedules: int, arguments: argparse.Namespace) -> _Totals:
+def _play_all(arguments: argparse.Namespace) -> _Totals:
     """Plays the schedules in turn, up to the first failure unless it is to keep going."""
     totals = _Totals()
-    for seed in range(first_seed, first_seed + schedules):
+    for seed in range(arguments.seed, arguments.seed + arguments.schedules):
         verdict = play(draw(seed, arguments.changing_limits))
         failed_before = totals.failed
         totals.add(verdict)
--- a/tests/simulation/callers.py
+++ b/tests/simulation/callers.py
@@ -37,12 +37,16 @@
 def document(version: int, text: str, limits: RouteLimits = USUAL_LIMITS) -> bytes:
     """Encodes a small valid configuration, told apart by its label."""
     services = [{"name": "s"}]
-    routes = [batch_route(text, limits)] if limits.is_present else [live_route(text)]
-    return orjson.dumps({"version": version, "routes": routes, "backends": services})
+    return orjson.dumps({"version": version, "routes": [only_route(text, limits)], "backends": services})
+
+
+def only_route(text: str, limits: RouteLimits) -> dict[str, object]:
+    """Returns the only route of a configuration: that of batch jobs, unless the limits lack it."""
+    return batch_route(text, limits) if limits.is_present else live_route(text)
 
 
 def live_route(text: str) -> dict[str, object]:
-    """Returns the only route of a configuration without batch jobs."""
+    """Returns the route of a configuration without batch jobs."""
     return {
         "name": "jobs",
         "label": text,
@@ -54,7 +58,7 @@
 
 
 def batch_route(text: str, limits: RouteLimits) -> dict[str, object]:
-    """Returns the only route of a configuration."""
+    """Returns the route of batch jobs."""
     return {
         "name": "jobs",
         "label": text,
@@ -70,7 +74,7 @@
 
 def patch_of(version: int, text: str, limits: RouteLimits = USUAL_LIMITS) -> tuple[bytes, State]:
     """Returns a patch that replaces the route, and the state that it makes of any `document`."""
-    upsert = {"routes": [batch_route(text, limits) if limits.is_present else live_route(text)]}
+    upsert = {"routes": [only_route(text, limits)]}
     body = orjson.dumps({"version": version, "upsert": upsert, "delete": {"backends": ["unused"]}})
     return body, state_of(document(version, text, limits))
 
