Control: a large configuration is validated between other events

Cause: the leader validated the document on its event loop in one turn. marshmallow takes 0.9 ms for a route of 36 services (2.66 s for the document), then came the digest and the check for duplicate keys (0.3 s); the lease is 0.3 s and an election starts after 0.4 to 0.8 s. A call ends after 0.9 s, and each repetition was validated from the start before it was compared with what had been accepted.

Change: reading, digest and check of keys are generators that yield after 64 KiB of the document; the loop handles other events in between. What operators usually write is decoded by typed records (msgspec), which accept no more than the schemas and mean the same; marshmallow decides about everything else and names what is wrong. Changes that can never be accepted any more are refused by their versions, without a log entry. Callers that get 503 are told when to come back. Routes are found by host and prefix instead of a search through all.

--- a/pewterring/batch/dispatch.py
+++ b/pewterring/batch/dispatch.py
@@ -73,12 +73,8 @@
 
 def batch_route(tables: Tables, key: RouteKey) -> Route | None:
     """The configured route for batch jobs with this host and path prefix, or None."""
-    if tables.configuration is None:
-        return None
-    for route in tables.configuration.routes:
-        if (route.host, route.path_prefix) == key and route.route_type is RouteType.BATCH_JOB:
-            return route
-    return None
+    route = tables.configuration.route(key) if tables.configuration is not None else None
+    return route if route is not None and route.route_type is RouteType.BATCH_JOB else None
 
 
 def item_prompt(item: QueuedItem) -> Prompt:
--- a/pewterring/configuration/digest.py
+++ b/pewterring/configuration/digest.py
@@ -1,26 +1,174 @@
-"""Computes the digest of a configuration document and rewrites the document to a single line.
+"""Computes the digest of a configuration document, checks its keys, and rewrites it to a single line.
 
 The digest is stored in the replicated log. If its computation changed, a repeated request would look new.
+The digest is that of the canonical text: compact, with sorted keys. The canonical text of a part stands in
+that of the document as it is, so a large document is rewritten part by part.
 """
 
 import hashlib
+import itertools
+import json
+import re
+from collections.abc import Iterable, Iterator, Mapping
+from typing import Any
 
+import msgspec
 import orjson
 
+from pewterring.configuration.errors import ConfigurationError
+from pewterring.configuration.json_parts import split_list, split_object
+from pewterring.configuration.steps import STEP_BYTES, StepMeter, Steps, complete
+
 DIGEST_CHARACTERS = 32  # 128 bits in hexadecimal: accidental collisions are negligible
+MAX_NESTING = 254  # the encoder's limit, which is lower than that of every decoder in use
+SPLITTING_SPEEDUP = 8  # splitting a text takes that much less time than decoding it
+# A part of shorter entries is rewritten as a whole: splitting it takes more memory and time than decoding it.
+MIN_BYTES_PER_ENTRY = 8
+MIN_BYTES_PER_VALUE = 64  # the same of an object, whose values are rewritten one by one and sorted
+
+_SPACE = re.compile(rb"[ \t\n\r]*+")
+_STRING = re.compile(rb'"(?:[^"\\]++|\\.)*+"')
 
 
 def document_digest(document: bytes) -> str:
     """Returns the digest of a JSON document's content, independent of key order and whitespace.
 
     Raises:
-        orjson.JSONDecodeError: The document is not JSON.
-        orjson.JSONEncodeError: The document is nested more deeply than the encoder supports.
+        ConfigurationError: The document is not JSON, is nested more deeply than the encoder supports, or has
+            the same key twice in one object.
     """
-    canonical = orjson.dumps(orjson.loads(document), option=orjson.OPT_SORT_KEYS)
-    return hashlib.sha256(canonical).hexdigest()[:DIGEST_CHARACTERS]
+    return complete(digest_steps(document))
+
+
+def digest_steps(document: bytes) -> Steps[str]:
+    """Computes `document_digest` in steps, and raises the same errors."""
+    pieces = yield from _canonical_steps(document, 0, StepMeter())
+    digest = hashlib.sha256()
+    for piece in pieces:
+        digest.update(piece)
+    return digest.hexdigest()[:DIGEST_CHARACTERS]
 
 
 def single_line(document: bytes) -> bytes:
     """Replaces line breaks by spaces. Valid JSON has raw line breaks only between tokens."""
     return document.replace(b"\r", b" ").replace(b"\n", b" ").strip()
+
+
+def _canonical_steps(text: bytes, depth: int, meter: StepMeter) -> Steps[list[bytes]]:
+    """Returns the canonical text in pieces. `depth` is the number of containers around the text."""
+    if depth > MAX_NESTING:
+        raise _nested_too_deeply()
+    if _can_be_split(text):
+        if meter.is_step_full(len(text) // SPLITTING_SPEEDUP):
+            yield
+        if text[:1] == b"[":
+            return (yield from _canonical_list_steps(text, depth, meter))
+        if text[:1] == b"{":
+            return (yield from _canonical_object_steps(text, depth, meter))
+    piece = _canonical_text(text, depth)
+    if meter.is_step_full(len(text)):
+        yield
+    return [piece]
+
+
+def _can_be_split(text: bytes) -> bool:
+    return len(text) > STEP_BYTES and text.count(b",") * MIN_BYTES_PER_ENTRY <= len(text)
+
+
+def _canonical_list_steps(text: bytes, depth: int, meter: StepMeter) -> Steps[list[bytes]]:
+    pieces: list[bytes] = []
+    for group in _groups(split_list(text, "")):
+        pieces.append(b",")
+        if len(group) == 1:
+            pieces += yield from _canonical_steps(group[0], depth + 1, meter)
+            continue
+        joined = b"[%b]" % b",".join(group)
+        pieces.append(_canonical_text(joined, depth)[1:-1])
+        if meter.is_step_full(len(joined)):
+            yield
+    return [b"[", *pieces[1:], b"]"]
+
+
+def _groups(entries: Iterable[msgspec.Raw]) -> Iterator[list[bytes]]:
+    """Yields the entries of a list in groups of one step at most; a larger entry alone."""
+    group: list[bytes] = []
+    group_bytes = 0
+    for entry in entries:
+        text = bytes(entry)
+        if group and group_bytes + len(text) > STEP_BYTES:
+            yield group
+            group, group_bytes = [], 0
+        group.append(text)
+        group_bytes += len(text)
+    if group:
+        yield group
+
+
+def _canonical_object_steps(text: bytes, depth: int, meter: StepMeter) -> Steps[list[bytes]]:
+    values = split_object(text, "")
+    if len(values) * MIN_BYTES_PER_VALUE > len(text):
+        return [_canonical_text(text, depth)]
+    by_key: dict[str, list[bytes]] = {}
+    for key, value in _entries(text, values):
+        by_key[key] = yield from _canonical_steps(value, depth + 1, meter)
+    entries = ([b",", orjson.dumps(key), b":", *by_key[key]] for key in sorted(by_key))
+    pieces = list(itertools.chain.from_iterable(entries))
+    return [b"{", *pieces[1:], b"}"]
+
+
+def _canonical_text(text: bytes, depth: int) -> bytes:
+    """Returns the canonical text of a part, after checking that none of its objects has a key twice."""
+    try:
+        value = orjson.loads(text)
+        if orjson.dumps(value) != text:  # a compact text that is written back as it was lost no key
+            json.loads(text.decode(), object_pairs_hook=_check_pairs)
+        for _ in range(depth):  # the limit on nesting counts from the top of the document
+            value = [value]
+        canonical = orjson.dumps(value, option=orjson.OPT_SORT_KEYS)
+    except orjson.JSONDecodeError as error:
+        raise ConfigurationError("", f"not JSON: {error}") from error
+    except orjson.JSONEncodeError as error:
+        raise _nested_too_deeply() from error
+    return canonical[depth : len(canonical) - depth]
+
+
+def _check_pairs(pairs: list[tuple[str, Any]]) -> None:
+    seen: set[str] = set()
+    for key, _ in pairs:
+        if key in seen:
+            raise _duplicate_key(key)
+        seen.add(key)
+
+
+def _nested_too_deeply() -> ConfigurationError:
+    return ConfigurationError("", "nested too deeply")
+
+
+def _duplicate_key(key: str) -> ConfigurationError:
+    return ConfigurationError("", f"the key {key!r} stands twice in one object")
+
+
+def _entries(text: bytes, values: Mapping[str, msgspec.Raw]) -> Iterator[tuple[str, bytes]]:
+    """Yields keys and values of an object in the order of the text; raises for a key that stands twice.
+
+    `values` are the last values of each key. So if a key stands twice, the value at its first place is
+    another one, or the key is seen again.
+    """
+    seen: set[str] = set()
+    position = 1
+    while (key_text := _STRING.match(text, _skip_space(text, position))) is not None:
+        key: str = orjson.loads(key_text[0])
+        value_at = _skip_space(text, _skip_space(text, key_text.end()) + len(b":"))
+        value = bytes(values[key])
+        position = _skip_space(text, value_at + len(value))
+        if key in seen or not text.startswith(value, value_at) or text[position] not in b",}":
+            raise _duplicate_key(key)
+        seen.add(key)
+        yield key, value
+        position += 1
+
+
+def _skip_space(text: bytes, position: int) -> int:
+    space = _SPACE.match(text, position)
+    assert space is not None, "the pattern matches an empty text"
+    return space.end()
--- /dev/null
+++ b/pewterring/configuration/json_parts.py
@@ -0,0 +1,63 @@
+"""Splits one level of a JSON document into its parts, which stay text.
+
+Splitting costs far less than decoding; a large document is decoded part by part, in steps.
+"""
+
+from typing import Any
+
+import msgspec
+import orjson
+
+from pewterring.configuration.errors import ConfigurationError
+
+NULL = b"null"
+# Raised by msgspec's decoder: its own errors, ValueError for invalid UTF-8, RecursionError for deep nesting.
+DECODE_ERRORS = (msgspec.MsgspecError, ValueError, RecursionError)
+
+_object_decoder = msgspec.json.Decoder(dict[str, msgspec.Raw])
+_list_decoder = msgspec.json.Decoder(list[msgspec.Raw])
+
+
+def split_object(text: bytes | msgspec.Raw, path: str) -> dict[str, msgspec.Raw]:
+    """Returns the values of a JSON object by key; of a key that stands there twice, the last value.
+
+    Raises:
+        ConfigurationError: The text is not an object.
+    """
+    try:
+        return _object_decoder.decode(text)
+    except msgspec.ValidationError as error:
+        raise ConfigurationError(path, "not an object") from error
+    except DECODE_ERRORS as error:
+        raise ConfigurationError(path, f"not JSON: {error}") from error
+
+
+def split_list(text: bytes | msgspec.Raw, path: str) -> list[msgspec.Raw]:
+    """Returns the entries of a JSON list.
+
+    Raises:
+        ConfigurationError: The text is not a list.
+    """
+    try:
+        return _list_decoder.decode(text)
+    except msgspec.ValidationError as error:
+        raise ConfigurationError(path, "not a list") from error
+    except DECODE_ERRORS as error:
+        raise ConfigurationError(path, f"not JSON: {error}") from error
+
+
+def is_null(text: msgspec.Raw | None) -> bool:
+    """Whether a value is absent; the operator's format does not distinguish null from a missing value."""
+    return text is None or bytes(text) == NULL
+
+
+def decode(text: bytes | msgspec.Raw, path: str) -> Any:
+    """Decodes a part into plain Python values.
+
+    Raises:
+        ConfigurationError: The text is not JSON.
+    """
+    try:
+        return orjson.loads(bytes(text))
+    except orjson.JSONDecodeError as error:
+        raise ConfigurationError(path, f"not JSON: {error}") from error
--- a/pewterring/configuration/model.py
+++ b/pewterring/configuration/model.py
@@ -6,6 +6,11 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from enum import StrEnum
+from typing import Annotated
+
+import msgspec
+
+RouteKey = tuple[str, str]  # host and path prefix
 
 
 class RouteType(StrEnum):
@@ -17,12 +22,16 @@
     BATCH_JOB = "batch_job"
 
 
-@dataclass(frozen=True, slots=True)
-class WeightedService:
+class WeightedReference(msgspec.Struct, frozen=True, gc=False):
+    """A reference to one of several services of a route."""
+
+    service: str = msgspec.field(name="backend")  # the document's key
+
+
+class WeightedService(WeightedReference, frozen=True, gc=False):
     """One service of a route. Its share of the requests is its weight divided by the sum of all weights."""
 
-    service: str
-    weight: float
+    weight: Annotated[float, msgspec.Meta(ge=0)] = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -90,3 +99,12 @@
     services: Mapping[str, Service]  # by name
     limits: ClientLimits
     document: bytes = field(repr=False, default=b"")
+    _by_key: Mapping[RouteKey, Route] = field(init=False, repr=False, compare=False)
+
+    def __post_init__(self) -> None:
+        by_key = {(route.host, route.path_prefix): route for route in reversed(self.routes)}
+        object.__setattr__(self, "_by_key", by_key)
+
+    def route(self, key: RouteKey) -> Route | None:
+        """Returns the route with this host and path prefix; a valid configuration has one at most."""
+        return self._by_key.get(key)
--- a/pewterring/configuration/patch.py
+++ b/pewterring/configuration/patch.py
@@ -12,11 +12,12 @@
 from typing import Annotated, Any
 
 import msgspec
-import orjson
 
 from pewterring.configuration.errors import ConfigurationError
-from pewterring.configuration.reader import read_item_errors
+from pewterring.configuration.item_reader import RouteReader, service_steps
+from pewterring.configuration.json_parts import DECODE_ERRORS
 from pewterring.configuration.references import RouteReferences, reference_errors
+from pewterring.configuration.steps import StepMeter, Steps, complete
 
 ROUTES, SERVICES, VERSION = "routes", "backends", "version"  # keys in the document
 MAX_DOCUMENT_BYTES = 8 * 1024 * 1024  # same limit as for the body of a complete configuration
@@ -57,9 +58,13 @@
     Raises:
         ConfigurationError: The patch is invalid; only its first error is raised.
     """
-    patch = parse_patch(body)
-    for error in _item_errors(patch.upserts):
-        raise error
+    return complete(patch_steps(body))
+
+
+def patch_steps(body: bytes) -> Steps[Patch]:
+    """Does the work of `read_patch` in steps, and raises the same errors."""
+    patch = yield from _parsing_steps(body)
+    yield from _item_steps(patch.upserts)
     return patch
 
 
@@ -70,16 +75,7 @@
         ConfigurationError: The body is not a patch, or the name of an item is missing, duplicated or also in
             `delete`.
     """
-    try:
-        document = msgspec.json.decode(body, type=_PatchDocument)
-    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
-        raise ConfigurationError("", f"not a patch: {error}") from error
-    deletes = {name: frozenset(names) for name, names in (document.delete or {}).items()}
-    upserts = {
-        name: _items_by_name(name, items, deletes.get(name, frozenset()))
-        for name, items in (document.upsert or {}).items()
-    }
-    return Patch(document.version, upserts, deletes)
+    return complete(_parsing_steps(body))
 
 
 def is_patch(tree: Any) -> bool:
@@ -110,10 +106,23 @@
     return bytes(result)
 
 
-def _items_by_name(
+def _parsing_steps(body: bytes) -> Steps[Patch]:
+    try:
+        document = msgspec.json.decode(body, type=_PatchDocument)
+    except DECODE_ERRORS as error:
+        raise ConfigurationError("", f"not a patch: {error}") from error
+    deletes = {name: frozenset(names) for name, names in (document.delete or {}).items()}
+    upserts: dict[str, Mapping[str, msgspec.Raw]] = {}
+    for name, items in (document.upsert or {}).items():
+        upserts[name] = yield from _naming_steps(name, items, deletes.get(name, frozenset()))
+    return Patch(document.version, upserts, deletes)
+
+
+def _naming_steps(
     list_name: str, items: Iterable[msgspec.Raw], deleted: frozenset[str]
-) -> dict[str, msgspec.Raw]:
+) -> Steps[dict[str, msgspec.Raw]]:
     """Returns the items of one list of a patch by name; raises `ConfigurationError` for an invalid name."""
+    meter = StepMeter()
     named: dict[str, msgspec.Raw] = {}
     for index, item in enumerate(items):
         item_path = f"upsert.{list_name}.{index}"
@@ -125,6 +134,8 @@
         if name in deleted:
             raise ConfigurationError(f"{item_path}.name", f"{name!r} is to be removed as well")
         named[name] = item.copy()
+        if meter.is_step_full(len(bytes(item))):
+            yield
     return named
 
 
@@ -135,11 +146,18 @@
         raise ConfigurationError(path, str(error)) from error
 
 
-def _item_errors(upserts: Mapping[str, Mapping[str, msgspec.Raw]]) -> Iterator[ConfigurationError]:
-    """Yields errors of individual items, in the lists that have a schema."""
-    checked = {name: items for name, items in upserts.items() if name in (ROUTES, SERVICES)}
-    lists = {name: [orjson.loads(bytes(item)) for item in items.values()] for name, items in checked.items()}
-    yield from read_item_errors(lists, "upsert")
+def _item_steps(upserts: Mapping[str, Mapping[str, msgspec.Raw]]) -> Steps[None]:
+    """Reads the routes and services of a patch; raises `ConfigurationError` for the first invalid one."""
+    meter = StepMeter()
+    for index, item in enumerate(upserts.get(SERVICES, {}).values()):
+        yield from service_steps(item, f"upsert.{SERVICES}.{index}")
+        if meter.is_step_full(len(bytes(item))):
+            yield
+    reader = RouteReader()
+    for index, item in enumerate(upserts.get(ROUTES, {}).values()):
+        yield from reader.route_steps(item, f"upsert.{ROUTES}.{index}")
+        if meter.is_step_full(len(bytes(item))):
+            yield
 
 
 def _decode_items(name: str, raw: msgspec.Raw | None) -> list[msgspec.Raw]:
--- a/pewterring/configuration/references.py
+++ b/pewterring/configuration/references.py
@@ -5,12 +5,7 @@
 import msgspec
 
 from pewterring.configuration.errors import ConfigurationError
-
-
-class WeightedReference(msgspec.Struct, frozen=True):
-    """A reference to one of several weighted services of a route."""
-
-    service: str = msgspec.field(name="backend")  # key in the document
+from pewterring.configuration.model import WeightedReference
 
 
 class RouteReferences(msgspec.Struct, frozen=True):
@@ -24,28 +19,42 @@
     )
 
 
+class ReferenceChecker:
+    """Checks the services of one configuration, then its routes, one at a time."""
+
+    def __init__(self) -> None:
+        self._services: set[str] = set()
+        self._routes: set[tuple[str, str]] = set()
+
+    def service_errors(self, index: int, name: str) -> Iterator[ConfigurationError]:
+        """Takes the service at `index`, and yields an error if its name was taken before."""
+        if name in self._services:
+            yield ConfigurationError(f"backends.{index}.name", f"{name!r} is there twice")
+        self._services.add(name)
+
+    def route_errors(self, index: int, route: RouteReferences) -> Iterator[ConfigurationError]:
+        """Takes the route at `index`; yields errors for unknown services and for a route that was taken."""
+        yield from self._unknown_services(f"routes.{index}", route)
+        host_and_path = (route.host.lower(), route.path_prefix)
+        if host_and_path in self._routes:
+            yield ConfigurationError(f"routes.{index}", f"another route has {''.join(host_and_path)}")
+        self._routes.add(host_and_path)
+
+    def _unknown_services(self, path: str, route: RouteReferences) -> Iterator[ConfigurationError]:
+        if route.service is not None and route.service not in self._services:
+            yield ConfigurationError(f"{path}.backend", f"unknown service {route.service!r}")
+        for index, weighted in enumerate(route.weighted_services or ()):
+            if weighted.service not in self._services:
+                weighted_path = f"{path}.weighted_backends.{index}"
+                yield ConfigurationError(weighted_path, f"unknown service {weighted.service!r}")
+
+
 def reference_errors(
     service_names: Iterable[str], routes: Iterable[RouteReferences]
 ) -> Iterator[ConfigurationError]:
     """Yields errors for duplicate service names, duplicate routes and unknown services."""
-    services: set[str] = set()
+    checker = ReferenceChecker()
     for index, name in enumerate(service_names):
-        if name in services:
-            yield ConfigurationError(f"backends.{index}.name", f"{name!r} is there twice")
-        services.add(name)
-    seen_routes: set[tuple[str, str]] = set()
+        yield from checker.service_errors(index, name)
     for index, route in enumerate(routes):
-        yield from _unknown_services(f"routes.{index}", route, services)
-        host_and_path = (route.host.lower(), route.path_prefix)
-        if host_and_path in seen_routes:
-            yield ConfigurationError(f"routes.{index}", f"another route has {''.join(host_and_path)}")
-        seen_routes.add(host_and_path)
-
-
-def _unknown_services(path: str, route: RouteReferences, services: set[str]) -> Iterator[ConfigurationError]:
-    if route.service is not None and route.service not in services:
-        yield ConfigurationError(f"{path}.backend", f"unknown service {route.service!r}")
-    for index, weighted in enumerate(route.weighted_services or ()):
-        if weighted.service not in services:
-            weighted_path = f"{path}.weighted_backends.{index}"
-            yield ConfigurationError(weighted_path, f"unknown service {weighted.service!r}")
+        yield from checker.route_errors(index, route)
--- a/pewterring/configuration/schema.py
+++ b/pewterring/configuration/schema.py
@@ -16,6 +16,7 @@
 DEFAULT_WEIGHT = 1.0
 DEFAULT_HEALTH_CHECK = "/healthz"
 DEFAULT_LIMITS = ClientLimits()
+PATH_PREFIX_PATTERN = r"/(.*/)?\Z"  # matched from the start of the text
 
 _positive = validate.Range(min=0, min_inclusive=False)
 _not_negative = validate.Range(min=0)
@@ -43,7 +44,7 @@
 class _RouteSchema(_LenientSchema):
     name = fields.String(load_default="")
     hostname = fields.String(required=True, validate=_not_empty)
-    path_prefix = fields.String(required=True, validate=validate.Regexp(r"/(.*/)?\Z"))
+    path_prefix = fields.String(required=True, validate=validate.Regexp(PATH_PREFIX_PATTERN))
     route_type = fields.Enum(RouteType, by_value=True, required=True)
     timeout_ms = fields.Float(load_default=DEFAULT_TIMEOUT_MS, validate=_positive)
     target_latency_ms = fields.Float(load_default=DEFAULT_TARGET_LATENCY_MS, validate=_not_negative)
@@ -91,11 +92,6 @@
     limits = fields.Nested(_LimitsSchema)
 
 
-class _ItemsSchema(_LenientSchema):
-    routes = fields.List(fields.Nested(_RouteSchema), load_default=list)
-    backends = fields.List(fields.Nested(_ServiceSchema), load_default=list)
-
-
 @functools.cache
 def configuration_schema() -> Schema:
     """Returns the schema of a complete configuration. Cached: building it costs far more than using it."""
@@ -103,6 +99,30 @@
 
 
 @functools.cache
-def items_schema() -> Schema:
-    """Returns the schema of the lists of routes and services in a patch. Cached for the same reason."""
-    return _ItemsSchema()
+def header_schema() -> Schema:
+    """Returns the schema of what a configuration has beside its lists: version and limits."""
+    return _ConfigurationSchema(only=("version", "limits"))
+
+
+@functools.cache
+def route_schema() -> Schema:
+    """Returns the schema of one route."""
+    return _RouteSchema()
+
+
+@functools.cache
+def service_schema() -> Schema:
+    """Returns the schema of one service."""
+    return _ServiceSchema()
+
+
+@functools.cache
+def weighted_services_schema() -> Schema:
+    """Returns the schema of a part of a route's list of weighted services."""
+    return _WeightedServiceSchema(many=True)
+
+
+@functools.cache
+def models_schema() -> Schema:
+    """Returns the schema of a part of an engine's list of models."""
+    return _ModelSchema(many=True)
--- a/pewterring/configuration/validation.py
+++ b/pewterring/configuration/validation.py
@@ -5,16 +5,16 @@
 read differently by different processes, or not at all.
 """
 
-import json
 from dataclasses import dataclass, field
-from typing import Any
 
 import orjson
 
-from pewterring.configuration.digest import document_digest, single_line
+from pewterring.configuration.digest import digest_steps, single_line
+from pewterring.configuration.error_list import configuration_errors
 from pewterring.configuration.errors import ConfigurationError
-from pewterring.configuration.patch import is_patch, read_patch
-from pewterring.configuration.reader import configuration_errors, read_configuration
+from pewterring.configuration.patch import is_patch, patch_steps
+from pewterring.configuration.reader import read_configuration, reading_steps
+from pewterring.configuration.steps import Steps, complete, is_large
 
 PATCH_DIGEST_PREFIX = "patch-"  # so that a patch and a configuration never have the same digest
 
@@ -34,10 +34,7 @@
     Raises:
         ConfigurationError: The document is invalid; only its first error is raised.
     """
-    configuration = read_configuration(body)
-    digest = _digest(body)
-    _check_keys(body)
-    return ValidatedDocument(configuration.version, digest, single_line(body))
+    return complete(configuration_steps(body))
 
 
 def validate_patch(body: bytes) -> ValidatedDocument:
@@ -46,10 +43,24 @@
     Raises:
         ConfigurationError: The patch is invalid; only its first error is raised.
     """
-    digest = PATCH_DIGEST_PREFIX + _digest(body)
-    _check_keys(body)
-    patch = read_patch(body)
-    return ValidatedDocument(patch.version, digest, single_line(body))
+    return complete(validated_patch_steps(body))
+
+
+def configuration_steps(body: bytes) -> Steps[ValidatedDocument]:
+    """Does the work of `validate_configuration` in steps, and raises the same errors."""
+    if is_large(body):
+        configuration = yield from reading_steps(body)
+    else:
+        configuration = read_configuration(body)
+    digest = yield from digest_steps(body)
+    return ValidatedDocument(configuration.version, digest, single_line(body))
+
+
+def validated_patch_steps(body: bytes) -> Steps[ValidatedDocument]:
+    """Does the work of `validate_patch` in steps, and raises the same errors."""
+    digest = yield from digest_steps(body)
+    patch = yield from patch_steps(body)
+    return ValidatedDocument(patch.version, PATCH_DIGEST_PREFIX + digest, single_line(body))
 
 
 def document_errors(body: bytes) -> list[ConfigurationError]:
@@ -68,25 +79,3 @@
         return is_patch(orjson.loads(body))
     except orjson.JSONDecodeError:
         return False
-
-
-def _check_keys(document: bytes) -> None:
-    """Raises `ConfigurationError` if any object in the JSON document has a duplicate key."""
-    json.loads(document.decode(), object_pairs_hook=_check_pairs)
-
-
-def _check_pairs(pairs: list[tuple[str, Any]]) -> None:
-    seen: set[str] = set()
-    for key, _ in pairs:
-        if key in seen:
-            raise ConfigurationError("", f"the key {key!r} stands twice in one object")
-        seen.add(key)
-
-
-def _digest(document: bytes) -> str:
-    try:
-        return document_digest(document)
-    except orjson.JSONDecodeError as error:
-        raise ConfigurationError("", f"not JSON: {error}") from error
-    except orjson.JSONEncodeError as error:  # the encoder's limit is lower than that of every decoder in use
-        raise ConfigurationError("", "nested too deeply") from error
--- a/pewterring/control/api.py
+++ b/pewterring/control/api.py
@@ -12,6 +12,7 @@
 
 BASE_VERSION_HEADER = b"base-version"
 JSON_CONTENT_TYPE = (b"Content-Type", b"application/json")
+RETRY_AFTER = (b"Retry-After", b"1")  # seconds; elections and large documents take less
 
 
 class ControlApi:
@@ -23,7 +24,8 @@
     async def __call__(self, request: ServerRequest, responder: Responder) -> None:
         """Answers one request, which has been read completely."""
         answer = await self._answer(read_call(request))
-        await responder.respond(answer.status, [JSON_CONTENT_TYPE], answer.body)
+        headers = [JSON_CONTENT_TYPE, RETRY_AFTER] if answer.status == 503 else [JSON_CONTENT_TYPE]
+        await responder.respond(answer.status, headers, answer.body)
 
 
 def read_call(request: ServerRequest) -> Call:
--- a/pewterring/control/calls.py
+++ b/pewterring/control/calls.py
@@ -58,6 +58,9 @@
     body: bytes = b"{}"
 
 
+ACKNOWLEDGED = Answer(200)
+
+
 def read_base_version(text: str) -> int | None:
     """Returns the number in a `Base-Version` header, or None if the text is not a number."""
     match = _VERSION.fullmatch(text)
--- a/pewterring/control/configuration_history.py
+++ b/pewterring/control/configuration_history.py
@@ -41,6 +41,17 @@
         """Whether this configuration was accepted, now or earlier, as far as its digest is remembered."""
         return self.accepted_digests.get(version) == digest
 
+    def is_outdated(self, base: int, version: int, digest: str | None = None) -> bool:
+        """Whether a change to version `base` conflicts now and at any later time, and was never accepted.
+
+        Versions only rise, so a base below the current one stays outdated. Without a digest the answer is
+        for any change to `version`.
+        """
+        if base >= self.version or version <= self.newest_forgotten_version:
+            return False
+        accepted_digest = self.accepted_digests.get(version)
+        return accepted_digest is None or (digest is not None and digest != accepted_digest)
+
     def put(self, command: PutConfiguration) -> Result:
         """Accepts a complete configuration if its base is the current version."""
         return self._result_by_version(command) or self._accept(command, command.document)
--- a/pewterring/control/errors.py
+++ b/pewterring/control/errors.py
@@ -75,3 +75,7 @@
     """Too few stores would remain unless recently absent ones come back: the call may be repeated later."""
 
     status = HTTPStatus.SERVICE_UNAVAILABLE
+
+
+class TooManyDocumentsError(ControlError):
+    """Too many large documents wait to be validated. Nothing was done; a later call may succeed."""
--- a/pewterring/control/state.py
+++ b/pewterring/control/state.py
@@ -103,6 +103,10 @@
         """Whether this configuration was accepted, now or earlier, as far as its digest is remembered."""
         return self._configuration.has_accepted(version, digest)
 
+    def is_outdated(self, base: int, version: int, digest: str | None = None) -> bool:
+        """Whether a change to version `base` conflicts now and at any later time, and was never accepted."""
+        return self._configuration.is_outdated(base, version, digest)
+
     def is_decommissioning(self, node: NodeRecord) -> bool:
         """Whether a store is being emptied, or has been and is still the same member."""
         return self._decommissionings.includes(node)
--- a/tests/control/test_service.py
+++ b/tests/control/test_service.py
@@ -5,13 +5,17 @@
 import orjson
 import pytest
 
-from pewterring.control.calls import Answer
+from pewterring.control.api import ControlApi
+from pewterring.control.calls import Answer, Call, error_answer
 from pewterring.control.commands import EndDecommissioning, PutNodes
 from pewterring.control.errors import NotLeadingError
 from pewterring.control.messages import RelayedAnswer, RelayedCall
+from pewterring.transport.http_request import ServerRequest
+from pewterring.transport.http_responder import Responder
 from tests.configuration.documents import document, encoded, with_route
 from tests.control.api_machine import HEARTBEAT, Machine
 from tests.control.records import apply, store
+from tests.transport.http_stand_ins import AnswerRecorder
 
 
 def test_a_heartbeat_is_acknowledged_and_committed_once() -> None:
@@ -170,3 +174,16 @@
     repeated = machine.call("POST", "/v1/Retire.Start/store-1")
     assert repeated == Answer(200, b'{"state":"succeeded"}')
     assert machine.call("GET", "/v1/Retire.Get/store-1") == repeated
+
+
+def test_callers_that_get_503_are_told_when_to_come_back() -> None:
+    async def unavailable(_call: Call) -> Answer:
+        return error_answer(503, "no leader")
+
+    async def scenario() -> bytes:
+        request = ServerRequest("GET", "/v1/Config.Get", [], {}, "h", b"", 0.0, True, b"1.1")
+        caller = AnswerRecorder()
+        await ControlApi(unavailable)(request, Responder(caller, request))
+        return caller.answer
+
+    assert b"\r\nretry-after: 1\r\n" in asyncio.run(scenario()).lower()
--- a/tests/golden/control_calls.py
+++ b/tests/golden/control_calls.py
@@ -5,11 +5,11 @@
 
 import msgspec
 
-from pewterring.control.calls import Answer, Call, error_answer
+from pewterring.control.calls import ACKNOWLEDGED, Answer, Call, error_answer
 from pewterring.control.commands import Command, Result, encode_command
 from pewterring.control.errors import NotLeadingError
 from pewterring.control.leader_state import LeaderState
-from pewterring.control.service import ACKNOWLEDGED, ControlService
+from pewterring.control.service import ControlService
 from pewterring.control.snapshot import Decommissioning
 from pewterring.control.state import ControlState
 from pewterring.control.status import TierStatus, encode_status
