Distribution: gateways and stores read a large configuration between other events

Change: a large document stays unread while the node reads it in steps; all other tables are swapped meanwhile, and nothing is confirmed before the configuration is in force. A document that cannot be read is logged (configuration_unreadable) and leaves the former one in force, as before.

The eight new tests fail before: nodes read the document when it arrived.

--- a/pewterring/distribution/subscriber.py
+++ b/pewterring/distribution/subscriber.py
@@ -13,6 +13,10 @@
 
 from loguru import logger
 
+from pewterring.configuration.errors import ConfigurationError
+from pewterring.configuration.model import Configuration
+from pewterring.configuration.reader import reading_steps
+from pewterring.configuration.steps import complete_between_events
 from pewterring.distribution.errors import FeedError, FeedGapError, StaleAnswerError
 from pewterring.distribution.messages import (
     CompleteTables,
@@ -89,6 +93,7 @@
         self._leader_ip = ""  # as named by the last machine contacted; empty if unknown
         self._change_missed = asyncio.Event()
         self._task: asyncio.Task[None] | None = None
+        self._reading: asyncio.Task[None] | None = None
 
     @property
     def tables(self) -> Tables:
@@ -105,10 +110,11 @@
 
     async def stop(self) -> None:
         """Ends the session and waits until it has ended."""
-        if self._task is not None:
-            self._task.cancel()
-            with contextlib.suppress(asyncio.CancelledError):
-                await self._task
+        for task in (self._task, self._reading):
+            if task is not None:
+                task.cancel()
+                with contextlib.suppress(asyncio.CancelledError):
+                    await task
 
     def reload(self, settings: NodeSettings) -> None:
         """Applies changed settings: new seeds are contacted from the next search on."""
@@ -219,8 +225,30 @@
             self._notify(old, new)
 
     def _notify(self, old: Tables, new: Tables) -> None:
-        """Calls `on_tables`. An error there must not end the session, which all later updates depend on."""
+        """Calls `on_tables`, and has a large configuration read.
+
+        An error in `on_tables` must not end the session, which all later updates depend on.
+        """
+        if self._subscription.unread is not None and (self._reading is None or self._reading.done()):
+            self._reading = asyncio.get_running_loop().create_task(self._read_newest())
         try:
             self._on_tables(old, new)
         except Exception:  # noqa: BLE001 - an error in the node's own code is logged, and the session goes on
             logger.bind(event="table_update_failed").exception("Applying new tables failed")
+
+    async def _read_newest(self) -> None:
+        """Reads the newest large configuration between other events, and puts it in force."""
+        while (document := self._subscription.unread) is not None:
+            configuration = await self._read(document)
+            old = self.tables
+            self._notify(old, self._subscription.finish_reading(document, configuration))
+
+    @staticmethod
+    async def _read(document: bytes) -> Configuration | None:
+        try:
+            return await complete_between_events(reading_steps(document))
+        except ConfigurationError as error:
+            # Control validates documents, but a newer control may accept what this program cannot parse.
+            log = logger.bind(event="configuration_unreadable", reason=str(error))
+            log.warning("A configuration from control cannot be read; the former one stays in force")
+            return None
--- a/pewterring/distribution/subscription.py
+++ b/pewterring/distribution/subscription.py
@@ -2,16 +2,22 @@
 
 During the lifetime of a process neither the configuration version nor the leader's term decreases. Rejected
 messages raise a `FeedError` and leave the tables unchanged.
+
+A large configuration is read by the caller between other events. Meanwhile the tables hold the former one,
+all other tables are swapped as they arrive, and nothing is confirmed: until the configuration is in force,
+these tables are not the current ones.
 """
 
 import math
 from collections.abc import Mapping
+from dataclasses import replace
 
 import msgspec
 
 from pewterring.configuration.errors import ConfigurationError
 from pewterring.configuration.model import Configuration
 from pewterring.configuration.reader import read_configuration
+from pewterring.configuration.steps import is_large
 from pewterring.distribution.errors import FeedGapError, StaleLeaderError
 from pewterring.distribution.messages import (
     CompleteTables,
@@ -34,6 +40,23 @@
     def __init__(self) -> None:
         self.tables = Tables()
         self.confirmed_at = -math.inf  # monotonic time at which the tables were known to be current
+        self._unread: bytes | None = None  # the newest configuration, if it has not been read yet
+        self._unread_confirmed_at = -math.inf  # what `confirmed_at` becomes when it has been read
+
+    @property
+    def unread(self) -> bytes | None:
+        """The newest configuration's document while it waits to be read and passed to `finish_reading`."""
+        return self._unread
+
+    def finish_reading(self, document: bytes, configuration: Configuration | None) -> Tables:
+        """Puts a configuration in force, unless a newer one is; None if its document is invalid."""
+        current = self.tables.configuration
+        if configuration is not None and (current is None or configuration.version >= current.version):
+            self.tables = replace(self.tables, configuration=configuration)
+        if document == self._unread:
+            self._unread = None
+            self._confirm(self._unread_confirmed_at)
+        return self.tables
 
     def replace_all(self, message: CompleteTables, requested_at: float) -> Tables:
         """Replaces all tables. `requested_at` is the monotonic time of the request.
@@ -51,7 +74,7 @@
             groups=message.groups,
             controls=message.controls,
         )
-        self.confirmed_at = max(self.confirmed_at, requested_at)
+        self._confirm(requested_at)
         return self.tables
 
     def apply_change(self, message: TableChanges) -> Tables:
@@ -82,9 +105,15 @@
         """
         if message.versions != self.tables.versions:
             return False
-        self.confirmed_at = max(self.confirmed_at, sent_at)
+        self._confirm(sent_at)
         return True
 
+    def _confirm(self, moment: float) -> None:
+        if self._unread is None:
+            self.confirmed_at = max(self.confirmed_at, moment)
+        else:
+            self._unread_confirmed_at = max(self._unread_confirmed_at, moment)
+
     def _check_leadership(self, epoch: int) -> None:
         """Rejects tables of an earlier term; the epoch is the leader's term, which never decreases.
 
@@ -99,10 +128,19 @@
             raise StaleLeaderError(epoch, known_epoch)
 
     def _newest_configuration(self, document: msgspec.Raw) -> Configuration | None:
-        """Returns the received configuration, or the current one if it is newer or the document invalid."""
+        """Returns the received configuration, or the current one if it is newer or the document invalid.
+
+        A large document stays unread.
+        """
         current = self.tables.configuration
         text = bytes(document)
-        if text == NO_DOCUMENT or (current is not None and text == current.document):
+        if text == NO_DOCUMENT or text == self._unread:
+            return current
+        self._unread = None
+        if current is not None and text == current.document:
+            return current
+        if is_large(text):
+            self._unread, self._unread_confirmed_at = text, -math.inf
             return current
         try:
             received = read_configuration(text)
--- a/tests/distribution/test_subscriber.py
+++ b/tests/distribution/test_subscriber.py
@@ -9,6 +9,7 @@
 import msgspec
 from loguru import logger
 
+from pewterring.configuration.steps import STEP_BYTES
 from pewterring.distribution.messages import (
     CompleteTables,
     NodeRecord,
@@ -27,6 +28,7 @@
 )
 from pewterring.distribution.tables import Tables
 from pewterring.transport.lines import Channel, ChannelSettings, MessageCodec, MessageHandler
+from tests.configuration.large_documents import large
 from tests.consensus.virtual_time import VirtualTimeLoop
 from tests.node_settings import addresses, node_settings
 
@@ -173,3 +175,34 @@
     assert session.run() == [{"event": "table_update_failed"}] * 2
     assert [new.versions for _, new in session.table_swaps] == [VERSIONS, CHANGE.versions]
     assert len(session.network.contacts) == 1
+
+
+def test_a_large_configuration_is_read_between_other_events_and_then_put_in_force() -> None:
+    document = large(version=5, routes=300)
+    change = TableChanges(VERSIONS, TableVersions(1, 5), msgspec.Raw(document))
+    session = SessionScenario(change)
+    turns: list[Tables] = []
+
+    async def count(subscriber_tables: list[tuple[Tables, Tables]]) -> None:
+        while not any(new.configuration for _, new in subscriber_tables):
+            if len(subscriber_tables) == 2:  # the change has arrived, the configuration is not in force yet
+                turns.append(subscriber_tables[-1][1])
+            await asyncio.sleep(0 if len(subscriber_tables) == 2 else RENEWAL_INTERVAL_S / 100)
+
+    counting = session.network.loop.create_task(count(session.table_swaps))
+    assert session.run() == []
+    assert counting.done()
+    assert len(turns) >= len(document) // STEP_BYTES
+    assert [new.versions.configuration for _, new in session.table_swaps] == [0, 5, 5]
+    configuration = session.table_swaps[-1][1].configuration
+    assert configuration is not None
+    assert len(configuration.routes) == 300
+
+
+def test_a_large_configuration_that_cannot_be_read_is_logged_and_the_session_goes_on() -> None:
+    document = large(version=5, routes=300)[:-1] + b',"limits":5}'
+    session = SessionScenario(TableChanges(VERSIONS, TableVersions(1, 5), msgspec.Raw(document)))
+    (event,) = session.run()
+    assert event["event"] == "configuration_unreadable"
+    assert [new.configuration for _, new in session.table_swaps] == [None] * 3
+    assert len(session.network.contacts) == 1
--- a/tests/distribution/test_subscription.py
+++ b/tests/distribution/test_subscription.py
@@ -5,6 +5,7 @@
 import msgspec
 import pytest
 
+from pewterring.configuration.reader import read_configuration
 from pewterring.distribution.errors import FeedGapError, StaleLeaderError
 from pewterring.distribution.messages import (
     CompleteTables,
@@ -17,6 +18,8 @@
     WorkerRecord,
 )
 from pewterring.distribution.subscription import FeedSubscription
+from tests.configuration.documents import encoded
+from tests.configuration.large_documents import large
 
 NO_DOCUMENT = msgspec.Raw(b"null")
 VERSIONS = TableVersions(epoch=3, configuration=0, workers=5, nodes=2)
@@ -110,3 +113,81 @@
     )
     assert tables.configuration is None
     assert tables.versions == NEXT_VERSIONS
+
+
+LARGE = large(version=5, routes=60)
+SMALL = encoded(version=6)
+
+
+def change(base: TableVersions, configuration: int, document: bytes) -> TableChanges:
+    versions = msgspec.structs.replace(base, configuration=configuration)
+    return TableChanges(base, versions, msgspec.Raw(document))
+
+
+def configuration_version(subscription: FeedSubscription) -> int | None:
+    configuration = subscription.tables.configuration
+    return configuration.version if configuration else None
+
+
+def test_other_tables_change_while_a_large_configuration_is_unread(subscription: FeedSubscription) -> None:
+    subscription.apply_change(change(VERSIONS, 5, LARGE))
+    base = subscription.tables.versions
+    versions = msgspec.structs.replace(base, workers=6)
+    subscription.apply_change(TableChanges(base, versions, workers_gone=("w-1",)))
+    assert subscription.unread == LARGE
+    assert set(subscription.tables.workers) == {"w-2"}
+    assert configuration_version(subscription) is None
+    subscription.finish_reading(LARGE, read_configuration(LARGE))
+    assert subscription.unread is None
+    assert set(subscription.tables.workers) == {"w-2"}
+    assert configuration_version(subscription) == 5
+
+
+def test_nothing_is_confirmed_until_a_large_configuration_is_in_force(subscription: FeedSubscription) -> None:
+    subscription.apply_change(change(VERSIONS, 5, LARGE))
+    assert subscription.confirm(Renewed(subscription.tables.versions), 12.0)
+    assert subscription.confirmed_at == 10.0
+    subscription.finish_reading(LARGE, read_configuration(LARGE))
+    assert subscription.confirmed_at == 12.0
+
+
+def test_complete_tables_with_a_large_configuration_are_confirmed_when_it_has_been_read() -> None:
+    subscription = FeedSubscription()
+    subscription.replace_all(msgspec.structs.replace(TABLES, configuration=msgspec.Raw(LARGE)), 10.0)
+    assert subscription.confirmed_at == -math.inf
+    subscription.finish_reading(LARGE, read_configuration(LARGE))
+    assert subscription.confirmed_at == 10.0
+
+
+def test_a_newer_small_configuration_wins_over_a_large_one_that_is_being_read(
+    subscription: FeedSubscription,
+) -> None:
+    subscription.apply_change(change(VERSIONS, 5, LARGE))
+    subscription.apply_change(change(subscription.tables.versions, 6, SMALL))
+    assert subscription.unread is None
+    subscription.finish_reading(LARGE, read_configuration(LARGE))
+    assert configuration_version(subscription) == 6
+
+
+def test_a_newer_large_configuration_stays_unread_after_the_former_one(
+    subscription: FeedSubscription,
+) -> None:
+    newer = large(version=7, routes=60)
+    subscription.apply_change(change(VERSIONS, 5, LARGE))
+    subscription.apply_change(change(subscription.tables.versions, 7, newer))
+    subscription.confirm(Renewed(subscription.tables.versions), 12.0)
+    subscription.finish_reading(LARGE, read_configuration(LARGE))
+    assert (subscription.unread, configuration_version(subscription)) == (newer, 5)
+    assert subscription.confirmed_at == 10.0
+    subscription.finish_reading(newer, read_configuration(newer))
+    assert (subscription.unread, configuration_version(subscription)) == (None, 7)
+    assert subscription.confirmed_at == 12.0
+
+
+def test_a_large_configuration_that_cannot_be_read_leaves_the_former_one(
+    subscription: FeedSubscription,
+) -> None:
+    subscription.apply_change(change(VERSIONS, 6, SMALL))
+    subscription.apply_change(change(subscription.tables.versions, 7, LARGE))
+    subscription.finish_reading(LARGE, None)
+    assert (subscription.unread, configuration_version(subscription)) == (None, 6)
