Transport: a long line leaves in pieces and is shared by all connections

What would have been seen next: the leader of control pushes a configuration to each gateway and store at once, and the transport of each session copies what the kernel does not accept.

Change: a channel passes lines of over 256 KiB on in pieces, as its transport drains; the line itself is shared. What waits counts towards the limit on the backlog as before, and is flushed before the channel closes.

Memory of a fleet of that size was not measured.

--- a/pewterring/transport/channel.py
+++ b/pewterring/transport/channel.py
@@ -18,6 +18,7 @@
     RequestTimeoutError,
     UndecodableLineError,
 )
+from pewterring.transport.send_queue import SendQueue
 
 MAX_LINE_BYTES = 32 * 1024 * 1024
 MAX_BACKLOG_BYTES = 4 * 1024 * 1024  # bytes written but not yet accepted by the kernel
@@ -92,6 +93,7 @@
         self._on_message = on_message
         self._warnings = warnings or PeerWarnings()
         self._transport: asyncio.Transport | None = None
+        self._send_queue = SendQueue(self._write_to_transport)
         self._partial = bytearray()  # an incomplete line
         self._greeted = False  # whether the peer's greeting was received
         self._greeting_timer: asyncio.TimerHandle | None = None
@@ -135,6 +137,7 @@
     def close(self) -> None:
         """Closes the connection after written bytes are sent; pending requests fail at once."""
         if self._transport is not None:
+            self._send_queue.flush()
             self._transport.close()
         self._end("closed here")
 
@@ -152,11 +155,15 @@
     def _can_write(self) -> bool:
         if self.closed or self._transport is None:
             return False
-        return self._transport.get_write_buffer_size() <= MAX_BACKLOG_BYTES
+        unsent_bytes = self._transport.get_write_buffer_size() + self._send_queue.waiting_bytes
+        return unsent_bytes <= MAX_BACKLOG_BYTES
 
     def _write(self, line: bytes) -> None:
+        self._send_queue.send(line)
+
+    def _write_to_transport(self, data: bytes | memoryview) -> None:
         assert self._transport is not None
-        self._transport.write(line)
+        self._transport.write(data)
 
     def _time_out_request(self, request_id: int) -> None:
         reply = self._pending.pop(request_id, None)
@@ -178,6 +185,14 @@
         """Part of `asyncio.Protocol`."""
         self._end(str(error) if error else "closed by the peer")
 
+    def pause_writing(self) -> None:
+        """Part of `asyncio.Protocol`."""
+        self._send_queue.pause()
+
+    def resume_writing(self) -> None:
+        """Part of `asyncio.Protocol`."""
+        self._send_queue.resume()
+
     def data_received(self, data: bytes) -> None:
         """Part of `asyncio.Protocol`."""
         if self.closed:
@@ -300,6 +315,7 @@
         self.closed = True
         self._stop_greeting_timer()
         self._partial.clear()
+        self._send_queue.clear()
         pending, self._pending = self._pending, {}
         for reply in pending.values():
             if not reply.done():
