--- a/tests/control/test_configuration_history.py
+++ b/tests/control/test_configuration_history.py
@@ -60,3 +60,20 @@
         assert apply(each, put(4, 5)) == Conflict(10)
         assert apply(each, put(10, 8, limits={})) == NotAbove(10)
         assert each.version == 10
+
+
+def test_only_a_change_that_can_never_be_accepted_is_outdated(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("pewterring.control.configuration_history.REMEMBERED_VERSIONS", 2)
+    state = ControlState()
+    assert not state.is_outdated(0, 5)
+    for base, version in ((0, 3), (3, 5), (5, 7)):
+        apply(state, put(base, version))
+    accepted = put(3, 5)
+    assert not state.is_outdated(7, 9)  # it may be accepted now
+    assert not state.is_outdated(8, 9)  # its base may become current
+    assert state.is_outdated(5, 9)
+    assert not state.is_outdated(3, 5)  # it may repeat an accepted change
+    assert not state.is_outdated(3, 5, accepted.digest)
+    assert state.is_outdated(3, 5, "another digest")
+    assert not state.is_outdated(0, 3)  # the digest that was accepted is forgotten
+    assert not state.is_outdated(0, 2)
