Soak: configurations of thousands of routes under signals, restarts and freezes

--routes gives each configuration that many further routes of 36 services. One short run of 2,900 (4 MiB) is among the tests.

--- a/benchmarks/soak/disturbances.py
+++ b/benchmarks/soak/disturbances.py
@@ -5,14 +5,16 @@
 """
 
 import asyncio
-import json
 import random
 import signal
 from collections.abc import Awaitable, Callable
 from typing import Any
 
+import orjson
+
 from benchmarks.soak.clients import HOST, Clients
 from benchmarks.soak.fleet import Fleet, Member
+from benchmarks.soak.large_configuration import enlarged
 from benchmarks.soak.limits import Limits
 from benchmarks.soak.report import Report
 from benchmarks.soak.workers import CAPACITY, MEMORY_TOKENS, SERVICE
@@ -61,13 +63,20 @@
     """Disturbs a fleet and keeps its clients' list of gateways."""
 
     def __init__(
-        self, fleet: Fleet, clients: Clients, gateways: list[Member], report: Report, rng: random.Random
+        self,
+        fleet: Fleet,
+        clients: Clients,
+        gateways: list[Member],
+        report: Report,
+        rng: random.Random,
+        further_routes: int = 0,
     ) -> None:
         self._fleet = fleet
         self._clients = clients
         self._gateways = gateways  # those that clients may choose
         self._report = report
         self._rng = rng
+        self._further_routes = further_routes
         self._version = 0
         self._one_down = {program: asyncio.Lock() for program in ("control", "store", "gateway")}
 
@@ -128,15 +137,14 @@
         keep_s = self._rng.choice(KEEP_S) if self._version > 1 else FIRST_KEEP_S
         limits = Limits(keep_s, self._rng.choice(MAX_ATTEMPTS), now())
         self._clients.limits.send(limits)
-        document = configuration(self._version, self._rng.choice((2000, 3000, 4000)), limits)
+        content = configuration(self._version, self._rng.choice((2000, 3000, 4000)), limits)
+        document = orjson.dumps(enlarged(content, self._further_routes))
         headers = {"Base-Version": str(self._version - 1), "Content-Type": "application/json"}
         async with asyncio.timeout(READY_TIMEOUT_S):
             while True:
                 control = self._rng.choice(self._fleet.of("control"))
                 address = f"{control.process.ip}:{CONTROL_PORT}"
-                status = await self._status(
-                    address, "POST /v1/Config.Replace", headers, json.dumps(document).encode()
-                )
+                status = await self._status(address, "POST /v1/Config.Replace", headers, document)
                 if status == 200:
                     self._clients.limits.acknowledge(now())
                     return
--- a/benchmarks/soak/play.py
+++ b/benchmarks/soak/play.py
@@ -28,6 +28,7 @@
     controls: int = 3
     workers: int = 3
     events: int = 4  # most events of a series
+    routes: int = 0  # further routes of each configuration, each split over `large_configuration.SERVICES`
 
 
 def free_network(rng: random.Random) -> str:
@@ -54,7 +55,9 @@
     fleet = Fleet(layout)
     gateways = fleet.of("gateway")
     clients = Clients(gateways, report, random.Random(rng.random()))
-    disturbances = Disturbances(fleet, clients, gateways, report, random.Random(rng.random()))
+    disturbances = Disturbances(
+        fleet, clients, gateways, report, random.Random(rng.random()), further_routes=size.routes
+    )
     workers = [
         Worker(
             address.partition(":")[0], number, layout.control_addresses(), report, random.Random(rng.random())
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -14,3 +14,10 @@
     assert report.workers["repeated"]
     assert report.streams["complete"]
     assert report.items["succeeded"]
+
+
+def test_no_rule_is_broken_while_configurations_are_large() -> None:
+    """Guards against a configuration of 4 MiB that holds the event loop of any program."""
+    report = run_seed(6, Size(events=2, routes=2900))
+    assert not report.judge(), report.summary()
+    assert report.streams["complete"]
