Configuration: many small values are hashed in steps, unknown keys are not decoded

Cause: a text of many short entries was hashed as a whole, since splitting it takes more than decoding it. The top of a document and the limits were split or decoded with all their unknown keys.

Change: such a text is rewritten in one pass, whose steps take whole entries of all open containers. Readers decode the keys that they know alone. Digests stay the same.

--- a/pewterring/configuration/digest.py
+++ b/pewterring/configuration/digest.py
@@ -7,24 +7,29 @@
 
 import hashlib
 import itertools
-import json
 import re
 from collections.abc import Iterable, Iterator, Mapping
-from typing import Any
 
 import msgspec
 import orjson
 
-from pewterring.configuration.errors import ConfigurationError
+from pewterring.configuration.canonical_stream import canonical_stream_steps
+from pewterring.configuration.canonical_text import (
+    MAX_NESTING,
+    canonical_text,
+    duplicate_key,
+    nested_too_deeply,
+)
 from pewterring.configuration.json_parts import split_list, split_object
 from pewterring.configuration.steps import STEP_BYTES, StepMeter, Steps, complete
 
 DIGEST_CHARACTERS = 32  # 128 bits in hexadecimal: accidental collisions are negligible
-MAX_NESTING = 254  # the encoder's limit, which is lower than that of every decoder in use
 SPLITTING_SPEEDUP = 8  # splitting a text takes that much less time than decoding it
-# A part of shorter entries is rewritten as a whole: splitting it takes more memory and time than decoding it.
+# A part of shorter entries, or of more, is rewritten as a stream: splitting it takes one long step.
 MIN_BYTES_PER_ENTRY = 8
-MIN_BYTES_PER_VALUE = 64  # the same of an object, whose values are rewritten one by one and sorted
+MAX_ENTRIES_PER_CONTAINER = 64  # on average
+MIN_BYTES_PER_VALUE = 64  # of an object, whose values are rewritten one by one and sorted
+MAX_SPLIT_DEPTH = 8  # deeper parts are rewritten as a stream, since each level is split anew
 
 _SPACE = re.compile(rb"[ \t\n\r]*+")
 _STRING = re.compile(rb'"(?:[^"\\]++|\\.)*+"')
@@ -57,22 +62,25 @@
 def _canonical_steps(text: bytes, depth: int, meter: StepMeter) -> Steps[list[bytes]]:
     """Returns the canonical text in pieces. `depth` is the number of containers around the text."""
     if depth > MAX_NESTING:
-        raise _nested_too_deeply()
-    if _can_be_split(text):
+        raise nested_too_deeply()
+    if len(text) > STEP_BYTES:
+        if depth > MAX_SPLIT_DEPTH or not _can_be_split(text):
+            return (yield from canonical_stream_steps(text, depth, meter))
         if meter.is_step_full(len(text) // SPLITTING_SPEEDUP):
             yield
         if text[:1] == b"[":
             return (yield from _canonical_list_steps(text, depth, meter))
         if text[:1] == b"{":
             return (yield from _canonical_object_steps(text, depth, meter))
-    piece = _canonical_text(text, depth)
+    piece = canonical_text(text, depth)
     if meter.is_step_full(len(text)):
         yield
     return [piece]
 
 
 def _can_be_split(text: bytes) -> bool:
-    return len(text) > STEP_BYTES and text.count(b",") * MIN_BYTES_PER_ENTRY <= len(text)
+    entries, containers = text.count(b","), text.count(b"[") + text.count(b"{")
+    return entries * MIN_BYTES_PER_ENTRY <= len(text) and entries <= containers * MAX_ENTRIES_PER_CONTAINER
 
 
 def _canonical_list_steps(text: bytes, depth: int, meter: StepMeter) -> Steps[list[bytes]]:
@@ -83,7 +91,7 @@
             pieces += yield from _canonical_steps(group[0], depth + 1, meter)
             continue
         joined = b"[%b]" % b",".join(group)
-        pieces.append(_canonical_text(joined, depth)[1:-1])
+        pieces.append(canonical_text(joined, depth)[1:-1])
         if meter.is_step_full(len(joined)):
             yield
     return [b"[", *pieces[1:], b"]"]
@@ -107,7 +115,7 @@
 def _canonical_object_steps(text: bytes, depth: int, meter: StepMeter) -> Steps[list[bytes]]:
     values = split_object(text, "")
     if len(values) * MIN_BYTES_PER_VALUE > len(text):
-        return [_canonical_text(text, depth)]
+        return (yield from canonical_stream_steps(text, depth, meter))
     by_key: dict[str, list[bytes]] = {}
     for key, value in _entries(text, values):
         by_key[key] = yield from _canonical_steps(value, depth + 1, meter)
@@ -116,38 +124,6 @@
     return [b"{", *pieces[1:], b"}"]
 
 
-def _canonical_text(text: bytes, depth: int) -> bytes:
-    """Returns the canonical text of a part, after checking that none of its objects has a key twice."""
-    try:
-        value = orjson.loads(text)
-        if orjson.dumps(value) != text:  # a compact text that is written back as it was lost no key
-            json.loads(text.decode(), object_pairs_hook=_check_pairs)
-        for _ in range(depth):  # the limit on nesting counts from the top of the document
-            value = [value]
-        canonical = orjson.dumps(value, option=orjson.OPT_SORT_KEYS)
-    except orjson.JSONDecodeError as error:
-        raise ConfigurationError("", f"not JSON: {error}") from error
-    except orjson.JSONEncodeError as error:
-        raise _nested_too_deeply() from error
-    return canonical[depth : len(canonical) - depth]
-
-
-def _check_pairs(pairs: list[tuple[str, Any]]) -> None:
-    seen: set[str] = set()
-    for key, _ in pairs:
-        if key in seen:
-            raise _duplicate_key(key)
-        seen.add(key)
-
-
-def _nested_too_deeply() -> ConfigurationError:
-    return ConfigurationError("", "nested too deeply")
-
-
-def _duplicate_key(key: str) -> ConfigurationError:
-    return ConfigurationError("", f"the key {key!r} stands twice in one object")
-
-
 def _entries(text: bytes, values: Mapping[str, msgspec.Raw]) -> Iterator[tuple[str, bytes]]:
     """Yields keys and values of an object in the order of the text; raises for a key that stands twice.
 
@@ -162,7 +138,7 @@
         value = bytes(values[key])
         position = _skip_space(text, value_at + len(value))
         if key in seen or not text.startswith(value, value_at) or text[position] not in b",}":
-            raise _duplicate_key(key)
+            raise duplicate_key(key)
         seen.add(key)
         yield key, value
         position += 1
--- a/pewterring/configuration/json_parts.py
+++ b/pewterring/configuration/json_parts.py
@@ -3,7 +3,7 @@
 Splitting costs far less than decoding; a large document is decoded part by part, in steps.
 """
 
-from typing import Any
+from typing import Any, TypeVar
 
 import msgspec
 import orjson
@@ -11,9 +11,12 @@
 from pewterring.configuration.errors import ConfigurationError
 
 NULL = b"null"
+ABSENT = msgspec.Raw(b"")  # default of the fields of `KnownParts`
 # Raised by msgspec's decoder: its own errors, ValueError for invalid UTF-8, RecursionError for deep nesting.
 DECODE_ERRORS = (msgspec.MsgspecError, ValueError, RecursionError)
 
+KnownParts = TypeVar("KnownParts", bound=msgspec.Struct)
+
 _object_decoder = msgspec.json.Decoder(dict[str, msgspec.Raw])
 _list_decoder = msgspec.json.Decoder(list[msgspec.Raw])
 
@@ -32,6 +35,27 @@
         raise ConfigurationError(path, f"not JSON: {error}") from error
 
 
+def known_parts(
+    text: bytes | msgspec.Raw, decoder: msgspec.json.Decoder[KnownParts], path: str
+) -> dict[str, msgspec.Raw]:
+    """Returns those values of a JSON object by key that are fields of the decoder's type and in the object.
+
+    Other values are skipped, however many there are.
+
+    Raises:
+        ConfigurationError: The text is not an object.
+    """
+    try:
+        parts = decoder.decode(text)
+    except msgspec.ValidationError as error:
+        raise ConfigurationError(path, "not an object") from error
+    except DECODE_ERRORS as error:
+        raise ConfigurationError(path, f"not JSON: {error}") from error
+    fields = msgspec.structs.fields(parts)
+    values = {field.encode_name: getattr(parts, field.name) for field in fields}
+    return {key: value for key, value in values.items() if value is not ABSENT}
+
+
 def split_list(text: bytes | msgspec.Raw, path: str) -> list[msgspec.Raw]:
     """Returns the entries of a JSON list.
 
--- a/pewterring/configuration/reader.py
+++ b/pewterring/configuration/reader.py
@@ -12,7 +12,7 @@
 
 from pewterring.configuration.errors import ConfigurationError
 from pewterring.configuration.item_reader import RouteReader, service_steps
-from pewterring.configuration.json_parts import decode, is_null, split_list, split_object
+from pewterring.configuration.json_parts import ABSENT, decode, is_null, known_parts, split_list
 from pewterring.configuration.model import ClientLimits, Configuration, Route, Service
 from pewterring.configuration.references import ReferenceChecker
 from pewterring.configuration.schema import DEFAULT_LIMITS, header_schema
@@ -20,6 +20,29 @@
 from pewterring.configuration.steps import StepMeter, Steps, complete
 
 SERVICES, ROUTES = "backends", "routes"  # keys in the document
+VERSION, LIMITS = "version", "limits"
+
+
+class _Parts(msgspec.Struct, gc=False):
+    """The parts of a document that this version knows; others are skipped, however many there are."""
+
+    version: msgspec.Raw = ABSENT
+    limits: msgspec.Raw = ABSENT
+    routes: msgspec.Raw = ABSENT
+    services: msgspec.Raw = msgspec.field(default=ABSENT, name=SERVICES)
+
+
+class _LimitParts(msgspec.Struct, gc=False):
+    """The limits on clients that this version knows."""
+
+    max_header_bytes: msgspec.Raw = ABSENT
+    max_body_bytes: msgspec.Raw = ABSENT
+    header_timeout_ms: msgspec.Raw = ABSENT
+    idle_timeout_ms: msgspec.Raw = ABSENT
+
+
+_parts_decoder = msgspec.json.Decoder(_Parts)
+_limits_decoder = msgspec.json.Decoder(_LimitParts)
 
 
 def read_configuration(document: bytes) -> Configuration:
@@ -37,7 +60,7 @@
     Raises:
         ConfigurationError: The document is invalid; only the first error found is raised.
     """
-    parts = split_object(document, "")
+    parts = known_parts(document, _parts_decoder, "")
     header = _header(parts)
     checker = ReferenceChecker()
     yield
@@ -53,11 +76,23 @@
 
 
 def _header(parts: dict[str, msgspec.Raw]) -> dict[str, Any]:
-    values = {key: decode(parts[key], key) for key in ("version", "limits") if key in parts}
+    values: dict[str, Any] = {}
+    if VERSION in parts:
+        values[VERSION] = decode(parts[VERSION], VERSION)
+    if LIMITS in parts:
+        values[LIMITS] = _limits(parts[LIMITS])
     header: dict[str, Any] = load(header_schema(), values, "")
     return header
 
 
+def _limits(text: msgspec.Raw) -> Any:
+    """Returns the known limits as plain values; what is no object is left to the schema, which refuses it."""
+    if not bytes(text).startswith(b"{"):
+        return decode(text, LIMITS)
+    parts = known_parts(text, _limits_decoder, LIMITS)
+    return {key: decode(part, f"{LIMITS}.{key}") for key, part in parts.items()}
+
+
 def _items(parts: dict[str, msgspec.Raw], key: str) -> list[msgspec.Raw]:
     if is_null(parts.get(key)):
         raise ConfigurationError(key, "Missing data for required field.")
