Control: a patch of a large configuration costs its own size

Change: the configuration is kept apart: its items as raw JSON, and counts of services, their uses, hosts and paths. Each member prepares a large one between other events after it has changed; a patch that comes earlier does so at once. What a patch removes and adds is counted, and only a result that the counts refuse is checked as a whole, for its message.

--- a/pewterring/configuration/patch.py
+++ b/pewterring/configuration/patch.py
@@ -1,30 +1,31 @@
 """Patches of the operator's configuration, which add, replace or remove named items of its lists.
 
-A patch is applied to the raw JSON of each item, so that fields unknown to this version are preserved byte
-for byte. `read_patch` checks everything that does not depend on the patched configuration; `apply_patch`
-checks the result. Items that the patch does not touch are already valid and are not checked again.
+`read_patch` checks everything that does not depend on the patched configuration; `apply_patch` checks the
+result. Items that the patch does not touch are already valid and are not checked again.
 
-`apply_patch` runs on every replica when the log entry is applied and has to yield the same bytes on each.
+Patches are applied on every replica when the log entry is applied, and have to yield the same bytes on each.
 """
 
-from collections.abc import Iterable, Iterator, Mapping, Sequence
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
-from typing import Annotated, Any, TypeVar
+from typing import Annotated, Any
 
 import msgspec
 
 from pewterring.configuration.errors import ConfigurationError
 from pewterring.configuration.item_reader import RouteReader, service_steps
-from pewterring.configuration.json_parts import DECODE_ERRORS, NULL, is_null
-from pewterring.configuration.model import WeightedReference
-from pewterring.configuration.references import RouteReferences, reference_errors
+from pewterring.configuration.json_parts import DECODE_ERRORS
+from pewterring.configuration.patchable_document import (
+    ROUTES,
+    SERVICES,
+    Deletes,
+    Upserts,
+    patchable_steps,
+)
 from pewterring.configuration.steps import StepMeter, Steps, complete
 
-ROUTES, SERVICES, VERSION = "routes", "backends", "version"  # keys in the document
-MAX_DOCUMENT_BYTES = 8 * 1024 * 1024  # same limit as for the body of a complete configuration
 MAX_VERSION = 2**63 - 1  # JSON decoders disagree on larger integers
 
-Item = TypeVar("Item")
 ItemLists = dict[str, list[msgspec.Raw]]
 
 
@@ -42,20 +43,7 @@
     delete: dict[str, list[str]] | None = None
 
 
-class _RouteItem(msgspec.Struct, gc=False):
-    """What of a route has to be unique or refers to services; its list of services is not decoded."""
-
-    hostname: str
-    path_prefix: str
-    backend: str | None = None
-    weighted_backends: msgspec.Raw = msgspec.Raw(NULL)
-
-
 _name_decoder = msgspec.json.Decoder(_Named)
-_items_decoder = msgspec.json.Decoder(list[msgspec.Raw])
-_names_decoder = msgspec.json.Decoder(list[_Named])
-_routes_decoder = msgspec.json.Decoder(list[_RouteItem])
-_references_decoder = msgspec.json.Decoder(list[WeightedReference] | None)
 
 PATCH_FIELDS = frozenset(_PatchDocument.__struct_fields__)
 
@@ -65,8 +53,8 @@
     """Changes by the name of the list. No item is in both `upserts` and `deletes`."""
 
     version: int
-    upserts: Mapping[str, Mapping[str, msgspec.Raw]]  # items by name
-    deletes: Mapping[str, frozenset[str]]
+    upserts: Upserts
+    deletes: Deletes
 
 
 def read_patch(body: bytes) -> Patch:
@@ -103,22 +91,13 @@
 def apply_patch(document: bytes, patch: Patch) -> bytes:
     """Returns the patched configuration on a single line.
 
-    `document` is the configuration to patch, `null` if there is none yet.
+    `document` is the configuration to patch, `null` if there is none yet. For several patches in turn,
+    keep a `PatchableDocument`.
 
     Raises:
-        ConfigurationError: The result is not a valid configuration or exceeds `MAX_DOCUMENT_BYTES`.
+        ConfigurationError: The result is not a valid configuration, or is too long.
     """
-    content = msgspec.json.decode(document, type=dict[str, msgspec.Raw] | None) or {}
-    for name in [*patch.upserts, *patch.deletes]:
-        upserts, deletes = patch.upserts.get(name, {}), patch.deletes.get(name, frozenset())
-        content[name] = _encoded(_patched_items(name, content.get(name), upserts, deletes))
-    content[VERSION] = msgspec.Raw(str(patch.version).encode())
-    for error in _result_errors(content):
-        raise error
-    result = _encoded(content)
-    if len(result) > MAX_DOCUMENT_BYTES:
-        raise ConfigurationError("", f"the patched configuration has over {MAX_DOCUMENT_BYTES} bytes")
-    return bytes(result)
+    return complete(patchable_steps(document)).patched(patch.version, patch.upserts, patch.deletes)
 
 
 def _parsing_steps(body: bytes) -> Steps[Patch]:
@@ -173,67 +152,3 @@
         yield from reader.route_steps(item, f"upsert.{ROUTES}.{index}")
         if meter.is_step_full(len(bytes(item))):
             yield
-
-
-def _decode_list(name: str, raw: msgspec.Raw | None, decoder: msgspec.json.Decoder[list[Item]]) -> list[Item]:
-    """Decodes all items of a list by one call, which takes far less time than a call for each."""
-    if raw is None or is_null(raw):
-        return []
-    try:
-        return decoder.decode(raw)
-    except msgspec.ValidationError as error:
-        raise ConfigurationError(name, f"not a list of named items: {error}") from error
-
-
-def _patched_items(
-    list_name: str,
-    raw: msgspec.Raw | None,
-    upserts: Mapping[str, msgspec.Raw],
-    deletes: frozenset[str],
-) -> list[msgspec.Raw]:
-    """Returns the patched list: replaced items keep their position, new items are appended."""
-    items = _decode_list(list_name, raw, _items_decoder)
-    names = _decode_list(list_name, raw, _names_decoder)
-    remaining = dict(upserts)
-    patched = []
-    for item, named in zip(items, names, strict=True):
-        name = named.name or ""
-        if name in deletes:
-            continue
-        if name not in upserts:
-            patched.append(item)
-        elif name in remaining:  # else a duplicate name, whose first item was replaced already
-            patched.append(remaining.pop(name))
-    return patched + list(remaining.values())
-
-
-def _result_errors(content: Mapping[str, msgspec.Raw]) -> Iterator[ConfigurationError]:
-    """Yields errors of the patched configuration: missing lists, and errors between items."""
-    for name in (ROUTES, SERVICES):
-        if name not in content:
-            yield ConfigurationError(name, "the patched configuration has none")
-            return
-    services = _decode_list(SERVICES, content[SERVICES], _names_decoder)
-    routes = _decode_list(ROUTES, content[ROUTES], _routes_decoder)
-    yield from reference_errors((service.name or "" for service in services), _references(routes))
-
-
-def _references(routes: Iterable[_RouteItem]) -> Iterator[RouteReferences]:
-    """Yields the references of each route; lists of services with the same text are decoded once."""
-    known_lists: dict[bytes, Sequence[WeightedReference] | None] = {}
-    for route in routes:
-        text = bytes(route.weighted_backends)
-        if text not in known_lists:
-            known_lists[text] = _decode_references(text)
-        yield RouteReferences(route.hostname, route.path_prefix, route.backend, known_lists[text])
-
-
-def _decode_references(text: bytes) -> Sequence[WeightedReference] | None:
-    try:
-        return _references_decoder.decode(text)
-    except msgspec.ValidationError as error:
-        raise ConfigurationError(ROUTES, str(error)) from error
-
-
-def _encoded(value: Any) -> msgspec.Raw:
-    return msgspec.Raw(msgspec.json.encode(value))
--- a/pewterring/control/configuration_history.py
+++ b/pewterring/control/configuration_history.py
@@ -8,7 +8,9 @@
 import msgspec
 
 from pewterring.configuration.errors import ConfigurationError
-from pewterring.configuration.patch import apply_patch, parse_patch
+from pewterring.configuration.patch import parse_patch
+from pewterring.configuration.patchable_document import PatchableDocument, patchable_steps
+from pewterring.configuration.steps import Steps, complete, is_large
 from pewterring.control.bounded_memory import drop_oldest
 from pewterring.control.commands import (
     Accepted,
@@ -36,6 +38,9 @@
         self.accepted_digests: dict[int, str] = {}  # by version, oldest first
         self.newest_forgotten_version = 0
         self._changes = changes
+        self._patchable: PatchableDocument | None = (
+            None  # the current document, if it is large and was taken apart
+        )
 
     def has_accepted(self, version: int, digest: str) -> bool:
         """Whether this configuration was accepted, now or earlier, as far as its digest is remembered."""
@@ -66,10 +71,30 @@
         if result is not None:
             return result
         try:
-            document = apply_patch(bytes(self.document), parse_patch(bytes(command.patch)))
+            patch = parse_patch(bytes(command.patch))
+            patchable = self._patchable or complete(patchable_steps(bytes(self.document)))
+            document = patchable.patched(patch.version, patch.upserts, patch.deletes)
         except ConfigurationError as error:
             return Invalid(str(error))
-        return self._accept(command, msgspec.Raw(document))
+        accepted = self._accept(command, msgspec.Raw(document))
+        self._patchable = patchable if is_large(document) else None
+        return accepted
+
+    def preparation_steps(self) -> Steps[None] | None:
+        """Takes a large document apart, so that the next patch costs little; None if there is no need."""
+        document = bytes(self.document)
+        if self._patchable is not None or not is_large(document):
+            return None
+        return self._prepare(document)
+
+    def _prepare(self, document: bytes) -> Steps[None]:
+        version = self.version
+        try:
+            patchable = yield from patchable_steps(document)
+        except ConfigurationError:
+            return  # each patch of it is refused for the same reason
+        if self.version == version and self._patchable is None:
+            self._patchable = patchable
 
     def restore(self, snapshot: Snapshot) -> None:
         """Replaces all content by that of the snapshot."""
@@ -77,6 +102,7 @@
         self.document = snapshot.document.copy()
         self.accepted_digests = dict(snapshot.accepted_digests)
         self.newest_forgotten_version = snapshot.newest_forgotten_version
+        self._patchable = None
 
     def _result_by_version(self, command: PutConfiguration | PatchConfiguration) -> Result | None:
         """The result that follows from the versions alone, or None if the content may be accepted."""
@@ -93,6 +119,7 @@
     def _accept(self, command: PutConfiguration | PatchConfiguration, document: msgspec.Raw) -> Result:
         self.version = command.version
         self.document = document.copy()
+        self._patchable = None
         self.accepted_digests[command.version] = command.digest
         forgotten = drop_oldest(self.accepted_digests, REMEMBERED_VERSIONS)
         self.newest_forgotten_version = max((self.newest_forgotten_version, *forgotten))
--- a/pewterring/control/program.py
+++ b/pewterring/control/program.py
@@ -33,6 +33,7 @@
 from pewterring.control.leadership import GroupLeadership
 from pewterring.control.member_storage import GROUP, open_member_storage
 from pewterring.control.messages import CONTROL_MESSAGES, JoinGroup, RelayedCall
+from pewterring.control.patch_preparation import PatchPreparation
 from pewterring.control.pause_detector import PauseDetector
 from pewterring.control.relay import CallRouter
 from pewterring.control.service import ControlService
@@ -73,6 +74,7 @@
         self._links = LinkPool(codec, settings.internal_port, rng=random.Random(), source_ip=settings.ip)
         self._listener = LineServer(codec, self._on_message)
         self._state = ControlState(on_change=self._on_state_change)
+        self._patch_preparation = PatchPreparation(self._state)
         self.group = self._make_group(member, storage)
         self.leadership = GroupLeadership(self.group, self._clock)
         needed_stores = voters_needed(settings.tolerated_machines)
@@ -172,6 +174,7 @@
         await self._task_runner.stop()
         self._feed.end_sessions()
         await self.group.stop()
+        await self._patch_preparation.stop()
         await self._listener.stop()
         self._links.close()
 
@@ -198,6 +201,7 @@
 
     def _on_state_change(self) -> None:
         self._feed.publish_soon()
+        self._patch_preparation.state_changed()
 
     def _on_leadership(self, leads: bool) -> None:
         self.leadership.ready = leads
--- a/pewterring/control/state.py
+++ b/pewterring/control/state.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from pewterring.configuration.steps import Steps
 from pewterring.control.commands import (
     CreateGroup,
     EndDecommissioning,
@@ -107,6 +108,10 @@
         """Whether a change to version `base` conflicts now and at any later time, and was never accepted."""
         return self._configuration.is_outdated(base, version, digest)
 
+    def preparation_steps(self) -> Steps[None] | None:
+        """Work on the newest configuration that makes the next patch cheap; None if there is none to do."""
+        return self._configuration.preparation_steps()
+
     def is_decommissioning(self, node: NodeRecord) -> bool:
         """Whether a store is being emptied, or has been and is still the same member."""
         return self._decommissionings.includes(node)
