Distribution: a large configuration is not sent to a node that has it

Change: a node names its newest large configuration by a hash of its bytes when it subscribes, and the leader leaves it out if it is the current one. Nodes take a missing configuration as unchanged already, leaders of earlier versions ignore the name, and for configurations of up to 64 KiB nothing changes. tests/golden has a row for the new form.

A node that starts still gets all of it; three tests, which fail before for want of the fields.

--- a/pewterring/control/feed.py
+++ b/pewterring/control/feed.py
@@ -45,7 +45,7 @@
         if channel not in self._channels:
             self._channels.add(channel)
             channel.on_close.append(self._on_channel_close)
-        return self._publisher.open(channel)
+        return self._publisher.open(channel, message.configuration)
 
     def renew(self, channel: Channel, message: Renew) -> Renewed | Redirect:
         """Confirms the published versions; redirects a node without a session, which must subscribe again."""
--- a/pewterring/control/publisher.py
+++ b/pewterring/control/publisher.py
@@ -14,6 +14,7 @@
 from pewterring.control.nodes import NodeTable
 from pewterring.control.partition_reports import PartitionReports
 from pewterring.control.state import ControlState
+from pewterring.distribution.fingerprint import NO_FINGERPRINT, fingerprint_of
 from pewterring.distribution.messages import (
     CompleteTables,
     GroupStatus,
@@ -53,6 +54,8 @@
         self._nodes = nodes
         self._reports = PartitionReports()
         self._versions = TableVersions()
+        self._fingerprinted = NO_DOCUMENT  # the document whose fingerprint was computed last
+        self._fingerprint = NO_FINGERPRINT
         self._published_nodes: tuple[NodeRecord, ...] = ()
         self._published_groups: tuple[GroupStatus, ...] = ()
         self._published_control_ips: tuple[str, ...] = ()
@@ -85,13 +88,16 @@
         """The newest report of each partition from which one was received after `moment`."""
         return self._reports.since(moment)
 
-    def open(self, session: Hashable) -> CompleteTables:
-        """Adds a session and returns the published tables. Pending changes must be published first."""
+    def open(self, session: Hashable, known_fingerprint: str = NO_FINGERPRINT) -> CompleteTables:
+        """Adds a session and returns the published tables. Pending changes must be published first.
+
+        The configuration is left out if `known_fingerprint`, which the node has sent, is its fingerprint.
+        """
         self.sessions.add(session)
         state = self._state
         return CompleteTables(
             versions=self._versions,
-            configuration=state.document,
+            configuration=NO_DOCUMENT if self._is_current(known_fingerprint) else state.document,
             workers=tuple(state.workers.values()),
             nodes=self._published_nodes,
             placements=tuple(state.placements.values()),
@@ -139,6 +145,14 @@
             )
         )
 
+    def _is_current(self, fingerprint: str) -> bool:
+        if fingerprint == NO_FINGERPRINT:
+            return False
+        if self._fingerprinted is not self._state.document:
+            self._fingerprinted = self._state.document
+            self._fingerprint = fingerprint_of(bytes(self._fingerprinted))
+        return fingerprint == self._fingerprint
+
     def _publish(self, changes: TableChanges) -> TableChanges | None:
         """Returns the changes with the new versions set, or None if nothing changed."""
         base = self._versions
--- a/pewterring/distribution/messages.py
+++ b/pewterring/distribution/messages.py
@@ -83,10 +83,14 @@
     nodes: int = 0
 
 
-class Subscribe(msgspec.Struct, frozen=True, tag=True):
-    """Opens a session. The reply is `Redirect` or `CompleteTables`."""
+class Subscribe(msgspec.Struct, frozen=True, tag=True, omit_defaults=True):
+    """Opens a session. The reply is `Redirect` or `CompleteTables`.
+
+    `configuration` is the fingerprint of the node's newest configuration, if that is large.
+    """
 
     node: NodeRecord
+    configuration: str = ""
 
 
 class Redirect(msgspec.Struct, frozen=True, tag=True):
@@ -96,7 +100,10 @@
 
 
 class CompleteTables(msgspec.Struct, frozen=True, tag="WholeTables"):  # the wire's name
-    """All tables. `configuration` is the operator's JSON document, or null if there is none yet."""
+    """All tables. `configuration` is the operator's JSON document.
+
+    It is null if there is none yet, or if the node has named it in `Subscribe`.
+    """
 
     versions: TableVersions
     configuration: msgspec.Raw
--- a/pewterring/distribution/subscriber.py
+++ b/pewterring/distribution/subscriber.py
@@ -167,7 +167,8 @@
         """Requests and applies complete tables; returns False if the machine is not the leader."""
         self._change_missed.clear()  # before the request: a change may arrive in one segment with the answer
         requested_at = self._clock()
-        answer = await channel.request(Subscribe(node=self._report.record()), ANSWER_TIMEOUT_S)
+        request = Subscribe(self._report.record(), self._subscription.fingerprint)
+        answer = await channel.request(request, ANSWER_TIMEOUT_S)
         if isinstance(answer, Redirect):
             self._leader_ip = answer.leader
             return False
--- a/pewterring/distribution/subscription.py
+++ b/pewterring/distribution/subscription.py
@@ -19,6 +19,7 @@
 from pewterring.configuration.reader import read_configuration
 from pewterring.configuration.steps import is_large
 from pewterring.distribution.errors import FeedGapError, StaleLeaderError
+from pewterring.distribution.fingerprint import FingerprintCache
 from pewterring.distribution.messages import (
     CompleteTables,
     NodeRecord,
@@ -41,6 +42,7 @@
         self.tables = Tables()
         self.confirmed_at = -math.inf  # monotonic time at which the tables were known to be current
         self._unread: bytes | None = None  # the newest configuration, if it has not been read yet
+        self._fingerprints = FingerprintCache()
         self._unread_confirmed_at = -math.inf  # what `confirmed_at` becomes when it has been read
 
     @property
@@ -48,6 +50,14 @@
         """The newest configuration's document while it waits to be read and passed to `finish_reading`."""
         return self._unread
 
+    @property
+    def fingerprint(self) -> str:
+        """The fingerprint of the newest configuration, read or not; empty if that is small."""
+        if self._unread is not None:
+            return self._fingerprints.of(self._unread)
+        current = self.tables.configuration
+        return self._fingerprints.of(current.document if current is not None else b"")
+
     def finish_reading(self, document: bytes, configuration: Configuration | None) -> Tables:
         """Puts a configuration in force, unless a newer one is; None if its document is invalid."""
         current = self.tables.configuration
--- a/tests/control/test_feed.py
+++ b/tests/control/test_feed.py
@@ -6,12 +6,15 @@
 
 import msgspec
 
-from pewterring.control.commands import PutWorker
+from pewterring.configuration.reader import read_configuration
+from pewterring.control.commands import PutConfiguration, PutWorker
+from pewterring.control.configuration_history import NO_DOCUMENT
 from pewterring.control.feed import FeedServer
 from pewterring.control.leadership import GroupLeadership
 from pewterring.control.nodes import NodeTable
 from pewterring.control.publisher import FeedPublisher
 from pewterring.control.state import ControlState
+from pewterring.distribution.fingerprint import NO_FINGERPRINT
 from pewterring.distribution.messages import (
     FEED_MESSAGES,
     CompleteTables,
@@ -24,6 +27,7 @@
 )
 from pewterring.distribution.subscription import FeedSubscription
 from pewterring.transport.lines import Channel, MessageCodec
+from tests.configuration.large_documents import large
 from tests.control.records import apply, gateway, put, status, store, worker
 
 CODEC = MessageCodec(FEED_MESSAGES)
@@ -199,3 +203,45 @@
     feed.renew(channel, Renew(gateway(1), report))
     feed.server.publish_nodes()
     assert subscription.apply_change(channel.pushed[0]).groups == (report,)
+
+
+def large_feed() -> Feed:
+    feed = Feed()
+    apply(feed.state, PutConfiguration(0, 5, "digest", msgspec.Raw(large())))
+    return feed
+
+
+def subscribed(feed: Feed, subscription: FeedSubscription) -> CompleteTables:
+    request = Subscribe(gateway(1), subscription.fingerprint)
+    answer = feed.server.subscribe(cast(Channel, StandInChannel()), request)
+    assert isinstance(answer, CompleteTables)
+    subscription.replace_all(answer, 0.0)
+    return answer
+
+
+def test_a_large_configuration_is_not_sent_to_a_node_that_has_it() -> None:
+    """Guards against leaders that send it to all nodes after an election, for longer than these wait."""
+    feed, subscription = large_feed(), FeedSubscription()
+    assert bytes(subscribed(feed, subscription).configuration) == large()
+    assert subscribed(feed, subscription).configuration == NO_DOCUMENT  # the node still reads it
+    assert subscription.unread == large()
+    subscription.finish_reading(large(), read_configuration(large()))
+    feed.publisher.start(3, ["10.0.0.1"])
+    assert subscribed(feed, subscription).configuration == NO_DOCUMENT
+    assert subscription.tables.configuration == read_configuration(large())
+    assert subscription.tables.versions == feed.publisher.versions
+
+
+def test_a_node_with_another_configuration_gets_the_current_one() -> None:
+    feed, subscription = large_feed(), FeedSubscription()
+    subscribed(feed, subscription)
+    subscription.finish_reading(large(), read_configuration(large()))
+    apply(feed.state, PutConfiguration(5, 6, "digest-6", msgspec.Raw(large(version=6))))
+    assert bytes(subscribed(feed, subscription).configuration) == large(version=6)
+    assert subscription.unread == large(version=6)
+    apply(feed.state, put(6, 7))
+    assert subscribed(feed, subscription).configuration != NO_DOCUMENT
+    assert subscription.tables.configuration is not None
+    assert subscription.tables.configuration.version == 7
+    assert subscription.fingerprint == NO_FINGERPRINT
+    assert subscribed(feed, subscription).configuration != NO_DOCUMENT
--- a/tests/distribution/test_subscription.py
+++ b/tests/distribution/test_subscription.py
@@ -7,6 +7,7 @@
 
 from pewterring.configuration.reader import read_configuration
 from pewterring.distribution.errors import FeedGapError, StaleLeaderError
+from pewterring.distribution.fingerprint import NO_FINGERPRINT, fingerprint_of
 from pewterring.distribution.messages import (
     CompleteTables,
     NodeRecord,
@@ -191,3 +192,15 @@
     subscription.apply_change(change(subscription.tables.versions, 7, LARGE))
     subscription.finish_reading(LARGE, None)
     assert (subscription.unread, configuration_version(subscription)) == (None, 6)
+
+
+def test_the_fingerprint_is_that_of_the_newest_large_configuration(subscription: FeedSubscription) -> None:
+    assert subscription.fingerprint == NO_FINGERPRINT
+    document = large(version=8)
+    subscription.replace_all(msgspec.structs.replace(TABLES, configuration=msgspec.Raw(document)), 11.0)
+    assert subscription.fingerprint == fingerprint_of(document) != NO_FINGERPRINT
+    subscription.finish_reading(document, read_configuration(document))
+    assert subscription.fingerprint == fingerprint_of(document)
+    small = msgspec.Raw(encoded(version=9))
+    subscription.replace_all(msgspec.structs.replace(TABLES, configuration=small), 12.0)
+    assert subscription.fingerprint == NO_FINGERPRINT
--- a/tests/golden/feed_messages.py
+++ b/tests/golden/feed_messages.py
@@ -35,6 +35,7 @@
 _REQUESTS: tuple[tuple[str, msgspec.Struct], ...] = (
     ("Subscribe-full", Subscribe(node=STORE_NODE)),
     ("Subscribe-gateway", Subscribe(node=GATEWAY_NODE)),
+    ("Subscribe-configuration", Subscribe(node=STORE_NODE, configuration="0123456789abcdef" * 2)),
     ("Renew-full", Renew(node=STORE_NODE, status=GROUP_STATUS)),
     ("Renew-defaults", Renew(node=GATEWAY_NODE)),
     (
