--- a/benchmarks/large_configurations/__main__.py
+++ b/benchmarks/large_configurations/__main__.py
@@ -40,6 +40,7 @@
         await asyncio.sleep(SETTLE_S)
         seen, after = load.take(), tier.leaders()
         await load.stop()
+        peaks = ", ".join(f"{program} {peak}" for program, peak in tier.peak_memory_mb().items())
         ended = tier.fleet.ended_by_themselves()
     except NotReadyError as error:
         return f"{name}: {error}"
@@ -49,8 +50,8 @@
     return (
         f"{name}: {'; '.join(said)}; new leaders: control {after.control - before.control}, "
         f"partition {after.partition - before.partition}; streams {dict(seen.streams)}, "
-        f"longest {1000 * seen.longest_stream_s:.0f} ms; longest calls in ms: {probes}"
-        + "".join(f"; {text}" for text in ended)
+        f"longest {1000 * seen.longest_stream_s:.0f} ms; longest calls in ms: {probes}; "
+        f"peak memory in MB: {peaks}" + "".join(f"; {text}" for text in ended)
     )
 
 
--- a/benchmarks/large_configurations/plays.py
+++ b/benchmarks/large_configurations/plays.py
@@ -27,7 +27,7 @@
 KILL_AFTER_S = 0.15
 ROUTES, SERVICES = 3000, 36
 SMALL_ROUTES, SMALL_SERVICES = 13_000, 2
-UNKNOWN_KEYS = 200_000
+UNKNOWN_KEYS = 300_000
 
 
 Content = Callable[[int], dict[str, Any]]  # a document by its version
--- a/benchmarks/large_configurations/tier.py
+++ b/benchmarks/large_configurations/tier.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from benchmarks.soak.fleet import Fleet, Member
+from benchmarks.soak.fleet import PROC, Fleet, Member
 from pewterring.local import sample
 from pewterring.local.engine import StandInWorker, WorkerEndpoint
 from pewterring.local.layout import HEARTBEAT_MS, ZONES, Layout
@@ -99,6 +99,15 @@
             counted[member.process.program] += log.read_text(encoding="utf-8").count('"leadership_acquired"')
         return Leaders(counted["control"], counted["store"])
 
+    def peak_memory_mb(self) -> dict[str, int]:
+        """The most memory that a process of each program has taken since it started."""
+        peaks: dict[str, int] = {}
+        for member in self.fleet.members:
+            if member.child is not None and member.child.returncode is None:
+                program = member.process.program
+                peaks[program] = max(peaks.get(program, 0), _peak_mb(member.child.pid))
+        return peaks
+
     def leading_control(self) -> Member:
         """The control machine that became leader last."""
         return max(self.fleet.of("control"), key=self._led_last)
@@ -142,6 +151,12 @@
             return 0
 
 
+def _peak_mb(pid: int) -> int:
+    lines = (PROC / str(pid) / "status").read_text(encoding="ascii").splitlines()
+    (peak,) = (line.split()[1] for line in lines if line.startswith("VmHWM:"))
+    return int(peak) // 1024
+
+
 def new_tier(network: str, folder: Path, gateways: int, stores: int) -> Tier:
     """Returns a tier that is not started yet."""
     return Tier(Layout(network, folder, gateways=gateways, stores=stores))
