Transport and feed: long lines and large answers take one piece, or one, of each turn

Shown by the new play many-sessions of benchmarks/large_configurations, with the 195 sessions of a deployment of 200 machines on loopback: one valid configuration of 3,000 routes cost control its leader once, and a patch of one route in it once more (three and two new leaders in two runs, one of each after the kill that is part of the play). A call to control took up to 830 ms. Cause, by the time of each turn of the event loop: FeedServer pushed the line to all sessions in one turn of 583 and 630 ms, as each connection passed piece after piece on until its kernel buffer was full; the lease is 300 ms.

Change: a connection sends one piece of 64 KiB a turn of the event loop. Sessions that open, and need a large configuration, are answered one a turn: 195 nodes that start together asked for 820 MB in one.

The three new tests fail before.

--- a/benchmarks/large_configurations/__main__.py
+++ b/benchmarks/large_configurations/__main__.py
@@ -14,7 +14,7 @@
 from benchmarks.large_configurations.documents import encoded
 from benchmarks.large_configurations.load import Load
 from benchmarks.large_configurations.operator import Operator
-from benchmarks.large_configurations.plays import PLAYS, Run
+from benchmarks.large_configurations.plays import PLAYS, SESSION_PROCESSES, Run
 from benchmarks.large_configurations.tier import NotReadyError, new_tier
 from benchmarks.soak.play import free_network
 from pewterring.local import sample
@@ -67,7 +67,7 @@
     for name in options.plays or PLAYS:
         with (
             tempfile.TemporaryDirectory(prefix="pewterring-orders-") as folder,
-            ProcessPoolExecutor(max_workers=1) as builders,
+            ProcessPoolExecutor(max_workers=SESSION_PROCESSES + 1) as builders,
         ):
             seen = asyncio.run(play(name, options.gateways, options.stores, Path(folder), builders))
             print(seen, flush=True)
--- a/benchmarks/large_configurations/plays.py
+++ b/benchmarks/large_configurations/plays.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import signal
+import time
 from collections import Counter
 from collections.abc import Awaitable, Callable
 from concurrent.futures import Executor
@@ -17,6 +18,7 @@
     with_unknown_service,
 )
 from benchmarks.large_configurations.operator import Operator, OrderAnswer
+from benchmarks.large_configurations.sessions import combined, follow
 from benchmarks.large_configurations.tier import Tier
 
 ACK_S = 4.0  # the bound of an acknowledgement
@@ -27,6 +29,10 @@
 KILL_AFTER_S = 0.15
 ROUTES, SERVICES = 3000, 36
 SMALL_ROUTES, SMALL_SERVICES = 13_000, 2
+SESSIONS = 195  # the gateways and stores of a deployment of 200 machines
+SESSION_PROCESSES = 4
+SESSION_NUMBERS = [range(first, SESSIONS, SESSION_PROCESSES) for first in range(SESSION_PROCESSES)]
+SESSIONS_OPEN_S, SESSIONS_FOR_S = 6.0, 24.0
 UNKNOWN_KEYS = 300_000
 
 
@@ -161,6 +167,32 @@
     return [accepted, f"all killed, serving after {after_s:.2f} s"]
 
 
+async def _many_sessions(run: Run) -> list[str]:
+    loop = asyncio.get_running_loop()
+    whole = partial(replacement, routes=ROUTES, services=SERVICES)
+    document = await run.document(partial(whole, run.version + 1))
+    change = await run.document(partial(patch, run.version + 2, 7, 1, SERVICES))
+    versions = [run.version + 1, run.version + 2]
+    following = [
+        loop.run_in_executor(run.builders, follow, run.tier.layout, numbers, versions, SESSIONS_FOR_S)
+        for numbers in SESSION_NUMBERS
+    ]
+    await asyncio.sleep(SESSIONS_OPEN_S)
+    said = []
+    for verb, order, version in (("Replace", document, versions[0]), ("Update", change, versions[1])):
+        sent_at = time.monotonic()
+        answer = await run.operator.order(verb, order, version - 1, ACK_S + WAIT_S)
+        said.append((f"{verb}: {_said(answer)}", sent_at))
+        await asyncio.sleep(SESSIONS_OPEN_S)
+    await run.tier.fleet.end(run.tier.leading_control(), signal.SIGKILL)
+    arrivals = [combined(each) for each in zip(*await asyncio.gather(*following), strict=True)]
+    run.version = versions[-1]
+    return [
+        f"{text}, at {each.sessions} of {SESSIONS} sessions after {each.last_s - sent_at:.2f} s"
+        for (text, sent_at), each in zip(said, arrivals, strict=True)
+    ]
+
+
 PLAYS: dict[str, Play] = {
     "quiet": _quiet,
     "many-services": _many_services,
@@ -173,6 +205,7 @@
     "ended-early": _ended_early,
     "leader-killed": _leader_killed,
     "all-restarted": _all_restarted,
+    "many-sessions": _many_sessions,
 }
 
 
--- a/pewterring/control/feed.py
+++ b/pewterring/control/feed.py
@@ -5,7 +5,7 @@
 """
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from pewterring.control.leadership import GroupLeadership
 from pewterring.control.nodes import NodeTable
@@ -32,6 +32,26 @@
         self._clock = clock
         self._channels: set[Channel] = set()
         self._publication_due = False
+        self._large_answers = asyncio.Lock()
+
+    def answer_subscribe(
+        self, channel: Channel, message: Subscribe
+    ) -> CompleteTables | Redirect | Awaitable[CompleteTables | Redirect]:
+        """Answers a subscription; of those that need a large configuration, one a turn of the event loop."""
+        if self._leadership.has_lease and self._publisher.sends_large_document(message.configuration):
+            return self._subscribe_in_turn(channel, message)
+        return self.subscribe(channel, message)
+
+    async def _subscribe_in_turn(self, channel: Channel, message: Subscribe) -> CompleteTables | Redirect:
+        """Waits for the turn of this session.
+
+        A change may be pushed before the answer is; the node then subscribes anew, and names what it has.
+        """
+        async with self._large_answers:
+            await asyncio.sleep(0)
+            if channel.closed:
+                return Redirect("")  # to nobody
+            return self.subscribe(channel, message)
 
     def subscribe(self, channel: Channel, message: Subscribe) -> CompleteTables | Redirect:
         """Opens a session, or redirects if this machine has no lease.
--- a/pewterring/control/program.py
+++ b/pewterring/control/program.py
@@ -185,7 +185,7 @@
             case Renew():
                 return self._feed.renew(channel, message)
             case Subscribe():
-                return self._feed.subscribe(channel, message)
+                return self._feed.answer_subscribe(channel, message)
             case RelayedCall():
                 return self._router.answer_relayed(message)
             case JoinGroup():
--- a/pewterring/control/publisher.py
+++ b/pewterring/control/publisher.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from pewterring.configuration.steps import is_large
 from pewterring.control.configuration_history import NO_DOCUMENT
 from pewterring.control.nodes import NodeTable
 from pewterring.control.partition_reports import PartitionReports
@@ -88,6 +89,10 @@
         """The newest report of each partition from which one was received after `moment`."""
         return self._reports.since(moment)
 
+    def sends_large_document(self, known_fingerprint: str) -> bool:
+        """Whether the answer to a node that knows such a configuration has a large one."""
+        return is_large(bytes(self._state.document)) and not self._is_current(known_fingerprint)
+
     def open(self, session: Hashable, known_fingerprint: str = NO_FINGERPRINT) -> CompleteTables:
         """Adds a session and returns the published tables. Pending changes must be published first.
 
--- a/pewterring/transport/channel.py
+++ b/pewterring/transport/channel.py
@@ -66,6 +66,10 @@
                 sock.setsockopt(level, option, value)
 
 
+def _call_soon(callback: Callable[[], None]) -> None:
+    asyncio.get_running_loop().call_soon(callback)
+
+
 class Channel(asyncio.Protocol):
     """One side of a connection. asyncio itself sets TCP_NODELAY.
 
@@ -93,7 +97,7 @@
         self._on_message = on_message
         self._warnings = warnings or PeerWarnings()
         self._transport: asyncio.Transport | None = None
-        self._send_queue = SendQueue(self._write_to_transport)
+        self._send_queue = SendQueue(self._write_to_transport, _call_soon)
         self._partial = bytearray()  # an incomplete line
         self._greeted = False  # whether the peer's greeting was received
         self._greeting_timer: asyncio.TimerHandle | None = None
--- a/tests/control/test_feed.py
+++ b/tests/control/test_feed.py
@@ -1,7 +1,7 @@
 """The leader's side of the feed: opening, renewing and ending sessions, and nodes that do not read."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import cast
 
 import msgspec
@@ -245,3 +245,47 @@
     assert subscription.tables.configuration.version == 7
     assert subscription.fingerprint == NO_FINGERPRINT
     assert subscribed(feed, subscription).configuration != NO_DOCUMENT
+
+
+def test_sessions_that_need_a_large_configuration_are_answered_one_in_a_turn() -> None:
+    """Guards against a leader that answers all nodes that start together in one turn, past its lease."""
+    feed = large_feed()
+
+    async def scenario() -> None:
+        channels = [StandInChannel() for _ in range(6)]
+        answers = [
+            asyncio.ensure_future(answer)
+            for number, channel in enumerate(channels)
+            if isinstance(
+                answer := feed.server.answer_subscribe(cast(Channel, channel), Subscribe(gateway(number))),
+                Awaitable,
+            )
+        ]
+        assert len(answers) == len(channels)
+        channels[3].close()
+        most = 0
+        while not all(answer.done() for answer in answers):
+            before = len(feed.publisher.sessions)
+            await asyncio.sleep(0)
+            most = max(most, len(feed.publisher.sessions) - before)
+        assert most == 1
+        results = [answer.result() for answer in answers]
+        assert results.pop(3) == Redirect("")
+        assert all(isinstance(result, CompleteTables) for result in results)
+
+    asyncio.run(scenario())
+    assert len(feed.publisher.sessions) == 5
+
+
+def test_other_sessions_are_answered_at_once() -> None:
+    feed, subscription = large_feed(), FeedSubscription()
+    subscribed(feed, subscription)
+    request = Subscribe(gateway(1), subscription.fingerprint)
+    answer = feed.server.answer_subscribe(cast(Channel, StandInChannel()), request)
+    assert isinstance(answer, CompleteTables)
+    small = Feed()
+    answer = small.server.answer_subscribe(cast(Channel, StandInChannel()), Subscribe(gateway(1)))
+    assert isinstance(answer, CompleteTables)
+    feed.leadership.has_lease = False
+    answer = feed.server.answer_subscribe(cast(Channel, StandInChannel()), Subscribe(gateway(2)))
+    assert isinstance(answer, Redirect)
--- a/tests/transport/test_send_queue.py
+++ b/tests/transport/test_send_queue.py
@@ -3,11 +3,12 @@
 import asyncio
 import contextlib
 import random
+from collections.abc import Callable
 
 import pytest
 
 from pewterring.transport.lines import Channel, ChannelSettings, connect
-from pewterring.transport.send_queue import PIECE_BYTES, SendQueue
+from pewterring.transport.send_queue import LONG_LINE_BYTES, PIECE_BYTES, SendQueue
 from tests.transport.test_lines import CODEC, LOOPBACK, TIMEOUT_S, Peer, Reply, Say, run
 
 BUFFER_BYTES = 64 * 1024  # from which on the transport below asks for a pause
@@ -19,7 +20,8 @@
     def __init__(self) -> None:
         self.buffered = 0
         self.taken = b""
-        self.queue = SendQueue(self.write)
+        self.turns: list[Callable[[], None]] = []
+        self.queue = SendQueue(self.write, self.turns.append)
 
     def write(self, data: bytes | memoryview) -> None:
         self.taken += bytes(data)
@@ -27,6 +29,11 @@
         if self.buffered > BUFFER_BYTES:
             self.queue.pause()
 
+    def take_turn(self) -> None:
+        turns, self.turns[:] = tuple(self.turns), ()
+        for turn in turns:
+            turn()
+
     def drain(self) -> None:
         self.buffered = 0
         self.queue.resume()
@@ -38,17 +45,33 @@
     transport = Transport()
     sent = b""
     for number in range(20):
-        line = bytes([number]) * rng.choice([1, 100, PIECE_BYTES, PIECE_BYTES + 1, 3 * PIECE_BYTES])
+        lengths = [1, 100, PIECE_BYTES, LONG_LINE_BYTES, LONG_LINE_BYTES + 1, 3 * LONG_LINE_BYTES]
+        line = bytes([number]) * rng.choice(lengths)
         sent += line
         transport.queue.send(line)
         assert len(transport.taken) + transport.queue.waiting_bytes == len(sent)
         if rng.random() < 0.5:
             transport.drain()
+        if rng.random() < 0.5:
+            transport.take_turn()
     while transport.queue.waiting_bytes:
         transport.drain()
+        transport.take_turn()
     assert transport.taken == sent
 
 
+def test_a_long_line_takes_one_piece_of_each_turn() -> None:
+    """Guards against a leader that sends a configuration to 195 nodes in one turn, past its lease."""
+    transport = Transport()
+    transport.queue.send(bytes(20 * PIECE_BYTES))
+    for turn in range(1, 20):
+        assert len(transport.taken) == turn * PIECE_BYTES
+        transport.drain()  # between two turns of the loop the transport may ask for more
+        assert len(transport.turns) == 1
+        transport.take_turn()
+    assert transport.queue.waiting_bytes == 0
+
+
 def test_a_transport_that_takes_no_more_gets_one_piece_of_a_long_line() -> None:
     transport = Transport()
     transport.queue.send(bytes(20 * PIECE_BYTES))
