Feed: few large answers are being sent at a time, and a long line is no backlog for others

And found by reading: a long line that takes many turns counted as backlog, so a further change would have ended each session meanwhile.

Change: eight such answers are being sent at a time; a node that takes none within the 0.9 s that it waits loses its session. The line that is being sent is no part of the backlog, only what waits behind it.

The two new tests fail before.

--- a/benchmarks/large_configurations/plays.py
+++ b/benchmarks/large_configurations/plays.py
@@ -18,7 +18,7 @@
     with_unknown_service,
 )
 from benchmarks.large_configurations.operator import Operator, OrderAnswer
-from benchmarks.large_configurations.sessions import combined, follow
+from benchmarks.large_configurations.sessions import Arrivals, combined, follow
 from benchmarks.large_configurations.tier import Tier
 
 ACK_S = 4.0  # the bound of an acknowledgement
@@ -168,15 +168,11 @@
 
 
 async def _many_sessions(run: Run) -> list[str]:
-    loop = asyncio.get_running_loop()
     whole = partial(replacement, routes=ROUTES, services=SERVICES)
     document = await run.document(partial(whole, run.version + 1))
     change = await run.document(partial(patch, run.version + 2, 7, 1, SERVICES))
     versions = [run.version + 1, run.version + 2]
-    following = [
-        loop.run_in_executor(run.builders, follow, run.tier.layout, numbers, versions, SESSIONS_FOR_S)
-        for numbers in SESSION_NUMBERS
-    ]
+    following = _following(run, versions, SESSIONS_FOR_S)
     await asyncio.sleep(SESSIONS_OPEN_S)
     said = []
     for verb, order, version in (("Replace", document, versions[0]), ("Update", change, versions[1])):
@@ -193,6 +189,23 @@
     ]
 
 
+async def _sessions_start(run: Run) -> list[str]:
+    accepted = await run.accept("Replace", partial(replacement, routes=ROUTES, services=SERVICES), ROUTES)
+    began_at = time.monotonic()
+    parts = await asyncio.gather(*_following(run, [run.version], SESSIONS_OPEN_S))
+    arrivals = combined([part for (part,) in parts])
+    after_s = arrivals.last_s - began_at
+    return [accepted, f"{arrivals.sessions} of {SESSIONS} sessions start and have it after {after_s:.2f} s"]
+
+
+def _following(run: Run, versions: list[int], for_s: float) -> list[asyncio.Future[list[Arrivals]]]:
+    loop = asyncio.get_running_loop()
+    return [
+        loop.run_in_executor(run.builders, follow, run.tier.layout, numbers, versions, for_s)
+        for numbers in SESSION_NUMBERS
+    ]
+
+
 PLAYS: dict[str, Play] = {
     "quiet": _quiet,
     "many-services": _many_services,
@@ -206,6 +219,7 @@
     "leader-killed": _leader_killed,
     "all-restarted": _all_restarted,
     "many-sessions": _many_sessions,
+    "sessions-start": _sessions_start,
 }
 
 
--- a/pewterring/control/feed.py
+++ b/pewterring/control/feed.py
@@ -11,8 +11,13 @@
 from pewterring.control.nodes import NodeTable
 from pewterring.control.publisher import FeedPublisher
 from pewterring.distribution.messages import CompleteTables, Redirect, Renew, Renewed, Subscribe, TableChanges
+from pewterring.distribution.subscriber import ANSWER_TIMEOUT_S
 from pewterring.transport.lines import Channel, MessageCodec
 
+MAX_LARGE_ANSWERS = 8  # that are being sent at a time; each is a line of its own of several megabytes
+SENT_CHECK_INTERVAL_S = 0.01
+SENT_CHECKS = round(ANSWER_TIMEOUT_S / SENT_CHECK_INTERVAL_S)  # then the node asks anew
+
 
 class FeedServer:
     """Serves the feed with one channel per session. All methods are called on the event loop."""
@@ -32,7 +37,9 @@
         self._clock = clock
         self._channels: set[Channel] = set()
         self._publication_due = False
-        self._large_answers = asyncio.Lock()
+        self._turn = asyncio.Lock()
+        self._large_answers = asyncio.Semaphore(MAX_LARGE_ANSWERS)
+        self._releases: set[asyncio.Task[None]] = set()
 
     def answer_subscribe(
         self, channel: Channel, message: Subscribe
@@ -43,15 +50,32 @@
         return self.subscribe(channel, message)
 
     async def _subscribe_in_turn(self, channel: Channel, message: Subscribe) -> CompleteTables | Redirect:
-        """Waits for the turn of this session.
+        """Waits for the turn of this session, and for one of the few places of answers that are being sent.
 
         A change may be pushed before the answer is; the node then subscribes anew, and names what it has.
         """
-        async with self._large_answers:
-            await asyncio.sleep(0)
-            if channel.closed:
-                return Redirect("")  # to nobody
-            return self.subscribe(channel, message)
+        await self._large_answers.acquire()
+        try:
+            async with self._turn:
+                await asyncio.sleep(0)
+            return Redirect("") if channel.closed else self.subscribe(channel, message)
+        finally:
+            release = asyncio.create_task(
+                self._release_when_sent(channel)
+            )  # it begins once the answer is there
+            self._releases.add(release)
+            release.add_done_callback(self._releases.discard)
+
+    async def _release_when_sent(self, channel: Channel) -> None:
+        """Frees the place of an answer once it has left; ends the session if its node waits no longer."""
+        try:
+            for _ in range(SENT_CHECKS):
+                await asyncio.sleep(SENT_CHECK_INTERVAL_S)
+                if channel.closed or not channel.unsent_bytes:
+                    return
+            channel.abort()
+        finally:
+            self._large_answers.release()
 
     def subscribe(self, channel: Channel, message: Subscribe) -> CompleteTables | Redirect:
         """Opens a session, or redirects if this machine has no lease.
--- a/pewterring/transport/channel.py
+++ b/pewterring/transport/channel.py
@@ -21,7 +21,7 @@
 from pewterring.transport.send_queue import SendQueue
 
 MAX_LINE_BYTES = 32 * 1024 * 1024
-MAX_BACKLOG_BYTES = 4 * 1024 * 1024  # bytes written but not yet accepted by the kernel
+MAX_BACKLOG_BYTES = 4 * 1024 * 1024  # not yet accepted by the kernel, beside a long line that is being sent
 # Time within which the peer's greeting must arrive. Greetings are sent on connect, so only a stalled process,
 # a network partition or a foreign program takes longer. Without the limit, a client that connects and sends
 # nothing would occupy a connection and its file descriptor forever.
@@ -159,8 +159,13 @@
     def _can_write(self) -> bool:
         if self.closed or self._transport is None:
             return False
-        unsent_bytes = self._transport.get_write_buffer_size() + self._send_queue.waiting_bytes
-        return unsent_bytes <= MAX_BACKLOG_BYTES
+        backlog_bytes = self._transport.get_write_buffer_size() + self._send_queue.backlog_bytes
+        return backlog_bytes <= MAX_BACKLOG_BYTES
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes that wait to be passed to the transport."""
+        return self._send_queue.waiting_bytes
 
     def _write(self, line: bytes) -> None:
         self._send_queue.send(line)
--- a/pewterring/transport/send_queue.py
+++ b/pewterring/transport/send_queue.py
@@ -32,6 +32,11 @@
         self._is_turn_due = False
         self.waiting_bytes = 0
 
+    @property
+    def backlog_bytes(self) -> int:
+        """Bytes of the lines that wait behind the first, which is being sent."""
+        return self.waiting_bytes - len(self._waiting[0]) if self._waiting else 0
+
     def send(self, line: bytes) -> None:
         """Passes a line on, or its first piece and the others in later turns."""
         if not self._waiting and len(line) <= LONG_LINE_BYTES:
--- a/tests/control/test_feed.py
+++ b/tests/control/test_feed.py
@@ -1,6 +1,7 @@
 """The leader's side of the feed: opening, renewing and ending sessions, and nodes that do not read."""
 
 import asyncio
+import contextlib
 from collections.abc import Awaitable, Callable
 from typing import cast
 
@@ -9,7 +10,7 @@
 from pewterring.configuration.reader import read_configuration
 from pewterring.control.commands import PutConfiguration, PutWorker
 from pewterring.control.configuration_history import NO_DOCUMENT
-from pewterring.control.feed import FeedServer
+from pewterring.control.feed import MAX_LARGE_ANSWERS, FeedServer
 from pewterring.control.leadership import GroupLeadership
 from pewterring.control.nodes import NodeTable
 from pewterring.control.publisher import FeedPublisher
@@ -25,9 +26,11 @@
     Subscribe,
     TableChanges,
 )
+from pewterring.distribution.subscriber import ANSWER_TIMEOUT_S
 from pewterring.distribution.subscription import FeedSubscription
 from pewterring.transport.lines import Channel, MessageCodec
 from tests.configuration.large_documents import large
+from tests.consensus.virtual_time import VirtualTimeLoop
 from tests.control.records import apply, gateway, put, status, store, worker
 
 CODEC = MessageCodec(FEED_MESSAGES)
@@ -49,6 +52,7 @@
     def __init__(self) -> None:
         self.full = False
         self.closed = False
+        self.unsent_bytes = 0
         self.pushed: list[TableChanges] = []
         self.on_close: list[Callable[[StandInChannel], None]] = []
 
@@ -289,3 +293,30 @@
     feed.leadership.has_lease = False
     answer = feed.server.answer_subscribe(cast(Channel, StandInChannel()), Subscribe(gateway(2)))
     assert isinstance(answer, Redirect)
+
+
+def test_few_large_answers_are_being_sent_at_a_time() -> None:
+    """Guards against a leader whose memory holds the configuration once for each node that starts."""
+    feed = large_feed()
+
+    async def scenario() -> None:
+        channels = [StandInChannel() for _ in range(MAX_LARGE_ANSWERS + 4)]
+        for channel in channels:
+            channel.unsent_bytes = len(large())
+        answers = [
+            asyncio.ensure_future(cast(Awaitable[CompleteTables | Redirect], answer))
+            for number, channel in enumerate(channels)
+            if (answer := feed.server.answer_subscribe(cast(Channel, channel), Subscribe(gateway(number))))
+        ]
+        await asyncio.sleep(ANSWER_TIMEOUT_S / 2)
+        assert sum(answer.done() for answer in answers) == MAX_LARGE_ANSWERS
+        channels[0].unsent_bytes = 0
+        channels[1].close()
+        await asyncio.sleep(ANSWER_TIMEOUT_S / 4)
+        assert sum(answer.done() for answer in answers) == MAX_LARGE_ANSWERS + 2
+        await asyncio.sleep(2 * ANSWER_TIMEOUT_S)  # the nodes of the others wait no longer
+        assert all(answer.done() for answer in answers)
+        assert [channel.closed for channel in channels] == [False, *[True] * (len(channels) - 1)]
+
+    with contextlib.closing(VirtualTimeLoop()) as loop:
+        loop.run_until_complete(scenario())
--- a/tests/transport/test_send_queue.py
+++ b/tests/transport/test_send_queue.py
@@ -81,6 +81,20 @@
     assert len(transport.taken) == PIECE_BYTES
 
 
+def test_the_line_that_is_being_sent_is_no_backlog() -> None:
+    """Guards against sessions that end when other lines come while a long one takes its turns."""
+    transport = Transport()
+    transport.queue.send(bytes(20 * PIECE_BYTES))
+    assert transport.queue.backlog_bytes == 0
+    transport.queue.send(b"short")
+    transport.queue.send(bytes(9 * PIECE_BYTES))
+    assert transport.queue.backlog_bytes == len(b"short") + 9 * PIECE_BYTES
+    while transport.queue.waiting_bytes > 8 * PIECE_BYTES:
+        transport.drain()
+        transport.take_turn()
+    assert transport.queue.backlog_bytes == 0
+
+
 def test_all_that_waits_is_passed_on_before_the_transport_closes() -> None:
     transport = Transport()
     transport.queue.send(bytes(5 * PIECE_BYTES))
@@ -105,7 +119,8 @@
         port = server.sockets[0].getsockname()[1]
         channel = await connect(ChannelSettings(CODEC), LOOPBACK, port, TIMEOUT_S)
         for _ in range(3):
-            channel.send_line(line)
+            assert channel.send_line(line)
+        assert not channel.send_line(line), "the second of the lines waits, and the third is behind it"
         transport = channel._transport
         assert transport is not None
         assert transport.get_write_buffer_size() <= 2 * PIECE_BYTES
