--- a/benchmarks/redundancy.py
+++ b/benchmarks/redundancy.py
@@ -1,4 +1,4 @@
-"""How long after a loss 2f + 1 voters hold all again, with the largest state that a group may have.
+"""Measures how long a group takes to regain full redundancy after a loss, with its largest permitted state.
 
     python -m benchmarks.redundancy [--kinds batch,control] [--tolerated 1,2] [--catch-up 4.8,6]
                                     [--cases wiped,wiped-leader,follower,leader,leaving,leaving-leader]
@@ -6,18 +6,19 @@
                                     [--share 0.645] [--link-mbit 600] [--sync-ms 1]
                                     [--mb-per-s 120] [--rates 307,342,449,520]
 
-Members run in virtual time on their real storage, over a disk in memory, and hand each other encoded
-messages; the planner of members looks at the group as the programs do. The clock counts what a disk, a link
-and a processor of the given speed would take: each message is encoded, sent, received and decoded, and the
-state is written and read, at the rates that this machine has (measured first, and printed), times `share`.
-Commands of 1 MB/s go on. A batch state is as large as a store of `disk-mb` and `memory-mb` takes, and with
-`copy-mb-per-s` one that is told that rate and the shortest `catch-up`. As many
-machines as may be lost are lost at once, with `leader` the leader and followers, else followers. The `wiped`
-ones come back empty after half a second, and count from then; the others are gone for good, where there are
-as many spare machines, which have run for the bound on catching up, and count from the loss. A `leaving` one,
-alone and with one spare machine, stops by plan: counted is from SIGTERM until it has no vote any more, or has
-waited as long as it may. `rates` are those that another run printed, in MB/s: what is measured depends on who
-else uses this machine. Printed are the shortest and the longest of so many seeds.
+Members run in virtual time on their real storage, over a disk in memory, and exchange encoded messages. The
+membership planner examines the group as it does in the programs. Virtual time includes what a disk, a link
+and a processor of the given speeds would take: messages are encoded, sent, received and decoded, and the
+state is written and read, at the rates of this machine (measured first, and printed) multiplied by `share`.
+Clients submit 1 MB/s of commands throughout. The batch state is the largest that a store of `disk-mb` and
+`memory-mb` accepts; with `copy-mb-per-s`, one that is configured with that rate and the shortest `catch-up`.
+
+As many machines are lost at once as the group tolerates: in the `leader` cases the leader and followers,
+otherwise followers alone. `wiped` machines return empty after half a second, from which the time counts. The
+others never return; as many spare machines are available, which have run for the catch-up bound, and the time
+counts from the loss. A `leaving` machine stops as planned while one spare is available; the time counts from
+SIGTERM until it has no vote, or has waited for its limit. `rates`, in MB/s, replace the measured rates, which
+depend on other load. For each case the shortest and the longest time of all seeds are printed.
 """
 
 import argparse
@@ -63,28 +64,28 @@
 from tests.storage.simulated_disk import SimulatedDisk
 
 GROUP = "group"
-FIRST_INDEX, FIRST_TERM = 1000, 1  # of the snapshot that all begin with
-DELAY_S = 0.001  # of a link, one way
-MESSAGE_S = 0.0001  # of a processor, for each message besides its bytes
-DOWN_S = 0.5  # until a wiped machine is back
-TABLES_S = 0.25  # until stores learn of a new one: control publishes its table each 0.2 s
-SETTLE_S = 1.5  # after the start
-STEP_S = 0.005  # between looks whether the group is whole
-PATIENCE_S = 30.0
+FIRST_INDEX, FIRST_TERM = 1000, 1  # of the snapshot that all members start with
+LINK_DELAY_S = 0.001  # one way
+MESSAGE_S = 0.0001  # processor time of each message, in addition to that of its bytes
+DOWN_S = 0.5  # until a wiped machine returns
+TABLES_S = 0.25  # until stores know a new store: control publishes the table of nodes every 0.2 s
+START_S = 1.5  # until the group has a leader
+CHECK_INTERVAL_S = 0.005  # between checks whether the group has regained its redundancy
+TIMEOUT_S = 30.0
 JOB_BYTES = 50_000
 JOBS_A_SECOND = 20
-GRACE_S = 8.0  # after SIGTERM
+GRACE_S = 8.0  # between SIGTERM and SIGKILL
 ITEMS = 10
-KEPT_JOBS = 20  # of those that come during a run; the first state leaves room for them
+RETAINED_JOBS = 20  # of the jobs submitted during a run; the initial state leaves capacity for them
 ROUTES = 300
 WORKERS = 800
-WORKER_ID_LENGTH = 62  # besides its prefix
+WORKER_ID_LENGTH = 62  # without its prefix
 CODEC = MessageCodec(CONSENSUS_MESSAGES)
 
 
 @dataclass(frozen=True, slots=True)
 class Machine:
-    """What a machine does in a second."""
+    """Throughput of a machine in bytes a second, the duration of a disk sync, and the size of its disk."""
 
     encoded_bytes: float
     decoded_bytes: float
@@ -96,7 +97,7 @@
     disk_size_bytes: int
 
     def slowed(self, share: float) -> "Machine":
-        """With a processor of that share of this one."""
+        """Returns the machine with a slower processor."""
         return replace(
             self,
             encoded_bytes=self.encoded_bytes * share,
@@ -108,31 +109,31 @@
 
 @dataclass(frozen=True, slots=True)
 class Kind:
-    """A kind of group: its state, the commands that go on, and how its leader plans members."""
+    """A kind of group: its state machine, its commands, and how its leader plans the membership."""
 
     machine: Callable[[], StateMachine]
     commands: Callable[[], Iterator[bytes]]
-    spare_learners: int | None  # None: as many as losses are tolerated
+    spare_learners: int | None  # None: as many as the losses that the group tolerates
     interval_s: float
-    known_after_s: float  # until the leader knows of a machine that started
+    known_after_s: float  # until the leader knows a machine that has started
 
 
 def _accept(job: str) -> bytes:
     body = "A" * (JOB_BYTES // ITEMS)
-    items = tuple(ItemSpec(f"i-{n}", "/p", {}, body, 100) for n in range(ITEMS))
+    items = tuple(ItemSpec(f"i-{number}", "/p", {}, body, 100) for number in range(ITEMS))
     return batch_commands.encode_command(batch_commands.AcceptJob(job, "h.example", "/", items))
 
 
-def batch_commands_going_on() -> Iterator[bytes]:
-    """Jobs that come, and old ones that are dropped."""
+def batch_command_stream() -> Iterator[bytes]:
+    """Yields commands that accept jobs and drop earlier ones."""
     for number in itertools.count():
         yield _accept(f"new-{number}")
-        if number >= KEPT_JOBS:
-            yield batch_commands.encode_command(batch_commands.DropJobs((f"new-{number - KEPT_JOBS}",)))
+        if number >= RETAINED_JOBS:
+            yield batch_commands.encode_command(batch_commands.DropJobs((f"new-{number - RETAINED_JOBS}",)))
 
 
 def batch_state(size_bytes: int) -> bytes:
-    """A snapshot with jobs of so many bytes."""
+    """Returns a snapshot with jobs of that size in total."""
     state = BatchState(time.monotonic)
     for number in range(size_bytes // JOB_BYTES):
         state.apply(number + 1, _accept(f"old-{number}"))
@@ -154,13 +155,13 @@
     return f"w-{number:0{WORKER_ID_LENGTH}d}"
 
 
-def control_commands_going_on() -> Iterator[bytes]:
-    """Configurations one after the other."""
+def control_command_stream() -> Iterator[bytes]:
+    """Yields commands that replace the configuration."""
     return (_configuration(version) for version in itertools.count(REMEMBERED_VERSIONS + 1))
 
 
 def control_state(size_bytes: int) -> bytes:
-    """A snapshot with all that the state remembers at most, 300 routes and 800 workers."""
+    """Returns the largest snapshot of control: all remembered versions and departures, 300 routes, 800 workers."""
     state = ControlState()
     commands = [_configuration(version) for version in range(1, REMEMBERED_VERSIONS + 1)]
     commands += [_worker(number) for number in range(REMEMBERED_DEPARTURES + WORKERS)]
@@ -174,30 +175,30 @@
 KINDS = {
     "batch": Kind(
         lambda: BatchState(time.monotonic),
-        batch_commands_going_on,
+        batch_command_stream,
         None,
         MEMBERSHIP_CHECK_PERIOD_S,
         TABLES_S,
     ),
-    "control": Kind(ControlState, control_commands_going_on, ALL_SPARES, LEADER_CHECK_INTERVAL_S, 0.0),
+    "control": Kind(ControlState, control_command_stream, ALL_SPARES, LEADER_CHECK_INTERVAL_S, 0.0),
 }
 STATES = {"batch": batch_state, "control": control_state}
 
 
 class Resource:
-    """Does one thing after the other: a processor, or one direction of a link."""
+    """A processor, or one direction of a link: serves one use at a time."""
 
     def __init__(self) -> None:
         self._free_at = 0.0
 
     def use(self, now: float, duration_s: float) -> float:
-        """Takes up something that lasts so long; returns when it is done."""
+        """Queues a use of that duration; returns the time at which it ends."""
         self._free_at = max(now, self._free_at) + duration_s
         return self._free_at
 
 
 class MeteredMachine:
-    """A state machine whose snapshots take the processor's time."""
+    """A state machine whose snapshots occupy a simulated processor."""
 
     def __init__(self, inner: StateMachine, processor: Resource, speeds: Machine) -> None:
         self._inner = inner
@@ -218,12 +219,12 @@
 
 
 def now() -> float:
-    """Virtual time."""
+    """Returns the virtual time in seconds."""
     return asyncio.get_running_loop().time()
 
 
 class Node:
-    """One machine with its member."""
+    """One machine and its member of the group."""
 
     def __init__(self, name: str, speeds: Machine) -> None:
         self.name = name
@@ -233,13 +234,13 @@
         self.link_in = Resource()
         self.group: ReplicatedGroup | None = None
         self.planner: MembershipPlanner | None = None
-        self.looks: asyncio.Task[None] | None = None
+        self.membership_checks: asyncio.Task[None] | None = None
         self.departure_check: asyncio.Task[None] | None = None
         self.known_at = 0.0
 
 
 class Cluster:
-    """The members that run, the planner at each, and the commands that go on."""
+    """The running members, the membership planner of each, and the clients that submit commands."""
 
     def __init__(
         self, kind: Kind, state: bytes, tolerated: int, catch_up_s: float, speeds: Machine, seed: int
@@ -252,7 +253,7 @@
         self._rng = random.Random(seed)
         self._commands = kind.commands()
         self.nodes: dict[str, Node] = {}
-        self.joined_at: float | None = None  # when the first learner was let in, since the loss
+        self.joined_at: float | None = None  # when the first learner joined after the loss
         self.acknowledged = 0
         self.first = tuple(f"10.0.0.{number}#first" for number in range(voters_needed(tolerated)))
 
@@ -261,9 +262,9 @@
         if with_state:
             self._prepare(node)
         machine = MeteredMachine(self._kind.machine(), node.processor, self._speeds)
-        kept = self._kind.spare_learners
+        spares = self._kind.spare_learners
         node.planner = MembershipPlanner(
-            name, self._tolerated, self._catch_up_s, self._tolerated if kept is None else kept
+            name, self._tolerated, self._catch_up_s, self._tolerated if spares is None else spares
         )
         group = ReplicatedGroup(
             GROUP,
@@ -285,7 +286,7 @@
         node.known_at = now() + self._kind.known_after_s
         self.nodes[name] = node
         await group.start()
-        node.looks = asyncio.create_task(self._look_forever(node))
+        node.membership_checks = asyncio.create_task(self._check_membership_forever(node))
 
     def _prepare(self, node: Node) -> None:
         membership = Membership(self.first)
@@ -298,8 +299,8 @@
 
     async def lose(self, name: str) -> None:
         node = self.nodes.pop(name)
-        if node.looks is not None and node.group is not None:
-            node.looks.cancel()
+        if node.membership_checks is not None and node.group is not None:
+            node.membership_checks.cancel()
             await node.group.stop()
 
     # The network
@@ -314,7 +315,7 @@
 
     def _transmit(self, node: Node, target: str, line: bytes) -> None:
         duration_s = len(line) / self._speeds.link_bytes
-        first_byte_at = node.link_out.use(now(), duration_s) - duration_s + DELAY_S
+        first_byte_at = node.link_out.use(now(), duration_s) - duration_s + LINK_DELAY_S
         asyncio.get_running_loop().call_at(first_byte_at, self._arrive, target, line)
 
     def _arrive(self, target: str, line: bytes) -> None:
@@ -333,7 +334,7 @@
             assert isinstance(message, ConsensusMessage)
             node.group.receive(message)
 
-    # The planner, as the programs run it
+    # Membership planning, as in the programs
 
     def _on_leadership(self, node: Node, leads: bool) -> None:
         if leads and node.planner is not None and node.group is not None:
@@ -341,16 +342,16 @@
 
     def _on_departure(self, node: Node) -> None:
         if node.departure_check is None or node.departure_check.done():
-            node.departure_check = asyncio.create_task(self._look_once(node))
+            node.departure_check = asyncio.create_task(self._check_membership(node))
 
-    async def _look_once(self, node: Node) -> None:
+    async def _check_membership(self, node: Node) -> None:
         with contextlib.suppress(ConsensusError):
             await self._plan_members(node)
 
-    async def _look_forever(self, node: Node) -> None:
+    async def _check_membership_forever(self, node: Node) -> None:
         while True:
             await asyncio.sleep(self._kind.interval_s)
-            await self._look_once(node)
+            await self._check_membership(node)
 
     async def _plan_members(self, node: Node) -> None:
         group, planner = node.group, node.planner
@@ -369,7 +370,7 @@
         known = [name for name, node in self.nodes.items() if node.known_at <= now()]
         return Candidates(tuple(known), {address_of(name): name for name in known})
 
-    # What goes on, and what is looked for
+    # Commands, and the redundancy of the group
 
     def leader(self) -> ReplicatedGroup | None:
         groups = (node.group for node in self.nodes.values() if node.group is not None)
@@ -377,7 +378,7 @@
         return max(leading, key=lambda group: group.term, default=None)
 
     async def write_forever(self) -> None:
-        """Commands at their pace, each in its own time: a slow one holds up none that follow."""
+        """Submits commands at a fixed rate; a slow command does not delay later ones."""
         writes: set[asyncio.Task[None]] = set()
         while True:
             write = asyncio.create_task(self._write())
@@ -392,8 +393,8 @@
                 await leader.propose(next(self._commands))
                 self.acknowledged += 1
 
-    def is_whole(self) -> bool:
-        """Whether 2f + 1 voters that are there have all that is committed on their disks."""
+    def is_redundant(self) -> bool:
+        """Whether 2f + 1 running voters have all committed entries on their disks."""
         leader = self.leader()
         if leader is None or not leader.membership_is_committed or not leader.has_lease(now()):
             return False
@@ -402,26 +403,26 @@
             voter in self.nodes and leader.match(voter) >= leader.commit_index for voter in voters
         )
 
-    async def until_whole(self) -> float | None:
-        """How long that took; None where it did not come."""
+    async def until_redundant(self) -> float | None:
+        """Waits until the group is redundant; returns the seconds, or None after `TIMEOUT_S`."""
         began = now()
-        while now() - began < PATIENCE_S:
-            if self.is_whole():
+        while now() - began < TIMEOUT_S:
+            if self.is_redundant():
                 return now() - began
-            await asyncio.sleep(STEP_S)
+            await asyncio.sleep(CHECK_INTERVAL_S)
         return None
 
 
 @dataclass(frozen=True, slots=True)
 class Times:
-    """Seconds since the loss or the return. A batch learner joins when its copy may begin."""
+    """Seconds from the loss or the return until the first learner joined, and until the group was redundant."""
 
     joined_s: float
-    whole_s: float
+    redundant_s: float
 
 
 async def measure(cluster: Cluster, case: str, tolerated: int, catch_up_s: float, phase_s: float) -> Times:
-    """One loss, until the group is whole."""
+    """Simulates one loss until the group is redundant again."""
     for name in cluster.first:
         await cluster.start(name, with_state=True)
     is_wiped = case.startswith("wiped")
@@ -430,20 +431,20 @@
     for number in range(spares):
         await cluster.start(f"10.0.1.{number}#spare")
     writes = asyncio.create_task(cluster.write_forever())
-    await asyncio.sleep(SETTLE_S + phase_s)
+    await asyncio.sleep(START_S + phase_s)
     if spares:
-        await asyncio.sleep(catch_up_s)  # a spare machine has had its time before the next loss comes
+        await asyncio.sleep(catch_up_s)  # a spare machine has caught up before the loss
     leader = cluster.leader()
-    assert leader is not None and await cluster.until_whole() is not None
+    assert leader is not None and await cluster.until_redundant() is not None
     followers = [name for name in leader.membership.voters if name != leader.member]
     lost = [leader.member, *followers] if case.endswith("leader") else followers
     lost = lost[:tolerated]
     began = now()
     cluster.joined_at = None
     if is_departing:
-        leaving = cluster.nodes[lost[0]].group
-        assert leaving is not None
-        await leaving.depart(DEPARTURE_TIMEOUT_FRACTION * GRACE_S)
+        departing = cluster.nodes[lost[0]].group
+        assert departing is not None
+        await departing.depart(DEPARTURE_TIMEOUT_FRACTION * GRACE_S)
     else:
         for name in lost:
             await cluster.lose(name)
@@ -452,18 +453,18 @@
         for name in lost:
             await cluster.start(f"{address_of(name)}#new")
         began = now()
-    whole = None if is_departing else await cluster.until_whole()
+    redundant_after_s = None if is_departing else await cluster.until_redundant()
     ended = now()
     writes.cancel()
     for name in list(cluster.nodes):
         await cluster.lose(name)
     joined_at = ended if cluster.joined_at is None else cluster.joined_at
-    came = is_departing or whole is not None
-    return Times(joined_at - began, ended - began if came else float("inf"))
+    succeeded = is_departing or redundant_after_s is not None
+    return Times(joined_at - began, ended - began if succeeded else float("inf"))
 
 
 def _rate(work: Callable[[], object], size_bytes: int, times: int) -> float:
-    """Bytes a second of the fastest of some runs: others use this machine too."""
+    """Returns the bytes a second of the fastest run, since other load slows some of them."""
     best = float("inf")
     for _ in range(times):
         began = time.perf_counter()
@@ -473,8 +474,8 @@
 
 
 def speeds_here(kind: Kind, state: bytes, given: argparse.Namespace) -> Machine:
-    """What the codec and the state machine take on this machine, and the rest as given."""
-    part = SnapshotChunk(
+    """Returns the measured rates of the codec and the state machine, and the given rates of disk and link."""
+    chunk = SnapshotChunk(
         group=GROUP,
         sender="a",
         target="b",
@@ -488,7 +489,7 @@
         data=os.urandom(RaftLimits().snapshot_chunk_bytes),
         round=1,
     )
-    line = CODEC.line(part)
+    line = CODEC.line(chunk)
     machine = kind.machine()
     rates = [float(rate) * 1e6 for rate in given.rates.split(",")] if given.rates else None
 
@@ -498,7 +499,7 @@
 
     if rates is None:
         rates = [
-            _rate(lambda: CODEC.line(part), len(line), 50),
+            _rate(lambda: CODEC.line(chunk), len(line), 50),
             _rate(lambda: CODEC.decode(CODEC.decode_line(line).body), len(line), 50),
         ]
         restored = _rate(restore, len(state), 3)
@@ -526,7 +527,7 @@
     shortest_s = min(float(bound) for bound in given.catch_up.split(","))
     limits = StoreLimits(given.memory_mb, given.disk_mb, given.copy_mb_per_s, shortest_s)
     most_bytes = max_state_bytes(limits)
-    state = STATES[name](most_bytes - KEPT_JOBS * JOB_BYTES)
+    state = STATES[name](most_bytes - RETAINED_JOBS * JOB_BYTES)
     speeds = speeds_here(kind, state, given)
     print(
         f"{name}: state {len(state) / 1e6:.2f} MB; MB/s: encode {speeds.encoded_bytes / 1e6:.0f},"
@@ -544,12 +545,13 @@
             phase_s = random.Random(seed).uniform(0, 0.5)
             times.append(run(measure(cluster, case, int(tolerated), float(catch_up_s), phase_s)))
         took_s = time.perf_counter() - began
-        times.sort(key=lambda one: one.whole_s)
+        times.sort(key=lambda each: each.redundant_s)
         shortest, longest = times[0], times[-1]
         print(
             f"{name:8} f = {tolerated} {case:12} catch-up {catch_up_s:>4} s:"
-            f" {shortest.whole_s:5.2f} to {longest.whole_s:5.2f} s (joined at {longest.joined_s:.2f} s),"
-            f" {_verdict(longest.whole_s, float(catch_up_s))} ({given.seeds} seeds, {took_s:.0f} s here)",
+            f" {shortest.redundant_s:5.2f} to {longest.redundant_s:5.2f} s"
+            f" (joined at {longest.joined_s:.2f} s),"
+            f" {_verdict(longest.redundant_s, float(catch_up_s))} ({given.seeds} seeds, {took_s:.0f} s here)",
             flush=True,
         )
 
