--- a/benchmarks/redundancy.py
+++ b/benchmarks/redundancy.py
@@ -161,7 +161,7 @@
 
 
 def control_state(size_bytes: int) -> bytes:
-    """Returns the largest snapshot of control: all remembered versions and departures, 300 routes, 800 workers."""
+    """Returns the largest snapshot of control, with 300 routes and 800 workers."""
     state = ControlState()
     commands = [_configuration(version) for version in range(1, REMEMBERED_VERSIONS + 1)]
     commands += [_worker(number) for number in range(REMEMBERED_DEPARTURES + WORKERS)]
@@ -415,7 +415,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Times:
-    """Seconds from the loss or the return until the first learner joined, and until the group was redundant."""
+    """Seconds until the first learner joined, and until the group was redundant."""
 
     joined_s: float
     redundant_s: float
