--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -1,12 +1,12 @@
-"""Speed of control: commits, times to the acknowledgement and to the last gateway, registrations, recovery.
+"""Measures control: commits, times until acknowledgements and until all gateways are current, recovery.
 
     python -m benchmarks.control [--gateways 20] [--changes 50] [--seconds 3] [--parallel 64]
                                 [--log-lengths 1000,10000,100000] [--folder DIR]
 
 Three control programs run in processes of their own over loopback, with disks under DIR (a temporary folder
-by default). Gateways and callers share one other process, whose own work is part of the times: until the
-last of n gateways has a configuration, that process has read it n times. Figures are printed one a line,
-with the load of the machine before and after.
+by default). Gateways and callers share one further process, whose own work is part of the times: until the
+last of n gateways has a configuration, that process has read it n times. Each figure is printed on a line of
+its own, and the load of the machine before and after.
 """
 
 import argparse
@@ -49,9 +49,9 @@
 IPS = ("127.0.0.31", "127.0.0.32", "127.0.0.33")
 GATEWAY_IP = "127.0.0.34"
 CALL_S = 2.0
-BATCH_ENTRIES = 1000  # saved together when a log is made
+BATCH_ENTRIES = 1000  # saved together when a log is generated
 ROUTES = 40  # of the configurations that are sent
-FIRST_TRIES = 200  # to find the leader, each of `CALL_S` at most
+MAX_LEADER_ATTEMPTS = 200  # to find the leader, of `CALL_S` each at most
 
 
 def _free_port() -> int:
@@ -87,7 +87,7 @@
 
 
 def _run_control(settings: NodeSettings, end: Connection) -> None:
-    """One control process, until the other end of the pipe says so."""
+    """Runs a control program until the other end of the pipe ends it."""
 
     async def run() -> None:
         program = ControlProgram(settings)
@@ -110,7 +110,7 @@
 
 
 class Callers:
-    """Calls the leader by lines, and any machine by HTTP."""
+    """Calls the leader by messages, and any machine by HTTP."""
 
     def __init__(self, ports: tuple[int, int]) -> None:
         self._control_port = ports[1]
@@ -124,8 +124,8 @@
         self._links.close()
 
     async def by_lines(self, path: str, body: bytes, base: str = "") -> None:
-        """One call, sent again until it is acknowledged."""
-        for ip in itertools.islice(itertools.cycle(IPS), FIRST_TRIES):
+        """Sends a call until it is acknowledged."""
+        for ip in itertools.islice(itertools.cycle(IPS), MAX_LEADER_ATTEMPTS):
             with contextlib.suppress(TransportError):
                 answer = await self._dated(path, body, base)
                 if answer.status == 200:
@@ -135,7 +135,7 @@
         raise SystemExit("no control machine acknowledges a call")
 
     async def _dated(self, path: str, body: bytes, base: str) -> RelayedAnswer:
-        """The answer to one call that the leader does not take for too old."""
+        """Sends a call with a current term and round; returns the answer."""
         while True:
             message = RelayedCall("POST", path, base, body, *self._round)
             answer = await self._links.request(self._leader, message, CALL_S)
@@ -148,7 +148,7 @@
         await self.by_lines(*_heartbeat(next(self._numbers)))
 
     async def register_by_http(self) -> None:
-        """A worker's registration on a connection of its own, at any machine."""
+        """Registers a worker on a connection of its own, at any machine."""
         number = next(self._numbers)
         path, body = _heartbeat(number)
         reader, writer = await asyncio.open_connection(IPS[number % len(IPS)], self._control_port)
@@ -161,7 +161,7 @@
 
 
 async def _rate(call: Callable[[], Awaitable[None]], parallel: int, seconds: float) -> float:
-    """Calls a second, of so many callers that each wait for their answer."""
+    """Returns the calls a second of that many callers, each of which waits for its answer."""
     done = 0
     end = time.monotonic() + seconds
 
@@ -176,7 +176,7 @@
 
 
 class Gateways:
-    """Nodes on the feed that note when the last of them has a version."""
+    """Nodes on the feed; records when the last of them has a version."""
 
     def __init__(self, count: int, folder: Path, ports: tuple[int, int]) -> None:
         codec = MessageCodec(FEED_MESSAGES)
@@ -215,7 +215,7 @@
 
 
 async def _ack_times(callers: Callers, versions: range) -> list[float]:
-    """Milliseconds from the send of each change to its acknowledgement. No gateway works meanwhile."""
+    """Returns the milliseconds until each change is acknowledged, without gateways."""
     times = []
     for version in versions:
         sent_at = time.monotonic()
@@ -225,7 +225,7 @@
 
 
 async def _spread_times(callers: Callers, gateways: Gateways, versions: range) -> list[float]:
-    """Milliseconds from the send of each change until the last gateway has read it."""
+    """Returns the milliseconds until the last gateway has read each change."""
     times = []
     await gateways.until_all_have(versions.start - 1)
     for version in versions:
@@ -236,7 +236,7 @@
     return times
 
 
-def _told(name: str, values: list[float]) -> None:
+def _print_times(name: str, values: list[float]) -> None:
     ordered = sorted(values)
     last = ordered[min(len(ordered) - 1, int(len(ordered) * 0.99))]
     print(f"{name}: median {statistics.median(ordered):.2f} ms, 99th of 100 {last:.2f} ms, n {len(ordered)}")
@@ -246,11 +246,11 @@
     callers = Callers(ports)
     await callers.by_lines(REPLACE_PATH, _configuration(1), "0")
     first, count = 2, arguments.changes
-    _told("configuration to acknowledgement", await _ack_times(callers, range(first, first + count)))
+    _print_times("configuration to acknowledgement", await _ack_times(callers, range(first, first + count)))
     gateways = Gateways(arguments.gateways, folder, ports)
     await gateways.start()
     times = await _spread_times(callers, gateways, range(first + count, first + 2 * count))
-    _told(f"configuration to the last of {arguments.gateways} gateways in one process", times)
+    _print_times(f"configuration to the last of {arguments.gateways} gateways in one process", times)
     await gateways.stop()
     for name, call in (
         ("commits a second, by lines at the leader", callers.register_by_lines),
@@ -262,7 +262,7 @@
 
 
 def _make_log(folder: Path, length: int, member: str) -> None:
-    """A log of registrations, as a member without a snapshot leaves it."""
+    """Writes a log of registrations, as of a member without a snapshot."""
     storage = DiskGroupStorage(FolderDisk(folder), "control")
     storage.load()
     storage.initialize(Membership((member,)))
@@ -279,7 +279,7 @@
 
 
 async def _recovery_s(folder: Path, member: str) -> float:
-    """From the start of a member with that log, the only voter, until it leads and has applied it."""
+    """Returns the seconds until a member with that log, the only voter, leads and has applied it."""
     leads = asyncio.Event()
     group = ReplicatedGroup(
         "control",
@@ -303,9 +303,9 @@
 
 def _measure_recovery(folder: Path, lengths: list[int]) -> None:
     for length in lengths:
-        place = folder / f"log-{length}"
-        _make_log(place, length, "a#1")
-        print(f"recovery of {length} entries: {asyncio.run(_recovery_s(place, 'a#1')):.3f} s")
+        log_folder = folder / f"log-{length}"
+        _make_log(log_folder, length, "a#1")
+        print(f"recovery of {length} entries: {asyncio.run(_recovery_s(log_folder, 'a#1')):.3f} s")
 
 
 def _measure(arguments: argparse.Namespace, folder: Path) -> None:
--- a/benchmarks/history.py
+++ b/benchmarks/history.py
@@ -1,14 +1,14 @@
-"""How long a member takes to start, and to catch up, by the number and size of changes that it missed.
+"""Measures how long a member takes to start and to catch up, by number and size of the missed changes.
 
     python -m benchmarks.history [--states control,batch] [--changes 300,3000] [--kilobytes 8,64]
                                  [--kept-jobs 40] [--sync-ms 1,30] [--mb-per-s 120,4] [--folder DIR]
 
-Three members of one group share this process and hand each other encoded messages. One of them is away while
-the others take the changes; then it starts again while changes go on. Told are: bytes on its disk when it
-left and at the end, the time until it had read them (start), and the time from then until it had applied
-all that was committed at its start and had it on its disk (catch-up), with the processor time that the three
-used meanwhile. Each write and sync of the late member takes what its disk would take. Figures are printed
-one a line, with the load of the machine before and after.
+Three members of one group run in this process and exchange encoded messages. One of them is stopped while the
+others commit changes; then it starts again while further changes are committed. Printed are: the bytes on
+its disk when it stopped and at the end, the time until it had read them (start), the time from then until it
+had applied and synced all that was committed at its start (catch-up), and the processor time of all three
+meanwhile. Writes and syncs of the restarted member take as long as on a disk of the given speed. Each line of
+output has the figures of one combination; the load of the machine is printed before and after.
 """
 
 import argparse
@@ -43,17 +43,17 @@
 from tests.configuration.documents import numbered_routes
 
 NAMES = ("a", "b", "c")
-ROUTE_BYTES = 160  # of one route of a configuration, about
-WORKERS = 200  # that are there at once
+ROUTE_BYTES = 160  # approximate size of a route
+WORKERS = 200  # registered at the same time
 ITEMS = 10  # of a batch job
 RESULT_BYTES = 500
-PROPOSED_AT_ONCE = 16
-PAUSE_S = 0.01  # between changes that go on while the member catches up
-PATIENCE_S = 120.0
+CONCURRENT_PROPOSALS = 16
+PAUSE_S = 0.01  # between changes while the member catches up
+TIMEOUT_S = 120.0
 
 
-def control_changes(size_bytes: int, kept: int) -> Iterator[bytes]:
-    """Configurations of that size; between them workers come and go."""
+def control_changes(size_bytes: int, retained: int) -> Iterator[bytes]:
+    """Yields configurations of that size, with registrations and removals of workers between them."""
     for version in itertools.count(1):
         document = msgspec.Raw(orjson.dumps(_document(version, size_bytes)))
         put = control_commands.PutConfiguration(version - 1, version, f"{version:064d}", document)
@@ -76,20 +76,20 @@
     return {"version": version, "routes": routes, "backends": [{"name": "s"}]}
 
 
-def batch_changes(size_bytes: int, kept: int) -> Iterator[bytes]:
-    """Jobs of that size; each is finished by the next change, and dropped after `kept` more."""
+def batch_changes(size_bytes: int, retained: int) -> Iterator[bytes]:
+    """Yields jobs of that size; the next change finishes each, and it is dropped after `retained` more."""
     body = "A" * (size_bytes // ITEMS)
     for number in itertools.count():
         job = f"j-{number}"
-        items = tuple(ItemSpec(f"i-{n}", "/p", {}, body, 100) for n in range(ITEMS))
+        items = tuple(ItemSpec(f"i-{item}", "/p", {}, body, 100) for item in range(ITEMS))
         yield batch_commands.encode_command(batch_commands.AcceptJob(job, "h.example", "/", items))
         results = tuple(
-            batch_commands.JobResult(job, ItemResult(f"i-{n}", "succeeded", "r" * RESULT_BYTES))
-            for n in range(ITEMS)
+            batch_commands.JobResult(job, ItemResult(f"i-{item}", "succeeded", "r" * RESULT_BYTES))
+            for item in range(ITEMS)
         )
         yield batch_commands.encode_command(batch_commands.AddResults(results))
-        if number >= kept:
-            yield batch_commands.encode_command(batch_commands.DropJobs((f"j-{number - kept}",)))
+        if number >= retained:
+            yield batch_commands.encode_command(batch_commands.DropJobs((f"j-{number - retained}",)))
 
 
 MACHINES: dict[str, Callable[[], StateMachine]] = {
@@ -103,7 +103,7 @@
 
 
 class SlowFile:
-    """Takes as long as the disk would."""
+    """A file whose syncs take as long as on a `SlowDisk`."""
 
     def __init__(self, file: DiskFile, disk: "SlowDisk") -> None:
         self._file = file
@@ -127,7 +127,7 @@
 
 
 class SlowDisk(FolderDisk):
-    """A folder on a disk of that speed."""
+    """A folder on a disk of a given speed."""
 
     def __init__(self, folder: Path, sync_s: float, bytes_per_s: float) -> None:
         super().__init__(folder)
@@ -146,7 +146,7 @@
 
 
 class Trio:
-    """Three members in one loop."""
+    """Three members in one event loop."""
 
     def __init__(self, folder: Path, state: str) -> None:
         self._folder = folder
@@ -195,16 +195,16 @@
             await asyncio.sleep(PAUSE_S)
 
     async def has_all(self, member: ReplicatedGroup, index: int) -> bool:
-        """Whether it has applied all up to `index`, and its disk is known to hold it."""
+        """Whether a member has applied all entries up to `index` and is known to have synced them."""
         return member.applied_index >= index and (await self.leader()).match(member.member) >= index
 
     async def propose(self, commands: Iterator[bytes], count: int) -> None:
         left = count
         while left > 0:
-            some = list(itertools.islice(commands, min(PROPOSED_AT_ONCE, left)))
+            batch = list(itertools.islice(commands, min(CONCURRENT_PROPOSALS, left)))
             leader = await self.leader()
-            await asyncio.gather(*(leader.propose(command) for command in some))
-            left -= len(some)
+            await asyncio.gather(*(leader.propose(command) for command in batch))
+            left -= len(batch)
 
 
 def _bytes_in(folder: Path) -> int:
@@ -212,60 +212,62 @@
 
 
 async def measure(
-    folder: Path, state: str, count: int, size_bytes: int, kept: int, sync_s: float, bytes_per_s: float
+    folder: Path, state: str, count: int, size_bytes: int, retained: int, sync_s: float, bytes_per_s: float
 ) -> str:
-    """One member away during `count` changes; returns the figures as a line."""
+    """Stops one member during `count` changes; returns the figures as a line."""
     trio = Trio(folder, state)
     for name in NAMES:
         await trio.start(name, FolderDisk(folder / name))
-    commands = CHANGES[state](size_bytes, kept)
+    commands = CHANGES[state](size_bytes, retained)
     await trio.propose(commands, 30)
     leader = await trio.leader()
-    away = next(name for name in NAMES if name != leader.member)
-    await trio.groups.pop(away).stop()
-    left_bytes = _bytes_in(folder / away)
+    stopped = next(name for name in NAMES if name != leader.member)
+    await trio.groups.pop(stopped).stop()
+    initial_bytes = _bytes_in(folder / stopped)
     await trio.propose(commands, count)
     target = leader.commit_index
 
     state_bytes = len(trio.machines[leader.member].snapshot())
-    going_on = asyncio.create_task(_go_on(trio, commands))
+    proposing = asyncio.create_task(_propose_forever(trio, commands))
     began, began_cpu = time.monotonic(), time.process_time()
-    late = await trio.start(away, SlowDisk(folder / away, sync_s, bytes_per_s))
+    restarted = await trio.start(stopped, SlowDisk(folder / stopped, sync_s, bytes_per_s))
     started = time.monotonic()
-    while not (is_there := await trio.has_all(late, target)) and time.monotonic() - started < PATIENCE_S:
+    while (
+        not (has_caught_up := await trio.has_all(restarted, target))
+        and time.monotonic() - started < TIMEOUT_S
+    ):
         await asyncio.sleep(PAUSE_S)
     caught_up, used_cpu = time.monotonic(), time.process_time() - began_cpu
-    going_on.cancel()
-    await asyncio.wait([going_on])
-    await trio.groups.pop(away).stop()
-    held_bytes = _bytes_in(folder / away)
-    again_began = time.monotonic()
-    again = await trio.start(away, FolderDisk(folder / away))
-    again_s = time.monotonic() - again_began
-    await again.stop()
+    proposing.cancel()
+    await asyncio.wait([proposing])
+    await trio.groups.pop(stopped).stop()
+    final_bytes = _bytes_in(folder / stopped)
+    second_start_at = time.monotonic()
+    member = await trio.start(stopped, FolderDisk(folder / stopped))
+    second_start_s = time.monotonic() - second_start_at
+    await member.stop()
     for group in trio.groups.values():
         await group.stop()
-    catch_up = f"{caught_up - started:6.2f}" if is_there else f"over {PATIENCE_S:g}"
+    catch_up = f"{caught_up - started:6.2f}" if has_caught_up else f"over {TIMEOUT_S:g}"
     disk = f"disk {sync_s * 1000:3.0f} ms {bytes_per_s / 1e6:4.0f} MB/s"
     return (
         f"{state:8} {count:6} x {size_bytes // 1000:4} kB, {disk}:"
-        f" state {state_bytes / 1e6:5.2f} MB, left {left_bytes / 1e6:6.1f} MB,"
+        f" state {state_bytes / 1e6:5.2f} MB, left {initial_bytes / 1e6:6.1f} MB,"
         f" start {started - began:5.2f} s, catch-up {catch_up} s,"
-        f" processor {used_cpu:5.2f} s; holds {held_bytes / 1e6:6.1f} MB, start again {again_s:5.2f} s"
+        f" processor {used_cpu:5.2f} s; holds {final_bytes / 1e6:6.1f} MB,"
+        f" start again {second_start_s:5.2f} s"
     )
 
 
-async def _go_on(trio: Trio, commands: Iterator[bytes]) -> None:
+async def _propose_forever(trio: Trio, commands: Iterator[bytes]) -> None:
     while True:
-        with contextlib.suppress(
-            ConsensusError
-        ):  # after a change of leader the next change goes to the new one
+        with contextlib.suppress(ConsensusError):  # the next change goes to the leader of that time
             await trio.propose(commands, 1)
         await asyncio.sleep(PAUSE_S)
 
 
 def _numbers(text: str) -> list[float]:
-    return [float(part) for part in text.split(",")]
+    return [float(number) for number in text.split(",")]
 
 
 def main() -> None:
