--- a/pewterring/configuration/canonical_stream.py
+++ b/pewterring/configuration/canonical_stream.py
@@ -27,11 +27,8 @@
 _STRING = rb'"(?:[^"\\]++|\\.)*+"'
 _OTHER = rb'[^"\[\]{},]++'  # numbers, literals, colons and spaces
 _SHORT_CONTAINER = rb'\[[^"\[\]{}]{0,64}+\]|\{[^"\[\]{}]{0,64}+\}'
-_ENTRIES = b"(?:(?:%b|%b|%b)*+,){1,64}+" % (
-    _STRING,
-    _OTHER,
-    _SHORT_CONTAINER,
-)  # whole ones, with their commas
+# Complete entries with their commas.
+_ENTRIES = b"(?:(?:%b|%b|%b)*+,){1,64}+" % (_STRING, _OTHER, _SHORT_CONTAINER)
 _TOKEN = re.compile(rb"%b|[\[\]{}]|%b|%b" % (_ENTRIES, _STRING, _OTHER), re.DOTALL)
 _COMMA, _OPEN_LIST, _OPEN_OBJECT, _CLOSE_LIST, _CLOSE_OBJECT = b",[{]}"
 _CLOSING = {_OPEN_LIST: _CLOSE_LIST, _OPEN_OBJECT: _CLOSE_OBJECT}
--- a/pewterring/configuration/json_parts.py
+++ b/pewterring/configuration/json_parts.py
@@ -16,6 +16,7 @@
 DECODE_ERRORS = (msgspec.MsgspecError, ValueError, RecursionError)
 
 KnownParts = TypeVar("KnownParts", bound=msgspec.Struct)
+Parts = TypeVar("Parts")
 
 _object_decoder = msgspec.json.Decoder(dict[str, msgspec.Raw])
 _list_decoder = msgspec.json.Decoder(list[msgspec.Raw])
@@ -27,12 +28,7 @@
     Raises:
         ConfigurationError: The text is not an object.
     """
-    try:
-        return _object_decoder.decode(text)
-    except msgspec.ValidationError as error:
-        raise ConfigurationError(path, "not an object") from error
-    except DECODE_ERRORS as error:
-        raise ConfigurationError(path, f"not JSON: {error}") from error
+    return _split(text, _object_decoder, path, "not an object")
 
 
 def known_parts(
@@ -45,12 +41,7 @@
     Raises:
         ConfigurationError: The text is not an object.
     """
-    try:
-        parts = decoder.decode(text)
-    except msgspec.ValidationError as error:
-        raise ConfigurationError(path, "not an object") from error
-    except DECODE_ERRORS as error:
-        raise ConfigurationError(path, f"not JSON: {error}") from error
+    parts = _split(text, decoder, path, "not an object")
     fields = msgspec.structs.fields(parts)
     values = {field.encode_name: getattr(parts, field.name) for field in fields}
     return {key: value for key, value in values.items() if value is not ABSENT}
@@ -62,10 +53,17 @@
     Raises:
         ConfigurationError: The text is not a list.
     """
+    return _split(text, _list_decoder, path, "not a list")
+
+
+def _split(
+    text: bytes | msgspec.Raw, decoder: msgspec.json.Decoder[Parts], path: str, mismatch: str
+) -> Parts:
+    """Decodes one level of a text; `mismatch` is the reason if it is JSON of another kind."""
     try:
-        return _list_decoder.decode(text)
+        return decoder.decode(text)
     except msgspec.ValidationError as error:
-        raise ConfigurationError(path, "not a list") from error
+        raise ConfigurationError(path, mismatch) from error
     except DECODE_ERRORS as error:
         raise ConfigurationError(path, f"not JSON: {error}") from error
 
--- a/pewterring/configuration/patch.py
+++ b/pewterring/configuration/patch.py
@@ -19,6 +19,7 @@
     ROUTES,
     SERVICES,
     Deletes,
+    Named,
     Upserts,
     patchable_steps,
 )
@@ -29,12 +30,6 @@
 ItemLists = dict[str, list[msgspec.Raw]]
 
 
-class _Named(msgspec.Struct, gc=False):
-    """The field that items of all lists have in common."""
-
-    name: str | None = None
-
-
 class _PatchDocument(msgspec.Struct):
     """A patch as the operator sends it. Unknown fields are ignored."""
 
@@ -43,7 +38,7 @@
     delete: dict[str, list[str]] | None = None
 
 
-_name_decoder = msgspec.json.Decoder(_Named)
+_name_decoder = msgspec.json.Decoder(Named)
 
 PATCH_FIELDS = frozenset(_PatchDocument.__struct_fields__)
 
--- a/pewterring/configuration/patchable_document.py
+++ b/pewterring/configuration/patchable_document.py
@@ -27,7 +27,7 @@
 Deletes = Mapping[str, frozenset[str]]
 
 
-class _Named(msgspec.Struct, gc=False):
+class Named(msgspec.Struct, gc=False):
     """The field that items of all lists have in common."""
 
     name: str | None = None
@@ -43,7 +43,7 @@
 
 
 _items_decoder = msgspec.json.Decoder(list[msgspec.Raw])
-_names_decoder = msgspec.json.Decoder(list[_Named])
+_names_decoder = msgspec.json.Decoder(list[Named])
 _routes_decoder = msgspec.json.Decoder(list[_RouteItem])
 _references_decoder = msgspec.json.Decoder(list[WeightedReference] | None)
 
--- a/pewterring/configuration/reader.py
+++ b/pewterring/configuration/reader.py
@@ -5,6 +5,7 @@
 configuration.
 """
 
+import dataclasses
 from types import MappingProxyType
 from typing import Any
 
@@ -32,14 +33,10 @@
     services: msgspec.Raw = msgspec.field(default=ABSENT, name=SERVICES)
 
 
-class _LimitParts(msgspec.Struct, gc=False):
-    """The limits on clients that this version knows."""
-
-    max_header_bytes: msgspec.Raw = ABSENT
-    max_body_bytes: msgspec.Raw = ABSENT
-    header_timeout_ms: msgspec.Raw = ABSENT
-    idle_timeout_ms: msgspec.Raw = ABSENT
-
+# The limits on clients that this version knows.
+_LimitParts = msgspec.defstruct(
+    "_LimitParts", [(field.name, msgspec.Raw, ABSENT) for field in dataclasses.fields(ClientLimits)], gc=False
+)
 
 _parts_decoder = msgspec.json.Decoder(_Parts)
 _limits_decoder = msgspec.json.Decoder(_LimitParts)
--- a/pewterring/control/configuration_history.py
+++ b/pewterring/control/configuration_history.py
@@ -38,9 +38,8 @@
         self.accepted_digests: dict[int, str] = {}  # by version, oldest first
         self.newest_forgotten_version = 0
         self._changes = changes
-        self._patchable: PatchableDocument | None = (
-            None  # the current document, if it is large and was taken apart
-        )
+        # The current document, if it is large and was taken apart.
+        self._patchable: PatchableDocument | None = None
 
     def has_accepted(self, version: int, digest: str) -> bool:
         """Whether this configuration was accepted, now or earlier, as far as its digest is remembered."""
--- a/pewterring/control/feed.py
+++ b/pewterring/control/feed.py
@@ -10,8 +10,15 @@
 from pewterring.control.leadership import GroupLeadership
 from pewterring.control.nodes import NodeTable
 from pewterring.control.publisher import FeedPublisher
-from pewterring.distribution.messages import CompleteTables, Redirect, Renew, Renewed, Subscribe, TableChanges
-from pewterring.distribution.subscriber import ANSWER_TIMEOUT_S
+from pewterring.distribution.messages import (
+    ANSWER_TIMEOUT_S,
+    CompleteTables,
+    Redirect,
+    Renew,
+    Renewed,
+    Subscribe,
+    TableChanges,
+)
 from pewterring.transport.lines import Channel, MessageCodec
 
 MAX_LARGE_ANSWERS = 8  # that are being sent at a time; each is a line of its own of several megabytes
@@ -60,9 +67,8 @@
                 await asyncio.sleep(0)
             return Redirect("") if channel.closed else self.subscribe(channel, message)
         finally:
-            release = asyncio.create_task(
-                self._release_when_sent(channel)
-            )  # it begins once the answer is there
+            # Its first check comes after the answer has been passed to the channel.
+            release = asyncio.create_task(self._release_when_sent(channel))
             self._releases.add(release)
             release.add_done_callback(self._releases.discard)
 
--- a/pewterring/control/publisher.py
+++ b/pewterring/control/publisher.py
@@ -10,12 +10,11 @@
 
 import msgspec
 
-from pewterring.configuration.steps import is_large
 from pewterring.control.configuration_history import NO_DOCUMENT
 from pewterring.control.nodes import NodeTable
 from pewterring.control.partition_reports import PartitionReports
 from pewterring.control.state import ControlState
-from pewterring.distribution.fingerprint import NO_FINGERPRINT, fingerprint_of
+from pewterring.distribution.fingerprint import NO_FINGERPRINT, FingerprintCache
 from pewterring.distribution.messages import (
     CompleteTables,
     GroupStatus,
@@ -55,8 +54,7 @@
         self._nodes = nodes
         self._reports = PartitionReports()
         self._versions = TableVersions()
-        self._fingerprinted = NO_DOCUMENT  # the document whose fingerprint was computed last
-        self._fingerprint = NO_FINGERPRINT
+        self._fingerprints = FingerprintCache()
         self._published_nodes: tuple[NodeRecord, ...] = ()
         self._published_groups: tuple[GroupStatus, ...] = ()
         self._published_control_ips: tuple[str, ...] = ()
@@ -91,7 +89,7 @@
 
     def sends_large_document(self, known_fingerprint: str) -> bool:
         """Whether the answer to a node that knows such a configuration has a large one."""
-        return is_large(bytes(self._state.document)) and not self._is_current(known_fingerprint)
+        return self._fingerprint not in (NO_FINGERPRINT, known_fingerprint)
 
     def open(self, session: Hashable, known_fingerprint: str = NO_FINGERPRINT) -> CompleteTables:
         """Adds a session and returns the published tables. Pending changes must be published first.
@@ -100,9 +98,10 @@
         """
         self.sessions.add(session)
         state = self._state
+        is_known = known_fingerprint != NO_FINGERPRINT and known_fingerprint == self._fingerprint
         return CompleteTables(
             versions=self._versions,
-            configuration=NO_DOCUMENT if self._is_current(known_fingerprint) else state.document,
+            configuration=NO_DOCUMENT if is_known else state.document,
             workers=tuple(state.workers.values()),
             nodes=self._published_nodes,
             placements=tuple(state.placements.values()),
@@ -150,13 +149,9 @@
             )
         )
 
-    def _is_current(self, fingerprint: str) -> bool:
-        if fingerprint == NO_FINGERPRINT:
-            return False
-        if self._fingerprinted is not self._state.document:
-            self._fingerprinted = self._state.document
-            self._fingerprint = fingerprint_of(bytes(self._fingerprinted))
-        return fingerprint == self._fingerprint
+    @property
+    def _fingerprint(self) -> str:
+        return self._fingerprints.of(self._state.document)
 
     def _publish(self, changes: TableChanges) -> TableChanges | None:
         """Returns the changes with the new versions set, or None if nothing changed."""
--- a/pewterring/distribution/fingerprint.py
+++ b/pewterring/distribution/fingerprint.py
@@ -2,6 +2,8 @@
 
 import hashlib
 
+import msgspec
+
 from pewterring.configuration.steps import is_large
 
 NO_FINGERPRINT = ""  # of documents that are sent in less time than it takes to compare them
@@ -12,13 +14,13 @@
     """Computes the fingerprint of the newest document once."""
 
     def __init__(self) -> None:
-        self._document = b""
+        self._document: bytes | msgspec.Raw = b""
         self._fingerprint = NO_FINGERPRINT
 
-    def of(self, document: bytes) -> str:
+    def of(self, document: bytes | msgspec.Raw) -> str:
         """Returns the fingerprint of a document; `NO_FINGERPRINT` for a small one."""
         if document is not self._document:
-            self._document, self._fingerprint = document, fingerprint_of(document)
+            self._document, self._fingerprint = document, fingerprint_of(bytes(document))
         return self._fingerprint
 
 
--- a/pewterring/distribution/messages.py
+++ b/pewterring/distribution/messages.py
@@ -22,6 +22,8 @@
     UNRESPONSIVE = "silent"  # the wire value; gateways that it still answers keep using it
 
 
+ANSWER_TIMEOUT_S = 0.9  # a node takes an answer that takes longer for lost, and asks anew
+
 # Values of `NodeRecord.program`; the third one, for control machines, is "control".
 GATEWAY_PROGRAM = "gateway"
 STORE = "store"  # a replica of batch partitions
--- a/pewterring/distribution/subscriber.py
+++ b/pewterring/distribution/subscriber.py
@@ -19,6 +19,7 @@
 from pewterring.configuration.steps import complete_between_events
 from pewterring.distribution.errors import FeedError, FeedGapError, StaleAnswerError
 from pewterring.distribution.messages import (
+    ANSWER_TIMEOUT_S,
     CompleteTables,
     GroupStatus,
     NodeRecord,
@@ -35,7 +36,6 @@
 from pewterring.transport.lines import Channel, ChannelSettings, MessageCodec, TransportError, connect
 
 RENEWAL_INTERVAL_S = 0.4  # also bounds how late a node learns that a machine has lost its leadership
-ANSWER_TIMEOUT_S = 0.9  # an answer that takes longer counts as lost
 CONNECT_TIMEOUT_S = 0.5  # bounds how long a machine that is down delays the search
 SEARCH_PAUSE_S = 0.15  # between rounds through all known machines; limits their load during an election
 MAX_REDIRECTS = 2  # followed without a pause; bounded because two machines may name each other
--- a/pewterring/transport/channel.py
+++ b/pewterring/transport/channel.py
@@ -138,6 +138,11 @@
             timer.cancel()
             self._pending.pop(request_id, None)
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes that wait to be passed to the transport."""
+        return self._send_queue.waiting_bytes
+
     def close(self) -> None:
         """Closes the connection after written bytes are sent; pending requests fail at once."""
         if self._transport is not None:
@@ -162,11 +167,6 @@
         backlog_bytes = self._transport.get_write_buffer_size() + self._send_queue.backlog_bytes
         return backlog_bytes <= MAX_BACKLOG_BYTES
 
-    @property
-    def unsent_bytes(self) -> int:
-        """Bytes that wait to be passed to the transport."""
-        return self._send_queue.waiting_bytes
-
     def _write(self, line: bytes) -> None:
         self._send_queue.send(line)
 
--- a/tests/control/test_feed.py
+++ b/tests/control/test_feed.py
@@ -17,6 +17,7 @@
 from pewterring.control.state import ControlState
 from pewterring.distribution.fingerprint import NO_FINGERPRINT
 from pewterring.distribution.messages import (
+    ANSWER_TIMEOUT_S,
     FEED_MESSAGES,
     CompleteTables,
     NodeRecord,
@@ -26,7 +27,6 @@
     Subscribe,
     TableChanges,
 )
-from pewterring.distribution.subscriber import ANSWER_TIMEOUT_S
 from pewterring.distribution.subscription import FeedSubscription
 from pewterring.transport.lines import Channel, MessageCodec
 from tests.configuration.large_documents import large
