--- a/benchmarks/large_configurations/operator.py
+++ b/benchmarks/large_configurations/operator.py
@@ -41,6 +41,14 @@
             await asyncio.sleep(pause_s)
             pause_s = min(MAX_PAUSE_S, pause_s * PAUSE_GROWTH)
 
+    async def read(self, address: str) -> int:
+        """Reads the configuration once; returns the status."""
+        try:
+            answer = await self._tier.call(address, "GET /v1/Config.Get", timeout_s=CALL_TIMEOUT_S)
+        except ExchangeError:
+            return UNANSWERED
+        return answer.head.status
+
     async def call(
         self, address: str, verb: str, document: bytes, base: int, timeout_s: float = CALL_TIMEOUT_S
     ) -> tuple[int, str]:
--- a/benchmarks/large_configurations/plays.py
+++ b/benchmarks/large_configurations/plays.py
@@ -33,6 +33,7 @@
 SESSION_PROCESSES = 4
 SESSION_NUMBERS = [range(first, SESSIONS, SESSION_PROCESSES) for first in range(SESSION_PROCESSES)]
 SESSIONS_OPEN_S, SESSIONS_FOR_S = 6.0, 24.0
+READS_FOR_S = 3.0
 UNKNOWN_KEYS = 300_000
 
 
@@ -198,6 +199,22 @@
     return [accepted, f"{arrivals.sessions} of {SESSIONS} sessions start and have it after {after_s:.2f} s"]
 
 
+async def _reads(run: Run) -> list[str]:
+    accepted = await run.accept("Replace", partial(replacement, routes=ROUTES, services=SERVICES), ROUTES)
+    ends_at = time.monotonic() + READS_FOR_S
+    addresses = run.tier.layout.control_addresses()
+    readers = (_read_until(run, addresses[each % len(addresses)], ends_at) for each in range(OPERATORS))
+    statuses = sum(await asyncio.gather(*readers), start=Counter[int]())
+    return [accepted, f"{OPERATORS} readers of the whole configuration: {dict(statuses)}"]
+
+
+async def _read_until(run: Run, address: str, ends_at: float) -> Counter[int]:
+    statuses: Counter[int] = Counter()
+    while time.monotonic() < ends_at:
+        statuses[await run.operator.read(address)] += 1
+    return statuses
+
+
 def _following(run: Run, versions: list[int], for_s: float) -> list[asyncio.Future[list[Arrivals]]]:
     loop = asyncio.get_running_loop()
     return [
@@ -218,6 +235,7 @@
     "ended-early": _ended_early,
     "leader-killed": _leader_killed,
     "all-restarted": _all_restarted,
+    "reads": _reads,
     "many-sessions": _many_sessions,
     "sessions-start": _sessions_start,
 }
