Batch: a store logs what it loaded, and a partition without a leader

Cause: after a start of all stores nothing in the logs told whether a partition's voters took part in elections, with which log, and what they waited for, so the hypotheses of the incident could not be told apart. Change: partition_loaded, partition_not_started and partition_without_leader; leadership_acquired of a partition names the last entry of its log.

--- a/pewterring/batch/partition.py
+++ b/pewterring/batch/partition.py
@@ -18,6 +18,7 @@
 from pewterring.batch.dispatch import Dispatcher
 from pewterring.batch.execution import ExecutionEnvironment, ItemExecution, ItemRunner
 from pewterring.batch.group_log import GroupLog
+from pewterring.batch.leaderless_watch import LeaderlessWatch
 from pewterring.batch.membership_changes import MembershipChanges, MembershipInputs
 from pewterring.batch.results import ResultCommitter
 from pewterring.batch.retention import RetentionLimits
@@ -68,6 +69,7 @@
         self._storage = DiskGroupStorage(FolderDisk(data_dir), name)
         self._state = BatchState(environment.clock)
         self.group = self._build_group()
+        self._leaderless = LeaderlessWatch()
         self._membership = self._build_membership()
         self.service = self._build_service()
 
@@ -137,6 +139,15 @@
         if first_voters is not None:
             await retry_while_full(f"group {self.group.group}", lambda: self._initialize(first_voters))
         await self.group.start()
+        group = self.group
+        logger.bind(
+            event="partition_loaded",
+            group=self.name,
+            term=group.term,
+            last_index=group.last_index,
+            voters=group.membership.voters,
+            learners=group.membership.learners,
+        ).info("The partition is loaded from disk and takes part in its group.")
 
     async def _initialize(self, first_voters: Membership) -> None:
         self._storage.load()
@@ -172,6 +183,25 @@
         """Makes the membership changes that are due, if this store leads."""
         await self._membership.make_due_changes()
 
+    def check_leader(self) -> None:
+        """Logs a warning if the partition has known no leader for long."""
+        group = self.group
+        membership = group.membership
+        is_member = group.member in (*membership.voters, *membership.learners)
+        has_leader = group.leader is not None or not is_member
+        overdue_s = self._leaderless.overdue_s(self._environment.clock(), has_leader)
+        if overdue_s is None:
+            return
+        logger.bind(
+            event="partition_without_leader",
+            group=self.name,
+            leaderless_s=round(overdue_s, 1),
+            term=group.term,
+            last_index=group.last_index,
+            is_voter=group.member in membership.voters,
+            voters=membership.voters,
+        ).warning("The partition has no leader that this store knows of; its jobs cannot be read.")
+
     def may_start_items(self, now: float) -> bool:
         """Whether items may start: this store holds the lease and its tables are fresh.
 
@@ -194,9 +224,12 @@
 
     def _on_leadership(self, leading: bool) -> None:
         if leading:
-            logger.bind(event="leadership_acquired", group=self.name, term=self.group.term).info(
-                "This store leads the partition."
-            )
+            logger.bind(
+                event="leadership_acquired",
+                group=self.name,
+                term=self.group.term,
+                last_index=self.group.last_index,
+            ).info("This store leads the partition.")
             self._membership.start_leading()
         self.service.leadership_changed(leading)
 
--- a/pewterring/batch/partitions.py
+++ b/pewterring/batch/partitions.py
@@ -52,6 +52,10 @@
         self._groups_on_disk = self._groups_with(SEGMENT_SUFFIX)
         for name in sorted(self._groups_with(SNAPSHOT_SUFFIX)):
             await self._add(name, None)
+        for name in sorted(self._groups_on_disk - self._partitions.keys()):
+            logger.bind(event="partition_not_started", group=name).warning(
+                "A partition on disk is not started before tables or a member of its group name it."
+            )
 
     def start_membership_checks(self) -> None:
         """Starts to check the membership of all groups periodically."""
@@ -132,6 +136,7 @@
         while True:
             await asyncio.sleep(MEMBERSHIP_CHECK_PERIOD_S)
             for partition in self:
+                partition.check_leader()
                 try:
                     await partition.manage_members()
                 except Exception:  # noqa: BLE001 - an error must not end the task: other checks go on
--- a/pewterring/consensus/group.py
+++ b/pewterring/consensus/group.py
@@ -94,6 +94,12 @@
         raft = self._driver.raft
         return raft.applied_index if raft is not None else 0
 
+    @property
+    def last_index(self) -> int:
+        """Index of the last entry in this member's log, committed or not; 0 before the start."""
+        raft = self._driver.raft
+        return raft.last_index if raft is not None else 0
+
     @property
     def membership(self) -> Membership:
         """The membership in effect, which may not be committed yet; empty before the start."""
--- a/pewterring/consensus/raft.py
+++ b/pewterring/consensus/raft.py
@@ -86,6 +86,11 @@
         """Index of the last entry returned by `take_ready`, or of a later installed snapshot."""
         return self._state.applied_index
 
+    @property
+    def last_index(self) -> int:
+        """Index of the last entry in this member's log."""
+        return self._state.log.last_index
+
     @property
     def membership(self) -> Membership:
         """The membership in force, which may not be committed yet."""
