--- a/pewterring/batch/partitions.py
+++ b/pewterring/batch/partitions.py
@@ -18,6 +18,7 @@
 from pewterring.storage.log import SEGMENT_SUFFIX
 from pewterring.storage.snapshots import SNAPSHOT_SUFFIX
 
+GROUP_FILE_SUFFIXES = (SEGMENT_SUFFIX, SNAPSHOT_SUFFIX)
 MEMBERSHIP_CHECK_PERIOD_S = 0.1  # far below the time that a new member takes to catch up
 
 
@@ -36,7 +37,6 @@
         self._data_dir = data_dir
         self._environment = environment
         self._partitions: dict[str, Partition] = {}
-        self._groups_on_disk: set[str] = set()
         self._starting: dict[str, asyncio.Task[None]] = {}
         self._membership_task: asyncio.Task[None] | None = None
 
@@ -44,18 +44,16 @@
         return iter(tuple(self._partitions.values()))
 
     async def load(self) -> None:
-        """Starts the partitions whose membership is known from a snapshot on disk.
+        """Starts the partitions that are on disk, whether or not they have a snapshot yet.
+
+        A voter must be able to stand for election without a message of another: after a restart of all
+        stores the others may wait as well.
 
         Raises:
             StorageError: A group's files cannot be read.
         """
-        self._groups_on_disk = self._groups_with(SEGMENT_SUFFIX)
-        for name in sorted(self._groups_with(SNAPSHOT_SUFFIX)):
+        for name in sorted(self._groups_on_disk()):
             await self._add(name, None)
-        for name in sorted(self._groups_on_disk - self._partitions.keys()):
-            logger.bind(event="partition_not_started", group=name).warning(
-                "A partition on disk is not started before tables or a member of its group name it."
-            )
 
     def start_membership_checks(self) -> None:
         """Starts to check the membership of all groups periodically."""
@@ -87,11 +85,11 @@
         self._start_in_background(placement.group, Membership(placement.voters))
 
     def receive(self, message: ConsensusMessage, placements: tuple[PlacementRecord, ...]) -> None:
-        """Passes a message to its group. Starts the group if it does not run yet but is placed or on disk."""
+        """Passes a message to its group. Starts the group if it does not run yet but is placed."""
         partition = self._partitions.get(message.group)
         if partition is not None:
             partition.group.receive(message)
-        elif message.group in {placement.group for placement in placements} | self._groups_on_disk:
+        elif message.group in {placement.group for placement in placements}:
             self._start_in_background(message.group, None)
 
     def status(self) -> GroupStatus | None:
@@ -104,14 +102,10 @@
         for partition in self:
             partition.service.tables_changed()
 
-    def _groups_with(self, suffix: str) -> set[str]:
-        """The names of the groups that have files with this suffix on disk.
-
-        A group without a snapshot may not know its first voters yet. It starts when tables name them, or when
-        a message from a member of the group arrives.
-        """
+    def _groups_on_disk(self) -> set[str]:
+        """The names of the groups that have files on disk."""
         names = FolderDisk(self._data_dir).names()
-        return {name.partition(".")[0] for name in names if name.endswith(suffix)}
+        return {name.partition(".")[0] for name in names if name.endswith(GROUP_FILE_SUFFIXES)}
 
     def _start_in_background(self, name: str, first_voters: Membership | None) -> None:
         """Starts a partition in the background, unless it runs or is starting."""
