--- a/tests/simulation/__main__.py
+++ b/tests/simulation/__main__.py
@@ -54,6 +54,9 @@
     parser.add_argument(
         "--changing-limits", action="store_true", help="change the limits of batch jobs during each run"
     )
+    parser.add_argument(
+        "--rare-snapshots", action="store_true", help="let members go without snapshots for the whole run"
+    )
     parser.add_argument("--keep-going", action="store_true", help="play on after failures")
     return parser.parse_args()
 
@@ -62,7 +65,7 @@
     """Plays the schedules in turn, up to the first failure unless it is to keep going."""
     totals = _Totals()
     for seed in range(arguments.seed, arguments.seed + arguments.schedules):
-        verdict = play(draw(seed, arguments.changing_limits))
+        verdict = play(draw(seed, arguments.changing_limits, arguments.rare_snapshots))
         failed_before = totals.failed
         totals.add(verdict)
         if totals.schedules % PROGRESS_EVERY == 0:
--- a/tests/simulation/breakages.py
+++ b/tests/simulation/breakages.py
@@ -13,6 +13,7 @@
 
 import msgspec
 
+from pewterring.batch import partitions
 from pewterring.batch.limit_updates import LimitUpdates
 from pewterring.batch.messages import JobAccepted, SubmitJob
 from pewterring.batch.submissions import JobSubmissions, SubmitReply
@@ -42,6 +43,7 @@
 from pewterring.control.worker_table import WorkerTable
 from pewterring.storage.group import DiskGroupStorage
 from pewterring.storage.identity import member_name
+from pewterring.storage.snapshots import SNAPSHOT_SUFFIX
 
 Breakage = Callable[[], Any]  # returns a context in which the real code is broken
 
@@ -51,6 +53,11 @@
     return mock.patch.object(LimitUpdates, "apply", return_value=None)
 
 
+def partition_needs_snapshot() -> Any:
+    """A store starts a partition by itself only if it has a snapshot of it."""
+    return mock.patch.object(partitions, "GROUP_FILE_SUFFIXES", (SNAPSHOT_SUFFIX,))
+
+
 def lease_not_checked() -> Any:
     """A leader that was frozen resumes without checking its lease again."""
     return mock.patch.object(GroupLeadership, "has_lease", property(lambda self: self.ready))
--- a/tests/simulation/named.py
+++ b/tests/simulation/named.py
@@ -18,6 +18,7 @@
     lease_not_checked,
     limits_of_queued_jobs_kept,
     old_tag_votes,
+    partition_needs_snapshot,
     patch_base_not_checked,
     patch_known_by_its_result,
     promotion_without_catch_up,
@@ -63,6 +64,11 @@
 PARTITIONED_STORE_LEADER = repeated(Fault(6.0, Kind.PARTITION, LEADER, Point.JOB_ACKED, 2.0, Role.STORE))
 STALLED_STORES = repeated(Fault(3.5, Kind.STALLED_DISK, FOLLOWER, Point.NOW, 4.0, Role.STORE), interval_s=9.0)
 POWER_AT_ACK = repeated(Fault(6.0, Kind.POWER_ALL, point=Point.ORDER_ACKED), times=8, interval_s=1.5)
+REPLACED_STORES = (
+    Fault(6.0, Kind.WIPE, OLDEST, duration_s=0.3, role=Role.STORE),
+    Fault(12.0, Kind.WIPE, OLDEST, duration_s=0.3, role=Role.STORE),
+    Fault(18.0, Kind.WIPE_AND_POWER, role=Role.STORE),
+)
 LATE_KILLS = (Fault(16.0, Kind.KILL_ALL), Fault(18.0, Kind.KILL_ALL))
 
 NAMED: dict[str, tuple[Breakage, Schedule]] = {
@@ -127,5 +133,9 @@
     ),
     "job accepted early": (job_accepted_early, Schedule(1, 1, PARTITIONED_STORE_LEADER, stores=True)),
     "limits of queued jobs kept": (limits_of_queued_jobs_kept, draw(10, changing_limits=True)),
+    "a voter without a snapshot waits for others": (
+        partition_needs_snapshot,
+        Schedule(1, 1, REPLACED_STORES, stores=True, rare_snapshots=True),
+    ),
     "retirement ended early": (decommissioning_ended_early, Schedule(1, 1, STALLED_STORES, stores=True)),
 }
--- a/tests/simulation/patches.py
+++ b/tests/simulation/patches.py
@@ -42,7 +42,6 @@
     from tests.simulation.world import World
 
 SEGMENT_BYTES = 8000
-SNAPSHOT_AFTER_BYTES = 12_000
 
 read_once = lru_cache(maxsize=4096)(read_configuration)  # pure, and the same documents recur in each process
 
@@ -133,7 +132,7 @@
         snapshot_chunk_bytes=world.snapshot_chunk_bytes,
         retained_bytes=3000,
     )
-    return GroupOptions(limits=limits, snapshot_after_bytes=SNAPSHOT_AFTER_BYTES)
+    return GroupOptions(limits=limits, snapshot_after_bytes=world.snapshot_after_bytes)
 
 
 class ObservedGroup(ReplicatedGroup):
--- a/tests/simulation/play.py
+++ b/tests/simulation/play.py
@@ -57,7 +57,7 @@
 
     def __init__(self, schedule: Schedule) -> None:
         self.schedule = schedule
-        self.world = World(schedule.seed, schedule.tolerated, schedule.stores, schedule.changing_limits)
+        self.world = World(schedule)
         self.adversary = Adversary(self.world, schedule.faults, random.Random(f"faults {schedule.seed}"))
         self.operators = [Operator(self.world, "a"), Operator(self.world, "b")]
         self.reader = Operator(self.world, "reader")
--- a/tests/simulation/schedule.py
+++ b/tests/simulation/schedule.py
@@ -104,6 +104,7 @@
     faults: tuple[Fault, ...]
     stores: bool = False  # whether the run has stores with a batch partition
     changing_limits: bool = False  # whether the limits of the route of batch jobs change (`route_limits.py`)
+    rare_snapshots: bool = False  # whether members keep all entries and have hardly any snapshots
 
 
 FIRST_S = 5.5  # the first machines have caught up by then
@@ -162,17 +163,17 @@
 }
 
 
-def draw(seed: int, changing_limits: bool = False) -> Schedule:
+def draw(seed: int, changing_limits: bool = False, rare_snapshots: bool = False) -> Schedule:
     """Draws the schedule of a seed. Two out of three tolerate the loss of one machine, the others of two.
 
-    With `changing_limits` each schedule has stores.
+    With `changing_limits` or `rare_snapshots` each schedule has stores.
     """
     rng = random.Random(f"schedule {seed}")
     tolerated = rng.choice((1, 1, 2))
-    stores = rng.random() < STORES_FRACTION or changing_limits
+    stores = rng.random() < STORES_FRACTION or changing_limits or rare_snapshots
     count = rng.randint(3, 12)
     faults = sorted((_draw_fault(rng, stores) for _ in range(count)), key=lambda fault: fault.at_s)
-    return Schedule(seed, tolerated, tuple(faults), stores, changing_limits)
+    return Schedule(seed, tolerated, tuple(faults), stores, changing_limits, rare_snapshots)
 
 
 def _draw_fault(rng: random.Random, stores: bool) -> Fault:
--- a/tests/simulation/test_growth.py
+++ b/tests/simulation/test_growth.py
@@ -1,7 +1,7 @@
 """How long a new control group tolerates fewer losses than it should: until its seeds are 2f + 1 voters."""
 
 from tests.simulation.patches import installed
-from tests.simulation.schedule import Role
+from tests.simulation.schedule import Role, Schedule
 from tests.simulation.world import World
 
 STEP_S = 0.01
@@ -11,7 +11,7 @@
 
 def seconds_from_leader_to_growth(seed: int, tolerated: int) -> float:
     """Returns the time from the first leader to 2f + 1 voters on whose disks everything is."""
-    world = World(seed, tolerated)
+    world = World(Schedule(seed, tolerated, ()))
     led_at: float | None = None
     with installed(world):
         while not _has_grown(world):
--- a/tests/simulation/test_planned.py
+++ b/tests/simulation/test_planned.py
@@ -53,7 +53,7 @@
 
 @pytest.mark.parametrize("tolerated", [1, 2])
 def test_a_partition_keeps_a_warm_copy_on_a_spare_store(tolerated: int) -> None:
-    world = World(1, tolerated, stores=True)
+    world = World(Schedule(1, tolerated, (), stores=True))
     with installed(world):
         world.run(WARM_S)
         leader = world.leader(Role.STORE)
--- a/tests/simulation/test_processor_quota.py
+++ b/tests/simulation/test_processor_quota.py
@@ -13,7 +13,7 @@
 from tests.simulation.linearizability import check
 from tests.simulation.machines import Machine
 from tests.simulation.patches import installed
-from tests.simulation.schedule import Role
+from tests.simulation.schedule import Role, Schedule
 from tests.simulation.world import World
 
 CALLERS_S = 0.5
@@ -45,7 +45,7 @@
 @pytest.mark.parametrize("seed", range(1, 5))
 @pytest.mark.parametrize("spent_s", [0.05, 0.08])
 def test_a_quota_that_is_spent_costs_no_leader_no_worker_and_no_order(seed: int, spent_s: float) -> None:
-    world = World(seed)
+    world = World(Schedule(seed, 1, ()))
     operator = Operator(world, "a")
     workers = [Worker(world, number) for number in (1, 2)]
     works = [operator.work, *(worker.work for worker in workers)]
--- a/tests/simulation/test_recovery.py
+++ b/tests/simulation/test_recovery.py
@@ -10,7 +10,7 @@
 from tests.simulation.callers import Operator
 from tests.simulation.history import Outcome
 from tests.simulation.patches import installed
-from tests.simulation.schedule import Role
+from tests.simulation.schedule import Role, Schedule
 from tests.simulation.world import ControlMachine, World
 
 CALLERS_S = 0.5
@@ -28,7 +28,7 @@
 
 @pytest.mark.parametrize("seed", range(1, 6))
 def test_the_survivor_goes_on_and_gateways_follow_without_a_restart(seed: int) -> None:
-    world = World(seed)
+    world = World(Schedule(seed, 1, ()))
     operator = Operator(world, "a")
     world.loop.call_outside(CALLERS_S, lambda: world.loop.create_task(operator.work()))
     with installed(world):
--- a/tests/simulation/test_schedules.py
+++ b/tests/simulation/test_schedules.py
@@ -24,6 +24,14 @@
     assert verdict.orders > 10
 
 
+# Guards against members that can do something only once they have a snapshot.
+@pytest.mark.parametrize("seed", SEEDS)
+def test_a_random_schedule_with_rare_snapshots(seed: int) -> None:
+    verdict = play(draw(seed, rare_snapshots=True))
+    assert not verdict.violations, verdict
+    assert verdict.orders > 10
+
+
 # Schedules that showed a fault, of the code or of a check, by what it was.
 FOUND = {
     "a store is emptied while another voter is gone and not known to be lost": Schedule(
--- a/tests/simulation/test_voting_and_commit_guards.py
+++ b/tests/simulation/test_voting_and_commit_guards.py
@@ -10,7 +10,7 @@
 from tests.simulation.linearizability import NotLinearizableError, check
 from tests.simulation.machines import Machine
 from tests.simulation.patches import installed
-from tests.simulation.schedule import Point, Role
+from tests.simulation.schedule import Point, Role, Schedule
 from tests.simulation.world import GroupMachine, World
 
 CALLERS_S = 0.5
@@ -30,7 +30,7 @@
 
 def violations_of_restarted_voter(seed: int) -> list[str]:
     """One follower hears only the other one, which is killed and restarted as the leader counts on it."""
-    world = World(seed)
+    world = World(Schedule(seed, 1, ()))
     with installed(world):
         world.run(BEGIN_S)
         leader, (candidate, voter) = leader_and_followers(world)
@@ -45,7 +45,7 @@
 
 def violations_of_full_disks(seed: int) -> list[str]:
     """Only one follower's disk has room; at the next acknowledgement it is lost, the others lose power."""
-    world = World(seed)
+    world = World(Schedule(seed, 1, ()))
     operator, reader = Operator(world, "a"), Operator(world, "reader")
     for work in (operator.work, reader.read_often):
         world.loop.call_outside(CALLERS_S, partial(_begin, world, work))
--- a/tests/simulation/world.py
+++ b/tests/simulation/world.py
@@ -29,7 +29,7 @@
 from tests.simulation.machines import SAVE_S, Machine
 from tests.simulation.network import Network
 from tests.simulation.route_limits import LimitEras
-from tests.simulation.schedule import Role
+from tests.simulation.schedule import Role, Schedule
 from tests.simulation.virtual_loop import Process, VirtualLoop
 from tests.simulation.watch import InvariantChecker
 
@@ -41,6 +41,8 @@
 HEARTBEAT_S = 1.0
 GATEWAYS = 3
 SPARE_STORES = 1
+SNAPSHOT_AFTER_BYTES = 12_000  # so low that snapshots are common
+RARE_SNAPSHOT_BYTES = 4_000_000  # more than the entries of a run
 SNAPSHOT_CHUNK_BYTES = (1500, 100_000)  # many chunks, or one
 CODEC = MessageCodec(FEED_MESSAGES)
 BATCH_CODEC = MessageCodec(BATCH_MESSAGES)
@@ -97,18 +99,17 @@
 
 
 class World:
-    """One run. `tolerated` is how many control machines may be lost at once."""
+    """One run of a schedule: its seed, its size and what is special about it, but not its faults."""
 
-    def __init__(
-        self, seed: int, tolerated: int = 1, stores: bool = False, changing_limits: bool = False
-    ) -> None:
-        self.rng = random.Random(f"world {seed}")
-        self.tolerated = tolerated
+    def __init__(self, schedule: Schedule) -> None:
+        self.rng = random.Random(f"world {schedule.seed}")
+        self.tolerated = tolerated = schedule.tolerated
+        self.snapshot_after_bytes = RARE_SNAPSHOT_BYTES if schedule.rare_snapshots else SNAPSHOT_AFTER_BYTES
         self.loop = VirtualLoop()  # type: ignore[abstract]  # has no files and sockets
         self.network = Network(self.loop, self.rng)
         self.http = Http(self)
         self.history = History()
-        self.limits = LimitEras(seed, changing_limits)
+        self.limits = LimitEras(schedule.seed, schedule.changing_limits)
         self.invariants = InvariantChecker(self)
         self.machines: dict[str, ControlMachine] = {}
         self.stores: dict[str, StoreMachine] = {}
@@ -123,7 +124,7 @@
         self._last_store_ip = 0
         first = [self.new_control() for _ in range(2 * tolerated + 1)]
         self.first_seeds = [machine.ip for machine in first[:FIRST_SEEDS]]
-        self._start_all(first, 2 * tolerated + 1 + SPARE_STORES if stores else 0)
+        self._start_all(first, 2 * tolerated + 1 + SPARE_STORES if schedule.stores else 0)
 
     def _start_all(self, first: list[ControlMachine], stores: int) -> None:
         """Starts all machines, each at its own moment. The order of the draws is part of a seed's run."""
