Storage: first voters that are saved after entries keep the entries of all segments

Where a member had taken entries of several segments before it saved its first voters, the next load reported a damaged log and the store could not start. Change: it names the first segment. Result: tests/storage/test_group.py has the case, which failed with CorruptLogError before. Found by reading while the incident was handled; no run showed it.

--- a/pewterring/storage/group.py
+++ b/pewterring/storage/group.py
@@ -147,7 +147,7 @@
         """
         self._fail_stop.check()
         if not self._has_snapshot:
-            self._write_snapshot(SnapshotHeader(0, 0, membership, self._log.last_segment), b"")
+            self._write_snapshot(SnapshotHeader(0, 0, membership, self._log.first_segment), b"")
 
     def save(self, hard_state: HardState | None, truncate_from: int | None, entries: Sequence[Entry]) -> None:
         """Implements `GroupStorage`.
--- a/pewterring/storage/log.py
+++ b/pewterring/storage/log.py
@@ -56,6 +56,11 @@
         self._last_batch = 0  # number of the last complete batch in the last segment
         self._fail_stop = FailStop(f"log {self._prefix}*{SEGMENT_SUFFIX}")
 
+    @property
+    def first_segment(self) -> int:
+        """The number of the oldest segment."""
+        return min(self._sizes)
+
     @property
     def last_segment(self) -> int:
         """The number of the segment that is being written."""
--- a/tests/storage/test_group.py
+++ b/tests/storage/test_group.py
@@ -243,6 +243,18 @@
     assert loaded.snapshot is None
 
 
+# Guards against first voters that are saved late and drop the entries of earlier segments.
+def test_first_voters_that_are_saved_after_entries_keep_all_of_them() -> None:
+    disk = SimulatedDisk()
+    storage = load_storage(disk)
+    for index in range(1, 21):
+        storage.save(None, None, [entry(index, 1, 100)])
+    storage.initialize(MEMBERS)
+    state = load_storage(disk).load().state
+    assert state.snapshot_membership == MEMBERS
+    assert [found.index for found in state.entries] == list(range(1, 21))
+
+
 def test_a_snapshot_ahead_of_the_log_replaces_it_even_if_the_entries_arrive_later() -> None:
     disk = SimulatedDisk()
     storage = load_storage(disk)
