Batch: a partition that runs without knowing its members starts anew when it is placed

A first voter whose process ended between the creation of its log and the saving of its first voters was started without them, and the placement from control then changed nothing: it voted, and could never stand for election. Change: a placement that names the store starts such a partition anew with the first voters.

--- a/pewterring/batch/partition.py
+++ b/pewterring/batch/partition.py
@@ -149,6 +149,11 @@
             learners=group.membership.learners,
         ).info("The partition is loaded from disk and takes part in its group.")
 
+    @property
+    def knows_members(self) -> bool:
+        """Whether this store knows any member of the group, so that it can stand for election if it votes."""
+        return bool(self.group.membership.voters)
+
     async def _initialize(self, first_voters: Membership) -> None:
         self._storage.load()
         self._storage.initialize(first_voters)
--- a/pewterring/batch/partitions.py
+++ b/pewterring/batch/partitions.py
@@ -81,8 +81,18 @@
             await partition.stop()
 
     def ensure_placed(self, placement: PlacementRecord) -> None:
-        """Starts a partition that control has placed on this store, unless it runs or is starting."""
-        self._start_in_background(placement.group, Membership(placement.voters))
+        """Starts a partition that control has placed on this store, unless it runs or is starting.
+
+        One that runs without knowing its members, because the store ended before it had saved its first
+        voters, is started anew with them.
+        """
+        name = placement.group
+        running = self._partitions.get(name)
+        if running is not None and not running.knows_members:
+            del self._partitions[name]
+            self._start_in_background(name, Membership(placement.voters), running)
+        else:
+            self._start_in_background(name, Membership(placement.voters))
 
     def receive(self, message: ConsensusMessage, placements: tuple[PlacementRecord, ...]) -> None:
         """Passes a message to its group. Starts the group if it does not run yet but is placed."""
@@ -107,11 +117,13 @@
         names = FolderDisk(self._data_dir).names()
         return {name.partition(".")[0] for name in names if name.endswith(GROUP_FILE_SUFFIXES)}
 
-    def _start_in_background(self, name: str, first_voters: Membership | None) -> None:
-        """Starts a partition in the background, unless it runs or is starting."""
+    def _start_in_background(
+        self, name: str, first_voters: Membership | None, replaced: Partition | None = None
+    ) -> None:
+        """Starts a partition in the background, unless it runs or is starting; stops `replaced` first."""
         if name in self._partitions or name in self._starting:
             return
-        task = asyncio.get_running_loop().create_task(self._add(name, first_voters))
+        task = asyncio.get_running_loop().create_task(self._add(name, first_voters, replaced))
         self._starting[name] = task
         task.add_done_callback(lambda done: self._on_started(name, done))
 
@@ -121,7 +133,11 @@
         if isinstance(error, Exception):
             self._environment().on_failure(error)
 
-    async def _add(self, name: str, first_voters: Membership | None) -> None:
+    async def _add(
+        self, name: str, first_voters: Membership | None, replaced: Partition | None = None
+    ) -> None:
+        if replaced is not None:
+            await replaced.stop()
         partition = Partition(name, self._data_dir, self._environment())
         await partition.start(first_voters)
         self._partitions[name] = partition
