--- a/benchmarks/soak/clients.py
+++ b/benchmarks/soak/clients.py
@@ -40,6 +40,7 @@
         self.limits = ConfiguredLimits()
         self._jobs: dict[str, list[str]] = {}  # accepted jobs and those of their items that can run
         self._sent_at: dict[str, float] = {}  # when each job was first sent
+        self._seen: dict[str, list[dict[str, Any]]] = {}  # results that were read before the end, by job
 
     def stop(self) -> None:
         """Lets all clients end after the request that they wait for."""
@@ -116,7 +117,7 @@
             items = {f"{job}.{index}": self._rng.random() >= UNFIT_SHARE for index in range(ITEMS)}
             if await self._submit(job, items):
                 self._jobs[job] = [item for item, can_run in items.items() if can_run]
-                await self._read(job, lambda: self._stopped)
+                self._seen[job] = await self._read(job, lambda: self._stopped)
 
     async def _submit(self, job: str, items: dict[str, bool]) -> bool:
         body = json.dumps({"requests": [_item(name, can_run) for name, can_run in items.items()]}).encode()
@@ -170,6 +171,9 @@
             self._check_results(job, results)
 
     def _check_results(self, job: str, results: list[dict[str, Any]]) -> None:
+        seen = self._seen[job]
+        if results[: len(seen)] != seen:
+            self._report.faults.append(f"LOST: {len(seen)} results of {job} do not come again as they were")
         listed = [result["id"] for result in results]
         missing = set(self._jobs[job]) - set(listed)
         if missing:
--- a/benchmarks/soak/disturbances.py
+++ b/benchmarks/soak/disturbances.py
@@ -26,6 +26,8 @@
 READY_TIMEOUT_S = 60.0
 POLL_S = 0.05
 UNANSWERED = 0
+CATCH_UP_S = 5.0  # `catch_up_s`: how long a store whose disk was lost counts as lost after its return
+DOWN_S = 1.4  # from the end of all processes to their start
 KEEP_S = (4.0, 12.0, 600.0)
 MAX_ATTEMPTS = (2, 5)
 FIRST_KEEP_S = 600.0
@@ -80,8 +82,8 @@
         self._version = 0
         self._one_down = {program: asyncio.Lock() for program in ("control", "store", "gateway")}
 
-    async def play(self, events: int) -> None:
-        """Plays all series at the same time, each with up to `events` events."""
+    async def play(self, events: int, lost_disks: int = 0) -> None:
+        """Plays all series at the same time, each with up to `events` events, and loses so many disks."""
         series: list[Callable[[], Awaitable[None]]] = [
             lambda: self._restart_one("gateway"),
             lambda: self._restart_one("store"),
@@ -92,7 +94,20 @@
             self.configure,
         ]
         chosen = self._rng.sample(series, self._rng.randint(3, len(series)))
-        await asyncio.gather(*(self._repeat(event, self._rng.randint(1, events)) for event in chosen))
+        await asyncio.gather(
+            *(self._repeat(event, self._rng.randint(1, events)) for event in chosen),
+            self._repeat(self._lose_disk, lost_disks),
+        )
+
+    async def end_all(self) -> None:
+        """Ends all processes at once, as the oldest disk of a store is lost, and starts them again."""
+        await asyncio.sleep(CATCH_UP_S)
+        self._report.events["end of all"] += 1
+        lost = self._fleet.oldest_disk("store")
+        await asyncio.gather(*(self._fleet.end(member, signal.SIGKILL) for member in self._fleet.members))
+        self._fleet.lose_disk(lost)
+        await asyncio.sleep(DOWN_S)
+        await asyncio.gather(*(self._fleet.start(member) for member in self._fleet.members))
 
     async def _repeat(self, event: Callable[[], Awaitable[None]], times: int) -> None:
         for _ in range(times):
@@ -116,6 +131,15 @@
                 await self._until_status(member.ready, "GET /v1/readyz", 200)
                 self._gateways.append(member)
 
+    async def _lose_disk(self) -> None:
+        async with self._one_down["store"]:
+            member = self._fleet.oldest_disk("store")
+            self._report.events["lost disk of a store"] += 1
+            await self._fleet.end(member, signal.SIGKILL)
+            self._fleet.lose_disk(member)
+            await self._fleet.start(member)
+            await asyncio.sleep(CATCH_UP_S)
+
     async def _freeze_one(self, program: str) -> None:
         async with self._one_down[program]:
             member = self._rng.choice(self._fleet.of(program))
--- a/benchmarks/soak/fleet.py
+++ b/benchmarks/soak/fleet.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+import shutil
 import signal
 import sys
 from dataclasses import dataclass
@@ -25,6 +26,7 @@
     process: Process
     child: asyncio.subprocess.Process | None = None
     is_stopping: bool = False
+    lost_disks: int = 0  # how often its disk was lost
 
     @property
     def front(self) -> str:
@@ -66,12 +68,26 @@
     async def start_all(self) -> None:
         """Writes the settings files and starts all processes."""
         for member in self.members:
-            folder = self.layout.folder_of(member.process)
-            (folder / "data").mkdir(parents=True)
-            settings = self.layout.settings(member.process, bootstrap=True)
-            (folder / "node.conf").write_text(settings, encoding="utf-8")
+            (self.layout.folder_of(member.process) / "data").mkdir(parents=True)
+            self._write_settings(member, bootstrap=True)
             await self.start(member)
 
+    def _write_settings(self, member: Member, bootstrap: bool) -> None:
+        settings = self.layout.settings(member.process, bootstrap)
+        (self.layout.folder_of(member.process) / "node.conf").write_text(settings, encoding="utf-8")
+
+    def lose_disk(self, member: Member) -> None:
+        """Empties the data folder of a member whose process has ended."""
+        data = self.layout.folder_of(member.process) / "data"
+        shutil.rmtree(data)
+        data.mkdir()
+        self._write_settings(member, bootstrap=False)
+        member.lost_disks += 1
+
+    def oldest_disk(self, program: str) -> Member:
+        """The member of a program whose disk has lasted longest, if disks are always lost in this order."""
+        return min(self.of(program), key=lambda member: member.lost_disks)
+
     async def start(self, member: Member) -> None:
         """Starts one process on the settings and data that are there."""
         folder = self.layout.folder_of(member.process)
--- a/benchmarks/soak/play.py
+++ b/benchmarks/soak/play.py
@@ -28,6 +28,9 @@
     controls: int = 3
     workers: int = 3
     events: int = 4  # most events of a series
+    lost_disks: int = (
+        0  # of stores, in turn; with any, all processes end at the end and one more disk is lost
+    )
     routes: int = 0  # further routes of each configuration, each split over `large_configuration.SERVICES`
 
 
@@ -71,7 +74,10 @@
             *(asyncio.create_task(clients.read_streams(number)) for number in range(STREAM_CLIENTS)),
             *(asyncio.create_task(clients.submit_jobs(number)) for number in range(BATCH_CLIENTS)),
         ]
-        await disturbances.play(size.events)
+        await disturbances.play(size.events, size.lost_disks)
+        if size.lost_disks:
+            await disturbances.end_all()
+            await disturbances.until_serving()
         clients.stop()
         await asyncio.gather(*tasks)
         await disturbances.until_serving()
