--- a/tests/batch/test_partitions.py
+++ b/tests/batch/test_partitions.py
@@ -8,6 +8,7 @@
 from pewterring.consensus.membership import encode_membership
 from pewterring.consensus.messages import ENTRY_MEMBERS, Entry, Membership
 from pewterring.consensus.persistent import HardState
+from pewterring.consensus.recovery import plan_recovery, survivor_of
 from pewterring.distribution.messages import PlacementRecord
 from pewterring.storage.disk import FolderDisk
 from pewterring.storage.group import DiskGroupStorage
@@ -51,6 +52,27 @@
     asyncio.run(run())
 
 
+# Guards against a store that is to go on alone after a recovery and has no snapshot to start with.
+def test_a_recovered_store_without_a_snapshot_starts_its_partition_as_the_only_voter(tmp_path: Path) -> None:
+    storage = DiskGroupStorage(FolderDisk(tmp_path), GROUP)
+    storage.load()
+    members = Entry(1, 1, ENTRY_MEMBERS, encode_membership(Membership(VOTERS)))
+    storage.save(HardState(1), None, [members])
+    recovery = plan_recovery(survivor_of(MEMBER, storage.load()))
+    storage.save(recovery.hard_state, None, [recovery.entry])
+    storage.close()
+
+    async def run() -> None:
+        partitions = store_partitions(tmp_path)
+        await partitions.load()
+        partition = only(partitions)
+        assert partition is not None
+        assert partition.group.membership.voters == (MEMBER,)
+        await partitions.stop()
+
+    asyncio.run(run())
+
+
 # Guards against a first voter that never stands for election, as it ended before it had saved the voters.
 def test_a_partition_without_members_starts_anew_when_control_has_placed_it(tmp_path: Path) -> None:
     storage = DiskGroupStorage(FolderDisk(tmp_path), GROUP)
