--- a/benchmarks/soak/disturbances.py
+++ b/benchmarks/soak/disturbances.py
@@ -18,6 +18,7 @@
 from benchmarks.soak.limits import Limits
 from benchmarks.soak.report import Report
 from benchmarks.soak.workers import CAPACITY, MEMORY_TOKENS, SERVICE
+from pewterring.control.calls import DECOMMISSION_START_PATH, DECOMMISSION_STATUS_PATH
 from pewterring.local.layout import CONTROL_PORT
 from pewterring.transport.http_exchange import ExchangeError
 
@@ -27,6 +28,7 @@
 POLL_S = 0.05
 UNANSWERED = 0
 CATCH_UP_S = 5.0  # `catch_up_s`: how long a store whose disk was lost counts as lost after its return
+DONE = "succeeded"  # of a decommissioning
 DOWN_S = 1.4  # from the end of all processes to their start
 KEEP_S = (4.0, 12.0, 600.0)
 MAX_ATTEMPTS = (2, 5)
@@ -82,8 +84,11 @@
         self._version = 0
         self._one_down = {program: asyncio.Lock() for program in ("control", "store", "gateway")}
 
-    async def play(self, events: int, lost_disks: int = 0) -> None:
-        """Plays all series at the same time, each with up to `events` events, and loses so many disks."""
+    async def play(self, events: int, lost_disks: int = 0, decommissioned: int = 0) -> None:
+        """Plays all series at the same time, each with up to `events` events.
+
+        Of the stores, `lost_disks` lose their disks, and `decommissioned` are removed.
+        """
         series: list[Callable[[], Awaitable[None]]] = [
             lambda: self._restart_one("gateway"),
             lambda: self._restart_one("store"),
@@ -97,6 +102,7 @@
         await asyncio.gather(
             *(self._repeat(event, self._rng.randint(1, events)) for event in chosen),
             self._repeat(self._lose_disk, lost_disks),
+            self._repeat(self._decommission, decommissioned),
         )
 
     async def end_all(self) -> None:
@@ -104,10 +110,11 @@
         await asyncio.sleep(CATCH_UP_S)
         self._report.events["end of all"] += 1
         lost = self._fleet.oldest_disk("store")
-        await asyncio.gather(*(self._fleet.end(member, signal.SIGKILL) for member in self._fleet.members))
+        members = self._fleet.present
+        await asyncio.gather(*(self._fleet.end(member, signal.SIGKILL) for member in members))
         self._fleet.lose_disk(lost)
         await asyncio.sleep(DOWN_S)
-        await asyncio.gather(*(self._fleet.start(member) for member in self._fleet.members))
+        await asyncio.gather(*(self._fleet.start(member) for member in members))
 
     async def _repeat(self, event: Callable[[], Awaitable[None]], times: int) -> None:
         for _ in range(times):
@@ -133,12 +140,46 @@
 
     async def _lose_disk(self) -> None:
         async with self._one_down["store"]:
-            member = self._fleet.oldest_disk("store")
-            self._report.events["lost disk of a store"] += 1
-            await self._fleet.end(member, signal.SIGKILL)
-            self._fleet.lose_disk(member)
-            await self._fleet.start(member)
-            await asyncio.sleep(CATCH_UP_S)
+            await self._lose_oldest_disk()
+
+    async def _lose_oldest_disk(self) -> None:
+        member = self._fleet.oldest_disk("store")
+        self._report.events["lost disk of a store"] += 1
+        await self._fleet.end(member, signal.SIGKILL)
+        self._fleet.lose_disk(member)
+        await self._fleet.start(member)
+        await asyncio.sleep(CATCH_UP_S)
+
+    async def _decommission(self) -> None:
+        """Empties a store, removes it as soon as it may go, and loses another disk right after."""
+        async with self._one_down["store"]:
+            member = self._rng.choice(self._fleet.of("store"))
+            name = member.process.name
+            try:
+                async with asyncio.timeout(READY_TIMEOUT_S):
+                    await self._until_control(f"POST {DECOMMISSION_START_PATH}{name}", b'{"duration_s":10}')
+                    while await self._until_control(f"GET {DECOMMISSION_STATUS_PATH}{name}") != DONE:
+                        await asyncio.sleep(POLL_S)
+            except TimeoutError:
+                self._report.faults.append(f"RECOVER: {name} is not emptied within {READY_TIMEOUT_S} s")
+                return
+            self._report.events["store removed"] += 1
+            await self._fleet.remove(member)
+            await self._lose_oldest_disk()
+
+    async def _until_control(self, first: str, body: bytes = b"") -> Any:
+        """Calls control until one machine answers 200; returns the state that the answer names."""
+        headers = {"Content-Type": "application/json"}
+        while True:
+            control = self._rng.choice(self._fleet.of("control"))
+            address = f"{control.process.ip}:{CONTROL_PORT}"
+            try:
+                answer = await self._clients.call(address, first, headers, body)
+            except ExchangeError:
+                answer = None
+            if answer is not None and answer.head.status == 200:
+                return orjson.loads(answer.body or b"{}").get("state")
+            await asyncio.sleep(POLL_S)
 
     async def _freeze_one(self, program: str) -> None:
         async with self._one_down[program]:
@@ -149,7 +190,7 @@
             member.send(signal.SIGCONT)
 
     async def _send_hangups(self) -> None:
-        for member in self._fleet.members:
+        for member in self._fleet.present:
             if not member.is_stopping and self._rng.random() < 0.5:
                 self._report.events["SIGHUP"] += member.hang_up()
 
--- a/benchmarks/soak/fleet.py
+++ b/benchmarks/soak/fleet.py
@@ -27,6 +27,7 @@
     child: asyncio.subprocess.Process | None = None
     is_stopping: bool = False
     lost_disks: int = 0  # how often its disk was lost
+    is_removed: bool = False  # for good, with its disk
 
     @property
     def front(self) -> str:
@@ -62,8 +63,13 @@
         self.members = [Member(process) for process in layout.processes()]
 
     def of(self, program: str) -> list[Member]:
-        """The members that run one program."""
-        return [member for member in self.members if member.process.program == program]
+        """The members that run one program and were not removed."""
+        return [member for member in self.present if member.process.program == program]
+
+    @property
+    def present(self) -> list[Member]:
+        """The members that were not removed."""
+        return [member for member in self.members if not member.is_removed]
 
     async def start_all(self) -> None:
         """Writes the settings files and starts all processes."""
@@ -84,6 +90,12 @@
         self._write_settings(member, bootstrap=False)
         member.lost_disks += 1
 
+    async def remove(self, member: Member) -> None:
+        """Ends a member for good, and removes its disk."""
+        await self.end(member, signal.SIGKILL)
+        self.lose_disk(member)
+        member.is_removed = True
+
     def oldest_disk(self, program: str) -> Member:
         """The member of a program whose disk has lasted longest, if disks are always lost in this order."""
         return min(self.of(program), key=lambda member: member.lost_disks)
--- a/benchmarks/soak/play.py
+++ b/benchmarks/soak/play.py
@@ -31,6 +31,7 @@
     lost_disks: int = (
         0  # of stores, in turn; with any, all processes end at the end and one more disk is lost
     )
+    decommissioned: int = 0  # stores that are emptied and removed, each with another disk lost right after
     routes: int = 0  # further routes of each configuration, each split over `large_configuration.SERVICES`
 
 
@@ -74,7 +75,7 @@
             *(asyncio.create_task(clients.read_streams(number)) for number in range(STREAM_CLIENTS)),
             *(asyncio.create_task(clients.submit_jobs(number)) for number in range(BATCH_CLIENTS)),
         ]
-        await disturbances.play(size.events, size.lost_disks)
+        await disturbances.play(size.events, size.lost_disks, size.decommissioned)
         if size.lost_disks:
             await disturbances.end_all()
             await disturbances.until_serving()
