--- a/tests/batch/test_partitions.py
+++ b/tests/batch/test_partitions.py
@@ -29,6 +29,16 @@
     return next(iter(partitions), None)
 
 
+async def assert_starts_with(data_dir: Path, voters: tuple[str, ...]) -> None:
+    """Loads the partitions of a store; the only one runs and knows these voters."""
+    partitions = store_partitions(data_dir)
+    await partitions.load()
+    partition = only(partitions)
+    assert partition is not None
+    assert partition.group.membership.voters == voters
+    await partitions.stop()
+
+
 async def started() -> None:
     """Waits until all partitions that are starting in the background have started."""
     await asyncio.gather(*(asyncio.all_tasks() - {asyncio.current_task()}))
@@ -41,15 +51,7 @@
     storage.save(HardState(1), None, [Entry(1, 1, ENTRY_MEMBERS, encode_membership(Membership(VOTERS)))])
     storage.close()
 
-    async def run() -> None:
-        partitions = store_partitions(tmp_path)
-        await partitions.load()
-        partition = only(partitions)
-        assert partition is not None
-        assert partition.group.membership.voters == VOTERS
-        await partitions.stop()
-
-    asyncio.run(run())
+    asyncio.run(assert_starts_with(tmp_path, VOTERS))
 
 
 # Guards against a store that is to go on alone after a recovery and has no snapshot to start with.
@@ -62,15 +64,7 @@
     storage.save(recovery.hard_state, None, [recovery.entry])
     storage.close()
 
-    async def run() -> None:
-        partitions = store_partitions(tmp_path)
-        await partitions.load()
-        partition = only(partitions)
-        assert partition is not None
-        assert partition.group.membership.voters == (MEMBER,)
-        await partitions.stop()
-
-    asyncio.run(run())
+    asyncio.run(assert_starts_with(tmp_path, (MEMBER,)))
 
 
 # Guards against a first voter that never stands for election, as it ended before it had saved the voters.
--- a/tests/batch/test_program.py
+++ b/tests/batch/test_program.py
@@ -184,6 +184,20 @@
         await self.stores.pop(ip).stop()
         self.links.drop(ip)
 
+    def lose_disk(self, ip: str) -> None:
+        """Removes the folder of a store that does not run."""
+        shutil.rmtree(self.data_dir / ip)
+
+    async def replace_disk(self, ip: str) -> None:
+        """Stops a store, starts it with an empty folder, and waits until it is a voter with all entries."""
+        old_name = self.control.member_at(ip)
+        await self.stop(ip)
+        self.lose_disk(ip)
+        await self.start(ip)
+        async with asyncio.timeout(30):
+            while not self.control.is_replaced(ip, old_name):
+                await self.control.next_renewal()
+
     async def call(self, call: msgspec.Struct) -> msgspec.Struct:
         """Sends the call to one store after the other until the leader answers."""
         async with asyncio.timeout(30):
@@ -252,13 +266,7 @@
             assert await stores.call(job) == JobAccepted()
             first = await complete_page(stores, "j", 1)
             lost_ip = next(ip for ip in STORE_IPS if ip != stores.leader_ip)
-            old_name = stores.control.member_at(lost_ip)
-            await stores.stop(lost_ip)
-            shutil.rmtree(tmp_path / lost_ip)
-            await stores.start(lost_ip)
-            async with asyncio.timeout(30):
-                while not stores.control.is_replaced(lost_ip, old_name):
-                    await stores.control.next_renewal()
+            await stores.replace_disk(lost_ip)
             await stores.stop(stores.leader_ip)
             assert await complete_page(stores, "j", 1) == first
 
--- a/tests/batch/test_restart_of_replaced_stores.py
+++ b/tests/batch/test_restart_of_replaced_stores.py
@@ -1,7 +1,6 @@
 """A partition whose members all joined after its first voters, when all stores start anew."""
 
 import asyncio
-import shutil
 from pathlib import Path
 
 from pewterring.batch.messages import JobAccepted, ReadResults, ResultPage, SubmitJob
@@ -9,23 +8,12 @@
 from tests.batch.test_program import STORE_IPS, Cluster, cluster, complete_page
 
 
-async def replace_disk(stores: Cluster, ip: str, data_dir: Path) -> None:
-    """Stops a store, starts it with an empty folder, and waits until it is a voter with all entries."""
-    old_name = stores.control.member_at(ip)
-    await stores.stop(ip)
-    shutil.rmtree(data_dir / ip)
-    await stores.start(ip)
-    async with asyncio.timeout(30):
-        while not stores.control.is_replaced(ip, old_name):
-            await stores.control.next_renewal()
-
-
-async def restart_all(stores: Cluster, lost_ips: tuple[str, ...], data_dir: Path) -> None:
+async def restart_all(stores: Cluster, lost_ips: tuple[str, ...] = ()) -> None:
     """Stops all stores, empties the folders of the lost ones, and starts all."""
     for ip in tuple(stores.stores):
         await stores.stop(ip)
     for ip in lost_ips:
-        shutil.rmtree(data_dir / ip)
+        stores.lose_disk(ip)
     for ip in STORE_IPS:
         await stores.start(ip)
 
@@ -37,8 +25,8 @@
             assert await stores.call(SubmitJob("j", *ROUTE, items=(item("i"),))) == JobAccepted()
             first = await complete_page(stores, "j", 1)
             for ip in STORE_IPS:
-                await replace_disk(stores, ip, tmp_path)
-            await restart_all(stores, (), tmp_path)
+                await stores.replace_disk(ip)
+            await restart_all(stores)
             page = await stores.call(ReadResults("j", 0))
             assert isinstance(page, ResultPage)
             assert page.results == first.results
@@ -53,8 +41,8 @@
             assert await stores.call(SubmitJob("j", *ROUTE, items=(item("i"),))) == JobAccepted()
             first = await complete_page(stores, "j", 1)
             for ip in STORE_IPS[1:]:
-                await replace_disk(stores, ip, tmp_path)
-            await restart_all(stores, STORE_IPS[:1], tmp_path)
+                await stores.replace_disk(ip)
+            await restart_all(stores, STORE_IPS[:1])
             page = await stores.call(ReadResults("j", 0))
             assert isinstance(page, ResultPage)
             assert page.results == first.results
