--- a/benchmarks/soak/__init__.py
+++ b/benchmarks/soak/__init__.py
@@ -1,7 +1,7 @@
 """Soak: a tier of real processes on loopback under drawn series of signals, restarts and changes.
 
     python -m benchmarks.soak [--seed 1] [--runs 50] [--gateways 2] [--stores 3] [--workers 3] [--events 4]
-                              [--lost_disks 0] [--decommissioned 0] [--counts_from_log 0] [--routes 0]
+                              [--lost_disks 0] [--decommissioned 0] [--routes 0]
 
 The series overlap. Clients go on using open connections until the process at the other end is gone. Workers
 decline requests, send second answers late, reset connections and cannot run some items. With `--lost_disks`
--- a/benchmarks/soak/disturbances.py
+++ b/benchmarks/soak/disturbances.py
@@ -74,7 +74,6 @@
         report: Report,
         rng: random.Random,
         further_routes: int = 0,
-        counts_from_log: bool = False,
     ) -> None:
         self._fleet = fleet
         self._clients = clients
@@ -82,7 +81,6 @@
         self._report = report
         self._rng = rng
         self._further_routes = further_routes
-        self._counts_from_log = counts_from_log
         self._version = 0
         self._one_down = {program: asyncio.Lock() for program in ("control", "store", "gateway")}
 
@@ -149,10 +147,7 @@
         self._report.events["lost disk of a store"] += 1
         await self._fleet.end(member, signal.SIGKILL)
         self._fleet.lose_disk(member)
-        starts = self._fleet.logged_starts(member)
         await self._fleet.start(member)
-        while self._counts_from_log and self._fleet.logged_starts(member) == starts:
-            await asyncio.sleep(POLL_S)
         await asyncio.sleep(CATCH_UP_S)
 
     async def _decommission(self) -> None:
--- a/benchmarks/soak/fleet.py
+++ b/benchmarks/soak/fleet.py
@@ -82,11 +82,6 @@
         settings = self.layout.settings(member.process, bootstrap)
         (self.layout.folder_of(member.process) / "node.conf").write_text(settings, encoding="utf-8")
 
-    def logged_starts(self, member: Member) -> int:
-        """How often the program of a store has logged that it starts, in all its processes."""
-        log = self.layout.folder_of(member.process) / "log"
-        return log.read_text(encoding="utf-8", errors="replace").count('"store_starting"')
-
     def lose_disk(self, member: Member) -> None:
         """Empties the data folder of a member whose process has ended."""
         data = self.layout.folder_of(member.process) / "data"
--- a/benchmarks/soak/play.py
+++ b/benchmarks/soak/play.py
@@ -28,13 +28,8 @@
     controls: int = 3
     workers: int = 3
     events: int = 4  # most events of a series
-    lost_disks: int = (
-        0  # of stores, in turn; with any, all processes end at the end and one more disk is lost
-    )
+    lost_disks: int = 0  # of stores, in turn; then all processes end, and one more disk is lost
     decommissioned: int = 0  # stores that are emptied and removed, each with another disk lost right after
-    # 1: a store whose disk was lost is back from its first line in the log on, not from the start of its
-    # process. On a machine that many processes share, the time between is that of a slowed machine.
-    counts_from_log: int = 0
     routes: int = 0  # further routes of each configuration, each split over `large_configuration.SERVICES`
 
 
@@ -63,13 +58,7 @@
     gateways = fleet.of("gateway")
     clients = Clients(gateways, report, random.Random(rng.random()))
     disturbances = Disturbances(
-        fleet,
-        clients,
-        gateways,
-        report,
-        random.Random(rng.random()),
-        further_routes=size.routes,
-        counts_from_log=bool(size.counts_from_log),
+        fleet, clients, gateways, report, random.Random(rng.random()), further_routes=size.routes
     )
     workers = [
         Worker(
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -18,7 +18,7 @@
 
 # Guards against stores of which none stands for election after all have lost their first disks.
 def test_jobs_are_read_after_disks_were_lost_in_turn_and_all_processes_ended() -> None:
-    report = run_seed(1, Size(events=1, lost_disks=3, counts_from_log=1))
+    report = run_seed(1, Size(events=1, lost_disks=3))
     assert not report.judge(), report.summary()
     assert report.events["end of all"] == 1
     assert report.items["succeeded"]
